--- /dev/null
+++ b/internal/journal/codec_test.go
@@ -0,0 +1,23 @@
+package journal
+
+import (
+	"testing"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+func TestEntryCodecIsCompact(t *testing.T) {
+	e := Entry{Type: TypeCellFirst, Body: Encode(api.TaskID{Job: "j", Index: 7})}
+	data := Encode(e)
+	if len(data) > 12 {
+		t.Fatalf("entry takes %d bytes", len(data))
+	}
+	var back Entry
+	if err := Decode(data, &back); err != nil {
+		t.Fatal(err)
+	}
+	var id api.TaskID
+	if err := Decode(back.Body, &id); err != nil || id.Index != 7 || id.Job != "j" {
+		t.Fatalf("got %v, %v", id, err)
+	}
+}
