--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// answerGrace is how long past its timeout a request is waited for.
+const answerGrace = 2 * time.Second
+
+// Runner sends the requests of one run.
+type Runner struct {
+	cfg    Config
+	client *http.Client
+	open   chan struct{}
+	turn   atomic.Uint64
+	// OnSample, when set, is called for every sample, from many goroutines.
+	OnSample func(Sample)
+}
+
+// NewRunner returns a runner, or every finding in cfg.
+func NewRunner(cfg Config) (*Runner, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: cfg.MaxOpen,
+		MaxIdleConns:        cfg.MaxOpen,
+		DisableCompression:  true,
+	}
+	return &Runner{
+		cfg:    cfg,
+		client: &http.Client{Transport: transport},
+		open:   make(chan struct{}, cfg.MaxOpen),
+	}, nil
+}
+
+// Run sends every stream until the duration is over or ctx ends, waits for
+// the open requests and returns one result per stream.
+func (r *Runner) Run(ctx context.Context) []*Result {
+	results := make([]*Result, len(r.cfg.Streams))
+	start := time.Now()
+	var streams, requests sync.WaitGroup
+	for i := range r.cfg.Streams {
+		results[i] = newResult()
+		rnd := rand.New(rand.NewPCG(r.cfg.Seed, uint64(i)))
+		streams.Go(func() { r.stream(ctx, i, start, rnd, results[i], &requests) })
+	}
+	streams.Wait()
+	requests.Wait()
+	r.client.CloseIdleConnections()
+	return results
+}
+
+// stream sends the requests of stream i when they are due, with exponential
+// gaps between them.
+func (r *Runner) stream(ctx context.Context, i int, start time.Time, rnd *rand.Rand, result *Result, requests *sync.WaitGroup) {
+	s := r.cfg.Streams[i]
+	due := time.Duration(0)
+	for n := 0; ; n++ {
+		due += time.Duration(rnd.ExpFloat64() / s.Rate * float64(time.Second))
+		if due > r.cfg.Duration || !sleepUntil(ctx, start.Add(due)) {
+			return
+		}
+		id := fmt.Sprintf("%s-%d-%d", r.cfg.IDPrefix, i, n)
+		copies := 1
+		if rnd.Float64() < s.Repeat {
+			copies = 2
+		}
+		for range copies {
+			r.launch(i, id, start, due, result, requests)
+		}
+	}
+}
+
+func (r *Runner) launch(i int, id string, start time.Time, due time.Duration, result *Result, requests *sync.WaitGroup) {
+	select {
+	case r.open <- struct{}{}:
+	default:
+		result.skip()
+		return
+	}
+	requests.Go(func() {
+		defer func() { <-r.open }()
+		sample := r.request(i, id)
+		sample.Due = due
+		sample.Latency = time.Since(start) - due
+		result.add(sample)
+		if r.OnSample != nil {
+			r.OnSample(sample)
+		}
+	})
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
+func (r *Runner) request(i int, id string) Sample {
+	s := r.cfg.Streams[i]
+	sample := Sample{ID: id, Stream: i}
+	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout+answerGrace)
+	defer cancel()
+	entry := r.cfg.Entries[r.turn.Add(1)%uint64(len(r.cfg.Entries))]
+	url := "http://" + entry + "/v1/services/" + s.Service + s.Path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(make([]byte, s.BodyBytes)))
+	if err != nil {
+		return sample
+	}
+	req.GetBody = nil // a repeat must be this runner's own decision
+	req.Header.Set(api.HeaderRequestID, id)
+	req.Header.Set(api.HeaderCaller, s.Caller)
+	req.Header.Set(api.HeaderClass, s.Class)
+	req.Header.Set(api.HeaderIdempotent, strconv.FormatBool(s.Idempotent))
+	req.Header.Set(api.HeaderTimeout, strconv.FormatInt(s.Timeout.Milliseconds(), 10))
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return sample
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return sample
+	}
+	sample.Status = resp.StatusCode
+	sample.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
+	sample.Reason = api.Reason(resp.Header.Get(api.HeaderReason))
+	return sample
+}
