--- /dev/null
+++ b/internal/reqkey/entry.go
@@ -0,0 +1,111 @@
+// Package reqkey remembers which non-idempotent requests an entry VM may
+// have sent, so that no request runs twice.
+//
+// The first mark of a request id in log order wins; only its writer may send
+// the request. The writer later journals the outcome, or releases a mark that
+// it never used. See docs/design/requests.md.
+package reqkey
+
+import (
+	"fmt"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// Types of the entries that Machine applies.
+const (
+	TypeMark       = journal.TypeRequestFirst     // Mark
+	TypeOutcome    = journal.TypeRequestFirst + 1 // Outcome
+	TypeRelease    = journal.TypeRequestFirst + 2 // Release
+	TypeGeneration = journal.TypeRequestFirst + 3 // Generation
+)
+
+// Mark claims the right to send one request.
+type Mark struct {
+	_      struct{} `cbor:",toarray"`
+	ID     string
+	Digest uint64 // of what is to run, see Digest
+	Writer journal.Origin
+	Serial uint32 // tells this writer's marks of one id apart
+}
+
+// Outcome tells what became of a marked request.
+type Outcome struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Writer  journal.Origin
+	Serial  uint32
+	Outcome api.Outcome // OutcomeRan or OutcomeUnknown
+	Reason  api.Reason  // of OutcomeUnknown
+	Answer  *api.Answer // whole, or nil when it was not kept
+}
+
+// Release withdraws a mark under which nothing was or will be sent.
+type Release struct {
+	_      struct{} `cbor:",toarray"`
+	ID     string
+	Writer journal.Origin
+	Serial uint32
+}
+
+// Generation starts generation Number, forgets the marks of generations that
+// are Limits.Generations old and puts Limits in force.
+type Generation struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint32
+	Limits Limits
+}
+
+// Limits bounds what a Machine remembers. They are part of the log, so that
+// every reader applies the same.
+type Limits struct {
+	_           struct{} `cbor:",toarray"`
+	Marks       uint32   // remembered; further marks are rejected
+	AnswerBytes uint64   // of journaled answers; the oldest are dropped
+	Generations uint32   // for which a mark is remembered
+}
+
+// DefaultLimits are in force before the first generation entry.
+var DefaultLimits = Limits{Marks: 1 << 20, AnswerBytes: 32 << 20, Generations: 4}
+
+// MarkedError rejects a second mark of an id.
+type MarkedError struct{ Mark Mark }
+
+// Error implements error.
+func (e *MarkedError) Error() string {
+	return fmt.Sprintf("request %q is marked by %s/%x", e.Mark.ID, e.Mark.Writer.Node, e.Mark.Writer.Incarnation)
+}
+
+// ReusedError rejects a mark whose id was used for another request.
+type ReusedError struct{ ID string }
+
+// Error implements error.
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("request id %q was used for another request", e.ID)
+}
+
+// FullError rejects a mark because Limits.Marks are remembered: refusing is
+// preferred to forgetting a request that may have run.
+type FullError struct{ Marks uint32 }
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("%d request marks are remembered, no room for another", e.Marks)
+}
+
+// NoMarkError rejects an outcome or release whose mark does not stand.
+type NoMarkError struct{ ID string }
+
+// Error implements error.
+func (e *NoMarkError) Error() string {
+	return fmt.Sprintf("request %q has no such open mark", e.ID)
+}
+
+// GenerationError rejects a generation entry that does not follow the current.
+type GenerationError struct{ Found, Current uint32 }
+
+// Error implements error.
+func (e *GenerationError) Error() string {
+	return fmt.Sprintf("generation %d does not follow %d", e.Found, e.Current)
+}
--- /dev/null
+++ b/internal/reqkey/machine.go
@@ -0,0 +1,350 @@
+package reqkey
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"sync"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// shardCount is a power of two; one byte of the key selects the shard.
+const shardCount = 64
+
+// key is a truncated SHA-256 of a request id. Ids come from callers, so the
+// hash must not let one caller choose an id that collides with another's.
+type key [16]byte
+
+func keyOf(id string) key {
+	sum := sha256.Sum256([]byte(id))
+	return key(sum[:len(key{})])
+}
+
+// markState is what is known of a marked request.
+type markState uint8
+
+const (
+	stateOpen    markState = iota // no outcome journaled
+	stateRan                      // ran; the answer may have been dropped
+	stateUnknown                  // sent, no whole answer
+)
+
+// record is the remembered part of a mark.
+type record struct {
+	digest     uint64
+	writer     uint32 // index into Machine.writers
+	serial     uint32
+	generation uint32
+	state      markState
+}
+
+type shard struct {
+	mu      sync.RWMutex
+	records map[key]record
+	answers map[key]*Outcome // what is kept of outcomes, in ID-less form
+}
+
+// Machine is the deterministic memory of marks and outcomes of one stream.
+type Machine struct {
+	shards [shardCount]shard
+
+	apply       sync.Mutex // serialises Apply, Snapshot and Restore; guards the fields below
+	limits      Limits
+	generation  uint32
+	marks       uint32
+	answerBytes uint64
+	answerOrder []key // of kept answers, oldest first
+
+	writersMu   sync.RWMutex
+	writers     []journal.Origin
+	writerIndex map[journal.Origin]uint32
+}
+
+var _ journal.Machine = (*Machine)(nil)
+
+// NewMachine returns an empty Machine under DefaultLimits.
+func NewMachine() *Machine {
+	m := &Machine{}
+	m.reset()
+	return m
+}
+
+func (m *Machine) reset() {
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.Lock()
+		s.records = make(map[key]record)
+		s.answers = make(map[key]*Outcome)
+		s.mu.Unlock()
+	}
+	m.limits = DefaultLimits
+	m.generation, m.marks, m.answerBytes, m.answerOrder = 0, 0, 0, nil
+	m.writersMu.Lock()
+	m.writers, m.writerIndex = nil, make(map[journal.Origin]uint32)
+	m.writersMu.Unlock()
+}
+
+// Types implements journal.Machine.
+func (m *Machine) Types() []journal.EntryType {
+	return []journal.EntryType{TypeMark, TypeOutcome, TypeRelease, TypeGeneration}
+}
+
+// Apply implements journal.Machine. Rejections are of the error types of this
+// package.
+func (m *Machine) Apply(_ journal.Position, e journal.Entry) error {
+	m.apply.Lock()
+	defer m.apply.Unlock()
+	switch e.Type {
+	case TypeMark:
+		return decodeAnd(e, m.applyMark)
+	case TypeOutcome:
+		return decodeAnd(e, m.applyOutcome)
+	case TypeRelease:
+		return decodeAnd(e, m.applyRelease)
+	case TypeGeneration:
+		return decodeAnd(e, m.applyGeneration)
+	default:
+		return fmt.Errorf("reqkey: entry type %d", e.Type)
+	}
+}
+
+func decodeAnd[T any](e journal.Entry, apply func(*T) error) error {
+	var body T
+	if err := journal.Decode(e.Body, &body); err != nil {
+		return fmt.Errorf("reqkey: entry type %d: %w", e.Type, err)
+	}
+	return apply(&body)
+}
+
+func (m *Machine) shardOf(k key) *shard {
+	return &m.shards[k[0]%shardCount]
+}
+
+func (m *Machine) applyMark(mark *Mark) error {
+	k := keyOf(mark.ID)
+	s := m.shardOf(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.records[k]; ok {
+		if old.digest != mark.Digest {
+			return &ReusedError{ID: mark.ID}
+		}
+		return &MarkedError{Mark: m.markOf(mark.ID, old)}
+	}
+	if m.marks >= m.limits.Marks {
+		return &FullError{Marks: m.marks}
+	}
+	m.marks++
+	s.records[k] = record{
+		digest:     mark.Digest,
+		writer:     m.internWriter(mark.Writer),
+		serial:     mark.Serial,
+		generation: m.generation,
+	}
+	return nil
+}
+
+func (m *Machine) applyOutcome(o *Outcome) error {
+	k := keyOf(o.ID)
+	s := m.shardOf(k)
+	s.mu.Lock()
+	old, ok := s.records[k]
+	if !ok || !m.isOpen(old, o.Writer, o.Serial) {
+		s.mu.Unlock()
+		return &NoMarkError{ID: o.ID}
+	}
+	old.state = stateUnknown
+	if o.Outcome == api.OutcomeRan {
+		old.state = stateRan
+	}
+	s.records[k] = old
+	s.mu.Unlock()
+	m.keepAnswer(k, o)
+	return nil
+}
+
+func (m *Machine) applyRelease(r *Release) error {
+	k := keyOf(r.ID)
+	s := m.shardOf(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.records[k]
+	if !ok || !m.isOpen(old, r.Writer, r.Serial) {
+		return &NoMarkError{ID: r.ID}
+	}
+	delete(s.records, k)
+	m.marks--
+	return nil
+}
+
+func (m *Machine) applyGeneration(g *Generation) error {
+	if g.Number != m.generation+1 {
+		return &GenerationError{Found: g.Number, Current: m.generation}
+	}
+	m.generation = g.Number
+	m.limits = g.Limits
+	m.forgetOld()
+	m.trimAnswers()
+	return nil
+}
+
+// forgetOld drops the marks of generations that are too old.
+func (m *Machine) forgetOld() {
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.Lock()
+		for k, r := range s.records {
+			if r.generation+m.limits.Generations <= m.generation {
+				delete(s.records, k)
+				m.marks--
+				m.dropAnswer(s, k)
+			}
+		}
+		s.mu.Unlock()
+	}
+	m.compactOrder()
+}
+
+// compactOrder removes from answerOrder the keys without an answer.
+func (m *Machine) compactOrder() {
+	kept := make([]key, 0, len(m.answerOrder))
+	for _, k := range m.answerOrder {
+		s := m.shardOf(k)
+		s.mu.RLock()
+		_, ok := s.answers[k]
+		s.mu.RUnlock()
+		if ok {
+			kept = append(kept, k)
+		}
+	}
+	m.answerOrder = kept
+}
+
+func (m *Machine) keepAnswer(k key, o *Outcome) {
+	s := m.shardOf(k)
+	s.mu.Lock()
+	s.answers[k] = &Outcome{Outcome: o.Outcome, Reason: o.Reason, Answer: o.Answer}
+	s.mu.Unlock()
+	m.answerBytes += answerSize(o)
+	m.answerOrder = append(m.answerOrder, k)
+	m.trimAnswers()
+}
+
+// trimAnswers drops the oldest answers over the limit.
+func (m *Machine) trimAnswers() {
+	for m.answerBytes > m.limits.AnswerBytes && len(m.answerOrder) > 0 {
+		k := m.answerOrder[0]
+		m.answerOrder = m.answerOrder[1:]
+		s := m.shardOf(k)
+		s.mu.Lock()
+		m.dropAnswer(s, k)
+		s.mu.Unlock()
+	}
+}
+
+// dropAnswer needs s.mu.
+func (m *Machine) dropAnswer(s *shard, k key) {
+	o, ok := s.answers[k]
+	if !ok {
+		return
+	}
+	m.answerBytes -= answerSize(o)
+	delete(s.answers, k)
+}
+
+// answerOverhead is charged for each kept outcome besides its texts, bytes.
+const answerOverhead = 160
+
+func answerSize(o *Outcome) uint64 {
+	n := answerOverhead + len(o.Reason)
+	if o.Answer == nil {
+		return uint64(n)
+	}
+	n += len(o.Answer.Body) + len(o.Answer.Endpoint)
+	for name, value := range o.Answer.Header {
+		n += len(name) + len(value)
+	}
+	for name, value := range o.Answer.Trailer {
+		n += len(name) + len(value)
+	}
+	return uint64(n)
+}
+
+// isOpen reports whether r is the mark of writer and serial, without outcome.
+func (m *Machine) isOpen(r record, writer journal.Origin, serial uint32) bool {
+	return r.state == stateOpen && r.serial == serial && m.writerAt(r.writer) == writer
+}
+
+func (m *Machine) markOf(id string, r record) Mark {
+	return Mark{ID: id, Digest: r.digest, Writer: m.writerAt(r.writer), Serial: r.serial}
+}
+
+func (m *Machine) writerAt(i uint32) journal.Origin {
+	m.writersMu.RLock()
+	defer m.writersMu.RUnlock()
+	return m.writers[i]
+}
+
+func (m *Machine) internWriter(o journal.Origin) uint32 {
+	m.writersMu.Lock()
+	defer m.writersMu.Unlock()
+	if i, ok := m.writerIndex[o]; ok {
+		return i
+	}
+	i := uint32(len(m.writers))
+	m.writers = append(m.writers, o)
+	m.writerIndex[o] = i
+	return i
+}
+
+// State is what is remembered of one id.
+type State struct {
+	Mark    Mark
+	Outcome api.Outcome // empty while none is journaled
+	Reason  api.Reason  // of OutcomeUnknown, when kept
+	Answer  *api.Answer // of OutcomeRan, when kept; shared, not to be changed
+}
+
+// Lookup returns what is remembered of id, and false when it has no mark.
+func (m *Machine) Lookup(id string) (State, bool) {
+	k := keyOf(id)
+	s := m.shardOf(k)
+	s.mu.RLock()
+	r, ok := s.records[k]
+	kept := s.answers[k]
+	s.mu.RUnlock()
+	if !ok {
+		return State{}, false
+	}
+	state := State{Mark: m.markOf(id, r), Outcome: r.state.outcome()}
+	if kept != nil {
+		state.Reason, state.Answer = kept.Reason, kept.Answer
+	}
+	return state, true
+}
+
+func (s markState) outcome() api.Outcome {
+	switch s {
+	case stateRan:
+		return api.OutcomeRan
+	case stateUnknown:
+		return api.OutcomeUnknown
+	default:
+		return ""
+	}
+}
+
+// Marks returns the number of marks remembered.
+func (m *Machine) Marks() int {
+	m.apply.Lock()
+	defer m.apply.Unlock()
+	return int(m.marks)
+}
+
+// Generation returns the current generation.
+func (m *Machine) Generation() uint32 {
+	m.apply.Lock()
+	defer m.apply.Unlock()
+	return m.generation
+}
