filter and front: the request chain and the callers' server, thin first form

Cause: an entry VM needs one place that decides what a caller is told. Ruled out: a slot taken before the mark (a slow log would keep slots idle); httputil.ReverseProxy and http.ServeMux for service paths (it redirects). Change: chain admit, identify, find home, deduplicate, limit, mark, attempt; front with bounds on header, body, time and memory, and a drain.

--- /dev/null
+++ b/internal/filter/dedup.go
@@ -0,0 +1,235 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/reqkey"
+)
+
+// deduplicate runs each id once: a request joins the run in flight, gets the
+// answer that is kept, or learns from the marks what became of its id.
+func (c *Chain) deduplicate(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) (*api.Answer, error) {
+		if x.Request.ID == "" {
+			return next(ctx, x)
+		}
+		// The run outlives its first caller, so it has its own context.
+		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.Deadline)
+		kind, f, kept := c.runs.enter(x, cancel)
+		switch kind {
+		case entryReused:
+			cancel()
+			return nil, reused(x.Request.ID)
+		case entryKept:
+			cancel()
+			c.deps.Counters.Inc(GroupRepeat, CountKept)
+			return kept.unpack()
+		case entryJoined:
+			cancel()
+			c.deps.Counters.Inc(GroupRepeat, CountJoined)
+			return c.await(ctx, f)
+		}
+		c.gate.reenter()
+		go func() {
+			defer c.gate.Leave()
+			defer cancel()
+			c.run(runCtx, x, f, next)
+		}()
+		return c.await(ctx, f)
+	}
+}
+
+func reused(id string) *api.Refusal {
+	return api.NotRun(api.ReasonIDReused, 0, fmt.Sprintf("request id %q was used for another request", id))
+}
+
+// run carries f to its end.
+func (c *Chain) run(ctx context.Context, x *Exchange, f *flight, next Handler) {
+	answer, err := c.firstOrRepeat(ctx, x, next)
+	res := result{answer: answer}
+	if err != nil || answer == nil {
+		res = result{refusal: asRefusal(err)}
+	}
+	c.runs.finish(f, res, keepable(x, res))
+}
+
+// keepable reports whether res is the last word on the id: a whole answer,
+// or unknown for a request that was sent under this VM's mark.
+func keepable(x *Exchange, res result) bool {
+	if res.refusal == nil {
+		return true
+	}
+	return x.Mark != nil && res.refusal.Outcome == api.OutcomeUnknown
+}
+
+// firstOrRepeat goes on with a first request and answers a repeat.
+func (c *Chain) firstOrRepeat(ctx context.Context, x *Exchange, next Handler) (*api.Answer, error) {
+	state, marked := c.deps.Keys.Lookup(x.Request.ID)
+	if !marked {
+		return next(ctx, x)
+	}
+	answer, err := c.repeat(ctx, x, state)
+	if errors.Is(err, errNotSent) {
+		return next(ctx, x)
+	}
+	return answer, err
+}
+
+// await returns the result of f, or takes the caller off it when ctx ends.
+func (c *Chain) await(ctx context.Context, f *flight) (*api.Answer, error) {
+	select {
+	case <-f.done:
+		return f.result.unpack()
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && c.finishesSoon(f) {
+		return f.result.unpack()
+	}
+	c.runs.leave(f)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.deps.Counters.Inc(GroupCallers, api.ReasonCallerGone)
+		return nil, api.Unknown(api.ReasonCallerGone, "the caller left before the answer")
+	}
+	return nil, c.stillRunning(f.id)
+}
+
+// finishesSoon gives a run that ends at its deadline the time to say so.
+func (c *Chain) finishesSoon(f *flight) bool {
+	timer := time.NewTimer(c.settings.AnswerGrace)
+	defer timer.Stop()
+	select {
+	case <-f.done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+func (c *Chain) stillRunning(id string) *api.Refusal {
+	refusal := api.Unknown(api.ReasonStillRunning, fmt.Sprintf("request %q is in flight", id))
+	refusal.RetryAfter = c.settings.RetryAfter
+	return refusal
+}
+
+// errNotSent says that the mark found was never used, so that the id may be
+// marked anew.
+var errNotSent = errors.New("filter: marked, but never sent")
+
+// repeat answers a request whose id is marked. It returns errNotSent when
+// the writer of the mark never used it.
+func (c *Chain) repeat(ctx context.Context, x *Exchange, state reqkey.State) (*api.Answer, error) {
+	if state.Mark.Digest != x.Digest {
+		return nil, reused(x.Request.ID)
+	}
+	if answer, err, ok := c.journaled(state); ok {
+		return answer, err
+	}
+	self := c.deps.Keys.Self()
+	switch {
+	case state.Mark.Writer == self && c.runs.isWithdrawn(x.Request.ID, state.Mark.Serial):
+		return nil, errNotSent
+	case state.Mark.Writer == self:
+		return nil, api.Unknown(api.ReasonAnswerLost, "the answer is no longer kept")
+	case state.Mark.Writer.Node == self.Node:
+		return nil, api.Unknown(api.ReasonHolderLost, "the entry VM that had the request was restarted")
+	}
+	return c.askWriter(ctx, x, state)
+}
+
+// journaled returns what the log says of the outcome, if that is final.
+func (c *Chain) journaled(state reqkey.State) (*api.Answer, error, bool) {
+	switch {
+	case state.Answer != nil:
+		c.deps.Counters.Inc(GroupRepeat, CountJournaled)
+		return state.Answer, nil, true
+	case state.Outcome == api.OutcomeUnknown:
+		reason := state.Reason
+		if reason == "" {
+			reason = api.ReasonAnswerLost
+		}
+		return nil, api.Unknown(reason, "an earlier attempt brought no whole answer"), true
+	default:
+		return nil, nil, false
+	}
+}
+
+// askWriter asks the entry VM that marked the id.
+func (c *Chain) askWriter(ctx context.Context, x *Exchange, state reqkey.State) (*api.Answer, error) {
+	writer := state.Mark.Writer.Node
+	query := &AnswerQuery{Mark: state.Mark, Wait: x.remaining(c.deps.Now())}
+	reply, err := c.deps.Peers.AnswerOf(ctx, writer, query)
+	if err != nil || reply == nil {
+		return c.writerLost(x, api.ReasonHolderLost, fmt.Sprintf("entry VM %s, which had the request, can't be reached", writer))
+	}
+	switch {
+	case reply.State == AnswerNotSent:
+		return nil, errNotSent
+	case reply.State == AnswerRunning:
+		return nil, c.stillRunning(x.Request.ID)
+	case reply.State == AnswerFinal && reply.Answer != nil:
+		c.deps.Counters.Inc(GroupRepeat, CountFromPeer)
+		return reply.Answer, nil
+	case reply.State == AnswerFinal && reply.Refusal != nil:
+		return nil, reply.Refusal
+	}
+	return c.writerLost(x, api.ReasonAnswerLost, fmt.Sprintf("entry VM %s no longer keeps the answer", writer))
+}
+
+// writerLost looks once more for a journaled outcome.
+func (c *Chain) writerLost(x *Exchange, reason api.Reason, detail string) (*api.Answer, error) {
+	if state, ok := c.deps.Keys.Lookup(x.Request.ID); ok && state.Mark.Digest == x.Digest {
+		if answer, err, final := c.journaled(state); final {
+			return answer, err
+		}
+	}
+	refusal := api.Unknown(reason, detail)
+	refusal.RetryAfter = c.settings.RetryAfter
+	return nil, refusal
+}
+
+// AnswerOf serves Peers.AnswerOf: it tells what became of the request that
+// this entry VM marked, waiting for one in flight at most query.Wait.
+func (c *Chain) AnswerOf(ctx context.Context, query *AnswerQuery) *AnswerReply {
+	mark := query.Mark
+	if mark.Writer != c.deps.Keys.Self() {
+		return &AnswerReply{State: AnswerForgotten}
+	}
+	if c.runs.isWithdrawn(mark.ID, mark.Serial) {
+		c.release(ctx, mark)
+		return &AnswerReply{State: AnswerNotSent}
+	}
+	f, kept := c.runs.find(mark.ID)
+	switch {
+	case f != nil && f.digest == mark.Digest:
+		return c.awaitFor(ctx, f, query)
+	case kept != nil && kept.digest == mark.Digest:
+		return finalReply(kept.result)
+	default:
+		return &AnswerReply{State: AnswerForgotten}
+	}
+}
+
+func (c *Chain) awaitFor(ctx context.Context, f *flight, query *AnswerQuery) *AnswerReply {
+	timer := time.NewTimer(query.Wait)
+	defer timer.Stop()
+	select {
+	case <-f.done:
+	case <-timer.C:
+		return &AnswerReply{State: AnswerRunning}
+	case <-ctx.Done():
+		return &AnswerReply{State: AnswerRunning}
+	}
+	if c.runs.isWithdrawn(f.id, query.Mark.Serial) {
+		c.release(ctx, query.Mark)
+		return &AnswerReply{State: AnswerNotSent}
+	}
+	return finalReply(f.result)
+}
+
+func finalReply(r result) *AnswerReply {
+	return &AnswerReply{State: AnswerFinal, Answer: r.answer, Refusal: r.refusal}
+}
--- /dev/null
+++ b/internal/filter/filter.go
@@ -0,0 +1,167 @@
+// Package filter is the chain that every request passes through on an entry
+// VM: admit, identify, find home, deduplicate, limit, mark, attempt.
+//
+// It decides what a caller is told. Each final answer is one of three: the
+// whole answer of an endpoint (ran), a refusal of a request that certainly
+// did not run (not-run), or a refusal that leaves it open (unknown). See
+// docs/design/requests.md.
+package filter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/reqkey"
+	"github.com/skylarklock/skylarklock/internal/retry"
+)
+
+// Handler answers one request. The error is a *api.Refusal; any other error
+// reaches the caller as unknown, internal.
+type Handler func(ctx context.Context, x *Exchange) (*api.Answer, error)
+
+// Filter wraps a Handler.
+type Filter func(next Handler) Handler
+
+// Exchange is one request on its way through the chain. It belongs to one
+// goroutine at a time.
+type Exchange struct {
+	Request  *api.Request
+	Header   http.Header // of the caller; read by identify only
+	Spec     api.ServiceSpec
+	Digest   uint64
+	Deadline time.Time    // on the local clock
+	Hops     int          // between entry VMs so far
+	Mark     *reqkey.Mark // under which a non-idempotent request is sent
+	Single   bool         // one attempt for another entry VM, which owns the retries
+}
+
+// Settings bounds the chain. Zero fields take the defaults.
+type Settings struct {
+	Node           api.NodeID
+	DataCentre     api.DataCentre
+	DataCentres    []api.DataCentre // of the whole cell; the same on all entry VMs
+	MaxInFlight    int              // requests on this entry VM
+	CallerShare    float64          // most of MaxInFlight for one caller under contention
+	BatchShare     float64          // most of MaxInFlight for batch requests
+	KeptAnswers    int              // finished requests remembered
+	KeptBytes      int64            // of their answers
+	DefaultTimeout time.Duration    // when neither caller nor service names one
+	MaxTimeout     time.Duration    // longest that a caller may ask for
+	RetryAfter     time.Duration    // named in refusals that compute no better one
+	AnswerGrace    time.Duration    // for which a caller waits past the deadline for the final word
+	JournalTimeout time.Duration    // of outcomes and releases, which no caller waits for
+	JournalBacklog int              // outcomes and releases under way at once
+}
+
+// Defaults of Settings.
+const (
+	DefaultMaxInFlight    = 4096
+	DefaultCallerShare    = 0.25
+	DefaultBatchShare     = 0.5
+	DefaultKeptAnswers    = 16384
+	DefaultKeptBytes      = 16 << 20
+	DefaultTimeout        = 30 * time.Second
+	DefaultMaxTimeout     = 10 * time.Minute
+	DefaultRetryAfter     = time.Second
+	DefaultAnswerGrace    = 50 * time.Millisecond
+	DefaultJournalTimeout = 10 * time.Second
+	DefaultJournalBacklog = 4096
+)
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&s.CallerShare, DefaultCallerShare)
+	setDefault(&s.BatchShare, DefaultBatchShare)
+	setDefault(&s.KeptAnswers, DefaultKeptAnswers)
+	setDefault(&s.KeptBytes, DefaultKeptBytes)
+	setDefault(&s.DefaultTimeout, DefaultTimeout)
+	setDefault(&s.MaxTimeout, DefaultMaxTimeout)
+	setDefault(&s.RetryAfter, DefaultRetryAfter)
+	setDefault(&s.AnswerGrace, DefaultAnswerGrace)
+	setDefault(&s.JournalTimeout, DefaultJournalTimeout)
+	setDefault(&s.JournalBacklog, DefaultJournalBacklog)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Chain is the assembled chain of one entry VM. It is safe for concurrent use.
+type Chain struct {
+	settings Settings
+	deps     Deps
+	gate     *Gate
+	runs     *runs
+	limits   *limiter
+	budget   *retry.Budget
+	journal  *background
+
+	whole Handler // of callers' requests
+	home  Handler // of requests handed over to their home data centre
+	once  Handler // of single attempts made for another entry VM
+}
+
+// New assembles the chain.
+func New(settings Settings, deps Deps) *Chain {
+	settings = settings.withDefaults()
+	c := &Chain{
+		settings: settings,
+		deps:     deps,
+		gate:     NewGate(settings.MaxInFlight),
+		runs:     newRuns(settings.KeptAnswers, settings.KeptBytes),
+		limits:   newLimiter(settings, deps.Limits),
+		budget:   retry.NewBudget(),
+		journal:  newBackground(settings.JournalBacklog, settings.JournalTimeout),
+	}
+	c.whole = assemble(c.attempt,
+		c.answer,
+		c.admit,
+		c.identify,
+		c.findHome,
+		c.deduplicate,
+		c.limit,
+		c.mark,
+	)
+	c.home = assemble(c.attempt,
+		c.answer,
+		c.admit,
+		c.accept,
+		c.deduplicate,
+		c.limit,
+		c.mark,
+	)
+	c.once = assemble(c.attempt,
+		c.answer,
+		c.admit,
+		c.accept,
+	)
+	return c
+}
+
+// assemble wraps last in filters, the first outermost.
+func assemble(last Handler, filters ...Filter) Handler {
+	h := last
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i](h)
+	}
+	return h
+}
+
+// Handle answers a caller's request. The error is always a *api.Refusal.
+// The context ends when the caller leaves.
+func (c *Chain) Handle(ctx context.Context, x *Exchange) (*api.Answer, error) {
+	return c.whole(ctx, x)
+}
+
+// Gate returns the gate that admits requests to the chain.
+func (c *Chain) Gate() *Gate { return c.gate }
+
+// Close waits until the outcomes and releases under way have been journaled
+// or given up, at most until ctx ends.
+func (c *Chain) Close(ctx context.Context) error { return c.journal.wait(ctx) }
--- /dev/null
+++ b/internal/filter/gate.go
@@ -0,0 +1,135 @@
+package filter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// GateState says which requests an entry VM takes on.
+type GateState uint8
+
+// States of a Gate.
+const (
+	GateNotReady GateState = iota // state not complete; nothing is taken on
+	GateOpen
+	GateDraining // nothing new; requests in flight go on
+)
+
+// Gate counts the requests in flight and turns new ones away.
+type Gate struct {
+	mu       sync.Mutex
+	state    GateState
+	max      int
+	inFlight int
+	idle     chan struct{} // closed when draining and nothing is in flight
+}
+
+// NewGate returns a gate that is not ready and takes on max requests at once.
+func NewGate(max int) *Gate {
+	return &Gate{max: max, idle: make(chan struct{})}
+}
+
+// SetReady opens the gate or closes it while the state is not complete.
+// It has no effect on a draining gate.
+func (g *Gate) SetReady(ready bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.state == GateDraining:
+	case ready:
+		g.state = GateOpen
+	default:
+		g.state = GateNotReady
+	}
+}
+
+// Drain turns new requests away from now on.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.state == GateDraining {
+		return
+	}
+	g.state = GateDraining
+	if g.inFlight == 0 {
+		close(g.idle)
+	}
+}
+
+// State returns the gate's state.
+func (g *Gate) State() GateState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state
+}
+
+// InFlight returns the number of requests admitted and not finished.
+func (g *Gate) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
+}
+
+// Wait returns nil when a draining gate has nothing in flight, or the error
+// of ctx.
+func (g *Gate) Wait(ctx context.Context) error {
+	select {
+	case <-g.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Enter admits one request until Leave. The refusal has no RetryAfter.
+func (g *Gate) Enter() *api.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.state == GateNotReady:
+		return api.NotRun(api.ReasonNotReady, 0, "this entry VM has no complete state yet")
+	case g.state == GateDraining:
+		return api.NotRun(api.ReasonDraining, 0, "this entry VM is leaving")
+	case g.inFlight >= g.max:
+		return api.NotRun(api.ReasonClassLimit, 0, "too many requests in flight on this entry VM")
+	}
+	g.inFlight++
+	return nil
+}
+
+// reenter counts work that goes on after its caller was answered.
+func (g *Gate) reenter() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight++
+}
+
+// Leave ends one request.
+func (g *Gate) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	if g.state == GateDraining && g.inFlight == 0 {
+		close(g.idle)
+	}
+}
+
+// admit refuses what this entry VM can't take on.
+func (c *Chain) admit(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) (*api.Answer, error) {
+		if refusal := c.gate.Enter(); refusal != nil {
+			refusal.RetryAfter = c.settings.RetryAfter
+			return nil, refusal
+		}
+		defer c.gate.Leave()
+		return next(ctx, x)
+	}
+}
+
+// remaining returns the time before the exchange's deadline.
+func (x *Exchange) remaining(now time.Time) time.Duration {
+	return x.Deadline.Sub(now)
+}
--- /dev/null
+++ b/internal/filter/limit.go
@@ -0,0 +1,195 @@
+package filter
+
+import (
+	"context"
+	"fmt"
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+const (
+	limitShards = 16
+	// limitCallers bounds the callers remembered in one shard; idle ones are
+	// forgotten first.
+	limitCallers = 4096
+	// contention is the share of MaxInFlight from which CallerShare holds.
+	contention = 0.5
+	// durationWeight is the weight of the latest request in the average.
+	durationWeight = 0.2
+)
+
+// limiter bounds each caller's rate and concurrency and the share of batch
+// requests. It never holds a request back.
+type limiter struct {
+	limits      Limits
+	maxInFlight int64
+	callerShare int64 // requests of one caller under contention
+	batchShare  int64
+	retryAfter  time.Duration
+	inFlight    atomic.Int64
+	batch       atomic.Int64
+	seed        maphash.Seed
+	shards      [limitShards]limitShard
+}
+
+type limitShard struct {
+	mu      sync.Mutex
+	callers map[string]*callerState
+}
+
+// callerState is guarded by its shard's lock.
+type callerState struct {
+	shard    *limitShard
+	rate     *rate.Limiter
+	spec     api.LimitsSpec // that rate was made from
+	inFlight int64
+	average  time.Duration // of recent requests
+}
+
+func newLimiter(s Settings, limits Limits) *limiter {
+	l := &limiter{
+		limits:      limits,
+		maxInFlight: int64(s.MaxInFlight),
+		callerShare: max(int64(s.CallerShare*float64(s.MaxInFlight)), 1),
+		batchShare:  max(int64(s.BatchShare*float64(s.MaxInFlight)), 1),
+		retryAfter:  s.RetryAfter,
+		seed:        maphash.MakeSeed(),
+	}
+	for i := range l.shards {
+		l.shards[i].callers = make(map[string]*callerState)
+	}
+	return l
+}
+
+// enter admits one request of caller or refuses it at once.
+func (l *limiter) enter(caller string, class api.Class, now time.Time) (*callerState, *api.Refusal) {
+	batch := class == api.ClassBatch
+	if batch && l.batch.Add(1) > l.batchShare {
+		l.batch.Add(-1)
+		return nil, api.NotRun(api.ReasonClassLimit, l.retryAfter, "batch requests use their share of this entry VM")
+	}
+	total := l.inFlight.Add(1)
+	state, refusal := l.enterCaller(caller, total, now)
+	if refusal != nil {
+		l.inFlight.Add(-1)
+		if batch {
+			l.batch.Add(-1)
+		}
+	}
+	return state, refusal
+}
+
+func (l *limiter) enterCaller(caller string, total int64, now time.Time) (*callerState, *api.Refusal) {
+	spec := l.limits.CallerLimits(caller)
+	s := &l.shards[maphash.String(l.seed, caller)%limitShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state(caller, spec)
+	if spec.Concurrency > 0 && state.inFlight >= int64(spec.Concurrency) {
+		return nil, state.refuse(l, fmt.Sprintf("caller %s has %d requests in flight", caller, state.inFlight))
+	}
+	if float64(total) > contention*float64(l.maxInFlight) && state.inFlight >= l.callerShare {
+		return nil, state.refuse(l, fmt.Sprintf("caller %s uses its share of a busy entry VM", caller))
+	}
+	if refusal := state.takeToken(caller, now); refusal != nil {
+		return nil, refusal
+	}
+	state.inFlight++
+	return state, nil
+}
+
+// state returns the caller's state, made anew when its limits changed.
+func (s *limitShard) state(caller string, spec api.LimitsSpec) *callerState {
+	state, ok := s.callers[caller]
+	if !ok {
+		s.forgetIdle()
+		state = &callerState{shard: s}
+		s.callers[caller] = state
+	}
+	if !ok || state.spec != spec {
+		state.spec = spec
+		state.rate = newRate(spec)
+	}
+	return state
+}
+
+func newRate(spec api.LimitsSpec) *rate.Limiter {
+	if spec.RatePerSec <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(spec.RatePerSec), max(spec.Burst, 1))
+}
+
+// forgetIdle makes room in a full shard.
+func (s *limitShard) forgetIdle() {
+	if len(s.callers) < limitCallers {
+		return
+	}
+	for name, state := range s.callers {
+		if state.inFlight == 0 {
+			delete(s.callers, name)
+			return
+		}
+	}
+}
+
+// refuse names the caller's average time of a request as the time after which
+// a slot is likely free.
+func (s *callerState) refuse(l *limiter, detail string) *api.Refusal {
+	after := s.average
+	if after == 0 {
+		after = l.retryAfter
+	}
+	return api.NotRun(api.ReasonCallerLimit, after, detail)
+}
+
+// takeToken refuses with the time until the caller's next token.
+func (s *callerState) takeToken(caller string, now time.Time) *api.Refusal {
+	if s.rate == nil || s.rate.AllowN(now, 1) {
+		return nil
+	}
+	reservation := s.rate.ReserveN(now, 1)
+	after := reservation.DelayFrom(now)
+	reservation.CancelAt(now)
+	return api.NotRun(api.ReasonCallerLimit, after, fmt.Sprintf("caller %s is over its rate", caller))
+}
+
+func (l *limiter) leave(state *callerState, class api.Class, took time.Duration) {
+	l.inFlight.Add(-1)
+	if class == api.ClassBatch {
+		l.batch.Add(-1)
+	}
+	state.shard.mu.Lock()
+	defer state.shard.mu.Unlock()
+	state.inFlight--
+	if state.average == 0 {
+		state.average = took
+		return
+	}
+	state.average += time.Duration(durationWeight * float64(took-state.average))
+}
+
+// limit refuses what a caller or class has too much of. Services under the
+// baseline policy are not limited.
+func (c *Chain) limit(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) (*api.Answer, error) {
+		if x.Spec.RoutingPolicy == BaselinePolicy {
+			return next(ctx, x)
+		}
+		start := c.deps.Now()
+		state, refusal := c.limits.enter(x.Request.Caller, x.Request.Class, start)
+		if refusal != nil {
+			return nil, refusal
+		}
+		defer func() {
+			c.limits.leave(state, x.Request.Class, c.deps.Now().Sub(start))
+		}()
+		return next(ctx, x)
+	}
+}
--- /dev/null
+++ b/internal/front/answer.go
@@ -0,0 +1,170 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/filter"
+)
+
+// Headers that concern one connection only and are never passed on.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Host":                true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// Headers between entry VMs and endpoints, which callers neither set nor see.
+var internalHeaders = map[string]bool{
+	api.HeaderEpoch:     true,
+	api.HeaderSlotsBusy: true,
+	api.HeaderLeaving:   true,
+	api.HeaderNotRun:    true,
+	api.HeaderOutcome:   true,
+	api.HeaderReason:    true,
+}
+
+// requestHeader returns the caller's headers that are passed on to the
+// endpoint. Several values of one name are joined.
+func requestHeader(from http.Header) map[string]string {
+	named := make(map[string]bool)
+	for _, value := range from.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	header := make(map[string]string, len(from))
+	for name, values := range from {
+		if connectionHeaders[name] || internalHeaders[name] || named[name] {
+			continue
+		}
+		separator := ", "
+		if name == "Cookie" {
+			separator = "; "
+		}
+		header[name] = strings.Join(values, separator)
+	}
+	return header
+}
+
+// Statuses that an answer may have; net/http panics beyond.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
+// writeAnswer writes an endpoint's whole answer. When the caller's connection
+// fails midway it is cut, so that the caller never takes a part for the whole.
+func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, answer *api.Answer) {
+	if answer.Status < minStatus || answer.Status > maxStatus {
+		s.refuse(w, api.Unknown(api.ReasonAnswerBroken, "the endpoint answered with status "+strconv.Itoa(answer.Status)))
+		return
+	}
+	header := w.Header()
+	for name, value := range answer.Header {
+		name = http.CanonicalHeaderKey(name)
+		if !connectionHeaders[name] && !internalHeaders[name] {
+			header.Set(name, value)
+		}
+	}
+	header.Set(api.HeaderOutcome, string(api.OutcomeRan))
+	if r.Method != http.MethodHead && len(answer.Trailer) == 0 {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	s.writeWhole(w, answer.Status, answer.Body)
+	for name, value := range answer.Trailer {
+		header.Set(http.TrailerPrefix+name, value)
+	}
+}
+
+// writeWhole writes status and body, or aborts the connection.
+func (s *Server) writeWhole(w http.ResponseWriter, status int, body []byte) {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(s.settings.WriteTimeout))
+	if status == http.StatusNoContent || status == http.StatusNotModified {
+		w.Header().Del("Content-Length")
+		w.WriteHeader(status)
+		return
+	}
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse counts and writes a refusal that the chain has not seen.
+func (s *Server) refuse(w http.ResponseWriter, refusal *api.Refusal) {
+	group := filter.GroupRefused
+	if refusal.Outcome == api.OutcomeUnknown {
+		group = filter.GroupUnknown
+	}
+	s.counters.Inc(group, refusal.Reason)
+	s.writeRefusal(w, refusal)
+}
+
+func (s *Server) writeRefusal(w http.ResponseWriter, refusal *api.Refusal) {
+	header := w.Header()
+	header.Set(api.HeaderOutcome, string(refusal.Outcome))
+	header.Set(api.HeaderReason, string(refusal.Reason))
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatInt(retrySeconds(refusal.RetryAfter), 10))
+	}
+	if refusal.Reason == api.ReasonDraining {
+		header.Set("Connection", "close")
+	}
+	s.writeJSON(w, statusOf(refusal), refusal)
+}
+
+// retrySeconds rounds up: the header knows whole seconds only.
+func retrySeconds(d time.Duration) int64 {
+	return int64((d + time.Second - 1) / time.Second)
+}
+
+func (s *Server) writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.writeWhole(w, status, body)
+}
+
+// statusOf returns the HTTP status of a refusal.
+func statusOf(refusal *api.Refusal) int {
+	switch refusal.Reason {
+	case api.ReasonMalformed, api.ReasonIDMissing:
+		return http.StatusBadRequest
+	case api.ReasonUnknownService, api.ReasonUnknownJob:
+		return http.StatusNotFound
+	case api.ReasonIDReused, api.ReasonConflict, api.ReasonDuplicate, api.ReasonWrongState:
+		return http.StatusConflict
+	case api.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case api.ReasonCallerLimit, api.ReasonQuota:
+		return http.StatusTooManyRequests
+	case api.ReasonDeadlinePassed, api.ReasonDeadlineUnmeetable, api.ReasonAnswerTimeout:
+		return http.StatusGatewayTimeout
+	case api.ReasonStillRunning:
+		return http.StatusServiceUnavailable
+	case api.ReasonInternal:
+		return http.StatusInternalServerError
+	}
+	if refusal.Outcome == api.OutcomeUnknown {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/front/handler.go
@@ -0,0 +1,145 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/filter"
+)
+
+// Paths of the callers' listener.
+const (
+	servicesPrefix = "/v1/services/"
+	jobsPath       = "/v1/jobs"
+	readyPath      = "/v1/ready"
+)
+
+// Handler returns the server's routes. Service paths are passed on as the
+// caller wrote them, so they are not routed by http.ServeMux, which redirects
+// paths that it would clean.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+jobsPath, s.submitJob)
+	mux.HandleFunc("GET "+jobsPath+"/{id}", s.jobStatus)
+	mux.HandleFunc("DELETE "+jobsPath+"/{id}", s.cancelJob)
+	mux.HandleFunc("GET "+readyPath, s.ready)
+	mux.HandleFunc("/", s.notFound)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		if rest, ok := strings.CutPrefix(r.URL.EscapedPath(), servicesPrefix); ok {
+			s.service(w, r, rest)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, api.NotRun(api.ReasonMalformed, 0, fmt.Sprintf("no such path or method: %s %s", r.Method, r.URL.Path)))
+}
+
+// service answers one request of a service. rest is the path after the
+// prefix: the service, then the path at the endpoint.
+func (s *Server) service(w http.ResponseWriter, r *http.Request, rest string) {
+	reserved := s.bodyBound(r)
+	if !s.bytes.take(reserved) {
+		s.refuse(w, api.NotRun(api.ReasonQueueFull, s.settings.RetryAfter, "the bodies in flight use all their memory"))
+		return
+	}
+	defer s.bytes.give(reserved)
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		s.refuse(w, refusal)
+		return
+	}
+	name, path, _ := strings.Cut(rest, "/")
+	x := &filter.Exchange{
+		Header: r.Header,
+		Request: &api.Request{
+			Service: name,
+			Method:  r.Method,
+			Path:    endpointPath(path, r.URL.RawQuery),
+			Header:  requestHeader(r.Header),
+			Body:    body,
+		},
+	}
+	answer, err := s.requests.Handle(r.Context(), x)
+	if err != nil {
+		s.writeRefusal(w, asRefusal(err))
+		return
+	}
+	s.writeAnswer(w, r, answer)
+}
+
+func endpointPath(path, query string) string {
+	if query == "" {
+		return "/" + path
+	}
+	return "/" + path + "?" + query
+}
+
+// bodyBound is the memory that the body of r may take, bytes.
+func (s *Server) bodyBound(r *http.Request) int64 {
+	if r.ContentLength >= 0 && r.ContentLength < s.settings.MaxBodyBytes {
+		return r.ContentLength
+	}
+	return s.settings.MaxBodyBytes
+}
+
+// readBody reads the whole body within the limits of size and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *api.Refusal) {
+	if r.ContentLength > s.settings.MaxBodyBytes {
+		return nil, s.tooLarge(w)
+	}
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.settings.ReadBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	if err == nil {
+		// Reading on is how net/http notices that the caller left.
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	w.Header().Set("Connection", "close")
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, s.tooLarge(w)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, api.NotRun(api.ReasonDeadlinePassed, 0, fmt.Sprintf("the body took longer than %s", s.settings.ReadBodyTimeout))
+	default:
+		return nil, api.NotRun(api.ReasonMalformed, 0, "the body broke off")
+	}
+}
+
+func (s *Server) tooLarge(w http.ResponseWriter) *api.Refusal {
+	w.Header().Set("Connection", "close")
+	return api.NotRun(api.ReasonTooLarge, 0, fmt.Sprintf("the body has more than %d bytes", s.settings.MaxBodyBytes))
+}
+
+// asRefusal returns err as a refusal; what is not one leaves the request open.
+func asRefusal(err error) *api.Refusal {
+	var refusal *api.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return api.Unknown(api.ReasonInternal, err.Error())
+}
--- a/internal/reqkey/digest.go
+++ b/internal/reqkey/digest.go
@@ -9,8 +9,8 @@
 )
 
 // Digest returns a hash of everything that makes two requests the same one:
-// caller, service, method, path with query, and body. Headers are left out,
-// because proxies on the way change them.
+// caller, service, method, path with query, idempotency, and body. Other
+// headers are left out, because proxies on the way change them.
 func Digest(req *api.Request) uint64 {
 	var h xxhash.Digest
 	h.Reset()
@@ -18,6 +18,7 @@
 		writeLength(&h, len(part))
 		_, _ = h.WriteString(part)
 	}
+	writeFlag(&h, req.Idempotent)
 	writeLength(&h, len(req.Body))
 	_, _ = h.Write(req.Body)
 	return h.Sum64()
@@ -29,3 +30,11 @@
 	binary.LittleEndian.PutUint64(buf[:], uint64(n))
 	_, _ = h.Write(buf[:])
 }
+
+func writeFlag(h *xxhash.Digest, set bool) {
+	flag := [1]byte{}
+	if set {
+		flag[0] = 1
+	}
+	_, _ = h.Write(flag[:])
+}
