--- /dev/null
+++ b/internal/platform/httpendpoint/config.go
@@ -0,0 +1,42 @@
+package httpendpoint
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/finding"
+)
+
+// Defaults of Config.
+const (
+	DefaultDialTimeout    = 500 * time.Millisecond
+	DefaultIdleTimeout    = 30 * time.Second
+	DefaultMaxHeaderBytes = 64 << 10
+)
+
+// Config holds the settings of a Client. Zero fields take their defaults.
+type Config struct {
+	DialTimeout    time.Duration // longest wait for a TCP connection
+	IdleTimeout    time.Duration // an idle connection is closed after it
+	MaxHeaderBytes int64         // longest header of an answer
+}
+
+// withDefaults returns c with its zero fields filled in.
+func (c Config) withDefaults() Config {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = DefaultIdleTimeout
+	}
+	if c.MaxHeaderBytes == 0 {
+		c.MaxHeaderBytes = DefaultMaxHeaderBytes
+	}
+	return c
+}
+
+// Validate adds the faults of c to findings, with paths below path.
+func (c Config) Validate(path string, findings *finding.List) {
+	findings.Check(c.DialTimeout >= 0, path+".dial_timeout", c.DialTimeout, "a duration that is not negative")
+	findings.Check(c.IdleTimeout >= 0, path+".idle_timeout", c.IdleTimeout, "a duration that is not negative")
+	findings.Check(c.MaxHeaderBytes >= 0, path+".max_header_bytes", c.MaxHeaderBytes, "a size that is not negative")
+}
