--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,202 @@
+// Package ledger keeps what each VM holds: its capacity, the claims of the
+// task attempts placed on it and their running sum. It is pure code without
+// locks; its user guards it.
+//
+// VMs and jobs are known by numbers that the user assigns, so that a claim
+// takes 24 bytes.
+package ledger
+
+import (
+	"errors"
+	"math"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// Errors of a claim.
+var (
+	// ErrUnknownVM: the VM was never put, or has been removed.
+	ErrUnknownVM = errors.New("ledger: unknown VM")
+	// ErrNoRoom: the claim would exceed the VM's capacity.
+	ErrNoRoom = errors.New("ledger: no room on the VM")
+	// ErrHeld: the same attempt already has a claim on the VM.
+	ErrHeld = errors.New("ledger: claim exists")
+	// ErrNotHeld: no such claim on the VM.
+	ErrNotHeld = errors.New("ledger: no such claim")
+	// ErrBadAmount: negative, zero in every field, or beyond 32 bits.
+	ErrBadAmount = errors.New("ledger: amount out of range")
+)
+
+// Key identifies one attempt of a task.
+type Key struct {
+	Job     uint32 // number of the job
+	Index   uint32 // of the task within the job
+	Attempt uint32
+}
+
+// Claim is a key and what it holds.
+type Claim struct {
+	Key       Key
+	Resources api.Resources
+}
+
+// entry is the compact form of a Claim.
+type entry struct {
+	key    Key
+	cpu    uint32 // thousandths of a processor
+	memory uint32 // mebibytes
+	accel  uint32 // devices
+}
+
+func (e entry) resources() api.Resources {
+	return api.Resources{MilliCPU: int64(e.cpu), MemoryMB: int64(e.memory), Accelerators: int64(e.accel)}
+}
+
+type account struct {
+	capacity api.Resources
+	used     api.Resources // sum of entries, kept incrementally
+	entries  []entry
+}
+
+// Ledger holds the accounts of all VMs, indexed by the VM's number.
+type Ledger struct {
+	accounts []*account
+}
+
+// Put sets the capacity of a VM. Claims it holds stay, even where a smaller
+// capacity no longer covers them; until they do, nothing more is accepted.
+func (l *Ledger) Put(vm uint32, capacity api.Resources) {
+	for uint32(len(l.accounts)) <= vm {
+		l.accounts = append(l.accounts, nil)
+	}
+	if l.accounts[vm] == nil {
+		l.accounts[vm] = &account{}
+	}
+	l.accounts[vm].capacity = capacity
+}
+
+// Remove forgets a VM and all its claims.
+func (l *Ledger) Remove(vm uint32) {
+	if l.account(vm) != nil {
+		l.accounts[vm] = nil
+	}
+}
+
+// Check tells whether Claim would succeed, without claiming.
+func (l *Ledger) Check(vm uint32, key Key, amount api.Resources) error {
+	a := l.account(vm)
+	if a == nil {
+		return ErrUnknownVM
+	}
+	if !inRange(amount) {
+		return ErrBadAmount
+	}
+	if a.find(key) >= 0 {
+		return ErrHeld
+	}
+	if !amount.Fits(a.capacity.Sub(a.used)) {
+		return ErrNoRoom
+	}
+	return nil
+}
+
+// Claim records that key holds amount on vm. It fails with one of the
+// package's errors and then changes nothing.
+func (l *Ledger) Claim(vm uint32, key Key, amount api.Resources) error {
+	if err := l.Check(vm, key, amount); err != nil {
+		return err
+	}
+	a := l.accounts[vm]
+	a.entries = append(a.entries, entry{
+		key:    key,
+		cpu:    uint32(amount.MilliCPU),
+		memory: uint32(amount.MemoryMB),
+		accel:  uint32(amount.Accelerators),
+	})
+	a.used = a.used.Add(amount)
+	return nil
+}
+
+// Release ends the claim of key on vm and returns what it held.
+func (l *Ledger) Release(vm uint32, key Key) (api.Resources, error) {
+	a := l.account(vm)
+	if a == nil {
+		return api.Resources{}, ErrUnknownVM
+	}
+	i := a.find(key)
+	if i < 0 {
+		return api.Resources{}, ErrNotHeld
+	}
+	amount := a.entries[i].resources()
+	last := len(a.entries) - 1
+	a.entries[i] = a.entries[last]
+	a.entries = a.entries[:last]
+	a.used = a.used.Sub(amount)
+	return amount, nil
+}
+
+// Held returns what key holds on vm.
+func (l *Ledger) Held(vm uint32, key Key) (api.Resources, bool) {
+	a := l.account(vm)
+	if a == nil {
+		return api.Resources{}, false
+	}
+	i := a.find(key)
+	if i < 0 {
+		return api.Resources{}, false
+	}
+	return a.entries[i].resources(), true
+}
+
+// Usage returns the capacity of vm and the sum of its claims.
+func (l *Ledger) Usage(vm uint32) (capacity, used api.Resources, ok bool) {
+	a := l.account(vm)
+	if a == nil {
+		return api.Resources{}, api.Resources{}, false
+	}
+	return a.capacity, a.used, true
+}
+
+// Claims returns a copy of the claims on vm, in no particular order.
+func (l *Ledger) Claims(vm uint32) []Claim {
+	a := l.account(vm)
+	if a == nil {
+		return nil
+	}
+	claims := make([]Claim, len(a.entries))
+	for i, e := range a.entries {
+		claims[i] = Claim{Key: e.key, Resources: e.resources()}
+	}
+	return claims
+}
+
+// Count returns the number of claims on vm.
+func (l *Ledger) Count(vm uint32) int {
+	if a := l.account(vm); a != nil {
+		return len(a.entries)
+	}
+	return 0
+}
+
+func (l *Ledger) account(vm uint32) *account {
+	if vm >= uint32(len(l.accounts)) {
+		return nil
+	}
+	return l.accounts[vm]
+}
+
+func (a *account) find(key Key) int {
+	for i := range a.entries {
+		if a.entries[i].key == key {
+			return i
+		}
+	}
+	return -1
+}
+
+func inRange(r api.Resources) bool {
+	if r.Negative() || r.IsZero() {
+		return false
+	}
+	return r.MilliCPU <= math.MaxUint32 && r.MemoryMB <= math.MaxUint32 && r.Accelerators <= math.MaxUint32
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,69 @@
+package ledger
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/skylarklock/skylarklock/api"
+	"pgregory.net/rapid"
+)
+
+// Whatever is claimed and released, no account exceeds its capacity and the
+// incremental sum equals the sum of the claims.
+func TestNeverOverCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Ledger
+		capacity := api.Resources{MilliCPU: 8000, MemoryMB: 64, Accelerators: 2}
+		l.Put(0, capacity)
+		held := map[Key]api.Resources{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := Key{Job: rapid.Uint32Range(0, 3).Draw(t, "job"), Index: rapid.Uint32Range(0, 3).Draw(t, "index")}
+			if rapid.Bool().Draw(t, "release") {
+				_, err := l.Release(0, key)
+				if _, ok := held[key]; ok != (err == nil) {
+					t.Fatalf("release of %v: %v", key, err)
+				}
+				delete(held, key)
+			} else {
+				amount := api.Resources{
+					MilliCPU:     rapid.Int64Range(-1, 5000).Draw(t, "cpu"),
+					MemoryMB:     rapid.Int64Range(0, 40).Draw(t, "memory"),
+					Accelerators: rapid.Int64Range(0, 2).Draw(t, "accelerators"),
+				}
+				if l.Claim(0, key, amount) == nil {
+					held[key] = amount
+				}
+			}
+			var sum api.Resources
+			for _, r := range held {
+				sum = sum.Add(r)
+			}
+			_, used, _ := l.Usage(0)
+			if used != sum || !used.Fits(capacity) || used.Negative() {
+				t.Fatalf("used %v, claims %v, capacity %v", used, sum, capacity)
+			}
+		}
+	})
+}
+
+func TestRejectsByCause(t *testing.T) {
+	var l Ledger
+	l.Put(2, api.Resources{MilliCPU: 1000})
+	key := Key{Job: 1, Index: 1, Attempt: 1}
+	one := api.Resources{MilliCPU: 1000}
+	if err := l.Claim(1, key, one); !errors.Is(err, ErrUnknownVM) {
+		t.Error(err)
+	}
+	if err := l.Claim(2, key, api.Resources{}); !errors.Is(err, ErrBadAmount) {
+		t.Error(err)
+	}
+	if err := l.Claim(2, key, one); err != nil {
+		t.Error(err)
+	}
+	if err := l.Claim(2, key, one); !errors.Is(err, ErrHeld) {
+		t.Error(err)
+	}
+	if err := l.Claim(2, Key{Job: 2}, one); !errors.Is(err, ErrNoRoom) {
+		t.Error(err)
+	}
+}
