Configuration machine: compare and set, schema versions side by side

Cause: operators race, answers of the log get lost, and binaries of two versions read one stream while a change rolls out.

Batch, gang and service jobs share one space of names. Failed first: the fault list of a file showed that a service's job got no defaults (tasks, max_attempts reported as 0).

--- /dev/null
+++ b/internal/config/entry.go
@@ -0,0 +1,104 @@
+// Package config holds the operators' records that are in force.
+//
+// The Machine applies published records in the order of the log, by compare
+// and set: a record is accepted when its BasedOn equals the revision in force
+// of its key. Acceptance never depends on what this binary knows of a schema,
+// so binaries of different versions accept the same records. A Publisher
+// proposes records and settles lost answers.
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// TypePublish is the entry type of a published record.
+const TypePublish = journal.TypeConfigFirst
+
+// Bounds that every reader applies. They are part of the stored format.
+const (
+	maxEntryBytes = 96 << 10
+	maxKindBytes  = 32
+	maxNameBytes  = 128
+	// keptPublications is how many of the latest accepted publications are
+	// remembered, to tell a repeat from a new one.
+	keptPublications = 4096
+	// keptTombstones is how many of the latest deletions are remembered. An
+	// older deleted key counts as never seen.
+	keptTombstones = 16384
+)
+
+// Key identifies a record.
+type Key struct {
+	_    struct{} `cbor:",toarray"`
+	Kind api.Kind `json:"kind"`
+	Name string   `json:"name"`
+}
+
+// String formats the key as kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+func (k Key) compare(o Key) int {
+	return cmp.Or(cmp.Compare(k.Kind, o.Kind), cmp.Compare(k.Name, o.Name))
+}
+
+// PublicationID tells the repeat of a publication from a new one. It covers
+// the publisher's own id and the whole record.
+type PublicationID [16]byte
+
+// publication is the body of an entry of TypePublish.
+type publication struct {
+	_             struct{} `cbor:",toarray"`
+	ID            PublicationID
+	Kind          api.Kind
+	Name          string
+	SchemaVersion int
+	BasedOn       api.Revision
+	Deleted       bool
+	Spec          []byte // compact JSON
+}
+
+func newPublication(publisherID string, rec api.Record) publication {
+	p := publication{
+		Kind:          rec.Kind,
+		Name:          rec.Name,
+		SchemaVersion: rec.SchemaVersion,
+		BasedOn:       rec.BasedOn,
+		Deleted:       rec.Deleted,
+		Spec:          rec.Spec,
+	}
+	sum := sha256.Sum256(journal.Encode([]any{publisherID, p}))
+	copy(p.ID[:], sum[:])
+	return p
+}
+
+func (p publication) key() Key { return Key{Kind: p.Kind, Name: p.Name} }
+
+// decodePublication reads an entry. It checks the form only, by rules that
+// no later binary changes.
+func decodePublication(e journal.Entry) (publication, error) {
+	var p publication
+	if e.Type != TypePublish {
+		return p, &MalformedError{Detail: fmt.Sprintf("entry type %d", e.Type)}
+	}
+	if len(e.Body) > maxEntryBytes {
+		return p, &MalformedError{Detail: fmt.Sprintf("%d bytes", len(e.Body))}
+	}
+	if err := journal.Decode(e.Body, &p); err != nil {
+		return p, &MalformedError{Detail: err.Error()}
+	}
+	if p.Kind == "" || len(p.Kind) > maxKindBytes || p.Name == "" || len(p.Name) > maxNameBytes {
+		return p, &MalformedError{Detail: fmt.Sprintf("key %q", p.key())}
+	}
+	if p.Deleted && p.BasedOn == 0 {
+		return p, &MalformedError{Detail: "deletion of a key that doesn't exist"}
+	}
+	if p.SchemaVersion < 1 {
+		return p, &MalformedError{Detail: fmt.Sprintf("schema version %d", p.SchemaVersion)}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/config/machine_test.go
@@ -0,0 +1,231 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261202") // the same cases in every run
+	os.Exit(m.Run())
+}
+
+func service(name string, version int, basedOn api.Revision, spec string) api.Record {
+	return api.Record{Kind: api.KindService, Name: name, SchemaVersion: version, BasedOn: basedOn, Spec: json.RawMessage(spec)}
+}
+
+func apply(m *Machine, id string, rec api.Record) error {
+	return m.Apply(journal.Position{}, journal.Entry{Type: TypePublish, Body: journal.Encode(newPublication(id, rec))})
+}
+
+// expected is what a reader of the whole log would conclude about one key.
+type expected struct {
+	revision api.Revision
+	deleted  bool
+	timeout  int64 // of the last understood record; 0: none
+}
+
+// TestMachineAgainstReference applies random publications, repeats and
+// restores, and compares acceptance and reads with a plain reference.
+func TestMachineAgainstReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMachine()
+		state := map[string]expected{}
+		var revision api.Revision
+		var accepted []publication
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			before := state[name]
+			rec := service(name, rapid.IntRange(1, 3).Draw(t, "version"), before.revision, "")
+			rec.BasedOn += api.Revision(rapid.SampledFrom([]int{0, 0, 0, -1, 1}).Draw(t, "offset"))
+			rec.Deleted = before.revision > 0 && rec.BasedOn > 0 && rapid.IntRange(0, 4).Draw(t, "delete") == 0
+			timeout := int64(step + 1)
+			readable := rec.SchemaVersion < 3 && rapid.IntRange(0, 5).Draw(t, "fault") > 0
+			if !rec.Deleted {
+				rec.Spec = json.RawMessage(fmt.Sprintf(`{"timeout_ms":%d}`, timeout))
+				if !readable {
+					rec.Spec = json.RawMessage(`{"timeout_ms":-1}`)
+				}
+			}
+			err := apply(m, fmt.Sprint(step), rec)
+			var conflict *ConflictError
+			switch {
+			case rec.BasedOn != before.revision:
+				if !errors.As(err, &conflict) || conflict.InForce != before.revision {
+					t.Fatalf("based on %d, in force %d: got %v", rec.BasedOn, before.revision, err)
+				}
+			case err != nil:
+				t.Fatalf("rejected: %v", err)
+			default:
+				revision++
+				next := expected{revision: revision, deleted: rec.Deleted, timeout: before.timeout}
+				if rec.Deleted {
+					next.timeout = 0
+				} else if readable {
+					next.timeout = timeout
+				}
+				state[name] = next
+				accepted = append(accepted, newPublication(fmt.Sprint(step), rec))
+			}
+			if len(accepted) > 0 && rapid.Bool().Draw(t, "repeat") {
+				repeat(t, m, accepted[rapid.IntRange(0, len(accepted)-1).Draw(t, "which")])
+			}
+			if rapid.IntRange(0, 5).Draw(t, "restore") == 0 {
+				m = restored(t, m)
+			}
+			compare(t, m, revision, state)
+		}
+	})
+}
+
+// repeat applies an accepted publication again: the same changes nothing and
+// is no error, the same record under another id conflicts.
+func repeat(t *rapid.T, m *Machine, p publication) {
+	entry := journal.Entry{Type: TypePublish, Body: journal.Encode(p)}
+	if err := m.Apply(journal.Position{}, entry); err != nil {
+		t.Fatalf("repeat rejected: %v", err)
+	}
+	p.ID[0]++
+	entry.Body = journal.Encode(p)
+	var conflict *ConflictError
+	if err := m.Apply(journal.Position{}, entry); !errors.As(err, &conflict) {
+		t.Fatalf("second publication of the same record: %v", err)
+	}
+}
+
+func restored(t *rapid.T, m *Machine) *Machine {
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := NewMachine()
+	if err := next.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	again, err := next.Snapshot()
+	if err != nil || !bytes.Equal(data, again) {
+		t.Fatalf("snapshot of the restored machine differs (%v)", err)
+	}
+	if !reflect.DeepEqual(m.Records(""), next.Records("")) || !reflect.DeepEqual(m.Services(), next.Services()) {
+		t.Fatal("restored machine reads differently")
+	}
+	return next
+}
+
+func compare(t *rapid.T, m *Machine, revision api.Revision, state map[string]expected) {
+	if m.Revision() != revision {
+		t.Fatalf("revision %d, want %d", m.Revision(), revision)
+	}
+	for name, want := range state {
+		s, ok := m.Service(name)
+		if ok != (want.timeout > 0) || s.TimeoutMs != want.timeout && ok {
+			t.Fatalf("%s: got %v %+v, want %+v", name, ok, s, want)
+		}
+		r, ok := m.Record(Key{Kind: api.KindService, Name: name})
+		if ok != (want.revision > 0) || ok && (r.Revision != want.revision || r.Record.Deleted != want.deleted) {
+			t.Fatalf("%s: got %+v, want %+v", name, r, want)
+		}
+	}
+}
+
+func TestSchemaVersionsSideBySide(t *testing.T) {
+	m := NewMachine()
+	must(t, apply(m, "", service("a", 1, 0, `{"retries":4,"timeout_ms":700}`)))
+	must(t, apply(m, "", service("b", 2, 0, `{"max_attempts":2}`)))
+	if a, _ := m.Service("a"); a.MaxAttempts != 5 || a.TimeoutMs != 700 || a.CallerShare == 0 {
+		t.Fatalf("version 1 converted to %+v", a)
+	}
+	must(t, apply(m, "", service("a", 9, 1, `{"hedging":true}`)))
+	must(t, apply(m, "", api.Record{Kind: "future", Name: "x", SchemaVersion: 1, Spec: json.RawMessage(`{}`)}))
+	if a, ok := m.Service("a"); !ok || a.MaxAttempts != 5 {
+		t.Fatalf("the last understood record isn't in force: %+v", a)
+	}
+	snapshot, err := m.Snapshot()
+	must(t, err)
+	next := NewMachine()
+	must(t, next.Restore(snapshot))
+	unknown := next.Unknown()
+	if len(unknown) != 2 || unknown[0].Revision != 3 || unknown[0].InForce != 1 || string(unknown[0].Record.Spec) != `{"hedging":true}` {
+		t.Fatalf("relayed: %+v", unknown)
+	}
+	if a, ok := next.Service("a"); !ok || a.MaxAttempts != 5 {
+		t.Fatalf("after the snapshot in force: %+v", a)
+	}
+	deletion := service("a", 9, 3, "")
+	deletion.Deleted = true
+	must(t, apply(next, "", deletion))
+	if _, ok := next.Service("a"); ok || len(next.Unknown()) != 1 {
+		t.Fatal("a deletion wasn't understood")
+	}
+	var conflict *ConflictError
+	if err := apply(next, "late", service("a", 1, 0, `{}`)); !errors.As(err, &conflict) || conflict.InForce != 5 || !conflict.Deleted {
+		t.Fatalf("a late record revived a deleted key: %v", err)
+	}
+	var stale *StaleSnapshotError
+	if err := next.Restore(snapshot); !errors.As(err, &stale) || next.Revision() != 5 {
+		t.Fatalf("an older snapshot was restored: %v", err)
+	}
+}
+
+func TestViewsFallBackAndNamesOfJobsAreUnique(t *testing.T) {
+	m := NewMachine()
+	changed, cancel := m.Notify()
+	defer cancel()
+	job := `{"team":"t","resources":{"milli_cpu":1},"run_time_ns":1000}`
+	must(t, apply(m, "", api.Record{Kind: api.KindBatchJob, Name: "j", SchemaVersion: 1, Spec: json.RawMessage(job)}))
+	must(t, apply(m, "", api.Record{Kind: api.KindLimits, Name: "*", SchemaVersion: 1, Spec: json.RawMessage(`{"rate_per_second":7.5}`)}))
+	<-changed
+	var conflict *ConflictError
+	err := apply(m, "", api.Record{Kind: api.KindGangJob, Name: "j", SchemaVersion: 1, Spec: json.RawMessage(job)})
+	if !errors.As(err, &conflict) || conflict.HeldBy.Kind != api.KindBatchJob {
+		t.Fatalf("two jobs under one id: %v", err)
+	}
+	if l := m.Limits("anyone"); l.RatePerSec != 7.5 || l.Burst != 8 {
+		t.Fatalf("limits %+v", l)
+	}
+	if j, ok := m.Job("j"); !ok || j.Spec.Class != api.ClassBatch || len(m.Jobs()) != 1 {
+		t.Fatalf("job %+v", j)
+	}
+	if m.Policy().SampleSize == 0 {
+		t.Fatal("no built-in policy")
+	}
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// FuzzApply feeds arbitrary entries: no panic, a typed error or acceptance,
+// and a snapshot that restores.
+func FuzzApply(f *testing.F) {
+	f.Add(journal.Encode(newPublication("", service("a", 1, 0, `{"retries":1}`))))
+	f.Add(journal.Encode(newPublication("", service("a", 7, 0, ``))))
+	f.Add([]byte{0x88, 0x40})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		m := NewMachine()
+		err := m.Apply(journal.Position{}, journal.Entry{Type: TypePublish, Body: body})
+		var malformed *MalformedError
+		var conflict *ConflictError
+		if err != nil && !errors.As(err, &malformed) && !errors.As(err, &conflict) {
+			t.Fatalf("untyped error %v", err)
+		}
+		data, err := m.Snapshot()
+		must(t, err)
+		must(t, NewMachine().Restore(data))
+	})
+}
--- /dev/null
+++ b/internal/config/publisher_test.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// fakeJournal applies entries one at a time. Some it doesn't write, of some
+// it loses the answer, some it writes twice or after the answer.
+type fakeJournal struct {
+	machine *Machine
+	mu      sync.Mutex
+	random  *rand.Rand
+	late    []journal.Entry
+}
+
+func (f *fakeJournal) Propose(_ context.Context, e journal.Entry) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, late := range f.late {
+		_ = f.machine.Apply(journal.Position{}, late)
+	}
+	f.late = nil
+	switch f.random.IntN(5) {
+	case 0:
+		return journal.ErrNotWritten
+	case 1:
+		f.late = append(f.late, e)
+		return journal.ErrUnsettled
+	case 2:
+		_ = f.machine.Apply(journal.Position{}, e)
+		return journal.ErrUnsettled
+	case 3:
+		_ = f.machine.Apply(journal.Position{}, e)
+	}
+	return f.machine.Apply(journal.Position{}, e)
+}
+
+// casOutput is the settled outcome of one compare and set.
+type casOutput struct {
+	accepted bool
+	revision api.Revision // accepted: the new one; else the one in force
+}
+
+// casRegister is the revision in force of one key.
+var casRegister = porcupine.Model{
+	Init: func() any { return api.Revision(0) },
+	Step: func(state, input, output any) (bool, any) {
+		inForce, basedOn, out := state.(api.Revision), input.(api.Revision), output.(casOutput)
+		if out.accepted {
+			return inForce == basedOn && out.revision > inForce, out.revision
+		}
+		return inForce == out.revision && inForce != basedOn, state
+	},
+}
+
+// TestRacingPublishersHaveOneWinner checks histories of publishers that race
+// over a journal with lost answers and repeat until settled.
+func TestRacingPublishersHaveOneWinner(t *testing.T) {
+	const publishers, rounds = 6, 12
+	m := NewMachine()
+	p := NewPublisher(m, &fakeJournal{machine: m, random: rand.New(rand.NewPCG(1, 2))})
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	winners := map[api.Revision]int{}
+	begin := time.Now()
+	var wg sync.WaitGroup
+	for client := range publishers {
+		wg.Go(func() {
+			var known api.Revision
+			for round := range rounds {
+				rec := service("a", 1, known, fmt.Sprintf(`{"timeout_ms":%d}`, 1+client*1000+round))
+				op := porcupine.Operation{ClientId: client, Input: known, Call: int64(time.Since(begin))}
+				out := publishUntilSettled(t, p, rec)
+				op.Output, op.Return = out, int64(time.Since(begin))
+				mu.Lock()
+				history = append(history, op)
+				if out.accepted {
+					winners[known]++
+				}
+				mu.Unlock()
+				known = out.revision
+			}
+		})
+	}
+	wg.Wait()
+	for basedOn, n := range winners {
+		if n != 1 {
+			t.Errorf("%d publishers won over revision %d", n, basedOn)
+		}
+	}
+	if !porcupine.CheckOperations(casRegister, history) {
+		t.Error("history isn't linearizable")
+	}
+}
+
+func publishUntilSettled(t *testing.T, p *Publisher, rec api.Record) casOutput {
+	for {
+		rev, err := p.Publish(context.Background(), rec)
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			return casOutput{accepted: true, revision: rev}
+		case errors.As(err, &conflict):
+			return casOutput{revision: conflict.InForce}
+		case !errors.Is(err, journal.ErrNotWritten) && !errors.Is(err, journal.ErrUnsettled):
+			t.Errorf("unexpected %v", err)
+			return casOutput{}
+		}
+	}
+}
+
+func TestRepeatIsSettledAfterLaterChanges(t *testing.T) {
+	m := NewMachine()
+	lost := service("a", 2, 0, `{"timeout_ms": 5}`)
+	must(t, apply(m, "", compact(lost)))
+	must(t, apply(m, "", service("a", 2, 1, `{"timeout_ms":6}`)))
+	p := NewPublisher(m, nil) // settled without the log
+	if rev, err := p.Publish(context.Background(), lost); rev != 1 || err != nil {
+		t.Fatalf("repeat of revision 1: %d, %v", rev, err)
+	}
+	var conflict *ConflictError
+	if _, err := p.PublishAs(context.Background(), "other operator", lost); !errors.As(err, &conflict) || conflict.InForce != 2 {
+		t.Fatalf("another operator's record: %v", err)
+	}
+	var l *finding.List
+	if _, err := p.Publish(context.Background(), service("a", 2, 2, `{"max_attempts":0,"retries":1}`)); !errors.As(err, &l) || len(l.Findings) == 0 {
+		t.Fatalf("invalid record: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/config/subscribe.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"sync"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/schema"
+)
+
+// Change tells a subscriber of one accepted record or of a restored state.
+type Change struct {
+	Revision api.Revision
+	Key      Key
+	Deleted  bool        // the key has no record in force any more
+	Spec     schema.Spec // what is in force of the key; empty when nothing is
+	// Understood is false when this binary can't decode the record, so that
+	// Spec is what was in force before.
+	Understood bool
+	// Restored: the whole state was replaced, read it anew. Key is empty.
+	Restored bool
+}
+
+func changeOf(o *object) Change {
+	return Change{
+		Revision:   o.revision(),
+		Key:        o.key,
+		Deleted:    o.deleted(),
+		Spec:       o.spec,
+		Understood: o.fault == nil,
+	}
+}
+
+// subscribers holds the functions to call after each change.
+type subscribers struct {
+	mu   sync.Mutex
+	next int
+	fns  map[int]func(Change)
+}
+
+// Subscribe calls fn after each accepted record, in order, from the goroutine
+// that applies the stream. fn must not block and not call Subscribe. The
+// returned function ends the subscription.
+func (m *Machine) Subscribe(fn func(Change)) (cancel func()) {
+	return m.subscribers.add(fn)
+}
+
+// Notify returns a channel that holds a value whenever the state changed
+// since the last receive. The returned function ends it.
+func (m *Machine) Notify() (changed <-chan struct{}, cancel func()) {
+	ch := make(chan struct{}, 1)
+	cancel = m.Subscribe(func(Change) {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	})
+	return ch, cancel
+}
+
+func (s *subscribers) add(fn func(Change)) (cancel func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fns == nil {
+		s.fns = make(map[int]func(Change))
+	}
+	id := s.next
+	s.next++
+	s.fns[id] = fn
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.fns, id)
+	}
+}
+
+func (s *subscribers) notify(c Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.next {
+		if fn := s.fns[id]; fn != nil {
+			fn(c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/schema/schema_test.go
@@ -0,0 +1,89 @@
+package schema
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/finding"
+)
+
+func paths(l *finding.List) string {
+	var out []string
+	for _, f := range l.Findings {
+		out = append(out, f.Path)
+	}
+	return strings.Join(out, " ")
+}
+
+func TestEveryFaultOfAFileHasItsPlace(t *testing.T) {
+	file := `[
+	  {"kind":"service","name":"torquebench","schema_version":2,"based_on":0,
+	   "spec":{"service":"other","max_attempts":0,"retries":1,"caller_share":2,
+	     "job":{"id":"torquebench","team":"","class":"batch","resources":{"milli_cpu":-1,"gpus":1}}}},
+	  {"kind":"service","name":"a","schema_version":1,"spec":{"retries":-1,"queue_ms":5}},
+	  {"kind":"servce","name":"a","schema_version":1,"spec":{}},
+	  {"kind":"limits","name":"*","schema_version":3,"spec":{}},
+	  {"kind":"policy","name":"other","schema_version":1,"spec":{"overuse_factor":0.5},"note":1},
+	  {"kind":"quota","name":"t","schema_version":1,"deleted":true,"spec":{}},
+	  {"kind":"batchjob","name":"j/k","schema_version":1,"spec":{}},
+	  {"kind":"gangjob","name":"g","schema_version":1,
+	   "spec":{"team":"t","class":"gang","tasks":0,"resources":{"milli_cpu":1},"run_time_ns":0}},
+	  {"kind":"policy","name":"default","schema_version":1,"spec":{"sample_size":0}}
+	]`
+	records, l := CheckFile("f.json", []byte(file), Author)
+	want := strings.Join([]string{
+		"[4].note [0].spec.retries [0].spec.job.resources.gpus",
+		"[0].spec.service [0].spec.max_attempts [0].spec.caller_share",
+		"[0].spec.job.team [0].spec.job.class [0].spec.job.resources.milli_cpu",
+		"[1].spec.queue_ms [1].spec.retries", "[2].kind", "[3].schema_version",
+		"[4].name [4].spec.overuse_factor", "[5].spec [5].based_on", "[6].name",
+		"[7].spec.tasks [7].spec.run_time_ns", "[8].spec.sample_size",
+	}, " ")
+	if got := paths(l); got != want {
+		t.Fatalf("got  %s\nwant %s", got, want)
+	}
+	if len(records) != 9 || l.Findings[0].File != "f.json" {
+		t.Fatalf("%d records, %+v", len(records), l.Findings[0])
+	}
+}
+
+func TestNewerSchemaIsRelayedButNotAuthored(t *testing.T) {
+	rec := api.Record{Kind: "future", Name: "x", SchemaVersion: 1, Spec: json.RawMessage(`{"a":1}`)}
+	relay, author := &finding.List{}, &finding.List{}
+	CheckRecord(rec, Relay, "", relay)
+	CheckRecord(rec, Author, "", author)
+	if relay.Err() != nil || paths(author) != "kind" {
+		t.Fatalf("relay %v, author %v", relay, author)
+	}
+}
+
+// FuzzCheckFile feeds arbitrary files: every accepted record decodes, alone
+// and after a second writing.
+func FuzzCheckFile(f *testing.F) {
+	f.Add([]byte(`{"kind":"limits","name":"c","schema_version":1,"spec":{"rate_per_second":2}}`))
+	f.Add([]byte(`[{"kind":"service","name":"s","schema_version":2,"spec":{"job":{"id":"s"}}},{}]`))
+	f.Add([]byte(`{"kind":"quota","name":"t","schema_version":1,"deleted":true,"based_on":4}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, l := CheckFile("f", data, Author)
+		if l.Err() != nil {
+			return
+		}
+		for _, rec := range records {
+			if rec.Deleted {
+				continue
+			}
+			if _, err := Decode(rec); err != nil {
+				t.Fatalf("accepted record doesn't decode: %v", err)
+			}
+			again, err := json.Marshal(rec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, l := CheckFile("f", again, Author); l.Err() != nil {
+				t.Fatalf("accepted record is refused when written again: %v", l)
+			}
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -151,6 +151,9 @@
 func decode(file string, data []byte, o overrides) (*Settings, error) {
 	s := Default()
 	l := &finding.List{File: file}
+	if !strictjson.Valid(data, "", l) {
+		return nil, l
+	}
 	strictjson.Decode(data, s, "", l)
 	o.apply(s)
 	s.derive()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -74,7 +74,7 @@
 func TestSyntaxFaultNamesItsLine(t *testing.T) {
 	_, err := Decode("s.json", []byte("{\n  \"node_id\": }"))
 	var l *finding.List
-	if !errors.As(err, &l) || l.Findings[0].Value != "line 2, column 14: invalid character '}' looking for beginning of value" {
+	if !errors.As(err, &l) || len(l.Findings) != 1 || l.Findings[0].Value != "line 2, column 14: invalid character '}' looking for beginning of value" {
 		t.Fatalf("got %v", err)
 	}
 }
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -18,20 +18,29 @@
 const maxValueShown = 80 // bytes of a faulty value in a finding
 
 // Decode reads data into the value that into points at. Fields missing from
-// data keep the value they had, so defaults are set before the call. Faults
-// are added to l with paths that start with path. It reports whether there
+// data, and those with a fault, keep the value they had, so defaults are set
+// before the call. Faults are added to l with paths that start with path. It reports whether there
 // was none.
 func Decode(data []byte, into any, path string, l *finding.List) bool {
 	before := len(l.Findings)
-	var syntax any
-	if err := json.Unmarshal(data, &syntax); err != nil {
-		l.Add(rooted(path), describe(data, err), "valid JSON")
+	if !Valid(data, path, l) {
 		return false
 	}
 	decodeValue(data, reflect.ValueOf(into).Elem(), path, l)
 	return len(l.Findings) == before
 }
 
+// Valid reports whether data is JSON, and adds the place of a syntax error to
+// l otherwise.
+func Valid(data []byte, path string, l *finding.List) bool {
+	var syntax json.RawMessage
+	err := json.Unmarshal(data, &syntax)
+	if err != nil {
+		l.Add(rooted(path), describe(data, err), "valid JSON")
+	}
+	return err == nil
+}
+
 func decodeValue(raw []byte, v reflect.Value, path string, l *finding.List) {
 	raw = bytes.TrimSpace(raw)
 	if bytes.Equal(raw, []byte("null")) {
@@ -46,7 +55,9 @@
 	}
 	switch v.Kind() {
 	case reflect.Pointer:
-		v.Set(reflect.New(v.Type().Elem()))
+		if v.IsNil() {
+			v.Set(reflect.New(v.Type().Elem()))
+		}
 		decodeValue(raw, v.Elem(), path, l)
 	case reflect.Struct:
 		decodeStruct(raw, v, path, l)
