peer: calls between the system's own processes

Cause: heartbeats, grants and hand-overs need calls that end by a deadline, are bounded in size and say truthfully whether they can have run.

Ruled out: net/rpc's own gob codec, which reads frames without a bound; one client for all that dials anew and repeats when a connection broke, which would run a call twice.

--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,205 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/rpc"
+	"strings"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Names of the counters in Server.Vars.
+const (
+	varAccepted     = "connections_accepted"
+	varConnsRefused = "connections_refused"
+	varGarbage      = "garbage_frames"
+	varBusy         = "calls_refused_busy"
+	varDraining     = "calls_refused_draining"
+	varCalls        = "calls"
+	varBytesIn      = "bytes_in"
+	varBytesOut     = "bytes_out"
+)
+
+// Server serves calls on one listener.
+type Server struct {
+	limits Limits
+	log    *logrus.Entry
+	rpc    *rpc.Server
+	vars   *expvar.Map
+	slots  map[string]chan struct{} // by service name; set before Serve
+
+	mu       sync.Mutex
+	draining bool
+	listener net.Listener
+	conns    map[*serverCodec]struct{}
+	serving  sync.WaitGroup
+}
+
+// NewServer returns a server without services. Zero limits take their
+// defaults.
+func NewServer(limits Limits, log *logrus.Entry) *Server {
+	s := &Server{
+		limits: limits.withDefaults(),
+		log:    log,
+		rpc:    rpc.NewServer(),
+		vars:   new(expvar.Map).Init(),
+		slots:  make(map[string]chan struct{}),
+		conns:  make(map[*serverCodec]struct{}),
+	}
+	if err := s.rpc.RegisterName(refusalService, refusals{}); err != nil {
+		panic("peer: " + err.Error())
+	}
+	return s
+}
+
+// Vars returns the server's counters, for publishing under a name of the
+// caller's choice.
+func (s *Server) Vars() *expvar.Map { return s.vars }
+
+// Register adds the exported methods of rcvr, in the form that net/rpc asks
+// for, as "name.Method". Each name has its own limit on calls running at
+// once. It must not be called after Serve.
+func (s *Server) Register(name string, rcvr any) error {
+	s.slots[name] = make(chan struct{}, s.limits.MaxCalls)
+	return s.rpc.RegisterName(name, rcvr)
+}
+
+// Serve accepts connections until Shutdown or an error of the listener. It
+// returns nil after Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	stopped := s.draining
+	s.mu.Unlock()
+	if stopped {
+		return l.Close()
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return s.acceptError(err)
+		}
+		s.accept(conn)
+	}
+}
+
+// acceptError hides the error that closing the listener brings.
+func (s *Server) acceptError(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// accept serves conn, or closes it when the server is full or stopping.
+func (s *Server) accept(conn net.Conn) {
+	codec := newServerCodec(s, conn)
+	s.mu.Lock()
+	full := s.draining || len(s.conns) >= s.limits.MaxConns
+	if !full {
+		s.conns[codec] = struct{}{}
+		s.serving.Add(1)
+	}
+	s.mu.Unlock()
+	if full {
+		s.vars.Add(varConnsRefused, 1)
+		conn.Close()
+		return
+	}
+	s.vars.Add(varAccepted, 1)
+	go s.serve(codec)
+}
+
+// serve runs one connection; it returns after its calls in flight ended.
+func (s *Server) serve(codec *serverCodec) {
+	defer s.serving.Done()
+	s.rpc.ServeCodec(codec)
+	s.mu.Lock()
+	delete(s.conns, codec)
+	s.mu.Unlock()
+}
+
+// Shutdown stops accepting connections and calls, waits for the calls in
+// flight to be answered and closes the connections. When ctx ends first it
+// closes them at once and returns the context's error.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for codec := range s.conns {
+		codec.drain()
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.serving.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		s.closeAll()
+		return ctx.Err()
+	}
+}
+
+// closeAll closes every connection.
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for codec := range s.conns {
+		codec.Close()
+	}
+}
+
+// admit takes a call slot of the method's service and returns the function
+// that gives it back, or the method that refuses the call.
+func (s *Server) admit(method string) (release func(), refusal string) {
+	name, _, _ := strings.Cut(method, ".")
+	slots, ok := s.slots[name]
+	if !ok {
+		return func() {}, "" // net/rpc answers that there is no such service
+	}
+	select {
+	case slots <- struct{}{}:
+		return func() { <-slots }, ""
+	default:
+		s.vars.Add(varBusy, 1)
+		return func() {}, methodBusy
+	}
+}
+
+// Methods that answer a call in place of the one that was refused.
+const (
+	refusalService = "PeerRefusal"
+	methodBusy     = refusalService + ".Busy"
+	methodDraining = refusalService + ".Draining"
+)
+
+// Texts of refusals; a client reads them as ErrNotSent.
+const (
+	refusalPrefix = "peer: refused: "
+	textBusy      = refusalPrefix + "busy"
+	textDraining  = refusalPrefix + "draining"
+)
+
+// refusals is the service behind the refusing methods.
+type refusals struct{}
+
+// Ignored is the argument of a refused call, which is not decoded.
+type Ignored struct{}
+
+// Busy refuses a call because too many run.
+func (refusals) Busy(Ignored, *Ignored) error { return errors.New(textBusy) }
+
+// Draining refuses a call because the server is stopping.
+func (refusals) Draining(Ignored, *Ignored) error { return errors.New(textDraining) }
