ownership, member: roster, shards, holds and heartbeats

Cause: entry VMs need one holder for each shard, agreed through the log, and must know when to stop by themselves.

Ruled out: claiming from a holder on missed heartbeats alone. A node that only its peers don't reach would lose its shards and take them back in turns; a challenge in the log comes first.

Holes found in the written rules are closed: refusal of grants to a holder that lost a shard, release only after the own wait, floors of all unreleased former holders, floor by the members that a holder is known to have seen.

--- /dev/null
+++ b/internal/ownership/authority.go
@@ -0,0 +1,236 @@
+package ownership
+
+import (
+	"math"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// State says what a process may do with a shard.
+type State uint8
+
+// States of authority over a shard.
+const (
+	None  State = iota // no new use
+	Floor              // only the floor share of each endpoint's slots
+	Full               // everything that other holders' floor shares leave
+)
+
+var stateNames = [...]string{"none", "floor", "full"}
+
+// String names the state for logs.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "invalid"
+}
+
+// Timing holds the protocol's times. Hold and Drift must be the same on
+// every entry VM of a data centre.
+type Timing struct {
+	Hold  time.Duration // how long a confirmation lasts
+	Drift float64       // most by which two clocks' rates differ, as a fraction
+}
+
+// Defaults of Timing.
+const (
+	DefaultHold  = 1500 * time.Millisecond
+	DefaultDrift = 0.01
+)
+
+// Stretched returns how long a process waits to be sure that d has passed on
+// every other clock.
+func (t Timing) Stretched(d time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(d) * (1 + t.Drift)))
+}
+
+// OwnClaim is when this process saw its own claim in the log.
+type OwnClaim struct {
+	Epoch    api.Epoch
+	ReadBack time.Time
+}
+
+// Grant is a promise received: the member will not claim for Hold after the
+// exchange, and had taken nothing when it answered.
+type Grant struct {
+	From    Identity
+	Started time.Time // when this process started the exchange
+}
+
+// Challenged is when this process saw a challenge in the log.
+type Challenged struct {
+	Version uint64
+	Seen    time.Time
+}
+
+// Evidence is what one process knows beside the table. Times are local.
+type Evidence struct {
+	Self       Identity
+	Confirmed  time.Time // journal.Follower.Confirmed
+	Grants     map[api.NodeID]Grant
+	Claims     map[Shard]OwnClaim
+	Closed     map[Shard]api.Epoch      // epochs at which local use was stopped for good
+	Promises   map[api.NodeID]time.Time // grants given: no claim from that node before
+	Claiming   map[Shard]bool           // own claims on their way to the log
+	Challenges map[api.NodeID]Challenged
+	MaxMembers uint32 // most members seen in this incarnation
+}
+
+// NewEvidence returns the evidence of a process that knows nothing yet.
+func NewEvidence(self Identity) *Evidence {
+	return &Evidence{
+		Self:     self,
+		Grants:   make(map[api.NodeID]Grant),
+		Claims:   make(map[Shard]OwnClaim),
+		Closed:   make(map[Shard]api.Epoch),
+		Promises: make(map[api.NodeID]time.Time),
+		Claiming: make(map[Shard]bool),
+
+		Challenges: make(map[api.NodeID]Challenged),
+	}
+}
+
+// Observe notes at now what the table shows: own claims read back, new
+// challenges and the number of members.
+func (e *Evidence) Observe(t *Table, now time.Time) {
+	e.MaxMembers = max(e.MaxMembers, uint32(len(t.Members)))
+	for node, m := range t.Members {
+		if m.Challenged != 0 && e.Challenges[node].Version != m.Challenged {
+			e.Challenges[node] = Challenged{Version: m.Challenged, Seen: now}
+		}
+	}
+	for s, h := range t.Holds {
+		if h.HeldBy(e.Self) && e.Claims[s].Epoch != h.Epoch {
+			e.Claims[s] = OwnClaim{Epoch: h.Epoch, ReadBack: now}
+		}
+	}
+}
+
+// Authority is what a process may do with one shard, and why.
+type Authority struct {
+	Epoch    api.Epoch
+	State    State
+	UsableAt time.Time // end of the wait after a takeover; zero without one
+	Takeover time.Time // when the claim was read back; zero unless taken over unreleased
+	Granted  bool      // confirmed by grants, not by the log
+}
+
+// Decide says what the process may do with s at now.
+func (c Timing) Decide(t *Table, e *Evidence, s Shard, now time.Time) Authority {
+	h := t.Holds[s]
+	if !h.HeldBy(e.Self) || e.Closed[s] == h.Epoch {
+		return Authority{}
+	}
+	own := e.Claims[s]
+	if own.Epoch != h.Epoch {
+		return Authority{}
+	}
+	a := Authority{Epoch: h.Epoch}
+	if h.Wait {
+		a.Takeover = own.ReadBack
+		a.UsableAt = own.ReadBack.Add(c.Stretched(c.Hold))
+		if now.Before(a.UsableAt) {
+			return a
+		}
+	}
+	a.State, a.Granted = c.confirmation(t, e, now)
+	return a
+}
+
+// confirmation says whether the process's holds are confirmed at now.
+func (c Timing) confirmation(t *Table, e *Evidence, now time.Time) (state State, granted bool) {
+	if c.LogConfirmed(e, now) {
+		return Full, false
+	}
+	if c.grantedByAll(t, e, now) {
+		return Full, true
+	}
+	return Floor, false
+}
+
+// LogConfirmed reports whether a read of the log, sent less than Hold ago,
+// reached its end.
+func (c Timing) LogConfirmed(e *Evidence, now time.Time) bool {
+	return !e.Confirmed.IsZero() && now.Sub(e.Confirmed) < c.Hold
+}
+
+// grantedByAll reports whether every other member of the roster has granted
+// less than Hold ago. It holds for a process alone in the roster.
+func (c Timing) grantedByAll(t *Table, e *Evidence, now time.Time) bool {
+	if !t.IsMember(e.Self) {
+		return false
+	}
+	for node, m := range t.Members {
+		if m.Who == e.Self {
+			continue
+		}
+		g, ok := e.Grants[node]
+		if !ok || g.From != m.Who || now.Sub(g.Started) >= c.Hold {
+			return false
+		}
+	}
+	return true
+}
+
+// Ask is what a member tells when it asks for a grant.
+type Ask struct {
+	_       struct{} `cbor:",toarray"`
+	Who     Identity
+	Version uint64 // table version that it has applied
+}
+
+// MayGrant reports whether this process may promise asker not to claim from
+// it: the asker is a member as far as this process knows, knows of everything
+// that was taken from it, and no own claim on it is under way. A promise that is given must be noted
+// with Promise before it is sent.
+func MayGrant(t *Table, e *Evidence, ask Ask) bool {
+	if !t.IsMember(ask.Who) || !t.IsMember(e.Self) {
+		return false
+	}
+	for s := range e.Claiming {
+		if t.Holds[s].HeldBy(ask.Who) {
+			return false
+		}
+	}
+	return t.Members[ask.Who.Node].LostAt <= ask.Version
+}
+
+// Promise notes a grant given at now.
+func (c Timing) Promise(e *Evidence, to api.NodeID, now time.Time) {
+	e.Promises[to] = now.Add(c.Stretched(c.Hold))
+}
+
+// SlotLimit returns how many of an endpoint's slots the process may use at
+// once under authority a over the endpoint's shard s.
+func SlotLimit(t *Table, e *Evidence, s Shard, a Authority, slots int) int {
+	if a.State == None {
+		return 0
+	}
+	free := max(0, slots-floorsLeft(t, t.Holds[s], slots))
+	if a.State == Full {
+		return free
+	}
+	members := max(e.MaxMembers, t.Members[e.Self.Node].Members, uint32(len(t.Members)))
+	return min(free, floorShare(slots, members))
+}
+
+// floorShare is the floor of one member among members.
+func floorShare(slots int, members uint32) int {
+	if members == 0 {
+		return 0
+	}
+	return slots / int(members)
+}
+
+// floorsLeft is the sum of the floors that earlier holders of h may use.
+func floorsLeft(t *Table, h Hold, slots int) int {
+	sum := 0
+	for _, who := range h.Previous {
+		if t.IsMember(who) {
+			sum += floorShare(slots, t.Members[who.Node].Members)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/ownership/machine.go
@@ -0,0 +1,130 @@
+package ownership
+
+import (
+	"sync"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// Machine feeds a Table from one data centre's stream. It implements
+// journal.Machine.
+type Machine struct {
+	mu      sync.RWMutex
+	table   *Table
+	changed chan struct{}
+}
+
+var _ journal.Machine = (*Machine)(nil)
+
+// NewMachine returns a machine with an empty table.
+func NewMachine() *Machine {
+	return &Machine{table: NewTable(), changed: make(chan struct{}, 1)}
+}
+
+// Types implements journal.Machine.
+func (m *Machine) Types() []journal.EntryType {
+	return []journal.EntryType{TypeJoin, TypeAcknowledge, TypeLeave, TypeExpel, TypeClaim, TypeRelease, TypeChallenge}
+}
+
+// Apply implements journal.Machine. Rejections are the package's errors.
+func (m *Machine) Apply(_ journal.Position, e journal.Entry) error {
+	action, err := decodeEntry(e)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	err = m.table.Apply(action)
+	m.mu.Unlock()
+	if err == nil {
+		m.notify()
+	}
+	return err
+}
+
+// notify wakes the controller.
+func (m *Machine) notify() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Changed receives after the table has changed.
+func (m *Machine) Changed() <-chan struct{} { return m.changed }
+
+// View calls read with the table, which must not be kept or changed.
+func (m *Machine) View(read func(*Table)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	read(m.table)
+}
+
+// Holder returns what the log says of s.
+func (m *Machine) Holder(s Shard) Hold {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.table.Holds[s]
+}
+
+// Roster returns the members ordered by node, and the table's version.
+func (m *Machine) Roster() ([]Member, uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.table.Roster(), m.table.Version
+}
+
+// Member returns the member on node.
+func (m *Machine) Member(node api.NodeID) (Member, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	member, ok := m.table.Members[node]
+	return member, ok
+}
+
+// image is the form of a snapshot.
+type image struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Members []Member
+	Shards  []Shard
+	Holds   []Hold // of Shards, in the same order
+}
+
+// Snapshot implements journal.Machine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	img := image{Version: m.table.Version, Members: m.table.Roster()}
+	for _, s := range Shards() {
+		if h, ok := m.table.Holds[s]; ok {
+			img.Shards = append(img.Shards, s)
+			img.Holds = append(img.Holds, h)
+		}
+	}
+	return journal.Encode(img), nil
+}
+
+// Restore implements journal.Machine.
+func (m *Machine) Restore(data []byte) error {
+	var img image
+	if err := journal.Decode(data, &img); err != nil {
+		return err
+	}
+	if len(img.Shards) != len(img.Holds) {
+		return ErrMalformed
+	}
+	table := NewTable()
+	table.Version = img.Version
+	for _, member := range img.Members {
+		table.Members[member.Who.Node] = member
+	}
+	for i, s := range img.Shards {
+		table.Holds[s] = img.Holds[i]
+	}
+	m.mu.Lock()
+	m.table = table
+	m.mu.Unlock()
+	m.notify()
+	return nil
+}
--- /dev/null
+++ b/internal/ownership/plan.go
@@ -0,0 +1,319 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// Health is what the heartbeats say of one member.
+type Health struct {
+	Who       Identity
+	Suspected bool // silent for longer than the suspicion time
+	Draining  bool // it is leaving and wants no shards
+	AliveFor  time.Duration
+}
+
+// PlanLimits bounds what one pass of Plan decides.
+type PlanLimits struct {
+	Settle       time.Duration // a member gets others' shards only after being alive so long
+	ChallengeFor time.Duration // a challenge must stay unanswered so long before a claim
+	Rechallenge  time.Duration // least time between two challenges of one member
+	MaxMoves     int           // shards closed at a time to move to other members
+	ExpelAfter   time.Duration // a silent member is expelled when the VM list has lacked it so long
+	ExpelSuspect time.Duration // the same, when the list lacks more than half of the roster
+}
+
+// DefaultPlanLimits returns the limits used where the settings name none.
+func DefaultPlanLimits() PlanLimits {
+	return PlanLimits{
+		Settle:       3 * time.Second,
+		ChallengeFor: 400 * time.Millisecond,
+		Rechallenge:  2 * time.Second,
+		MaxMoves:     8,
+		ExpelAfter:   5 * time.Second,
+		ExpelSuspect: time.Minute,
+	}
+}
+
+// View is what Plan decides on.
+type View struct {
+	Table    *Table
+	Evidence *Evidence
+	Timing   Timing
+	Limits   PlanLimits
+	Address  string // of this process's peer service
+	Draining bool   // this process is to leave
+	Left     bool   // and has left
+	Health   map[api.NodeID]Health
+	// Unlisted tells for how long the platform's VM list, while it could be
+	// read, has not shown a node.
+	Unlisted map[api.NodeID]time.Duration
+	// Busy holds the shards for which something is in flight.
+	Busy map[Shard]bool
+}
+
+// Plan decides what this process proposes at now. It proposes nothing while
+// its view of the log is unconfirmed.
+func Plan(now time.Time, v View) []Action {
+	if !v.Timing.LogConfirmed(v.Evidence, now) {
+		return nil
+	}
+	if !v.Table.IsMember(v.Evidence.Self) {
+		return planJoin(v)
+	}
+	var actions []Action
+	actions = append(actions, planAcknowledge(v)...)
+	actions = append(actions, planClose(v)...)
+	actions = append(actions, planRelease(now, v)...)
+	if v.Draining {
+		return append(actions, planLeave(v)...)
+	}
+	actions = append(actions, planChallenge(now, v)...)
+	actions = append(actions, planClaim(now, v)...)
+	return append(actions, planExpel(v)...)
+}
+
+// planJoin joins the roster, unless this process is leaving.
+func planJoin(v View) []Action {
+	if v.Draining || v.Left {
+		return nil
+	}
+	return []Action{Join{Who: v.Evidence.Self, Address: v.Address}}
+}
+
+// planAcknowledge acknowledges members that joined since the last time, and
+// answers a challenge.
+func planAcknowledge(v View) []Action {
+	self := v.Table.Members[v.Evidence.Self.Node]
+	due := self.Challenged > self.Acked
+	for _, m := range v.Table.Members {
+		due = due || m.Joined > self.Acked
+	}
+	if !due {
+		return nil
+	}
+	return []Action{Acknowledge{
+		Who:     self.Who,
+		Version: v.Table.Version,
+		Members: max(v.Evidence.MaxMembers, uint32(len(v.Table.Members))),
+	}}
+}
+
+// planChallenge challenges silent members in the log, so that one which the
+// heartbeats don't reach, but the log does, keeps its shards.
+func planChallenge(now time.Time, v View) []Action {
+	present := v.present()
+	var actions []Action
+	for _, m := range v.Table.Roster() {
+		if !v.silent(m.Who) || m.Challenged > m.Acked {
+			continue
+		}
+		if now.Sub(v.Evidence.Challenges[m.Who.Node].Seen) < v.Limits.Rechallenge {
+			continue
+		}
+		if chosen([]byte(m.Who.Node), present) == v.Evidence.Self.Node {
+			actions = append(actions, Challenge{From: v.Evidence.Self, Who: m.Who})
+		}
+	}
+	return actions
+}
+
+// unanswered reports whether m has let a challenge pass at now.
+func (v View) unanswered(now time.Time, m Member) bool {
+	seen := v.Evidence.Challenges[m.Who.Node]
+	return m.Challenged > m.Acked && seen.Version == m.Challenged && now.Sub(seen.Seen) >= v.Limits.ChallengeFor
+}
+
+// planClose picks the held shards to stop using: all when draining, else
+// those that another settled member should hold.
+func planClose(v View) []Action {
+	settled := v.settled()
+	moving := 0
+	var shards []ShardAt
+	for _, s := range Shards() {
+		h := v.Table.Holds[s]
+		if !h.HeldBy(v.Evidence.Self) {
+			continue
+		}
+		if v.Evidence.Closed[s] == h.Epoch {
+			moving++
+			continue
+		}
+		if v.Draining || Wanted(s, settled) != v.Evidence.Self.Node {
+			shards = append(shards, ShardAt{Shard: s, Epoch: h.Epoch})
+		}
+	}
+	if room := max(0, v.Limits.MaxMoves-moving); !v.Draining && len(shards) > room {
+		shards = shards[:room]
+	}
+	if len(shards) == 0 {
+		return nil
+	}
+	return []Action{Close{Shards: shards}}
+}
+
+// settled returns the members fit to be given shards that live members hold.
+func (v View) settled() []api.NodeID {
+	return v.nodes(func(m Member) bool {
+		h, known := v.Health[m.Who.Node]
+		return known && h.Who == m.Who && !h.Suspected && !h.Draining && h.AliveFor >= v.Limits.Settle
+	})
+}
+
+// able returns the members that may take shards from a silent holder.
+func (v View) able() []api.NodeID {
+	return v.nodes(func(m Member) bool {
+		return v.alive(m) && v.Table.Acknowledged(m.Who)
+	})
+}
+
+// present returns the members that may take shards nobody holds.
+func (v View) present() []api.NodeID {
+	return v.nodes(v.alive)
+}
+
+// alive reports whether m is heard of and is not leaving.
+func (v View) alive(m Member) bool {
+	h, known := v.Health[m.Who.Node]
+	return known && h.Who == m.Who && !h.Suspected && !h.Draining
+}
+
+// nodes returns the members that pass ok, and always this process.
+func (v View) nodes(ok func(Member) bool) []api.NodeID {
+	var nodes []api.NodeID
+	for _, m := range v.Table.Roster() {
+		if m.Who == v.Evidence.Self || ok(m) {
+			nodes = append(nodes, m.Who.Node)
+		}
+	}
+	return nodes
+}
+
+// releasable returns the held shards that are closed, and those taken over
+// from this process, which may still use its floor shares there.
+func releasable(t *Table, e *Evidence) []Shard {
+	var shards []Shard
+	for _, s := range Shards() {
+		h := t.Holds[s]
+		leaving := h.HeldBy(e.Self) && e.Closed[s] == h.Epoch
+		yielding := !h.HeldBy(e.Self) && slices.Contains(h.Previous, e.Self)
+		if leaving || yielding {
+			shards = append(shards, s)
+		}
+	}
+	return shards
+}
+
+// planRelease gives up what is releasable once nothing is in flight for it.
+func planRelease(now time.Time, v View) []Action {
+	var shards []ShardAt
+	for _, s := range releasable(v.Table, v.Evidence) {
+		h := v.Table.Holds[s]
+		if !v.Busy[s] && v.waited(now, s, h) {
+			shards = append(shards, ShardAt{Shard: s, Epoch: h.Epoch})
+		}
+	}
+	if len(shards) == 0 {
+		return nil
+	}
+	return []Action{Release{Who: v.Evidence.Self, Shards: shards}}
+}
+
+// waited reports whether the wait after the own takeover of s is over. A
+// release before that would let the next holder start beside the former one.
+func (v View) waited(now time.Time, s Shard, h Hold) bool {
+	if !h.Wait || !h.HeldBy(v.Evidence.Self) {
+		return true
+	}
+	own := v.Evidence.Claims[s]
+	return own.Epoch == h.Epoch && !now.Before(own.ReadBack.Add(v.Timing.Stretched(v.Timing.Hold)))
+}
+
+// planLeave leaves the roster when no shard is held any more.
+func planLeave(v View) []Action {
+	for _, h := range v.Table.Holds {
+		if h.HeldBy(v.Evidence.Self) || slices.Contains(h.Previous, v.Evidence.Self) {
+			return nil
+		}
+	}
+	return []Action{Leave{Who: v.Evidence.Self}}
+}
+
+// planClaim claims the shards that nobody uses and this process should hold.
+func planClaim(now time.Time, v View) []Action {
+	able, present := v.able(), v.present()
+	var shards []ShardAt
+	for _, s := range Shards() {
+		h := v.Table.Holds[s]
+		candidates := present
+		if !h.Released() {
+			candidates = able
+		}
+		if Wanted(s, candidates) == v.Evidence.Self.Node && v.claimable(now, h) {
+			shards = append(shards, ShardAt{Shard: s, Epoch: h.Epoch})
+		}
+	}
+	if len(shards) == 0 {
+		return nil
+	}
+	return []Action{Claim{Who: v.Evidence.Self, Shards: shards}}
+}
+
+// claimable reports whether this process may claim a shard that stands at h.
+func (v View) claimable(now time.Time, h Hold) bool {
+	switch {
+	case h.Released():
+		return true
+	case !v.Table.Acknowledged(v.Evidence.Self):
+		return false
+	case h.Status == StatusEnded:
+		return true
+	case h.HeldBy(v.Evidence.Self):
+		return false
+	default:
+		holder := v.Table.Members[h.Who.Node]
+		promised := now.Before(v.Evidence.Promises[h.Who.Node])
+		return v.silent(h.Who) && v.unanswered(now, holder) && !promised
+	}
+}
+
+// silent reports whether who is suspected.
+func (v View) silent(who Identity) bool {
+	h, known := v.Health[who.Node]
+	return known && h.Who == who && h.Suspected
+}
+
+// planExpel removes silent members that the VM list has dropped. Rendezvous
+// picks the member that proposes each.
+func planExpel(v View) []Action {
+	patience := v.expelPatience()
+	present := v.present()
+	var actions []Action
+	for _, m := range v.Table.Roster() {
+		absent, unlisted := v.Unlisted[m.Who.Node]
+		if !unlisted || absent < patience || !v.silent(m.Who) {
+			continue
+		}
+		if chosen([]byte(m.Who.Node), present) == v.Evidence.Self.Node {
+			actions = append(actions, Expel{Who: m.Who})
+		}
+	}
+	return actions
+}
+
+// expelPatience is how long the list must lack a member. A list that lacks
+// most of the roster is more likely wrong than right.
+func (v View) expelPatience() time.Duration {
+	lacking := 0
+	for node := range v.Table.Members {
+		if _, unlisted := v.Unlisted[node]; unlisted {
+			lacking++
+		}
+	}
+	if 2*lacking > len(v.Table.Members) {
+		return v.Limits.ExpelSuspect
+	}
+	return v.Limits.ExpelAfter
+}
--- /dev/null
+++ b/internal/ownership/table.go
@@ -0,0 +1,300 @@
+package ownership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// HoldStatus says how a shard stands.
+type HoldStatus uint8
+
+// Statuses of a shard.
+const (
+	StatusFree     HoldStatus = iota // never held
+	StatusHeld                       // held by Who
+	StatusReleased                   // given up by Who, which had stopped
+	StatusEnded                      // Who left, was expelled or restarted without releasing it
+)
+
+// Hold is what the log says of one shard.
+type Hold struct {
+	_      struct{} `cbor:",toarray"`
+	Who    Identity // the latest holder
+	Epoch  api.Epoch
+	Status HoldStatus
+	// Wait is set when the holder took the shard over without a release, so
+	// that it waits before the first use.
+	Wait bool
+	// Previous are the earlier holders that neither released the shard nor
+	// gave up their floor share since. Those no longer in the roster count
+	// for nothing.
+	Previous []Identity
+}
+
+// Released reports whether the shard may be claimed without a wait.
+func (h Hold) Released() bool {
+	return h.Status == StatusFree || h.Status == StatusReleased
+}
+
+// HeldBy reports whether who holds the shard now.
+func (h Hold) HeldBy(who Identity) bool {
+	return h.Status == StatusHeld && h.Who == who
+}
+
+// Member is one entry VM in the roster.
+type Member struct {
+	_       struct{} `cbor:",toarray"`
+	Who     Identity
+	Address string // IP:port of its peer service
+	Joined  uint64 // table version of its join
+	Acked   uint64 // table version that it has acknowledged
+	Members uint32 // most members it is known to have seen; divides the slots into its floor
+	LostAt  uint64 // table version at which a shard was last taken from it
+	// Challenged is the table version at which it was last challenged; it
+	// owes an answer while that is above Acked.
+	Challenged uint64
+}
+
+// Table is the state that the entries of one data centre's stream make: the
+// roster and the shards. Its methods don't lock.
+type Table struct {
+	Version uint64 // number of entries accepted
+	Members map[api.NodeID]Member
+	Holds   map[Shard]Hold
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{Members: make(map[api.NodeID]Member), Holds: make(map[Shard]Hold)}
+}
+
+// Clone returns a copy that shares nothing that changes.
+func (t *Table) Clone() *Table {
+	return &Table{Version: t.Version, Members: maps.Clone(t.Members), Holds: maps.Clone(t.Holds)}
+}
+
+// Roster returns the members ordered by node.
+func (t *Table) Roster() []Member {
+	return slices.SortedFunc(maps.Values(t.Members), func(a, b Member) int {
+		return cmp.Compare(a.Who.Node, b.Who.Node)
+	})
+}
+
+// IsMember reports whether who, in this very incarnation, is in the roster.
+func (t *Table) IsMember(who Identity) bool {
+	m, ok := t.Members[who.Node]
+	return ok && m.Who == who
+}
+
+// Acknowledged reports whether every other member has acknowledged the
+// membership of who, so that a holder among them would ask it for a grant.
+func (t *Table) Acknowledged(who Identity) bool {
+	self, ok := t.Members[who.Node]
+	if !ok || self.Who != who {
+		return false
+	}
+	for _, m := range t.Members {
+		if m.Who != who && m.Acked < self.Joined {
+			return false
+		}
+	}
+	return true
+}
+
+// Apply applies one entry. An error means that it was rejected and changed
+// nothing.
+func (t *Table) Apply(a Action) error {
+	switch a := a.(type) {
+	case Join:
+		return t.join(a)
+	case Acknowledge:
+		return t.acknowledge(a)
+	case Leave:
+		return t.remove(a.Who)
+	case Expel:
+		return t.remove(a.Who)
+	case Claim:
+		return t.claim(a)
+	case Release:
+		return t.release(a)
+	case Challenge:
+		return t.challenge(a)
+	default:
+		return ErrMalformed
+	}
+}
+
+// join adds a member, in place of an earlier incarnation.
+func (t *Table) join(j Join) error {
+	if j.Who.Node == "" || j.Who.Incarnation == 0 {
+		return ErrMalformed
+	}
+	former, known := t.Members[j.Who.Node]
+	if known && former.Who == j.Who {
+		return ErrAlreadyMember
+	}
+	t.Version++
+	if known {
+		t.endHolds(former.Who)
+	}
+	member := Member{Who: j.Who, Address: j.Address, Joined: t.Version, Acked: t.Version}
+	t.Members[j.Who.Node] = member
+	member.Members = uint32(len(t.Members))
+	t.Members[j.Who.Node] = member
+	return nil
+}
+
+// acknowledge records how far a member has read.
+func (t *Table) acknowledge(a Acknowledge) error {
+	if !t.IsMember(a.Who) {
+		return ErrNotMember
+	}
+	m := t.Members[a.Who.Node]
+	if a.Version <= m.Acked || a.Version > t.Version {
+		return ErrStaleVersion
+	}
+	t.Version++
+	m.Acked = a.Version
+	m.Members = max(m.Members, a.Members)
+	t.Members[a.Who.Node] = m
+	return nil
+}
+
+// challenge makes a member owe an acknowledgement.
+func (t *Table) challenge(c Challenge) error {
+	if !t.IsMember(c.From) || !t.IsMember(c.Who) {
+		return ErrNotMember
+	}
+	m := t.Members[c.Who.Node]
+	if m.Challenged > m.Acked {
+		return ErrAlreadyOwing
+	}
+	t.Version++
+	m.Challenged = t.Version
+	t.Members[c.Who.Node] = m
+	return nil
+}
+
+// remove takes who out of the roster and ends its holds.
+func (t *Table) remove(who Identity) error {
+	if !t.IsMember(who) {
+		return ErrNotMember
+	}
+	t.Version++
+	delete(t.Members, who.Node)
+	t.endHolds(who)
+	return nil
+}
+
+// endHolds ends the holds of who without a release.
+func (t *Table) endHolds(who Identity) {
+	for s, h := range t.Holds {
+		if h.HeldBy(who) {
+			h.Status = StatusEnded
+			t.Holds[s] = h
+		}
+	}
+}
+
+// claim takes every shard of c or none.
+func (t *Table) claim(c Claim) error {
+	if !t.IsMember(c.Who) {
+		return ErrNotMember
+	}
+	for _, at := range c.Shards {
+		if err := t.checkClaim(c.Who, at); err != nil {
+			return err
+		}
+	}
+	t.Version++
+	for _, at := range c.Shards {
+		t.take(c.Who, at.Shard)
+	}
+	return nil
+}
+
+// checkClaim says whether who may claim one shard.
+func (t *Table) checkClaim(who Identity, at ShardAt) error {
+	h := t.Holds[at.Shard]
+	switch {
+	case !at.Shard.Valid():
+		return ErrMalformed
+	case h.Epoch != at.Epoch:
+		return ErrStaleEpoch
+	case h.HeldBy(who):
+		return ErrAlreadyHolder
+	case !h.Released() && !t.Acknowledged(who):
+		return ErrUnacknowledged
+	case h.Status == StatusHeld && !t.owing(h.Who):
+		return ErrHolderAlive
+	default:
+		return nil
+	}
+}
+
+// owing reports whether who has left a challenge unanswered.
+func (t *Table) owing(who Identity) bool {
+	m := t.Members[who.Node]
+	return m.Challenged > m.Acked
+}
+
+// take makes who the holder of s at the next epoch. Doubled shards within a
+// claim are taken once.
+func (t *Table) take(who Identity, s Shard) {
+	h := t.Holds[s]
+	if h.HeldBy(who) {
+		return
+	}
+	next := Hold{Who: who, Epoch: h.Epoch + 1, Status: StatusHeld, Wait: !h.Released()}
+	next.Previous = t.leftBehind(h, who)
+	t.Holds[s] = next
+	if h.Status == StatusHeld {
+		loser := t.Members[h.Who.Node]
+		loser.LostAt = t.Version
+		t.Members[h.Who.Node] = loser
+	}
+}
+
+// leftBehind returns the holders that may use floor shares after who has
+// taken over h.
+func (t *Table) leftBehind(h Hold, who Identity) []Identity {
+	former := slices.Clone(h.Previous)
+	if h.Status == StatusHeld {
+		former = append(former, h.Who)
+	}
+	return slices.DeleteFunc(former, func(f Identity) bool {
+		return f == who || !t.IsMember(f)
+	})
+}
+
+// release gives up every shard of r or none.
+func (t *Table) release(r Release) error {
+	for _, at := range r.Shards {
+		h := t.Holds[at.Shard]
+		if h.Epoch != at.Epoch {
+			return ErrStaleEpoch
+		}
+		if !h.HeldBy(r.Who) && !slices.Contains(h.Previous, r.Who) {
+			return ErrNotHolder
+		}
+	}
+	t.Version++
+	for _, at := range r.Shards {
+		t.giveUp(r.Who, at.Shard)
+	}
+	return nil
+}
+
+// giveUp ends the hold, or else the floor share, of who in s.
+func (t *Table) giveUp(who Identity, s Shard) {
+	h := t.Holds[s]
+	if h.HeldBy(who) {
+		h.Status = StatusReleased
+	} else {
+		h.Previous = slices.DeleteFunc(slices.Clone(h.Previous), func(f Identity) bool { return f == who })
+	}
+	t.Holds[s] = h
+}
