Tests of request keys, retry decision and chain

Cause: the chain's promises (one run, truthful not-run, own answer) need proof under failures at every interface. Ruled out: time.Sleep outside synctest; random seeds.

--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -47,14 +47,22 @@
 	return api.NotRun(api.ReasonIDReused, 0, fmt.Sprintf("request id %q was used for another request", id))
 }
 
-// run carries f to its end.
+// run carries f to its end. A panic ends this request only, as in net/http,
+// so that one request can't stop one entry VM after the other.
 func (c *Chain) run(ctx context.Context, x *Exchange, f *flight, next Handler) {
+	res := result{refusal: api.Unknown(api.ReasonInternal, "the request's handler panicked")}
+	defer func() {
+		if recover() != nil {
+			c.deps.Counters.Inc(GroupUnknown, CountPanic)
+		}
+		c.runs.finish(f, res, keepable(x, res))
+	}()
 	answer, err := c.firstOrRepeat(ctx, x, next)
-	res := result{answer: answer}
 	if err != nil || answer == nil {
 		res = result{refusal: asRefusal(err)}
+		return
 	}
-	c.runs.finish(f, res, keepable(x, res))
+	res = result{answer: answer}
 }
 
 // keepable reports whether res is the last word on the id: a whole answer,
@@ -160,7 +168,8 @@
 // askWriter asks the entry VM that marked the id.
 func (c *Chain) askWriter(ctx context.Context, x *Exchange, state reqkey.State) (*api.Answer, error) {
 	writer := state.Mark.Writer.Node
-	query := &AnswerQuery{Mark: state.Mark, Wait: x.remaining(c.deps.Now())}
+	wait := x.remaining(c.deps.Now()) - c.settings.AnswerGrace // the reply needs time, too
+	query := &AnswerQuery{Mark: state.Mark, Wait: max(wait, 0)}
 	reply, err := c.deps.Peers.AnswerOf(ctx, writer, query)
 	if err != nil || reply == nil {
 		return c.writerLost(x, api.ReasonHolderLost, fmt.Sprintf("entry VM %s, which had the request, can't be reached", writer))
@@ -214,7 +223,7 @@
 }
 
 func (c *Chain) awaitFor(ctx context.Context, f *flight, query *AnswerQuery) *AnswerReply {
-	timer := time.NewTimer(query.Wait)
+	timer := time.NewTimer(min(query.Wait, c.settings.MaxTimeout))
 	defer timer.Stop()
 	select {
 	case <-f.done:
--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -139,4 +139,5 @@
 	CountHome      api.Reason = "home"      // GroupForward: to the home data centre
 	CountRoom      api.Reason = "room"      // GroupForward: to a peer with room
 	CountRan       api.Reason = "ran"       // GroupAnswered
+	CountPanic     api.Reason = "panic"     // GroupUnknown: the handler panicked
 )
--- /dev/null
+++ b/internal/filter/fakes_test.go
@@ -0,0 +1,286 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/reqkey"
+)
+
+// world is a data centre of entry VMs with one log and one executor pool.
+// fault names, for each call of an interface, how it fails; "" is well.
+type world struct {
+	mu       sync.Mutex
+	machines []*reqkey.Machine
+	late     []journal.Entry // unsettled entries that are still to land
+	chains   map[api.NodeID]*Chain
+	all      []*Chain // with the earlier incarnations
+	down     map[api.NodeID]bool
+	runs     map[string]int  // of an id
+	receipts map[string]bool // that ran
+	open     int             // tickets not given back
+	hold     chan struct{}   // when set, the endpoint waits for it
+	counts   map[string]int
+	fault    func(site string) string
+	limits   api.LimitsSpec
+	spec     api.ServiceSpec
+}
+
+func newWorld(nodes ...api.NodeID) *world {
+	w := &world{
+		chains:   make(map[api.NodeID]*Chain),
+		down:     make(map[api.NodeID]bool),
+		runs:     make(map[string]int),
+		receipts: make(map[string]bool),
+		counts:   make(map[string]int),
+		fault:    func(string) string { return "" },
+		spec:     api.ServiceSpec{Service: "svc", TimeoutMs: 1000, MaxAttempts: 3, RetryBudget: 1},
+	}
+	for _, node := range nodes {
+		w.start(node, "east", []api.DataCentre{"east"})
+	}
+	return w
+}
+
+// start runs a new incarnation of node, which reads the whole log.
+func (w *world) start(node api.NodeID, dc api.DataCentre, dcs []api.DataCentre) *Chain {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := reqkey.NewMachine()
+	if len(w.machines) > 0 {
+		state, _ := w.machines[0].Snapshot()
+		if err := m.Restore(state); err != nil {
+			panic(err)
+		}
+	}
+	w.machines = append(w.machines, m)
+	self := journal.Origin{Node: node, Incarnation: api.Incarnation(len(w.machines))}
+	c := New(Settings{Node: node, DataCentre: dc, DataCentres: dcs}, Deps{
+		Router: &fakeRouter{w}, Endpoint: w, Peers: &fakePeers{w, node}, Services: w, Limits: w, Counters: w,
+		Keys: reqkey.NewKeys(m, w, self, reqkey.DefaultMaxBody), Now: time.Now,
+	})
+	c.Gate().SetReady(true)
+	w.chains[node] = c
+	w.all = append(w.all, c)
+	return c
+}
+
+// close waits for what the chains still have to journal.
+func (w *world) close() {
+	for _, c := range w.all {
+		_ = c.Close(context.Background())
+	}
+}
+
+func (w *world) apply(e journal.Entry) (err error) {
+	for _, m := range w.machines {
+		err = m.Apply(journal.Position{}, e)
+	}
+	return err
+}
+
+// Propose implements journal.Proposer. Late entries land before newer ones.
+func (w *world) Propose(ctx context.Context, e journal.Entry) error {
+	fault := w.fault("log")
+	if fault == "slow" {
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch fault {
+	case "down":
+		return journal.ErrNotWritten
+	case "late":
+		w.late = append(w.late, e)
+		return journal.ErrUnsettled
+	case "landed":
+		_ = w.apply(e)
+		return journal.ErrUnsettled
+	case "lost":
+		return journal.ErrUnsettled
+	}
+	for _, old := range w.late {
+		_ = w.apply(old)
+	}
+	w.late = nil
+	return w.apply(e)
+}
+
+// Attempt implements platform.Endpoint and records what ran.
+func (w *world) Attempt(ctx context.Context, ep api.Endpoint, _ api.Epoch, req *api.Request, _ int64) (*api.Answer, platform.Feedback, error) {
+	fault := w.fault("endpoint")
+	if fault == "refuse" {
+		return nil, platform.Feedback{}, &platform.AttemptError{Certainty: platform.CertainNotRun, Reason: api.ReasonConnectFailed, Endpoint: ep.ID}
+	}
+	w.mu.Lock()
+	hold := w.hold
+	if fault != "lost" {
+		w.runs[req.ID]++
+		w.receipts[req.Header["Receipt"]] = true
+	}
+	w.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			fault = "broken"
+		}
+	}
+	time.Sleep(5 * time.Millisecond)
+	switch fault {
+	case "broken", "lost":
+		return nil, platform.Feedback{}, &platform.AttemptError{Certainty: platform.MayHaveRun, Reason: api.ReasonAnswerBroken, Endpoint: ep.ID}
+	case "strange":
+		return nil, platform.Feedback{}, errors.New("untyped")
+	}
+	return &api.Answer{Status: http.StatusOK, Body: answerBody(req), Endpoint: ep.ID}, platform.Feedback{}, nil
+}
+
+func answerBody(req *api.Request) []byte { return []byte(req.ID + "=" + string(req.Body)) }
+
+type fakeRouter struct{ w *world }
+
+func (r *fakeRouter) Room(string) int {
+	if r.w.fault("room") != "" {
+		return 0
+	}
+	return 8
+}
+
+func (r *fakeRouter) Acquire(_ context.Context, _ string, _ api.Class, _ string, exclude []api.EndpointID) (Ticket, error) {
+	if reason := r.w.fault("router"); reason != "" {
+		return nil, api.NotRun(api.Reason(reason), time.Second, "fake")
+	}
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	r.w.open++
+	return &fakeTicket{w: r.w, id: api.EndpointID(fmt.Sprint("e", len(exclude)))}, nil
+}
+
+type fakeTicket struct {
+	w  *world
+	id api.EndpointID
+}
+
+func (t *fakeTicket) Endpoint() api.Endpoint { return api.Endpoint{ID: t.id} }
+func (t *fakeTicket) Epoch() api.Epoch       { return 1 }
+func (t *fakeTicket) Valid(time.Time) bool   { return t.w.fault("hold") == "" }
+func (t *fakeTicket) Done(Result) {
+	t.w.mu.Lock()
+	defer t.w.mu.Unlock()
+	t.w.open--
+}
+
+type fakePeers struct {
+	w    *world
+	self api.NodeID
+}
+
+func (p *fakePeers) Candidates(string) []PeerLoad {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	var loads []PeerLoad
+	for node := range p.w.chains {
+		if node != p.self {
+			loads = append(loads, PeerLoad{Node: node, Free: 1})
+		}
+	}
+	return loads
+}
+
+func (p *fakePeers) Home(dc api.DataCentre) []api.NodeID { return []api.NodeID{api.NodeID(dc)} }
+
+func (p *fakePeers) reach(node api.NodeID) (*Chain, string, error) {
+	p.w.mu.Lock()
+	c, down := p.w.chains[node], p.w.down[node]
+	p.w.mu.Unlock()
+	fault := p.w.fault("peer")
+	if down || c == nil || fault == "unreachable" {
+		return nil, "", &PeerError{Node: node, Cause: errors.New("no connection")}
+	}
+	return c, fault, nil
+}
+
+func (p *fakePeers) Forward(ctx context.Context, node api.NodeID, req *ForwardRequest) (*ForwardReply, error) {
+	c, fault, err := p.reach(node)
+	if err != nil {
+		return nil, err
+	}
+	own := *req
+	reply := c.ServeForward(context.WithoutCancel(ctx), &own)
+	if fault == "lost" {
+		return nil, &PeerError{Node: node, Sent: true, Cause: errors.New("connection broke")}
+	}
+	return reply, nil
+}
+
+func (p *fakePeers) AnswerOf(ctx context.Context, node api.NodeID, q *AnswerQuery) (*AnswerReply, error) {
+	c, fault, err := p.reach(node)
+	if err != nil {
+		return nil, err
+	}
+	if fault == "lost" {
+		return nil, &PeerError{Node: node, Sent: true, Cause: errors.New("connection broke")}
+	}
+	return c.AnswerOf(ctx, q), nil
+}
+
+func (w *world) Service(name string) (api.ServiceSpec, bool) { return w.spec, name == w.spec.Service }
+func (w *world) CallerLimits(string) api.LimitsSpec          { return w.limits }
+
+func (w *world) Inc(group string, reason api.Reason) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counts[group+"/"+string(reason)]++
+}
+
+func (w *world) ran(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id]
+}
+
+// call is one request of a caller.
+type call struct {
+	node       api.NodeID
+	id, body   string
+	caller     string
+	receipt    string
+	idempotent bool
+}
+
+func (w *world) do(ctx context.Context, k call) (*api.Answer, *api.Refusal) {
+	header := http.Header{}
+	if k.id != "" {
+		header.Set(api.HeaderRequestID, k.id)
+	}
+	if k.caller != "" {
+		header.Set(api.HeaderCaller, k.caller)
+	}
+	header.Set(api.HeaderIdempotent, fmt.Sprint(k.idempotent))
+	w.mu.Lock()
+	c := w.chains[k.node]
+	w.mu.Unlock()
+	answer, err := c.Handle(ctx, &Exchange{Header: header, Request: &api.Request{
+		Service: "svc", Method: "POST", Path: "/x", Body: []byte(k.body), Header: map[string]string{"Receipt": k.receipt},
+	}})
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	return answer, nil
+}
+
+// say gives a response in short: the body, or outcome and reason.
+func say(answer *api.Answer, refusal *api.Refusal) string {
+	if refusal != nil {
+		return string(refusal.Outcome) + " " + string(refusal.Reason)
+	}
+	return string(answer.Body)
+}
--- /dev/null
+++ b/internal/filter/property_test.go
@@ -0,0 +1,192 @@
+package filter
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+	"github.com/skylarklock/skylarklock/internal/reqkey"
+)
+
+// faults are the failures drawn at each interface.
+var faults = map[string][]string{
+	"log":      {"down", "late", "landed", "lost", "slow"},
+	"endpoint": {"refuse", "broken", "lost", "strange"},
+	"router":   {"queue_full", "no_endpoint"},
+	"hold":     {"lapsed"},
+	"room":     {"none"},
+	"peer":     {"unreachable", "lost"},
+}
+
+// scenario is a drawn run: batches of calls made at once.
+type scenario struct {
+	seed     uint64
+	rate     float64 // of failures
+	batches  [][]call
+	restarts []api.NodeID // before the batch of the same index; "" for none
+}
+
+var drawScenario = rapid.Custom(func(t *rapid.T) scenario {
+	s := scenario{
+		seed: rapid.Uint64().Draw(t, "seed"),
+		rate: rapid.SampledFrom([]float64{0, 0.1, 0.3, 0.6}).Draw(t, "rate"),
+	}
+	node := rapid.SampledFrom([]api.NodeID{"a", "b", "c"})
+	for range rapid.IntRange(1, 6).Draw(t, "batches") {
+		s.restarts = append(s.restarts, rapid.SampledFrom([]api.NodeID{"", "", "", "a", "b"}).Draw(t, "restart"))
+		batch := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) call {
+			id := rapid.IntRange(0, 3).Draw(t, "id")
+			return call{
+				node:       node.Draw(t, "node"),
+				id:         fmt.Sprint("id", id),
+				body:       rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "body"),
+				idempotent: id == 3,
+			}
+		}), 1, 4).Draw(t, "batch")
+		s.batches = append(s.batches, batch)
+	}
+	return s
+})
+
+// play runs s and returns what broke the rules.
+func play(s scenario, plant func(*world)) (broken []string) {
+	w := newWorld("a", "b", "c")
+	if plant != nil {
+		plant(w)
+	}
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(s.seed, 1))
+	w.fault = func(site string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.Float64() >= s.rate {
+			return ""
+		}
+		return faults[site][random.IntN(len(faults[site]))]
+	}
+	notRun := make(map[string]bool) // receipts
+	for i, batch := range s.batches {
+		if node := s.restarts[i]; node != "" {
+			w.start(node, "east", []api.DataCentre{"east"})
+		}
+		var wg sync.WaitGroup
+		for j, k := range batch {
+			k.receipt = fmt.Sprint(i, "/", j)
+			wg.Go(func() {
+				answer, refusal := w.do(context.Background(), k)
+				ran := w.ran(k.id)
+				mu.Lock()
+				defer mu.Unlock()
+				broken = append(broken, judge(k, answer, refusal, ran, len(batch) == 1)...)
+				if refusal != nil && refusal.Outcome == api.OutcomeNotRun {
+					notRun[k.receipt] = true
+				}
+			})
+		}
+		wg.Wait()
+	}
+	w.close()
+	for receipt := range notRun {
+		if w.receipts[receipt] {
+			broken = append(broken, "not-run was said of "+receipt+", which ran")
+		}
+	}
+	for id, n := range w.runs {
+		if id != "id3" && n > 1 {
+			broken = append(broken, fmt.Sprintf("%s ran %d times", id, n))
+		}
+	}
+	if w.open != 0 {
+		broken = append(broken, fmt.Sprintf("%d tickets not given back", w.open))
+	}
+	return broken
+}
+
+// judge checks one response. When no other request was under way, not-run is
+// held against every run of the id, not only of this receipt.
+func judge(k call, answer *api.Answer, refusal *api.Refusal, ran int, alone bool) (broken []string) {
+	switch {
+	case answer != nil && string(answer.Body) != k.id+"="+k.body:
+		return []string{fmt.Sprintf("%+v was answered %q", k, answer.Body)}
+	case answer != nil && ran == 0:
+		return []string{fmt.Sprintf("%+v was answered but never ran", k)}
+	case refusal != nil && refusal.Outcome == api.OutcomeNotRun && refusal.Reason != api.ReasonIDReused &&
+		alone && !k.idempotent && ran > 0:
+		return []string{fmt.Sprintf("%+v: %v, but the id ran", k, refusal)}
+	}
+	return nil
+}
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20260101")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func TestNothingTwiceNothingUntrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScenario.Draw(rt, "scenario")
+		var broken []string
+		synctest.Test(t, func(*testing.T) { broken = play(s, nil) })
+		if len(broken) > 0 {
+			rt.Fatalf("%q", broken)
+		}
+	})
+}
+
+// trusting takes every mark for the first: the planted fault.
+type trusting struct{ Keys }
+
+func (k trusting) Lookup(string) (reqkey.State, bool) { return reqkey.State{}, false }
+
+func (k trusting) Mark(_ context.Context, id string, digest uint64) (reqkey.Mark, error) {
+	return reqkey.Mark{ID: id, Digest: digest, Writer: k.Self()}, nil
+}
+
+// eager takes an unconfirmed mark for its own.
+type eager struct{ Keys }
+
+func (k eager) Mark(ctx context.Context, id string, digest uint64) (reqkey.Mark, error) {
+	mark, err := k.Keys.Mark(ctx, id, digest)
+	if err == journal.ErrUnsettled {
+		err = nil
+	}
+	return mark, err
+}
+
+func TestPlantedFaultsAreFound(t *testing.T) {
+	plants := map[string]func(Keys) Keys{
+		"second mark accepted":    func(k Keys) Keys { return trusting{k} },
+		"unsettled mark accepted": func(k Keys) Keys { return eager{k} },
+	}
+	for name, plant := range plants {
+		found := false
+		for seed := uint64(0); seed < 50 && !found; seed++ {
+			s := scenario{seed: seed, rate: 0.3, restarts: make([]api.NodeID, 6)}
+			for i := range 6 {
+				s.batches = append(s.batches, []call{{node: api.NodeID("abc"[i%3 : i%3+1]), id: "id0", body: "x"}})
+			}
+			synctest.Test(t, func(*testing.T) {
+				found = len(play(s, func(w *world) {
+					for _, c := range w.chains {
+						c.deps.Keys = plant(c.deps.Keys)
+					}
+				})) > 0
+			})
+		}
+		if !found {
+			t.Errorf("%s: not found", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/reqkey/machine_test.go
@@ -0,0 +1,209 @@
+package reqkey
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+func origin(node string, incarnation int) journal.Origin {
+	return journal.Origin{Node: api.NodeID(node), Incarnation: api.Incarnation(incarnation)}
+}
+
+// log applies entries to every machine; it is a journal.Proposer.
+type log []*Machine
+
+func (l log) Propose(_ context.Context, e journal.Entry) (err error) {
+	for _, m := range l {
+		err = m.Apply(journal.Position{}, e)
+	}
+	return err
+}
+
+// TestMain fixes the seed of the property test.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20260101")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func TestFirstMarkWins(t *testing.T) {
+	ctx := t.Context()
+	m := NewMachine()
+	a := NewKeys(m, log{m}, origin("a", 1), DefaultMaxBody)
+	b := NewKeys(m, log{m}, origin("b", 1), DefaultMaxBody)
+	mark, err := a.Mark(ctx, "id", 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var marked *MarkedError
+	if _, err := b.Mark(ctx, "id", 7); !errors.As(err, &marked) || marked.Mark != mark {
+		t.Fatalf("second mark: %v", err)
+	}
+	var reused *ReusedError
+	if _, err := b.Mark(ctx, "id", 8); !errors.As(err, &reused) {
+		t.Fatalf("other digest: %v", err)
+	}
+	var none *NoMarkError
+	stale := mark
+	stale.Serial++
+	for _, wrong := range []Mark{stale, {ID: "id", Writer: b.Self(), Serial: mark.Serial}, {ID: "other"}} {
+		if err := b.Release(ctx, wrong); !errors.As(err, &none) {
+			t.Fatalf("release of %+v: %v", wrong, err)
+		}
+	}
+	if err := a.Release(ctx, mark); err != nil {
+		t.Fatal(err)
+	}
+	again, err := b.Mark(ctx, "id", 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Release(ctx, mark); !errors.As(err, &none) {
+		t.Fatalf("a late release freed another's mark: %v", err)
+	}
+	answer := &api.Answer{Status: 200, Body: []byte("yes"), Header: map[string]string{"A": "b"}}
+	if err := b.Settle(ctx, again, answer, ""); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Release(ctx, again); !errors.As(err, &none) {
+		t.Fatalf("a request that ran was released: %v", err)
+	}
+	state, ok := a.Lookup("id")
+	if !ok || state.Mark != again || state.Outcome != api.OutcomeRan || string(state.Answer.Body) != "yes" {
+		t.Fatalf("%+v", state)
+	}
+}
+
+// TestReadersAgree feeds random entries to two machines, of which one is
+// restored from a snapshot midway.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		straight, restored := NewMachine(), NewMachine()
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		cut := rapid.IntRange(0, steps).Draw(t, "cut")
+		for i := range steps {
+			if i == cut {
+				data, _ := restored.Snapshot()
+				restored = NewMachine()
+				if err := restored.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			e := drawEntry(t, straight.Generation())
+			one := straight.Apply(journal.Position{}, e)
+			two := restored.Apply(journal.Position{}, e)
+			if fmt.Sprint(one) != fmt.Sprint(two) {
+				t.Fatalf("%v here, %v there", one, two)
+			}
+		}
+		one, _ := straight.Snapshot()
+		two, _ := restored.Snapshot()
+		if !bytes.Equal(one, two) {
+			t.Fatal("the machines differ")
+		}
+		marks := 0
+		for i := range straight.shards {
+			marks += len(straight.shards[i].records)
+		}
+		if marks != straight.Marks() {
+			t.Fatalf("%d marks counted, %d held", straight.Marks(), marks)
+		}
+	})
+}
+
+func drawEntry(t *rapid.T, generation uint32) journal.Entry {
+	id := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "id"))
+	writer := origin(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "writer"), 1)
+	serial := rapid.Uint32Range(0, 1).Draw(t, "serial")
+	switch rapid.SampledFrom([]int{0, 0, 0, 1, 1, 2, 3}).Draw(t, "type") {
+	case 0:
+		return entry(TypeMark, Mark{ID: id, Digest: rapid.Uint64Range(0, 1).Draw(t, "digest"), Writer: writer, Serial: serial})
+	case 1:
+		answer := &api.Answer{Body: make([]byte, rapid.IntRange(0, 300).Draw(t, "size"))}
+		return entry(TypeOutcome, Outcome{ID: id, Writer: writer, Serial: serial, Outcome: api.OutcomeRan, Answer: answer})
+	case 2:
+		return entry(TypeRelease, Release{ID: id, Writer: writer, Serial: serial})
+	default:
+		limits := Limits{Marks: 4, AnswerBytes: 500, Generations: 2}
+		return entry(TypeGeneration, Generation{Number: generation + rapid.Uint32Range(0, 1).Draw(t, "step"), Limits: limits})
+	}
+}
+
+func entry(t journal.EntryType, body any) journal.Entry {
+	return journal.Entry{Type: t, Body: journal.Encode(body)}
+}
+
+func TestRetention(t *testing.T) {
+	ctx := t.Context()
+	m := NewMachine()
+	k := NewKeys(m, log{m}, origin("a", 1), DefaultMaxBody)
+	rotation := Rotation{Every: time.Minute, Limits: Limits{Marks: 2, AnswerBytes: 1 << 10, Generations: 2}}
+	now := time.Unix(0, 0)
+	rotate := func(after time.Duration) {
+		t.Helper()
+		now = now.Add(after)
+		if err := k.Rotate(ctx, &rotation, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rotate(0)
+	rotate(time.Minute) // generation 1 brings the limits
+	for _, id := range []string{"1", "2"} {
+		if _, err := k.Mark(ctx, id, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var full *FullError
+	if _, err := k.Mark(ctx, "3", 0); !errors.As(err, &full) {
+		t.Fatalf("a mark over the limit: %v", err)
+	}
+	rotate(time.Second)
+	rotate(time.Minute) // generation 2 still remembers
+	if _, ok := k.Lookup("1"); !ok || m.Generation() != 2 {
+		t.Fatalf("forgotten in generation %d", m.Generation())
+	}
+	rotate(time.Second)
+	rotate(time.Minute)
+	if _, ok := k.Lookup("1"); ok || m.Marks() != 0 || m.Generation() != 3 {
+		t.Fatalf("%d marks in generation %d", m.Marks(), m.Generation())
+	}
+}
+
+// BenchmarkMark applies marks of 36-byte ids and reports the bytes that each
+// keeps in memory and in a snapshot. Run it with -benchtime 1000000x.
+func BenchmarkMark(b *testing.B) {
+	m := NewMachine()
+	before := heap()
+	b.ReportAllocs()
+	for i := range b.N {
+		mark := Mark{ID: fmt.Sprintf("%036d", i), Digest: uint64(i), Writer: origin("a", 1), Serial: uint32(i)}
+		if err := m.Apply(journal.Position{}, entry(TypeMark, mark)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.StopTimer()
+	after := heap()
+	data, _ := m.Snapshot()
+	b.ReportMetric(float64(after-before)/float64(b.N), "heapB/id")
+	b.ReportMetric(float64(len(data))/float64(b.N), "snapshotB/id")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
