front: trailers reach the caller, no guessed content type

Cause: TestRequestsPassUnchanged failed first: an answer under 2 KiB lost its trailers, since net/http sends it with Content-Length unless they are declared; and net/http adds a Content-Type of its own where the endpoint sent none. Ruled out: flushing early (an extra write for each such answer).

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -80,13 +80,19 @@
 			header.Set(name, value)
 		}
 	}
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil // net/http adds no guess of its own
+	}
 	header.Set(api.HeaderOutcome, string(api.OutcomeRan))
+	for name := range answer.Trailer {
+		header.Add("Trailer", name)
+	}
 	if r.Method != http.MethodHead && len(answer.Trailer) == 0 {
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	s.writeWhole(w, answer.Status, answer.Body)
 	for name, value := range answer.Trailer {
-		header.Set(http.TrailerPrefix+name, value)
+		header.Set(name, value)
 	}
 }
 
