Router that chooses endpoints by load, latency and health

Cause: the filter chain needs an endpoint with a free slot for each request, within the holds of this entry VM, and a fair, bounded queue when none is free. Change: a shard for each service under its own lock; pure choice, health and fair queue; waiters are dropped by the mean plus two mean deviations.

--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,110 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/finding"
+)
+
+// Defaults of Config.
+const (
+	DefaultEjectShare        = 0.3
+	DefaultEjectMargin       = 0.3
+	DefaultEjectSamples      = 5
+	DefaultHealthHalfLife    = 10 * time.Second
+	DefaultProbeInterval     = time.Second
+	DefaultMaxProbeInterval  = time.Minute
+	DefaultRefusalBackoff    = 50 * time.Millisecond
+	DefaultMaxRefusalBackoff = time.Second
+	DefaultLeavingHold       = time.Minute
+	DefaultBusyAge           = time.Second
+	DefaultInteractiveWeight = 4
+	DefaultQueueLength       = 200
+	DefaultQueueTime         = time.Second
+	DefaultCallerShare       = 0.5
+	DefaultNoEndpointRetry   = time.Second
+)
+
+// Config holds the settings of a Router. Zero fields take their defaults.
+type Config struct {
+	EjectShare        float64       // most of a service's endpoints ejected at once, 0 to 1
+	EjectMargin       float64       // failure rate above that of the other endpoints, 0 to 1
+	EjectSamples      float64       // answers and failures before an endpoint is judged
+	HealthHalfLife    time.Duration // in which the weight of a result halves
+	ProbeInterval     time.Duration // from an ejection to the first probe; doubles
+	MaxProbeInterval  time.Duration // longest such interval
+	RefusalBackoff    time.Duration // nothing new after a refusal or a failed connect; doubles
+	MaxRefusalBackoff time.Duration // longest such pause
+	LeavingHold       time.Duration // how long an in-band word that an endpoint leaves is kept
+	BusyAge           time.Duration // how long an endpoint's count of busy slots is believed
+	InteractiveWeight int           // interactive requests granted for each batch request, both waiting
+	QueueLength       int           // of a service whose record names none
+	QueueTime         time.Duration // of a service whose record names none
+	CallerShare       float64       // of a service whose record names none, 0 to 1
+	NoEndpointRetry   time.Duration // told to a caller when a service has no endpoint here
+
+	Now     func() time.Time // advances as timers do; time.Now when nil
+	Rand    rand.Source      // seeds the choices; the runtime's when nil
+	OnEvent func(Event)      // told of each ejection, probe and return, outside locks; may be nil
+}
+
+// withDefaults returns c with its zero fields filled in.
+func (c Config) withDefaults() Config {
+	setDefault(&c.EjectShare, DefaultEjectShare)
+	setDefault(&c.EjectMargin, DefaultEjectMargin)
+	setDefault(&c.EjectSamples, DefaultEjectSamples)
+	setDefault(&c.HealthHalfLife, DefaultHealthHalfLife)
+	setDefault(&c.ProbeInterval, DefaultProbeInterval)
+	setDefault(&c.MaxProbeInterval, DefaultMaxProbeInterval)
+	setDefault(&c.RefusalBackoff, DefaultRefusalBackoff)
+	setDefault(&c.MaxRefusalBackoff, DefaultMaxRefusalBackoff)
+	setDefault(&c.LeavingHold, DefaultLeavingHold)
+	setDefault(&c.BusyAge, DefaultBusyAge)
+	setDefault(&c.InteractiveWeight, DefaultInteractiveWeight)
+	setDefault(&c.QueueLength, DefaultQueueLength)
+	setDefault(&c.QueueTime, DefaultQueueTime)
+	setDefault(&c.CallerShare, DefaultCallerShare)
+	setDefault(&c.NoEndpointRetry, DefaultNoEndpointRetry)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Rand == nil {
+		c.Rand = rand.NewPCG(rand.Uint64(), rand.Uint64())
+	}
+	return c
+}
+
+// setDefault sets a zero field.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate adds the faults of c to findings, with paths below path. Zero
+// fields are in order.
+func (c Config) Validate(path string, findings *finding.List) {
+	share := func(name string, value float64) {
+		findings.Check(value >= 0 && value <= 1, path+"."+name, value, "a share from 0 to 1")
+	}
+	length := func(name string, value time.Duration) {
+		findings.Check(value >= 0, path+"."+name, value, "a duration that is not negative")
+	}
+	share("eject_share", c.EjectShare)
+	share("eject_margin", c.EjectMargin)
+	share("caller_share", c.CallerShare)
+	length("health_half_life", c.HealthHalfLife)
+	length("probe_interval", c.ProbeInterval)
+	length("max_probe_interval", c.MaxProbeInterval)
+	length("refusal_backoff", c.RefusalBackoff)
+	length("max_refusal_backoff", c.MaxRefusalBackoff)
+	length("leaving_hold", c.LeavingHold)
+	length("busy_age", c.BusyAge)
+	length("queue_time", c.QueueTime)
+	length("no_endpoint_retry", c.NoEndpointRetry)
+	findings.Check(c.EjectSamples >= 0, path+".eject_samples", c.EjectSamples, "a count that is not negative")
+	findings.Check(c.InteractiveWeight >= 0, path+".interactive_weight", c.InteractiveWeight, "a count that is not negative")
+	findings.Check(c.QueueLength >= 0, path+".queue_length", c.QueueLength, "a count that is not negative")
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,206 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// Held is an endpoint whose shard this entry VM holds.
+type Held struct {
+	Endpoint  api.Endpoint
+	SlotLimit int       // requests in flight that the hold allows now
+	Epoch     api.Epoch // of the hold
+	Until     time.Time // SlotLimit holds before it; zero: until the next SetEndpoints
+	Floor     int       // limit from Until on
+}
+
+// Router chooses endpoints. It is safe for concurrent use.
+type Router struct {
+	cfg      Config
+	outliers outlierRule
+	start    time.Time
+
+	mu     sync.RWMutex // guards the map, not the shards
+	shards map[string]*shard
+	rand   *rand.Rand
+}
+
+// New returns a router without services. Validate the settings first.
+func New(cfg Config) *Router {
+	cfg = cfg.withDefaults()
+	return &Router{
+		cfg:    cfg,
+		start:  cfg.Now(),
+		shards: make(map[string]*shard),
+		rand:   rand.New(cfg.Rand),
+		outliers: outlierRule{
+			margin:      cfg.EjectMargin,
+			samples:     cfg.EjectSamples,
+			maxShare:    cfg.EjectShare,
+			interval:    cfg.ProbeInterval,
+			maxInterval: cfg.MaxProbeInterval,
+			halfLife:    cfg.HealthHalfLife,
+		},
+	}
+}
+
+// instant converts a time to an instant of the package.
+func (r *Router) instant(t time.Time) time.Duration {
+	return t.Sub(r.start)
+}
+
+// now returns the present instant.
+func (r *Router) now() time.Duration {
+	return r.instant(r.cfg.Now())
+}
+
+// SetService sets the limits and the policy of a service. Zero fields of the
+// record take the router's defaults.
+func (r *Router) SetService(service string, spec api.ServiceSpec) {
+	s := r.shardOf(service)
+	s.mu.Lock()
+	defer s.unlock()
+	s.setSpec(spec)
+}
+
+// SetEndpoints replaces the endpoints that this entry VM holds. An endpoint
+// that is missing is given up: it gets nothing new, and what is in flight to
+// it finishes; WaitIdle tells when it has.
+func (r *Router) SetEndpoints(now time.Time, held []Held) {
+	byService := make(map[string][]Held)
+	for _, h := range held {
+		byService[h.Endpoint.Service] = append(byService[h.Endpoint.Service], h)
+	}
+	for service := range byService {
+		r.shardOf(service)
+	}
+	at := r.instant(now)
+	for _, s := range r.allShards() {
+		s.mu.Lock()
+		s.setHeld(at, byService[s.service])
+		s.unlock()
+	}
+}
+
+// Acquire chooses an endpoint with a free slot that is not in exclude, and
+// waits for one within the service's limits. The context carries the
+// deadline. Errors are of type *api.Refusal, with outcome not-run.
+func (r *Router) Acquire(ctx context.Context, service string, class api.Class, caller string, exclude []api.EndpointID) (*Ticket, error) {
+	s := r.find(service)
+	if s == nil {
+		return nil, api.NotRun(api.ReasonNoEndpoint, r.cfg.NoEndpointRetry, "service "+service+" has no endpoint here")
+	}
+	w := &waiter{
+		demand:  demand{exclude: exclude, deadline: noExpiry},
+		class:   class,
+		caller:  caller,
+		settled: make(chan settlement, 1),
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		w.deadline = r.instant(deadline)
+	}
+	return s.acquire(ctx, w)
+}
+
+// Free returns the requests that the service's endpoints could take now.
+func (r *Router) Free(service string) int {
+	s := r.find(service)
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.unlock()
+	return s.free(r.now())
+}
+
+// InFlight returns the tickets not yet done, of all services.
+func (r *Router) InFlight() int {
+	total := 0
+	for _, s := range r.allShards() {
+		s.mu.Lock()
+		total += s.inFlight
+		s.unlock()
+	}
+	return total
+}
+
+// WaitIdle waits until no request is in flight to any of the endpoints. Give
+// them up first. It returns the context's error.
+func (r *Router) WaitIdle(ctx context.Context, ids []api.EndpointID) error {
+	for _, s := range r.allShards() {
+		for _, id := range ids {
+			if err := s.waitIdle(ctx, id); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// waitIdle waits until no request is in flight to one endpoint.
+func (s *shard) waitIdle(ctx context.Context, id api.EndpointID) error {
+	for {
+		idle := s.idle(id)
+		if idle == nil {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// idle returns a channel that closes when nothing is in flight to the
+// endpoint, nil when nothing is now.
+func (s *shard) idle(id api.EndpointID) <-chan struct{} {
+	s.mu.Lock()
+	defer s.unlock()
+	e := s.byID[id]
+	if e == nil || e.inFlight == 0 {
+		return nil
+	}
+	if e.idle == nil {
+		e.idle = make(chan struct{})
+	}
+	return e.idle
+}
+
+// find returns the shard of a service, nil when the router has none.
+func (r *Router) find(service string) *shard {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.shards[service]
+}
+
+// shardOf returns the shard of a service, made when missing.
+func (r *Router) shardOf(service string) *shard {
+	if s := r.find(service); s != nil {
+		return s
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.shards[service]
+	if s == nil {
+		source := rand.New(rand.NewPCG(r.rand.Uint64(), r.rand.Uint64()))
+		s = newShard(r, service, source)
+		r.shards[service] = s
+	}
+	return s
+}
+
+// allShards returns the shards of all services.
+func (r *Router) allShards() []*shard {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	shards := make([]*shard, 0, len(r.shards))
+	for _, s := range r.shards {
+		shards = append(shards, s)
+	}
+	return shards
+}
