Eject an endpoint after a run of failures, whatever its past

Cause: an endpoint with many good answers in its decayed counts that starts to fail everything had to fail a third of that many before it was an outlier. Ruled out: a shorter half-life (forgets the fleet's rate in slow services). Change: as many failures in a row as an endpoint needs to be judged count as a rate of 1 against the fleet's.

--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -59,6 +59,7 @@
 	rate     rate
 	latency  float64       // moving average, seconds; 0 before the first
 	sampled  time.Duration // when latency was last updated
+	streak   int           // failures since the last success
 	standing standing
 	probeAt  time.Duration // first instant of the next probe
 	interval time.Duration // from the last ejection to its probe; 0 when never ejected
@@ -135,7 +136,25 @@
 	if h.rate.count() < o.samples-0.5 {
 		return false
 	}
-	return h.rate.share() >= others.share()+o.margin
+	return h.recentShare(o.samples) >= others.share()+o.margin
+}
+
+// recentShare returns the share of failures, or 1 when the last results were
+// all failures: the counts of better times don't cover up a sudden fault.
+func (h *health) recentShare(samples float64) float64 {
+	if float64(h.streak) >= samples {
+		return 1
+	}
+	return h.rate.share()
+}
+
+// observe counts a result.
+func (h *health) observe(now, halfLife time.Duration, ok bool) {
+	h.rate = h.rate.decayed(now, halfLife).with(ok)
+	h.streak++
+	if ok {
+		h.streak = 0
+	}
 }
 
 // eject takes the endpoint out until the next probe.
--- a/internal/router/ticket.go
+++ b/internal/router/ticket.go
@@ -171,7 +171,7 @@
 func (s *shard) judgeHealth(now time.Duration, e *endpoint, ok, probe bool) {
 	rule := s.router.outliers
 	h := &e.health
-	h.rate = h.rate.decayed(now, rule.halfLife).with(ok)
+	h.observe(now, rule.halfLife, ok)
 	s.results = s.results.decayed(now, rule.halfLife).with(ok)
 	defer s.countEjected()
 	if probe && h.standing == standingProbing {
