Place services, batch and gangs by order, filter, score and reserve

Cause: the cell needs plans for all classes of work. Change: a World with incremental indexes (VMs by spare capacity, jobs by band, team and shape) and a Scheduler whose cycle reads only what a change touched. Gangs are gathered whole before any of their tasks is reserved; waiting gangs and starved tasks get VMs held until their expected start; urgent work nominates a VM and its victims; jobs that can never run are condemned with what is missing; quarantined VMs get one probe at a time. Conclusion: usable by the cell; speed and packing are to be measured.

--- /dev/null
+++ b/internal/scheduler/reserve.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// Errors of World.Reserve.
+var (
+	ErrUnknownJob  = errors.New("scheduler: job not known")
+	ErrNotPending  = errors.New("scheduler: task not pending")
+	ErrNotOpen     = errors.New("scheduler: VM not listed or takes no work")
+	ErrNoRoom      = errors.New("scheduler: task does not fit the VM")
+	ErrOverQuota   = errors.New("scheduler: quota of the team exceeded")
+	ErrNotAdmitted = errors.New("scheduler: VM refused by the job's constraints")
+)
+
+// Reserve reserves room on a VM for a pending task and returns its start. It
+// checks capacity, quota and the job's constraints; on an error nothing
+// changed. It serves schedulers other than this package's, which are
+// measured against it.
+func (w *World) Reserve(task api.TaskID, vm api.VMID, now time.Time) (Start, error) {
+	j := w.jobs[task.Job]
+	v := w.vms[vm]
+	switch {
+	case j == nil:
+		return Start{}, ErrUnknownJob
+	case len(j.pending) == 0 || j.pending[0] != task.Index:
+		return Start{}, ErrNotPending
+	case v == nil || !v.open():
+		return Start{}, ErrNotOpen
+	case !j.need().Fits(v.spare()):
+		return Start{}, ErrNoRoom
+	case !j.team.allows(j.need()):
+		return Start{}, ErrOverQuota
+	case j.Avoid[vm] || !j.spreadAllows(v) || !j.mayUse(v.DataCentre):
+		return Start{}, ErrNotAdmitted
+	}
+	h := w.reserve(j, v, now)
+	return Start{Task: h.task, VM: v.ID, Resources: h.resources}, nil
+}
+
+// reserve takes room on v for the next pending task of j.
+func (w *World) reserve(j *jobState, v *vmState, now time.Time) *holding {
+	h := &holding{
+		task:           api.TaskID{Job: j.Spec.ID, Index: j.pending[0]},
+		vm:             v,
+		team:           j.team,
+		resources:      j.need(),
+		started:        now.UnixNano(),
+		end:            expectedEnd(now, j.runTime()),
+		priority:       int32(j.Spec.Priority),
+		class:          j.Spec.Class,
+		checkpointable: j.Spec.Checkpointable,
+		reserved:       true,
+	}
+	w.hold(h)
+	w.queue.setPending(j, j.pending[1:])
+	j.since = now
+	switch {
+	case len(j.pending) == 0:
+		w.dequeue(j)
+		j.risen = 0
+	case j.risen > 0 && !j.isGang():
+		w.queue.remove(j)
+		j.risen = 0
+		w.queue.add(j)
+	}
+	return h
+}
+
+// start reserves room on v and adds the start to the plan.
+func (c *cycle) start(j *jobState, v *vmState) *holding {
+	c.world.settleNomination(j, v)
+	h := c.world.reserve(j, v, c.now)
+	j.verdict = verdict{}
+	c.plan.Starts = append(c.plan.Starts, Start{
+		Task:      h.task,
+		VM:        v.ID,
+		Resources: h.resources,
+		Gang:      j.isGang(),
+	})
+	return h
+}
+
+func expectedEnd(now time.Time, runTime time.Duration) int64 {
+	if runTime <= 0 {
+		return 0
+	}
+	return now.Add(runTime).UnixNano()
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -35,6 +35,9 @@
 	// Estimate is the resources to plan each task with: the declared ones,
 	// or those learned from reports.
 	Estimate api.Resources
+	// RunTime is the run time to expect of a task, as learned; zero: the
+	// declared one.
+	RunTime time.Duration
 	// Avoid holds VMs on which the tasks of this job failed.
 	Avoid map[api.VMID]bool
 }
--- /dev/null
+++ b/internal/scheduler/world.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// World is the state that plans are made from: VMs, jobs with pending tasks,
+// what runs or is reserved, and quotas. It is not safe for concurrent use.
+//
+// Changes keep its indexes up to date, so that a cycle reads only what a
+// change can have affected.
+type World struct {
+	vms         map[api.VMID]*vmState
+	dataCentres map[api.DataCentre]*dataCentre
+	dcList      []*dataCentre // in order of first appearance
+	fleet       fleet
+	quarantine  vmSet
+	freed       []*vmState // may hold more than when last looked at
+
+	jobs     map[api.JobID]*jobState
+	teams    map[string]*teamState
+	holdings map[api.TaskID]*holding
+	used     api.Resources
+	sequence uint64
+	clock    time.Time // of the last cycle
+
+	queue       queue
+	blocked     []*shape     // waiting for capacity
+	waking      []*teamState // hold less, or may hold more, than when last looked at
+	condemned   []*jobState  // judged never to run
+	rejudge     bool         // condemned jobs are to be judged again
+	judgement   uint64       // counts the changes that ask for it
+	probeCursor int
+	retry       []*shapeQueue // to be tried again next cycle
+	holds       []*hold
+	nominations []*nomination
+}
+
+// NewWorld returns an empty world.
+func NewWorld() *World {
+	return &World{
+		vms:         make(map[api.VMID]*vmState),
+		dataCentres: make(map[api.DataCentre]*dataCentre),
+		fleet:       fleet{kinds: make(map[vmKind]*kindCount)},
+		quarantine:  vmSet{pos: make(map[*vmState]int)},
+		jobs:        make(map[api.JobID]*jobState),
+		teams:       make(map[string]*teamState),
+		holdings:    make(map[api.TaskID]*holding),
+		queue:       queue{shapes: make(map[shapeKey]*shape)},
+	}
+}
+
+// Totals sums up a World.
+type Totals struct {
+	VMs          int
+	Capacity     api.Resources // of the listed VMs
+	Used         api.Resources // running and reserved
+	Holdings     int           // tasks running or reserved
+	QueuedJobs   int           // jobs with pending tasks
+	PendingTasks int
+}
+
+// Totals returns the sums over the whole World.
+func (w *World) Totals() Totals {
+	return Totals{
+		VMs:          w.fleet.vms,
+		Capacity:     w.fleet.total,
+		Used:         w.used,
+		Holdings:     len(w.holdings),
+		QueuedJobs:   w.queue.jobs,
+		PendingTasks: w.queue.tasks,
+	}
+}
+
+// holding is a task that occupies a VM, running or reserved.
+type holding struct {
+	task      api.TaskID
+	vm        *vmState
+	team      *teamState
+	resources api.Resources
+	started   int64 // Unix nanoseconds
+	end       int64 // expected, Unix nanoseconds; 0: not known
+	priority  int32
+	slot      int32 // in vm.holdings
+	class     api.Class
+
+	checkpointable bool
+	reserved       bool
+	probe          bool
+	stopping       bool // nominated as a victim
+}
+
+// Occupy records that a task occupies a VM. A reservation of the task turns
+// into use; repeated, it replaces what was recorded before.
+func (w *World) Occupy(r Running) {
+	probe := false
+	if old := w.holdings[r.Task]; old != nil {
+		probe = old.probe
+		w.vacate(old)
+	}
+	w.dropPending(r.Task)
+	w.hold(&holding{
+		task:           r.Task,
+		vm:             w.vmOf(r.VM),
+		team:           w.teamOf(r.Team),
+		resources:      r.Resources,
+		started:        unixNano(r.Started),
+		end:            unixNano(r.ExpectedEnd),
+		priority:       int32(r.Priority),
+		class:          r.Class,
+		checkpointable: r.Checkpointable,
+		probe:          probe,
+	})
+}
+
+// Vacate records that a task no longer occupies its VM. The task is not
+// pending again until a PutJob says so.
+func (w *World) Vacate(task api.TaskID) {
+	h := w.holdings[task]
+	if h == nil {
+		return
+	}
+	w.vacate(h)
+	w.markFreed(h.vm)
+	w.wakeTeam(h.team)
+	w.dropIfEmpty(h.vm)
+}
+
+// Release drops the reservation of a start that was rejected; the task is
+// pending again. It does nothing to a task that runs.
+func (w *World) Release(task api.TaskID) {
+	h := w.holdings[task]
+	if h == nil || !h.reserved {
+		return
+	}
+	w.Vacate(task)
+	w.restorePending(task)
+}
+
+// hold adds h to its VM, its team and the sums.
+func (w *World) hold(h *holding) {
+	v := h.vm
+	w.holdings[h.task] = h
+	h.slot = int32(len(v.holdings))
+	v.holdings = append(v.holdings, h)
+	v.used = v.used.Add(h.resources)
+	if h.evictable() {
+		v.evictable = v.evictable.Add(h.resources)
+	}
+	w.used = w.used.Add(h.resources)
+	h.team.use = h.team.use.Add(h.resources)
+	w.countSpread(h, 1)
+	w.reindex(v)
+}
+
+func (w *World) vacate(h *holding) {
+	v := h.vm
+	delete(w.holdings, h.task)
+	last := len(v.holdings) - 1
+	v.holdings[h.slot] = v.holdings[last]
+	v.holdings[h.slot].slot = h.slot
+	v.holdings[last] = nil
+	v.holdings = v.holdings[:last]
+	v.used = v.used.Sub(h.resources)
+	if h.evictable() {
+		v.evictable = v.evictable.Sub(h.resources)
+	}
+	w.used = w.used.Sub(h.resources)
+	h.team.use = h.team.use.Sub(h.resources)
+	w.countSpread(h, -1)
+	w.reindex(v)
+}
+
+func unixNano(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
