Learn real use and run times from lagging reports

Cause: declared sizes and times are often far off. Change: package estimate keeps, by signature (team, class, declaration), histograms of the ratio of reported to declared; memory is planned by the largest ratio seen, processors and run time by a quantile, upwards at once and downwards on enough samples, never under a floor. Overuse and overrun are answered mildest first: throttle, checkpoint, stop; the next step needs a report measured after the last one could have shown. Ruled out: a moving average, which says nothing about the tail; exact quantiles, whose memory grows with the tasks; throttling for memory or time, which takes neither back. Measured: tests only.

--- /dev/null
+++ b/internal/estimate/config.go
@@ -0,0 +1,75 @@
+package estimate
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/finding"
+)
+
+// Defaults of Config, used where a field is zero.
+const (
+	DefaultOveruseFactor = 1.5
+	DefaultOverrunFactor = 3.0
+	DefaultFloor         = 0.5
+	DefaultQuantile      = 0.95
+	DefaultFewestReports = 32
+	DefaultFewestRuns    = 8
+	DefaultGrace         = 30 * time.Second
+	DefaultMaxSignatures = 20_000
+)
+
+// Config tunes an Estimator. Zero fields take their defaults.
+type Config struct {
+	// Policy gives OveruseFactor and OverrunFactor.
+	Policy api.PolicySpec
+	// Floor is the least share of the declared amounts to plan with, 0 to 1.
+	Floor float64
+	// Quantile of the processor use and run times to plan with, 0 to 1.
+	Quantile float64
+	// FewestReports and FewestRuns are needed before an estimate falls below
+	// what was declared.
+	FewestReports int
+	FewestRuns    int
+	// Grace is the time an action is given to show in the reports before the
+	// next, sterner one.
+	Grace time.Duration
+	// MaxSignatures bounds the memory; those unused longest are forgotten.
+	MaxSignatures int
+}
+
+// Validate returns a *finding.List of every field out of its range, or nil.
+func (c Config) Validate() error {
+	var l finding.List
+	factor := func(f float64) bool { return f == 0 || f >= 1 }
+	share := func(f float64) bool { return f >= 0 && f <= 1 }
+	l.Check(factor(c.Policy.OveruseFactor), "policy.overuse_factor", c.Policy.OveruseFactor, "0 (default), or 1 or more")
+	l.Check(factor(c.Policy.OverrunFactor), "policy.overrun_factor", c.Policy.OverrunFactor, "0 (default), or 1 or more")
+	l.Check(share(c.Floor), "floor", c.Floor, "0 (default) to 1")
+	l.Check(share(c.Quantile), "quantile", c.Quantile, "0 (default) to 1")
+	l.Check(c.FewestReports >= 0, "fewest_reports", c.FewestReports, "0 (default) or more")
+	l.Check(c.FewestRuns >= 0, "fewest_runs", c.FewestRuns, "0 (default) or more")
+	l.Check(c.Grace >= 0, "grace", c.Grace, "0 (default) or more")
+	l.Check(c.MaxSignatures >= 0, "max_signatures", c.MaxSignatures, "0 (default) or more")
+	return l.Err()
+}
+
+// WithDefaults returns c with its zero fields replaced.
+func (c Config) WithDefaults() Config {
+	orDefault(&c.Policy.OveruseFactor, DefaultOveruseFactor)
+	orDefault(&c.Policy.OverrunFactor, DefaultOverrunFactor)
+	orDefault(&c.Floor, DefaultFloor)
+	orDefault(&c.Quantile, DefaultQuantile)
+	orDefault(&c.FewestReports, DefaultFewestReports)
+	orDefault(&c.FewestRuns, DefaultFewestRuns)
+	orDefault(&c.Grace, DefaultGrace)
+	orDefault(&c.MaxSignatures, DefaultMaxSignatures)
+	return c
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,104 @@
+package estimate
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+var spec = api.JobSpec{ID: "job", Team: "red", Class: api.ClassBatch, RunTime: time.Minute, Checkpointable: true,
+	Resources: api.Resources{MilliCPU: 4000, MemoryMB: 8000, Accelerators: 1}}
+
+func report(cpu, memory int64, ran time.Duration) Report {
+	start := time.Unix(1000, 0)
+	return Report{Task: api.TaskID{Job: "job"}, Use: api.Resources{MilliCPU: cpu, MemoryMB: memory, Accelerators: 1},
+		Started: start, Measured: start.Add(ran)}
+}
+
+func TestEstimate(t *testing.T) {
+	Convey("An estimator that heard nothing plans as declared", t, func() {
+		e := New(Config{})
+		So(e.Estimate(spec).Resources, ShouldResemble, spec.Resources)
+
+		Convey("goes up at the first report above, and never below one", func() {
+			e.Observe(spec, report(5000, 9000, 0))
+			got := e.Estimate(spec).Resources
+			So(got.MilliCPU, ShouldBeGreaterThanOrEqualTo, 5000)
+			So(got.MemoryMB, ShouldBeBetweenOrEqual, 9000, 9000*1.1)
+			So(e.TaskEstimate(spec, api.Resources{MemoryMB: 20000}).MemoryMB, ShouldEqual, 20000)
+		})
+		Convey("goes down only on enough reports, not under the floor, and keeps the largest memory", func() {
+			for range DefaultFewestReports - 1 {
+				e.Observe(spec, report(100, 5000, 0))
+			}
+			So(e.Estimate(spec).Resources, ShouldResemble, spec.Resources)
+			e.Observe(spec, report(100, 6000, 0))
+			So(e.Estimate(spec).Resources.MilliCPU, ShouldEqual, 2000)
+			for range 3000 {
+				e.Observe(spec, report(100, 100, 0))
+			}
+			So(e.Estimate(spec).Resources.MemoryMB, ShouldBeGreaterThanOrEqualTo, 6000)
+			So(e.Estimate(spec).Resources.Accelerators, ShouldEqual, 1)
+		})
+		Convey("learns run times from those that ended", func() {
+			for range 20 {
+				e.Finished(spec, api.TaskID{}, 3*time.Minute)
+			}
+			So(e.Estimate(spec).RunTime, ShouldBeBetweenOrEqual, 3*time.Minute, 200*time.Second)
+		})
+		Convey("bounds what it remembers", func() {
+			e := New(Config{MaxSignatures: 10})
+			for i := range 100 {
+				s := spec
+				s.Resources.MilliCPU = int64(i + 1)
+				e.Observe(s, report(1, 1, 0))
+			}
+			So(len(e.known), ShouldBeLessThanOrEqualTo, 10)
+		})
+	})
+	Convey("Findings name every bad field", t, func() {
+		err := Config{Floor: 2, Quantile: -1}.Validate()
+		So(err.Error(), ShouldContainSubstring, "floor")
+		So(err.Error(), ShouldContainSubstring, "quantile")
+	})
+}
+
+func TestJudge(t *testing.T) {
+	step := DefaultGrace + time.Second
+	Convey("Too much processor use is throttled, then checkpointed, then stopped", t, func() {
+		e := New(Config{})
+		So(e.Observe(spec, report(4500, 100, 0)).Action, ShouldEqual, ActionNone)
+		So(e.Observe(spec, report(8000, 100, step)).Action, ShouldEqual, ActionThrottle)
+
+		Convey("but not on reports that lag behind the action", func() {
+			So(e.Observe(spec, report(8000, 100, step+DefaultGrace)).Action, ShouldEqual, ActionNone)
+			So(e.Observe(spec, report(8000, 100, 0)).Action, ShouldEqual, ActionNone)
+		})
+		Convey("with a report that still shows it", func() {
+			So(e.Observe(spec, report(8000, 100, 2*step)).Action, ShouldEqual, ActionCheckpoint)
+			So(e.Observe(spec, report(8000, 100, 3*step)), ShouldResemble, Verdict{Action: ActionStop,
+				Reason: api.ReasonOveruse, Detail: "uses 8000 thousandths of a processor, declared 4000"})
+		})
+		Convey("and forgiven when it ends", func() {
+			e.Observe(spec, report(100, 100, 2*step))
+			So(e.Observe(spec, report(8000, 100, 3*step)).Action, ShouldEqual, ActionThrottle)
+		})
+	})
+	Convey("Memory and time can't be throttled back", t, func() {
+		e := New(Config{})
+		So(e.Observe(spec, report(100, 20000, 0)).Action, ShouldEqual, ActionCheckpoint)
+		rigid := spec
+		rigid.Checkpointable = false
+		v := New(Config{}).Observe(rigid, report(100, 100, time.Hour))
+		So(v.Action, ShouldEqual, ActionStop)
+		So(v.Reason, ShouldEqual, api.ReasonOverrun)
+	})
+	Convey("Services run on", t, func() {
+		service := spec
+		service.RunTime = 0
+		So(New(Config{}).Observe(service, report(100, 100, time.Hour)).Action, ShouldEqual, ActionNone)
+	})
+}
