Operators' HTTP service and skylarkctl

Cause: operators drive the system only by publishing records and reading what it reports, and must learn truthfully what became of a record. Ruled out: answering an unknown failure with 500 (nothing rules the record out, so it is 202 unsettled); an override that publishes over whatever is in force (it would undo compare and set); publishing the good files of a faulty set (half a change). Change: internal/operator over narrow interfaces, 200/409/400/503/202 for the five outcomes, explanations, readiness, counters; api gets Explanation, Status and PublishAnswer; internal/ctl repeats an open publication on the next entry VM until it is settled, exit codes 0 to 3; cmd/skylarkctl. Measured: nothing.

--- /dev/null
+++ b/internal/ctl/publish.go
@@ -0,0 +1,144 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/schema"
+)
+
+// placedRecord is a record with the place it was read from.
+type placedRecord struct {
+	place  string
+	record api.Record
+}
+
+// readFiles reads and checks the records of all files. The error is a
+// *finding.List with every fault of every file.
+func readFiles(files []string) ([]placedRecord, error) {
+	if len(files) == 0 {
+		return nil, badInput("no files given")
+	}
+	all := &finding.List{}
+	var out []placedRecord
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, badInput("%w", err)
+		}
+		records, l := schema.CheckFile(file, data, schema.Author)
+		all.Findings = append(all.Findings, l.Findings...)
+		for i, rec := range records {
+			out = append(out, placedRecord{place: fmt.Sprintf("%s[%d]", file, i), record: rec})
+		}
+	}
+	return out, all.Err()
+}
+
+func (c *command) validate() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "validate",
+		ShortUsage: "skylarkctl validate FILE...",
+		ShortHelp:  "checks records and reports every fault with its place",
+		FlagSet:    flag.NewFlagSet("validate", flag.ContinueOnError),
+		Exec: func(_ context.Context, files []string) error {
+			records, err := readFiles(files)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.stdout, "records=%d faults=0\n", len(records))
+			return err
+		},
+	}
+}
+
+func (c *command) publish() *ffcli.Command {
+	var id string
+	var attempts int
+	cmd := c.remote("publish", "publish -entry URL FILE...", "publishes records, in order, until one isn't accepted",
+		func(ctx context.Context, client *Client, files []string) error {
+			records, err := readFiles(files)
+			if err != nil {
+				return err
+			}
+			for _, r := range records {
+				if err := c.publishOne(ctx, client, id, attempts, r); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	cmd.FlagSet.StringVar(&id, "publish-id", "", "tells this publication from another operator's identical record")
+	cmd.FlagSet.IntVar(&attempts, "attempts", 5, "most tries for each record while its outcome is open")
+	return cmd
+}
+
+// publishOne repeats the publication, on the next entry VM each time, until
+// its outcome is known or the attempts are used up.
+func (c *command) publishOne(ctx context.Context, client *Client, id string, attempts int, r placedRecord) error {
+	attempts = max(attempts, 1)
+	var last error
+	for i := range attempts {
+		entry := client.entries[i%len(client.entries)]
+		pause, err := c.attempt(ctx, client, entry, id, r)
+		if err == nil || pause == 0 {
+			return err
+		}
+		last = err
+		if i+1 == attempts {
+			break
+		}
+		if err := c.wait(ctx, pause); err != nil {
+			return errors.Join(err, last)
+		}
+	}
+	return fmt.Errorf("%s: gave up after %d attempts: %w; publishing the same file again settles it", r.place, attempts, last)
+}
+
+// attempt publishes once. With an error it returns how long to wait before
+// the next attempt, or zero when the outcome is final.
+func (c *command) attempt(ctx context.Context, client *Client, entry, id string, r placedRecord) (time.Duration, error) {
+	p, err := client.Publish(ctx, entry, id, r.record)
+	var final *ExitError
+	if errors.As(err, &final) {
+		return 0, err
+	}
+	if err != nil {
+		return defaultRetryAfter, err
+	}
+	return p.retryAfter, c.report(r, p.answer)
+}
+
+// report prints the outcome on one line and returns the error it stands for.
+func (c *command) report(r placedRecord, a api.PublishAnswer) error {
+	if _, err := fmt.Fprintf(c.stdout, "place=%s key=%s/%s outcome=%s revision=%d in_force=%d\n",
+		r.place, r.record.Kind, r.record.Name, a.Outcome, a.Revision, a.InForce); err != nil {
+		return err
+	}
+	switch a.Outcome {
+	case api.PublishAccepted:
+		return nil
+	case api.PublishConflict:
+		return &ExitError{Code: ExitConflict, Err: fmt.Errorf("%s: %s", r.place, a.Detail)}
+	case api.PublishInvalid:
+		return invalid(r, a.Findings)
+	}
+	return fmt.Errorf("%s: %s: %s", r.place, a.Outcome, a.Detail)
+}
+
+func invalid(r placedRecord, found []api.Finding) error {
+	l := &finding.List{}
+	for _, f := range found {
+		f.File = r.place
+		l.Findings = append(l.Findings, finding.Finding(f))
+	}
+	return &ExitError{Code: ExitBadInput, Err: l}
+}
