--- /dev/null
+++ b/internal/cell/apply_report.go
@@ -0,0 +1,183 @@
+package cell
+
+import (
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/ledger"
+)
+
+func (m *Machine) applyReports(b *ReportBatch) *Rejection {
+	if r := m.checkEpoch(b.Epoch); r != nil {
+		return r
+	}
+	applied := 0
+	for i := range b.Groups {
+		applied += m.applyReportGroup(&b.Groups[i])
+	}
+	return orWrongState(applied)
+}
+
+func orWrongState(applied int) *Rejection {
+	if applied > 0 {
+		return nil
+	}
+	return &Rejection{Reason: api.ReasonWrongState, Detail: "no attempt named is in a state that this changes"}
+}
+
+func (m *Machine) applyReportGroup(g *ReportGroup) int {
+	m.vms.mu.Lock()
+	defer m.vms.mu.Unlock()
+	applied := 0
+	m.withJob(g.Job, func(j *job) {
+		for _, item := range g.Items {
+			if m.applyReport(j, g, item) {
+				applied++
+			} else {
+				m.count(api.ReasonWrongState)
+			}
+		}
+	})
+	if applied > 0 && g.Ending != ReportRunning {
+		m.retireIfDone(g.Job)
+	}
+	return applied
+}
+
+// current returns the task whose latest attempt is the named one and holds a
+// VM, or nil.
+func (j *job) current(item AttemptItem) *task {
+	if item.Index >= uint32(len(j.tasks)) {
+		return nil
+	}
+	t := &j.tasks[item.Index]
+	if t.attempt != item.Attempt || !t.state.Holds() {
+		return nil
+	}
+	return t
+}
+
+func (m *Machine) applyReport(j *job, g *ReportGroup, item AttemptItem) bool {
+	t := j.current(item)
+	if t == nil {
+		return false
+	}
+	if g.Ending == ReportRunning {
+		return m.seenRunning(j, t, item)
+	}
+	if g.Ending < ReportRunning || g.Ending > ReportLost {
+		return false
+	}
+	vm := t.vm
+	// A task that holds a VM has its claim there; both change together.
+	held, _ := m.vms.ledger.Release(vm, ledger.Key{Job: j.number, Index: item.Index, Attempt: item.Attempt})
+	id := m.vms.rows[vm].id
+	m.vms.forgetIfEmpty(vm)
+	j.settle(t, g.Ending, g.Reason)
+	effective, _ := j.get(item.Index)
+	m.emit(Event{
+		Kind:      EventTaskFreed,
+		Task:      api.TaskID{Job: j.spec.ID, Index: item.Index},
+		Attempt:   item.Attempt,
+		VM:        id,
+		Resources: held,
+		State:     effective.state,
+		Reason:    reasonOf(t.reason),
+	})
+	return true
+}
+
+func (m *Machine) seenRunning(j *job, t *task, item AttemptItem) bool {
+	if t.state != api.TaskStarting {
+		return false
+	}
+	j.move(t, api.TaskRunning)
+	m.emit(Event{
+		Kind:    EventTaskRunning,
+		Task:    api.TaskID{Job: j.spec.ID, Index: item.Index},
+		Attempt: item.Attempt,
+		VM:      m.vms.rows[t.vm].id,
+		State:   api.TaskRunning,
+	})
+	return true
+}
+
+func (m *Machine) applyStops(b *StopBatch) *Rejection {
+	if r := m.checkEpoch(b.Epoch); r != nil {
+		return r
+	}
+	m.vms.mu.RLock()
+	defer m.vms.mu.RUnlock()
+	applied := 0
+	for i := range b.Groups {
+		g := &b.Groups[i]
+		m.withJob(g.Job, func(j *job) {
+			for _, item := range g.Items {
+				if m.applyStop(j, g, item) {
+					applied++
+				} else {
+					m.count(api.ReasonWrongState)
+				}
+			}
+		})
+	}
+	return orWrongState(applied)
+}
+
+// applyStop marks a task as stopping. A later stop without a checkpoint
+// overrules one that asked for it, never the other way round.
+func (m *Machine) applyStop(j *job, g *StopGroup, item AttemptItem) bool {
+	t := j.current(item)
+	if t == nil || j.cancelled {
+		return false
+	}
+	if t.state == api.TaskStopping && (g.Checkpoint || t.flags&flagStopSave == 0) {
+		return false
+	}
+	t.flags &^= flagStopSave
+	if g.Checkpoint {
+		t.flags |= flagStopSave
+	}
+	t.reason = g.Reason
+	j.move(t, api.TaskStopping)
+	m.emit(Event{
+		Kind:    EventTaskStopping,
+		Task:    api.TaskID{Job: j.spec.ID, Index: item.Index},
+		Attempt: item.Attempt,
+		VM:      m.vms.rows[t.vm].id,
+		State:   api.TaskStopping,
+		Reason:  reasonOf(g.Reason),
+	})
+	return true
+}
+
+func (m *Machine) applyReplace(b *Replace) *Rejection {
+	if r := m.checkEpoch(b.Epoch); r != nil {
+		return r
+	}
+	applied := 0
+	m.withJob(b.Job, func(j *job) {
+		for _, item := range b.Items {
+			if m.replaceOne(j, item) {
+				applied++
+			}
+		}
+	})
+	return orWrongState(applied)
+}
+
+func (m *Machine) replaceOne(j *job, item AttemptItem) bool {
+	t := j.current(item)
+	if t == nil || j.cancelled || t.flags&flagRetiring != 0 || j.size >= maxTasks {
+		return false
+	}
+	t.flags |= flagRetiring
+	index := j.size
+	j.size++
+	j.tasks = append(j.tasks, j.untouched())
+	j.counts[api.TaskPending]++
+	if j.replaced == nil {
+		j.replaced = make(map[uint32]uint32)
+	}
+	j.replaced[index] = item.Index
+	m.emit(Event{Kind: EventTaskAdded, Task: api.TaskID{Job: j.spec.ID, Index: index}, State: api.TaskPending, Reason: api.ReasonDrained})
+	return true
+}
--- /dev/null
+++ b/internal/cell/entries.go
@@ -0,0 +1,192 @@
+// Package cell holds the jobs and tasks of one data centre as a state
+// machine fed by the data centre's stream.
+//
+// An entry is a proposal. Every start is checked again where it stands in
+// the log: against the epoch of the cell shard at that place, the task's
+// state and the ledger of the VM. All readers accept and reject the same.
+//
+// Jobs and VMs get numbers in log order, never used twice, so that entries
+// and the state are small.
+package cell
+
+import (
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// Types of entries. The values are part of the stored format.
+const (
+	TypeSubmit  = journal.TypeCellFirst + iota // Submit
+	TypeCancel                                 // Cancel
+	TypeVMs                                    // VMs
+	TypeStart                                  // StartBatch
+	TypeReport                                 // ReportBatch
+	TypeStop                                   // StopBatch
+	TypeReplace                                // Replace
+)
+
+// Submit adds a job. The first of an ID that the machine knows wins.
+type Submit struct {
+	_    struct{} `cbor:",toarray"`
+	Spec api.JobSpec
+	At   int64 // proposer's wall clock in Unix milliseconds, for display only
+}
+
+// Cancel cancels whole jobs, each at the cost of one lookup: tasks that hold
+// a VM are stopped when their VM is next synced.
+type Cancel struct {
+	_    struct{} `cbor:",toarray"`
+	Jobs []api.JobID
+	At   int64 // as in Submit
+}
+
+// SeenVM is a VM as listed by the platform. Its capacity is what the ledger
+// checks starts against.
+type SeenVM struct {
+	_        struct{} `cbor:",toarray"`
+	ID       api.VMID
+	Rack     string
+	Capacity api.Resources
+}
+
+// VMs adds or changes VMs and drops others. A dropped VM takes no starts; it
+// is forgotten when nothing holds it any more.
+type VMs struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch api.Epoch
+	Seen  []SeenVM
+	Gone  []api.VMID
+}
+
+// StartBatch starts tasks. Each is accepted or rejected on its own, but for
+// gang groups.
+type StartBatch struct {
+	_      struct{} `cbor:",toarray"`
+	Epoch  api.Epoch
+	Groups []StartGroup
+}
+
+// StartGroup holds starts of one job with the same resources. A gang group
+// is accepted whole or not at all, and must hold every unfinished task.
+type StartGroup struct {
+	_         struct{} `cbor:",toarray"`
+	Job       uint32   // number of the job
+	Gang      bool
+	Resources api.Resources
+	Starts    []StartItem
+}
+
+// StartItem starts one task. Attempt is one more than the last.
+type StartItem struct {
+	_       struct{} `cbor:",toarray"`
+	Index   uint32
+	Attempt uint32
+	VM      uint32 // number of the VM
+}
+
+// Ending says what became of an attempt. The values are part of the stored
+// format.
+type Ending uint8
+
+// Reports on an attempt.
+const (
+	ReportRunning      Ending = iota + 1 // seen running
+	ReportSucceeded                      // ended well
+	ReportErrored                        // ended badly, by itself
+	ReportCheckpointed                   // stopped after a checkpoint
+	ReportKilled                         // stopped without a checkpoint
+	ReportLost                           // certainly not running any more, nothing else is known
+)
+
+// ReportBatch passes on what workers reported, or what is certain without
+// them.
+type ReportBatch struct {
+	_      struct{} `cbor:",toarray"`
+	Epoch  api.Epoch
+	Groups []ReportGroup
+}
+
+// ReportGroup holds reports of one job with the same ending and reason.
+type ReportGroup struct {
+	_      struct{} `cbor:",toarray"`
+	Job    uint32
+	Ending Ending
+	Reason uint8 // code of an api.Reason, zero for none
+	Items  []AttemptItem
+}
+
+// AttemptItem names one attempt of a task.
+type AttemptItem struct {
+	_       struct{} `cbor:",toarray"`
+	Index   uint32
+	Attempt uint32
+}
+
+// StopBatch orders attempts to be stopped. They stay on their VM until a
+// report says that they ended.
+type StopBatch struct {
+	_      struct{} `cbor:",toarray"`
+	Epoch  api.Epoch
+	Groups []StopGroup
+}
+
+// StopGroup holds stops of one job for the same reason.
+type StopGroup struct {
+	_          struct{} `cbor:",toarray"`
+	Job        uint32
+	Checkpoint bool  // save before stopping
+	Reason     uint8 // code of an api.Reason
+	For        api.JobID
+	Items      []AttemptItem
+}
+
+// Replace adds to a job one task for each named, to run in its stead. When
+// the named task ends it is not started again.
+type Replace struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch api.Epoch
+	Job   uint32
+	Items []AttemptItem
+}
+
+// entry wraps a body.
+func entry(t journal.EntryType, body any) journal.Entry {
+	return journal.Entry{Type: t, Body: journal.Encode(body)}
+}
+
+// reasonCodes gives every reason that is stored its code. The order is part
+// of the stored format: add at the end only.
+var reasonCodes = []api.Reason{
+	"",
+	api.ReasonPreempted,
+	api.ReasonDrained,
+	api.ReasonLeaseLapsed,
+	api.ReasonWorkerLost,
+	api.ReasonWorkerRestart,
+	api.ReasonTaskFailed,
+	api.ReasonFailsAnywhere,
+	api.ReasonOveruse,
+	api.ReasonOverrun,
+	api.ReasonCancelled,
+	api.ReasonGangWaiting,
+	api.ReasonQuarantine,
+	api.ReasonNeverFits,
+}
+
+// reasonCode returns the code of r, zero when it has none.
+func reasonCode(r api.Reason) uint8 {
+	for i, known := range reasonCodes {
+		if known == r {
+			return uint8(i)
+		}
+	}
+	return 0
+}
+
+// reasonOf returns the reason of a code; an unknown code has none.
+func reasonOf(code uint8) api.Reason {
+	if int(code) < len(reasonCodes) {
+		return reasonCodes[code]
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/cell/propose.go
@@ -0,0 +1,153 @@
+package cell
+
+import (
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// Start asks for one start in an entry of StartEntry.
+type Start struct {
+	Task      api.TaskID
+	Attempt   uint32
+	VM        api.VMID
+	Resources api.Resources
+	Gang      bool
+}
+
+// Report tells of one attempt in an entry of ReportEntry.
+type Report struct {
+	Task    api.TaskID
+	Attempt uint32
+	Ending  Ending
+	Reason  api.Reason
+}
+
+// Stop orders one stop in an entry of StopEntry.
+type Stop struct {
+	Task       api.TaskID
+	Attempt    uint32
+	Checkpoint bool
+	Reason     api.Reason
+	For        api.JobID // the job that gains from a preemption, if any
+}
+
+// SubmitEntry builds the entry of a Submit.
+func SubmitEntry(spec api.JobSpec, atMs int64) journal.Entry {
+	return entry(TypeSubmit, &Submit{Spec: spec, At: atMs})
+}
+
+// CancelEntry builds the entry of a Cancel.
+func CancelEntry(jobs []api.JobID, atMs int64) journal.Entry {
+	return entry(TypeCancel, &Cancel{Jobs: jobs, At: atMs})
+}
+
+// VMsEntry builds the entry of a VMs.
+func VMsEntry(epoch api.Epoch, seen []SeenVM, gone []api.VMID) journal.Entry {
+	return entry(TypeVMs, &VMs{Epoch: epoch, Seen: seen, Gone: gone})
+}
+
+// StartEntry builds one entry of starts. It leaves out those whose job or VM
+// is not known and returns them.
+func (m *Machine) StartEntry(epoch api.Epoch, starts []Start) (journal.Entry, []Start) {
+	type groupKey struct {
+		job       uint32
+		resources api.Resources
+	}
+	batch := StartBatch{Epoch: epoch}
+	groups := make(map[groupKey]int)
+	var skipped []Start
+	for _, s := range starts {
+		job, knownJob := m.numberOf(s.Task.Job)
+		vm, knownVM := m.vmNumber(s.VM)
+		if !knownJob || !knownVM {
+			skipped = append(skipped, s)
+			continue
+		}
+		key := groupKey{job: job, resources: s.Resources}
+		i, ok := groups[key]
+		if !ok {
+			i = len(batch.Groups)
+			groups[key] = i
+			batch.Groups = append(batch.Groups, StartGroup{Job: job, Gang: s.Gang, Resources: s.Resources})
+		}
+		g := &batch.Groups[i]
+		g.Starts = append(g.Starts, StartItem{Index: s.Task.Index, Attempt: s.Attempt, VM: vm})
+	}
+	return entry(TypeStart, &batch), skipped
+}
+
+func (m *Machine) vmNumber(id api.VMID) (uint32, bool) {
+	m.vms.mu.RLock()
+	defer m.vms.mu.RUnlock()
+	n, ok := m.vms.numbers[id]
+	return n, ok
+}
+
+// ReportEntry builds one entry of reports; it leaves out unknown jobs.
+func (m *Machine) ReportEntry(epoch api.Epoch, reports []Report) journal.Entry {
+	type groupKey struct {
+		job    uint32
+		ending Ending
+		reason uint8
+	}
+	batch := ReportBatch{Epoch: epoch}
+	groups := make(map[groupKey]int)
+	for _, r := range reports {
+		job, ok := m.numberOf(r.Task.Job)
+		if !ok {
+			continue
+		}
+		key := groupKey{job: job, ending: r.Ending, reason: reasonCode(r.Reason)}
+		i, ok := groups[key]
+		if !ok {
+			i = len(batch.Groups)
+			groups[key] = i
+			batch.Groups = append(batch.Groups, ReportGroup{Job: job, Ending: r.Ending, Reason: key.reason})
+		}
+		g := &batch.Groups[i]
+		g.Items = append(g.Items, AttemptItem{Index: r.Task.Index, Attempt: r.Attempt})
+	}
+	return entry(TypeReport, &batch)
+}
+
+// StopEntry builds one entry of stops; it leaves out unknown jobs.
+func (m *Machine) StopEntry(epoch api.Epoch, stops []Stop) journal.Entry {
+	type groupKey struct {
+		job        uint32
+		checkpoint bool
+		reason     uint8
+		gainer     api.JobID
+	}
+	batch := StopBatch{Epoch: epoch}
+	groups := make(map[groupKey]int)
+	for _, s := range stops {
+		job, ok := m.numberOf(s.Task.Job)
+		if !ok {
+			continue
+		}
+		key := groupKey{job: job, checkpoint: s.Checkpoint, reason: reasonCode(s.Reason), gainer: s.For}
+		i, ok := groups[key]
+		if !ok {
+			i = len(batch.Groups)
+			groups[key] = i
+			batch.Groups = append(batch.Groups, StopGroup{Job: job, Checkpoint: s.Checkpoint, Reason: key.reason, For: s.For})
+		}
+		g := &batch.Groups[i]
+		g.Items = append(g.Items, AttemptItem{Index: s.Task.Index, Attempt: s.Attempt})
+	}
+	return entry(TypeStop, &batch)
+}
+
+// ReplaceEntry builds the entry that adds replacements for tasks of one job.
+// It returns false when the job is not known.
+func (m *Machine) ReplaceEntry(epoch api.Epoch, job api.JobID, tasks []Held) (journal.Entry, bool) {
+	number, ok := m.numberOf(job)
+	if !ok {
+		return journal.Entry{}, false
+	}
+	batch := Replace{Epoch: epoch, Job: number}
+	for _, t := range tasks {
+		batch.Items = append(batch.Items, AttemptItem{Index: t.Task.Index, Attempt: t.Attempt})
+	}
+	return entry(TypeReplace, &batch), true
+}
--- /dev/null
+++ b/internal/cell/snapshot.go
@@ -0,0 +1,232 @@
+package cell
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
+	"github.com/skylarklock/skylarklock/internal/ledger"
+)
+
+// snapshotVersion is the form of the snapshot that this code writes.
+const snapshotVersion = 1
+
+// snapshot is the whole state. The history for explanations is left out:
+// after a Restore it starts anew.
+type snapshot struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint
+	NextJob uint32
+	NextVM  uint32
+	VMs     []vmImage
+	Jobs    []jobImage
+	Ended   []uint32
+}
+
+type vmImage struct {
+	_        struct{} `cbor:",toarray"`
+	Number   uint32
+	ID       api.VMID
+	Rack     string
+	Capacity api.Resources
+	Gone     bool
+}
+
+type jobImage struct {
+	_         struct{} `cbor:",toarray"`
+	Number    uint32
+	Spec      api.JobSpec
+	Submitted int64
+	Cancelled bool
+	Ended     bool
+	Size      uint32
+	Replaced  []replacedImage
+	Tasks     []taskImage // only those that were ever started
+}
+
+type replacedImage struct {
+	_        struct{} `cbor:",toarray"`
+	New, Old uint32
+}
+
+// taskImage holds the claim of a task with it: nil when it holds no VM.
+type taskImage struct {
+	_        struct{} `cbor:",toarray"`
+	Index    uint32
+	VM       uint32
+	Attempt  uint32
+	Failures uint16
+	State    api.TaskState
+	Reason   uint8
+	Flags    uint8
+	Claim    *api.Resources
+}
+
+// Snapshot implements journal.Machine. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	m.vms.mu.RLock()
+	defer m.vms.mu.RUnlock()
+	s := snapshot{
+		Version: snapshotVersion,
+		NextJob: m.nextJob,
+		NextVM:  uint32(len(m.vms.rows)),
+		Ended:   m.ended,
+	}
+	for number, row := range m.vms.rows {
+		if row != nil {
+			s.VMs = append(s.VMs, vmImage{Number: uint32(number), ID: row.id, Rack: row.rack, Capacity: row.capacity, Gone: row.gone})
+		}
+	}
+	for i := range m.shards {
+		// Only Apply and Restore change jobs, and they are locked out.
+		for _, j := range m.shards[i].jobs {
+			s.Jobs = append(s.Jobs, m.imageOf(j))
+		}
+	}
+	sort.Slice(s.Jobs, func(i, j int) bool { return s.Jobs[i].Number < s.Jobs[j].Number })
+	return journal.Encode(&s), nil
+}
+
+func (m *Machine) imageOf(j *job) jobImage {
+	image := jobImage{
+		Number:    j.number,
+		Spec:      j.spec,
+		Submitted: j.submitted,
+		Cancelled: j.cancelled,
+		Ended:     j.ended,
+		Size:      j.size,
+	}
+	for added, old := range j.replaced {
+		image.Replaced = append(image.Replaced, replacedImage{New: added, Old: old})
+	}
+	sort.Slice(image.Replaced, func(a, b int) bool { return image.Replaced[a].New < image.Replaced[b].New })
+	for i := range j.tasks {
+		t := j.tasks[i]
+		if t == j.untouched() {
+			continue
+		}
+		image.Tasks = append(image.Tasks, m.taskImage(j, uint32(i), t))
+	}
+	return image
+}
+
+func (m *Machine) taskImage(j *job, index uint32, t task) taskImage {
+	image := taskImage{
+		Index:    index,
+		VM:       t.vm,
+		Attempt:  t.attempt,
+		Failures: t.failures,
+		State:    t.state,
+		Reason:   t.reason,
+		Flags:    t.flags,
+	}
+	if !t.state.Holds() {
+		image.VM = 0
+		return image
+	}
+	held, _ := m.vms.ledger.Held(t.vm, ledger.Key{Job: j.number, Index: index, Attempt: t.attempt})
+	image.Claim = &held
+	return image
+}
+
+// Restore implements journal.Machine. A snapshot that contradicts itself is
+// an error; the state is then not to be used.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := journal.Decode(data, &s); err != nil {
+		return fmt.Errorf("cell: snapshot: %w", err)
+	}
+	if s.Version != snapshotVersion {
+		return fmt.Errorf("cell: snapshot of version %d, known is %d", s.Version, snapshotVersion)
+	}
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	if err := m.load(&s); err != nil {
+		return err
+	}
+	m.events = []Event{{Kind: EventRestored}}
+	m.publish()
+	return nil
+}
+
+func (m *Machine) load(s *snapshot) error {
+	m.vms.mu.Lock()
+	defer m.vms.mu.Unlock()
+	for i := range m.shards {
+		m.shards[i].mu.Lock()
+		defer m.shards[i].mu.Unlock()
+		m.names[i].mu.Lock()
+		defer m.names[i].mu.Unlock()
+	}
+	m.reset()
+	m.nextJob = s.NextJob
+	m.ended = s.Ended
+	m.vms.rows = make([]*vmRow, s.NextVM)
+	for _, v := range s.VMs {
+		if v.Number >= s.NextVM {
+			return fmt.Errorf("cell: snapshot: VM number %d of %d", v.Number, s.NextVM)
+		}
+		m.vms.rows[v.Number] = &vmRow{id: v.ID, rack: v.Rack, capacity: v.Capacity, gone: v.Gone}
+		m.vms.numbers[v.ID] = v.Number
+		m.vms.ledger.Put(v.Number, v.Capacity)
+	}
+	for i := range s.Jobs {
+		if err := m.loadJob(&s.Jobs[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Machine) loadJob(image *jobImage) error {
+	j := newJob(image.Number, image.Spec, image.Submitted)
+	j.size = image.Size
+	j.counts[api.TaskPending] = image.Size
+	for _, r := range image.Replaced {
+		if j.replaced == nil {
+			j.replaced = make(map[uint32]uint32)
+		}
+		j.replaced[r.New] = r.Old
+	}
+	for _, t := range image.Tasks {
+		if err := m.loadTask(j, t); err != nil {
+			return err
+		}
+	}
+	if image.Cancelled {
+		j.cancel()
+	}
+	j.ended = image.Ended
+	if j.ended {
+		m.endedTasks += len(j.tasks)
+	}
+	m.shardOf(j.number).jobs[j.number] = j
+	m.nameShardOf(j.spec.ID).numbers[j.spec.ID] = j.number
+	return nil
+}
+
+func (m *Machine) loadTask(j *job, image taskImage) error {
+	if image.Index >= j.size || int(image.State) >= stateCount {
+		return fmt.Errorf("cell: snapshot: task %s/%d out of range", j.spec.ID, image.Index)
+	}
+	j.allocate()
+	t := &j.tasks[image.Index]
+	j.move(t, image.State)
+	t.vm = noVM
+	t.attempt = image.Attempt
+	t.failures = image.Failures
+	t.reason = image.Reason
+	t.flags = image.Flags
+	if !image.State.Holds() {
+		return nil
+	}
+	t.vm = image.VM
+	key := ledger.Key{Job: j.number, Index: image.Index, Attempt: image.Attempt}
+	if image.Claim == nil || !m.vms.ledger.Restore(image.VM, key, *image.Claim) {
+		return fmt.Errorf("cell: snapshot: task %s/%d has no claim", j.spec.ID, image.Index)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/recovery/recovery.go
@@ -0,0 +1,224 @@
+package recovery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// Authority tells whether this entry VM may act for the cell.
+type Authority interface {
+	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
+}
+
+// Leavers tells which VMs leave.
+type Leavers interface {
+	Leaving(id api.VMID) bool
+}
+
+// Config holds the controller's settings.
+type Config struct {
+	Tick time.Duration // between two looks at the VMs and gangs
+}
+
+// DefaultConfig returns the settings used in production.
+func DefaultConfig() Config {
+	return Config{Tick: 250 * time.Millisecond}
+}
+
+// counterGroup is the group of this package's counters.
+const counterGroup = "recovery"
+
+// Controller moves work off leaving VMs, keeps gangs whole and reports what
+// was lost together.
+type Controller struct {
+	cfg      Config
+	machine  *cell.Machine
+	proposer journal.Proposer
+	auth     Authority
+	leavers  Leavers
+	counters cell.Counters
+	log      logrus.FieldLogger
+	clock    func() time.Time
+
+	mu    sync.Mutex
+	gangs map[api.JobID]bool // gangs of which a part fell out
+	lost  map[api.VMID]int   // attempts lost on each VM since the last round
+}
+
+// New returns a controller. It subscribes to machine.
+func New(cfg Config, machine *cell.Machine, proposer journal.Proposer, auth Authority, leavers Leavers, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+	c := &Controller{
+		cfg: cfg, machine: machine, proposer: proposer, auth: auth, leavers: leavers,
+		counters: counters, log: log, clock: clock,
+		gangs: make(map[api.JobID]bool),
+		lost:  make(map[api.VMID]int),
+	}
+	machine.Subscribe(c.applied)
+	return c
+}
+
+func (c *Controller) applied(events []cell.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range events {
+		switch e.Kind {
+		case cell.EventTaskFreed:
+			c.freed(e)
+		case cell.EventRestored:
+			clear(c.lost)
+		}
+	}
+}
+
+func (c *Controller) freed(e cell.Event) {
+	if e.State == api.TaskPending {
+		c.gangs[e.Task.Job] = true // whether it is a gang is looked up in the round
+	}
+	switch e.Reason {
+	case api.ReasonLeaseLapsed, api.ReasonWorkerLost, api.ReasonWorkerRestart:
+		c.lost[e.VM]++
+	}
+}
+
+// Run recovers until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(c.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		c.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Step does one round.
+func (c *Controller) Step(ctx context.Context) {
+	candidates, lost := c.collect()
+	c.tell(lost)
+	epoch, ok, _ := c.auth.Cell(c.clock())
+	if !ok {
+		return
+	}
+	stops := c.regroup(candidates)
+	more, replace := c.drain()
+	c.proposeStops(ctx, epoch, append(stops, more...))
+	c.proposeReplacements(ctx, epoch, replace)
+}
+
+func (c *Controller) collect() ([]api.JobID, map[api.VMID]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	candidates := make([]api.JobID, 0, len(c.gangs))
+	for id := range c.gangs {
+		candidates = append(candidates, id)
+	}
+	lost := c.lost
+	c.lost = make(map[api.VMID]int)
+	return candidates, lost
+}
+
+// settled drops a job from the gangs to look at.
+func (c *Controller) settled(id api.JobID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.gangs, id)
+}
+
+// regroup stops the rest of each gang of which a part fell out.
+func (c *Controller) regroup(candidates []api.JobID) []cell.Stop {
+	var stops []cell.Stop
+	for _, id := range candidates {
+		job, ok := c.machine.Job(id)
+		if !ok || !Regroup(job) {
+			c.settled(id)
+			continue
+		}
+		for _, h := range c.machine.Holding(id) {
+			if h.State != api.TaskStopping {
+				stops = append(stops, stopOf(h, job.Spec.Checkpointable, api.ReasonGangWaiting))
+			}
+		}
+	}
+	return stops
+}
+
+func stopOf(h cell.Held, checkpoint bool, reason api.Reason) cell.Stop {
+	return cell.Stop{Task: h.Task, Attempt: h.Attempt, Checkpoint: checkpoint, Reason: reason}
+}
+
+// drain decides the next moves on all leaving VMs.
+func (c *Controller) drain() ([]cell.Stop, map[api.JobID][]cell.Held) {
+	var stops []cell.Stop
+	replace := make(map[api.JobID][]cell.Held)
+	for _, vm := range c.machine.VMs() {
+		if !c.leavers.Leaving(vm.ID) {
+			continue
+		}
+		for _, h := range c.machine.On(vm.ID) {
+			job, ok := c.machine.Job(h.Task.Job)
+			if !ok {
+				continue
+			}
+			switch c.next(job, h) {
+			case MoveReplace:
+				replace[h.Task.Job] = append(replace[h.Task.Job], h)
+			case MoveStop:
+				stops = append(stops, stopOf(h, true, api.ReasonDrained))
+			}
+		}
+	}
+	return stops, replace
+}
+
+func (c *Controller) next(job cell.JobView, h cell.Held) Move {
+	if !h.Retiring {
+		return Drain(job.Spec, h, api.TaskPending, false)
+	}
+	replacement, ok := c.machine.Replacement(h.Task)
+	return Drain(job.Spec, h, replacement.State, ok)
+}
+
+func (c *Controller) proposeStops(ctx context.Context, epoch api.Epoch, stops []cell.Stop) {
+	if len(stops) == 0 {
+		return
+	}
+	if err := c.proposer.Propose(ctx, c.machine.StopEntry(epoch, stops)); err != nil {
+		c.counters.Inc(counterGroup, "stops_rejected")
+	}
+}
+
+func (c *Controller) proposeReplacements(ctx context.Context, epoch api.Epoch, replace map[api.JobID][]cell.Held) {
+	for id, tasks := range replace {
+		entry, ok := c.machine.ReplaceEntry(epoch, id, tasks)
+		if !ok {
+			continue
+		}
+		if err := c.proposer.Propose(ctx, entry); err != nil {
+			c.counters.Inc(counterGroup, "replacements_rejected")
+		}
+	}
+}
+
+// tell logs what was lost since the last round, whole racks by name.
+func (c *Controller) tell(lost map[api.VMID]int) {
+	if len(lost) == 0 {
+		return
+	}
+	outage := Classify(c.machine.VMs(), lost)
+	c.log.WithFields(logrus.Fields{
+		"vms":         outage.VMs,
+		"attempts":    outage.Attempts,
+		"racks":       outage.Racks,
+		"data_centre": outage.All,
+	}).Warn("work_lost")
+}
--- /dev/null
+++ b/internal/controller/worker/exchange.go
@@ -0,0 +1,255 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/lease"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// exchange does one exchange with a VM and journals what it brought.
+func (c *Controller) exchange(ctx context.Context, v *vm) {
+	defer v.done()
+	v.changed.Store(false)
+	held := c.machine.On(v.id)
+	v.mu.Lock()
+	address := v.address
+	msg, out, ok := c.compose(v, held)
+	v.mu.Unlock()
+	if !ok {
+		return
+	}
+	report, err := c.send(ctx, v, address, msg)
+	now := c.clock()
+	if err != nil {
+		c.failed(v, out, err)
+		c.lapse(v, now, held)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.tracker.Report(out.grant.Exchange, report) {
+		c.counters.Inc(counterGroup, "report_out_of_order")
+		return
+	}
+	v.answered(now, report)
+	c.judge(v, held, report)
+	if out.grant.Expiry == 0 {
+		v.changed.Store(true) // the first contact renewed and told nothing
+	}
+}
+
+// outgoing is what an exchange was built from.
+type outgoing struct {
+	grant  lease.Grant
+	starts []lease.Attempt
+}
+
+// compose builds the message. It needs the VM locked.
+func (c *Controller) compose(v *vm, held []cell.Held) (platform.WorkerSync, outgoing, bool) {
+	msg := platform.WorkerSync{Epoch: v.tenure.epoch}
+	var out outgoing
+	if v.tracker.Incarnation() != 0 {
+		for _, h := range held {
+			a := attemptOf(h)
+			if h.State == api.TaskStarting && !v.tracker.Told(a) {
+				msg.Starts = append(msg.Starts, c.startOf(h))
+				out.starts = append(out.starts, a)
+			}
+		}
+		msg.Stops = c.stops(v, held)
+	}
+	grant, ok := v.tracker.Build(c.clock(), out.starts)
+	out.grant = grant
+	msg.Incarnation = grant.Incarnation
+	msg.LeaseExpiry = grant.Expiry
+	return msg, out, ok
+}
+
+func attemptOf(h cell.Held) lease.Attempt {
+	return lease.Attempt{Task: h.Task, Attempt: h.Attempt}
+}
+
+func (c *Controller) startOf(h cell.Held) platform.TaskStart {
+	job, _ := c.machine.Job(h.Task.Job)
+	return platform.TaskStart{
+		Task:      h.Task,
+		Attempt:   h.Attempt,
+		Resources: h.Resources,
+		RunTime:   job.Spec.RunTime,
+		Restore:   h.Checkpoint,
+		Payload:   job.Spec.Payload,
+	}
+}
+
+// stops orders what the log wants stopped, and lets the VM forget the
+// attempts that, by the log, it no longer holds: a StopKill for an attempt
+// that ended acknowledges its end.
+func (c *Controller) stops(v *vm, held []cell.Held) []platform.TaskStop {
+	stops := c.observer.Throttles(v.id)
+	holds := make(map[lease.Attempt]bool, len(held))
+	for _, h := range held {
+		a := attemptOf(h)
+		holds[a] = true
+		if h.State == api.TaskStopping && v.tracker.Told(a) {
+			stops = append(stops, platform.TaskStop{Task: h.Task, Attempt: h.Attempt, Mode: stopMode(h)})
+		}
+	}
+	if v.report != nil {
+		for _, r := range v.report.Tasks {
+			if !holds[lease.Attempt{Task: r.Task, Attempt: r.Attempt}] {
+				stops = append(stops, platform.TaskStop{Task: r.Task, Attempt: r.Attempt, Mode: platform.StopKill})
+			}
+		}
+	}
+	v.tracker.Prune(func(a lease.Attempt) bool { return holds[a] })
+	return stops
+}
+
+func stopMode(h cell.Held) platform.StopMode {
+	if h.SaveStop {
+		return platform.StopCheckpoint
+	}
+	return platform.StopKill
+}
+
+// errSuperseded: the message was built, but may not be sent any more.
+var errSuperseded = errors.New("worker: hold not confirmed at the time of sending")
+
+// send checks the hold after the message was built, so that a pause before
+// the check costs the message and a pause after it is covered by the expiry
+// in the message.
+func (c *Controller) send(ctx context.Context, v *vm, address api.VM, msg platform.WorkerSync) (platform.WorkerReport, error) {
+	if address.Address == "" {
+		return platform.WorkerReport{}, platform.ErrWorkerUnreachable
+	}
+	epoch, ok, takeover := c.auth.Cell(c.clock())
+	if !ok || (tenure{epoch: epoch, takeover: takeover}) != v.tenure {
+		return platform.WorkerReport{}, errSuperseded
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	return c.workers.Sync(ctx, address, msg)
+}
+
+// failed counts a failed exchange and takes back starts that were certainly
+// not delivered.
+func (c *Controller) failed(v *vm, out outgoing, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failures++
+	reason := api.Reason("uncertain")
+	switch {
+	case errors.Is(err, errSuperseded):
+		reason = "superseded"
+		v.tracker.Undelivered(out.starts)
+	case errors.Is(err, platform.ErrWorkerUnreachable):
+		reason = "unreachable"
+		v.tracker.Undelivered(out.starts)
+	case errors.Is(err, platform.ErrWorkerFenced):
+		reason = "fenced"
+		v.tracker.Undelivered(out.starts)
+	}
+	c.counters.Inc(counterGroup, reason)
+	if v.failures == 1 {
+		c.log.WithFields(logrus.Fields{"vm": v.id, "reason": reason, "error": err}).Warn("worker_sync_failed")
+	}
+}
+
+// lapse gives up what a VM held when its lease has certainly lapsed.
+func (c *Controller) lapse(v *vm, now time.Time, held []cell.Held) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.tracker.Lapsed(now) {
+		return
+	}
+	for _, h := range held {
+		v.tracker.GiveUp(attemptOf(h))
+		c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: api.ReasonLeaseLapsed}, h)
+	}
+}
+
+// answered notes a report. It needs the VM locked.
+func (v *vm) answered(now time.Time, report platform.WorkerReport) {
+	v.answeredAt = now
+	v.failures = 0
+	v.leaving = report.Leaving
+	v.report = &report
+}
+
+// judge compares a report with what the log said before the exchange. It
+// needs the VM locked.
+func (c *Controller) judge(v *vm, held []cell.Held, report platform.WorkerReport) {
+	reported := make(map[lease.Attempt]platform.TaskReport, len(report.Tasks))
+	for _, r := range report.Tasks {
+		reported[lease.Attempt{Task: r.Task, Attempt: r.Attempt}] = r
+		c.observer.Reported(v.id, r)
+	}
+	for _, h := range held {
+		a := attemptOf(h)
+		if r, ok := reported[a]; ok {
+			c.present(h, r)
+			continue
+		}
+		if h.State == api.TaskStarting && !v.tracker.Told(a) {
+			continue // to be told with the next exchange
+		}
+		if v.tracker.Missing(a) {
+			c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: missingReason(h)}, h)
+		}
+	}
+}
+
+func missingReason(h cell.Held) api.Reason {
+	if h.State == api.TaskStopping {
+		return h.Reason
+	}
+	return api.ReasonWorkerLost
+}
+
+// present journals the change that a report of an attempt makes.
+func (c *Controller) present(h cell.Held, r platform.TaskReport) {
+	report := cell.Report{Task: h.Task, Attempt: h.Attempt}
+	switch r.State {
+	case platform.RunRunning:
+		if h.State != api.TaskStarting {
+			return
+		}
+		report.Ending = cell.ReportRunning
+	case platform.RunSucceeded:
+		report.Ending = cell.ReportSucceeded
+	case platform.RunErrored:
+		report.Ending = cell.ReportErrored
+		report.Reason = api.ReasonTaskFailed
+	case platform.RunCheckpointed:
+		report.Ending = cell.ReportCheckpointed
+	case platform.RunKilled:
+		report.Ending = cell.ReportKilled
+		if h.State != api.TaskStopping {
+			report.Reason = api.ReasonLeaseLapsed
+		}
+	default:
+		c.counters.Inc(counterGroup, "unknown_run_state")
+		return
+	}
+	c.journal.add(report, h)
+}
+
+// endingOf gives the ending that led to an event, as far as it shows.
+func endingOf(e cell.Event) cell.Ending {
+	switch {
+	case e.State == api.TaskFinished:
+		return cell.ReportSucceeded
+	case e.Reason == api.ReasonTaskFailed || e.Reason == api.ReasonFailsAnywhere:
+		return cell.ReportErrored
+	case e.Reason == api.ReasonWorkerLost || e.Reason == api.ReasonLeaseLapsed || e.Reason == api.ReasonWorkerRestart:
+		return cell.ReportLost
+	}
+	return cell.ReportKilled
+}
--- /dev/null
+++ b/internal/controller/worker/worker.go
@@ -0,0 +1,260 @@
+// Package worker is the controller that keeps worker VMs in step with the
+// log: one exchange per VM renews the lease, passes on starts and stops and
+// brings back what the VM runs.
+//
+// It is level-triggered. Each exchange compares what the log says the VM
+// holds with what the VM reports; no change is lost with a message, and a
+// new holder of the cell begins from the same two states.
+package worker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/journal"
+	"github.com/skylarklock/skylarklock/internal/lease"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Authority tells whether this entry VM may act for the cell, at which epoch
+// and when its claim was read back.
+type Authority interface {
+	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
+}
+
+// Directory gives the addresses of the VMs.
+type Directory interface {
+	VMs() []api.VM
+}
+
+// Observer learns from reports: estimates of use and time, and VMs that fail
+// what they start. Its methods are called concurrently and must return soon.
+type Observer interface {
+	// Reported tells of each attempt in each report.
+	Reported(vm api.VMID, r platform.TaskReport)
+	// Ended tells once of each attempt whose end was journaled.
+	Ended(vm api.VMID, task api.TaskID, ending cell.Ending)
+	// Throttles returns the attempts on vm to be held to their declared use.
+	Throttles(vm api.VMID) []platform.TaskStop
+}
+
+// Config holds the controller's settings.
+type Config struct {
+	Lease       lease.Params
+	Interval    time.Duration // between exchanges with a VM that has no changes
+	MinGap      time.Duration // between exchanges with a VM that has changes
+	Tick        time.Duration // between two looks for VMs that are due
+	Timeout     time.Duration // of an exchange
+	Concurrency int           // exchanges under way at once
+	FlushEvery  time.Duration // longest wait of a report for its entry
+	FlushSize   int           // reports in one entry
+	Backoff     time.Duration // longest pause between exchanges with a VM that doesn't answer
+}
+
+// DefaultConfig returns the settings used in production.
+func DefaultConfig(p lease.Params) Config {
+	return Config{
+		Lease:       p,
+		Interval:    p.Lease / 4,
+		MinGap:      50 * time.Millisecond,
+		Tick:        20 * time.Millisecond,
+		Timeout:     p.Lease / 4,
+		Concurrency: 64,
+		FlushEvery:  20 * time.Millisecond,
+		FlushSize:   2000,
+		Backoff:     p.Lease,
+	}
+}
+
+// tenure is one time of holding the cell shard.
+type tenure struct {
+	epoch    api.Epoch
+	takeover time.Time
+}
+
+// Controller syncs the VMs. Its methods are safe for concurrent use.
+type Controller struct {
+	cfg      Config
+	machine  *cell.Machine
+	workers  platform.Worker
+	dir      Directory
+	auth     Authority
+	observer Observer
+	counters cell.Counters
+	log      logrus.FieldLogger
+	clock    func() time.Time
+	journal  *batcher
+	slots    chan struct{} // bounds the exchanges under way
+
+	mu     sync.RWMutex
+	tenure tenure
+	vms    map[api.VMID]*vm
+}
+
+// counterGroup is the group of this package's counters.
+const counterGroup = "worker_sync"
+
+// New returns a controller. It subscribes to machine.
+func New(cfg Config, machine *cell.Machine, proposer journal.Proposer, workers platform.Worker, dir Directory, auth Authority, observer Observer, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+	c := &Controller{
+		cfg: cfg, machine: machine, workers: workers, dir: dir, auth: auth, observer: observer,
+		counters: counters, log: log, clock: clock,
+		slots: make(chan struct{}, cfg.Concurrency),
+		vms:   make(map[api.VMID]*vm),
+	}
+	c.journal = newBatcher(cfg, machine, proposer, auth, counters, clock)
+	machine.Subscribe(c.applied)
+	return c
+}
+
+// applied marks the VMs that have something to be told.
+func (c *Controller) applied(events []cell.Event) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, e := range events {
+		switch e.Kind {
+		case cell.EventTaskStarted, cell.EventTaskStopping:
+			if v := c.vms[e.VM]; v != nil {
+				v.changed.Store(true)
+			}
+		}
+		if e.Kind == cell.EventTaskFreed {
+			c.observer.Ended(e.VM, e.Task, endingOf(e))
+		}
+	}
+}
+
+// Run syncs the VMs until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { c.journal.run(ctx) })
+	ticker := time.NewTicker(c.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		c.step(ctx, &running)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// step starts the exchanges that are due.
+func (c *Controller) step(ctx context.Context, running *sync.WaitGroup) {
+	now := c.clock()
+	epoch, ok, takeover := c.auth.Cell(now)
+	if !ok {
+		return
+	}
+	c.enter(tenure{epoch: epoch, takeover: takeover})
+	c.refresh()
+	for _, v := range c.due(now) {
+		select {
+		case c.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		running.Go(func() {
+			defer func() { <-c.slots }()
+			c.exchange(ctx, v)
+		})
+	}
+}
+
+// enter begins a tenure: whatever the log says the VMs hold may have been
+// told to them by an earlier holder.
+func (c *Controller) enter(t tenure) {
+	c.mu.RLock()
+	same := c.tenure == t
+	c.mu.RUnlock()
+	if same {
+		return
+	}
+	vms := 0
+	// No entry is applied meanwhile, so that no start falls between.
+	c.machine.View(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.tenure = t
+		c.vms = make(map[api.VMID]*vm)
+		for _, view := range c.machine.VMs() {
+			v := newVM(api.VM{ID: view.ID}, t, c.cfg)
+			for _, held := range c.machine.On(view.ID) {
+				v.tracker.Inherit(lease.Attempt{Task: held.Task, Attempt: held.Attempt})
+			}
+			c.vms[view.ID] = v
+		}
+		vms = len(c.vms)
+	})
+	c.log.WithFields(logrus.Fields{"epoch": t.epoch, "vms": vms}).Info("worker_tenure_began")
+}
+
+// refresh takes over addresses, adds VMs and drops those that the log has
+// forgotten.
+func (c *Controller) refresh() {
+	listed := make(map[api.VMID]api.VM)
+	for _, vm := range c.dir.VMs() {
+		listed[vm.ID] = vm
+	}
+	journaled := c.machine.VMs()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := make(map[api.VMID]bool, len(journaled))
+	for _, view := range journaled {
+		known[view.ID] = true
+		v := c.vms[view.ID]
+		if v == nil {
+			v = newVM(api.VM{ID: view.ID}, c.tenure, c.cfg)
+			c.vms[view.ID] = v
+		}
+		if vm, ok := listed[view.ID]; ok {
+			v.setAddress(vm)
+		}
+	}
+	for id := range c.vms {
+		if !known[id] {
+			delete(c.vms, id)
+		}
+	}
+}
+
+// due returns the VMs to sync now, those waiting longest first, and marks
+// them as busy.
+func (c *Controller) due(now time.Time) []*vm {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var due []*vm
+	for _, v := range c.vms {
+		if v.begin(now) {
+			due = append(due, v)
+		}
+	}
+	sortByAge(due)
+	return due
+}
+
+// Status is how a VM stands with this controller.
+type Status struct {
+	Answers bool // reported in this tenure, not longer than a lease ago
+	Leaving bool // says so in its reports
+	// LapsesAt is when every lease given to it has certainly lapsed.
+	LapsesAt time.Time
+}
+
+// Status returns how a VM stands; false when it is not known here.
+func (c *Controller) Status(id api.VMID) (Status, bool) {
+	c.mu.RLock()
+	v := c.vms[id]
+	c.mu.RUnlock()
+	if v == nil {
+		return Status{}, false
+	}
+	return v.status(c.clock()), true
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -106,14 +106,7 @@
 	if err := l.Check(vm, key, amount); err != nil {
 		return err
 	}
-	a := l.accounts[vm]
-	a.entries = append(a.entries, entry{
-		key:    key,
-		cpu:    uint32(amount.MilliCPU),
-		memory: uint32(amount.MemoryMB),
-		accel:  uint32(amount.Accelerators),
-	})
-	a.used = a.used.Add(amount)
+	l.accounts[vm].add(key, amount)
 	return nil
 }
 
@@ -200,3 +193,25 @@
 	}
 	return r.MilliCPU <= math.MaxUint32 && r.MemoryMB <= math.MaxUint32 && r.Accelerators <= math.MaxUint32
 }
+
+// Restore puts a claim back as a snapshot holds it, without regard to the
+// capacity: a VM that shrank may hold more than it has. It returns false for
+// an unknown VM, an amount out of range or a claim that exists.
+func (l *Ledger) Restore(vm uint32, key Key, amount api.Resources) bool {
+	a := l.account(vm)
+	if a == nil || !inRange(amount) || a.find(key) >= 0 {
+		return false
+	}
+	a.add(key, amount)
+	return true
+}
+
+func (a *account) add(key Key, amount api.Resources) {
+	a.entries = append(a.entries, entry{
+		key:    key,
+		cpu:    uint32(amount.MilliCPU),
+		memory: uint32(amount.MemoryMB),
+		accel:  uint32(amount.Accelerators),
+	})
+	a.used = a.used.Add(amount)
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -300,3 +300,10 @@
 	defer v.mu.Unlock()
 	v.useFactor = factor
 }
+
+// Dead reports whether the VM answers nothing, for tests without sockets.
+func (v *VM) Dead() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.faults.Frozen
+}
