Thin whole path as separate processes

Cause: the parts stood alone; nothing ran end to end. Ruled out: one listener for callers and operators. Found: a drain was cut short because the callers' server ended the process group; it now waits for the rest of the shutdown.

--- /dev/null
+++ b/cmd/skylarklock/main.go
@@ -0,0 +1,78 @@
+// Command skylarklock is the process of an entry VM: it takes callers'
+// requests and jobs, and decides together with the other entry VMs what runs
+// where.
+//
+// Exit codes: 0 after a graceful shutdown, 1 after a failure, 2 for bad
+// settings or arguments.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/skylarklock/skylarklock/internal/entry"
+	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/logging"
+	"github.com/skylarklock/skylarklock/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	s, err := settings.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		return badInput(err)
+	}
+	log, err := logging.New(os.Stderr, s.LogLevel)
+	if err != nil {
+		return badInput(err)
+	}
+	node, err := entry.New(s, log)
+	if err != nil {
+		return badInput(err)
+	}
+	ctx, stop := shutdownContext()
+	defer stop()
+	if err := node.Run(ctx); err != nil {
+		log.WithError(err).Error("entry failed")
+		return exitFailed
+	}
+	return exitOK
+}
+
+// shutdownContext ends with the first SIGTERM or SIGINT, which starts a
+// graceful shutdown. A second signal ends the process at once.
+func shutdownContext() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+func badInput(err error) int {
+	var list *finding.List
+	if errors.As(err, &list) {
+		for _, f := range list.Findings {
+			fmt.Fprintln(os.Stderr, f.String())
+		}
+		return exitBadInput
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitBadInput
+}
--- /dev/null
+++ b/internal/controller/endpoints/endpoints.go
@@ -0,0 +1,105 @@
+// Package endpoints is the controller that tells the router which endpoints
+// this entry VM may send to now, and how many requests each may have in
+// flight: what the platform's list names, as far as this entry VM holds it.
+package endpoints
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/router"
+)
+
+// Directory gives the VMs with their endpoints.
+type Directory interface {
+	VMs() []api.VM
+	Leaving(id api.VMID) bool
+}
+
+// Owner tells how many of an endpoint's slots this entry VM may use at a
+// time, and at which epoch.
+type Owner interface {
+	SlotLimit(ep api.Endpoint, now time.Time) (limit int, epoch api.Epoch)
+}
+
+// Router takes the endpoints held.
+type Router interface {
+	SetEndpoints(now time.Time, held []router.Held)
+}
+
+// Connections are closed to endpoints that are no longer held.
+type Connections interface {
+	Retain(held []api.EndpointID)
+}
+
+// Refresh is the time between two rounds. Validity is how long the limits of
+// one round hold; it covers a few rounds that come late.
+const (
+	Refresh  = 50 * time.Millisecond
+	Validity = 4 * Refresh
+)
+
+// Controller refreshes the router's endpoints.
+type Controller struct {
+	dir    Directory
+	owner  Owner
+	router Router
+	conns  Connections
+	now    func() time.Time
+}
+
+// New returns a controller.
+func New(dir Directory, owner Owner, r Router, conns Connections, now func() time.Time) *Controller {
+	return &Controller{dir: dir, owner: owner, router: r, conns: conns, now: now}
+}
+
+// Run refreshes until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(Refresh)
+	defer ticker.Stop()
+	for {
+		c.Step()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Step refreshes once.
+func (c *Controller) Step() {
+	now := c.now()
+	var held []router.Held
+	var ids []api.EndpointID
+	for _, vm := range c.dir.VMs() {
+		for _, ep := range vm.Endpoints {
+			ep.Leaving = ep.Leaving || c.dir.Leaving(vm.ID)
+			h, ok := c.hold(ep, now)
+			if !ok {
+				continue
+			}
+			held = append(held, h)
+			ids = append(ids, ep.ID)
+		}
+	}
+	c.router.SetEndpoints(now, held)
+	c.conns.Retain(ids)
+}
+
+// hold returns what this entry VM may do with an endpoint until the validity
+// of this round is over. A limit counts only if it stands at both ends of
+// that time, since a hold may run out or a takeover wait end in between.
+func (c *Controller) hold(ep api.Endpoint, now time.Time) (router.Held, bool) {
+	limit, epoch := c.owner.SlotLimit(ep, now)
+	later, laterEpoch := c.owner.SlotLimit(ep, now.Add(Validity))
+	if epoch != laterEpoch {
+		return router.Held{}, false
+	}
+	limit = min(limit, later)
+	if epoch == 0 || limit <= 0 {
+		return router.Held{}, false
+	}
+	return router.Held{Endpoint: ep, SlotLimit: limit, Epoch: epoch, Until: now.Add(Validity)}, true
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/config"
+	"github.com/skylarklock/skylarklock/internal/journal"
+	"github.com/skylarklock/skylarklock/internal/operator"
+	"github.com/skylarklock/skylarklock/internal/ownership"
+)
+
+// operatorHandler returns the operators' service of this node.
+func (n *Node) operatorHandler() http.Handler {
+	return operator.NewHandler(operator.Parts{
+		Config:    n.streams.configs,
+		Publisher: config.NewPublisher(n.streams.configs, n.streams.config),
+		Explainer: explainer{machine: n.streams.tasks},
+		Reporter:  n,
+		Counters:  n.counters,
+		Log:       n.log,
+	}, operator.Options{MaxBodyBytes: n.settings.Limits.MaxOperatorBytes})
+}
+
+// Status implements operator.Reporter.
+func (n *Node) Status() api.Status {
+	now := time.Now()
+	status := api.Status{
+		Node:        n.settings.NodeID,
+		DataCentre:  n.settings.DataCentre,
+		Incarnation: n.origin.Incarnation,
+		Draining:    n.owner.Draining(),
+		Revision:    n.streams.configs.Revision(),
+		Unreadable:  len(n.streams.configs.Unknown()),
+		Requests:    n.chain.Gate().InFlight(),
+		Uptime:      now.Sub(n.started),
+		Tasks:       map[string]int{},
+	}
+	for _, r := range []struct {
+		name    string
+		replica *journal.Replica
+	}{
+		{ConfigStream, n.streams.config},
+		{CellStream(n.settings.DataCentre), n.streams.cell},
+	} {
+		status.Streams = append(status.Streams, streamStatus(r.name, r.replica, now))
+		if !r.replica.Ready() {
+			status.NotReady = append(status.NotReady, "stream "+r.name)
+		}
+	}
+	status.Ready = len(status.NotReady) == 0 && n.front.Ready()
+	status.Members = n.memberStatus(now)
+	status.Shards = n.shardStatus(now)
+	n.countTasks(status.Tasks)
+	return status
+}
+
+func streamStatus(name string, r *journal.Replica, now time.Time) api.StreamStatus {
+	age := time.Duration(-1)
+	if confirmed := r.Confirmed(); !confirmed.IsZero() {
+		age = now.Sub(confirmed)
+	}
+	return api.StreamStatus{
+		Stream: name, Applied: uint64(r.Applied()), ConfirmedAge: age,
+		Backlog: r.Stats().BacklogBytes,
+	}
+}
+
+func (n *Node) memberStatus(now time.Time) []api.MemberStatus {
+	health := n.members.Health(now)
+	roster, _ := n.streams.owners.Roster()
+	var list []api.MemberStatus
+	for _, m := range roster {
+		state := "alive"
+		h := health[m.Who.Node]
+		switch {
+		case m.Who == identityOf(n.origin):
+			state = "self"
+		case h.Suspected:
+			state = "suspected"
+		case h.Draining:
+			state = "draining"
+		}
+		list = append(list, api.MemberStatus{Node: m.Who.Node, Address: m.Address, State: state})
+	}
+	return list
+}
+
+func (n *Node) shardStatus(now time.Time) []api.ShardStatus {
+	var list []api.ShardStatus
+	for _, shard := range ownership.Shards() {
+		if node, held := n.owner.ShardHolder(shard); !held || node != n.settings.NodeID {
+			continue
+		}
+		epoch, state := n.owner.Authority(shard, now)
+		list = append(list, api.ShardStatus{Shard: shard.String(), Epoch: epoch, Confirmed: state == ownership.Full})
+	}
+	return list
+}
+
+func (n *Node) countTasks(tasks map[string]int) {
+	for _, id := range n.streams.tasks.Jobs() {
+		job, ok := n.streams.tasks.Job(id)
+		if !ok {
+			continue
+		}
+		for state, count := range job.Counts {
+			tasks[state.String()] += int(count)
+		}
+	}
+}
+
+// explainer gives operators what the cell's machine knows of jobs and tasks.
+type explainer struct {
+	machine *cell.Machine
+}
+
+// ExplainJob implements operator.Explainer.
+func (e explainer) ExplainJob(id api.JobID) (api.Explanation, bool) {
+	x, ok := e.machine.Explain(id)
+	if !ok {
+		return api.Explanation{}, false
+	}
+	out := explanationOf(x)
+	out.Tasks = make(map[string]int, len(x.Job.Counts))
+	least := api.TaskCancelled
+	for state, count := range x.Job.Counts {
+		out.Tasks[state.String()] = int(count)
+		least = min(least, state)
+	}
+	out.State = least.String()
+	return out, true
+}
+
+// ExplainTask implements operator.Explainer.
+func (e explainer) ExplainTask(id api.TaskID) (api.Explanation, bool) {
+	x, ok := e.machine.ExplainTask(id)
+	if !ok || x.Task == nil {
+		return api.Explanation{}, false
+	}
+	out := explanationOf(x)
+	out.Task = &x.Task.Task.Index
+	out.State = x.Task.State.String()
+	out.VM = x.Task.VM
+	if x.Task.Reason != "" {
+		out.Reason = x.Task.Reason
+	}
+	return out, true
+}
+
+// explanationOf fills in what explanations of jobs and tasks share.
+func explanationOf(x cell.Explanation) api.Explanation {
+	out := api.Explanation{Job: x.Job.Spec.ID, Team: x.Job.Spec.Team, Class: x.Job.Spec.Class}
+	if x.Wait != nil {
+		out.Reason, out.Detail = x.Wait.Reason, x.Wait.Detail
+	}
+	for _, i := range x.Incidents {
+		out.History = append(out.History, historyLine(i))
+	}
+	return out
+}
+
+func historyLine(i cell.Incident) api.HistoryLine {
+	return api.HistoryLine{Event: i.What, Task: &i.Task.Index, VM: i.VM, Reason: i.Reason, Count: 1}
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/filter"
+	"github.com/skylarklock/skylarklock/internal/member"
+	"github.com/skylarklock/skylarklock/internal/ownership"
+	"github.com/skylarklock/skylarklock/internal/peer"
+)
+
+// peers lets the filter chain reach other entry VMs. Entry VMs of other data
+// centres are named by the address of their peer service.
+type peers struct {
+	self    api.NodeID
+	address string // of this node's own peer service
+	members *member.Service
+	owners  *ownership.Machine
+	client  *peer.Client
+}
+
+// Candidates implements filter.Peers.
+func (p peers) Candidates(service string) []filter.PeerLoad {
+	var loads []filter.PeerLoad
+	for _, c := range p.members.Candidates(service) {
+		loads = append(loads, filter.PeerLoad{Node: c.Node, Free: c.Free})
+	}
+	return loads
+}
+
+// Home implements filter.Peers.
+func (p peers) Home(dc api.DataCentre) []api.NodeID {
+	var nodes []api.NodeID
+	for _, address := range p.members.Entries(dc) {
+		if address != p.address {
+			nodes = append(nodes, api.NodeID(address))
+		}
+	}
+	return nodes
+}
+
+// Forward implements filter.Peers.
+func (p peers) Forward(ctx context.Context, node api.NodeID, req *filter.ForwardRequest) (*filter.ForwardReply, error) {
+	reply := new(filter.ForwardReply)
+	if err := p.call(ctx, node, methodForward, req, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// AnswerOf implements filter.Peers.
+func (p peers) AnswerOf(ctx context.Context, node api.NodeID, query *filter.AnswerQuery) (*filter.AnswerReply, error) {
+	reply := new(filter.AnswerReply)
+	if err := p.call(ctx, node, methodAnswerOf, query, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (p peers) call(ctx context.Context, node api.NodeID, method string, args, reply any) error {
+	address, err := p.addressOf(node)
+	if err != nil {
+		return &filter.PeerError{Node: node, Cause: err}
+	}
+	if err := p.client.Call(ctx, address, method, args, reply); err != nil {
+		return &filter.PeerError{Node: node, Sent: !errors.Is(err, peer.ErrNotSent), Cause: err}
+	}
+	return nil
+}
+
+// addressOf returns the peer address of a member of the roster, or of an
+// entry VM named by its address.
+func (p peers) addressOf(node api.NodeID) (string, error) {
+	if m, ok := p.owners.Member(node); ok {
+		return m.Address, nil
+	}
+	if _, err := netip.ParseAddrPort(string(node)); err == nil {
+		return string(node), nil
+	}
+	return "", fmt.Errorf("no address of %s", node)
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/operator"
+)
+
+// stopGrace bounds the parts of a shutdown that come after the drain.
+const stopGrace = 2 * time.Second
+
+// readinessInterval is the time between two looks at the streams' state.
+const readinessInterval = 50 * time.Millisecond
+
+// Run serves until ctx ends, then shuts down gracefully within the drain
+// deadline. It returns nil after a graceful shutdown, and otherwise the error
+// of the part that failed first.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.WithFields(logrus.Fields{
+		"event": "entry_started", "incarnation": n.origin.Incarnation,
+		"callers": n.settings.Listen.Callers, "operators": n.settings.Listen.Operators, "peers": n.settings.Listen.Peers,
+	}).Info("entry started")
+	var g run.Group
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	n.addLoops(work, &g)
+	n.addServers(work, &g)
+	g.Add(func() error { return n.awaitShutdown(ctx, work) }, func(error) { stopWork() })
+	err := g.Run()
+	n.handovers.Close()
+	n.heartbeats.Close()
+	if ctx.Err() != nil && (err == nil || work.Err() != nil && err == context.Canceled) {
+		err = nil
+	}
+	n.log.WithField("event", "entry_stopped").Info("entry stopped")
+	return err
+}
+
+// addLoops adds every controller.
+func (n *Node) addLoops(work context.Context, g *run.Group) {
+	loops := []func(context.Context) error{
+		n.streams.config.Run,
+		n.streams.cell.Run,
+		n.members.Run,
+		n.owner.Run,
+		n.watchReadiness,
+	}
+	loops = append(loops, n.cell.loops()...)
+	for _, loop := range loops {
+		ctx, cancel := context.WithCancel(work)
+		g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+	}
+}
+
+// watchReadiness opens the gate to callers once the state is complete, and
+// closes it when a stream has a gap.
+func (n *Node) watchReadiness(ctx context.Context) error {
+	ticker := time.NewTicker(readinessInterval)
+	defer ticker.Stop()
+	for {
+		n.chain.Gate().SetReady(n.streams.ready())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// addServers adds the three listeners. The callers' server ends with the drain
+// and then waits for the rest of the shutdown.
+func (n *Node) addServers(work context.Context, g *run.Group) {
+	operators := operator.NewServer(n.operatorHandler(), n.settings.Limits)
+	g.Add(
+		func() error {
+			if err := n.front.Serve(n.listeners.callers); err != nil {
+				return err
+			}
+			<-work.Done()
+			return nil
+		},
+		func(error) { n.stopCallers() },
+	)
+	g.Add(
+		func() error { return n.peerServer.Serve(n.listeners.peers) },
+		func(error) { stopWithin(n.peerServer.Shutdown) },
+	)
+	g.Add(
+		func() error { return operators.Serve(n.listeners.operators) },
+		func(error) { stopWithin(operators.Shutdown) },
+	)
+}
+
+// stopCallers drains the callers' server, unless that was done.
+func (n *Node) stopCallers() {
+	if !n.front.Leaving() {
+		stopWithin(n.front.Drain)
+	}
+}
+
+// stopWithin calls stop, which gets the grace for what is still open.
+func stopWithin(stop func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+	defer cancel()
+	_ = stop(ctx)
+}
+
+// awaitShutdown waits until ctx ends and drains: callers first, then what
+// other entry VMs take over.
+func (n *Node) awaitShutdown(ctx, work context.Context) error {
+	select {
+	case <-work.Done():
+		return work.Err()
+	case <-ctx.Done():
+	}
+	deadline, cancel := context.WithTimeout(work, n.settings.DrainDeadline.Std())
+	defer cancel()
+	n.log.WithField("event", "drain_started").Info("drain started")
+	for _, step := range []struct {
+		name string
+		do   func(context.Context) error
+	}{
+		{"callers", n.front.Drain},
+		{"outcomes", n.chain.Close},
+		{"ownership", n.owner.Drain},
+	} {
+		if err := step.do(deadline); err != nil {
+			n.log.WithError(err).WithField("step", step.name).Warn("drain incomplete")
+		}
+	}
+	return nil
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -165,6 +165,9 @@
 	return !s.leaving.Load() && s.gate.State() == filter.GateOpen
 }
 
+// Leaving reports whether Drain was called.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 // byteBudget bounds the bytes of bodies held at once.
 type byteBudget struct {
 	max  int64
--- /dev/null
+++ b/internal/standin/site/settings.go
@@ -0,0 +1,68 @@
+package site
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/settings"
+)
+
+// portsOfEntry is the number of listeners of an entry VM.
+const portsOfEntry = 3
+
+// Entries returns settings of perDC entry VMs for each data centre of the
+// site, on free ports of 127.0.0.1. Every entry VM has the first of each data
+// centre as a seed.
+func (s *Site) Entries(perDC int) ([]*settings.Settings, error) {
+	var all []*settings.Settings
+	var seeds []string
+	for _, dc := range s.cfg.DataCentres {
+		for i := range perDC {
+			entry, err := s.entry(dc, i)
+			if err != nil {
+				return nil, err
+			}
+			if i == 0 {
+				seeds = append(seeds, entry.Listen.Peers)
+			}
+			all = append(all, entry)
+		}
+	}
+	for _, entry := range all {
+		entry.Peers = seeds
+	}
+	return all, nil
+}
+
+func (s *Site) entry(dc api.DataCentre, i int) (*settings.Settings, error) {
+	ports, err := freePorts(portsOfEntry)
+	if err != nil {
+		return nil, err
+	}
+	e := settings.Default()
+	e.NodeID = api.NodeID(fmt.Sprintf("%s-entry%d", dc, i))
+	e.DataCentre = dc
+	e.DataCentres = s.cfg.DataCentres
+	e.Listen = settings.Listen{Callers: ports[0], Operators: ports[1], Peers: ports[2]}
+	e.AdvertisePeer = ports[2]
+	e.Log.URLs = []string{"http://" + s.LogAddress}
+	e.VMList.URL = "http://" + s.ListAddress
+	return e, nil
+}
+
+// freePorts returns n addresses on which nothing listens now.
+func freePorts(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "free port")
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
