--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -59,6 +61,24 @@
 	}
 }
 
+// TestExamplesOfTheOperatorsPage keeps docs/operators/records.md true.
+func TestExamplesOfTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/records.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	examples := strings.Split(string(page), "```json\n")[1:]
+	for i, example := range examples {
+		text, _, _ := strings.Cut(example, "```")
+		if _, l := CheckFile(fmt.Sprintf("example %d", i), []byte(text), Author); l.Err() != nil {
+			t.Error(l)
+		}
+	}
+	if len(examples) != 4 {
+		t.Errorf("%d examples", len(examples))
+	}
+}
+
 // FuzzCheckFile feeds arbitrary files: every accepted record decodes, alone
 // and after a second writing.
 func FuzzCheckFile(f *testing.F) {
