Count unreadable records as they change; wrap errors across packages

Cause: a readiness probe that lists unreadable records would walk and sort all keys each time; a subscriber that ended its own subscription from the callback would have waited for itself. Ruled out: caching the list (it would need the same bookkeeping). Change: Machine.Unreadable counts; callbacks run outside the lock; errors that cross a package carry their origin by cockroachdb/errors. Measured: nothing.

--- a/internal/config/machine.go
+++ b/internal/config/machine.go
@@ -12,8 +12,9 @@
 // Machine is the state of the config stream. Reads are safe from any
 // goroutine and take one shard's read lock.
 type Machine struct {
-	tables   *tables
-	revision atomic.Uint64
+	tables     *tables
+	revision   atomic.Uint64
+	unreadable atomic.Int64 // keys whose newest record isn't understood
 
 	mu         sync.Mutex // held by Apply, Restore, Snapshot and settle
 	recent     recent
@@ -96,7 +97,8 @@
 
 func (m *Machine) accept(p publication) Change {
 	rev := api.Revision(m.revision.Load() + 1)
-	next := m.tables.get(p.key()).with(p.key(), stored{
+	current := m.tables.get(p.key())
+	next := current.with(p.key(), stored{
 		Revision:      rev,
 		BasedOn:       p.BasedOn,
 		SchemaVersion: p.SchemaVersion,
@@ -104,6 +106,7 @@
 		Spec:          p.Spec,
 	})
 	m.tables.put(next)
+	m.unreadable.Add(int64(next.unreadable() - current.unreadable()))
 	m.recent.add(p.ID, rev)
 	if p.Deleted {
 		m.bury(tombstone{Key: p.key(), Revision: rev})
@@ -141,6 +144,11 @@
 	return 0, nil
 }
 
+// Unreadable returns the number of keys that Unknown lists.
+func (m *Machine) Unreadable() int {
+	return int(m.unreadable.Load())
+}
+
 // Revision returns the number of records accepted so far. It never falls.
 func (m *Machine) Revision() api.Revision {
 	return api.Revision(m.revision.Load())
--- a/internal/config/machine_test.go
+++ b/internal/config/machine_test.go
@@ -129,6 +129,9 @@
 	if m.Revision() != revision {
 		t.Fatalf("revision %d, want %d", m.Revision(), revision)
 	}
+	if m.Unreadable() != len(m.Unknown()) {
+		t.Fatalf("%d unreadable counted, %d listed", m.Unreadable(), len(m.Unknown()))
+	}
 	for name, want := range state {
 		s, ok := m.Service(name)
 		if ok != (want.timeout > 0) || s.TimeoutMs != want.timeout && ok {
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -43,6 +43,14 @@
 // inForce reports whether the key has a record that decisions may use.
 func (o *object) inForce() bool { return o != nil && o.understood >= 0 }
 
+// unreadable returns 1 for a key whose newest record isn't understood, else 0.
+func (o *object) unreadable() int {
+	if o == nil || o.fault == nil {
+		return 0
+	}
+	return 1
+}
+
 func (s stored) record(k Key) api.Record {
 	return api.Record{
 		Kind:          k.Kind,
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -4,7 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/finding"
@@ -54,9 +55,9 @@
 		return rev, err // certain, whatever became of the answer
 	}
 	if failure == nil {
-		failure = fmt.Errorf("%w: applied, but no longer remembered", journal.ErrUnsettled)
+		failure = errors.Wrap(journal.ErrUnsettled, "applied, but no longer remembered")
 	}
-	return 0, fmt.Errorf("config: publish %s: %w", pub.key(), failure)
+	return 0, errors.Wrapf(failure, "config: publish %s", pub.key())
 }
 
 // compact removes insignificant space from the spec, which is valid JSON.
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,7 +1,7 @@
 package config
 
 import (
-	"fmt"
+	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
@@ -48,10 +48,10 @@
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
 	if err := journal.Decode(data, &s); err != nil {
-		return fmt.Errorf("config: snapshot: %w", err)
+		return errors.Wrap(err, "config: snapshot")
 	}
 	if s.Format != snapshotFormat {
-		return fmt.Errorf("config: snapshot of unknown format %d", s.Format)
+		return errors.Newf("config: snapshot of unknown format %d", s.Format)
 	}
 	if err := m.restore(s); err != nil {
 		return err
@@ -66,11 +66,13 @@
 	if s.Revision < m.Revision() {
 		return &StaleSnapshotError{Snapshot: s.Revision, State: m.Revision()}
 	}
+	unreadable := 0
 	present := make(map[Key]bool, len(s.Objects))
 	for _, so := range s.Objects {
 		if o := rebuild(so.Key, so.Records); o != nil {
 			present[so.Key] = true
 			m.tables.put(o)
+			unreadable += o.unreadable()
 		}
 	}
 	for _, o := range m.tables.objects() {
@@ -83,6 +85,7 @@
 		m.recent.add(a.ID, a.Revision)
 	}
 	m.tombstones = s.Tombstones
+	m.unreadable.Store(int64(unreadable))
 	m.revision.Store(uint64(s.Revision))
 	return nil
 }
--- a/internal/config/subscribe.go
+++ b/internal/config/subscribe.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -38,8 +40,8 @@
 }
 
 // Subscribe calls fn after each accepted record, in order, from the goroutine
-// that applies the stream. fn must not block and not call Subscribe. The
-// returned function ends the subscription.
+// that applies the stream; fn must not block. The returned function ends the
+// subscription; a call in progress may still end after it.
 func (m *Machine) Subscribe(fn func(Change)) (cancel func()) {
 	return m.subscribers.add(fn)
 }
@@ -74,11 +76,18 @@
 }
 
 func (s *subscribers) notify(c Change) {
+	for _, fn := range s.current() {
+		fn(c)
+	}
+}
+
+// current returns the functions in order of subscription.
+func (s *subscribers) current() []func(Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.next {
-		if fn := s.fns[id]; fn != nil {
-			fn(c)
-		}
+	out := make([]func(Change), 0, len(s.fns))
+	for _, id := range slices.Sorted(maps.Keys(s.fns)) {
+		out = append(out, s.fns[id])
 	}
+	return out
 }
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/skylarklock/skylarklock/api"
 )
 
@@ -53,7 +54,7 @@
 		case status == http.StatusOK:
 			return json.Unmarshal(body, out)
 		default:
-			return fmt.Errorf("%s%s: %s", entry, path, problem(status, body))
+			return errors.Newf("%s%s: %s", entry, path, problem(status, body))
 		}
 	}
 	return errors.Join(failures...)
@@ -78,7 +79,7 @@
 	}
 	var out published
 	if err := json.Unmarshal(data, &out.answer); err != nil || out.answer.Outcome == "" {
-		return published{}, refused(status, fmt.Errorf("%s: %s", entry, problem(status, data)))
+		return published{}, refused(status, errors.Newf("%s: %s", entry, problem(status, data)))
 	}
 	out.retryAfter = retryAfter(header)
 	return out, nil
@@ -119,10 +120,10 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
-		return 0, nil, nil, fmt.Errorf("%s: answer broke off: %w", target, err)
+		return 0, nil, nil, errors.Wrapf(err, "%s: answer broke off", target)
 	}
 	if len(data) > maxAnswerBytes {
-		return 0, nil, nil, fmt.Errorf("%s: answer larger than %d bytes", target, maxAnswerBytes)
+		return 0, nil, nil, errors.Newf("%s: answer larger than %d bytes", target, maxAnswerBytes)
 	}
 	return resp.StatusCode, resp.Header, data, nil
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,10 +3,10 @@
 package logging
 
 import (
-	"fmt"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -25,7 +25,7 @@
 func New(w io.Writer, level string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("logging: level: %w", err)
+		return nil, errors.Wrap(err, "logging: level")
 	}
 	log := logrus.New()
 	log.SetOutput(w)
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -2,8 +2,8 @@
 
 import (
 	"flag"
-	"fmt"
 
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -23,10 +23,10 @@
 	node := fs.String("node-id", "", "overrides node_id")
 	level := fs.String("log-level", "", "overrides log_level")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, errors.Wrap(err, "settings")
 	}
 	if *path == "" {
-		return nil, fmt.Errorf("settings: -settings is missing")
+		return nil, errors.New("settings: -settings is missing")
 	}
 	return load(*path, overrides{node: api.NodeID(*node), level: *level})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,11 +4,11 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"fmt"
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/finding"
 	"github.com/skylarklock/skylarklock/internal/strictjson"
@@ -143,7 +143,7 @@
 func load(path string, o overrides) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, errors.Wrap(err, "settings")
 	}
 	return decode(path, data, o)
 }
