filter: not-run is checked with the peers when the log can't be read

Cause: a repeat at a VM that has not read the mark of its id (log down, or home data centre cut off) was told not-run although the id ran elsewhere. Ruled out: unknown for every new request during an outage of the log; asking always (eight calls for each refusal under load). Change: with a view of the log older than MarkLag the other VMs of the data centre are asked; a VM remembers what it handed over to another home.

--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -202,6 +202,40 @@
 	})
 }
 
+// TestNotRunWithoutTheLog: a VM that can't read the marks asks its peers
+// before it says not-run.
+func TestNotRunWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b")
+		w.stale = true
+		w.deaf = w.machines[1:]
+		w.do(t.Context(), call{node: "a", id: "id", body: "x"})
+		w.close()
+		at := func(id, body string, plan map[string][]string) string {
+			plan["log"] = []string{"down", "*"}
+			w.fault = failing(plan)
+			return say(w.do(t.Context(), call{node: "b", id: id, body: body}))
+		}
+		const unknown, notRun = "unknown journal_unavailable", "not-run journal_unavailable"
+		for _, row := range []struct{ got, want string }{
+			{at("id", "x", map[string][]string{}), "id=x"},
+			{at("id", "y", map[string][]string{}), unknown},
+			{at("id", "x", map[string][]string{"peer": {"unreachable"}}), unknown},
+			{at("new", "x", map[string][]string{}), notRun},
+			{at("new", "x", map[string][]string{"peer": {"lost"}}), unknown},
+		} {
+			if row.got != row.want {
+				t.Errorf("got %q, want %q", row.got, row.want)
+			}
+		}
+		w.fault = failing(map[string][]string{"log": {"landed", "down"}}) // b's mark, which a reads
+		if got := say(w.do(t.Context(), call{node: "b", id: "own", body: "x"})); got != "not-run journal_unsettled" {
+			t.Errorf("own unused mark: %s", got)
+		}
+		w.close()
+	})
+}
+
 func TestHomeDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dcs := []api.DataCentre{"east", "west"}
@@ -221,6 +255,9 @@
 			t.Errorf("lost reply: %s", got)
 		}
 		w.down["east"] = true
+		if got := say(w.do(t.Context(), k)); got != "unknown home_unreachable" {
+			t.Errorf("cut off after it was handed over: %s", got)
+		}
 		k.id = "east/9"
 		if got := say(w.do(t.Context(), k)); got != "not-run home_unreachable" || east.runs["east/9"] != 0 {
 			t.Errorf("cut off: %s", got)
--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
@@ -204,6 +205,9 @@
 // this entry VM marked, waiting for one in flight at most query.Wait.
 func (c *Chain) AnswerOf(ctx context.Context, query *AnswerQuery) *AnswerReply {
 	mark := query.Mark
+	if mark.Writer == (journal.Origin{}) {
+		return c.anyTrace(query)
+	}
 	if mark.Writer != c.deps.Keys.Self() {
 		return &AnswerReply{State: AnswerForgotten}
 	}
--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -97,6 +97,9 @@
 	Mark(ctx context.Context, id string, digest uint64) (reqkey.Mark, error)
 	Settle(ctx context.Context, mark reqkey.Mark, answer *api.Answer, reason api.Reason) error
 	Release(ctx context.Context, mark reqkey.Mark) error
+	// Confirmed is the local time before which every mark that was in the
+	// log is known here; zero when none is.
+	Confirmed() time.Time
 }
 
 var _ Keys = (*reqkey.Keys)(nil)
--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,9 @@
 type world struct {
 	mu       sync.Mutex
 	machines []*reqkey.Machine
-	late     []journal.Entry // unsettled entries that are still to land
+	deaf     []*reqkey.Machine // that read nothing more
+	stale    bool              // no view of the log is confirmed
+	late     []journal.Entry   // unsettled entries that are still to land
 	chains   map[api.NodeID]*Chain
 	all      []*Chain // with the earlier incarnations
 	down     map[api.NodeID]bool
@@ -64,7 +67,7 @@
 	self := journal.Origin{Node: node, Incarnation: api.Incarnation(len(w.machines))}
 	c := New(Settings{Node: node, DataCentre: dc, DataCentres: dcs}, Deps{
 		Router: &fakeRouter{w}, Endpoint: w, Peers: &fakePeers{w, node}, Services: w, Limits: w, Counters: w,
-		Keys: reqkey.NewKeys(m, w, self, reqkey.DefaultMaxBody), Now: time.Now,
+		Keys: reqkey.NewKeys(m, w, w, self, reqkey.DefaultMaxBody), Now: time.Now,
 	})
 	c.Gate().SetReady(true)
 	w.chains[node] = c
@@ -81,11 +84,23 @@
 
 func (w *world) apply(e journal.Entry) (err error) {
 	for _, m := range w.machines {
+		if slices.Contains(w.deaf, m) {
+			continue
+		}
 		err = m.Apply(journal.Position{}, e)
 	}
 	return err
 }
 
+// Applied and Confirmed implement journal.Follower.
+func (w *world) Applied() platform.Offset { return 0 }
+func (w *world) Confirmed() time.Time {
+	if w.stale {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
 // Propose implements journal.Proposer. Late entries land before newer ones.
 func (w *world) Propose(ctx context.Context, e journal.Entry) error {
 	fault := w.fault("log")
@@ -187,8 +202,8 @@
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
 	var loads []PeerLoad
-	for node := range p.w.chains {
-		if node != p.self {
+	for node, c := range p.w.chains {
+		if node != p.self && c.settings.DataCentre == p.w.chains[p.self].settings.DataCentre {
 			loads = append(loads, PeerLoad{Node: node, Free: 1})
 		}
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -53,6 +53,8 @@
 	AnswerGrace    time.Duration    // for which a caller waits past the deadline for the final word
 	JournalTimeout time.Duration    // of outcomes and releases, which no caller waits for
 	JournalBacklog int              // outcomes and releases under way at once
+	MarkLag        time.Duration    // age of the view of the log from which peers are asked before not-run is said
+	AskTimeout     time.Duration    // of asking them
 }
 
 // Defaults of Settings.
@@ -68,6 +70,8 @@
 	DefaultAnswerGrace    = 50 * time.Millisecond
 	DefaultJournalTimeout = 10 * time.Second
 	DefaultJournalBacklog = 4096
+	DefaultMarkLag        = time.Second
+	DefaultAskTimeout     = 200 * time.Millisecond
 )
 
 func (s Settings) withDefaults() Settings {
@@ -82,6 +86,8 @@
 	setDefault(&s.AnswerGrace, DefaultAnswerGrace)
 	setDefault(&s.JournalTimeout, DefaultJournalTimeout)
 	setDefault(&s.JournalBacklog, DefaultJournalBacklog)
+	setDefault(&s.MarkLag, DefaultMarkLag)
+	setDefault(&s.AskTimeout, DefaultAskTimeout)
 	return s
 }
 
@@ -101,6 +107,7 @@
 	limits   *limiter
 	budget   *retry.Budget
 	journal  *background
+	asking   chan struct{} // one element for each request about which peers are asked
 
 	whole Handler // of callers' requests
 	home  Handler // of requests handed over to their home data centre
@@ -118,6 +125,7 @@
 		limits:   newLimiter(settings, deps.Limits),
 		budget:   retry.NewBudget(),
 		journal:  newBackground(settings.JournalBacklog, settings.JournalTimeout),
+		asking:   make(chan struct{}, maxAsking),
 	}
 	c.whole = assemble(c.attempt,
 		c.answer,
--- a/internal/filter/home.go
+++ b/internal/filter/home.go
@@ -70,9 +70,14 @@
 		c.deps.Counters.Inc(GroupForward, CountHome)
 		reply, err := c.deps.Peers.Forward(ctx, node, c.forwardRequest(x, ForwardHome))
 		if err == nil && reply != nil {
-			return reply.unpack()
+			answer, err := reply.unpack()
+			if err == nil || asRefusal(err).Outcome != api.OutcomeNotRun {
+				c.runs.handedOver(x.Request.ID)
+			}
+			return answer, err
 		}
 		if !certainlyNotSent(err) {
+			c.runs.handedOver(x.Request.ID)
 			detail := fmt.Sprintf("entry VM %s of %s may have the request, its reply was lost", node, home)
 			refusal := api.Unknown(api.ReasonPeerUnreachable, detail)
 			refusal.RetryAfter = c.settings.RetryAfter
--- a/internal/filter/message.go
+++ b/internal/filter/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
@@ -34,10 +35,12 @@
 	Refusal *api.Refusal
 }
 
-// AnswerQuery asks the writer of a mark what became of the request.
+// AnswerQuery asks the writer of a mark what became of the request. Without
+// a writer it asks any entry VM for whatever it knows of the id.
 type AnswerQuery struct {
-	Mark reqkey.Mark
-	Wait time.Duration // longest wait for a request in flight
+	Mark  reqkey.Mark
+	Wait  time.Duration  // longest wait for a request in flight
+	Asker journal.Origin // of a query without a writer
 }
 
 // AnswerState is what a mark's writer knows.
--- a/internal/reqkey/keys.go
+++ b/internal/reqkey/keys.go
@@ -14,6 +14,7 @@
 type Keys struct {
 	machine  *Machine
 	proposer journal.Proposer
+	follower journal.Follower
 	self     journal.Origin
 	maxBody  int
 	serial   atomic.Uint32
@@ -22,10 +23,11 @@
 // DefaultMaxBody is the largest answer body that is journaled, bytes.
 const DefaultMaxBody = 1 << 10
 
-// NewKeys returns the keys of the process self. Answers with a body of more
+// NewKeys returns the keys of the process self, whose machine is fed by the
+// stream that p appends to and f follows. Answers with a body of more
 // than maxBody bytes are journaled without the answer.
-func NewKeys(m *Machine, p journal.Proposer, self journal.Origin, maxBody int) *Keys {
-	return &Keys{machine: m, proposer: p, self: self, maxBody: maxBody}
+func NewKeys(m *Machine, p journal.Proposer, f journal.Follower, self journal.Origin, maxBody int) *Keys {
+	return &Keys{machine: m, proposer: p, follower: f, self: self, maxBody: maxBody}
 }
 
 // Self returns the origin of this process's marks.
@@ -34,6 +36,10 @@
 // Lookup returns what the local machine remembers of id.
 func (k *Keys) Lookup(id string) (State, bool) { return k.machine.Lookup(id) }
 
+// Confirmed is the local time before which every mark that was in the log is
+// known here; zero when there was no such read yet.
+func (k *Keys) Confirmed() time.Time { return k.follower.Confirmed() }
+
 // Mark proposes a mark and waits for its place in the log. On success the
 // caller alone may send the request. Errors: *MarkedError, *ReusedError,
 // *FullError, and those of journal.Proposer. The mark is returned with
--- a/internal/reqkey/machine_test.go
+++ b/internal/reqkey/machine_test.go
@@ -42,8 +42,8 @@
 func TestFirstMarkWins(t *testing.T) {
 	ctx := t.Context()
 	m := NewMachine()
-	a := NewKeys(m, log{m}, origin("a", 1), DefaultMaxBody)
-	b := NewKeys(m, log{m}, origin("b", 1), DefaultMaxBody)
+	a := NewKeys(m, log{m}, nil, origin("a", 1), DefaultMaxBody)
+	b := NewKeys(m, log{m}, nil, origin("b", 1), DefaultMaxBody)
 	mark, err := a.Mark(ctx, "id", 7)
 	if err != nil {
 		t.Fatal(err)
@@ -149,7 +149,7 @@
 func TestRetention(t *testing.T) {
 	ctx := t.Context()
 	m := NewMachine()
-	k := NewKeys(m, log{m}, origin("a", 1), DefaultMaxBody)
+	k := NewKeys(m, log{m}, nil, origin("a", 1), DefaultMaxBody)
 	rotation := Rotation{Every: time.Minute, Limits: Limits{Marks: 2, AnswerBytes: 1 << 10, Generations: 2}}
 	now := time.Unix(0, 0)
 	rotate := func(after time.Duration) {
