filter: a request with an id is counted once by the gate

Cause: TestFloodLeavesOthersRoom with the chain's own settings failed first: the run of a request and its caller were both counted against MaxInFlight, so one caller within its share filled the gate and others got class_limit. Ruled out: counting runs only (a caller that waits for another's run holds a connection, too). Change: the gate bounds admitted exchanges and only waits for runs; the limiter bounds runs, which outlast callers that left.

--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -311,10 +311,10 @@
 		"share":       {},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			w := newWorld("a")
+			w := newWorld()
 			w.limits = limits
-			w.chains["a"].limits.maxInFlight = 8 // contention from 5
-			w.chains["a"].limits.callerShare = 5
+			w.settings = Settings{MaxInFlight: 8, CallerShare: 5.0 / 8}
+			w.start("a", "east", []api.DataCentre{"east"})
 			w.hold = make(chan struct{})
 			start := time.Now()
 			var refused int
--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -34,9 +34,9 @@
 			c.deps.Counters.Inc(GroupRepeat, CountJoined)
 			return c.await(ctx, f)
 		}
-		c.gate.reenter()
+		c.gate.startRun()
 		go func() {
-			defer c.gate.Leave()
+			defer c.gate.endRun()
 			defer cancel()
 			c.run(runCtx, x, f, next)
 		}()
--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -33,6 +33,7 @@
 	counts   map[string]int
 	fault    func(site string) string
 	limits   api.LimitsSpec
+	settings Settings
 	spec     api.ServiceSpec
 }
 
@@ -65,7 +66,9 @@
 	}
 	w.machines = append(w.machines, m)
 	self := journal.Origin{Node: node, Incarnation: api.Incarnation(len(w.machines))}
-	c := New(Settings{Node: node, DataCentre: dc, DataCentres: dcs}, Deps{
+	settings := w.settings
+	settings.Node, settings.DataCentre, settings.DataCentres = node, dc, dcs
+	c := New(settings, Deps{
 		Router: &fakeRouter{w}, Endpoint: w, Peers: &fakePeers{w, node}, Services: w, Limits: w, Counters: w,
 		Keys: reqkey.NewKeys(m, w, w, self, reqkey.DefaultMaxBody), Now: time.Now,
 	})
--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -23,7 +23,8 @@
 	mu       sync.Mutex
 	state    GateState
 	max      int
-	inFlight int
+	admitted int           // callers' exchanges
+	runs     int           // which may outlast their callers
 	idle     chan struct{} // closed when draining and nothing is in flight
 }
 
@@ -54,9 +55,7 @@
 		return
 	}
 	g.state = GateDraining
-	if g.inFlight == 0 {
-		close(g.idle)
-	}
+	g.closeIfIdle()
 }
 
 // State returns the gate's state.
@@ -70,7 +69,7 @@
 func (g *Gate) InFlight() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inFlight
+	return max(g.admitted, g.runs)
 }
 
 // Wait returns nil when a draining gate has nothing in flight, or the error
@@ -93,26 +92,40 @@
 		return api.NotRun(api.ReasonNotReady, 0, "this entry VM has no complete state yet")
 	case g.state == GateDraining:
 		return api.NotRun(api.ReasonDraining, 0, "this entry VM is leaving")
-	case g.inFlight >= g.max:
+	case g.admitted >= g.max:
 		return api.NotRun(api.ReasonClassLimit, 0, "too many requests in flight on this entry VM")
 	}
-	g.inFlight++
+	g.admitted++
 	return nil
 }
 
-// reenter counts work that goes on after its caller was answered.
-func (g *Gate) reenter() {
+// Leave ends one request.
+func (g *Gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inFlight++
+	g.admitted--
+	g.closeIfIdle()
 }
 
-// Leave ends one request.
-func (g *Gate) Leave() {
+// startRun counts a run, which an open or draining gate waits for but does
+// not bound: its caller was admitted.
+func (g *Gate) startRun() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inFlight--
-	if g.state == GateDraining && g.inFlight == 0 {
+	g.runs++
+}
+
+func (g *Gate) endRun() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.runs--
+	g.closeIfIdle()
+}
+
+// closeIfIdle needs g.mu. A draining gate takes nothing on, so that it falls
+// idle once: every run starts while its caller is admitted.
+func (g *Gate) closeIfIdle() {
+	if g.state == GateDraining && g.admitted == 0 && g.runs == 0 {
 		close(g.idle)
 	}
 }
--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -69,22 +69,29 @@
 
 // enter admits one request of caller or refuses it at once.
 func (l *limiter) enter(caller string, class api.Class, now time.Time) (*callerState, *api.Refusal) {
-	batch := class == api.ClassBatch
-	if batch && l.batch.Add(1) > l.batchShare {
+	if class == api.ClassBatch && l.batch.Add(1) > l.batchShare {
 		l.batch.Add(-1)
 		return nil, api.NotRun(api.ReasonClassLimit, l.retryAfter, "batch requests use their share of this entry VM")
 	}
 	total := l.inFlight.Add(1)
+	if total > l.maxInFlight { // runs outlast callers that left
+		l.leaveClass(class)
+		return nil, api.NotRun(api.ReasonClassLimit, l.retryAfter, "too many requests run on this entry VM")
+	}
 	state, refusal := l.enterCaller(caller, total, now)
 	if refusal != nil {
-		l.inFlight.Add(-1)
-		if batch {
-			l.batch.Add(-1)
-		}
+		l.leaveClass(class)
 	}
 	return state, refusal
 }
 
+func (l *limiter) leaveClass(class api.Class) {
+	l.inFlight.Add(-1)
+	if class == api.ClassBatch {
+		l.batch.Add(-1)
+	}
+}
+
 func (l *limiter) enterCaller(caller string, total int64, now time.Time) (*callerState, *api.Refusal) {
 	spec := l.limits.CallerLimits(caller)
 	s := &l.shards[maphash.String(l.seed, caller)%limitShards]
@@ -161,10 +168,7 @@
 }
 
 func (l *limiter) leave(state *callerState, class api.Class, took time.Duration) {
-	l.inFlight.Add(-1)
-	if class == api.ClassBatch {
-		l.batch.Add(-1)
-	}
+	l.leaveClass(class)
 	state.shard.mu.Lock()
 	defer state.shard.mu.Unlock()
 	state.inFlight--
