--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -34,6 +34,7 @@
 	fault    func(site string) string
 	limits   api.LimitsSpec
 	settings Settings
+	delay    time.Duration // of an executor's answer
 	spec     api.ServiceSpec
 }
 
@@ -44,6 +45,7 @@
 		runs:     make(map[string]int),
 		receipts: make(map[string]bool),
 		counts:   make(map[string]int),
+		delay:    5 * time.Millisecond,
 		fault:    func(string) string { return "" },
 		spec:     api.ServiceSpec{Service: "svc", TimeoutMs: 1000, MaxAttempts: 3, RetryBudget: 1},
 	}
@@ -151,7 +153,7 @@
 			fault = "broken"
 		}
 	}
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(w.delay)
 	switch fault {
 	case "broken", "lost":
 		return nil, platform.Feedback{}, &platform.AttemptError{Certainty: platform.MayHaveRun, Reason: api.ReasonAnswerBroken, Endpoint: ep.ID}
@@ -259,6 +261,12 @@
 	w.counts[group+"/"+string(reason)]++
 }
 
+func (w *world) tickets() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open
+}
+
 func (w *world) ran(id string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
