filter: the first caller's goroutine carries the run

Ruled out: a pool of workers (bounds and hand-over of its own). Change: the run is made on the goroutine of the caller that started it, which goes on when that caller leaves; nobody is there to be answered then.

--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -20,27 +20,31 @@
 		}
 		// The run outlives its first caller, so it has its own context.
 		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.Deadline)
+		defer cancel()
 		kind, f, kept := c.runs.enter(x, cancel)
 		switch kind {
 		case entryReused:
-			cancel()
 			return nil, reused(x.Request.ID)
 		case entryKept:
-			cancel()
 			c.deps.Counters.Inc(GroupRepeat, CountKept)
 			return kept.unpack()
 		case entryJoined:
-			cancel()
 			c.deps.Counters.Inc(GroupRepeat, CountJoined)
 			return c.await(ctx, f)
 		}
-		c.gate.startRun()
-		go func() {
-			defer c.gate.endRun()
-			defer cancel()
-			c.run(runCtx, x, f, next)
-		}()
-		return c.await(ctx, f)
+		stop := context.AfterFunc(ctx, func() { c.starterLeft(ctx, f) })
+		defer stop()
+		c.run(runCtx, x, f, next)
+		return f.result.unpack()
+	}
+}
+
+// starterLeft takes the caller that started f off it. Its goroutine goes on
+// with the run, which has the same deadline.
+func (c *Chain) starterLeft(ctx context.Context, f *flight) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.deps.Counters.Inc(GroupCallers, api.ReasonCallerGone)
+		c.runs.leave(f)
 	}
 }
 
@@ -88,7 +92,8 @@
 	return answer, err
 }
 
-// await returns the result of f, or takes the caller off it when ctx ends.
+// await returns the result of f, which another caller started, or takes the
+// caller off it when ctx ends.
 func (c *Chain) await(ctx context.Context, f *flight) (*api.Answer, error) {
 	select {
 	case <-f.done:
--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -23,8 +23,7 @@
 	mu       sync.Mutex
 	state    GateState
 	max      int
-	admitted int           // callers' exchanges
-	runs     int           // which may outlast their callers
+	inFlight int
 	idle     chan struct{} // closed when draining and nothing is in flight
 }
 
@@ -69,7 +68,7 @@
 func (g *Gate) InFlight() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(g.admitted, g.runs)
+	return g.inFlight
 }
 
 // Wait returns nil when a draining gate has nothing in flight, or the error
@@ -92,10 +91,10 @@
 		return api.NotRun(api.ReasonNotReady, 0, "this entry VM has no complete state yet")
 	case g.state == GateDraining:
 		return api.NotRun(api.ReasonDraining, 0, "this entry VM is leaving")
-	case g.admitted >= g.max:
+	case g.inFlight >= g.max:
 		return api.NotRun(api.ReasonClassLimit, 0, "too many requests in flight on this entry VM")
 	}
-	g.admitted++
+	g.inFlight++
 	return nil
 }
 
@@ -103,29 +102,14 @@
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.admitted--
-	g.closeIfIdle()
-}
-
-// startRun counts a run, which an open or draining gate waits for but does
-// not bound: its caller was admitted.
-func (g *Gate) startRun() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.runs++
-}
-
-func (g *Gate) endRun() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.runs--
+	g.inFlight--
 	g.closeIfIdle()
 }
 
 // closeIfIdle needs g.mu. A draining gate takes nothing on, so that it falls
-// idle once: every run starts while its caller is admitted.
+// idle once.
 func (g *Gate) closeIfIdle() {
-	if g.state == GateDraining && g.admitted == 0 && g.runs == 0 {
+	if g.state == GateDraining && g.inFlight == 0 {
 		close(g.idle)
 	}
 }
--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -74,10 +74,6 @@
 		return nil, api.NotRun(api.ReasonClassLimit, l.retryAfter, "batch requests use their share of this entry VM")
 	}
 	total := l.inFlight.Add(1)
-	if total > l.maxInFlight { // runs outlast callers that left
-		l.leaveClass(class)
-		return nil, api.NotRun(api.ReasonClassLimit, l.retryAfter, "too many requests run on this entry VM")
-	}
 	state, refusal := l.enterCaller(caller, total, now)
 	if refusal != nil {
 		l.leaveClass(class)
