front: an answer given while draining closes its connection

Cause: TestDrainCutsNothing failed first when it looked at the answer to the request in flight: the connection stayed open and was then closed by Shutdown, which can cut off the caller's next request. Change: Connection: close is set when the answer is written, not when the request arrives; tests say each answer in one line.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -96,8 +96,12 @@
 	}
 }
 
-// writeWhole writes status and body, or aborts the connection.
+// writeWhole writes status and body, or aborts the connection. While the
+// server leaves, each answer is the last on its connection.
 func (s *Server) writeWhole(w http.ResponseWriter, status int, body []byte) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(time.Now().Add(s.settings.WriteTimeout))
 	if status == http.StatusNoContent || status == http.StatusNotModified {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -21,10 +20,8 @@
 
 // backend is a fake chain and job store. handle answers requests.
 type backend struct {
-	mu     sync.Mutex
 	handle func(ctx context.Context, x *filter.Exchange) (*api.Answer, error)
 	gate   *filter.Gate
-	counts map[string]int
 	jobs   map[api.JobID]api.JobSpec
 }
 
@@ -36,11 +33,7 @@
 	return b.handle(ctx, x)
 }
 
-func (b *backend) Inc(group string, reason api.Reason) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.counts[group+"/"+string(reason)]++
-}
+func (b *backend) Inc(string, api.Reason) {}
 
 func (b *backend) Submit(_ context.Context, spec api.JobSpec) error {
 	b.jobs[spec.ID] = spec
@@ -75,105 +68,97 @@
 
 func start(t *testing.T, s Settings) (*Server, *backend, string) {
 	t.Helper()
-	b := &backend{handle: echo, gate: filter.NewGate(100), counts: make(map[string]int), jobs: make(map[api.JobID]api.JobSpec)}
+	b := &backend{handle: echo, gate: filter.NewGate(100), jobs: make(map[api.JobID]api.JobSpec)}
 	b.gate.SetReady(true)
 	server := New(s, b, b, b.gate, b, log.New(io.Discard, "", 0))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	same(t, err, nil)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
 	t.Cleanup(func() {
 		_ = server.http.Close()
-		if err := <-served; err != nil {
-			t.Error(err)
-		}
+		same(t, <-served, nil)
 	})
 	return server, b, l.Addr().String()
 }
 
-func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+// client is one caller's connection.
+type client struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *client {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
+	same(t, err, nil)
 	t.Cleanup(func() { conn.Close() })
-	return conn, bufio.NewReader(conn)
+	return &client{t, conn, bufio.NewReader(conn)}
 }
 
-// exchange writes raw and reads one whole answer.
-func exchange(t *testing.T, conn net.Conn, reader *bufio.Reader, raw string) (*http.Response, string) {
-	t.Helper()
-	if _, err := io.WriteString(conn, raw); err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.ReadResponse(reader, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+// ask writes raw and reads one whole answer.
+func (c *client) ask(raw string) (*http.Response, string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, raw)
+	same(c.t, err, nil)
+	resp, err := http.ReadResponse(c.reader, nil)
+	same(c.t, err, nil)
 	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	same(c.t, err, nil)
 	return resp, string(body)
 }
 
+func get(path string) string { return "GET /v1/services/svc" + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
+func post(length int, body string) string {
+	return fmt.Sprintf("POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", length, body)
+}
+
+// word is what an answer says, in short.
+func word(r *http.Response) string {
+	h := r.Header
+	return fmt.Sprintf("%d %s %s retry=%s close=%t", r.StatusCode, h.Get(api.HeaderOutcome), h.Get(api.HeaderReason), h.Get("Retry-After"), r.Close)
+}
+
+func same[T comparable](t *testing.T, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
 func TestRequestsPassUnchanged(t *testing.T) {
 	_, b, address := start(t, Settings{MaxBodyBytes: 10, MaxBytes: 15})
-	conn, reader := dial(t, address)
-	raw := "POST /v1/services/svc/a//b%2Fc/../d?q=1&r HTTP/1.1\r\nHost: x\r\nX-Own: 1\r\nX-Own: 2\r\nHolder-Epoch: 5\r\n" +
-		"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
-	resp, body := exchange(t, conn, reader, raw)
-	if body != "svc POST /a//b%2Fc/../d?q=1&r body" || resp.StatusCode != http.StatusCreated {
-		t.Errorf("%d %q", resp.StatusCode, body)
-	}
+	c := dial(t, address)
+	resp, body := c.ask("POST /v1/services/svc/a//b%2Fc/../d?q=1&r HTTP/1.1\r\nHost: x\r\nX-Own: 1\r\nX-Own: 2\r\nHolder-Epoch: 5\r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+	same(t, body, "svc POST /a//b%2Fc/../d?q=1&r body")
+	same(t, word(resp), "201 ran  retry= close=false")
 	h := resp.Header
-	if h.Get(api.HeaderOutcome) != "ran" || h.Get("X-Own") != "1, 2" || h.Get(api.HeaderEpoch) != "" || resp.Close || h.Get("Content-Type") != "" || resp.Trailer.Get("X-Sum") != "1" {
-		t.Errorf("%v %v", h, resp.Trailer)
-	}
+	same(t, h.Get("X-Own")+"|"+h.Get(api.HeaderEpoch)+"|"+h.Get("Content-Type")+"|"+resp.Trailer.Get("X-Sum"), "1, 2|||1")
 	b.handle = func(context.Context, *filter.Exchange) (*api.Answer, error) {
 		return nil, api.NotRun(api.ReasonCallerLimit, 1001*time.Millisecond, "over")
 	}
-	resp, body = exchange(t, conn, reader, "GET /v1/services/svc/ HTTP/1.1\r\nHost: x\r\n\r\n")
-	h = resp.Header
-	if resp.StatusCode != http.StatusTooManyRequests || h.Get(api.HeaderOutcome) != "not-run" ||
-		h.Get(api.HeaderReason) != "caller_limit" || h.Get("Retry-After") != "2" || !strings.Contains(body, "over") {
-		t.Errorf("%d %v %s", resp.StatusCode, h, body)
-	}
-	resp, _ = exchange(t, conn, reader, "POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n")
-	if resp.StatusCode != http.StatusRequestEntityTooLarge || resp.Header.Get(api.HeaderOutcome) != "not-run" || !resp.Close {
-		t.Errorf("too large: %d %v", resp.StatusCode, resp.Header)
-	}
+	resp, body = c.ask(get("/"))
+	same(t, word(resp), "429 not-run caller_limit retry=2 close=false")
+	same(t, strings.Contains(body, "over"), true)
+	resp, _ = c.ask(post(11, ""))
+	same(t, word(resp), "413 not-run too_large retry= close=true")
 }
 
 // TestSlowBodyTakesNoMemoryForLong: a body that never ends is refused when
 // its time is over and its memory is given back.
 func TestSlowBodyTakesNoMemoryForLong(t *testing.T) {
 	server, _, address := start(t, Settings{MaxBodyBytes: 10, MaxBytes: 15, ReadBodyTimeout: 100 * time.Millisecond})
-	slow, slowReader := dial(t, address)
-	_, err := io.WriteString(slow, "POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n1234")
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.ReadResponse(slowReader, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if resp.Header.Get(api.HeaderOutcome) != "not-run" || resp.Header.Get(api.HeaderReason) != "deadline_passed" {
-		t.Errorf("%d %v", resp.StatusCode, resp.Header)
-	}
-	_, _ = io.Copy(io.Discard, slowReader) // the server closes
-	if used := server.bytes.used.Load(); used != 0 {
-		t.Errorf("%d bytes still reserved", used)
-	}
+	slow := dial(t, address)
+	resp, _ := slow.ask(post(9, "1234"))
+	same(t, word(resp), "504 not-run deadline_passed retry= close=true")
+	_, _ = io.Copy(io.Discard, slow.reader) // the server closes
+	same(t, server.bytes.used.Load(), 0)
 	server.bytes.used.Store(14)
-	conn, reader := dial(t, address)
-	resp, _ = exchange(t, conn, reader, "POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab")
-	if resp.Header.Get(api.HeaderReason) != "queue_full" || resp.Header.Get("Retry-After") == "" {
-		t.Errorf("no memory left: %d %v", resp.StatusCode, resp.Header)
-	}
+	resp, _ = dial(t, address).ask(post(2, "ab"))
+	same(t, word(resp), "503 not-run queue_full retry=1 close=false")
 }
 
 func TestCallerLeavingIsSeen(t *testing.T) {
@@ -184,12 +169,10 @@
 		left <- ctx.Err()
 		return nil, api.Unknown(api.ReasonCallerGone, "")
 	}
-	conn, _ := dial(t, address)
-	_, _ = io.WriteString(conn, "POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab")
-	conn.Close()
-	if err := <-left; !errors.Is(err, context.Canceled) {
-		t.Error(err)
-	}
+	c := dial(t, address)
+	_, _ = io.WriteString(c.conn, post(2, "ab"))
+	c.conn.Close()
+	same(t, <-left, context.Canceled)
 }
 
 // TestDrainCutsNothing: readiness goes first, a request in flight finishes on
@@ -205,67 +188,49 @@
 		}
 		return echo(ctx, x)
 	}
-	const get = "GET /v1/services/svc%s HTTP/1.1\r\nHost: x\r\n\r\n"
-	idle, idleReader := dial(t, address)
-	if resp, _ := exchange(t, idle, idleReader, fmt.Sprintf(get, "/")); resp.StatusCode != http.StatusCreated {
-		t.Fatal(resp.Status)
-	}
-	busy, busyReader := dial(t, address)
-	_, _ = io.WriteString(busy, fmt.Sprintf(get, "/slow"))
+	idle, busy := dial(t, address), dial(t, address)
+	resp, _ := idle.ask(get("/"))
+	same(t, word(resp), "201 ran  retry= close=false")
+	_, _ = io.WriteString(busy.conn, get("/slow"))
 	<-entered
 	drained := make(chan error, 1)
 	go func() { drained <- server.Drain(t.Context()) }()
 	for b.gate.State() != filter.GateDraining {
 		time.Sleep(time.Millisecond)
 	}
-	if server.Ready() {
-		t.Error("ready while draining")
-	}
-	resp, _ := exchange(t, idle, idleReader, fmt.Sprintf(get, "/"))
-	if resp.Header.Get(api.HeaderReason) != "draining" || resp.Header.Get(api.HeaderOutcome) != "not-run" || !resp.Close {
-		t.Errorf("%d %v", resp.StatusCode, resp.Header)
-	}
+	same(t, server.Ready(), false)
+	resp, _ = idle.ask(get("/"))
+	same(t, word(resp), "503 not-run draining retry= close=true")
 	close(release)
-	resp, body := exchange(t, busy, busyReader, "")
-	if resp.Header.Get(api.HeaderOutcome) != "ran" || !strings.HasPrefix(body, "svc GET /slow") {
-		t.Errorf("in flight: %d %q", resp.StatusCode, body)
-	}
-	if err := <-drained; err != nil {
-		t.Error(err)
-	}
+	resp, body := busy.ask("")
+	same(t, word(resp), "201 ran  retry= close=true")
+	same(t, body, "svc GET /slow ")
+	same(t, <-drained, nil)
 }
 
 func TestDrainEndsAtItsDeadline(t *testing.T) {
 	server, b, _ := start(t, Settings{ReadinessDelay: time.Millisecond})
-	if refusal := b.gate.Enter(); refusal != nil {
-		t.Fatal(refusal)
-	}
+	same(t, b.gate.Enter(), nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	if err := server.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) || !strings.Contains(err.Error(), "1 requests") {
-		t.Error(err)
-	}
+	err := server.Drain(ctx)
+	same(t, errors.Is(err, context.DeadlineExceeded) && strings.Contains(err.Error(), "1 requests"), true)
 }
 
 func TestJobs(t *testing.T) {
 	server, _, _ := start(t, Settings{})
-	for _, row := range []struct {
-		method, path, body, outcome string
-		status                      int
-	}{
-		{"POST", "/v1/jobs", `{"id":"j","class":"batch"}`, "ran", http.StatusAccepted},
-		{"GET", "/v1/jobs/j", "", "ran", http.StatusOK},
-		{"DELETE", "/v1/jobs/j", "", "ran", http.StatusAccepted},
-		{"DELETE", "/v1/jobs/k", "", "not-run", http.StatusNotFound},
-		{"GET", "/v1/jobs/k", "", "unknown", http.StatusInternalServerError},
-		{"POST", "/v1/jobs", `{"id":"j","klass":"batch"}`, "not-run", http.StatusBadRequest},
-		{"POST", "/v1/jobs", `{"id":"j"} {}`, "not-run", http.StatusBadRequest},
-		{"PUT", "/v1/jobs", "", "not-run", http.StatusBadRequest},
+	for _, row := range []struct{ method, path, body, want string }{
+		{"POST", "/v1/jobs", `{"id":"j","class":"batch"}`, "202 ran  retry= close=false"},
+		{"GET", "/v1/jobs/j", "", "200 ran  retry= close=false"},
+		{"DELETE", "/v1/jobs/j", "", "202 ran  retry= close=false"},
+		{"DELETE", "/v1/jobs/k", "", "404 not-run unknown_job retry= close=false"},
+		{"GET", "/v1/jobs/k", "", "500 unknown internal retry= close=false"},
+		{"POST", "/v1/jobs", `{"id":"j","klass":"batch"}`, "400 not-run malformed retry= close=false"},
+		{"POST", "/v1/jobs", `{"id":"j"} {}`, "400 not-run malformed retry= close=false"},
+		{"PUT", "/v1/jobs", "", "400 not-run malformed retry= close=false"},
 	} {
 		w := httptest.NewRecorder()
 		server.Handler().ServeHTTP(w, httptest.NewRequest(row.method, row.path, strings.NewReader(row.body)))
-		if w.Code != row.status || w.Header().Get(api.HeaderOutcome) != row.outcome {
-			t.Errorf("%s %s: %d %v", row.method, row.path, w.Code, w.Header())
-		}
+		same(t, word(w.Result()), row.want)
 	}
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -31,9 +31,6 @@
 	mux.HandleFunc("GET "+readyPath, s.ready)
 	mux.HandleFunc("/", s.notFound)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
 		if rest, ok := strings.CutPrefix(r.URL.EscapedPath(), servicesPrefix); ok {
 			s.service(w, r, rest)
 			return
@@ -43,11 +40,11 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusOK
 	if !s.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		status = http.StatusServiceUnavailable
 	}
-	w.WriteHeader(http.StatusOK)
+	s.writeWhole(w, status, nil)
 }
 
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
