--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,9 @@
 type world struct {
 	mu       sync.Mutex
 	machines []*reqkey.Machine
-	late     []journal.Entry // unsettled entries that are still to land
+	deaf     []*reqkey.Machine // that read nothing more
+	stale    bool              // no view of the log is confirmed
+	late     []journal.Entry   // unsettled entries that are still to land
 	chains   map[api.NodeID]*Chain
 	all      []*Chain // with the earlier incarnations
 	down     map[api.NodeID]bool
@@ -30,6 +33,8 @@
 	counts   map[string]int
 	fault    func(site string) string
 	limits   api.LimitsSpec
+	settings Settings
+	delay    time.Duration // of an executor's answer
 	spec     api.ServiceSpec
 }
 
@@ -40,6 +45,7 @@
 		runs:     make(map[string]int),
 		receipts: make(map[string]bool),
 		counts:   make(map[string]int),
+		delay:    5 * time.Millisecond,
 		fault:    func(string) string { return "" },
 		spec:     api.ServiceSpec{Service: "svc", TimeoutMs: 1000, MaxAttempts: 3, RetryBudget: 1},
 	}
@@ -62,9 +68,11 @@
 	}
 	w.machines = append(w.machines, m)
 	self := journal.Origin{Node: node, Incarnation: api.Incarnation(len(w.machines))}
-	c := New(Settings{Node: node, DataCentre: dc, DataCentres: dcs}, Deps{
+	settings := w.settings
+	settings.Node, settings.DataCentre, settings.DataCentres = node, dc, dcs
+	c := New(settings, Deps{
 		Router: &fakeRouter{w}, Endpoint: w, Peers: &fakePeers{w, node}, Services: w, Limits: w, Counters: w,
-		Keys: reqkey.NewKeys(m, w, self, reqkey.DefaultMaxBody), Now: time.Now,
+		Keys: reqkey.NewKeys(m, w, w, self, reqkey.DefaultMaxBody), Now: time.Now,
 	})
 	c.Gate().SetReady(true)
 	w.chains[node] = c
@@ -81,11 +89,23 @@
 
 func (w *world) apply(e journal.Entry) (err error) {
 	for _, m := range w.machines {
+		if slices.Contains(w.deaf, m) {
+			continue
+		}
 		err = m.Apply(journal.Position{}, e)
 	}
 	return err
 }
 
+// Applied and Confirmed implement journal.Follower.
+func (w *world) Applied() platform.Offset { return 0 }
+func (w *world) Confirmed() time.Time {
+	if w.stale {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
 // Propose implements journal.Proposer. Late entries land before newer ones.
 func (w *world) Propose(ctx context.Context, e journal.Entry) error {
 	fault := w.fault("log")
@@ -133,7 +153,7 @@
 			fault = "broken"
 		}
 	}
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(w.delay)
 	switch fault {
 	case "broken", "lost":
 		return nil, platform.Feedback{}, &platform.AttemptError{Certainty: platform.MayHaveRun, Reason: api.ReasonAnswerBroken, Endpoint: ep.ID}
@@ -187,8 +207,8 @@
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
 	var loads []PeerLoad
-	for node := range p.w.chains {
-		if node != p.self {
+	for node, c := range p.w.chains {
+		if node != p.self && c.settings.DataCentre == p.w.chains[p.self].settings.DataCentre {
 			loads = append(loads, PeerLoad{Node: node, Free: 1})
 		}
 	}
@@ -241,6 +261,12 @@
 	w.counts[group+"/"+string(reason)]++
 }
 
+func (w *world) tickets() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open
+}
+
 func (w *world) ran(id string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -54,9 +54,7 @@
 		return
 	}
 	g.state = GateDraining
-	if g.inFlight == 0 {
-		close(g.idle)
-	}
+	g.closeIfIdle()
 }
 
 // State returns the gate's state.
@@ -100,18 +98,17 @@
 	return nil
 }
 
-// reenter counts work that goes on after its caller was answered.
-func (g *Gate) reenter() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inFlight++
-}
-
 // Leave ends one request.
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight--
+	g.closeIfIdle()
+}
+
+// closeIfIdle needs g.mu. A draining gate takes nothing on, so that it falls
+// idle once.
+func (g *Gate) closeIfIdle() {
 	if g.state == GateDraining && g.inFlight == 0 {
 		close(g.idle)
 	}
