--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,287 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+func testRouter(held ...Held) *Router {
+	r := New(Config{Rand: rand.NewPCG(1, 2)})
+	r.SetEndpoints(time.Now(), held)
+	return r
+}
+
+func mustAcquire(t *testing.T, r *Router, caller string, exclude ...api.EndpointID) *Ticket {
+	t.Helper()
+	ticket, err := r.Acquire(t.Context(), "s", api.ClassInteractive, caller, exclude)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ticket
+}
+
+func wantRefusal(t *testing.T, err error, reason api.Reason) *api.Refusal {
+	t.Helper()
+	var refusal *api.Refusal
+	if !errors.As(err, &refusal) || refusal.Reason != reason || refusal.Outcome != api.OutcomeNotRun {
+		t.Fatalf("error %v, want refusal %s", err, reason)
+	}
+	return refusal
+}
+
+var okResult = Result{Status: 200, Latency: 10 * time.Millisecond, Feedback: platform.Feedback{SlotsBusy: -1}}
+
+// One caller floods the service while others ask now and then.
+func TestFairnessBetweenCallersAndClasses(t *testing.T) {
+	cases := []struct {
+		name               string
+		share              float64
+		interactive, batch int // requests of callers a and b
+		wantA, wantB       int // least of the 30 grants after the flood's first 8
+	}{
+		// One in five to batch, the others in turns of the two callers.
+		{"turns and weights", 1, 10, 10, 10, 5},
+		// The flood's requests take ten times as long: turns alone would give
+		// it nearly all slots. It may hold 4 of 8 while a waits.
+		{"share of the slots", 0.5, 30, 0, 22, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := testRouter(heldEndpoint("e1", "s", 4), heldEndpoint("e2", "s", 4))
+				r.SetService("s", api.ServiceSpec{QueueLength: 60, QueueMs: 60_000, CallerShare: tc.share})
+				granted := make(chan string, 1000)
+				send := func(count int, caller string, class api.Class, took time.Duration) {
+					for range count {
+						go func() {
+							ticket, err := r.Acquire(t.Context(), "s", class, caller, nil)
+							if err != nil {
+								return // displaced from the full queue
+							}
+							granted <- caller
+							time.Sleep(took)
+							ticket.Done(okResult)
+						}()
+					}
+					synctest.Wait()
+				}
+				send(200, "flood", api.ClassInteractive, time.Second)
+				send(tc.interactive, "a", api.ClassInteractive, 100*time.Millisecond)
+				send(tc.batch, "b", api.ClassBatch, 100*time.Millisecond)
+				time.Sleep(time.Minute)
+				count := make(map[string]int)
+				for i := range 8 + 30 {
+					if caller := <-granted; i >= 8 {
+						count[caller]++
+					}
+				}
+				if count["a"] < tc.wantA || count["b"] < tc.wantB {
+					t.Errorf("grants %v, want at least %d of a and %d of b", count, tc.wantA, tc.wantB)
+				}
+			})
+		})
+	}
+}
+
+// Waiters are dropped as soon as their time is over, with a time to return.
+func TestQueueIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := testRouter(heldEndpoint("e1", "s", 1))
+		r.SetService("s", api.ServiceSpec{QueueLength: 2, QueueMs: 300})
+		for range 50 { // the service takes 100 ms
+			ticket := mustAcquire(t, r, "a")
+			ticket.Done(Result{Status: 200, Latency: 100 * time.Millisecond, Feedback: platform.Feedback{SlotsBusy: -1}})
+		}
+		held := mustAcquire(t, r, "a")
+		acquire := func(timeout time.Duration) (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			start := time.Now()
+			_, err := r.Acquire(ctx, "s", api.ClassInteractive, "a", nil)
+			return time.Since(start), err
+		}
+		took, err := acquire(50 * time.Millisecond)
+		refusal := wantRefusal(t, err, api.ReasonDeadlineUnmeetable)
+		if took != 0 || refusal.RetryAfter < 40*time.Millisecond {
+			t.Errorf("refused after %v, retry after %v", took, refusal.RetryAfter)
+		}
+		took, err = acquire(350 * time.Millisecond)
+		wantRefusal(t, err, api.ReasonDeadlineUnmeetable)
+		if took <= 0 || took > 250*time.Millisecond {
+			t.Errorf("dropped after %v, want before the request can't be met", took)
+		}
+		for range 2 {
+			go func() { _, _ = acquire(time.Hour) }()
+		}
+		synctest.Wait()
+		took, err = acquire(time.Hour)
+		wantRefusal(t, err, api.ReasonQueueFull)
+		if took != 0 {
+			t.Errorf("refused after %v", took)
+		}
+		time.Sleep(time.Second)
+		took, err = acquire(time.Hour)
+		wantRefusal(t, err, api.ReasonNoSlot)
+		if took != 300*time.Millisecond {
+			t.Errorf("dropped after %v", took)
+		}
+		held.Release()
+		_, err = r.Acquire(t.Context(), "unknown", api.ClassBatch, "a", nil)
+		wantRefusal(t, err, api.ReasonNoEndpoint)
+	})
+}
+
+// However many endpoints fail, only the bounded share is ejected; each gets
+// one probe at a time, in growing intervals, and comes back when it works.
+func TestEjectionIsBoundedAndProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held []Held
+		for _, id := range []api.EndpointID{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"} {
+			held = append(held, heldEndpoint(id, "s", 8))
+		}
+		var mu sync.Mutex
+		probes := make(map[api.EndpointID][]time.Duration)
+		events := make(map[EventType]int)
+		start := time.Now()
+		r := New(Config{Rand: rand.NewPCG(1, 2), OnEvent: func(e Event) {
+			mu.Lock()
+			defer mu.Unlock()
+			events[e.Type]++
+			if e.Type == EventProbed {
+				probes[e.Endpoint] = append(probes[e.Endpoint], time.Since(start))
+			}
+		}})
+		r.SetEndpoints(time.Now(), held)
+		broken := map[api.EndpointID]bool{"e0": true, "e1": true, "e2": true, "e3": true, "e4": true}
+		most := 0
+		one := func() {
+			ticket := mustAcquire(t, r, "a")
+			time.Sleep(100 * time.Millisecond)
+			result := okResult
+			if broken[ticket.Endpoint().ID] {
+				result.Err = &platform.AttemptError{Certainty: platform.MayHaveRun, Reason: api.ReasonAnswerBroken}
+			}
+			ticket.Done(result)
+		}
+		play := func(rounds int) {
+			for range rounds {
+				var group sync.WaitGroup
+				for range 50 {
+					group.Go(one)
+				}
+				group.Wait()
+				most = max(most, ejected(r))
+			}
+		}
+		play(300)
+		if most != 3 || len(probes) != 3 {
+			t.Errorf("ejected at once %d, want 3 of 10; probes at %v", most, probes)
+		}
+		for _, at := range probes {
+			for i := 2; i < len(at); i++ {
+				if at[i]-at[i-1] < 3*(at[i-1]-at[i-2])/2 {
+					t.Errorf("probes at %v, want growing intervals", at)
+				}
+			}
+		}
+		clear(broken)
+		play(1200)
+		if ejected(r) != 0 || events[EventRestored] != 3 {
+			t.Errorf("events %v, ejected %d, want all three back", events, ejected(r))
+		}
+	})
+}
+
+func ejected(r *Router) int {
+	view, _ := r.Explain("s")
+	out := 0
+	for _, e := range view.Endpoints {
+		if e.Ejected {
+			out++
+		}
+	}
+	return out
+}
+
+// Words that an endpoint leaves and refusals are believed at once; a lagging
+// list doesn't undo the former.
+func TestLeavingAndRefusalsCountAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := []Held{heldEndpoint("e1", "s", 8), heldEndpoint("e2", "s", 8)}
+		r := testRouter(held...)
+		mustAcquire(t, r, "a", "e2").Done(refusedResult("e1", true))
+		r.SetEndpoints(time.Now(), held)
+		other := mustAcquire(t, r, "a", "e1")
+		other.Done(refusedResult("e2", false))
+		if free := r.Free("s"); free != 0 {
+			t.Errorf("free %d, want 0 with one leaving and one that refused", free)
+		}
+		start := time.Now()
+		ticket := mustAcquire(t, r, "a")
+		if waited := time.Since(start); ticket.Endpoint().ID != "e2" || waited < DefaultRefusalBackoff {
+			t.Errorf("got %s after %v", ticket.Endpoint().ID, waited)
+		}
+		ticket.Done(okResult)
+		held[1].Endpoint.Leaving = true
+		r.SetEndpoints(time.Now(), held)
+		_, err := r.Acquire(t.Context(), "s", api.ClassInteractive, "a", nil)
+		wantRefusal(t, err, api.ReasonNoEndpoint)
+	})
+}
+
+// A hold that runs out by itself leaves its floor; tickets beyond it are no
+// longer valid, and an endpoint given up is idle when the last one is done.
+func TestHoldLapsesAndIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := heldEndpoint("e1", "s", 8)
+		h.Until, h.Floor = time.Now().Add(time.Second), 2
+		r := testRouter(h)
+		tickets := make([]*Ticket, 3)
+		for i := range tickets {
+			tickets[i] = mustAcquire(t, r, "a")
+		}
+		time.Sleep(2 * time.Second)
+		if tickets[0].Valid(time.Now()) || r.Free("s") != 0 {
+			t.Error("three in flight are valid past the hold's end, with a floor of two")
+		}
+		tickets[2].Release()
+		if !tickets[0].Valid(time.Now()) {
+			t.Error("within the floor, want valid")
+		}
+		h.Until, h.Floor = time.Time{}, 0
+		h.SlotLimit = 0
+		r.SetEndpoints(time.Now(), []Held{h})
+		_, err := r.Acquire(t.Context(), "s", api.ClassInteractive, "a", nil)
+		wantRefusal(t, err, api.ReasonHoldUnconfirmed)
+		r.SetEndpoints(time.Now(), nil)
+		idle := make(chan error, 1)
+		go func() { idle <- r.WaitIdle(t.Context(), []api.EndpointID{"e1"}) }()
+		tickets[0].Done(okResult)
+		synctest.Wait()
+		if len(idle) != 0 || r.InFlight() != 1 || tickets[1].Valid(time.Now()) {
+			t.Errorf("idle %d, in flight %d", len(idle), r.InFlight())
+		}
+		tickets[1].Done(okResult)
+		tickets[1].Done(okResult)
+		if err := <-idle; err != nil || r.InFlight() != 0 {
+			t.Errorf("idle: %v, in flight %d", err, r.InFlight())
+		}
+	})
+}
+
+func TestConfigFindingsAreCollected(t *testing.T) {
+	var findings finding.List
+	Config{EjectShare: 2, QueueTime: -1}.Validate("router", &findings)
+	if len(findings.Findings) != 2 {
+		t.Errorf("findings: %v", findings.Err())
+	}
+}
