--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -71,10 +71,11 @@
 	var bestCost float64
 	for range sampleSize {
 		e := endpoints[c.rand.IntN(len(endpoints))]
-		if !usable(now, e, f, d) {
+		free := usable(now, e, f, d)
+		if free == 0 {
 			continue
 		}
-		cost := e.cost(now, f)
+		cost := e.cost(now, free, f)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -94,10 +95,11 @@
 			at -= n
 		}
 		e := endpoints[at]
-		if !usable(now, e, f, d) {
+		free := usable(now, e, f, d)
+		if free == 0 {
 			continue
 		}
-		cost := e.cost(now, f)
+		cost := e.cost(now, free, f)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -105,29 +107,31 @@
 	return best
 }
 
-// usable reports whether e may be given a request of demand d.
-func usable(now time.Duration, e *endpoint, f fleet, d demand) bool {
-	if e.free(now) == 0 || e.excluded(d.exclude) {
-		return false
+// usable returns the slots of e that a request of demand d may take one of.
+func usable(now time.Duration, e *endpoint, f fleet, d demand) int {
+	free := e.free(now)
+	if free == 0 || e.excluded(d.exclude) {
+		return 0
 	}
 	if d.deadline == noExpiry || f.latency == 0 {
-		return true
+		return free
 	}
 	expected := e.health.expectedLatency(now, f.halfLife, f.latency)
-	if expected < slowFactor*f.latency {
-		return true
+	if expected >= slowFactor*f.latency && now+seconds(expected) > d.deadline {
+		return 0
 	}
-	return now+seconds(expected) <= d.deadline
+	return free
 }
 
-// cost is the load that e would have with one more request, weighed by how
-// long it takes and how often it fails. A probe costs nothing.
-func (e *endpoint) cost(now time.Duration, f fleet) float64 {
+// cost is the load that e, with the given slots free, would have with one more
+// request, weighed by how long it takes and how often it fails. A probe costs
+// nothing.
+func (e *endpoint) cost(now time.Duration, free int, f fleet) float64 {
 	if e.health.standing == standingEjected {
 		return 0
 	}
 	limit := e.limit(now)
-	load := float64(limit-e.room(now)+1) / float64(limit)
+	load := float64(limit-free+1) / float64(limit)
 	latency := e.health.expectedLatency(now, f.halfLife, f.latency)
 	return load * (latency + minLatency) * e.health.penalty(now, f.halfLife)
 }
--- a/internal/router/shard.go
+++ b/internal/router/shard.go
@@ -26,6 +26,8 @@
 	inFlight  int                          // requests
 	perCaller map[string]int               // requests in flight
 	queue     fairQueue
+	starved   bool // no endpoint was usable at the last dispatch
+	sound     slotCount
 	wake      *time.Timer // dispatches again while requests wait; nil when none do
 	events    []Event     // to be told when the lock is released
 }
@@ -109,6 +111,7 @@
 		}
 	}
 	s.held = held
+	s.sound = slotCount{}
 	s.countEjected()
 	s.dispatch(now)
 }
@@ -161,14 +164,28 @@
 	return total
 }
 
-// slots returns the requests that all sound endpoints may have in flight.
+// slotCount is a count that is good for slotCountAge.
+type slotCount struct {
+	slots int
+	until time.Duration
+}
+
+// slotCountAge bounds how stale the estimates of waits may be.
+const slotCountAge = 10 * time.Millisecond
+
+// slots returns the requests that all sound endpoints may have in flight, as
+// of at most slotCountAge ago.
 func (s *shard) slots(now time.Duration) int {
+	if now < s.sound.until {
+		return s.sound.slots
+	}
 	total := 0
 	for _, e := range s.held {
 		if !e.leaving(now) && e.health.standing == standingGood {
 			total += e.limit(now)
 		}
 	}
+	s.sound = slotCount{slots: total, until: now + slotCountAge}
 	return total
 }
 
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -69,6 +69,7 @@
 		return nil, api.NotRun(api.ReasonNoEndpoint, s.jitter(s.router.cfg.NoEndpointRetry), "no endpoint of the service is held here")
 	}
 	if s.queue.length == 0 {
+		s.starved = false
 		e := s.chooser.choose(now, s.held, s.fleet(), w.demand)
 		if e != nil {
 			return s.take(now, e, w.caller), nil
@@ -78,7 +79,11 @@
 		return nil, refusal
 	}
 	s.queue.push(w)
-	s.dispatch(now)
+	if s.starved {
+		s.scheduleWake()
+	} else {
+		s.dispatch(now)
+	}
 	return nil, nil
 }
 
@@ -222,7 +227,8 @@
 // nextWaiter takes out the next waiter that has an endpoint or must be
 // dropped; the latter is settled. Callers within their share go first.
 func (s *shard) nextWaiter(now time.Duration) *waiter {
-	if s.chooser.choose(now, s.held, s.fleet(), demand{deadline: noExpiry}) == nil {
+	s.starved = s.chooser.choose(now, s.held, s.fleet(), demand{deadline: noExpiry}) == nil
+	if s.starved {
 		return nil
 	}
 	limit := s.callerLimit(now)
