A request that can't be written doesn't count against the endpoint

Cause: a header that net/http refuses to write was reported as connect_failed, which pauses and ejects the endpoint: one caller could have taken endpoints out of service with spoilt requests. Change: when the transport asked for no connection the reason is malformed. A changed record of a service also dispatches its waiters at once.

--- a/internal/platform/httpendpoint/attempt.go
+++ b/internal/platform/httpendpoint/attempt.go
@@ -151,18 +151,21 @@
 	timedOut := errors.Is(cause, context.DeadlineExceeded)
 	abandoned := cause != nil && !timedOut && !errors.Is(cause, errRepeat)
 	if a.written.Load() == 0 {
-		return attemptError(ep, platform.CertainNotRun, unsentReason(timedOut, abandoned), err)
+		return attemptError(ep, platform.CertainNotRun, a.unsentReason(timedOut, abandoned), err)
 	}
 	return attemptError(ep, platform.MayHaveRun, sentReason(timedOut, abandoned, err), err)
 }
 
-// unsentReason returns the reason of an attempt that wrote nothing.
-func unsentReason(timedOut, abandoned bool) api.Reason {
+// unsentReason returns the reason of an attempt that wrote nothing. When not
+// even a connection was asked for, the request itself is at fault.
+func (a *attempt) unsentReason(timedOut, abandoned bool) api.Reason {
 	switch {
 	case timedOut:
 		return api.ReasonDeadlinePassed
 	case abandoned:
 		return api.ReasonCallerGone
+	case a.dials == 0:
+		return api.ReasonMalformed
 	default:
 		return api.ReasonConnectFailed
 	}
--- a/internal/platform/httpendpoint/attempt_test.go
+++ b/internal/platform/httpendpoint/attempt_test.go
@@ -202,6 +202,11 @@
 		t.Fatalf("answer %+v error %v", answer, err)
 	}
 
+	// A request that can't be written says nothing about the endpoint.
+	spoilt := &api.Request{Method: "GET", Path: "/", Header: map[string]string{"A": "b\nc"}}
+	_, _, err = client.Attempt(t.Context(), ep, 1, spoilt, maxAnswer)
+	wantFailure(t, err, platform.CertainNotRun, api.ReasonMalformed)
+
 	_, _, err = client.Attempt(t.Context(), api.Endpoint{ID: "e3", Address: "127.0.0.1:1"}, 1, req, maxAnswer)
 	wantFailure(t, err, platform.CertainNotRun, api.ReasonConnectFailed)
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,7 @@
 	s.mu.Lock()
 	defer s.unlock()
 	s.setSpec(spec)
+	s.dispatch(r.now())
 }
 
 // SetEndpoints replaces the endpoints that this entry VM holds. An endpoint
