Hold VMs only for large starved tasks, and retry holds and nominations

Failed first: a task as large as a VM waited for ever under a flood of small ones, as the flood's own backlog took the holds; work refused for an accelerator's headroom came in through a preemption without victims; a nomination given up was not made again, as the shape stayed blocked; a short job was answered by the verdict of a longer one of its shape. Change: a hold needs a task larger than the usual start; jobs that found no place for a hold are listed and tried when one is given up; a VM with room is no place for victims; verdicts reached while VMs were held answer only for run times as long. Ruled out: a hold for every starved job, which under overload holds the fleet for its smallest tasks.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -29,26 +29,34 @@
 	at    time.Time // expected start
 }
 
-// starves reports whether j has waited long enough to have a VM held.
+// starves reports whether j has waited long enough to have a VM held, and is
+// larger than what starts otherwise, so that what ends seldom makes room.
 func (c *cycle) starves(j *jobState) bool {
-	return c.now.Sub(j.since) >= c.cfg.StarveAfter
+	return c.now.Sub(j.since) >= c.cfg.StarveAfter && c.world.usual.exceededBy(j.need())
 }
 
 // wantsHold reports whether j should be searched for although its shape is
 // blocked, because a hold may be had for it.
 func (c *cycle) wantsHold(j *jobState) bool {
-	return j.hold == nil && len(c.world.holds) < c.cfg.MaxHolds && c.starves(j)
+	return j.hold == nil && c.starves(j) && len(c.world.holds) < c.cfg.MaxHolds
 }
 
-// renewHolds lets jobs whose holds can no longer come true be tried again.
-func (w *World) renewHolds(now time.Time) {
+// renewHolds lets jobs be tried again whose holds can no longer come true,
+// and as many as may now have the hold that they found no place for.
+func (w *World) renewHolds(now time.Time, most int) {
+	for len(w.wantHold) > 0 && most > len(w.holds) {
+		j := w.wantHold[0]
+		w.wantHold = w.wantHold[1:]
+		if j.queue != nil && j.hold == nil {
+			w.retryShape(j.queue.shape)
+			most--
+		}
+	}
 	for _, h := range w.holds {
 		if h.valid(now) {
 			continue
 		}
-		s := h.job.queue.shape
-		s.unblock()
-		w.blocked = slices.DeleteFunc(w.blocked, func(o *shape) bool { return o == s })
+		w.retryShape(h.job.queue.shape)
 	}
 }
 
@@ -61,6 +69,7 @@
 	}
 	w.dropHold(j)
 	if len(w.holds) >= c.cfg.MaxHolds && !w.displaceHold(j) {
+		w.wantHold = append(w.wantHold, j)
 		return
 	}
 	parts, at := c.planHold(j, tasks)
--- a/internal/scheduler/park.go
+++ b/internal/scheduler/park.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "slices"
+
 // A queue whose head found no place is parked: on its shape when capacity is
 // short, on its team when the quota is. What frees either makes it ready.
 
@@ -96,6 +98,12 @@
 	w.blocked = kept
 }
 
+// retryShape lets the jobs of s be tried although nothing was freed.
+func (w *World) retryShape(s *shape) {
+	s.unblock()
+	w.blocked = slices.DeleteFunc(w.blocked, func(o *shape) bool { return o == s })
+}
+
 func (s *shape) unblock() {
 	s.blocked = false
 	for _, q := range s.parked {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -123,8 +123,18 @@
 	return best.vm, best.victims
 }
 
+// mayMakeRoom reports whether victims on v could help j. A VM with room was
+// refused on another ground, which stopping victims doesn't change; VMs with
+// accelerators are left to work that needs them, unless j is urgent.
 func (c *cycle) mayMakeRoom(j *jobState, v *vmState) bool {
-	return j.need().Fits(v.spare().Add(v.evictable)) && !j.Avoid[v.ID] && j.spreadAllows(v)
+	need := j.need()
+	switch {
+	case need.Fits(v.spare()) || !need.Fits(v.spare().Add(v.evictable)):
+		return false
+	case need.Accelerators == 0 && v.Capacity.Accelerators > 0 && !j.isUrgent():
+		return false
+	}
+	return !j.Avoid[v.ID] && j.spreadAllows(v)
 }
 
 // bidOn picks the cheapest victims under a priority that make room for need
@@ -196,7 +206,7 @@
 		}
 		w.dropNomination(n)
 		if q := n.job.queue; q != nil {
-			q.owner.makeReady(q)
+			w.retryShape(q.shape)
 		}
 	}
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -57,6 +57,7 @@
 		reserved:       true,
 	}
 	w.hold(h)
+	w.usual.add(h.resources)
 	w.queue.setPending(j, j.pending[1:])
 	j.since = now
 	switch {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,7 +59,7 @@
 	}
 	w.requeueCondemned()
 	w.expireNominations(c.now)
-	w.renewHolds(c.now)
+	w.renewHolds(c.now, c.cfg.MaxHolds)
 	w.wake()
 	w.queue.promote(c.now, c.cfg.AgeStep)
 }
@@ -89,7 +89,7 @@
 		c.startProbe(j, v)
 		return
 	}
-	if j.queue.shape.blocked && !c.wantsHold(j) {
+	if j.queue.shape.answersFor(j) && !c.wantsHold(j) {
 		j.queue.verdict = j.queue.shape.verdict
 		c.world.parkOnCapacity(j.queue)
 		return
@@ -122,6 +122,10 @@
 		c.holdFor(j, 1)
 	}
 	c.wait(j, found.verdict(c.world, j))
+	j.queue.shape.shortest = 0
+	if found.held > 0 {
+		j.queue.shape.shortest = j.runTime()
+	}
 	c.world.parkOnCapacity(j.queue)
 }
 
--- a/internal/scheduler/shape.go
+++ b/internal/scheduler/shape.go
@@ -26,6 +26,15 @@
 	judged  uint64 // judgement of the World at which it could run, plus 1
 	verdict verdict
 	parked  []*shapeQueue
+	// shortest is the run time searched for in vain while VMs with room were
+	// held, for which a shorter job may still have them; 0: none were.
+	shortest time.Duration
+}
+
+// answersFor reports whether the cached verdict of s holds for j too.
+func (s *shape) answersFor(j *jobState) bool {
+	shorter := j.runTime() > 0 && j.runTime() < s.shortest
+	return s.blocked && !shorter
 }
 
 func keyOf(j *jobState) shapeKey {
--- a/internal/scheduler/world.go
+++ b/internal/scheduler/world.go
@@ -35,6 +35,8 @@
 	probeCursor int
 	retry       []*shapeQueue // to be tried again next cycle
 	holds       []*hold
+	wantHold    []*jobState // found no place for a hold
+	usual       usualNeed
 	nominations []*nomination
 }
 
@@ -52,6 +54,33 @@
 	}
 }
 
+// usualNeed is a moving average of what started tasks need.
+type usualNeed struct {
+	milliCPU     float64
+	memoryMB     float64
+	accelerators float64
+}
+
+const (
+	// usualWeight is the weight of one start in the average.
+	usualWeight = 1.0 / 64
+	// largeFactor is by how much a large need exceeds the average.
+	largeFactor = 1.5
+)
+
+func (u *usualNeed) add(r api.Resources) {
+	u.milliCPU += usualWeight * (float64(r.MilliCPU) - u.milliCPU)
+	u.memoryMB += usualWeight * (float64(r.MemoryMB) - u.memoryMB)
+	u.accelerators += usualWeight * (float64(r.Accelerators) - u.accelerators)
+}
+
+// exceededBy reports whether r is large in any resource.
+func (u *usualNeed) exceededBy(r api.Resources) bool {
+	return float64(r.MilliCPU) > largeFactor*u.milliCPU ||
+		float64(r.MemoryMB) > largeFactor*u.memoryMB ||
+		float64(r.Accelerators) > largeFactor*u.accelerators
+}
+
 // Totals sums up a World.
 type Totals struct {
 	VMs          int
