--- /dev/null
+++ b/internal/cell/bench_test.go
@@ -0,0 +1,144 @@
+package cell_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// BenchmarkStartCycle applies the life of tasks in entries of 25: started,
+// seen running, ended. 25 starts an entry is 5,000 a second in 200 appends.
+func BenchmarkStartCycle(b *testing.B) {
+	m, w := benchState(b, 1700, 42_000)
+	const perEntry = 25
+	bytes, starts := 0, 0
+	apply := func(e journal.Entry) {
+		bytes += len(e.Body)
+		if err := w.apply(m, e); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := 0; b.Loop(); i++ {
+		job := fmt.Sprintf("burst-%d", i)
+		_ = w.apply(m, cell.SubmitEntry(benchSpec(job, perEntry), 0))
+		var list []cell.Start
+		for index := range uint32(perEntry) {
+			list = append(list, benchStart(job, index, 1, vmName((i*perEntry+int(index))%1700)))
+		}
+		e, _ := m.StartEntry(1, list)
+		apply(e)
+		apply(m.ReportEntry(1, reports(list, cell.ReportRunning)))
+		apply(m.ReportEntry(1, reports(list, cell.ReportSucceeded)))
+		starts += perEntry
+	}
+	b.ReportMetric(float64(starts)/b.Elapsed().Seconds(), "starts/s")
+	b.ReportMetric(float64(bytes)/float64(starts), "bytes/start-to-end")
+}
+
+// BenchmarkStartEntry measures the entries of starts alone.
+func BenchmarkStartEntry(b *testing.B) {
+	for _, perJob := range []int{1, 25} {
+		b.Run(fmt.Sprintf("%d-of-a-job", perJob), func(b *testing.B) {
+			m, w := benchState(b, 1700, 42_000)
+			const perEntry = 25
+			bytes, starts := 0, 0
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				var list []cell.Start
+				for k := range perEntry {
+					job := fmt.Sprintf("burst-%d-%d", i, k/perJob)
+					if k%perJob == 0 {
+						_ = w.apply(m, cell.SubmitEntry(benchSpec(job, uint32(perJob)), 0))
+					}
+					list = append(list, benchStart(job, uint32(k%perJob), 1, vmName((i*perEntry+k)%1700)))
+				}
+				b.StartTimer()
+				e, _ := m.StartEntry(1, list)
+				if err := w.apply(m, e); err != nil {
+					b.Fatal(err)
+				}
+				b.StopTimer()
+				bytes += len(e.Body)
+				starts += perEntry
+				_ = w.apply(m, m.ReportEntry(1, reports(list, cell.ReportSucceeded)))
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(starts)/b.Elapsed().Seconds(), "starts/s")
+			b.ReportMetric(float64(bytes)/float64(starts), "bytes/start")
+		})
+	}
+}
+
+func reports(starts []cell.Start, ending cell.Ending) []cell.Report {
+	list := make([]cell.Report, len(starts))
+	for i, s := range starts {
+		list[i] = cell.Report{Task: s.Task, Attempt: s.Attempt, Ending: ending}
+	}
+	return list
+}
+
+// BenchmarkCancelWave cancels 100,000 pending jobs of 50 tasks, 1,000 to an
+// entry; an operation is one job.
+func BenchmarkCancelWave(b *testing.B) {
+	const wave, perEntry = 100_000, 1000
+	for b.Loop() {
+		b.StopTimer()
+		m, w := newMachine()
+		ids := make([]api.JobID, wave)
+		for i := range ids {
+			ids[i] = api.JobID(fmt.Sprintf("wave-%06d", i))
+			_ = w.apply(m, cell.SubmitEntry(benchSpec(string(ids[i]), 50), 0))
+		}
+		b.StartTimer()
+		for i := 0; i < wave; i += perEntry {
+			if err := w.apply(m, cell.CancelEntry(ids[i:i+perEntry], 0)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/wave, "ns/job")
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range []struct{ vms, tasks int }{{1700, 42_000}, {18_000, 460_000}} {
+		b.Run(fmt.Sprintf("%d-running", size.tasks), func(b *testing.B) {
+			before := heap()
+			m, w := benchState(b, size.vms, size.tasks)
+			perTask := float64(heap()-before) / float64(size.tasks)
+			var image []byte
+			for b.Loop() {
+				image, _ = m.Snapshot()
+			}
+			b.ReportMetric(float64(len(image)), "snapshot-bytes")
+			b.ReportMetric(perTask, "heap-bytes/task")
+			runtime.KeepAlive(m)
+			_ = w
+		})
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	for _, size := range []struct{ vms, tasks int }{{1700, 42_000}, {18_000, 460_000}} {
+		b.Run(fmt.Sprintf("%d-running", size.tasks), func(b *testing.B) {
+			m, w := benchState(b, size.vms, size.tasks)
+			image, _ := m.Snapshot()
+			for b.Loop() {
+				if err := cell.New(w, nil).Restore(image); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
