Wire the request keys to the follower that confirms the log

Cause: reqkey now asks whether the log was read to its end before it says that an id has no mark. Change: the data centre's replica is passed as the follower.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -194,7 +194,7 @@
 			self: s.NodeID, address: n.advertised(),
 			members: n.members, owners: n.streams.owners, client: n.handovers,
 		},
-		Keys:     reqkey.NewKeys(n.streams.marks, n.streams.cell, n.origin, reqkey.DefaultMaxBody),
+		Keys:     reqkey.NewKeys(n.streams.marks, n.streams.cell, n.streams.cell, n.origin, reqkey.DefaultMaxBody),
 		Services: records{configs: n.streams.configs},
 		Limits:   records{configs: n.streams.configs},
 		Counters: n.counters,
--- a/internal/platform/httplog/client_test.go
+++ b/internal/platform/httplog/client_test.go
@@ -112,11 +112,16 @@
 func TestUnclearAnswersAreUncertain(t *testing.T) {
 	answers := map[string]http.HandlerFunc{
 		"503 of somebody else": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
-		"redirect":             func(w http.ResponseWriter, req *http.Request) { http.Redirect(w, req, "/", http.StatusTemporaryRedirect) },
-		"not JSON":             func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") },
-		"endless":              func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) },
-		"half":                 func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "99"); _, _ = io.WriteString(w, "{") },
-		"too late":             func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() },
+		"redirect": func(w http.ResponseWriter, req *http.Request) {
+			http.Redirect(w, req, "/", http.StatusTemporaryRedirect)
+		},
+		"not JSON": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") },
+		"endless":  func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) },
+		"half": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "99")
+			_, _ = io.WriteString(w, "{")
+		},
+		"too late": func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() },
 	}
 	for name, handler := range answers {
 		t.Run(name, func(t *testing.T) {
