--- a/internal/config/machine_test.go
+++ b/internal/config/machine_test.go
@@ -183,6 +183,57 @@
 	}
 }
 
+// TestRecordsKeptForOtherBinaries: a binary that knows version 9 but not 10
+// finds the newest record of version 9 in a snapshot of this one.
+func TestRecordsKeptForOtherBinaries(t *testing.T) {
+	m := NewMachine()
+	for i, version := range []int{1, 9, 10, 9, 10, 1} {
+		must(t, apply(m, "", service("a", version, api.Revision(i), fmt.Sprintf(`{"timeout_ms":%d}`, i+1))))
+	}
+	var kept []api.Revision
+	for _, s := range m.tables.get(Key{Kind: api.KindService, Name: "a"}).records {
+		kept = append(kept, s.Revision)
+	}
+	if want := []api.Revision{4, 5, 6}; !reflect.DeepEqual(kept, want) {
+		t.Fatalf("kept revisions %v, want %v", kept, want)
+	}
+}
+
+// TestDeletionsAreForgottenAlike fills the memory of deletions and compares a
+// machine with one that was restored from its snapshot.
+func TestDeletionsAreForgottenAlike(t *testing.T) {
+	live := NewMachine()
+	deletion := func(name string, basedOn api.Revision) api.Record {
+		return api.Record{Kind: api.KindService, Name: name, SchemaVersion: 1, BasedOn: basedOn, Deleted: true}
+	}
+	must(t, apply(live, "", service("again", 1, 0, `{}`)))
+	must(t, apply(live, "", deletion("again", 1)))
+	must(t, apply(live, "", service("again", 1, 2, `{}`)))
+	must(t, apply(live, "", service("gone", 1, 0, `{}`)))
+	must(t, apply(live, "", deletion("gone", 4)))
+	must(t, apply(live, "", service("last", 1, 0, `{}`)))
+	must(t, apply(live, "", service("last but one", 1, 0, `{}`)))
+	for len(live.tombstones) < keptTombstones {
+		live.tombstones = append(live.tombstones, tombstone{Key: Key{Kind: "filler", Name: "f"}})
+	}
+	data, err := live.Snapshot()
+	must(t, err)
+	restored := NewMachine()
+	must(t, restored.Restore(data))
+	for _, m := range []*Machine{live, restored} {
+		must(t, apply(m, "", deletion("last but one", 7)))
+		if _, ok := m.Service("again"); !ok {
+			t.Error("a key that exists again was forgotten")
+		}
+		var conflict *ConflictError
+		if err := apply(m, "x", service("gone", 1, 0, `{}`)); !errors.As(err, &conflict) {
+			t.Errorf("a remembered deletion was undone: %v", err)
+		}
+		must(t, apply(m, "", deletion("last", 6)))
+		must(t, apply(m, "y", service("gone", 1, 0, `{}`)))
+	}
+}
+
 func TestViewsFallBackAndNamesOfJobsAreUnique(t *testing.T) {
 	m := NewMachine()
 	changed, cancel := m.Notify()
