--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -4,13 +4,14 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
 )
 
 // BenchmarkApply measures the acceptance of new batch jobs, what each keeps
-// in memory and what it takes in a snapshot.
+// in memory, what it takes in a snapshot and to restore.
 func BenchmarkApply(b *testing.B) {
 	m := NewMachine()
 	entries := make([]journal.Entry, b.N)
@@ -35,6 +36,9 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "heap-B/record")
 	b.ReportMetric(float64(len(data))/float64(b.N), "snapshot-B/record")
 	runtime.KeepAlive(entries)
+	start := time.Now()
+	must(b, NewMachine().Restore(data))
+	b.ReportMetric(float64(time.Since(start).Nanoseconds())/float64(b.N), "restore-ns/record")
 }
 
 // BenchmarkService measures the read on the path of each request.
