Ejection that requests failing everywhere can't provoke

Cause: five failures in a row, or a small sample above the margin, made an endpoint an outlier even where a fifth of the requests fail on every endpoint: one caller's spoilt requests, or its too short timeouts, kept the whole share of ejections in use. Ruled out: counting failures by caller (state for each pair of caller and endpoint); a larger minimum sample (slow for a real fault). Change: a run of failures counts when its chance at the others' rate is below 1e-6, a rate when it is also 4 standard deviations above it, and a timeout only when the endpoint had the time that most requests take.

--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -123,8 +123,8 @@
 // roundingSlack keeps a product such as 0.3*10 from being rounded down to 2.
 const roundingSlack = 1e-9
 
-// shouldEject decides after a failure whether an endpoint is an
-// outlier among the others and may be ejected: ejected of total already are.
+// shouldEject decides after a failure whether an endpoint is an outlier among
+// the others and may be ejected: ejected of total already are.
 func (o outlierRule) shouldEject(h *health, others rate, ejected, total int) bool {
 	if h.standing != standingGood {
 		return false
@@ -132,20 +132,45 @@
 	if ejected+1 > int(o.maxShare*float64(total)+roundingSlack) {
 		return false
 	}
+	return o.failsMore(h.rate, others.share()) || o.failsInARow(h.streak, others.share())
+}
+
+const (
+	// outlierDeviations is how many standard deviations an outlier's rate of
+	// failures is above that of the others.
+	outlierDeviations = 4
+	// minVariance keeps single failures in a sound fleet from counting much.
+	minVariance = 0.01
+	// minFleetShare is taken for the others' rate when they hardly fail.
+	minFleetShare = 0.001
+	// maxRunChance is the chance of a run of failures at the others' rate
+	// below which it is no accident.
+	maxRunChance = 1e-6
+)
+
+// failsMore reports whether own results are so much worse than the others'
+// that chance doesn't explain it, as when some requests fail everywhere.
+func (o outlierRule) failsMore(own rate, others float64) bool {
 	// The counts decay from the first result on, hence the tolerance.
-	if h.rate.count() < o.samples-0.5 {
+	if own.count() < o.samples-0.5 {
 		return false
 	}
-	return h.recentShare(o.samples) >= others.share()+o.margin
+	excess := own.share() - others
+	if excess < o.margin {
+		return false
+	}
+	deviation := math.Sqrt((others*(1-others) + minVariance) / own.count())
+	return excess >= outlierDeviations*deviation
 }
 
-// recentShare returns the share of failures, or 1 when the last results were
-// all failures: the counts of better times don't cover up a sudden fault.
-func (h *health) recentShare(samples float64) float64 {
-	if float64(h.streak) >= samples {
-		return 1
+// failsInARow reports whether a run of failures is no accident. It finds a
+// sudden fault that the good results of earlier times would cover up.
+func (o outlierRule) failsInARow(streak int, others float64) bool {
+	if float64(streak) < o.samples {
+		return false
 	}
-	return h.rate.share()
+	chance := math.Pow(max(others, minFleetShare), float64(streak))
+	return chance <= maxRunChance
 }
 
 // observe counts a result.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -161,13 +161,17 @@
 			}
 		}})
 		r.SetEndpoints(time.Now(), held)
-		broken := map[api.EndpointID]bool{"e0": true, "e1": true, "e2": true, "e3": true, "e4": true}
+		broken := make(map[api.EndpointID]bool)
+		source, spoilt := rand.New(rand.NewPCG(5, 6)), 0.2
 		most := 0
 		one := func() {
 			ticket := mustAcquire(t, r, "a")
 			time.Sleep(100 * time.Millisecond)
 			result := okResult
-			if broken[ticket.Endpoint().ID] {
+			mu.Lock()
+			fails := source.Float64() < spoilt
+			mu.Unlock()
+			if fails || broken[ticket.Endpoint().ID] {
 				result.Err = &platform.AttemptError{Certainty: platform.MayHaveRun, Reason: api.ReasonAnswerBroken}
 			}
 			ticket.Done(result)
@@ -182,6 +186,14 @@
 				most = max(most, ejected(r))
 			}
 		}
+		play(1000)
+		if most != 0 {
+			t.Errorf("ejected %d for requests that fail everywhere", most)
+		}
+		spoilt = 0
+		for _, id := range []api.EndpointID{"e0", "e1", "e2", "e3", "e4"} {
+			broken[id] = true
+		}
 		play(300)
 		if most != 3 || len(probes) != 3 {
 			t.Errorf("ejected at once %d, want 3 of 10; probes at %v", most, probes)
--- a/internal/router/ticket.go
+++ b/internal/router/ticket.go
@@ -112,6 +112,12 @@
 	}
 }
 
+// hasty reports whether the caller gave the endpoint less time than most
+// requests of the service take.
+func (s *shard) hasty(r Result) bool {
+	return r.Err != nil && r.Err.Reason == api.ReasonAnswerTimeout && r.Latency < s.latency.most()
+}
+
 // learn applies a result to the endpoint's state.
 func (t *Ticket) learn(now time.Duration, r Result) {
 	s, e := t.shard, t.endpoint
@@ -120,6 +126,9 @@
 	}
 	e.noteBusy(now, s.router.cfg.BusyAge, r.Feedback.SlotsBusy)
 	v := judge(r)
+	if v == verdictFailed && s.hasty(r) {
+		v = verdictNone
+	}
 	switch v {
 	case verdictNone:
 		if t.probe {
