--- a/internal/router/experiment_test.go
+++ b/internal/router/experiment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -99,7 +100,14 @@
 type tally struct {
 	sent, good, failed, late, refused, retries int
 	most                                       int
-	faultyRan                                  int // at the first endpoint, after the fault
+	faultyRan                                  int             // at the first endpoint, after the fault
+	waits                                      []time.Duration // of good requests, with the service time
+}
+
+// p99 is the time within which 99 of 100 good requests are answered.
+func (s tally) p99() time.Duration {
+	slices.Sort(s.waits)
+	return s.waits[len(s.waits)*99/100].Round(time.Millisecond)
 }
 
 // run runs the experiment in a bubble of virtual time.
@@ -141,6 +149,7 @@
 	}
 	start := time.Now()
 	one := func() {
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), modelDeadline)
 		defer cancel()
 		outcome := &sum.refused
@@ -174,6 +183,9 @@
 		if x.fault != nil || outcome != &sum.good || time.Since(start) <= x.length {
 			*outcome++
 		}
+		if outcome == &sum.good {
+			sum.waits = append(sum.waits, time.Since(sent))
+		}
 	}
 
 	capacity := float64(x.endpoints*modelSlots) / modelMean.Seconds()
@@ -225,10 +237,10 @@
 		for _, load := range []float64{1, 1.5, 2, 4} {
 			ours := experiment{policy: PolicyLeastLoaded, endpoints: endpoints, backlog: backlog, load: load, length: length}.run(t)
 			base := experiment{policy: PolicyBaseline, endpoints: endpoints, backlog: backlog, load: load, length: length}.run(t)
-			t.Logf("backlog %v load %.1f: goodput of capacity %.3f, baseline %.3f, ratio %.2f; late %d, baseline %d; retries %d, baseline %d",
-				backlog, load, float64(ours.good)/capacity, float64(base.good)/capacity, float64(ours.good)/float64(base.good), ours.late, base.late, ours.retries, base.retries)
+			t.Logf("backlog %v load %.1f: goodput of capacity %.3f, baseline %.3f, ratio %.2f; 99th percentile %v, baseline %v; late %d, baseline %d; retries %d, baseline %d",
+				backlog, load, float64(ours.good)/capacity, float64(base.good)/capacity, float64(ours.good)/float64(base.good), ours.p99(), base.p99(), ours.late, base.late, ours.retries, base.retries)
 			if float64(ours.good) < 0.9*capacity || ours.late > ours.sent/100 || ours.most > modelSlots {
-				t.Errorf("load %.1f: %+v", load, ours)
+				t.Errorf("load %.1f: good %d late %d most %d", load, ours.good, ours.late, ours.most)
 			}
 		}
 	}
