--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -12,6 +12,7 @@
 	until    time.Duration // SlotLimit holds before it; noExpiry: until the next refresh
 	inFlight int
 	health   health
+	contact  contact
 
 	leavingUntil time.Duration // the endpoint said so itself
 	blockedUntil time.Duration // after a refusal or a failed connect
--- a/internal/router/ticket.go
+++ b/internal/router/ticket.go
@@ -121,6 +121,7 @@
 // learn applies a result to the endpoint's state.
 func (t *Ticket) learn(now time.Duration, r Result) {
 	s, e := t.shard, t.endpoint
+	e.contact.note(now, r)
 	if r.Feedback.Leaving {
 		s.markLeaving(now, e)
 	}
