Sound statistics for ejection; short requests beside long ones

Cause: with a fifth of all requests failing everywhere, TestEjectionIsBounded- AndProbed failed 1 of 5 runs: four standard deviations are too little in small samples. A VM replaced under the same endpoint id inherited the health of the one before, and an endpoint listed without slots had no room after its first answer. Ruled out: larger minimum samples (slow for real faults). Change: Chernoff's bound on the chance of the failures at the others' rate, below 1e-9, replaces both rules; a waiter needs at most half the time that it came with; a new address forgets what was learned; a context that has ended is refused before the choice.

--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -43,7 +43,7 @@
 // VM and beside what others, such as a previous holder, still run there.
 func (e *endpoint) room(now time.Duration) int {
 	room := e.limit(now) - e.inFlight
-	if now < e.busyUntil {
+	if now < e.busyUntil && e.Endpoint.Slots > 0 {
 		room = min(room, e.Endpoint.Slots-e.othersBusy-e.inFlight)
 	}
 	return max(room, 0)
@@ -117,6 +117,12 @@
 	}
 }
 
+// renew forgets what was learned of the process at the former address. What is
+// in flight still counts.
+func (e *endpoint) renew() {
+	*e = endpoint{inFlight: e.inFlight, peak: e.peak, idle: e.idle}
+}
+
 // leaving reports whether the list or the endpoint itself says so.
 func (e *endpoint) leaving(now time.Duration) bool {
 	return e.given || e.Endpoint.Leaving || now < e.leavingUntil
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -136,16 +136,10 @@
 }
 
 const (
-	// outlierDeviations is how many standard deviations an outlier's rate of
-	// failures is above that of the others.
-	outlierDeviations = 4
-	// minVariance keeps single failures in a sound fleet from counting much.
-	minVariance = 0.01
 	// minFleetShare is taken for the others' rate when they hardly fail.
 	minFleetShare = 0.001
-	// maxRunChance is the chance of a run of failures at the others' rate
-	// below which it is no accident.
-	maxRunChance = 1e-6
+	// maxChance is the chance below which failures are no accident.
+	maxChance = 1e-9
 )
 
 // failsMore reports whether own results are so much worse than the others'
@@ -155,22 +149,30 @@
 	if own.count() < o.samples-0.5 {
 		return false
 	}
-	excess := own.share() - others
-	if excess < o.margin {
-		return false
-	}
-	deviation := math.Sqrt((others*(1-others) + minVariance) / own.count())
-	return excess >= outlierDeviations*deviation
+	return own.share() >= others+o.margin && chance(own.count(), own.share(), others) <= maxChance
 }
 
 // failsInARow reports whether a run of failures is no accident. It finds a
 // sudden fault that the good results of earlier times would cover up.
 func (o outlierRule) failsInARow(streak int, others float64) bool {
-	if float64(streak) < o.samples {
-		return false
+	return float64(streak) >= o.samples && chance(float64(streak), 1, others) <= maxChance
+}
+
+// chance returns Chernoff's bound on the chance that, of n results, at least
+// the given share are failures when the others' rate is the true one. The
+// share must be at least that rate.
+func chance(n, share, others float64) float64 {
+	p := min(max(others, minFleetShare), 1-minFleetShare)
+	divergence := weighLog(share, p) + weighLog(1-share, 1-p)
+	return math.Exp(-n * divergence)
+}
+
+// weighLog returns q times the logarithm of q/p, 0 for q of 0.
+func weighLog(q, p float64) float64 {
+	if q == 0 {
+		return 0
 	}
-	chance := math.Pow(max(others, minFleetShare), float64(streak))
-	return chance <= maxRunChance
+	return q * math.Log(q/p)
 }
 
 // observe counts a result.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,7 +14,7 @@
 	Endpoint  api.Endpoint
 	SlotLimit int       // requests in flight that the hold allows now
 	Epoch     api.Epoch // of the hold
-	Until     time.Time // SlotLimit holds before it; zero: until the next SetEndpoints
+	Until     time.Time // SlotLimit holds before it, by the router's clock; zero: until the next SetEndpoints
 	Floor     int       // limit from Until on
 }
 
@@ -95,6 +95,9 @@
 	if s == nil {
 		return nil, api.NotRun(api.ReasonNoEndpoint, r.cfg.NoEndpointRetry, "service "+service+" has no endpoint here")
 	}
+	if ctx.Err() != nil {
+		return nil, api.NotRun(abandonReason(ctx), 0, "given up before it was routed")
+	}
 	w := &waiter{
 		demand:  demand{exclude: exclude, deadline: noExpiry},
 		class:   class,
--- a/internal/router/shard.go
+++ b/internal/router/shard.go
@@ -124,6 +124,9 @@
 		e = &endpoint{}
 		s.byID[h.Endpoint.ID] = e
 	}
+	if e.Endpoint.Address != h.Endpoint.Address {
+		e.renew()
+	}
 	e.Held = h
 	e.given = false
 	e.until = noExpiry
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -105,8 +105,8 @@
 // admit refuses a request that can't be met in time or for which the queue
 // has no room.
 func (s *shard) admit(now time.Duration, w *waiter) *api.Refusal {
-	wait := s.expectedWait(now, s.queue.ahead(w.class, w.caller))
-	if w.deadline != noExpiry && now+wait+s.latency.most() > w.deadline {
+	wait := s.expectedWait(now, 1+s.queue.ahead(w.class, w.caller))
+	if !s.meets(now+wait, w) {
 		return s.refuse(now, api.ReasonDeadlineUnmeetable)
 	}
 	if wait > s.queueTime(now, w.class) {
@@ -145,6 +145,19 @@
 	return min(max(full/standingShare, standing), full)
 }
 
+// meets reports whether w, granted at the given instant, would be answered in
+// time.
+func (s *shard) meets(granted time.Duration, w *waiter) bool {
+	return granted <= w.deadline-s.needs(w)
+}
+
+// needs returns the time that must be left when w is granted: what most
+// requests take. Requests of a service may be unlike, and a caller knows its
+// own; so no more than half the time that it came with is asked for.
+func (s *shard) needs(w *waiter) time.Duration {
+	return min(s.latency.most(), (w.deadline-w.entered)/2)
+}
+
 // expectedWait returns how long the given number of requests take to be
 // granted slots.
 func (s *shard) expectedWait(now time.Duration, ahead int) time.Duration {
@@ -159,7 +172,7 @@
 	if w.deadline == noExpiry {
 		return end
 	}
-	return min(end, max(w.deadline-s.latency.most(), now))
+	return min(end, max(w.deadline-s.needs(w), now))
 }
 
 // wait waits for the settlement of w.
@@ -200,7 +213,7 @@
 // expiredReason tells a deadline from a lapsed hold and from the limit of the
 // queue.
 func (s *shard) expiredReason(now time.Duration, w *waiter) api.Reason {
-	if w.deadline != noExpiry && now+s.latency.most() >= w.deadline {
+	if now >= w.deadline-s.needs(w) {
 		return api.ReasonDeadlineUnmeetable
 	}
 	if s.limit(now) == 0 {
@@ -274,7 +287,7 @@
 		w.settle(settlement{refusal: s.refuse(now, api.ReasonNoSlot)})
 		return true
 	}
-	if w.deadline != noExpiry && now+s.latency.most() > w.deadline {
+	if !s.meets(now, w) {
 		w.settle(settlement{refusal: s.refuse(now, api.ReasonDeadlineUnmeetable)})
 		return true
 	}
