A lapsed hold is named as such also in slow services

Cause: while no slot may be used, the estimated wait was that of a single slot, so a service of 2 s requests answered queue_full instead of hold_unconfirmed. Change: without a slot there is no estimate; requests wait for the queue's time.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -283,7 +283,7 @@
 		if tickets[0].Valid(time.Now()) || r.Free("s") != 0 {
 			t.Error("three in flight are valid past the hold's end, with a floor of two")
 		}
-		tickets[2].Release()
+		tickets[2].Done(Result{Status: 200, Latency: 2 * time.Second, Feedback: platform.Feedback{SlotsBusy: -1}})
 		if !tickets[0].Valid(time.Now()) {
 			t.Error("within the floor, want valid")
 		}
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -105,7 +105,10 @@
 // admit refuses a request that can't be met in time or for which the queue
 // has no room.
 func (s *shard) admit(now time.Duration, w *waiter) *api.Refusal {
-	wait := s.expectedWait(now, 1+s.queue.ahead(w.class, w.caller))
+	var wait time.Duration // can't be told while no slot may be used
+	if s.slots(now) > 0 {
+		wait = s.expectedWait(now, 1+s.queue.ahead(w.class, w.caller))
+	}
 	if !s.meets(now+wait, w) {
 		return s.refuse(now, api.ReasonDeadlineUnmeetable)
 	}
