--- a/internal/platform/httpendpoint/attempt_test.go
+++ b/internal/platform/httpendpoint/attempt_test.go
@@ -20,14 +20,20 @@
 
 const maxAnswer = 1 << 16
 
-// listen serves connections with serve until the test ends.
-func listen(t *testing.T, serve func(net.Conn)) api.Endpoint {
+// local returns a listener that is closed when the test ends.
+func local(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// listen serves connections with serve until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) api.Endpoint {
+	l := local(t)
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -167,11 +173,7 @@
 }
 
 func serveStandin(t *testing.T) (*executor.Executor, api.Endpoint) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := local(t)
 	stand := executor.New(executor.Config{ID: "e1"})
 	server := stand.Serve(l)
 	t.Cleanup(func() { server.Close() })
--- a/internal/platform/httpendpoint/truth_test.go
+++ b/internal/platform/httpendpoint/truth_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -23,10 +22,7 @@
 	stands := make(map[api.EndpointID]*executor.Executor)
 	var held []router.Held
 	for i, f := range faults {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := local(t)
 		id := api.EndpointID(fmt.Sprint("e", i))
 		stands[id] = executor.New(executor.Config{ID: id, ServiceTime: time.Millisecond, Spread: 1, Seed: uint64(i)})
 		stands[id].SetFaults(f)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -250,8 +250,7 @@
 			t.Errorf("contacts %+v", contacts)
 		}
 		r.SetEndpoints(time.Now(), held)
-		other := mustAcquire(t, r, "a", "e1")
-		other.Done(refusedResult("e2", false))
+		mustAcquire(t, r, "a", "e1").Done(refusedResult("e2", false))
 		if free := r.Free("s"); free != 0 {
 			t.Errorf("free %d, want 0 with one leaving and one that refused", free)
 		}
@@ -287,8 +286,7 @@
 		if !tickets[0].Valid(time.Now()) {
 			t.Error("within the floor, want valid")
 		}
-		h.Until, h.Floor = time.Time{}, 0
-		h.SlotLimit = 0
+		h.Until, h.Floor, h.SlotLimit = time.Time{}, 0, 0
 		r.SetEndpoints(time.Now(), []Held{h})
 		_, err := r.Acquire(t.Context(), "s", api.ClassInteractive, "a", nil)
 		wantRefusal(t, err, api.ReasonHoldUnconfirmed)
