--- a/internal/platform/httpendpoint/attempt_test.go
+++ b/internal/platform/httpendpoint/attempt_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,14 +20,20 @@
 
 const maxAnswer = 1 << 16
 
-// listen serves connections with serve until the test ends.
-func listen(t *testing.T, serve func(net.Conn)) api.Endpoint {
+// local returns a listener that is closed when the test ends.
+func local(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// listen serves connections with serve until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) api.Endpoint {
+	l := local(t)
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -166,11 +173,7 @@
 }
 
 func serveStandin(t *testing.T) (*executor.Executor, api.Endpoint) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := local(t)
 	stand := executor.New(executor.Config{ID: "e1"})
 	server := stand.Serve(l)
 	t.Cleanup(func() { server.Close() })
@@ -210,24 +213,29 @@
 	_, _, err = client.Attempt(t.Context(), api.Endpoint{ID: "e3", Address: "127.0.0.1:1"}, 1, req, maxAnswer)
 	wantFailure(t, err, platform.CertainNotRun, api.ReasonConnectFailed)
 
+	// Both connections are taken by requests that hang: a third waits for a
+	// connection until its deadline, and was certainly not sent.
 	stand.SetFaults(executor.Faults{Hang: true})
-	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-	defer cancel()
-	failures := make(chan error, 3)
+	hanging, stop := context.WithCancel(t.Context())
+	failures := make(chan error, 2)
 	for range cap(failures) {
 		go func() {
-			_, _, err := client.Attempt(ctx, ep, 1, req, maxAnswer)
+			_, _, err := client.Attempt(hanging, ep, 1, req, maxAnswer)
 			failures <- err
 		}()
 	}
-	notRun := 0
+	for stand.Record().MaxRequests < 2 {
+		runtime.Gosched()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err = client.Attempt(ctx, ep, 1, req, maxAnswer)
+	wantFailure(t, err, platform.CertainNotRun, api.ReasonDeadlinePassed)
+	stop()
 	for range cap(failures) {
-		var failure *platform.AttemptError
-		if errors.As(<-failures, &failure) && failure.Certainty == platform.CertainNotRun {
-			notRun++
-		}
+		wantFailure(t, <-failures, platform.MayHaveRun, api.ReasonCallerGone)
 	}
-	if record := stand.Record(); notRun != 1 || record.MaxConnections > 2 || record.Count("r1") != 3 {
-		t.Errorf("not run %d, record %+v", notRun, record)
+	if record := stand.Record(); record.MaxConnections != 2 || record.Count("r1") != 3 {
+		t.Errorf("record %+v", record)
 	}
 }
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -123,8 +123,8 @@
 // roundingSlack keeps a product such as 0.3*10 from being rounded down to 2.
 const roundingSlack = 1e-9
 
-// shouldEject decides after a failure whether an endpoint is an
-// outlier among the others and may be ejected: ejected of total already are.
+// shouldEject decides after a failure whether an endpoint is an outlier among
+// the others and may be ejected: ejected of total already are.
 func (o outlierRule) shouldEject(h *health, others rate, ejected, total int) bool {
 	if h.standing != standingGood {
 		return false
@@ -132,20 +132,47 @@
 	if ejected+1 > int(o.maxShare*float64(total)+roundingSlack) {
 		return false
 	}
+	return o.failsMore(h.rate, others.share()) || o.failsInARow(h.streak, others.share())
+}
+
+const (
+	// minFleetShare is taken for the others' rate when they hardly fail.
+	minFleetShare = 0.001
+	// maxChance is the chance below which failures are no accident.
+	maxChance = 1e-9
+)
+
+// failsMore reports whether own results are so much worse than the others'
+// that chance doesn't explain it, as when some requests fail everywhere.
+func (o outlierRule) failsMore(own rate, others float64) bool {
 	// The counts decay from the first result on, hence the tolerance.
-	if h.rate.count() < o.samples-0.5 {
+	if own.count() < o.samples-0.5 {
 		return false
 	}
-	return h.recentShare(o.samples) >= others.share()+o.margin
+	return own.share() >= others+o.margin && chance(own.count(), own.share(), others) <= maxChance
 }
 
-// recentShare returns the share of failures, or 1 when the last results were
-// all failures: the counts of better times don't cover up a sudden fault.
-func (h *health) recentShare(samples float64) float64 {
-	if float64(h.streak) >= samples {
-		return 1
+// failsInARow reports whether a run of failures is no accident. It finds a
+// sudden fault that the good results of earlier times would cover up.
+func (o outlierRule) failsInARow(streak int, others float64) bool {
+	return float64(streak) >= o.samples && chance(float64(streak), 1, others) <= maxChance
+}
+
+// chance returns Chernoff's bound on the chance that, of n results, at least
+// the given share are failures when the others' rate is the true one. The
+// share must be at least that rate.
+func chance(n, share, others float64) float64 {
+	p := min(max(others, minFleetShare), 1-minFleetShare)
+	divergence := weighLog(share, p) + weighLog(1-share, 1-p)
+	return math.Exp(-n * divergence)
+}
+
+// weighLog returns q times the logarithm of q/p, 0 for q of 0.
+func weighLog(q, p float64) float64 {
+	if q == 0 {
+		return 0
 	}
-	return h.rate.share()
+	return q * math.Log(q/p)
 }
 
 // observe counts a result.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -38,7 +39,7 @@
 	return refusal
 }
 
-var okResult = Result{Status: 200, Latency: 10 * time.Millisecond, Feedback: platform.Feedback{SlotsBusy: -1}}
+var okResult = Result{Status: 200, Latency: 100 * time.Millisecond, Feedback: platform.Feedback{SlotsBusy: -1}}
 
 // One caller floods the service while others ask now and then.
 func TestFairnessBetweenCallersAndClasses(t *testing.T) {
@@ -98,8 +99,7 @@
 		r := testRouter(heldEndpoint("e1", "s", 1))
 		r.SetService("s", api.ServiceSpec{QueueLength: 2, QueueMs: 300})
 		for range 50 { // the service takes 100 ms
-			ticket := mustAcquire(t, r, "a")
-			ticket.Done(Result{Status: 200, Latency: 100 * time.Millisecond, Feedback: platform.Feedback{SlotsBusy: -1}})
+			mustAcquire(t, r, "a").Done(okResult)
 		}
 		held := mustAcquire(t, r, "a")
 		acquire := func(timeout time.Duration) (time.Duration, error) {
@@ -134,6 +134,20 @@
 		if took != 300*time.Millisecond {
 			t.Errorf("dropped after %v", took)
 		}
+		// Sweeps among checks: a check's caller names its own time.
+		r.SetEndpoints(time.Now(), []Held{heldEndpoint("e1", "s", 1), heldEndpoint("e2", "s", 15)})
+		for i := range 200 {
+			took := []time.Duration{20 * time.Millisecond, 2 * time.Second}[i%2]
+			mustAcquire(t, r, "a").Done(Result{Status: 200, Latency: took, Feedback: platform.Feedback{SlotsBusy: -1}})
+		}
+		for range 15 {
+			defer mustAcquire(t, r, "a").Release()
+		}
+		took, err = acquire(900 * time.Millisecond)
+		wantRefusal(t, err, api.ReasonNoSlot)
+		if took != 300*time.Millisecond {
+			t.Errorf("a short request is dropped after %v", took)
+		}
 		held.Release()
 		_, err = r.Acquire(t.Context(), "unknown", api.ClassBatch, "a", nil)
 		wantRefusal(t, err, api.ReasonNoEndpoint)
@@ -145,8 +159,8 @@
 func TestEjectionIsBoundedAndProbed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var held []Held
-		for _, id := range []api.EndpointID{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"} {
-			held = append(held, heldEndpoint(id, "s", 8))
+		for i := range 10 {
+			held = append(held, heldEndpoint(api.EndpointID(fmt.Sprint("e", i)), "s", 8))
 		}
 		var mu sync.Mutex
 		probes := make(map[api.EndpointID][]time.Duration)
@@ -161,28 +175,40 @@
 			}
 		}})
 		r.SetEndpoints(time.Now(), held)
-		broken := map[api.EndpointID]bool{"e0": true, "e1": true, "e2": true, "e3": true, "e4": true}
+		broken := make(map[api.EndpointID]bool)
+		source, spoilt := rand.New(rand.NewPCG(5, 6)), 0.2
 		most := 0
 		one := func() {
 			ticket := mustAcquire(t, r, "a")
 			time.Sleep(100 * time.Millisecond)
 			result := okResult
-			if broken[ticket.Endpoint().ID] {
+			mu.Lock()
+			fails := source.Float64() < spoilt
+			mu.Unlock()
+			if fails || broken[ticket.Endpoint().ID] {
 				result.Err = &platform.AttemptError{Certainty: platform.MayHaveRun, Reason: api.ReasonAnswerBroken}
 			}
 			ticket.Done(result)
 		}
-		play := func(rounds int) {
+		play := func(rounds, concurrent int) {
 			for range rounds {
 				var group sync.WaitGroup
-				for range 50 {
+				for range concurrent {
 					group.Go(one)
 				}
 				group.Wait()
 				most = max(most, ejected(r))
 			}
 		}
-		play(300)
+		play(400, 50)
+		if most != 0 {
+			t.Errorf("ejected %d for requests that fail everywhere", most)
+		}
+		spoilt = 0
+		for _, h := range held[:5] {
+			broken[h.Endpoint.ID] = true
+		}
+		play(300, 50)
 		if most != 3 || len(probes) != 3 {
 			t.Errorf("ejected at once %d, want 3 of 10; probes at %v", most, probes)
 		}
@@ -194,7 +220,7 @@
 			}
 		}
 		clear(broken)
-		play(1200)
+		play(1200, 10)
 		if ejected(r) != 0 || events[EventRestored] != 3 {
 			t.Errorf("events %v, ejected %d, want all three back", events, ejected(r))
 		}
@@ -218,10 +244,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		held := []Held{heldEndpoint("e1", "s", 8), heldEndpoint("e2", "s", 8)}
 		r := testRouter(held...)
+		time.Sleep(time.Second)
 		mustAcquire(t, r, "a", "e2").Done(refusedResult("e1", true))
+		if contacts := r.Contacts(); len(contacts) != 1 || !contacts[0].Answered || !contacts[0].At.Equal(time.Now()) {
+			t.Errorf("contacts %+v", contacts)
+		}
 		r.SetEndpoints(time.Now(), held)
-		other := mustAcquire(t, r, "a", "e1")
-		other.Done(refusedResult("e2", false))
+		mustAcquire(t, r, "a", "e1").Done(refusedResult("e2", false))
 		if free := r.Free("s"); free != 0 {
 			t.Errorf("free %d, want 0 with one leaving and one that refused", free)
 		}
@@ -253,12 +282,11 @@
 		if tickets[0].Valid(time.Now()) || r.Free("s") != 0 {
 			t.Error("three in flight are valid past the hold's end, with a floor of two")
 		}
-		tickets[2].Release()
+		tickets[2].Done(Result{Status: 200, Latency: 2 * time.Second, Feedback: platform.Feedback{SlotsBusy: -1}})
 		if !tickets[0].Valid(time.Now()) {
 			t.Error("within the floor, want valid")
 		}
-		h.Until, h.Floor = time.Time{}, 0
-		h.SlotLimit = 0
+		h.Until, h.Floor, h.SlotLimit = time.Time{}, 0, 0
 		r.SetEndpoints(time.Now(), []Held{h})
 		_, err := r.Acquire(t.Context(), "s", api.ClassInteractive, "a", nil)
 		wantRefusal(t, err, api.ReasonHoldUnconfirmed)
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -25,6 +25,7 @@
 	demand
 	class   api.Class
 	caller  string
+	entered time.Duration
 	settled chan settlement // buffered for the one settlement
 	done    bool            // settled, or given up by its request
 
@@ -68,6 +69,10 @@
 	if !s.reachable(now, w) {
 		return nil, api.NotRun(api.ReasonNoEndpoint, s.jitter(s.router.cfg.NoEndpointRetry), "no endpoint of the service is held here")
 	}
+	w.entered = now
+	if s.queue.interactive.turns.Len() == 0 {
+		s.calm = now
+	}
 	if s.queue.length == 0 {
 		s.starved = false
 		e := s.chooser.choose(now, s.held, s.fleet(), w.demand)
@@ -100,11 +105,14 @@
 // admit refuses a request that can't be met in time or for which the queue
 // has no room.
 func (s *shard) admit(now time.Duration, w *waiter) *api.Refusal {
-	wait := s.expectedWait(now, s.queue.ahead(w.class, w.caller))
-	if w.deadline != noExpiry && now+wait+s.latency.most() > w.deadline {
+	var wait time.Duration // can't be told while no slot may be used
+	if s.slots(now) > 0 {
+		wait = s.expectedWait(now, 1+s.queue.ahead(w.class, w.caller))
+	}
+	if !s.meets(now+wait, w) {
 		return s.refuse(now, api.ReasonDeadlineUnmeetable)
 	}
-	if wait > s.spec.queueTime {
+	if wait > s.queueTime(now, w.class) {
 		return s.refuse(now, api.ReasonQueueFull)
 	}
 	if s.queue.length < s.spec.queueLength {
@@ -119,6 +127,40 @@
 	return nil
 }
 
+const (
+	// standingShare divides the queue's time while interactive requests have
+	// waited without a break.
+	standingShare = 10
+	// standingWaiters is the number of requests that may wait even then, so
+	// that a slot that comes free finds one.
+	standingWaiters = 4
+)
+
+// queueTime returns how long a request may wait. A queue is for bursts: where
+// interactive requests have been waiting for a whole queue time without a
+// break, long waits no longer gain anything and only make every answer late.
+func (s *shard) queueTime(now time.Duration, class api.Class) time.Duration {
+	full := s.spec.queueTime
+	if class == api.ClassBatch || now-s.calm <= full {
+		return full
+	}
+	standing := s.expectedWait(now, standingWaiters)
+	return min(max(full/standingShare, standing), full)
+}
+
+// meets reports whether w, granted at the given instant, would be answered in
+// time.
+func (s *shard) meets(granted time.Duration, w *waiter) bool {
+	return granted <= w.deadline-s.needs(w)
+}
+
+// needs returns the time that must be left when w is granted: what most
+// requests take. Requests of a service may be unlike, and a caller knows its
+// own; so no more than half the time that it came with is asked for.
+func (s *shard) needs(w *waiter) time.Duration {
+	return min(s.latency.most(), (w.deadline-w.entered)/2)
+}
+
 // expectedWait returns how long the given number of requests take to be
 // granted slots.
 func (s *shard) expectedWait(now time.Duration, ahead int) time.Duration {
@@ -129,11 +171,11 @@
 // expiry returns the instant at which w is dropped from the queue: when its
 // time in the queue is over or its deadline can no longer be met.
 func (s *shard) expiry(now time.Duration, w *waiter) time.Duration {
-	end := now + s.spec.queueTime
+	end := now + s.queueTime(now, w.class)
 	if w.deadline == noExpiry {
 		return end
 	}
-	return min(end, max(w.deadline-s.latency.most(), now))
+	return min(end, max(w.deadline-s.needs(w), now))
 }
 
 // wait waits for the settlement of w.
@@ -174,7 +216,7 @@
 // expiredReason tells a deadline from a lapsed hold and from the limit of the
 // queue.
 func (s *shard) expiredReason(now time.Duration, w *waiter) api.Reason {
-	if w.deadline != noExpiry && now+s.latency.most() >= w.deadline {
+	if now >= w.deadline-s.needs(w) {
 		return api.ReasonDeadlineUnmeetable
 	}
 	if s.limit(now) == 0 {
@@ -242,9 +284,13 @@
 }
 
 // settles reports whether w leaves the queue now. It settles w itself when
-// its deadline can't be met.
+// its deadline can't be met or the queue's time has shrunk below its wait.
 func (s *shard) settles(now time.Duration, w *waiter) bool {
-	if w.deadline != noExpiry && now+s.latency.most() > w.deadline {
+	if now-w.entered > s.queueTime(now, w.class) {
+		w.settle(settlement{refusal: s.refuse(now, api.ReasonNoSlot)})
+		return true
+	}
+	if !s.meets(now, w) {
 		w.settle(settlement{refusal: s.refuse(now, api.ReasonDeadlineUnmeetable)})
 		return true
 	}
