--- a/internal/controller/placement/placement_test.go
+++ b/internal/controller/placement/placement_test.go
@@ -41,7 +41,11 @@
 	offset   platform.Offset
 }
 
-func (b *bench) CellEpoch() api.Epoch { return b.epoch }
+func (b *bench) CellEpoch() api.Epoch {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.epoch
+}
 
 func (b *bench) Cell(time.Time) (api.Epoch, bool, time.Time) {
 	b.mu.Lock()
@@ -177,6 +181,7 @@
 		for _, c := range []interface{ Run(context.Context) error }{dir, syncs, places, recovers} {
 			running.Go(func() { _ = c.Run(ctx) })
 		}
+		time.Sleep(5 * time.Second) // until every VM takes starts, so that the first fit is the same in every run
 		f(b)
 		cancel()
 		running.Wait()
@@ -263,3 +268,110 @@
 		}
 	})
 }
+
+// A VM that stops answering loses its work only when its lease has lapsed;
+// then it runs elsewhere, never at both places. checkTruth judges.
+func TestFrozenVMIsReplacedAfterItsLease(t *testing.T) {
+	run(t, 3, func(b *bench) {
+		b.submit(batch("sweep", 8, time.Minute))
+		b.await("sweep", api.TaskRunning, 8, 5*time.Second)
+		b.workers["vm-0"].SetFaults(standin.Faults{Frozen: true})
+		time.Sleep(4 * time.Second)
+		if n := len(b.machine.On("vm-0")); n != 4 {
+			t.Errorf("%d attempts left before the lease can have lapsed", n)
+		}
+		b.await("sweep", api.TaskRunning, 8, 10*time.Second)
+		time.Sleep(10 * time.Second)
+		b.workers["vm-0"].SetFaults(standin.Faults{})
+		b.await("sweep", api.TaskFinished, 8, 2*time.Minute)
+		view, _ := b.machine.Task(api.TaskID{Job: "sweep"})
+		if view.Attempt != 2 || view.Failures != 0 {
+			t.Errorf("%+v", view)
+		}
+	})
+}
+
+func TestRestartedVMLosesItsWorkAtOnce(t *testing.T) {
+	run(t, 2, func(b *bench) {
+		b.submit(batch("sweep", 4, time.Minute))
+		b.await("sweep", api.TaskRunning, 4, 5*time.Second)
+		b.workers["vm-0"].Restart()
+		time.Sleep(3 * time.Second)
+		b.await("sweep", api.TaskRunning, 4, time.Second)
+		for index := range uint32(4) {
+			if view, _ := b.machine.Task(api.TaskID{Job: "sweep", Index: index}); view.Attempt != 2 {
+				t.Errorf("%+v", view)
+			}
+		}
+	})
+}
+
+// The tasks of a service on a leaving VM are replaced before they stop.
+func TestLeavingVMIsDrained(t *testing.T) {
+	run(t, 3, func(b *bench) {
+		svc := batch("bench", 3, 0)
+		svc.Class = api.ClassService
+		b.submit(svc)
+		b.submit(batch("sweep", 1, time.Minute))
+		b.await("bench", api.TaskRunning, 3, 5*time.Second)
+		b.await("sweep", api.TaskRunning, 1, 5*time.Second)
+		b.list.leave(0)
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if job, _ := b.machine.Job("bench"); job.Counts[api.TaskRunning] < 3 {
+				t.Fatalf("stopped before the replacement ran: %v", job.Counts)
+			}
+		}
+		if n := len(b.machine.On("vm-0")); n != 0 {
+			t.Errorf("%d attempts left on the leaving VM", n)
+		}
+		b.await("sweep", api.TaskFinished, 1, 2*time.Minute)
+		if job, _ := b.machine.Job("bench"); job.Counts[api.TaskCancelled] != 3 {
+			t.Errorf("%v", job.Counts)
+		}
+	})
+}
+
+// When a part of a gang falls out, the rest stops and all start again.
+func TestGangStartsAgainWhole(t *testing.T) {
+	run(t, 4, func(b *bench) {
+		gang := batch("gang", 6, time.Minute)
+		gang.Class = api.ClassGang
+		b.submit(gang)
+		b.await("gang", api.TaskRunning, 6, 5*time.Second)
+		b.workers["vm-0"].Restart()
+		time.Sleep(5 * time.Second)
+		b.await("gang", api.TaskRunning, 6, 10*time.Second)
+		for index := range uint32(6) {
+			if view, _ := b.machine.Task(api.TaskID{Job: "gang", Index: index}); view.Attempt != 2 {
+				t.Errorf("%+v", view)
+			}
+		}
+		b.await("gang", api.TaskFinished, 6, 2*time.Minute)
+	})
+}
+
+// A new holder adopts what runs and restarts nothing that answers.
+func TestTakeoverAdoptsRunningTasks(t *testing.T) {
+	run(t, 2, func(b *bench) {
+		b.submit(batch("sweep", 6, 30*time.Second))
+		b.await("sweep", api.TaskRunning, 6, 5*time.Second)
+		b.mu.Lock()
+		b.epoch, b.takeover = 2, time.Now()
+		b.mu.Unlock()
+		b.await("sweep", api.TaskFinished, 6, time.Minute)
+		if view, _ := b.machine.Task(api.TaskID{Job: "sweep"}); view.Attempt != 1 {
+			t.Errorf("%+v", view)
+		}
+	})
+}
+
+func TestCancelledJobStopsItsTasks(t *testing.T) {
+	run(t, 2, func(b *bench) {
+		b.submit(batch("sweep", 20, time.Minute))
+		b.await("sweep", api.TaskRunning, 8, 5*time.Second)
+		if err := b.Propose(t.Context(), cell.CancelEntry([]api.JobID{"sweep"}, 0)); err != nil {
+			t.Fatal(err)
+		}
+		b.await("sweep", api.TaskCancelled, 20, 4*time.Second)
+	})
+}
--- a/internal/controller/vms/vms.go
+++ b/internal/controller/vms/vms.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -143,7 +144,10 @@
 			seen = append(seen, cell.SeenVM{ID: id, Rack: l.vm.Rack, Capacity: l.vm.Capacity})
 		}
 	}
-	return seen, c.dropped(now, journaled)
+	sort.Slice(seen, func(i, j int) bool { return seen[i].ID < seen[j].ID })
+	gone = c.dropped(now, journaled)
+	sort.Slice(gone, func(i, j int) bool { return gone[i] < gone[j] })
+	return seen, gone
 }
 
 func differs(vm api.VM, v cell.VMView) bool {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -90,7 +90,6 @@
 	s        *sim
 	epoch    api.Epoch
 	rate     float64
-	from     time.Duration // first action
 	until    time.Duration // last successful check of the hold
 	trackers [2]*lease.Tracker
 }
