--- a/internal/controller/worker/exchange.go
+++ b/internal/controller/worker/exchange.go
@@ -34,12 +34,13 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	restarted := out.grant.Incarnation != 0 && report.Incarnation != out.grant.Incarnation
 	if !v.tracker.Report(out.grant.Exchange, report) {
 		c.counters.Inc(counterGroup, "report_out_of_order")
 		return
 	}
 	v.answered(now, report)
-	c.judge(v, held, report)
+	c.judge(v, held, report, restarted)
 	if out.grant.Expiry == 0 {
 		v.changed.Store(true) // the first contact renewed and told nothing
 	}
@@ -185,7 +186,7 @@
 
 // judge compares a report with what the log said before the exchange. It
 // needs the VM locked.
-func (c *Controller) judge(v *vm, held []cell.Held, report platform.WorkerReport) {
+func (c *Controller) judge(v *vm, held []cell.Held, report platform.WorkerReport, restarted bool) {
 	reported := make(map[lease.Attempt]platform.TaskReport, len(report.Tasks))
 	for _, r := range report.Tasks {
 		reported[lease.Attempt{Task: r.Task, Attempt: r.Attempt}] = r
@@ -201,14 +202,17 @@
 			continue // to be told with the next exchange
 		}
 		if v.tracker.Missing(a) {
-			c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: missingReason(h)}, h)
+			c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: missingReason(h, restarted)}, h)
 		}
 	}
 }
 
-func missingReason(h cell.Held) api.Reason {
-	if h.State == api.TaskStopping {
+func missingReason(h cell.Held, restarted bool) api.Reason {
+	switch {
+	case h.State == api.TaskStopping:
 		return h.Reason
+	case restarted:
+		return api.ReasonWorkerRestart
 	}
 	return api.ReasonWorkerLost
 }
--- a/internal/platform/httpworker/httpworker.go
+++ b/internal/platform/httpworker/httpworker.go
@@ -57,11 +57,11 @@
 func (c *Client) Sync(ctx context.Context, vm api.VM, msg platform.WorkerSync) (platform.WorkerReport, error) {
 	body, err := cbor.Marshal(msg)
 	if err != nil {
-		return platform.WorkerReport{}, errors.Mark(errors.Wrap(err, "encode"), platform.ErrWorkerUnreachable)
+		return platform.WorkerReport{}, wrap(vm.ID, platform.ErrWorkerUnreachable, err)
 	}
 	req, err := newRequest(ctx, vm.Address, body)
 	if err != nil {
-		return platform.WorkerReport{}, errors.Mark(err, platform.ErrWorkerUnreachable)
+		return platform.WorkerReport{}, wrap(vm.ID, platform.ErrWorkerUnreachable, err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -85,13 +85,18 @@
 	return req, nil
 }
 
+// wrap gives a cause the kind that callers look for with errors.Is.
+func wrap(vm api.VMID, kind, cause error) error {
+	return fmt.Errorf("VM %s: %w: %w", vm, kind, cause)
+}
+
 // classify tells a failure to connect, where no byte was sent, from others.
 func classify(vm api.VMID, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Mark(errors.Wrapf(err, "VM %s", vm), platform.ErrWorkerUnreachable)
+		return wrap(vm, platform.ErrWorkerUnreachable, err)
 	}
-	return errors.Mark(errors.Wrapf(err, "VM %s", vm), platform.ErrWorkerUncertain)
+	return wrap(vm, platform.ErrWorkerUncertain, err)
 }
 
 func readAnswer(vm api.VMID, resp *http.Response) (platform.WorkerReport, error) {
@@ -104,7 +109,7 @@
 	}
 	var report platform.WorkerReport
 	if err := decode(resp.Body, &report); err != nil {
-		return platform.WorkerReport{}, errors.Mark(errors.Wrapf(err, "VM %s", vm), platform.ErrWorkerUncertain)
+		return platform.WorkerReport{}, wrap(vm, platform.ErrWorkerUncertain, err)
 	}
 	if report.VM != vm {
 		return platform.WorkerReport{}, errors.Wrapf(platform.ErrWorkerUncertain, "VM %s: report of VM %s", vm, report.VM)
