Jobs of a lost data centre move to another, each once

Cause: what ran in a lost data centre is to be placed again elsewhere. Ruled out: submitting again under the same ID alone: the other cell forgets ended jobs, so a late repeat could run one twice. Moves are numbered; the other cell takes those of each data centre in order and each once. Conclusion: who may claim the lost data centre's shard is ownership's to say.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -15,16 +15,33 @@
 	if id == "" || s.Spec.Tasks == 0 || s.Spec.Tasks > maxTasks {
 		return &Rejection{Reason: api.ReasonMalformed, Task: api.TaskID{Job: id}, Detail: "no ID, or number of tasks out of range"}
 	}
+	if r := m.takeMove(s); r != nil {
+		return r
+	}
 	if _, known := m.numberOf(id); known {
-		return &Rejection{Reason: api.ReasonDuplicate, Task: api.TaskID{Job: id}, Detail: "the job is known"}
+		return m.knownJob(s)
 	}
-	number := m.nextJob
+	j := newJob(m.nextJob, s.Spec, s.At)
 	m.nextJob++
-	m.insert(newJob(number, s.Spec, s.At))
+	if s.From != nil {
+		j.settleRanges(s.From.Settled)
+	}
+	m.insert(j)
 	m.emit(Event{Kind: EventJobSubmitted, Task: api.TaskID{Job: id}})
+	m.retireIfDone(j.number)
 	return nil
 }
 
+// knownJob rejects a second job of an ID. One that was moved here counts as
+// arrived all the same, so that the moves after it can be taken.
+func (m *Machine) knownJob(s *Submit) *Rejection {
+	if s.From != nil {
+		m.count(api.ReasonDuplicate)
+		return nil
+	}
+	return &Rejection{Reason: api.ReasonDuplicate, Task: api.TaskID{Job: s.Spec.ID}, Detail: "the job is known"}
+}
+
 func (m *Machine) insert(j *job) {
 	s := m.shardOf(j.number)
 	s.mu.Lock()
@@ -72,8 +89,7 @@
 	return true
 }
 
-// retireIfDone puts a job that is done on the list of ended ones and drops
-// the oldest beyond the bounds.
+// retireIfDone ends a job of which no task can change any more.
 func (m *Machine) retireIfDone(number uint32) {
 	var id api.JobID
 	retired := false
@@ -84,13 +100,19 @@
 		j.ended = true
 		retired = true
 		id = j.spec.ID
-		m.ended = append(m.ended, number)
-		m.endedTasks += len(j.tasks)
 	})
 	if !retired {
 		return
 	}
 	m.emit(Event{Kind: EventJobEnded, Task: api.TaskID{Job: id}})
+	m.keepEnded(number)
+}
+
+// keepEnded keeps an ended job for explanations and forgets the oldest ones
+// beyond the bounds.
+func (m *Machine) keepEnded(number uint32) {
+	m.ended = append(m.ended, number)
+	m.withJob(number, func(j *job) { m.endedTasks += len(j.tasks) })
 	for len(m.ended) > maxEndedJobs || (m.endedTasks > maxEndedTasks && len(m.ended) > 1) {
 		m.forget(m.ended[0])
 		m.ended = m.ended[1:]
--- a/internal/cell/apply_report.go
+++ b/internal/cell/apply_report.go
@@ -89,7 +89,7 @@
 	if t.state != api.TaskStarting {
 		return false
 	}
-	j.move(t, api.TaskRunning)
+	j.shift(t, api.TaskRunning)
 	m.emit(Event{
 		Kind:    EventTaskRunning,
 		Task:    api.TaskID{Job: j.spec.ID, Index: item.Index},
@@ -137,7 +137,7 @@
 		t.flags |= flagStopSave
 	}
 	t.reason = g.Reason
-	j.move(t, api.TaskStopping)
+	j.shift(t, api.TaskStopping)
 	m.emit(Event{
 		Kind:    EventTaskStopping,
 		Task:    api.TaskID{Job: j.spec.ID, Index: item.Index},
--- a/internal/cell/apply_start.go
+++ b/internal/cell/apply_start.go
@@ -146,7 +146,7 @@
 	t.vm = s.VM
 	t.attempt = s.Attempt
 	t.reason = 0
-	a.j.move(t, api.TaskStarting)
+	a.j.shift(t, api.TaskStarting)
 	a.m.emit(a.event(EventTaskStarted, s, ""))
 }
 
--- a/internal/cell/entries.go
+++ b/internal/cell/entries.go
@@ -23,6 +23,8 @@
 	TypeReport                                 // ReportBatch
 	TypeStop                                   // StopBatch
 	TypeReplace                                // Replace
+	TypeMove                                   // Move
+	TypeMoved                                  // Moved
 )
 
 // Submit adds a job. The first of an ID that the machine knows wins.
@@ -30,8 +32,44 @@
 	_    struct{} `cbor:",toarray"`
 	Spec api.JobSpec
 	At   int64 // proposer's wall clock in Unix milliseconds, for display only
+	From *Origin
 }
 
+// Origin tells of a job that comes from the cell of another data centre.
+// The moves of each data centre are taken in order, each once, however often
+// their entries are repeated.
+type Origin struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre api.DataCentre
+	Move       uint32
+	Settled    []Range // tasks that ended there
+}
+
+// Range is a run of task indexes, First included and End not.
+type Range struct {
+	_          struct{} `cbor:",toarray"`
+	First, End uint32
+}
+
+// Move gives jobs of which nothing holds a VM to another data centre. They
+// end here, and are kept until Moved.
+type Move struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch api.Epoch
+	To    api.DataCentre
+	Jobs  []uint32
+}
+
+// Moved confirms that the cell of the other data centre has the jobs.
+type Moved struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch api.Epoch
+	Jobs  []uint32
+}
+
+// ReasonMoved is the reason of tasks that another data centre has taken.
+const ReasonMoved api.Reason = "moved"
+
 // Cancel cancels whole jobs, each at the cost of one lookup: tasks that hold
 // a VM are stopped when their VM is next synced.
 type Cancel struct {
@@ -171,6 +209,7 @@
 	api.ReasonGangWaiting,
 	api.ReasonQuarantine,
 	api.ReasonNeverFits,
+	ReasonMoved,
 }
 
 // reasonCode returns the code of r, zero when it has none.
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -31,10 +31,12 @@
 	submitted int64 // Unix milliseconds, display only
 	cancelled bool
 	ended     bool
-	size      uint32             // tasks, with replacements
-	counts    [stateCount]uint32 // tasks by stored state
-	tasks     []task             // nil until the first start
-	replaced  map[uint32]uint32  // replacement to replaced task
+	movedTo   api.DataCentre    // pending tasks are placed there
+	move      uint32            // number of the move, from 1
+	size      uint32            // tasks, with replacements
+	counts    Counts            // tasks by stored state
+	tasks     []task            // nil until the first start
+	replaced  map[uint32]uint32 // replacement to replaced task
 }
 
 const stateCount = int(api.TaskCancelled) + 1
@@ -71,8 +73,12 @@
 	if j.tasks != nil {
 		t = j.tasks[index]
 	}
-	if j.cancelled {
+	switch {
+	case j.cancelled:
 		t = j.cancelledView(t)
+	case j.movedTo != "" && t.state == api.TaskPending:
+		t.state = api.TaskCancelled
+		t.reason = reasonCode(ReasonMoved)
 	}
 	return t, true
 }
@@ -96,8 +102,8 @@
 	return t
 }
 
-// move changes the stored state of a task and the counts.
-func (j *job) move(t *task, to api.TaskState) {
+// shift changes the stored state of a task and the counts.
+func (j *job) shift(t *task, to api.TaskState) {
 	j.counts[t.state]--
 	t.state = to
 	j.counts[to]++
@@ -111,6 +117,11 @@
 // cancel marks the job; its cost does not depend on its size.
 func (j *job) cancel() {
 	j.cancelled = true
+	j.dropPending()
+}
+
+// dropPending counts the pending tasks as cancelled.
+func (j *job) dropPending() {
 	j.counts[api.TaskCancelled] += j.counts[api.TaskPending]
 	j.counts[api.TaskPending] = 0
 }
@@ -148,7 +159,7 @@
 	if ending == ReportErrored && t.failures < ^uint16(0) {
 		t.failures++
 	}
-	j.move(t, j.next(t, ending))
+	j.shift(t, j.next(t, ending))
 	if t.state == api.TaskFailed {
 		t.reason = reasonCode(api.ReasonFailsAnywhere)
 	}
--- a/internal/cell/machine.go
+++ b/internal/cell/machine.go
@@ -65,6 +65,9 @@
 	nextJob     uint32   // number of the next job
 	ended       []uint32 // ended jobs, oldest first
 	endedTasks  int
+	moves       uint32                    // given out so far
+	movedOut    []uint32                  // jobs moved and not confirmed, in order
+	movedIn     map[api.DataCentre]uint32 // latest move taken from each
 
 	seed   maphash.Seed
 	names  [shardCount]nameShard
@@ -94,6 +97,9 @@
 	m.nextJob = 0
 	m.ended = nil
 	m.endedTasks = 0
+	m.moves = 0
+	m.movedOut = nil
+	m.movedIn = make(map[api.DataCentre]uint32)
 }
 
 // Subscribe registers f for the events of every entry from now on. It is
@@ -114,7 +120,7 @@
 
 // Types implements journal.Machine.
 func (m *Machine) Types() []journal.EntryType {
-	return []journal.EntryType{TypeSubmit, TypeCancel, TypeVMs, TypeStart, TypeReport, TypeStop, TypeReplace}
+	return []journal.EntryType{TypeSubmit, TypeCancel, TypeVMs, TypeStart, TypeReport, TypeStop, TypeReplace, TypeMove, TypeMoved}
 }
 
 // Apply implements journal.Machine. Its errors are of type *Rejection. A
@@ -151,6 +157,10 @@
 		return decoded(e, m.applyStops)
 	case TypeReplace:
 		return decoded(e, m.applyReplace)
+	case TypeMove:
+		return decoded(e, m.applyMove)
+	case TypeMoved:
+		return decoded(e, m.applyMoved)
 	}
 	return &Rejection{Reason: api.ReasonMalformed, Detail: "unknown entry type"}
 }
--- a/internal/cell/machine_test.go
+++ b/internal/cell/machine_test.go
@@ -246,7 +246,12 @@
 	vm := api.VMID([]string{"a", "b", "c"}[rng.IntN(3)])
 	view, _ := m.Task(id)
 	epoch := api.Epoch(1 + rng.IntN(20)/19)
-	switch rng.IntN(12) {
+	switch rng.IntN(13) {
+	case 12:
+		if rng.IntN(2) == 0 {
+			return m.ConfirmEntry(epoch, []api.JobID{id.Job})
+		}
+		return m.MoveEntry(epoch, "bne2", []api.JobID{id.Job})
 	case 0:
 		class := []api.Class{api.ClassBatch, api.ClassService}[rng.IntN(2)]
 		return cell.SubmitEntry(api.JobSpec{ID: id.Job, Class: class, Tasks: 1 + uint32(rng.IntN(6))}, 0)
--- a/internal/cell/propose.go
+++ b/internal/cell/propose.go
@@ -46,6 +46,33 @@
 	return entry(TypeVMs, &VMs{Epoch: epoch, Seen: seen, Gone: gone})
 }
 
+// MovedEntry builds the entry that submits a job which another data centre
+// has moved here.
+func MovedEntry(moving Moving, from api.DataCentre, atMs int64) journal.Entry {
+	origin := &Origin{DataCentre: from, Move: moving.Move, Settled: moving.Settled}
+	return entry(TypeSubmit, &Submit{Spec: moving.Spec, At: atMs, From: origin})
+}
+
+// MoveEntry builds the entry of a Move; it leaves out unknown jobs.
+func (m *Machine) MoveEntry(epoch api.Epoch, to api.DataCentre, jobs []api.JobID) journal.Entry {
+	return entry(TypeMove, &Move{Epoch: epoch, To: to, Jobs: m.numbersOf(jobs)})
+}
+
+// ConfirmEntry builds the entry of a Moved; it leaves out unknown jobs.
+func (m *Machine) ConfirmEntry(epoch api.Epoch, jobs []api.JobID) journal.Entry {
+	return entry(TypeMoved, &Moved{Epoch: epoch, Jobs: m.numbersOf(jobs)})
+}
+
+func (m *Machine) numbersOf(jobs []api.JobID) []uint32 {
+	var numbers []uint32
+	for _, id := range jobs {
+		if n, ok := m.numberOf(id); ok {
+			numbers = append(numbers, n)
+		}
+	}
+	return numbers
+}
+
 // StartEntry builds one entry of starts. It leaves out those whose job or VM
 // is not known and returns them.
 func (m *Machine) StartEntry(epoch api.Epoch, starts []Start) (journal.Entry, []Start) {
--- a/internal/cell/read.go
+++ b/internal/cell/read.go
@@ -28,9 +28,13 @@
 	Size      uint32 // tasks, with replacements
 	Cancelled bool
 	Ended     bool
-	Counts    map[api.TaskState]uint32
+	MovedTo   api.DataCentre // empty unless moved
+	Counts    Counts
 }
 
+// Counts holds numbers of tasks, indexed by api.TaskState.
+type Counts [stateCount]uint32
+
 // Held is an attempt that may occupy a VM.
 type Held struct {
 	TaskView
@@ -87,21 +91,16 @@
 }
 
 func viewJob(j *job) JobView {
-	v := JobView{
+	return JobView{
 		Spec:      j.spec,
 		Number:    j.number,
 		Submitted: j.submitted,
 		Size:      j.size,
 		Cancelled: j.cancelled,
 		Ended:     j.ended,
-		Counts:    make(map[api.TaskState]uint32),
-	}
-	for s, n := range j.counts {
-		if n > 0 {
-			v.Counts[api.TaskState(s)] = n
-		}
+		MovedTo:   j.movedTo,
+		Counts:    j.counts,
 	}
-	return v
 }
 
 // Pending returns the indexes of a job's tasks to place, in order. Parts of
--- a/internal/cell/snapshot.go
+++ b/internal/cell/snapshot.go
@@ -22,6 +22,16 @@
 	VMs     []vmImage
 	Jobs    []jobImage
 	Ended   []uint32
+
+	Moves    uint32
+	MovedOut []uint32
+	MovedIn  []movedImage
+}
+
+type movedImage struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre api.DataCentre
+	Move       uint32
 }
 
 type vmImage struct {
@@ -40,6 +50,8 @@
 	Submitted int64
 	Cancelled bool
 	Ended     bool
+	MovedTo   api.DataCentre
+	Move      uint32
 	Size      uint32
 	Replaced  []replacedImage
 	Tasks     []taskImage // only those that were ever started
@@ -74,7 +86,14 @@
 		NextJob: m.nextJob,
 		NextVM:  uint32(len(m.vms.rows)),
 		Ended:   m.ended,
+
+		Moves:    m.moves,
+		MovedOut: m.movedOut,
+	}
+	for dc, move := range m.movedIn {
+		s.MovedIn = append(s.MovedIn, movedImage{DataCentre: dc, Move: move})
 	}
+	sort.Slice(s.MovedIn, func(i, j int) bool { return s.MovedIn[i].DataCentre < s.MovedIn[j].DataCentre })
 	for number, row := range m.vms.rows {
 		if row != nil {
 			s.VMs = append(s.VMs, vmImage{Number: uint32(number), ID: row.id, Rack: row.rack, Capacity: row.capacity, Gone: row.gone})
@@ -97,6 +116,8 @@
 		Submitted: j.submitted,
 		Cancelled: j.cancelled,
 		Ended:     j.ended,
+		MovedTo:   j.movedTo,
+		Move:      j.move,
 		Size:      j.size,
 	}
 	for added, old := range j.replaced {
@@ -164,6 +185,11 @@
 	m.reset()
 	m.nextJob = s.NextJob
 	m.ended = s.Ended
+	m.moves = s.Moves
+	m.movedOut = s.MovedOut
+	for _, in := range s.MovedIn {
+		m.movedIn[in.DataCentre] = in.Move
+	}
 	m.vms.rows = make([]*vmRow, s.NextVM)
 	for _, v := range s.VMs {
 		if v.Number >= s.NextVM {
@@ -178,6 +204,13 @@
 			return err
 		}
 	}
+	for _, number := range m.ended {
+		j := m.shardOf(number).jobs[number]
+		if j == nil {
+			return fmt.Errorf("cell: snapshot: ended job %d is missing", number)
+		}
+		m.endedTasks += len(j.tasks)
+	}
 	return nil
 }
 
@@ -199,10 +232,12 @@
 	if image.Cancelled {
 		j.cancel()
 	}
-	j.ended = image.Ended
-	if j.ended {
-		m.endedTasks += len(j.tasks)
+	j.movedTo = image.MovedTo
+	j.move = image.Move
+	if j.movedTo != "" && !image.Cancelled {
+		j.dropPending()
 	}
+	j.ended = image.Ended
 	m.shardOf(j.number).jobs[j.number] = j
 	m.nameShardOf(j.spec.ID).numbers[j.spec.ID] = j.number
 	return nil
@@ -214,7 +249,7 @@
 	}
 	j.allocate()
 	t := &j.tasks[image.Index]
-	j.move(t, image.State)
+	j.shift(t, image.State)
 	t.vm = noVM
 	t.attempt = image.Attempt
 	t.failures = image.Failures
--- a/internal/controller/placement/feed.go
+++ b/internal/controller/placement/feed.go
@@ -58,6 +58,9 @@
 }
 
 func (f *feed) dropJob(id api.JobID) {
+	if _, known := f.jobs[id]; !known {
+		return
+	}
 	delete(f.jobs, id)
 	delete(f.dirty, id)
 	f.world.RemoveJob(id)
