Less idle work in the controllers

Cause: the worker controller read the directory 50 times a second and the placement ran a cycle every 20 ms with nothing to do; recovery collected names on entry VMs that don't act, without bound. Ruled out: longer ticks for all, which delay urgent starts. Change: the directory is read twice a second, a cycle runs at once on a change and every 200 ms otherwise, gangs are collected only while acting.

--- a/internal/controller/placement/feed.go
+++ b/internal/controller/placement/feed.go
@@ -25,6 +25,7 @@
 	moving   map[api.TaskID]bool     // preemption proposed
 	vms      map[api.VMID]scheduler.VM
 	vmsAt    time.Time
+	cycledAt time.Time
 }
 
 // newFeed builds a world from the whole state. It needs the machine's View.
@@ -128,11 +129,12 @@
 	f.touch(task.Job)
 }
 
-// refreshVMs puts the VMs that changed.
-func (f *feed) refreshVMs(now time.Time) {
+// refreshVMs puts the VMs that changed and reports whether any did.
+func (f *feed) refreshVMs(now time.Time) bool {
 	if !f.vmsAt.IsZero() && now.Sub(f.vmsAt) < f.c.cfg.FleetEvery {
-		return
+		return false
 	}
+	changed := false
 	f.vmsAt = now
 	fleet := f.c.fleet.Fleet()
 	present := make(map[api.VMID]bool, len(fleet))
@@ -141,19 +143,22 @@
 		if f.vms[vm.ID] != vm {
 			f.vms[vm.ID] = vm
 			f.world.PutVM(vm)
+			changed = true
 		}
 	}
 	for id := range f.vms {
 		if !present[id] {
 			delete(f.vms, id)
 			f.world.RemoveVM(id)
+			changed = true
 		}
 	}
+	return changed
 }
 
 // putDirtyJobs puts the jobs whose pending tasks changed, in the order in
-// which work is placed again.
-func (f *feed) putDirtyJobs() {
+// which work is placed again, and reports whether there were any.
+func (f *feed) putDirtyJobs() bool {
 	var views []cell.JobView
 	for id := range f.dirty {
 		if view, ok := f.c.machine.Job(id); ok && !view.Ended && !view.Cancelled {
@@ -167,6 +172,7 @@
 	for _, v := range views {
 		f.putJob(v)
 	}
+	return len(views) > 0
 }
 
 func (f *feed) putJob(v cell.JobView) {
--- a/internal/controller/placement/placement.go
+++ b/internal/controller/placement/placement.go
@@ -59,7 +59,8 @@
 	MaxStarts  int           // in one cycle
 	MaxBatch   int           // starts in one entry
 	InFlight   int           // entries of starts under way at once
-	Tick       time.Duration // between two cycles
+	Tick       time.Duration // between two cycles while anything changes
+	IdleTick   time.Duration // between two cycles while nothing does
 	FleetEvery time.Duration // between two looks at the VMs
 }
 
@@ -71,6 +72,7 @@
 		MaxBatch:   500,
 		InFlight:   4,
 		Tick:       20 * time.Millisecond,
+		IdleTick:   200 * time.Millisecond,
 		FleetEvery: 250 * time.Millisecond,
 	}
 }
@@ -167,8 +169,11 @@
 		}
 		c.feed.event(e, now)
 	}
-	c.feed.refreshVMs(now)
-	c.feed.putDirtyJobs()
+	changed := c.feed.refreshVMs(now)
+	changed = c.feed.putDirtyJobs() || changed || len(events)+len(refused) > 0
+	if !changed && now.Sub(c.feed.cycledAt) < c.cfg.IdleTick {
+		return
+	}
 	if len(c.slots) == cap(c.slots) {
 		c.counters.Inc(counterGroup, "journal_busy")
 		return
@@ -219,6 +224,7 @@
 
 // plan runs one cycle and proposes its outcome.
 func (c *Controller) plan(ctx context.Context, running *sync.WaitGroup, now time.Time) {
+	c.feed.cycledAt = now
 	plan := c.feed.world.Cycle(now, c.cfg.MaxStarts)
 	c.machine.SetWaits(waitNotes(plan))
 	for _, batch := range c.feed.starts(plan.Starts, c.cfg.MaxBatch) {
--- a/internal/controller/recovery/recovery.go
+++ b/internal/controller/recovery/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,7 +49,7 @@
 	clock    func() time.Time
 
 	mu    sync.Mutex
-	gangs map[api.JobID]bool // gangs of which a part fell out
+	gangs map[api.JobID]bool // jobs of which a task fell out; nil: look at all
 	lost  map[api.VMID]int   // attempts lost on each VM since the last round
 }
 
@@ -57,8 +58,7 @@
 	c := &Controller{
 		cfg: cfg, machine: machine, proposer: proposer, auth: auth, leavers: leavers,
 		counters: counters, log: log, clock: clock,
-		gangs: make(map[api.JobID]bool),
-		lost:  make(map[api.VMID]int),
+		lost: make(map[api.VMID]int),
 	}
 	machine.Subscribe(c.applied)
 	return c
@@ -73,12 +73,13 @@
 			c.freed(e)
 		case cell.EventRestored:
 			clear(c.lost)
+			c.gangs = nil
 		}
 	}
 }
 
 func (c *Controller) freed(e cell.Event) {
-	if e.State == api.TaskPending {
+	if e.State == api.TaskPending && c.gangs != nil {
 		c.gangs[e.Task.Job] = true // whether it is a gang is looked up in the round
 	}
 	switch e.Reason {
@@ -103,28 +104,56 @@
 
 // Step does one round.
 func (c *Controller) Step(ctx context.Context) {
-	candidates, lost := c.collect()
-	c.tell(lost)
+	c.tell(c.takeLost())
 	epoch, ok, _ := c.auth.Cell(c.clock())
 	if !ok {
+		c.forgetGangs()
 		return
 	}
-	stops := c.regroup(candidates)
+	stops := c.regroup(c.candidates())
 	more, replace := c.drain()
 	c.proposeStops(ctx, epoch, append(stops, more...))
 	c.proposeReplacements(ctx, epoch, replace)
 }
 
-func (c *Controller) collect() ([]api.JobID, map[api.VMID]int) {
+func (c *Controller) takeLost() map[api.VMID]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	candidates := make([]api.JobID, 0, len(c.gangs))
-	for id := range c.gangs {
-		candidates = append(candidates, id)
-	}
 	lost := c.lost
 	c.lost = make(map[api.VMID]int)
-	return candidates, lost
+	return lost
+}
+
+// forgetGangs keeps an entry VM that does not act from collecting names.
+func (c *Controller) forgetGangs() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gangs = nil
+}
+
+// candidates lists the jobs to look at: all of them at first.
+func (c *Controller) candidates() []api.JobID {
+	c.mu.Lock()
+	all := c.gangs == nil
+	if all {
+		c.gangs = make(map[api.JobID]bool)
+	}
+	c.mu.Unlock()
+	var jobs []api.JobID
+	if all {
+		jobs = c.machine.Jobs()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range jobs {
+		c.gangs[id] = true
+	}
+	list := make([]api.JobID, 0, len(c.gangs))
+	for id := range c.gangs {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
 }
 
 // settled drops a job from the gangs to look at.
--- a/internal/controller/worker/worker.go
+++ b/internal/controller/worker/worker.go
@@ -54,6 +54,8 @@
 	FlushEvery  time.Duration // longest wait of a report for its entry
 	FlushSize   int           // reports in one entry
 	Backoff     time.Duration // longest pause between exchanges with a VM that doesn't answer
+
+	RefreshEvery time.Duration // between two looks at the directory
 }
 
 // DefaultConfig returns the settings used in production.
@@ -68,6 +70,8 @@
 		FlushEvery:  20 * time.Millisecond,
 		FlushSize:   2000,
 		Backoff:     p.Lease,
+
+		RefreshEvery: 500 * time.Millisecond,
 	}
 }
 
@@ -91,9 +95,10 @@
 	journal  *batcher
 	slots    chan struct{} // bounds the exchanges under way
 
-	mu     sync.RWMutex
-	tenure tenure
-	vms    map[api.VMID]*vm
+	mu          sync.RWMutex
+	tenure      tenure
+	vms         map[api.VMID]*vm
+	refreshedAt time.Time // zero: the VMs have changed
 }
 
 // counterGroup is the group of this package's counters.
@@ -154,7 +159,7 @@
 		return
 	}
 	c.enter(tenure{epoch: epoch, takeover: takeover})
-	c.refresh()
+	c.refresh(now)
 	for _, v := range c.due(now) {
 		select {
 		case c.slots <- struct{}{}:
@@ -183,6 +188,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.tenure = t
+		c.refreshedAt = time.Time{}
 		c.vms = make(map[api.VMID]*vm)
 		for _, view := range c.machine.VMs() {
 			v := newVM(api.VM{ID: view.ID}, t, c.cfg)
@@ -198,7 +204,16 @@
 
 // refresh takes over addresses, adds VMs and drops those that the log has
 // forgotten.
-func (c *Controller) refresh() {
+func (c *Controller) refresh(now time.Time) {
+	c.mu.Lock()
+	fresh := now.Sub(c.refreshedAt) < c.cfg.RefreshEvery
+	if !fresh {
+		c.refreshedAt = now
+	}
+	c.mu.Unlock()
+	if fresh {
+		return
+	}
 	listed := make(map[api.VMID]api.VM)
 	for _, vm := range c.dir.VMs() {
 		listed[vm.ID] = vm
--- a/internal/platform/httpworker/httpworker_test.go
+++ b/internal/platform/httpworker/httpworker_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/platform/httpworker"
@@ -85,3 +87,28 @@
 		t.Error("nobody listens: ", err)
 	}
 }
+
+// BenchmarkExchange does exchanges with a VM that runs 25 tasks.
+func BenchmarkExchange(b *testing.B) {
+	v := standin.New("vm-1", api.Resources{MilliCPU: 64_000}, time.Now, 0)
+	server := httptest.NewServer(standin.NewHost(v))
+	defer server.Close()
+	vm := api.VM{ID: "vm-1", Address: strings.TrimPrefix(server.URL, "http://") + "/w/vm-1"}
+	c := httpworker.New(time.Second)
+	msg := platform.WorkerSync{Epoch: 1, Incarnation: 1, LeaseExpiry: platform.WorkerTime(time.Hour)}
+	for i := range uint32(25) {
+		msg.Starts = append(msg.Starts, platform.TaskStart{Task: api.TaskID{Job: "team-01/job-000001", Index: i}, Attempt: 1, Resources: api.Resources{MilliCPU: 1000, MemoryMB: 2000}})
+	}
+	if _, err := c.Sync(b.Context(), vm, msg); err != nil {
+		b.Fatal(err)
+	}
+	msg.Starts = nil
+	var report platform.WorkerReport
+	for b.Loop() {
+		report, _ = c.Sync(b.Context(), vm, msg)
+	}
+	data, _ := cbor.Marshal(report)
+	b.ReportMetric(float64(len(data)), "report-bytes")
+	data, _ = cbor.Marshal(msg)
+	b.ReportMetric(float64(len(data)), "message-bytes")
+}
