A lapse no longer waits for exchanges to stop failing

Cause: the lapse of a lease was counted from the latest exchange built, so that each retry put it off: a VM that never answered kept its work for ever. Every expiry since the latest report is the same point on the worker's clock, so the lapse is counted from that report's arrival, which retries don't move. Retries come 12 to a lease until the lapse. Ruled out: a longer lease; it only hides both. Change: lease.Tracker, pauses, and a test in which exchanges, proposals, VMs and holders fail at random. While VMs restart or freeze the end of a task can be lost with its VM, so only then a second run is allowed.

--- a/internal/controller/placement/placement_test.go
+++ b/internal/controller/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -39,6 +40,16 @@
 	epoch    api.Epoch
 	takeover time.Time
 	offset   platform.Offset
+	rng      *rand.Rand // nil: nothing fails on the way
+	late     sync.WaitGroup
+	vmFaults bool // VMs restart and freeze: the end of a task can be lost with its VM
+}
+
+// chance draws whether something fails.
+func (b *bench) chance(percent int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rng != nil && b.rng.IntN(100) < percent
 }
 
 func (b *bench) CellEpoch() api.Epoch {
@@ -55,6 +66,9 @@
 
 func (b *bench) Propose(_ context.Context, e journal.Entry) error {
 	time.Sleep(5 * time.Millisecond) // virtual: the way to the log and back
+	if b.chance(10) {
+		return journal.ErrNotWritten
+	}
 	b.mu.Lock()
 	b.offset++
 	pos := journal.Position{Offset: b.offset}
@@ -67,10 +81,29 @@
 	if w == nil {
 		return platform.WorkerReport{}, platform.ErrWorkerUnreachable
 	}
-	if w.Dead() {
+	if b.chance(5) {
+		return platform.WorkerReport{}, platform.ErrWorkerUnreachable
+	}
+	if b.chance(5) { // arrives late, sometimes beside a copy in time
+		b.mu.Lock()
+		delay := time.Duration(b.rng.IntN(8000)) * time.Millisecond
+		b.mu.Unlock()
+		b.late.Go(func() {
+			time.Sleep(delay)
+			_, _ = w.Sync(msg)
+		})
+		if b.chance(70) {
+			return platform.WorkerReport{}, platform.ErrWorkerUncertain
+		}
+	}
+	if w.Dead() || b.chance(5) {
+		return platform.WorkerReport{}, platform.ErrWorkerUncertain
+	}
+	report, err := w.Sync(msg)
+	if b.chance(10) {
 		return platform.WorkerReport{}, platform.ErrWorkerUncertain
 	}
-	return w.Sync(msg)
+	return report, err
 }
 
 func (b *bench) Inc(string, api.Reason)                  {}
@@ -185,6 +218,7 @@
 		f(b)
 		cancel()
 		running.Wait()
+		b.late.Wait()
 		b.checkTruth()
 	})
 }
@@ -204,11 +238,16 @@
 					b.t.Errorf("task %v ran twice at once: %+v and %+v", r.Task, r, other)
 				}
 			}
+			if !b.vmFaults && r.State == platform.RunSucceeded && slices.ContainsFunc(byTask[r.Task], succeeded) {
+				b.t.Errorf("task %v ran to its end twice", r.Task)
+			}
 			byTask[r.Task] = append(byTask[r.Task], r)
 		}
 	}
 }
 
+func succeeded(r standin.Run) bool { return r.State == platform.RunSucceeded }
+
 func overlap(a, b standin.Run) bool {
 	far := time.Now().Add(time.Hour)
 	endA, endB := a.End, b.End
@@ -280,8 +319,11 @@
 		if n := len(b.machine.On("vm-0")); n != 4 {
 			t.Errorf("%d attempts left before the lease can have lapsed", n)
 		}
-		b.await("sweep", api.TaskRunning, 8, 10*time.Second)
-		time.Sleep(10 * time.Second)
+		time.Sleep(6 * time.Second)
+		if n := len(b.machine.On("vm-0")); n != 0 {
+			t.Errorf("%d attempts left after the lease has certainly lapsed", n)
+		}
+		b.await("sweep", api.TaskRunning, 8, 5*time.Second)
 		b.workers["vm-0"].SetFaults(standin.Faults{})
 		b.await("sweep", api.TaskFinished, 8, 2*time.Minute)
 		view, _ := b.machine.Task(api.TaskID{Job: "sweep"})
@@ -375,3 +417,40 @@
 		b.await("sweep", api.TaskCancelled, 20, 4*time.Second)
 	})
 }
+
+// Whatever fails, every task ends and none runs at two places. While the VMs
+// themselves don't fail, none runs to its end twice.
+func TestNothingTwiceWhileEverythingFails(t *testing.T) {
+	for seed := range uint64(6) {
+		run(t, 4, func(b *bench) {
+			b.vmFaults = seed%2 == 0
+			rng := rand.New(rand.NewPCG(seed, 3))
+			b.mu.Lock()
+			b.rng = rand.New(rand.NewPCG(seed, 4))
+			b.mu.Unlock()
+			for b.Propose(t.Context(), cell.SubmitEntry(batch("sweep", 40, 20*time.Second), 0)) != nil {
+				continue
+			}
+			for range 40 {
+				time.Sleep(time.Duration(rng.IntN(8)) * time.Second)
+				w := b.workers[api.VMID(fmt.Sprintf("vm-%d", rng.IntN(4)))]
+				switch what := rng.IntN(4); {
+				case what == 0 && b.vmFaults:
+					w.Restart()
+				case what == 1 && b.vmFaults:
+					w.SetFaults(standin.Faults{Frozen: true, IgnoreFences: true})
+				case what == 2:
+					w.SetFaults(standin.Faults{IgnoreFences: true})
+				default:
+					b.mu.Lock()
+					b.epoch, b.takeover = b.epoch+1, time.Now()
+					b.mu.Unlock()
+				}
+			}
+			for _, w := range b.workers {
+				w.SetFaults(standin.Faults{})
+			}
+			b.await("sweep", api.TaskFinished, 40, 10*time.Minute)
+		})
+	}
+}
--- a/internal/controller/worker/exchange.go
+++ b/internal/controller/worker/exchange.go
@@ -35,7 +35,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	restarted := out.grant.Incarnation != 0 && report.Incarnation != out.grant.Incarnation
-	if !v.tracker.Report(out.grant.Exchange, report) {
+	if !v.tracker.Report(now, out.grant.Exchange, report) {
 		c.counters.Inc(counterGroup, "report_out_of_order")
 		return
 	}
@@ -66,7 +66,7 @@
 		}
 		msg.Stops = c.stops(v, held)
 	}
-	grant, ok := v.tracker.Build(c.clock(), out.starts)
+	grant, ok := v.tracker.Build(out.starts)
 	out.grant = grant
 	msg.Incarnation = grant.Incarnation
 	msg.LeaseExpiry = grant.Expiry
@@ -170,6 +170,7 @@
 	if !v.tracker.Lapsed(now) {
 		return
 	}
+	v.lapsed = true
 	for _, h := range held {
 		v.tracker.GiveUp(attemptOf(h))
 		c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: api.ReasonLeaseLapsed}, h)
@@ -180,6 +181,7 @@
 func (v *vm) answered(now time.Time, report platform.WorkerReport) {
 	v.answeredAt = now
 	v.failures = 0
+	v.lapsed = false
 	v.leaving = report.Leaving
 	v.report = &report
 }
--- a/internal/controller/worker/vm.go
+++ b/internal/controller/worker/vm.go
@@ -24,6 +24,7 @@
 	tracker    *lease.Tracker
 	last       time.Time // start of the latest exchange
 	answeredAt time.Time // latest report
+	lapsed     bool      // its lease has, since the latest report
 	failures   int       // exchanges without an answer in a row
 	leaving    bool
 	report     *platform.WorkerReport // latest
@@ -59,6 +60,9 @@
 
 // pause is the time from one exchange to the next.
 func (v *vm) pause() time.Duration {
+	if v.failures > 0 && !v.lapsed {
+		return v.cfg.Retry
+	}
 	if v.failures > 0 {
 		return min(v.cfg.Interval*time.Duration(v.failures), v.cfg.Backoff)
 	}
--- a/internal/controller/worker/worker.go
+++ b/internal/controller/worker/worker.go
@@ -48,12 +48,13 @@
 	Lease       lease.Params
 	Interval    time.Duration // between exchanges with a VM that has no changes
 	MinGap      time.Duration // between exchanges with a VM that has changes
+	Retry       time.Duration // after an exchange without an answer, while the lease may hold
 	Tick        time.Duration // between two looks for VMs that are due
 	Timeout     time.Duration // of an exchange
 	Concurrency int           // exchanges under way at once
 	FlushEvery  time.Duration // longest wait of a report for its entry
 	FlushSize   int           // reports in one entry
-	Backoff     time.Duration // longest pause between exchanges with a VM that doesn't answer
+	Backoff     time.Duration // longest pause between exchanges with a VM whose lease has lapsed
 
 	RefreshEvery time.Duration // between two looks at the directory
 }
@@ -64,6 +65,7 @@
 		Lease:       p,
 		Interval:    p.Lease / 4,
 		MinGap:      50 * time.Millisecond,
+		Retry:       p.Lease / 12,
 		Tick:        20 * time.Millisecond,
 		Timeout:     p.Lease / 4,
 		Concurrency: 64,
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -57,10 +57,9 @@
 	params   Params
 	takeover time.Time // when the claim was read back
 
-	built        Exchange // latest built
-	answered     Exchange // latest answered
-	lastGrant    time.Time
-	granted      bool
+	built        Exchange  // latest built
+	answered     Exchange  // latest answered
+	reportedAt   time.Time // arrival of the latest report, zero before the first
 	incarnation  uint64
 	clock        platform.WorkerTime // of the latest report; meaningless without incarnation
 	inheritUntil platform.WorkerTime // starts of earlier holders are invalid from here on
@@ -84,15 +83,13 @@
 // before the holder checks its hold and sends: a message that was built and
 // then delayed carries an expiry from before the check. Without a report to
 // work from nothing may be started, and Build reports false.
-func (t *Tracker) Build(now time.Time, starts []Attempt) (Grant, bool) {
+func (t *Tracker) Build(starts []Attempt) (Grant, bool) {
 	t.built++
 	g := Grant{Exchange: t.built, Incarnation: t.incarnation}
 	if t.incarnation == 0 {
 		return g, len(starts) == 0
 	}
 	g.Expiry = t.clock + platform.WorkerTime(t.params.Lease)
-	t.lastGrant = now
-	t.granted = true
 	for _, a := range starts {
 		prior := t.told[a]
 		t.told[a] = told{incarnation: t.incarnation, until: max(prior.until, g.Expiry)}
@@ -100,9 +97,9 @@
 	return g, true
 }
 
-// Report takes the answer to exchange x. It returns false for an answer that
+// Report takes the answer to exchange x, which arrived at now. It returns false for an answer that
 // is older than one already taken; such an answer is to be dropped.
-func (t *Tracker) Report(x Exchange, r platform.WorkerReport) bool {
+func (t *Tracker) Report(now time.Time, x Exchange, r platform.WorkerReport) bool {
 	if x <= t.answered || x > t.built || r.Incarnation == 0 {
 		return false
 	}
@@ -116,6 +113,7 @@
 	}
 	t.incarnation = r.Incarnation
 	t.clock = r.Clock
+	t.reportedAt = now
 	return true
 }
 
@@ -183,13 +181,16 @@
 }
 
 // LapsesAt is the time from which every lease given to the VM so far, by
-// this holder or earlier ones, has certainly lapsed.
+// this holder or earlier ones, has certainly lapsed. All expiries since the
+// latest report are the same point on the worker's clock, a lease after a
+// reading that was taken before the report arrived: exchanges without an
+// answer don't move it.
 func (t *Tracker) LapsesAt() time.Time {
 	at := t.takeover.Add(t.params.stretch(t.params.Hold + t.params.Lease))
-	if !t.granted {
+	if t.reportedAt.IsZero() {
 		return at
 	}
-	if own := t.lastGrant.Add(t.params.stretch(t.params.Lease)); own.After(at) {
+	if own := t.reportedAt.Add(t.params.stretch(t.params.Lease)); own.After(at) {
 		return own
 	}
 	return at
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -141,7 +141,7 @@
 		starts = []lease.Attempt{a}
 		msg.Starts = []platform.TaskStart{{Task: a.Task, Attempt: a.Attempt, Resources: api.Resources{MilliCPU: 1000}}}
 	}
-	grant, ok := t.Build(s.scaled(h.rate), starts)
+	grant, ok := t.Build(starts)
 	if !ok {
 		return
 	}
@@ -180,7 +180,7 @@
 func (h *holder) reported(i int, x lease.Exchange, a lease.Attempt, report platform.WorkerReport) {
 	s := h.s
 	t := h.trackers[i]
-	if s.now > h.until || !t.Report(x, report) || s.vm != i || a != s.current() {
+	if s.now > h.until || !t.Report(s.scaled(h.rate), x, report) || s.vm != i || a != s.current() {
 		return
 	}
 	for _, r := range report.Tasks {
