--- a/internal/controller/placement/feed.go
+++ b/internal/controller/placement/feed.go
@@ -25,6 +25,7 @@
 	moving   map[api.TaskID]bool     // preemption proposed
 	vms      map[api.VMID]scheduler.VM
 	vmsAt    time.Time
+	cycledAt time.Time
 }
 
 // newFeed builds a world from the whole state. It needs the machine's View.
@@ -58,6 +59,9 @@
 }
 
 func (f *feed) dropJob(id api.JobID) {
+	if _, known := f.jobs[id]; !known {
+		return
+	}
 	delete(f.jobs, id)
 	delete(f.dirty, id)
 	f.world.RemoveJob(id)
@@ -125,11 +129,12 @@
 	f.touch(task.Job)
 }
 
-// refreshVMs puts the VMs that changed.
-func (f *feed) refreshVMs(now time.Time) {
+// refreshVMs puts the VMs that changed and reports whether any did.
+func (f *feed) refreshVMs(now time.Time) bool {
 	if !f.vmsAt.IsZero() && now.Sub(f.vmsAt) < f.c.cfg.FleetEvery {
-		return
+		return false
 	}
+	changed := false
 	f.vmsAt = now
 	fleet := f.c.fleet.Fleet()
 	present := make(map[api.VMID]bool, len(fleet))
@@ -138,32 +143,40 @@
 		if f.vms[vm.ID] != vm {
 			f.vms[vm.ID] = vm
 			f.world.PutVM(vm)
+			changed = true
 		}
 	}
 	for id := range f.vms {
 		if !present[id] {
 			delete(f.vms, id)
 			f.world.RemoveVM(id)
+			changed = true
 		}
 	}
+	return changed
 }
 
 // putDirtyJobs puts the jobs whose pending tasks changed, in the order in
-// which work is placed again.
-func (f *feed) putDirtyJobs() {
-	var views []cell.JobView
+// which work is placed again, and reports whether there were any.
+func (f *feed) putDirtyJobs() bool {
+	var jobs []*ranked
 	for id := range f.dirty {
 		if view, ok := f.c.machine.Job(id); ok && !view.Ended && !view.Cancelled {
-			views = append(views, view)
+			jobs = append(jobs, &ranked{order: recovery.OrderOf(view, api.TaskID{Job: id}), view: view})
 		}
 	}
 	clear(f.dirty)
-	recovery.Sort(views, func(v cell.JobView) recovery.Order {
-		return recovery.OrderOf(v, api.TaskID{Job: v.Spec.ID})
-	})
-	for _, v := range views {
-		f.putJob(v)
+	recovery.Sort(jobs, func(r *ranked) recovery.Order { return r.order })
+	for _, r := range jobs {
+		f.putJob(r.view)
 	}
+	return len(jobs) > 0
+}
+
+// ranked is a job with its place.
+type ranked struct {
+	order recovery.Order
+	view  cell.JobView
 }
 
 func (f *feed) putJob(v cell.JobView) {
--- a/internal/controller/worker/exchange.go
+++ b/internal/controller/worker/exchange.go
@@ -14,7 +14,7 @@
 )
 
 // exchange does one exchange with a VM and journals what it brought.
-func (c *Controller) exchange(ctx context.Context, v *vm) {
+func (c *Controller) exchange(ctx context.Context, v *vm, timeout time.Duration) {
 	defer v.done()
 	v.changed.Store(false)
 	held := c.machine.On(v.id)
@@ -25,6 +25,8 @@
 	if !ok {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	report, err := c.send(ctx, v, address, msg)
 	now := c.clock()
 	if err != nil {
@@ -34,12 +36,13 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.tracker.Report(out.grant.Exchange, report) {
+	restarted := out.grant.Incarnation != 0 && report.Incarnation != out.grant.Incarnation
+	if !v.tracker.Report(now, out.grant.Exchange, report) {
 		c.counters.Inc(counterGroup, "report_out_of_order")
 		return
 	}
 	v.answered(now, report)
-	c.judge(v, held, report)
+	c.judge(v, held, report, restarted)
 	if out.grant.Expiry == 0 {
 		v.changed.Store(true) // the first contact renewed and told nothing
 	}
@@ -65,7 +68,7 @@
 		}
 		msg.Stops = c.stops(v, held)
 	}
-	grant, ok := v.tracker.Build(c.clock(), out.starts)
+	grant, ok := v.tracker.Build(out.starts)
 	out.grant = grant
 	msg.Incarnation = grant.Incarnation
 	msg.LeaseExpiry = grant.Expiry
@@ -133,8 +136,6 @@
 	if !ok || (tenure{epoch: epoch, takeover: takeover}) != v.tenure {
 		return platform.WorkerReport{}, errSuperseded
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
 	return c.workers.Sync(ctx, address, msg)
 }
 
@@ -153,8 +154,7 @@
 		reason = "unreachable"
 		v.tracker.Undelivered(out.starts)
 	case errors.Is(err, platform.ErrWorkerFenced):
-		reason = "fenced"
-		v.tracker.Undelivered(out.starts)
+		reason = "fenced" // a newer holder is about: nothing is told again
 	}
 	c.counters.Inc(counterGroup, reason)
 	if v.failures == 1 {
@@ -169,6 +169,7 @@
 	if !v.tracker.Lapsed(now) {
 		return
 	}
+	v.lapsed = true
 	for _, h := range held {
 		v.tracker.GiveUp(attemptOf(h))
 		c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: api.ReasonLeaseLapsed}, h)
@@ -179,13 +180,14 @@
 func (v *vm) answered(now time.Time, report platform.WorkerReport) {
 	v.answeredAt = now
 	v.failures = 0
+	v.lapsed = false
 	v.leaving = report.Leaving
 	v.report = &report
 }
 
 // judge compares a report with what the log said before the exchange. It
 // needs the VM locked.
-func (c *Controller) judge(v *vm, held []cell.Held, report platform.WorkerReport) {
+func (c *Controller) judge(v *vm, held []cell.Held, report platform.WorkerReport, restarted bool) {
 	reported := make(map[lease.Attempt]platform.TaskReport, len(report.Tasks))
 	for _, r := range report.Tasks {
 		reported[lease.Attempt{Task: r.Task, Attempt: r.Attempt}] = r
@@ -201,14 +203,17 @@
 			continue // to be told with the next exchange
 		}
 		if v.tracker.Missing(a) {
-			c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: missingReason(h)}, h)
+			c.journal.add(cell.Report{Task: h.Task, Attempt: h.Attempt, Ending: cell.ReportLost, Reason: missingReason(h, restarted)}, h)
 		}
 	}
 }
 
-func missingReason(h cell.Held) api.Reason {
-	if h.State == api.TaskStopping {
+func missingReason(h cell.Held, restarted bool) api.Reason {
+	switch {
+	case h.State == api.TaskStopping:
 		return h.Reason
+	case restarted:
+		return api.ReasonWorkerRestart
 	}
 	return api.ReasonWorkerLost
 }
--- a/internal/controller/worker/worker.go
+++ b/internal/controller/worker/worker.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -48,12 +49,17 @@
 	Lease       lease.Params
 	Interval    time.Duration // between exchanges with a VM that has no changes
 	MinGap      time.Duration // between exchanges with a VM that has changes
+	Retry       time.Duration // after an exchange without an answer, while the lease may hold
 	Tick        time.Duration // between two looks for VMs that are due
-	Timeout     time.Duration // of an exchange
-	Concurrency int           // exchanges under way at once
+	Timeout     time.Duration // of an exchange with a VM that answered the last
+	Concurrency int           // such exchanges under way at once
 	FlushEvery  time.Duration // longest wait of a report for its entry
 	FlushSize   int           // reports in one entry
-	Backoff     time.Duration // longest pause between exchanges with a VM that doesn't answer
+	Backoff     time.Duration // longest pause between exchanges with a VM whose lease has lapsed
+
+	ProbeTimeout time.Duration // of an exchange with any other VM
+	Probes       int           // such exchanges under way at once
+	RefreshEvery time.Duration // between two looks at the directory
 }
 
 // DefaultConfig returns the settings used in production.
@@ -62,12 +68,17 @@
 		Lease:       p,
 		Interval:    p.Lease / 4,
 		MinGap:      50 * time.Millisecond,
+		Retry:       p.Lease / 12,
 		Tick:        20 * time.Millisecond,
 		Timeout:     p.Lease / 4,
-		Concurrency: 64,
+		Concurrency: 128,
 		FlushEvery:  20 * time.Millisecond,
 		FlushSize:   2000,
 		Backoff:     p.Lease,
+
+		ProbeTimeout: p.Lease / 20,
+		Probes:       256,
+		RefreshEvery: 500 * time.Millisecond,
 	}
 }
 
@@ -90,10 +101,12 @@
 	clock    func() time.Time
 	journal  *batcher
 	slots    chan struct{} // bounds the exchanges under way
+	probes   chan struct{} // bounds those with VMs that may not answer
 
-	mu     sync.RWMutex
-	tenure tenure
-	vms    map[api.VMID]*vm
+	mu          sync.RWMutex
+	tenure      tenure
+	vms         map[api.VMID]*vm
+	refreshedAt time.Time // zero: the VMs have changed
 }
 
 // counterGroup is the group of this package's counters.
@@ -104,16 +117,24 @@
 	c := &Controller{
 		cfg: cfg, machine: machine, workers: workers, dir: dir, auth: auth, observer: observer,
 		counters: counters, log: log, clock: clock,
-		slots: make(chan struct{}, cfg.Concurrency),
-		vms:   make(map[api.VMID]*vm),
+		slots:  make(chan struct{}, cfg.Concurrency),
+		probes: make(chan struct{}, cfg.Probes),
+		vms:    make(map[api.VMID]*vm),
 	}
 	c.journal = newBatcher(cfg, machine, proposer, auth, counters, clock)
 	machine.Subscribe(c.applied)
 	return c
 }
 
-// applied marks the VMs that have something to be told.
+// applied marks the VMs that have something to be told. After a restore the
+// tenure begins anew: what was applied in between is not known.
 func (c *Controller) applied(events []cell.Event) {
+	if events[0].Kind == cell.EventRestored {
+		c.mu.Lock()
+		c.tenure = tenure{}
+		c.mu.Unlock()
+		return
+	}
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	for _, e := range events {
@@ -154,20 +175,36 @@
 		return
 	}
 	c.enter(tenure{epoch: epoch, takeover: takeover})
-	c.refresh()
-	for _, v := range c.due(now) {
-		select {
-		case c.slots <- struct{}{}:
-		case <-ctx.Done():
-			return
+	c.refresh(now)
+	for _, d := range c.due(now) {
+		if d.lapsing {
+			c.lapse(d.vm, now, c.machine.On(d.vm.id))
 		}
-		running.Go(func() {
-			defer func() { <-c.slots }()
-			c.exchange(ctx, v)
-		})
+		c.launch(ctx, running, d, now)
 	}
 }
 
+// launch starts an exchange if there is room for it. VMs that may not answer
+// have room of their own, so that they can't keep the others from their
+// leases.
+func (c *Controller) launch(ctx context.Context, running *sync.WaitGroup, d dueVM, now time.Time) {
+	room, timeout := c.slots, c.cfg.Timeout
+	if d.probe {
+		room, timeout = c.probes, c.cfg.ProbeTimeout
+	}
+	select {
+	case room <- struct{}{}:
+	default:
+		c.counters.Inc(counterGroup, "no_room")
+		return
+	}
+	d.vm.begin(now)
+	running.Go(func() {
+		defer func() { <-room }()
+		c.exchange(ctx, d.vm, timeout)
+	})
+}
+
 // enter begins a tenure: whatever the log says the VMs hold may have been
 // told to them by an earlier holder.
 func (c *Controller) enter(t tenure) {
@@ -183,6 +220,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.tenure = t
+		c.refreshedAt = time.Time{}
 		c.vms = make(map[api.VMID]*vm)
 		for _, view := range c.machine.VMs() {
 			v := newVM(api.VM{ID: view.ID}, t, c.cfg)
@@ -198,7 +236,16 @@
 
 // refresh takes over addresses, adds VMs and drops those that the log has
 // forgotten.
-func (c *Controller) refresh() {
+func (c *Controller) refresh(now time.Time) {
+	c.mu.Lock()
+	fresh := now.Sub(c.refreshedAt) < c.cfg.RefreshEvery
+	if !fresh {
+		c.refreshedAt = now
+	}
+	c.mu.Unlock()
+	if fresh {
+		return
+	}
 	listed := make(map[api.VMID]api.VM)
 	for _, vm := range c.dir.VMs() {
 		listed[vm.ID] = vm
@@ -225,24 +272,23 @@
 	}
 }
 
-// due returns the VMs to sync now, those waiting longest first, and marks
-// them as busy.
-func (c *Controller) due(now time.Time) []*vm {
+// due returns the VMs to sync now, those waiting longest first.
+func (c *Controller) due(now time.Time) []dueVM {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	var due []*vm
+	var due []dueVM
 	for _, v := range c.vms {
-		if v.begin(now) {
-			due = append(due, v)
+		if d, ok := v.due(now); ok {
+			due = append(due, d)
 		}
 	}
-	sortByAge(due)
+	sort.Slice(due, func(i, j int) bool { return due[i].before(due[j]) })
 	return due
 }
 
 // Status is how a VM stands with this controller.
 type Status struct {
-	Answers bool // reported in this tenure, not longer than a lease ago
+	Answers bool // reported in this tenure, not longer than half a lease ago
 	Leaving bool // says so in its reports
 	// LapsesAt is when every lease given to it has certainly lapsed.
 	LapsesAt time.Time
