--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -88,37 +88,46 @@
 	}
 }
 
+// says makes a call and checks the word that the caller gets.
+func (w *world) says(t *testing.T, k call, want string) *api.Refusal {
+	t.Helper()
+	answer, refusal := w.do(t.Context(), k)
+	same(t, say(answer, refusal), want)
+	return refusal
+}
+
+func same[T comparable](t *testing.T, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 func TestRepeatsWhileItRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld("a", "b")
 		w.hold = make(chan struct{})
-		said := make(map[string]int)
-		var mu sync.Mutex
-		var wg sync.WaitGroup
-		ask := func(k call) {
-			wg.Go(func() {
-				word := say(w.do(context.Background(), k))
-				mu.Lock()
-				defer mu.Unlock()
-				said[word]++
-			})
+		const reused = "not-run request_id_reused"
+		for _, row := range []struct {
+			call
+			want string
+		}{
+			{call{node: "a", id: "id", body: "x"}, "id=x"},
+			{call{node: "a", id: "id", body: "x"}, "id=x"}, // joins
+			{call{node: "b", id: "id", body: "x"}, "id=x"}, // asks a
+			{call{node: "a", id: "id", body: "y"}, reused},
+			{call{node: "b", id: "id", body: "y"}, reused},
+			{call{node: "b", id: "id", body: "x", idempotent: true}, reused},
+		} {
+			go w.says(t, row.call, row.want)
 			synctest.Wait()
 		}
-		ask(call{node: "a", id: "id", body: "x"})
-		ask(call{node: "a", id: "id", body: "x"}) // joins
-		ask(call{node: "b", id: "id", body: "x"}) // asks a
-		ask(call{node: "a", id: "id", body: "y"})
-		ask(call{node: "b", id: "id", body: "y"})
-		ask(call{node: "b", id: "id", body: "x", idempotent: true})
 		close(w.hold)
-		wg.Wait()
+		time.Sleep(time.Second)
 		w.close()
-		if said["id=x"] != 3 || said["not-run request_id_reused"] != 3 || w.runs["id"] != 1 {
-			t.Fatalf("%v, %d runs", said, w.runs["id"])
-		}
-		if w.counts["repeat/joined"] != 1 || w.counts["repeat/from_peer"] != 1 {
-			t.Fatalf("%v", w.counts)
-		}
+		same(t, w.ran("id"), 1)
+		same(t, w.counts["repeat/joined"], 1)
+		same(t, w.counts["repeat/from_peer"], 1)
 	})
 }
 
@@ -126,12 +135,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld("a", "b")
 		w.hold = make(chan struct{})
-		go w.do(context.Background(), call{node: "a", id: "id", body: "x"})
+		go w.says(t, call{node: "a", id: "id", body: "x"}, "id=x")
 		synctest.Wait()
-		w.spec.TimeoutMs = 200 // of the repeat only
-		answer, refusal := w.do(t.Context(), call{node: "b", id: "id", body: "x"})
-		if say(answer, refusal) != "unknown still_running" || refusal.RetryAfter == 0 {
-			t.Fatalf("%v", refusal)
+		w.spec.TimeoutMs = 200 // of the repeats only
+		for _, node := range []api.NodeID{"a", "b"} {
+			refusal := w.says(t, call{node: node, id: "id", body: "x"}, "unknown still_running")
+			same(t, refusal.RetryAfter, DefaultRetryAfter)
 		}
 		close(w.hold)
 		time.Sleep(time.Second)
@@ -139,33 +148,38 @@
 	})
 }
 
+// TestCallerLeaves: a leaving caller's non-idempotent request goes on, and a
+// drain waits for it; an idempotent one is cancelled.
 func TestCallerLeaves(t *testing.T) {
-	for _, idempotent := range []bool{false, true} {
+	for _, row := range []struct {
+		idempotent  bool
+		slots, runs int
+		word        string // that nobody is there to hear
+	}{{false, 1, 1, "id=x"}, {true, 0, 2, "unknown answer_broken"}} {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld("a", "b")
 			w.hold = make(chan struct{})
-			ctx, cancel := context.WithCancel(context.Background())
+			k := call{node: "a", id: "id", body: "x", idempotent: row.idempotent}
+			ctx, cancel := context.WithCancel(t.Context())
 			var word string
-			go func() { word = say(w.do(ctx, call{node: "a", id: "id", body: "x", idempotent: idempotent})) }()
+			go func() { word = say(w.do(ctx, k)) }()
 			synctest.Wait()
 			cancel()
+			w.chains["a"].gate.Drain()
 			time.Sleep(10 * time.Millisecond) // the fake executor's own time
 			synctest.Wait()
-			if w.counts["callers/caller_gone"] != 1 || idempotent != (w.open == 0) || idempotent != (word != "") {
-				t.Errorf("idempotent %t: %d slots taken, word %q, %v", idempotent, w.open, word, w.counts)
-			}
+			same(t, w.chains["a"].gate.InFlight(), row.slots)
+			same(t, w.counts["callers/caller_gone"], 1)
+			same(t, w.tickets(), row.slots)
 			close(w.hold)
-			time.Sleep(10 * time.Millisecond)
+			same(t, w.chains["a"].gate.Wait(t.Context()), nil)
 			synctest.Wait()
-			if want := map[bool]string{false: "id=x", true: "unknown answer_broken"}[idempotent]; word != want {
-				t.Errorf("the caller was told %q", word)
-			}
+			same(t, word, row.word)
 			w.close()
-			w.down["a"] = true // the answer is in the log
-			repeat := say(w.do(context.Background(), call{node: "b", id: "id", body: "x", idempotent: idempotent}))
-			if want := map[bool]int{false: 1, true: 2}[idempotent]; repeat != "id=x" || w.runs["id"] != want {
-				t.Errorf("repeat got %q after %d runs", repeat, w.runs["id"])
-			}
+			w.down["a"] = true // a non-idempotent request's answer is in the log
+			k.node = "b"
+			w.says(t, k, "id=x")
+			same(t, w.ran("id"), row.runs)
 		})
 	}
 }
@@ -174,32 +188,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld("a", "b")
 		large := strings.Repeat("z", 2000) // its answer is not journaled
-		w.do(t.Context(), call{node: "a", id: "large", body: large})
-		w.do(t.Context(), call{node: "a", id: "small", body: "x"})
+		w.says(t, call{node: "a", id: "large", body: large}, "large="+large)
+		w.says(t, call{node: "a", id: "small", body: "x"}, "small=x")
 		w.close()
 		w.down["a"] = true
-		if got := say(w.do(t.Context(), call{node: "b", id: "large", body: large})); got != "unknown holder_lost" {
-			t.Errorf("large: %s", got)
-		}
-		if got := say(w.do(t.Context(), call{node: "b", id: "small", body: "x"})); got != "small=x" {
-			t.Errorf("small: %s", got)
-		}
+		w.says(t, call{node: "b", id: "large", body: large}, "unknown holder_lost")
+		w.says(t, call{node: "b", id: "small", body: "x"}, "small=x")
 		w.start("a", "east", []api.DataCentre{"east"})
-		if got := say(w.do(t.Context(), call{node: "a", id: "large", body: large})); got != "unknown holder_lost" {
-			t.Errorf("restarted: %s", got)
-		}
+		w.says(t, call{node: "a", id: "large", body: large}, "unknown holder_lost")
 		w.chains["b"].gate.SetReady(false)
-		for id, want := range map[string]string{"small": "unknown not_ready", "new": "unknown not_ready", "": "not-run not_ready"} {
-			if got := say(w.do(t.Context(), call{node: "b", id: id, body: "x"})); got != want {
-				t.Errorf("not ready, id %q: %s", id, got)
-			}
-		}
+		w.says(t, call{node: "b", id: "small", body: "x"}, "unknown not_ready")
+		w.says(t, call{node: "b", id: "new", body: "x"}, "unknown not_ready")
+		w.says(t, call{node: "b", idempotent: true}, "not-run not_ready")
 		w.chains["a"].gate.Drain()
-		for id, want := range map[string]string{"small": "unknown draining", "new": "not-run draining"} {
-			if got := say(w.do(t.Context(), call{node: "a", id: id, body: "x"})); got != want {
-				t.Errorf("draining, id %q: %s", id, got)
-			}
-		}
+		w.says(t, call{node: "a", id: "small", body: "x"}, "unknown draining")
+		w.says(t, call{node: "a", id: "new", body: "x"}, "not-run draining")
 	})
 }
 
@@ -210,30 +213,20 @@
 		w := newWorld("a", "b")
 		w.stale = true
 		w.deaf = w.machines[1:]
-		w.do(t.Context(), call{node: "a", id: "id", body: "x"})
+		w.says(t, call{node: "a", id: "id", body: "x"}, "id=x")
 		w.close()
-		at := func(id, body string, plan map[string][]string) string {
-			plan["log"] = []string{"down", "*"}
-			w.fault = failing(plan)
-			return say(w.do(t.Context(), call{node: "b", id: id, body: body}))
-		}
-		const unknown, notRun = "unknown journal_unavailable", "not-run journal_unavailable"
-		for _, row := range []struct{ got, want string }{
-			{at("id", "x", map[string][]string{}), "id=x"},
-			{at("id", "y", map[string][]string{}), unknown},
-			{at("id", "x", map[string][]string{"peer": {"unreachable"}}), unknown},
-			{at("new", "x", map[string][]string{}), notRun},
-			{at("new", "x", map[string][]string{"peer": {"lost"}}), unknown},
+		for _, row := range []struct{ id, body, log, peer, want string }{
+			{"id", "x", "down", "", "id=x"},
+			{"id", "y", "down", "", "unknown journal_unavailable"},
+			{"id", "x", "down", "unreachable", "unknown journal_unavailable"},
+			{"new", "x", "down", "", "not-run journal_unavailable"},
+			{"new", "x", "down", "lost", "unknown journal_unavailable"},
+			{"own", "x", "landed", "", "not-run journal_unsettled"}, // a reads b's unused mark
 		} {
-			if row.got != row.want {
-				t.Errorf("got %q, want %q", row.got, row.want)
-			}
-		}
-		w.fault = failing(map[string][]string{"log": {"landed", "down"}}) // b's mark, which a reads
-		if got := say(w.do(t.Context(), call{node: "b", id: "own", body: "x"})); got != "not-run journal_unsettled" {
-			t.Errorf("own unused mark: %s", got)
+			w.fault = failing(map[string][]string{"log": {row.log, "down", "down"}, "peer": {row.peer}})
+			w.says(t, call{node: "b", id: row.id, body: row.body}, row.want)
+			w.close()
 		}
-		w.close()
 	})
 }
 
@@ -244,35 +237,20 @@
 		east.start("east", "east", dcs)
 		w.start("west", "west", dcs)
 		w.chains["east"] = east.chains["east"] // runs go to the home's executors
-		k := call{node: "west", id: "east/7", body: "x"}
-		for range 2 {
-			if got := say(w.do(t.Context(), k)); got != "east/7=x" || east.runs["east/7"] != 1 || len(w.runs) != 0 {
-				t.Errorf("%s, home ran %v, west ran %v", got, east.runs, w.runs)
-			}
-		}
+		w.says(t, call{node: "west", id: "east/7", body: "x"}, "east/7=x")
+		w.says(t, call{node: "west", id: "east/7", body: "x"}, "east/7=x")
+		same(t, east.ran("east/7"), 1)
 		w.fault = failing(map[string][]string{"peer": {"lost"}})
-		k.id = "east/8"
-		if got := say(w.do(t.Context(), k)); got != "unknown peer_unreachable" {
-			t.Errorf("lost reply: %s", got)
-		}
+		w.says(t, call{node: "west", id: "east/8", body: "x"}, "unknown peer_unreachable")
 		w.down["east"] = true
-		if got := say(w.do(t.Context(), k)); got != "unknown home_unreachable" {
-			t.Errorf("cut off after it was handed over: %s", got)
-		}
-		k.id = "east/9"
-		if got := say(w.do(t.Context(), k)); got != "not-run home_unreachable" || east.runs["east/9"] != 0 {
-			t.Errorf("cut off: %s", got)
-		}
-		k.idempotent = true
-		if got := say(w.do(t.Context(), k)); got != "east/9=x" {
-			t.Errorf("cut off, idempotent: %s", got)
-		}
+		w.says(t, call{node: "west", id: "east/8", body: "x"}, "unknown home_unreachable")
+		w.says(t, call{node: "west", id: "east/9", body: "x"}, "not-run home_unreachable")
+		same(t, east.ran("east/9")+len(w.runs), 0)
+		w.says(t, call{node: "west", id: "east/9", body: "x", idempotent: true}, "east/9=x")
 		reply := w.chains["west"].ServeForward(t.Context(), &ForwardRequest{
 			Kind: ForwardHome, Hops: 1, Remaining: time.Second, Request: api.Request{ID: "east/1", Service: "svc"},
 		})
-		if reply.Refusal == nil || reply.Refusal.Reason != api.ReasonHomeUnreachable {
-			t.Errorf("not at home: %+v", reply)
-		}
+		same(t, say(nil, reply.Refusal), "not-run home_unreachable")
 		w.close()
 		east.close()
 	})
@@ -289,17 +267,12 @@
 		{api.HeaderRequestID, strings.Repeat("x", maxIDLength+1), "malformed"},
 		{"Other", "x", "request_id_missing"},
 	} {
-		_, err := w.chains["a"].Handle(t.Context(), &Exchange{
-			Header:  http.Header{row.name: {row.value}},
-			Request: &api.Request{Service: "svc"},
-		})
+		header := http.Header{row.name: {row.value}}
+		_, err := w.chains["a"].Handle(t.Context(), &Exchange{Header: header, Request: &api.Request{Service: "svc"}})
 		refusal := asRefusal(err)
-		if string(refusal.Reason) != row.want || refusal.Outcome != api.OutcomeNotRun {
-			t.Errorf("%s: %s: %v", row.name, row.value, refusal)
-		}
-		if row.want == "malformed" && (!strings.Contains(refusal.Detail, row.name) || !strings.Contains(refusal.Detail, row.value)) {
-			t.Errorf("detail names neither header nor value: %s", refusal.Detail)
-		}
+		same(t, say(nil, refusal), "not-run "+row.want)
+		named := strings.Contains(refusal.Detail, row.name) && strings.Contains(refusal.Detail, row.value)
+		same(t, named, row.want == "malformed")
 	}
 }
 
@@ -315,55 +288,24 @@
 			w := newWorld()
 			w.limits = limits
 			w.settings = Settings{MaxInFlight: 8, CallerShare: 5.0 / 8}
-			w.start("a", "east", []api.DataCentre{"east"})
+			c := w.start("a", "east", []api.DataCentre{"east"})
 			w.hold = make(chan struct{})
-			start := time.Now()
-			var refused int
+			start, refused := time.Now(), 0
 			for i := range 50 {
 				go func() {
-					_, refusal := w.do(context.Background(), call{node: "a", id: fmt.Sprint("f", i), body: "x", caller: "flood", idempotent: true})
+					_, refusal := w.do(t.Context(), call{node: "a", id: fmt.Sprint("f", i), caller: "flood", idempotent: true})
 					if refusal != nil && refusal.Reason == api.ReasonCallerLimit && refusal.RetryAfter > 0 && time.Since(start) == 0 {
 						refused++
 					}
 				}()
 				synctest.Wait()
 			}
-			var other string
-			go func() {
-				other = say(w.do(context.Background(), call{node: "a", id: "o", body: "x", caller: "other", idempotent: true}))
-			}()
+			go w.says(t, call{node: "a", id: "o", body: "x", caller: "other", idempotent: true}, "o=x")
 			synctest.Wait()
 			close(w.hold)
 			time.Sleep(time.Second)
 			synctest.Wait()
-			if refused != 45 || other != "o=x" {
-				t.Errorf("%s: %d refused, the other caller got %q", name, refused, other)
-			}
-			if got := w.chains["a"].limits.inFlight.Load(); got != 0 {
-				t.Errorf("%s: %d still counted in flight", name, got)
-			}
+			same(t, fmt.Sprint(name, refused, c.limits.inFlight.Load()), fmt.Sprint(name, 45, 0))
 		})
 	}
 }
-
-func TestDrainWaitsForWhatRuns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld("a")
-		w.hold = make(chan struct{})
-		gate := w.chains["a"].Gate()
-		ctx, cancel := context.WithCancel(context.Background())
-		go w.do(ctx, call{node: "a", id: "id", body: "x"})
-		synctest.Wait()
-		gate.Drain()
-		cancel() // the caller leaves, the request goes on
-		synctest.Wait()
-		if gate.InFlight() != 1 {
-			t.Fatalf("%d in flight", gate.InFlight())
-		}
-		close(w.hold)
-		if err := gate.Wait(t.Context()); err != nil || w.runs["id"] != 1 {
-			t.Fatal(err, w.runs)
-		}
-		w.close()
-	})
-}
--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -217,8 +217,7 @@
 		return &AnswerReply{State: AnswerForgotten}
 	}
 	if c.runs.isWithdrawn(mark.ID, mark.Serial) {
-		c.release(ctx, mark)
-		return &AnswerReply{State: AnswerNotSent}
+		return c.notSentReply(ctx, mark)
 	}
 	f, kept := c.runs.find(mark.ID)
 	switch {
@@ -242,12 +241,19 @@
 		return &AnswerReply{State: AnswerRunning}
 	}
 	if c.runs.isWithdrawn(f.id, query.Mark.Serial) {
-		c.release(ctx, query.Mark)
-		return &AnswerReply{State: AnswerNotSent}
+		return c.notSentReply(ctx, query.Mark)
 	}
 	return finalReply(f.result)
 }
 
+// notSentReply frees the id first, so that the asker's own mark can win.
+func (c *Chain) notSentReply(ctx context.Context, mark reqkey.Mark) *AnswerReply {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.AskTimeout)
+	defer cancel()
+	c.release(ctx, mark)
+	return &AnswerReply{State: AnswerNotSent}
+}
+
 func finalReply(r result) *AnswerReply {
 	return &AnswerReply{State: AnswerFinal, Answer: r.answer, Refusal: r.refusal}
 }
--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -71,7 +71,7 @@
 	settings := w.settings
 	settings.Node, settings.DataCentre, settings.DataCentres = node, dc, dcs
 	c := New(settings, Deps{
-		Router: &fakeRouter{w}, Endpoint: w, Peers: &fakePeers{w, node}, Services: w, Limits: w, Counters: w,
+		Router: w, Endpoint: w, Peers: &fakePeers{w, node}, Services: w, Limits: w, Counters: w,
 		Keys: reqkey.NewKeys(m, w, w, self, reqkey.DefaultMaxBody), Now: time.Now,
 	})
 	c.Gate().SetReady(true)
@@ -165,23 +165,22 @@
 
 func answerBody(req *api.Request) []byte { return []byte(req.ID + "=" + string(req.Body)) }
 
-type fakeRouter struct{ w *world }
-
-func (r *fakeRouter) Room(string) int {
-	if r.w.fault("room") != "" {
+// Room and Acquire implement Router.
+func (w *world) Room(string) int {
+	if w.fault("room") != "" {
 		return 0
 	}
 	return 8
 }
 
-func (r *fakeRouter) Acquire(_ context.Context, _ string, _ api.Class, _ string, exclude []api.EndpointID) (Ticket, error) {
-	if reason := r.w.fault("router"); reason != "" {
+func (w *world) Acquire(_ context.Context, _ string, _ api.Class, _ string, exclude []api.EndpointID) (Ticket, error) {
+	if reason := w.fault("router"); reason != "" {
 		return nil, api.NotRun(api.Reason(reason), time.Second, "fake")
 	}
-	r.w.mu.Lock()
-	defer r.w.mu.Unlock()
-	r.w.open++
-	return &fakeTicket{w: r.w, id: api.EndpointID(fmt.Sprint("e", len(exclude)))}, nil
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open++
+	return &fakeTicket{w: w, id: api.EndpointID(fmt.Sprint("e", len(exclude)))}, nil
 }
 
 type fakeTicket struct {
@@ -283,14 +282,11 @@
 }
 
 func (w *world) do(ctx context.Context, k call) (*api.Answer, *api.Refusal) {
-	header := http.Header{}
-	if k.id != "" {
-		header.Set(api.HeaderRequestID, k.id)
-	}
-	if k.caller != "" {
-		header.Set(api.HeaderCaller, k.caller)
+	header := http.Header{
+		api.HeaderRequestID:  {k.id},
+		api.HeaderCaller:     {k.caller},
+		api.HeaderIdempotent: {fmt.Sprint(k.idempotent)},
 	}
-	header.Set(api.HeaderIdempotent, fmt.Sprint(k.idempotent))
 	w.mu.Lock()
 	c := w.chains[k.node]
 	w.mu.Unlock()
--- a/internal/filter/property_test.go
+++ b/internal/filter/property_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +13,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
+	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
@@ -126,13 +126,8 @@
 	return nil
 }
 
-// TestMain fixes the seed of the property tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20260101")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+// init fixes the seed of the property tests.
+func init() { _ = flag.Set("rapid.seed", "20260101") }
 
 func TestNothingTwiceNothingUntrue(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -165,10 +160,22 @@
 	return mark, err
 }
 
+// lying says of every failed attempt that it was not run.
+type lying struct{ Endpoint }
+
+func (l lying) Attempt(ctx context.Context, ep api.Endpoint, epoch api.Epoch, req *api.Request, n int64) (*api.Answer, platform.Feedback, error) {
+	answer, feedback, err := l.Endpoint.Attempt(ctx, ep, epoch, req, n)
+	if err != nil {
+		err = &platform.AttemptError{Certainty: platform.CertainNotRun, Reason: api.ReasonConnectFailed, Cause: err}
+	}
+	return answer, feedback, err
+}
+
 func TestPlantedFaultsAreFound(t *testing.T) {
-	plants := map[string]func(Keys) Keys{
-		"second mark accepted":    func(k Keys) Keys { return trusting{k} },
-		"unsettled mark accepted": func(k Keys) Keys { return eager{k} },
+	plants := map[string]func(*Deps){
+		"second mark accepted":      func(d *Deps) { d.Keys = trusting{d.Keys} },
+		"unsettled mark accepted":   func(d *Deps) { d.Keys = eager{d.Keys} },
+		"failure taken for not run": func(d *Deps) { d.Endpoint = lying{d.Endpoint} },
 	}
 	for name, plant := range plants {
 		found := false
@@ -180,7 +187,7 @@
 			synctest.Test(t, func(*testing.T) {
 				found = len(play(s, func(w *world) {
 					for _, c := range w.chains {
-						c.deps.Keys = plant(c.deps.Keys)
+						plant(&c.deps)
 					}
 				})) > 0
 			})
--- a/internal/reqkey/machine_test.go
+++ b/internal/reqkey/machine_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"os"
 	"runtime"
 	"testing"
 	"time"
@@ -31,12 +30,23 @@
 	return err
 }
 
-// TestMain fixes the seed of the property test.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20260101")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+// init fixes the seed of the property test.
+func init() { _ = flag.Set("rapid.seed", "20260101") }
+
+func same[T comparable](t *testing.T, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
+// fails checks that err is of type E.
+func fails[E error](t *testing.T, err error) (as E) {
+	t.Helper()
+	if !errors.As(err, &as) {
+		t.Fatalf("got %v, want a %T", err, as)
+	}
+	return as
 }
 
 func TestFirstMarkWins(t *testing.T) {
@@ -45,46 +55,27 @@
 	a := NewKeys(m, log{m}, nil, origin("a", 1), DefaultMaxBody)
 	b := NewKeys(m, log{m}, nil, origin("b", 1), DefaultMaxBody)
 	mark, err := a.Mark(ctx, "id", 7)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var marked *MarkedError
-	if _, err := b.Mark(ctx, "id", 7); !errors.As(err, &marked) || marked.Mark != mark {
-		t.Fatalf("second mark: %v", err)
-	}
-	var reused *ReusedError
-	if _, err := b.Mark(ctx, "id", 8); !errors.As(err, &reused) {
-		t.Fatalf("other digest: %v", err)
-	}
-	var none *NoMarkError
+	same(t, err, nil)
+	_, err = b.Mark(ctx, "id", 7)
+	same(t, fails[*MarkedError](t, err).Mark, mark)
+	_, err = b.Mark(ctx, "id", 8)
+	fails[*ReusedError](t, err)
 	stale := mark
 	stale.Serial++
 	for _, wrong := range []Mark{stale, {ID: "id", Writer: b.Self(), Serial: mark.Serial}, {ID: "other"}} {
-		if err := b.Release(ctx, wrong); !errors.As(err, &none) {
-			t.Fatalf("release of %+v: %v", wrong, err)
-		}
-	}
-	if err := a.Release(ctx, mark); err != nil {
-		t.Fatal(err)
+		fails[*NoMarkError](t, b.Release(ctx, wrong))
 	}
+	same(t, a.Release(ctx, mark), nil)
 	again, err := b.Mark(ctx, "id", 7)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := a.Release(ctx, mark); !errors.As(err, &none) {
-		t.Fatalf("a late release freed another's mark: %v", err)
-	}
+	same(t, err, nil)
+	fails[*NoMarkError](t, a.Release(ctx, mark)) // late, the id is another's by now
 	answer := &api.Answer{Status: 200, Body: []byte("yes"), Header: map[string]string{"A": "b"}}
-	if err := b.Settle(ctx, again, answer, ""); err != nil {
-		t.Fatal(err)
-	}
-	if err := b.Release(ctx, again); !errors.As(err, &none) {
-		t.Fatalf("a request that ran was released: %v", err)
-	}
-	state, ok := a.Lookup("id")
-	if !ok || state.Mark != again || state.Outcome != api.OutcomeRan || string(state.Answer.Body) != "yes" {
-		t.Fatalf("%+v", state)
-	}
+	same(t, b.Settle(ctx, again, answer, ""), nil)
+	fails[*NoMarkError](t, b.Release(ctx, again)) // it ran
+	state, _ := a.Lookup("id")
+	same(t, state.Mark, again)
+	same(t, state.Outcome, api.OutcomeRan)
+	same(t, string(state.Answer.Body), "yes")
 }
 
 // TestReadersAgree feeds random entries to two machines, of which one is
@@ -152,34 +143,26 @@
 	k := NewKeys(m, log{m}, nil, origin("a", 1), DefaultMaxBody)
 	rotation := Rotation{Every: time.Minute, Limits: Limits{Marks: 2, AnswerBytes: 1 << 10, Generations: 2}}
 	now := time.Unix(0, 0)
-	rotate := func(after time.Duration) {
+	rotate := func(want uint32) {
 		t.Helper()
-		now = now.Add(after)
-		if err := k.Rotate(ctx, &rotation, now); err != nil {
-			t.Fatal(err)
+		for _, after := range []time.Duration{time.Second, rotation.Every - 1, 1} {
+			same(t, m.Generation(), want-1)
+			now = now.Add(after)
+			same(t, k.Rotate(ctx, &rotation, now), nil)
 		}
+		same(t, m.Generation(), want)
 	}
-	rotate(0)
-	rotate(time.Minute) // generation 1 brings the limits
+	rotate(1) // brings the limits
 	for _, id := range []string{"1", "2"} {
-		if _, err := k.Mark(ctx, id, 0); err != nil {
-			t.Fatal(err)
-		}
-	}
-	var full *FullError
-	if _, err := k.Mark(ctx, "3", 0); !errors.As(err, &full) {
-		t.Fatalf("a mark over the limit: %v", err)
-	}
-	rotate(time.Second)
-	rotate(time.Minute) // generation 2 still remembers
-	if _, ok := k.Lookup("1"); !ok || m.Generation() != 2 {
-		t.Fatalf("forgotten in generation %d", m.Generation())
-	}
-	rotate(time.Second)
-	rotate(time.Minute)
-	if _, ok := k.Lookup("1"); ok || m.Marks() != 0 || m.Generation() != 3 {
-		t.Fatalf("%d marks in generation %d", m.Marks(), m.Generation())
-	}
+		_, err := k.Mark(ctx, id, 0)
+		same(t, err, nil)
+	}
+	_, err := k.Mark(ctx, "3", 0)
+	fails[*FullError](t, err)
+	rotate(2)
+	same(t, m.Marks(), 2)
+	rotate(3)
+	same(t, m.Marks(), 0)
 }
 
 // BenchmarkMark applies marks of 36-byte ids and reports the bytes that each
