filter: limits are tested one by one, kept answers that are dropped, too

Cause: coverage showed that the rate limit's refusal was never reached: the caller's share refused first in all three cases. Change: each limit has settings under which it alone refuses, and its exact Retry-After; the property test also draws VMs that keep no answers.

--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -274,22 +274,25 @@
 // TestFloodLeavesOthersRoom: one caller offers far more than its limits; the
 // other is admitted, and every refusal is at once and names a time.
 func TestFloodLeavesOthersRoom(t *testing.T) {
-	for name, limits := range map[string]api.LimitsSpec{
-		"rate":        {RatePerSec: 10, Burst: 5},
-		"concurrency": {Concurrency: 5},
-		"share":       {},
+	for name, row := range map[string]struct {
+		limits   api.LimitsSpec
+		settings Settings
+		after    time.Duration // Retry-After of the first refusal
+	}{
+		"rate":        {api.LimitsSpec{RatePerSec: 10, Burst: 5}, Settings{}, 100 * time.Millisecond},
+		"concurrency": {api.LimitsSpec{Concurrency: 5}, Settings{}, DefaultRetryAfter},
+		"share":       {api.LimitsSpec{}, Settings{MaxInFlight: 8, CallerShare: 5.0 / 8}, DefaultRetryAfter},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld()
-			w.limits = limits
-			w.settings = Settings{MaxInFlight: 8, CallerShare: 5.0 / 8}
+			w.limits, w.settings = row.limits, row.settings
 			c := w.start("a", "east", []api.DataCentre{"east"})
 			w.hold = make(chan struct{})
 			start, refused := time.Now(), 0
 			for i := range 50 {
 				go func() {
 					_, refusal := w.do(t.Context(), call{node: "a", id: fmt.Sprint("f", i), caller: "flood", idempotent: true})
-					if refusal != nil && refusal.Reason == api.ReasonCallerLimit && refusal.RetryAfter > 0 && time.Since(start) == 0 {
+					if refusal != nil && refusal.Reason == api.ReasonCallerLimit && refusal.RetryAfter == row.after && time.Since(start) == 0 {
 						refused++
 					}
 				}()
--- a/internal/filter/property_test.go
+++ b/internal/filter/property_test.go
@@ -33,6 +33,7 @@
 type scenario struct {
 	seed     uint64
 	rate     float64 // of failures
+	kept     int64   // Settings.KeptBytes
 	batches  [][]call
 	restarts []api.NodeID // before the batch of the same index; "" for none
 }
@@ -41,6 +42,7 @@
 	s := scenario{
 		seed: rapid.Uint64().Draw(t, "seed"),
 		rate: rapid.SampledFrom([]float64{0, 0.1, 0.3, 0.6}).Draw(t, "rate"),
+		kept: rapid.SampledFrom([]int64{0, 1}).Draw(t, "kept"),
 	}
 	node := rapid.SampledFrom([]api.NodeID{"a", "b", "c"})
 	for range rapid.IntRange(1, 6).Draw(t, "batches") {
@@ -61,7 +63,11 @@
 
 // play runs s and returns what broke the rules.
 func play(s scenario, plant func(*world)) (broken []string) {
-	w := newWorld("a", "b", "c")
+	w := newWorld()
+	w.settings.KeptBytes = s.kept
+	for _, node := range []api.NodeID{"a", "b", "c"} {
+		w.start(node, "east", []api.DataCentre{"east"})
+	}
 	if plant != nil {
 		plant(w)
 	}
