filter, front: events in the log; a panic gives its slot back

Cause: a panic was counted but its stack lost, and the steps of a drain were not to be seen. A new row of TestTruthTable failed first: the ticket of a request whose adapter panicked was never given back.

--- a/internal/filter/attempt.go
+++ b/internal/filter/attempt.go
@@ -147,33 +147,36 @@
 
 // send makes one attempt at the ticket's endpoint.
 func (a *attempts) send(ctx context.Context, ticket Ticket) (*api.Answer, *failure) {
-	c, x := a.chain, a.x
+	c := a.chain
+	var res Result
+	defer func() { ticket.Done(res) }() // also when the adapter panics
 	if ctx.Err() != nil {
-		ticket.Done(Result{})
 		return nil, c.notSent(endedReason(ctx), "it ended before it was sent")
 	}
 	start := c.deps.Now()
 	if !ticket.Valid(start) {
-		ticket.Done(Result{})
 		return nil, c.notSent(api.ReasonHoldUnconfirmed, "the hold of the endpoint lapsed")
 	}
 	endpoint := ticket.Endpoint()
 	a.tried = append(a.tried, endpoint.ID)
-	answer, feedback, err := c.deps.Endpoint.Attempt(ctx, endpoint, ticket.Epoch(), x.Request, maxAnswer(x.Spec))
-	if err == nil && answer == nil {
-		err = errors.New("neither answer nor error")
+	res.Sent = true
+	res.Err = asAttemptError(errNoAnswer, endpoint.ID)
+	answer, feedback, err := c.deps.Endpoint.Attempt(ctx, endpoint, ticket.Epoch(), a.x.Request, maxAnswer(a.x.Spec))
+	res.Feedback = feedback
+	res.Took = c.deps.Now().Sub(start)
+	if err == nil && answer != nil {
+		res.Err = nil
+		return answer, nil
 	}
-	res := Result{Sent: true, Feedback: feedback, Took: c.deps.Now().Sub(start)}
 	if err != nil {
 		res.Err = asAttemptError(err, endpoint.ID)
 	}
-	ticket.Done(res)
-	if res.Err == nil {
-		return answer, nil
-	}
 	return nil, c.attemptFailed(res.Err)
 }
 
+// errNoAnswer stands for an adapter that returned neither answer nor error.
+var errNoAnswer = errors.New("filter: neither answer nor error")
+
 func maxAnswer(spec api.ServiceSpec) int64 {
 	if spec.MaxAnswer > 0 {
 		return spec.MaxAnswer
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -51,6 +51,7 @@
 		{"all answers break off, idempotent", true, map[string][]string{"endpoint": {"broken", "*"}}, "unknown answer_broken", well, 4},
 		{"refused after one broke off, idempotent", true, map[string][]string{"endpoint": {"lost", "refuse", "refuse"}}, "unknown answer_broken", well, 1},
 		{"untyped failure", false, map[string][]string{"endpoint": {"strange"}}, "unknown internal", "unknown internal", 1},
+		{"handler panics", false, map[string][]string{"endpoint": {"panic"}}, "unknown internal", "unknown internal", 0},
 		{"log down", false, map[string][]string{"log": {"down", "*"}}, "not-run journal_unavailable", well, 1},
 		{"log down, idempotent", true, map[string][]string{"log": {"down", "*"}}, well, well, 2},
 		{"mark lands without word", false, map[string][]string{"log": {"landed"}}, "not-run journal_unsettled", well, 1},
--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
@@ -57,8 +60,8 @@
 func (c *Chain) run(ctx context.Context, x *Exchange, f *flight, next Handler) {
 	res := result{refusal: api.Unknown(api.ReasonInternal, "the request's handler panicked")}
 	defer func() {
-		if recover() != nil {
-			c.deps.Counters.Inc(GroupUnknown, CountPanic)
+		if cause := recover(); cause != nil {
+			c.logPanic(x, cause)
 		}
 		c.runs.finish(f, res, keepable(x, res))
 	}()
@@ -70,6 +73,17 @@
 	res = result{answer: answer}
 }
 
+func (c *Chain) logPanic(x *Exchange, cause any) {
+	c.deps.Counters.Inc(GroupUnknown, CountPanic)
+	c.deps.Log.WithFields(logrus.Fields{
+		"event":   "handler_panicked",
+		"request": x.Request.ID,
+		"service": x.Request.Service,
+		"cause":   cause,
+		"stack":   string(debug.Stack()),
+	}).Error("a request's handler panicked")
+}
+
 // keepable reports whether res is the last word on the id: a whole answer,
 // or unknown for a request that was sent under this VM's mark.
 func keepable(x *Exchange, res result) bool {
--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -20,7 +22,8 @@
 	Services Services
 	Limits   Limits
 	Counters Counters
-	Now      func() time.Time // monotonic local clock
+	Now      func() time.Time   // monotonic local clock
+	Log      logrus.FieldLogger // nil: logrus's standard logger
 }
 
 // Endpoint sends one attempt.
--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -63,7 +66,7 @@
 	settings.Node, settings.DataCentre, settings.DataCentres = node, dc, dcs
 	c := New(settings, Deps{
 		Router: w, Endpoint: w, Peers: &fakePeers{w, node}, Services: w, Limits: w, Counters: w,
-		Keys: reqkey.NewKeys(l.machine, l, l, self, reqkey.DefaultMaxBody), Now: time.Now,
+		Keys: reqkey.NewKeys(l.machine, l, l, self, reqkey.DefaultMaxBody), Now: time.Now, Log: &logrus.Logger{Out: io.Discard, Formatter: &logrus.TextFormatter{}},
 	})
 	c.Gate().SetReady(true)
 	w.chains[node] = c
@@ -141,6 +144,9 @@
 // Attempt implements platform.Endpoint and records what ran.
 func (w *world) Attempt(ctx context.Context, ep api.Endpoint, _ api.Epoch, req *api.Request, _ int64) (*api.Answer, platform.Feedback, error) {
 	fault := w.fault("endpoint")
+	if fault == "panic" {
+		panic("planted")
+	}
 	if fault == "refuse" {
 		return nil, platform.Feedback{}, &platform.AttemptError{Certainty: platform.CertainNotRun, Reason: api.ReasonConnectFailed, Endpoint: ep.ID}
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 	"github.com/skylarklock/skylarklock/internal/retry"
@@ -117,6 +119,9 @@
 // New assembles the chain.
 func New(settings Settings, deps Deps) *Chain {
 	settings = settings.withDefaults()
+	if deps.Log == nil {
+		deps.Log = logrus.StandardLogger()
+	}
 	c := &Chain{
 		settings: settings,
 		deps:     deps,
--- a/internal/filter/mark.go
+++ b/internal/filter/mark.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
@@ -106,14 +108,29 @@
 	}
 	started := c.journal.start(func(ctx context.Context) {
 		if err := c.deps.Keys.Settle(ctx, mark, answer, reason); err != nil {
-			c.deps.Counters.Inc(GroupJournal, api.ReasonJournalUnsettled)
+			c.notJournaled(mark, api.ReasonJournalUnsettled, err)
 		}
 	})
 	if !started {
-		c.deps.Counters.Inc(GroupJournal, api.ReasonQueueFull)
+		c.notJournaled(mark, api.ReasonQueueFull, errBacklog)
 	}
 }
 
+// errBacklog says that JournalBacklog appends are under way.
+var errBacklog = errors.New("filter: too many outcomes under way")
+
+// notJournaled tells operators that a repeat of mark's id may be answered
+// unknown once this process is gone.
+func (c *Chain) notJournaled(mark reqkey.Mark, reason api.Reason, err error) {
+	c.deps.Counters.Inc(GroupJournal, reason)
+	c.deps.Log.WithFields(logrus.Fields{
+		"event":   "outcome_not_journaled",
+		"request": mark.ID,
+		"reason":  reason,
+		"cause":   err,
+	}).Warn("the outcome of a request is not in the log")
+}
+
 // withdraw remembers that mark is unused for good and frees its id in the log.
 func (c *Chain) withdraw(mark reqkey.Mark) {
 	c.runs.withdraw(mark.ID, mark.Serial)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/filter"
 )
@@ -70,7 +71,7 @@
 	t.Helper()
 	b := &backend{handle: echo, gate: filter.NewGate(100), jobs: make(map[api.JobID]api.JobSpec)}
 	b.gate.SetReady(true)
-	server := New(s, b, b, b.gate, b, log.New(io.Discard, "", 0))
+	server := New(s, b, b, b.gate, b, &logrus.Logger{Out: io.Discard, Formatter: &logrus.TextFormatter{}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	same(t, err, nil)
 	served := make(chan error, 1)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,12 +7,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/filter"
 )
@@ -95,13 +98,14 @@
 	gate     *filter.Gate
 	counters filter.Counters
 	bytes    byteBudget
+	log      logrus.FieldLogger
 	leaving  atomic.Bool // readiness is false; answers close their connections
 	http     *http.Server
 }
 
 // New returns a server that hands requests to requests and jobs to jobs, and
-// shares gate with the chain. errors takes what net/http logs, one line each.
-func New(settings Settings, requests Requests, jobs Jobs, gate *filter.Gate, counters filter.Counters, errors *log.Logger) *Server {
+// shares gate with the chain. What net/http logs goes to log, too.
+func New(settings Settings, requests Requests, jobs Jobs, gate *filter.Gate, counters filter.Counters, log logrus.FieldLogger) *Server {
 	settings = settings.withDefaults()
 	s := &Server{
 		settings: settings,
@@ -110,13 +114,14 @@
 		gate:     gate,
 		counters: counters,
 		bytes:    byteBudget{max: settings.MaxBytes},
+		log:      log,
 	}
 	s.http = &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: settings.ReadHeaderTimeout,
 		IdleTimeout:       settings.IdleTimeout,
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
-		ErrorLog:          errors,
+		ErrorLog:          stdlog.New(httpErrors{log}, "", 0),
 	}
 	return s
 }
@@ -136,20 +141,38 @@
 // what is left is closed and the error of ctx returned.
 func (s *Server) Drain(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.event("drain_started").Info("readiness is false")
 	wait(ctx, s.settings.ReadinessDelay)
 	s.gate.Drain()
+	s.event("drain_refusing").Info("new requests are refused")
 	err := s.gate.Wait(ctx)
 	if err == nil {
+		s.event("drain_idle").Info("the last request has finished")
 		wait(ctx, s.settings.CloseDelay)
 		err = s.http.Shutdown(ctx)
 	}
 	if err != nil {
+		s.event("drain_cut_off").WithField("cause", err).Error("the drain's time is over")
 		_ = s.http.Close()
 		return fmt.Errorf("front: drain with %d requests in flight: %w", s.gate.InFlight(), err)
 	}
+	s.event("drain_done").Info("all connections are closed")
 	return nil
 }
 
+func (s *Server) event(name string) logrus.FieldLogger {
+	return s.log.WithFields(logrus.Fields{"event": name, "in_flight": s.gate.InFlight()})
+}
+
+// httpErrors passes on what net/http logs, each as one event.
+type httpErrors struct{ log logrus.FieldLogger }
+
+// Write implements io.Writer.
+func (e httpErrors) Write(line []byte) (int, error) {
+	e.log.WithField("event", "http_server").Warn(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 // wait returns after d or when ctx ends.
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
