filter: peers out of reach are asked, too

Cause: with a list of live peers only, a VM cut off alone would find nobody to ask and say not-run. Change: Peers.Candidates is specified as the roster; unreachable peers have no room, and asking them fails, which makes the word unknown (as TestNotRunWithoutTheLog has it).

--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -66,8 +66,10 @@
 
 // Peers reaches other entry VMs. Nothing is repeated by it.
 type Peers interface {
-	// Candidates lists the live entry VMs of this data centre, without this
-	// one, with their room for service.
+	// Candidates lists every entry VM in the roster of this data centre,
+	// without this one, with its room for service. One that is out of reach
+	// is listed with no room until it has left the roster: it is asked
+	// before not-run is said while the log can't be read.
 	Candidates(service string) []PeerLoad
 	// Home lists the live entry VMs of another data centre, best first.
 	Home(dc api.DataCentre) []api.NodeID
