--- /dev/null
+++ b/internal/scheduler/baseline/baseline.go
@@ -0,0 +1,111 @@
+// Package baseline holds two plain schedulers that the real one is measured
+// against in the same run: the first VM that fits, and a random one.
+//
+// They use the same World and return the same Plan, check the same bounds
+// and take jobs in the order they came, but know neither classes of work nor
+// priorities, holds or preemption. A gang is placed task by task, whole or
+// not at all.
+package baseline
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/scheduler"
+)
+
+// Policy is how a VM is chosen.
+type Policy int
+
+// Policies.
+const (
+	FirstFit Policy = iota // the first VM, in order of its name, that fits
+	Random                 // from a random VM on, the first that fits
+)
+
+// String returns the policy's name in reports.
+func (p Policy) String() string {
+	if p == Random {
+		return "random"
+	}
+	return "first_fit"
+}
+
+// Scheduler plans by one of the policies. It is not safe for concurrent use.
+type Scheduler struct {
+	policy Policy
+	rand   *rand.Rand
+}
+
+// New returns a scheduler of a policy.
+func New(policy Policy, rnd *rand.Rand) *Scheduler {
+	return &Scheduler{policy: policy, rand: rnd}
+}
+
+// Cycle plans up to maxStarts starts at time now and reserves them in w. It
+// reads the whole fleet and the whole queue.
+func (s *Scheduler) Cycle(w *scheduler.World, now time.Time, maxStarts int) scheduler.Plan {
+	c := &cycle{Scheduler: s, world: w, now: now, vms: w.VMs()}
+	for _, j := range w.Queue() {
+		if len(c.plan.Starts) >= maxStarts {
+			break
+		}
+		c.place(j, maxStarts)
+	}
+	return c.plan
+}
+
+type cycle struct {
+	*Scheduler
+	world *scheduler.World
+	now   time.Time
+	vms   []api.VMID
+	plan  scheduler.Plan
+}
+
+// place starts tasks of j until one finds no VM.
+func (c *cycle) place(j scheduler.Job, maxStarts int) {
+	gang := j.Spec.Class == api.ClassGang
+	first := len(c.plan.Starts)
+	for _, index := range j.Pending {
+		if !gang && len(c.plan.Starts) >= maxStarts {
+			return
+		}
+		if c.placeTask(api.TaskID{Job: j.Spec.ID, Index: index}, gang) {
+			continue
+		}
+		if gang {
+			c.undo(first)
+		}
+		c.plan.Waits = append(c.plan.Waits, scheduler.Wait{Job: j.Spec.ID, Reason: api.ReasonNoCapacity})
+		return
+	}
+}
+
+func (c *cycle) placeTask(task api.TaskID, gang bool) bool {
+	offset := 0
+	if c.policy == Random && len(c.vms) > 0 {
+		offset = c.rand.IntN(len(c.vms))
+	}
+	for i := range c.vms {
+		vm := c.vms[(i+offset)%len(c.vms)]
+		start, err := c.world.Reserve(task, vm, c.now)
+		if err != nil {
+			continue
+		}
+		start.Gang = gang
+		c.plan.Starts = append(c.plan.Starts, start)
+		return true
+	}
+	return false
+}
+
+// undo releases the starts from first on.
+func (c *cycle) undo(first int) {
+	starts := c.plan.Starts[first:]
+	for i := len(starts) - 1; i >= 0; i-- {
+		c.world.Release(starts[i].Task)
+	}
+	c.plan.Starts = c.plan.Starts[:first]
+}
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -11,15 +11,15 @@
 	// bucket of the index in the first, sampling pass of a search.
 	perBucketPacked = 4
 	perBucketSpread = 2
-	// idleShare is the part of its fair portion of processors and memory
-	// that each idle accelerator of a VM keeps against other work, as 1/n.
-	idleShare = 2
 )
 
 // search is the outcome of the filter stage: VMs that may take the task, or
 // how many were refused on which ground.
 type search struct {
-	vms       []*vmState
+	vms []*vmState
+	// perAccelerator is what idle accelerators keep; nil: nothing.
+	perAccelerator *usualNeed
+
 	avoided   int // a task of the job failed there
 	spread    int // MaxPerRack or MaxPerVM
 	held      int // kept for a waiting gang
@@ -30,10 +30,10 @@
 // filter finds VMs that may take a task of j: a sample of those which fit,
 // and only when the sample gave none, the first of all.
 func (c *cycle) filter(j *jobState) search {
-	f := search{vms: c.vms[:0]}
+	f := search{vms: c.vms[:0], perAccelerator: c.world.keepsHeadroom(j)}
 	c.sample(j, &f, c.samplingDepth(j))
 	if len(f.vms) == 0 {
-		f = search{vms: c.vms[:0]}
+		f = search{vms: c.vms[:0], perAccelerator: f.perAccelerator}
 		c.sample(j, &f, 0)
 	}
 	if len(f.vms) == 0 {
@@ -109,7 +109,7 @@
 	case !j.spreadAllows(v):
 		f.spread++
 		return false
-	case need.Accelerators == 0 && v.Capacity.Accelerators > 0 && !leavesHeadroom(v, spare.Sub(need)):
+	case v.Capacity.Accelerators > 0 && !f.leavesHeadroom(spare.Sub(need)):
 		f.headroom++
 		return false
 	}
@@ -129,15 +129,24 @@
 }
 
 // leavesHeadroom reports whether left still serves the idle accelerators of
-// v: each keeps half of its portion of the VM's processors and memory.
-func leavesHeadroom(v *vmState, left api.Resources) bool {
-	idle := left.Accelerators
-	if idle <= 0 {
+// v: each keeps the processors and memory that work with accelerators has
+// lately asked for, by accelerator.
+func (f *search) leavesHeadroom(left api.Resources) bool {
+	if f.perAccelerator == nil || left.Accelerators <= 0 {
 		return true
 	}
-	all := v.Capacity.Accelerators * idleShare
-	return left.MilliCPU >= v.Capacity.MilliCPU*idle/all &&
-		left.MemoryMB >= v.Capacity.MemoryMB*idle/all
+	idle := float64(left.Accelerators)
+	return float64(left.MilliCPU) >= idle*f.perAccelerator.milliCPU &&
+		float64(left.MemoryMB) >= idle*f.perAccelerator.memoryMB
+}
+
+// keepsHeadroom returns what an idle accelerator keeps against j: nothing
+// when j needs accelerators itself, is urgent, or fits no other VM.
+func (w *World) keepsHeadroom(j *jobState) *usualNeed {
+	if j.need().Accelerators > 0 || j.isUrgent() || !w.fleet.fitsPlain(j) {
+		return nil
+	}
+	return &w.perAccelerator
 }
 
 // dataCentres returns those j may use, from a random one on.
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -54,6 +54,16 @@
 	f.kinds[vmKind{dc: v.DataCentre, capacity: v.Capacity}].count--
 }
 
+// fitsPlain reports whether a task of j fits an idle VM without accelerators.
+func (f *fleet) fitsPlain(j *jobState) bool {
+	for _, k := range f.list {
+		if k.peak > 0 && k.kind.capacity.Accelerators == 0 && j.mayUse(k.kind.dc) && j.need().Fits(k.kind.capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 // forget lowers peaks that have not been reached for the time of memory. It
 // reports whether one was lowered.
 func (f *fleet) forget(now time.Time, memory time.Duration) bool {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -43,9 +43,10 @@
 // the VMs held for j come first.
 func (c *cycle) gatherGang(j *jobState, tasks int64) ([]part, int64) {
 	dcs := c.dataCentres(j)
+	headroom := c.world.keepsHeadroom(j)
 	most := int64(0)
 	for i := range dcs {
-		g := newGathering(j, tasks)
+		g := newGathering(j, tasks, headroom)
 		g.gather(dcs[i : i+1])
 		if g.room == tasks {
 			return g.parts, g.room
@@ -55,7 +56,7 @@
 	if len(dcs) < 2 {
 		return nil, most
 	}
-	g := newGathering(j, tasks)
+	g := newGathering(j, tasks, headroom)
 	g.gather(dcs)
 	return g.parts, g.room
 }
@@ -71,8 +72,8 @@
 	pass  search
 }
 
-func newGathering(j *jobState, tasks int64) *gathering {
-	g := &gathering{job: j, need: j.need(), tasks: tasks}
+func newGathering(j *jobState, tasks int64, headroom *usualNeed) *gathering {
+	g := &gathering{job: j, need: j.need(), tasks: tasks, pass: search{perAccelerator: headroom}}
 	if j.Spec.MaxPerRack > 0 {
 		g.racks = make(map[string]int64)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -119,6 +119,7 @@
 	j.team = w.teamOf(job.Spec.Team)
 	j.condemned = false
 	w.recountSpread(j)
+	w.perAccelerator.addPerAccelerator(j.need())
 	w.queue.setPending(j, w.placeable(job))
 	if len(j.pending) > 0 {
 		w.queue.add(j)
--- a/internal/scheduler/probe.go
+++ b/internal/scheduler/probe.go
@@ -32,7 +32,7 @@
 }
 
 func (c *cycle) admitsProbe(j *jobState, v *vmState) bool {
-	var f search
+	f := search{perAccelerator: c.world.keepsHeadroom(j)}
 	return j.mayUse(v.DataCentre) && f.admit(j, v, j.need())
 }
 
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +44,35 @@
 	return Start{Task: h.task, VM: v.ID, Resources: h.resources}, nil
 }
 
+// VMs returns the listed VMs in order of their names.
+func (w *World) VMs() []api.VMID {
+	ids := make([]api.VMID, 0, len(w.vms))
+	for id, v := range w.vms {
+		if v.known {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Queue returns the jobs with pending tasks in the order they came.
+func (w *World) Queue() []Job {
+	queued := make([]*jobState, 0, w.queue.jobs)
+	for _, j := range w.jobs {
+		if len(j.pending) > 0 {
+			queued = append(queued, j)
+		}
+	}
+	slices.SortFunc(queued, func(a, b *jobState) int { return cmp.Compare(a.sequence, b.sequence) })
+	jobs := make([]Job, len(queued))
+	for i, j := range queued {
+		jobs[i] = j.Job
+		jobs[i].Pending = slices.Clone(j.pending)
+	}
+	return jobs
+}
+
 // reserve takes room on v for the next pending task of j.
 func (w *World) reserve(j *jobState, v *vmState, now time.Time) *holding {
 	h := &holding{
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -151,7 +151,16 @@
 		So(len(used), ShouldEqual, 4)
 	})
 	Convey("VMs with accelerators keep room for work that needs them", t, func() {
-		b := newBench(1, api.Resources{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 2}, Config{})
+		b := newBench(1, small, Config{})
+		b.PutVM(VM{ID: "accelerated", DataCentre: "dc", Capacity: api.Resources{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 2}, Schedulable: true})
+		for range 200 { // learn what such work needs
+			spec := job("a0", api.ClassBatch, 1, 1000)
+			spec.Resources.Accelerators = 1
+			b.submit(spec)
+			b.RemoveJob("a0")
+		}
+		b.submit(job("a0", api.ClassBatch, 4, 1000))
+		So(len(b.cycle().Starts), ShouldEqual, 4)
 		b.submit(job("a1", api.ClassBatch, 4, 1000))
 		So(len(b.cycle().Starts), ShouldEqual, 2)
 		spec := job("a2", api.ClassBatch, 2, 1000)
--- a/internal/scheduler/world.go
+++ b/internal/scheduler/world.go
@@ -36,8 +36,10 @@
 	retry       []*shapeQueue // to be tried again next cycle
 	holds       []*hold
 	wantHold    []*jobState // found no place for a hold
-	usual       usualNeed
-	nominations []*nomination
+	usual       usualNeed   // of the tasks started lately
+	// perAccelerator is what jobs put lately need by accelerator.
+	perAccelerator usualNeed
+	nominations    []*nomination
 }
 
 // NewWorld returns an empty world.
@@ -74,6 +76,14 @@
 	u.accelerators += usualWeight * (float64(r.Accelerators) - u.accelerators)
 }
 
+// addPerAccelerator adds what r needs by accelerator, if any.
+func (u *usualNeed) addPerAccelerator(r api.Resources) {
+	n := r.Accelerators
+	if n > 0 {
+		u.add(api.Resources{MilliCPU: r.MilliCPU / n, MemoryMB: r.MemoryMB / n, Accelerators: 1})
+	}
+}
+
 // exceededBy reports whether r is large in any resource.
 func (u *usualNeed) exceededBy(r api.Resources) bool {
 	return float64(r.MilliCPU) > largeFactor*u.milliCPU ||
