--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -83,10 +83,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = false
-	if err != nil {
-		return err
-	}
-	return c.conn.SetReadDeadline(time.Now().Add(c.server.limits.Frame))
+	// An error here shows again in the read of what is not buffered yet.
+	c.conn.SetReadDeadline(time.Now().Add(c.server.limits.Frame))
+	return err
 }
 
 // idleDeadline is when an unused connection is closed; c.mu is held. A
