ownership: hand shards over at once, with what is in flight noted

Change: a release carries the most requests in flight at one endpoint, which the next holder leaves unused until the former one gives them up; it also marks the sender as leaving.

--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -101,6 +102,7 @@
 			e.Challenges[node] = Challenged{Version: m.Challenged, Seen: now}
 		}
 	}
+	e.forget(t)
 	for s, h := range t.Holds {
 		if h.HeldBy(e.Self) && e.Claims[s].Epoch != h.Epoch {
 			e.Claims[s] = OwnClaim{Epoch: h.Epoch, ReadBack: now}
@@ -108,6 +110,17 @@
 	}
 }
 
+// forget drops what concerns nodes that are no longer members.
+func (e *Evidence) forget(t *Table) {
+	gone := func(node api.NodeID) bool {
+		_, member := t.Members[node]
+		return !member
+	}
+	maps.DeleteFunc(e.Grants, func(node api.NodeID, _ Grant) bool { return gone(node) })
+	maps.DeleteFunc(e.Promises, func(node api.NodeID, _ time.Time) bool { return gone(node) })
+	maps.DeleteFunc(e.Challenges, func(node api.NodeID, _ Challenged) bool { return gone(node) })
+}
+
 // Authority is what a process may do with one shard, and why.
 type Authority struct {
 	Epoch    api.Epoch
@@ -208,7 +221,7 @@
 	if a.State == None {
 		return 0
 	}
-	free := max(0, slots-floorsLeft(t, t.Holds[s], slots))
+	free := max(0, slots-leftToFormer(t, t.Holds[s], slots))
 	if a.State == Full {
 		return free
 	}
@@ -224,12 +237,16 @@
 	return slots / int(members)
 }
 
-// floorsLeft is the sum of the floors that earlier holders of h may use.
-func floorsLeft(t *Table, h Hold, slots int) int {
+// leftToFormer is how many of an endpoint's slots earlier holders may use.
+func leftToFormer(t *Table, h Hold, slots int) int {
 	sum := 0
-	for _, who := range h.Previous {
-		if t.IsMember(who) {
-			sum += floorShare(slots, t.Members[who.Node].Members)
+	for _, f := range h.Previous {
+		switch {
+		case !t.IsMember(f.Who):
+		case f.Lost:
+			sum += floorShare(slots, t.Members[f.Who.Node].Members)
+		default:
+			sum += int(f.InFlight)
 		}
 	}
 	return sum
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -37,10 +37,12 @@
 	// Unlisted returns for how long the platform's VM list has lacked each
 	// node that it lacks; nil when there is no list.
 	Unlisted func(now time.Time) map[api.NodeID]time.Duration
-	// Busy reports whether anything is in flight for a shard; nil means
-	// never. A user of a shard must count itself before it asks for
-	// authority, so that it is seen here or sees that the shard is closed.
-	Busy func(Shard) bool
+	// InFlight returns the most requests that this process has in flight at
+	// any one endpoint of a shard, and for Cell whether a placement is on its
+	// way (0 or 1); nil means none. A user of a shard must count itself
+	// before it asks for authority, so that it is seen here or sees that the
+	// shard is closed.
+	InFlight func(Shard) int
 
 	Now func() time.Time // nil means time.Now
 	Log *logrus.Entry
@@ -66,8 +68,8 @@
 	if c.Unlisted == nil {
 		c.Unlisted = func(time.Time) map[api.NodeID]time.Duration { return nil }
 	}
-	if c.Busy == nil {
-		c.Busy = func(Shard) bool { return false }
+	if c.InFlight == nil {
+		c.InFlight = func(Shard) int { return 0 }
 	}
 	if c.Now == nil {
 		c.Now = time.Now
@@ -129,13 +131,13 @@
 	health := c.cfg.Health(now)
 	unlisted := c.cfg.Unlisted(now)
 	table := c.observe(now)
-	busy := c.busy(table)
+	inFlight := c.inFlight(table)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	view := View{
 		Table: table, Evidence: c.evidence, Timing: c.cfg.Timing, Limits: c.cfg.Limits,
 		Address: c.cfg.Address, Draining: c.draining,
-		Health: health, Unlisted: unlisted, Busy: busy,
+		Health: health, Unlisted: unlisted, InFlight: inFlight,
 	}
 	return c.carryOut(Plan(now, view))
 }
@@ -152,18 +154,18 @@
 	return table
 }
 
-// busy returns the shards that could be given up but for what is in flight.
-// It is called after their use was stopped, and without a lock, because
-// Config.Busy takes locks of its own.
-func (c *Controller) busy(t *Table) map[Shard]bool {
+// inFlight returns what is in flight for the shards that may be given up. It
+// is called after their use was stopped, and without a lock, because
+// Config.InFlight takes locks of its own.
+func (c *Controller) inFlight(t *Table) map[Shard]int {
 	c.mu.RLock()
 	shards := releasable(t, c.evidence)
 	c.mu.RUnlock()
-	busy := make(map[Shard]bool)
+	counts := make(map[Shard]int, len(shards))
 	for _, s := range shards {
-		busy[s] = c.cfg.Busy(s)
+		counts[s] = c.cfg.InFlight(s)
 	}
-	return busy
+	return counts
 }
 
 // table returns a copy of the table.
@@ -282,9 +284,9 @@
 	}
 }
 
-// Drain stops the use of every shard, releases each once nothing is in
-// flight for it, and leaves the roster. It returns nil when the process has
-// left, or the context's error. Run must be running.
+// Drain stops the use of every shard, hands them over, and leaves the roster
+// once nothing is in flight. It returns nil when the process has left, or the
+// context's error. Run must be running.
 func (c *Controller) Drain(ctx context.Context) error {
 	c.mu.Lock()
 	c.draining = true
--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -91,13 +91,22 @@
 	Shards []ShardAt
 }
 
+// ShardRelease is one shard that is given up.
+type ShardRelease struct {
+	_        struct{} `cbor:",toarray"`
+	Shard    Shard
+	Epoch    api.Epoch // in force
+	InFlight uint16    // most requests that the sender still has at any one endpoint
+}
+
 // Release gives shards up. The sender is the holder, has waited out its own
-// claim, has stopped and has nothing in flight; or it is a former holder that
-// gives up its floor share. The epoch is the one now in force in both cases.
+// claim and starts nothing new; or it is a former holder that has nothing in
+// flight any more and starts nothing new.
 type Release struct {
-	_      struct{} `cbor:",toarray"`
-	Who    Identity
-	Shards []ShardAt
+	_       struct{} `cbor:",toarray"`
+	Who     Identity
+	Shards  []ShardRelease
+	Leaving bool // the sender is to leave the roster and wants no shards
 }
 
 // Action is what Plan decides: one of the entry bodies above, or Close.
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -1,7 +1,7 @@
 package ownership
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -45,13 +45,14 @@
 	Limits   PlanLimits
 	Address  string // of this process's peer service
 	Draining bool   // this process is to leave
-	Left     bool   // and has left
 	Health   map[api.NodeID]Health
 	// Unlisted tells for how long the platform's VM list, while it could be
 	// read, has not shown a node.
 	Unlisted map[api.NodeID]time.Duration
-	// Busy holds the shards for which something is in flight.
-	Busy map[Shard]bool
+	// InFlight holds, for each releasable shard, the most requests that this
+	// process has in flight at any one endpoint; for Cell, whether anything
+	// is.
+	InFlight map[Shard]int
 }
 
 // Plan decides what this process proposes at now. It proposes nothing while
@@ -77,7 +78,7 @@
 
 // planJoin joins the roster, unless this process is leaving.
 func planJoin(v View) []Action {
-	if v.Draining || v.Left {
+	if v.Draining {
 		return nil
 	}
 	return []Action{Join{Who: v.Evidence.Self, Address: v.Address}}
@@ -171,8 +172,7 @@
 // settled returns the members fit to be given shards that live members hold.
 func (v View) settled() []api.NodeID {
 	return v.nodes(func(m Member) bool {
-		h, known := v.Health[m.Who.Node]
-		return known && h.Who == m.Who && !h.Suspected && !h.Draining && h.AliveFor >= v.Limits.Settle
+		return v.alive(m) && v.Health[m.Who.Node].AliveFor >= v.Limits.Settle
 	})
 }
 
@@ -190,7 +190,7 @@
 // alive reports whether m is heard of and is not leaving.
 func (v View) alive(m Member) bool {
 	h, known := v.Health[m.Who.Node]
-	return known && h.Who == m.Who && !h.Suspected && !h.Draining
+	return known && h.Who == m.Who && !h.Suspected && !h.Draining && !m.Leaving
 }
 
 // nodes returns the members that pass ok, and always this process.
@@ -205,14 +205,14 @@
 	return nodes
 }
 
-// releasable returns the held shards that are closed, and those taken over
-// from this process, which may still use its floor shares there.
+// releasable returns the held shards that are closed, and those where this
+// process is a former holder that may still use slots.
 func releasable(t *Table, e *Evidence) []Shard {
 	var shards []Shard
 	for _, s := range Shards() {
 		h := t.Holds[s]
 		leaving := h.HeldBy(e.Self) && e.Closed[s] == h.Epoch
-		yielding := !h.HeldBy(e.Self) && slices.Contains(h.Previous, e.Self)
+		yielding := !h.HeldBy(e.Self) && h.isFormer(e.Self)
 		if leaving || yielding {
 			shards = append(shards, s)
 		}
@@ -220,19 +220,23 @@
 	return shards
 }
 
-// planRelease gives up what is releasable once nothing is in flight for it.
+// planRelease gives up what is releasable. A held shard of endpoints is given
+// up at once, with a note of what is in flight; the rest of a former hold
+// when nothing is.
 func planRelease(now time.Time, v View) []Action {
-	var shards []ShardAt
+	var shards []ShardRelease
 	for _, s := range releasable(v.Table, v.Evidence) {
 		h := v.Table.Holds[s]
-		if !v.Busy[s] && v.waited(now, s, h) {
-			shards = append(shards, ShardAt{Shard: s, Epoch: h.Epoch})
+		inFlight := v.InFlight[s]
+		handsOver := h.HeldBy(v.Evidence.Self) && s != Cell && inFlight <= math.MaxUint16
+		if (inFlight == 0 || handsOver) && v.waited(now, s, h) {
+			shards = append(shards, ShardRelease{Shard: s, Epoch: h.Epoch, InFlight: uint16(inFlight)})
 		}
 	}
 	if len(shards) == 0 {
 		return nil
 	}
-	return []Action{Release{Who: v.Evidence.Self, Shards: shards}}
+	return []Action{Release{Who: v.Evidence.Self, Shards: shards, Leaving: v.Draining}}
 }
 
 // waited reports whether the wait after the own takeover of s is over. A
@@ -245,10 +249,10 @@
 	return own.Epoch == h.Epoch && !now.Before(own.ReadBack.Add(v.Timing.Stretched(v.Timing.Hold)))
 }
 
-// planLeave leaves the roster when no shard is held any more.
+// planLeave leaves the roster when nothing is held or left of a hold.
 func planLeave(v View) []Action {
 	for _, h := range v.Table.Holds {
-		if h.HeldBy(v.Evidence.Self) || slices.Contains(h.Previous, v.Evidence.Self) {
+		if h.HeldBy(v.Evidence.Self) || h.isFormer(v.Evidence.Self) {
 			return nil
 		}
 	}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -27,10 +27,29 @@
 	// Wait is set when the holder took the shard over without a release, so
 	// that it waits before the first use.
 	Wait bool
-	// Previous are the earlier holders that neither released the shard nor
-	// gave up their floor share since. Those no longer in the roster count
-	// for nothing.
-	Previous []Identity
+	// Previous are the earlier holders that may still use slots: those that
+	// lost the shard, and those that released it with requests in flight.
+	// Those no longer in the roster count for nothing.
+	Previous []Former
+}
+
+// Former is an earlier holder of a shard.
+type Former struct {
+	_        struct{} `cbor:",toarray"`
+	Who      Identity
+	Lost     bool   // it did not release the shard; it may use its floor share
+	InFlight uint16 // else: it may use so many slots of each endpoint
+}
+
+// isFormer reports whether who is among the earlier holders that may still
+// use slots.
+func (h Hold) isFormer(who Identity) bool {
+	return slices.ContainsFunc(h.Previous, func(f Former) bool { return f.Who == who })
+}
+
+// without returns the earlier holders but who.
+func (h Hold) without(who Identity) []Former {
+	return slices.DeleteFunc(slices.Clone(h.Previous), func(f Former) bool { return f.Who == who })
 }
 
 // Released reports whether the shard may be claimed without a wait.
@@ -55,6 +74,7 @@
 	// Challenged is the table version at which it was last challenged; it
 	// owes an answer while that is above Acked.
 	Challenged uint64
+	Leaving    bool // it has begun to leave
 }
 
 // Table is the state that the entries of one data centre's stream make: the
@@ -272,16 +292,14 @@
 	}
 }
 
-// leftBehind returns the holders that may use floor shares after who has
+// leftBehind returns the earlier holders that may use slots after who has
 // taken over h.
-func (t *Table) leftBehind(h Hold, who Identity) []Identity {
-	former := slices.Clone(h.Previous)
+func (t *Table) leftBehind(h Hold, who Identity) []Former {
+	former := h.without(who)
 	if h.Status == StatusHeld {
-		former = append(former, h.Who)
+		former = append(former, Former{Who: h.Who, Lost: true})
 	}
-	return slices.DeleteFunc(former, func(f Identity) bool {
-		return f == who || !t.IsMember(f)
-	})
+	return slices.DeleteFunc(former, func(f Former) bool { return !t.IsMember(f.Who) })
 }
 
 // release gives up every shard of r or none.
@@ -291,24 +309,31 @@
 		if h.Epoch != at.Epoch {
 			return ErrStaleEpoch
 		}
-		if !h.HeldBy(r.Who) && !slices.Contains(h.Previous, r.Who) {
+		if !h.HeldBy(r.Who) && !h.isFormer(r.Who) {
 			return ErrNotHolder
 		}
 	}
 	t.Version++
 	for _, at := range r.Shards {
-		t.giveUp(r.Who, at.Shard)
+		t.giveUp(r.Who, at)
+	}
+	if m, ok := t.Members[r.Who.Node]; ok && m.Who == r.Who && r.Leaving {
+		m.Leaving = true
+		t.Members[r.Who.Node] = m
 	}
 	return nil
 }
 
-// giveUp ends the hold, or else the floor share, of who in s.
-func (t *Table) giveUp(who Identity, s Shard) {
-	h := t.Holds[s]
-	if h.HeldBy(who) {
+// giveUp ends the hold of who in a shard, or else what it had left there.
+func (t *Table) giveUp(who Identity, at ShardRelease) {
+	h := t.Holds[at.Shard]
+	held := h.HeldBy(who)
+	h.Previous = h.without(who)
+	if held {
 		h.Status = StatusReleased
-	} else {
-		h.Previous = slices.DeleteFunc(slices.Clone(h.Previous), func(f Identity) bool { return f == who })
 	}
-	t.Holds[s] = h
+	if held && at.InFlight > 0 {
+		h.Previous = append(h.Previous, Former{Who: who, InFlight: at.InFlight})
+	}
+	t.Holds[at.Shard] = h
 }
