--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -305,25 +305,37 @@
 // release gives up every shard of r or none.
 func (t *Table) release(r Release) error {
 	for _, at := range r.Shards {
-		h := t.Holds[at.Shard]
-		if h.Epoch != at.Epoch {
-			return ErrStaleEpoch
-		}
-		if !h.HeldBy(r.Who) && !h.isFormer(r.Who) {
-			return ErrNotHolder
+		if err := t.checkRelease(r.Who, at); err != nil {
+			return err
 		}
 	}
 	t.Version++
 	for _, at := range r.Shards {
 		t.giveUp(r.Who, at)
 	}
-	if m, ok := t.Members[r.Who.Node]; ok && m.Who == r.Who && r.Leaving {
+	if m := t.Members[r.Who.Node]; r.Leaving && m.Who == r.Who {
 		m.Leaving = true
 		t.Members[r.Who.Node] = m
 	}
 	return nil
 }
 
+// checkRelease says whether who may give up one shard. A former holder can
+// only end its use: its entry may be the second copy of the release, which
+// must not pass for the end of what that release left in flight.
+func (t *Table) checkRelease(who Identity, at ShardRelease) error {
+	h := t.Holds[at.Shard]
+	ends := h.isFormer(who) && at.InFlight == 0
+	switch {
+	case h.Epoch != at.Epoch:
+		return ErrStaleEpoch
+	case !h.HeldBy(who) && !ends:
+		return ErrNotHolder
+	default:
+		return nil
+	}
+}
+
 // giveUp ends the hold of who in a shard, or else what it had left there.
 func (t *Table) giveUp(who Identity, at ShardRelease) {
 	h := t.Holds[at.Shard]
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -83,7 +83,7 @@
 		if err != nil {
 			return s.acceptError(err)
 		}
-		s.accept(conn)
+		s.ServeConn(conn)
 	}
 }
 
@@ -97,8 +97,9 @@
 	return err
 }
 
-// accept serves conn, or closes it when the server is full or stopping.
-func (s *Server) accept(conn net.Conn) {
+// ServeConn serves conn in the background, or closes it when the server is
+// full or stopping.
+func (s *Server) ServeConn(conn net.Conn) {
 	codec := newServerCodec(s, conn)
 	s.mu.Lock()
 	full := s.draining || len(s.conns) >= s.limits.MaxConns
