--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -1,7 +1,7 @@
 package ownership
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -45,13 +45,14 @@
 	Limits   PlanLimits
 	Address  string // of this process's peer service
 	Draining bool   // this process is to leave
-	Left     bool   // and has left
 	Health   map[api.NodeID]Health
 	// Unlisted tells for how long the platform's VM list, while it could be
 	// read, has not shown a node.
 	Unlisted map[api.NodeID]time.Duration
-	// Busy holds the shards for which something is in flight.
-	Busy map[Shard]bool
+	// InFlight holds, for each releasable shard, the most requests that this
+	// process has in flight at any one endpoint; for Cell, whether anything
+	// is.
+	InFlight map[Shard]int
 }
 
 // Plan decides what this process proposes at now. It proposes nothing while
@@ -77,7 +78,7 @@
 
 // planJoin joins the roster, unless this process is leaving.
 func planJoin(v View) []Action {
-	if v.Draining || v.Left {
+	if v.Draining {
 		return nil
 	}
 	return []Action{Join{Who: v.Evidence.Self, Address: v.Address}}
@@ -104,22 +105,36 @@
 // planChallenge challenges silent members in the log, so that one which the
 // heartbeats don't reach, but the log does, keeps its shards.
 func planChallenge(now time.Time, v View) []Action {
-	present := v.present()
 	var actions []Action
-	for _, m := range v.Table.Roster() {
-		if !v.silent(m.Who) || m.Challenged > m.Acked {
-			continue
-		}
-		if now.Sub(v.Evidence.Challenges[m.Who.Node].Seen) < v.Limits.Rechallenge {
+	for _, m := range v.silentMembers() {
+		recent := now.Sub(v.Evidence.Challenges[m.Who.Node].Seen) < v.Limits.Rechallenge
+		if m.Challenged > m.Acked || recent {
 			continue
 		}
-		if chosen([]byte(m.Who.Node), present) == v.Evidence.Self.Node {
+		if v.chosenFor(m) {
 			actions = append(actions, Challenge{From: v.Evidence.Self, Who: m.Who})
 		}
 	}
 	return actions
 }
 
+// silentMembers returns the suspected members.
+func (v View) silentMembers() []Member {
+	var members []Member
+	for _, node := range v.Table.order {
+		if m := v.Table.Members[node]; v.silent(m.Who) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// chosenFor reports whether this process is the one that proposes what
+// concerns m, so that not every member does.
+func (v View) chosenFor(m Member) bool {
+	return chosen([]byte(m.Who.Node), v.present()) == v.Evidence.Self.Node
+}
+
 // unanswered reports whether m has let a challenge pass at now.
 func (v View) unanswered(now time.Time, m Member) bool {
 	seen := v.Evidence.Challenges[m.Who.Node]
@@ -130,7 +145,7 @@
 // those that another settled member should hold.
 func planClose(v View) []Action {
 	settled := v.settled()
-	moving := 0
+	room := v.Limits.MaxMoves
 	var shards []ShardAt
 	for _, s := range Shards() {
 		h := v.Table.Holds[s]
@@ -138,15 +153,15 @@
 			continue
 		}
 		if v.Evidence.Closed[s] == h.Epoch {
-			moving++
+			room--
 			continue
 		}
 		if v.Draining || Wanted(s, settled) != v.Evidence.Self.Node {
 			shards = append(shards, ShardAt{Shard: s, Epoch: h.Epoch})
 		}
 	}
-	if room := max(0, v.Limits.MaxMoves-moving); !v.Draining && len(shards) > room {
-		shards = shards[:room]
+	if !v.Draining {
+		shards = shards[:min(len(shards), max(room, 0))]
 	}
 	if len(shards) == 0 {
 		return nil
@@ -157,16 +172,14 @@
 // settled returns the members fit to be given shards that live members hold.
 func (v View) settled() []api.NodeID {
 	return v.nodes(func(m Member) bool {
-		h, known := v.Health[m.Who.Node]
-		return known && h.Who == m.Who && !h.Suspected && !h.Draining && h.AliveFor >= v.Limits.Settle
+		return v.alive(m) && v.Health[m.Who.Node].AliveFor >= v.Limits.Settle
 	})
 }
 
 // able returns the members that may take shards from a silent holder.
 func (v View) able() []api.NodeID {
-	return v.nodes(func(m Member) bool {
-		return v.alive(m) && v.Table.Acknowledged(m.Who)
-	})
+	acked := v.Table.ackedByAll()
+	return v.nodes(func(m Member) bool { return v.alive(m) && m.Joined <= acked })
 }
 
 // present returns the members that may take shards nobody holds.
@@ -177,28 +190,29 @@
 // alive reports whether m is heard of and is not leaving.
 func (v View) alive(m Member) bool {
 	h, known := v.Health[m.Who.Node]
-	return known && h.Who == m.Who && !h.Suspected && !h.Draining
+	return known && h.Who == m.Who && !h.Suspected && !h.Draining && !m.Leaving
 }
 
 // nodes returns the members that pass ok, and always this process.
 func (v View) nodes(ok func(Member) bool) []api.NodeID {
 	var nodes []api.NodeID
-	for _, m := range v.Table.Roster() {
+	for _, node := range v.Table.order {
+		m := v.Table.Members[node]
 		if m.Who == v.Evidence.Self || ok(m) {
-			nodes = append(nodes, m.Who.Node)
+			nodes = append(nodes, node)
 		}
 	}
 	return nodes
 }
 
-// releasable returns the held shards that are closed, and those taken over
-// from this process, which may still use its floor shares there.
+// releasable returns the held shards that are closed, and those where this
+// process is a former holder that may still use slots.
 func releasable(t *Table, e *Evidence) []Shard {
 	var shards []Shard
 	for _, s := range Shards() {
 		h := t.Holds[s]
 		leaving := h.HeldBy(e.Self) && e.Closed[s] == h.Epoch
-		yielding := !h.HeldBy(e.Self) && slices.Contains(h.Previous, e.Self)
+		yielding := !h.HeldBy(e.Self) && h.isFormer(e.Self)
 		if leaving || yielding {
 			shards = append(shards, s)
 		}
@@ -206,19 +220,23 @@
 	return shards
 }
 
-// planRelease gives up what is releasable once nothing is in flight for it.
+// planRelease gives up what is releasable. A held shard of endpoints is given
+// up at once, with a note of what is in flight; the rest of a former hold
+// when nothing is.
 func planRelease(now time.Time, v View) []Action {
-	var shards []ShardAt
+	var shards []ShardRelease
 	for _, s := range releasable(v.Table, v.Evidence) {
 		h := v.Table.Holds[s]
-		if !v.Busy[s] && v.waited(now, s, h) {
-			shards = append(shards, ShardAt{Shard: s, Epoch: h.Epoch})
+		inFlight := v.InFlight[s]
+		handsOver := h.HeldBy(v.Evidence.Self) && s != Cell && inFlight <= math.MaxUint16
+		if (inFlight == 0 || handsOver) && v.waited(now, s, h) {
+			shards = append(shards, ShardRelease{Shard: s, Epoch: h.Epoch, InFlight: uint16(inFlight)})
 		}
 	}
 	if len(shards) == 0 {
 		return nil
 	}
-	return []Action{Release{Who: v.Evidence.Self, Shards: shards}}
+	return []Action{Release{Who: v.Evidence.Self, Shards: shards, Leaving: v.Draining}}
 }
 
 // waited reports whether the wait after the own takeover of s is over. A
@@ -231,10 +249,10 @@
 	return own.Epoch == h.Epoch && !now.Before(own.ReadBack.Add(v.Timing.Stretched(v.Timing.Hold)))
 }
 
-// planLeave leaves the roster when no shard is held any more.
+// planLeave leaves the roster when nothing is held or left of a hold.
 func planLeave(v View) []Action {
 	for _, h := range v.Table.Holds {
-		if h.HeldBy(v.Evidence.Self) || slices.Contains(h.Previous, v.Evidence.Self) {
+		if h.HeldBy(v.Evidence.Self) || h.isFormer(v.Evidence.Self) {
 			return nil
 		}
 	}
@@ -243,15 +261,10 @@
 
 // planClaim claims the shards that nobody uses and this process should hold.
 func planClaim(now time.Time, v View) []Action {
-	able, present := v.able(), v.present()
 	var shards []ShardAt
 	for _, s := range Shards() {
 		h := v.Table.Holds[s]
-		candidates := present
-		if !h.Released() {
-			candidates = able
-		}
-		if Wanted(s, candidates) == v.Evidence.Self.Node && v.claimable(now, h) {
+		if v.claimable(now, h) && Wanted(s, v.claimants(h)) == v.Evidence.Self.Node {
 			shards = append(shards, ShardAt{Shard: s, Epoch: h.Epoch})
 		}
 	}
@@ -261,21 +274,31 @@
 	return []Action{Claim{Who: v.Evidence.Self, Shards: shards}}
 }
 
+// claimants returns the members that may claim a shard that stands at h.
+func (v View) claimants(h Hold) []api.NodeID {
+	if h.Released() {
+		return v.present()
+	}
+	return v.able()
+}
+
 // claimable reports whether this process may claim a shard that stands at h.
 func (v View) claimable(now time.Time, h Hold) bool {
 	switch {
 	case h.Released():
 		return true
+	case h.HeldBy(v.Evidence.Self):
+		return false
+	case h.Status == StatusHeld && !v.silent(h.Who):
+		return false
 	case !v.Table.Acknowledged(v.Evidence.Self):
 		return false
 	case h.Status == StatusEnded:
 		return true
-	case h.HeldBy(v.Evidence.Self):
-		return false
 	default:
 		holder := v.Table.Members[h.Who.Node]
 		promised := now.Before(v.Evidence.Promises[h.Who.Node])
-		return v.silent(h.Who) && v.unanswered(now, holder) && !promised
+		return v.unanswered(now, holder) && !promised
 	}
 }
 
@@ -285,18 +308,13 @@
 	return known && h.Who == who && h.Suspected
 }
 
-// planExpel removes silent members that the VM list has dropped. Rendezvous
-// picks the member that proposes each.
+// planExpel removes silent members that the VM list has dropped.
 func planExpel(v View) []Action {
 	patience := v.expelPatience()
-	present := v.present()
 	var actions []Action
-	for _, m := range v.Table.Roster() {
+	for _, m := range v.silentMembers() {
 		absent, unlisted := v.Unlisted[m.Who.Node]
-		if !unlisted || absent < patience || !v.silent(m.Who) {
-			continue
-		}
-		if chosen([]byte(m.Who.Node), present) == v.Evidence.Self.Node {
+		if unlisted && absent >= patience && v.chosenFor(m) {
 			actions = append(actions, Expel{Who: m.Who})
 		}
 	}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -28,10 +27,29 @@
 	// Wait is set when the holder took the shard over without a release, so
 	// that it waits before the first use.
 	Wait bool
-	// Previous are the earlier holders that neither released the shard nor
-	// gave up their floor share since. Those no longer in the roster count
-	// for nothing.
-	Previous []Identity
+	// Previous are the earlier holders that may still use slots: those that
+	// lost the shard, and those that released it with requests in flight.
+	// Those no longer in the roster count for nothing.
+	Previous []Former
+}
+
+// Former is an earlier holder of a shard.
+type Former struct {
+	_        struct{} `cbor:",toarray"`
+	Who      Identity
+	Lost     bool   // it did not release the shard; it may use its floor share
+	InFlight uint16 // else: it may use so many slots of each endpoint
+}
+
+// isFormer reports whether who is among the earlier holders that may still
+// use slots.
+func (h Hold) isFormer(who Identity) bool {
+	return slices.ContainsFunc(h.Previous, func(f Former) bool { return f.Who == who })
+}
+
+// without returns the earlier holders but who.
+func (h Hold) without(who Identity) []Former {
+	return slices.DeleteFunc(slices.Clone(h.Previous), func(f Former) bool { return f.Who == who })
 }
 
 // Released reports whether the shard may be claimed without a wait.
@@ -56,6 +74,7 @@
 	// Challenged is the table version at which it was last challenged; it
 	// owes an answer while that is above Acked.
 	Challenged uint64
+	Leaving    bool // it has begun to leave
 }
 
 // Table is the state that the entries of one data centre's stream make: the
@@ -64,6 +83,7 @@
 	Version uint64 // number of entries accepted
 	Members map[api.NodeID]Member
 	Holds   map[Shard]Hold
+	order   []api.NodeID // of Members, sorted; replaced when it changes
 }
 
 // NewTable returns an empty table.
@@ -73,14 +93,21 @@
 
 // Clone returns a copy that shares nothing that changes.
 func (t *Table) Clone() *Table {
-	return &Table{Version: t.Version, Members: maps.Clone(t.Members), Holds: maps.Clone(t.Holds)}
+	return &Table{Version: t.Version, Members: maps.Clone(t.Members), Holds: maps.Clone(t.Holds), order: t.order}
 }
 
 // Roster returns the members ordered by node.
 func (t *Table) Roster() []Member {
-	return slices.SortedFunc(maps.Values(t.Members), func(a, b Member) int {
-		return cmp.Compare(a.Who.Node, b.Who.Node)
-	})
+	roster := make([]Member, len(t.order))
+	for i, node := range t.order {
+		roster[i] = t.Members[node]
+	}
+	return roster
+}
+
+// sortMembers renews the order of the members.
+func (t *Table) sortMembers() {
+	t.order = slices.Sorted(maps.Keys(t.Members))
 }
 
 // IsMember reports whether who, in this very incarnation, is in the roster.
@@ -89,19 +116,20 @@
 	return ok && m.Who == who
 }
 
-// Acknowledged reports whether every other member has acknowledged the
-// membership of who, so that a holder among them would ask it for a grant.
+// Acknowledged reports whether every member has acknowledged the membership
+// of who, so that a holder among them would ask it for a grant.
 func (t *Table) Acknowledged(who Identity) bool {
-	self, ok := t.Members[who.Node]
-	if !ok || self.Who != who {
-		return false
-	}
+	return t.IsMember(who) && t.Members[who.Node].Joined <= t.ackedByAll()
+}
+
+// ackedByAll is the version that every member has acknowledged. A member
+// acknowledges its own join by joining.
+func (t *Table) ackedByAll() uint64 {
+	acked := t.Version
 	for _, m := range t.Members {
-		if m.Who != who && m.Acked < self.Joined {
-			return false
-		}
+		acked = min(acked, m.Acked)
 	}
-	return true
+	return acked
 }
 
 // Apply applies one entry. An error means that it was rejected and changed
@@ -140,10 +168,15 @@
 	if known {
 		t.endHolds(former.Who)
 	}
-	member := Member{Who: j.Who, Address: j.Address, Joined: t.Version, Acked: t.Version}
-	t.Members[j.Who.Node] = member
-	member.Members = uint32(len(t.Members))
-	t.Members[j.Who.Node] = member
+	members := uint32(len(t.Members))
+	if !known {
+		members++
+	}
+	t.Members[j.Who.Node] = Member{
+		Who: j.Who, Address: j.Address,
+		Joined: t.Version, Acked: t.Version, Members: members,
+	}
+	t.sortMembers()
 	return nil
 }
 
@@ -185,6 +218,7 @@
 	}
 	t.Version++
 	delete(t.Members, who.Node)
+	t.sortMembers()
 	t.endHolds(who)
 	return nil
 }
@@ -258,43 +292,60 @@
 	}
 }
 
-// leftBehind returns the holders that may use floor shares after who has
+// leftBehind returns the earlier holders that may use slots after who has
 // taken over h.
-func (t *Table) leftBehind(h Hold, who Identity) []Identity {
-	former := slices.Clone(h.Previous)
+func (t *Table) leftBehind(h Hold, who Identity) []Former {
+	former := h.without(who)
 	if h.Status == StatusHeld {
-		former = append(former, h.Who)
+		former = append(former, Former{Who: h.Who, Lost: true})
 	}
-	return slices.DeleteFunc(former, func(f Identity) bool {
-		return f == who || !t.IsMember(f)
-	})
+	return slices.DeleteFunc(former, func(f Former) bool { return !t.IsMember(f.Who) })
 }
 
 // release gives up every shard of r or none.
 func (t *Table) release(r Release) error {
 	for _, at := range r.Shards {
-		h := t.Holds[at.Shard]
-		if h.Epoch != at.Epoch {
-			return ErrStaleEpoch
-		}
-		if !h.HeldBy(r.Who) && !slices.Contains(h.Previous, r.Who) {
-			return ErrNotHolder
+		if err := t.checkRelease(r.Who, at); err != nil {
+			return err
 		}
 	}
 	t.Version++
 	for _, at := range r.Shards {
-		t.giveUp(r.Who, at.Shard)
+		t.giveUp(r.Who, at)
+	}
+	if m := t.Members[r.Who.Node]; r.Leaving && m.Who == r.Who {
+		m.Leaving = true
+		t.Members[r.Who.Node] = m
 	}
 	return nil
 }
 
-// giveUp ends the hold, or else the floor share, of who in s.
-func (t *Table) giveUp(who Identity, s Shard) {
-	h := t.Holds[s]
-	if h.HeldBy(who) {
+// checkRelease says whether who may give up one shard. A former holder can
+// only end its use: its entry may be the second copy of the release, which
+// must not pass for the end of what that release left in flight.
+func (t *Table) checkRelease(who Identity, at ShardRelease) error {
+	h := t.Holds[at.Shard]
+	ends := h.isFormer(who) && at.InFlight == 0
+	switch {
+	case h.Epoch != at.Epoch:
+		return ErrStaleEpoch
+	case !h.HeldBy(who) && !ends:
+		return ErrNotHolder
+	default:
+		return nil
+	}
+}
+
+// giveUp ends the hold of who in a shard, or else what it had left there.
+func (t *Table) giveUp(who Identity, at ShardRelease) {
+	h := t.Holds[at.Shard]
+	held := h.HeldBy(who)
+	h.Previous = h.without(who)
+	if held {
 		h.Status = StatusReleased
-	} else {
-		h.Previous = slices.DeleteFunc(slices.Clone(h.Previous), func(f Identity) bool { return f == who })
 	}
-	t.Holds[s] = h
+	if held && at.InFlight > 0 {
+		h.Previous = append(h.Previous, Former{Who: who, InFlight: at.InFlight})
+	}
+	t.Holds[at.Shard] = h
 }
