--- /dev/null
+++ b/internal/journal/append.go
@@ -0,0 +1,203 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// appender is the state of the append loop.
+type appender struct {
+	r       *Replica
+	backoff backoff
+	limit   int // of one record; lowered when the log refuses a record as too large
+}
+
+// appendLoop sends batches, one at a time, until ctx ends.
+func (r *Replica) appendLoop(ctx context.Context) error {
+	a := &appender{r: r, backoff: r.newBackoff(), limit: r.cfg.MaxRecordBytes}
+	for ctx.Err() == nil {
+		a.waitForWork(ctx)
+		a.waitForBudget(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		a.appendBatch(ctx)
+	}
+	return ctx.Err()
+}
+
+func (r *Replica) newBackoff() backoff {
+	return backoff{min: r.cfg.BackoffMin, max: r.cfg.BackoffMax, random: r.cfg.Random}
+}
+
+// waitForWork returns when a batch is full or its oldest entry has waited
+// for the flush interval.
+func (a *appender) waitForWork(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait, ok := a.untilFlush()
+		if ok && wait <= 0 {
+			return
+		}
+		a.waitWoken(ctx, wait, ok)
+	}
+}
+
+// untilFlush returns how long the pending entries may still wait, false when
+// there are none.
+func (a *appender) untilFlush() (time.Duration, bool) {
+	r := a.r
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, ok := r.batcher.oldest()
+	if !ok {
+		return 0, false
+	}
+	if r.batcher.waiting >= a.room() {
+		return 0, true
+	}
+	return r.cfg.FlushInterval - r.cfg.Now().Sub(since), true
+}
+
+// waitWoken waits for news and, when bounded, at most for wait.
+func (a *appender) waitWoken(ctx context.Context, wait time.Duration, bounded bool) {
+	var expired <-chan time.Time
+	if bounded {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-a.r.wake:
+	case <-expired:
+	case <-ctx.Done():
+	}
+}
+
+// waitForBudget takes one append from this node's share of the log's budget.
+func (a *appender) waitForBudget(ctx context.Context) {
+	limiter := a.r.limiter
+	if limit := rate.Limit(a.r.cfg.AppendsPerSecond()); limit != limiter.Limit() {
+		limiter.SetLimit(limit)
+	}
+	_ = limiter.Wait(ctx) // fails only when ctx ends, which the caller checks
+}
+
+func (a *appender) room() int {
+	return entryRoom(a.limit, a.r.cfg.Origin)
+}
+
+// appendBatch sends one batch and stays with it until its fate is known or
+// nobody asks for it any more.
+func (a *appender) appendBatch(ctx context.Context) {
+	o := a.r.takeBatch(a.room())
+	if o == nil {
+		return
+	}
+	for {
+		offset, err := a.send(ctx, o.data)
+		if err == nil {
+			a.backoff.reset()
+			a.r.markAcked(o, offset)
+			return
+		}
+		if !a.failed(ctx, o, err) {
+			return
+		}
+		a.waitForBudget(ctx)
+		a.r.counters.appendRepeated.Add(1)
+	}
+}
+
+// send does one append.
+func (a *appender) send(ctx context.Context, data []byte) (platform.Offset, error) {
+	r := a.r
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.AppendTimeout)
+	defer cancel()
+	r.counters.appends.Add(1)
+	r.counters.appendBytes.Add(uint64(len(data)))
+	return r.cfg.Log.Append(ctx, r.cfg.Stream, data)
+}
+
+// failed deals with a failed append of o and reports whether the same batch
+// is to be sent again.
+func (a *appender) failed(ctx context.Context, o *outgoing, err error) bool {
+	r := a.r
+	switch {
+	case errors.Is(err, platform.ErrTooLarge):
+		r.counters.appendTooLarge.Add(1)
+		a.shrink(o)
+		return false
+	case errors.Is(err, platform.ErrUnavailable) && !o.uncertain:
+		r.counters.appendUnavailable.Add(1)
+		r.returnBatch(o)
+		a.pause(ctx, err)
+		return false
+	case errors.Is(err, platform.ErrUnavailable):
+		r.counters.appendUnavailable.Add(1)
+	default:
+		r.counters.appendUncertain.Add(1)
+		o.uncertain = true
+		o.lostAt = r.cfg.Now()
+		r.markSent(o)
+	}
+	a.pause(ctx, err)
+	return a.settle(ctx, o)
+}
+
+// shrink makes the following batches smaller. An entry that is too large by
+// itself is answered; a batch that may be in the log is left unsettled.
+func (a *appender) shrink(o *outgoing) {
+	if o.uncertain {
+		a.r.finish(o, a.r.sameForAll(o, ErrUnsettled))
+		return
+	}
+	if len(o.proposals) == 1 {
+		a.r.finish(o, []error{ErrEntryTooLarge})
+		return
+	}
+	a.limit = max(len(o.data)/2, minRecordBytes)
+	a.r.returnBatch(o)
+}
+
+// pause waits after a failure.
+func (a *appender) pause(ctx context.Context, err error) {
+	wait := a.backoff.pause()
+	a.r.log.WithFields(logrus.Fields{"event": "append_failed", "error": err, "pause": wait}).Warn("append failed")
+	sleep(ctx, wait)
+}
+
+// settle waits until the fate of o is known, by reading. It reports whether
+// o is to be sent again under the same sequence: a read that was sent after
+// the answer was lost has come to the end without it. A first copy that
+// still turns up later is then dropped by the readers as a repeat, or is the
+// one that counts.
+func (a *appender) settle(ctx context.Context, o *outgoing) bool {
+	r := a.r
+	for {
+		r.mu.Lock()
+		progress := r.progress
+		finished, deserted := o.finished, o.deserted()
+		r.mu.Unlock()
+		switch {
+		case finished:
+			return false
+		case deserted || r.Applied() > o.startedAt+resendRetention:
+			r.counters.batchesAbandoned.Add(1)
+			r.finish(o, r.sameForAll(o, ErrUnsettled))
+			return false
+		case r.Ready() && r.Confirmed().After(o.lostAt):
+			return true
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/config.go
@@ -0,0 +1,131 @@
+package journal
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Defaults of Config.
+const (
+	DefaultFlushInterval    = 5 * time.Millisecond
+	DefaultMaxRecordBytes   = 256 << 10
+	DefaultMaxBacklogBytes  = 4 << 20
+	DefaultAppendsPerSecond = 20
+	DefaultAppendBurst      = 2
+	DefaultAppendTimeout    = 2 * time.Second
+	DefaultReadTimeout      = 2 * time.Second
+	DefaultPollWait         = 500 * time.Millisecond
+	DefaultReadInterval     = 5 * time.Millisecond
+	DefaultReadMax          = 1000
+	DefaultBackoffMin       = 20 * time.Millisecond
+	DefaultBackoffMax       = 2 * time.Second
+)
+
+// Config holds the settings of a Replica. Zero fields take the defaults.
+type Config struct {
+	Stream   string       // of the platform's log
+	Origin   Origin       // of this process; a new incarnation for each start
+	Log      platform.Log // shared by all replicas of the process
+	Machines []Machine    // fed by the stream; types must not overlap
+
+	FlushInterval    time.Duration  // longest wait for more entries before an append
+	MaxRecordBytes   int            // the log's limit for one record
+	MaxBacklogBytes  int            // of entries not yet settled
+	AppendsPerSecond func() float64 // this node's present share of the log's budget
+	AppendBurst      int            // appends that may follow each other at once
+	AppendTimeout    time.Duration  // of one append
+
+	ReadMax      int           // records in one read
+	PollWait     time.Duration // of a read at the end of the stream; bounds the age of Confirmed
+	ReadInterval time.Duration // shortest time between the starts of two reads
+	ReadTimeout  time.Duration // of one read, besides PollWait
+
+	BackoffMin time.Duration // first pause after a failure
+	BackoffMax time.Duration // longest pause after a failure
+
+	Random func() float64   // in [0, 1), safe for concurrent use; jitter
+	Now    func() time.Time // local clock, with its monotonic reading
+	Logger logrus.FieldLogger
+}
+
+// withDefaults returns c with every zero field set.
+func (c Config) withDefaults() Config {
+	setDefault(&c.FlushInterval, DefaultFlushInterval)
+	setDefault(&c.MaxRecordBytes, DefaultMaxRecordBytes)
+	setDefault(&c.MaxBacklogBytes, DefaultMaxBacklogBytes)
+	setDefault(&c.AppendBurst, DefaultAppendBurst)
+	setDefault(&c.AppendTimeout, DefaultAppendTimeout)
+	setDefault(&c.ReadMax, DefaultReadMax)
+	setDefault(&c.PollWait, DefaultPollWait)
+	setDefault(&c.ReadInterval, DefaultReadInterval)
+	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.BackoffMin, DefaultBackoffMin)
+	setDefault(&c.BackoffMax, DefaultBackoffMax)
+	if c.AppendsPerSecond == nil {
+		c.AppendsPerSecond = func() float64 { return DefaultAppendsPerSecond }
+	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Logger == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		c.Logger = silent
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate reports every fault of c, after defaults, as a *finding.List.
+func (c Config) Validate() error {
+	c = c.withDefaults()
+	var l finding.List
+	l.Check(c.Stream != "", "stream", nil, "a name")
+	l.Check(c.Origin.Node != "", "origin.node", nil, "a name")
+	l.Check(c.Origin.Incarnation != 0, "origin.incarnation", c.Origin.Incarnation, "not zero")
+	l.Check(c.Log != nil, "log", nil, "a log")
+	l.Check(c.MaxRecordBytes >= minRecordBytes, "max_record_bytes", c.MaxRecordBytes, "1024 or more")
+	l.Check(c.MaxBacklogBytes >= c.MaxRecordBytes, "max_backlog_bytes", c.MaxBacklogBytes, "max_record_bytes or more")
+	l.Check(c.AppendBurst > 0, "append_burst", c.AppendBurst, "1 or more")
+	l.Check(c.ReadMax > 0, "read_max", c.ReadMax, "1 or more")
+	l.Check(c.BackoffMax >= c.BackoffMin, "backoff_max", c.BackoffMax, "backoff_min or more")
+	c.checkDurations(&l)
+	c.checkMachines(&l)
+	return l.Err()
+}
+
+func (c Config) checkDurations(l *finding.List) {
+	l.Check(c.FlushInterval > 0, "flush_interval", c.FlushInterval, "above zero")
+	l.Check(c.AppendTimeout > 0, "append_timeout", c.AppendTimeout, "above zero")
+	l.Check(c.PollWait > 0, "poll_wait", c.PollWait, "above zero")
+	l.Check(c.ReadInterval > 0, "read_interval", c.ReadInterval, "above zero")
+	l.Check(c.ReadTimeout > 0, "read_timeout", c.ReadTimeout, "above zero")
+	l.Check(c.BackoffMin > 0, "backoff_min", c.BackoffMin, "above zero")
+}
+
+func (c Config) checkMachines(l *finding.List) {
+	seen := make(map[EntryType]bool)
+	for _, m := range c.Machines {
+		l.Check(len(m.Types()) > 0, "machines", nil, "entry types for each")
+		for _, t := range m.Types() {
+			l.Check(!seen[t], "machines", t, "each entry type once")
+			l.Check(t < TypeSnapshotFirst, "machines", t, "types below the journal's own")
+			seen[t] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/errors.go
@@ -0,0 +1,36 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Causes of ErrNotWritten. Each wraps it.
+var (
+	// ErrNotReady: the replica's state is not complete, see Replica.Ready.
+	ErrNotReady = fmt.Errorf("%w: replica not ready", ErrNotWritten)
+	// ErrBacklogFull: too many bytes wait to be written or read back.
+	ErrBacklogFull = fmt.Errorf("%w: backlog full", ErrNotWritten)
+	// ErrEntryTooLarge: the entry does not fit into one record.
+	ErrEntryTooLarge = fmt.Errorf("%w: entry too large", ErrNotWritten)
+	// ErrNoMachine: no local machine applies the entry's type.
+	ErrNoMachine = fmt.Errorf("%w: no machine for the entry type", ErrNotWritten)
+	// ErrStopped: Run has ended.
+	ErrStopped = fmt.Errorf("%w: replica stopped", ErrNotWritten)
+)
+
+// Errors of Export and Import.
+var (
+	// ErrIncomplete: the local state is not complete and can't be exported.
+	ErrIncomplete = errors.New("journal: state not complete")
+	// ErrOlderState: the state stands for an earlier position than the local one.
+	ErrOlderState = errors.New("journal: state is older than the local one")
+	// ErrBadState: the state is damaged or belongs to another stream.
+	ErrBadState = errors.New("journal: state damaged or of another stream")
+)
+
+// Errors of decoding a record.
+var (
+	errTorn        = errors.New("journal: record torn or damaged")
+	errNewerFormat = errors.New("journal: record of a newer format")
+)
--- /dev/null
+++ b/internal/journal/stats.go
@@ -0,0 +1,93 @@
+package journal
+
+import (
+	"sync/atomic"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Stats is a reading of a replica's counters, for expvar.Func.
+type Stats struct {
+	Applied           platform.Offset `json:"applied"`
+	Ready             bool            `json:"ready"`
+	BacklogBytes      int             `json:"backlog_bytes"`
+	Proposed          uint64          `json:"proposed"`
+	BacklogFull       uint64          `json:"backlog_full"`
+	Withdrawn         uint64          `json:"withdrawn"`
+	Unsettled         uint64          `json:"unsettled"`
+	Appends           uint64          `json:"appends"`
+	AppendBytes       uint64          `json:"append_bytes"`
+	AppendUnavailable uint64          `json:"append_unavailable"`
+	AppendUncertain   uint64          `json:"append_uncertain"`
+	AppendTooLarge    uint64          `json:"append_too_large"`
+	AppendRepeated    uint64          `json:"append_repeated"`
+	BatchesAbandoned  uint64          `json:"batches_abandoned"`
+	Reads             uint64          `json:"reads"`
+	ReadFailed        uint64          `json:"read_failed"`
+	Records           uint64          `json:"records"`
+	Entries           uint64          `json:"entries"`
+	EntriesRejected   uint64          `json:"entries_rejected"`
+	EntriesUnknown    uint64          `json:"entries_unknown"`
+	RecordsRepeated   uint64          `json:"records_repeated"`
+	RecordsTorn       uint64          `json:"records_torn"`
+	Gaps              uint64          `json:"gaps"`
+}
+
+// counters are a replica's running counts.
+type counters struct {
+	proposed, backlogFull, withdrawn, unsettled        atomic.Uint64
+	appends, appendBytes                               atomic.Uint64
+	appendUnavailable, appendUncertain, appendTooLarge atomic.Uint64
+	appendRepeated, batchesAbandoned                   atomic.Uint64
+	reads, readFailed                                  atomic.Uint64
+	records, entries, entriesRejected, entriesUnknown  atomic.Uint64
+	recordsRepeated, recordsTorn, gaps                 atomic.Uint64
+}
+
+// Stats returns the counters as they stand.
+func (r *Replica) Stats() Stats {
+	c := &r.counters
+	return Stats{
+		Applied:           r.Applied(),
+		Ready:             r.Ready(),
+		BacklogBytes:      r.backlogBytes(),
+		Proposed:          c.proposed.Load(),
+		BacklogFull:       c.backlogFull.Load(),
+		Withdrawn:         c.withdrawn.Load(),
+		Unsettled:         c.unsettled.Load(),
+		Appends:           c.appends.Load(),
+		AppendBytes:       c.appendBytes.Load(),
+		AppendUnavailable: c.appendUnavailable.Load(),
+		AppendUncertain:   c.appendUncertain.Load(),
+		AppendTooLarge:    c.appendTooLarge.Load(),
+		AppendRepeated:    c.appendRepeated.Load(),
+		BatchesAbandoned:  c.batchesAbandoned.Load(),
+		Reads:             c.reads.Load(),
+		ReadFailed:        c.readFailed.Load(),
+		Records:           c.records.Load(),
+		Entries:           c.entries.Load(),
+		EntriesRejected:   c.entriesRejected.Load(),
+		EntriesUnknown:    c.entriesUnknown.Load(),
+		RecordsRepeated:   c.recordsRepeated.Load(),
+		RecordsTorn:       c.recordsTorn.Load(),
+		Gaps:              c.gaps.Load(),
+	}
+}
+
+// countRecord adds what became of one record.
+func (c *counters) countRecord(rec appliedRecord) {
+	c.records.Add(1)
+	switch rec.kind {
+	case recordRepeat:
+		c.recordsRepeated.Add(1)
+	case recordTorn:
+		c.recordsTorn.Add(1)
+	}
+	c.entries.Add(uint64(len(rec.results)))
+	c.entriesUnknown.Add(uint64(rec.unknown))
+	for _, err := range rec.results {
+		if err != nil {
+			c.entriesRejected.Add(1)
+		}
+	}
+}
