--- a/internal/platform/httplog/client_test.go
+++ b/internal/platform/httplog/client_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/platform/httplog"
@@ -110,26 +109,32 @@
 }
 
 func TestUnclearAnswersAreUncertain(t *testing.T) {
-	answers := map[string]http.HandlerFunc{
-		"503 of somebody else": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
-		"redirect": func(w http.ResponseWriter, req *http.Request) {
-			http.Redirect(w, req, "/", http.StatusTemporaryRedirect)
-		},
-		"not JSON": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") },
-		"endless":  func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) },
-		"half": func(w http.ResponseWriter, _ *http.Request) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	giveUp := func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.ReadAll(req.Body)
+		cancel()
+		<-req.Context().Done()
+	}
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+	}{
+		{"503 of somebody else", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }},
+		{"redirect", func(w http.ResponseWriter, req *http.Request) { http.Redirect(w, req, "/", http.StatusTemporaryRedirect) }},
+		{"not JSON", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") }},
+		{"endless", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) }},
+		{"half", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "99")
 			_, _ = io.WriteString(w, "{")
-		},
-		"too late": func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() },
+		}},
+		{"given up by the caller", giveUp},
 	}
-	for name, handler := range answers {
-		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(handler)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(test.handler)
 			defer server.Close()
-			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-			defer cancel()
-			_, err := newClient(t, server.Listener.Addr().String()).Append(ctx, "s", nil)
+			_, err := newClient(t, server.Listener.Addr().String()).Append(ctx, "s", []byte("x"))
 			wantErr(t, err, platform.ErrUncertain)
 		})
 	}
