Wire status, in-flight counts and the front's log

Change: router.MostInFlight feeds ownership; the status of an answer reaches the router, so that endpoints answering 500 to everything are ejected.

--- a/internal/entry/cellparts.go
+++ b/internal/entry/cellparts.go
@@ -124,8 +124,10 @@
 	return *decoded.Job, nil
 }
 
-// busy reports whether requests are in flight to endpoints of a shard.
-func (n *Node) busy(shard ownership.Shard) bool {
+// inFlight returns the most requests in flight at any endpoint of a shard.
+// Placement needs none: what the former holder told a worker is bounded by
+// the lease.
+func (n *Node) inFlight(shard ownership.Shard) int {
 	var ids []api.EndpointID
 	for _, vm := range n.cell.vms.VMs() {
 		for _, ep := range vm.Endpoints {
@@ -134,7 +136,5 @@
 			}
 		}
 	}
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
-	return n.router.WaitIdle(ended, ids) != nil
+	return n.router.MostInFlight(ids)
 }
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -49,7 +49,9 @@
 	}
 	status := front.JobStatus{Spec: view.Spec, Tasks: make(map[string]uint32, len(view.Counts))}
 	for state, n := range view.Counts {
-		status.Tasks[state.String()] = n
+		if n > 0 {
+			status.Tasks[api.TaskState(state).String()] = n
+		}
 	}
 	if e, ok := j.machine.Explain(id); ok && e.Wait != nil {
 		status.Reason, status.Detail = e.Wait.Reason, e.Wait.Detail
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -105,7 +105,7 @@
 	n.connectPeers()
 	n.connectRequests()
 	n.cell = newCellParts(n)
-	n.front = front.New(frontSettings(s), n.chain, n.jobs(), n.chain.Gate(), n.counters, nil)
+	n.front = front.New(frontSettings(s), n.chain, n.jobs(), n.chain.Gate(), n.counters, n.log)
 	if err := n.register(); err != nil {
 		return nil, err
 	}
@@ -169,7 +169,7 @@
 		Proposer: n.streams.cell,
 		Follower: n.streams.cell,
 		Health:   n.members.Health,
-		Busy:     n.busy,
+		InFlight: n.inFlight,
 		Log:      n.log,
 	})
 	n.members.Bind(n.owner)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -33,7 +33,7 @@
 		Incarnation: n.origin.Incarnation,
 		Draining:    n.owner.Draining(),
 		Revision:    n.streams.configs.Revision(),
-		Unreadable:  len(n.streams.configs.Unknown()),
+		Unreadable:  n.streams.configs.Unreadable(),
 		Requests:    n.chain.Gate().InFlight(),
 		Uptime:      now.Sub(n.started),
 		Tasks:       map[string]int{},
@@ -107,7 +107,7 @@
 			continue
 		}
 		for state, count := range job.Counts {
-			tasks[state.String()] += int(count)
+			tasks[api.TaskState(state).String()] += int(count)
 		}
 	}
 }
@@ -127,8 +127,10 @@
 	out.Tasks = make(map[string]int, len(x.Job.Counts))
 	least := api.TaskCancelled
 	for state, count := range x.Job.Counts {
-		out.Tasks[state.String()] = int(count)
-		least = min(least, state)
+		if count > 0 {
+			out.Tasks[api.TaskState(state).String()] = int(count)
+			least = min(least, api.TaskState(state))
+		}
 	}
 	out.State = least.String()
 	return out, true
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -40,7 +40,7 @@
 		t.Release()
 		return
 	}
-	t.Ticket.Done(router.Result{Err: r.Err, Latency: r.Took, Feedback: r.Feedback})
+	t.Ticket.Done(router.Result{Err: r.Err, Status: r.Status, Latency: r.Took, Feedback: r.Feedback})
 }
 
 // records lets the filter chain read the records in force.
--- a/internal/filter/attempt.go
+++ b/internal/filter/attempt.go
@@ -165,6 +165,7 @@
 	res.Took = c.deps.Now().Sub(start)
 	if err == nil && answer != nil {
 		res.Err = nil
+		res.Status = answer.Status
 		return answer, nil
 	}
 	if err != nil {
--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -53,6 +53,7 @@
 type Result struct {
 	Sent     bool                   // false: the slot was not used
 	Err      *platform.AttemptError // nil: the endpoint answered in full
+	Status   int                    // of the answer; 0 without one
 	Feedback platform.Feedback
 	Took     time.Duration
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -132,6 +132,22 @@
 	return total
 }
 
+// MostInFlight returns the most tickets not yet done at any one of the
+// endpoints.
+func (r *Router) MostInFlight(ids []api.EndpointID) int {
+	most := 0
+	for _, s := range r.allShards() {
+		s.mu.Lock()
+		for _, id := range ids {
+			if e := s.byID[id]; e != nil {
+				most = max(most, e.inFlight)
+			}
+		}
+		s.unlock()
+	}
+	return most
+}
+
 // WaitIdle waits until no request is in flight to any of the endpoints. Give
 // them up first. It returns the context's error.
 func (r *Router) WaitIdle(ctx context.Context, ids []api.EndpointID) error {
