Take published jobs into the cell of their home, each revision once

Cause: operators publish jobs as records, but nothing took them into a cell. Ruled out: submitting what the cell doesn't know, which runs a job again once the cell has forgotten that it ended. Measured: test only (taken once at its home, not again after a restore of a state, deletion cancels). Conclusion: kept; a changed spec of a known job is counted as duplicate and not applied.

--- a/internal/cell/entries.go
+++ b/internal/cell/entries.go
@@ -16,15 +16,16 @@
 
 // Types of entries. The values are part of the stored format.
 const (
-	TypeSubmit  = journal.TypeCellFirst + iota // Submit
-	TypeCancel                                 // Cancel
-	TypeVMs                                    // VMs
-	TypeStart                                  // StartBatch
-	TypeReport                                 // ReportBatch
-	TypeStop                                   // StopBatch
-	TypeReplace                                // Replace
-	TypeMove                                   // Move
-	TypeMoved                                  // Moved
+	TypeSubmit    = journal.TypeCellFirst + iota // Submit
+	TypeCancel                                   // Cancel
+	TypeVMs                                      // VMs
+	TypeStart                                    // StartBatch
+	TypeReport                                   // ReportBatch
+	TypeStop                                     // StopBatch
+	TypeReplace                                  // Replace
+	TypeMove                                     // Move
+	TypeMoved                                    // Moved
+	TypePublished                                // Published
 )
 
 // Submit adds a job. The first of an ID that the machine knows wins.
--- a/internal/cell/machine.go
+++ b/internal/cell/machine.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/journal"
@@ -66,6 +67,7 @@
 	ended       []uint32 // ended jobs, oldest first
 	endedTasks  int
 	moves       uint32                    // given out so far
+	published   atomic.Uint64             // api.Revision of the latest published job taken
 	movedOut    []uint32                  // jobs moved and not confirmed, in order
 	movedIn     map[api.DataCentre]uint32 // latest move taken from each
 
@@ -97,6 +99,7 @@
 	m.nextJob = 0
 	m.ended = nil
 	m.endedTasks = 0
+	m.published.Store(0)
 	m.moves = 0
 	m.movedOut = nil
 	m.movedIn = make(map[api.DataCentre]uint32)
@@ -120,7 +123,7 @@
 
 // Types implements journal.Machine.
 func (m *Machine) Types() []journal.EntryType {
-	return []journal.EntryType{TypeSubmit, TypeCancel, TypeVMs, TypeStart, TypeReport, TypeStop, TypeReplace, TypeMove, TypeMoved}
+	return []journal.EntryType{TypeSubmit, TypeCancel, TypeVMs, TypeStart, TypeReport, TypeStop, TypeReplace, TypeMove, TypeMoved, TypePublished}
 }
 
 // Apply implements journal.Machine. Its errors are of type *Rejection. A
@@ -161,6 +164,8 @@
 		return decoded(e, m.applyMove)
 	case TypeMoved:
 		return decoded(e, m.applyMoved)
+	case TypePublished:
+		return decoded(e, m.applyPublished)
 	}
 	return &Rejection{Reason: api.ReasonMalformed, Detail: "unknown entry type"}
 }
--- a/internal/cell/snapshot.go
+++ b/internal/cell/snapshot.go
@@ -10,7 +10,7 @@
 )
 
 // snapshotVersion is the form of the snapshot that this code writes.
-const snapshotVersion = 1
+const snapshotVersion = 2
 
 // snapshot is the whole state. The history for explanations is left out:
 // after a Restore it starts anew.
@@ -23,6 +23,8 @@
 	Jobs    []jobImage
 	Ended   []uint32
 
+	Published api.Revision
+
 	Moves    uint32
 	MovedOut []uint32
 	MovedIn  []movedImage
@@ -87,8 +89,9 @@
 		NextVM:  uint32(len(m.vms.rows)),
 		Ended:   m.ended,
 
-		Moves:    m.moves,
-		MovedOut: m.movedOut,
+		Published: m.PublishedRevision(),
+		Moves:     m.moves,
+		MovedOut:  m.movedOut,
 	}
 	for dc, move := range m.movedIn {
 		s.MovedIn = append(s.MovedIn, movedImage{DataCentre: dc, Move: move})
@@ -185,6 +188,7 @@
 	m.reset()
 	m.nextJob = s.NextJob
 	m.ended = s.Ended
+	m.published.Store(uint64(s.Published))
 	m.moves = s.Moves
 	m.movedOut = s.MovedOut
 	for _, in := range s.MovedIn {
--- /dev/null
+++ b/internal/controller/jobs/jobs.go
@@ -0,0 +1,140 @@
+// Package jobs is the controller that takes the jobs that operators published
+// as records into the cell of their home data centre.
+//
+// A job has one home: the data centre that its ID or its spec names, else the
+// one with the highest hash. Every entry VM works it out alike.
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/config"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// Records reads the records in force; *config.Machine implements it.
+type Records interface {
+	Jobs() []config.Job
+	Records(kind api.Kind) []api.RecordState
+	Notify() (changed <-chan struct{}, cancel func())
+}
+
+// Cell tells which revisions were taken; *cell.Machine implements it.
+type Cell interface {
+	PublishedRevision() api.Revision
+}
+
+// Authority tells whether this entry VM may act for the cell.
+type Authority interface {
+	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
+}
+
+// Home returns the home of an ID among data centres.
+type Home func(id string, dcs []api.DataCentre) api.DataCentre
+
+// Config holds the controller's settings.
+type Config struct {
+	DataCentre  api.DataCentre
+	DataCentres []api.DataCentre // of the whole cell
+	Home        Home
+	Tick        time.Duration // longest time between two looks
+	MaxBatch    int           // jobs in one entry
+}
+
+// Defaults of Config.
+const (
+	DefaultTick     = time.Second
+	DefaultMaxBatch = 200
+)
+
+// Controller takes published jobs into the cell.
+type Controller struct {
+	cfg      Config
+	records  Records
+	cell     Cell
+	proposer journal.Proposer
+	auth     Authority
+	counters cell.Counters
+	now      func() time.Time
+}
+
+// counterGroup is the group of this package's counters.
+const counterGroup = "published_jobs"
+
+// New returns a controller. Zero fields of cfg take the defaults.
+func New(cfg Config, records Records, c Cell, proposer journal.Proposer, auth Authority, counters cell.Counters, now func() time.Time) *Controller {
+	if cfg.Tick == 0 {
+		cfg.Tick = DefaultTick
+	}
+	if cfg.MaxBatch == 0 {
+		cfg.MaxBatch = DefaultMaxBatch
+	}
+	return &Controller{cfg: cfg, records: records, cell: c, proposer: proposer, auth: auth, counters: counters, now: now}
+}
+
+// Run takes jobs until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	changed, cancel := c.records.Notify()
+	defer cancel()
+	ticker := time.NewTicker(c.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		c.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-changed:
+		}
+	}
+}
+
+// Step takes what is due, while this entry VM holds the placement shard.
+func (c *Controller) Step(ctx context.Context) {
+	now := c.now()
+	if _, ok, _ := c.auth.Cell(now); !ok {
+		return
+	}
+	due := c.Due(c.cell.PublishedRevision())
+	for batch := range slices.Chunk(due, c.cfg.MaxBatch) {
+		entry := cell.PublishedEntry(batch, now.UnixMilli())
+		if err := c.proposer.Propose(ctx, entry); err != nil {
+			c.counters.Inc(counterGroup, "not_taken") // the next look tries again
+			return
+		}
+	}
+}
+
+// Due returns the jobs of this data centre published after a revision, in
+// ascending order of revision.
+func (c *Controller) Due(after api.Revision) []cell.PublishedJob {
+	var due []cell.PublishedJob
+	for _, job := range c.records.Jobs() {
+		if job.Revision > after && c.isHome(job.Spec) {
+			due = append(due, cell.PublishedJob{Revision: job.Revision, Spec: job.Spec})
+		}
+	}
+	for _, kind := range []api.Kind{api.KindBatchJob, api.KindGangJob, api.KindService} {
+		for _, state := range c.records.Records(kind) {
+			if state.Revision > after && state.Record.Deleted {
+				spec := api.JobSpec{ID: api.JobID(state.Record.Name)}
+				due = append(due, cell.PublishedJob{Revision: state.Revision, Deleted: true, Spec: spec})
+			}
+		}
+	}
+	slices.SortFunc(due, func(a, b cell.PublishedJob) int { return cmp.Compare(a.Revision, b.Revision) })
+	return due
+}
+
+func (c *Controller) isHome(spec api.JobSpec) bool {
+	dcs := c.cfg.DataCentres
+	if len(spec.DataCentres) > 0 {
+		dcs = spec.DataCentres
+	}
+	return c.cfg.Home(string(spec.ID), dcs) == c.cfg.DataCentre
+}
--- /dev/null
+++ b/internal/controller/jobs/jobs_test.go
@@ -0,0 +1,80 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/config"
+	"github.com/skylarklock/skylarklock/internal/counter"
+	"github.com/skylarklock/skylarklock/internal/journal"
+)
+
+// direct applies what is proposed at once.
+type direct struct{ machines []journal.Machine }
+
+func (d direct) Propose(_ context.Context, e journal.Entry) error {
+	for _, m := range d.machines {
+		for _, t := range m.Types() {
+			if t == e.Type {
+				return m.Apply(journal.Position{}, e)
+			}
+		}
+	}
+	return journal.ErrNotWritten
+}
+
+type holder struct{}
+
+func (holder) Cell(time.Time) (api.Epoch, bool, time.Time) { return 1, true, time.Time{} }
+func (holder) CellEpoch() api.Epoch                        { return 1 }
+
+func TestPublishedJobIsTakenOnceAtItsHome(t *testing.T) {
+	records, tasks, counters := config.NewMachine(), cell.New(holder{}, counter.NewSet()), counter.NewSet()
+	publisher := config.NewPublisher(records, direct{[]journal.Machine{records}})
+	home := func(id string, _ []api.DataCentre) api.DataCentre { return api.DataCentre(id[:1]) }
+	c := New(Config{DataCentre: "a", Home: home}, records, tasks, direct{[]journal.Machine{tasks}}, holder{}, counters, time.Now)
+
+	publish := func(rec api.Record) api.Revision {
+		t.Helper()
+		rec.Kind, rec.SchemaVersion = api.KindBatchJob, 1
+		revision, err := publisher.Publish(t.Context(), rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return revision
+	}
+	spec := func(id string) json.RawMessage {
+		return json.RawMessage(`{"id":"` + id + `","team":"t","tasks":2,"resources":{"milli_cpu":1,"memory_mb":1},"run_time_ns":1000000000}`)
+	}
+	first := publish(api.Record{Name: "a1", Spec: spec("a1")})
+	publish(api.Record{Name: "b1", Spec: spec("b1")})
+	c.Step(t.Context())
+	if _, ok := tasks.Job("a1"); !ok {
+		t.Fatal("the job of this data centre was not taken")
+	}
+	if _, ok := tasks.Job("b1"); ok {
+		t.Fatal("the job of another data centre was taken")
+	}
+	if due := c.Due(tasks.PublishedRevision()); len(due) != 0 {
+		t.Fatalf("still due: %v", due)
+	}
+
+	// A cell that lost its memory of the job, but not of the revision.
+	data, err := tasks.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tasks.Restore(data); err != nil || tasks.PublishedRevision() != first {
+		t.Fatalf("revision %d after a restore, %v", tasks.PublishedRevision(), err)
+	}
+
+	publish(api.Record{Name: "a1", BasedOn: first, Deleted: true})
+	c.Step(t.Context())
+	if job, _ := tasks.Job("a1"); !job.Cancelled {
+		t.Fatal("the deleted job was not cancelled")
+	}
+}
--- a/internal/entry/cellparts.go
+++ b/internal/entry/cellparts.go
@@ -9,11 +9,13 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/controller/endpoints"
 	"github.com/skylarklock/skylarklock/internal/controller/fleet"
+	"github.com/skylarklock/skylarklock/internal/controller/jobs"
 	"github.com/skylarklock/skylarklock/internal/controller/learning"
 	"github.com/skylarklock/skylarklock/internal/controller/placement"
 	"github.com/skylarklock/skylarklock/internal/controller/recovery"
 	"github.com/skylarklock/skylarklock/internal/controller/vms"
 	"github.com/skylarklock/skylarklock/internal/controller/worker"
+	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/lease"
 	"github.com/skylarklock/skylarklock/internal/ownership"
 	"github.com/skylarklock/skylarklock/internal/scheduler"
@@ -28,6 +30,7 @@
 	placement *placement.Controller
 	recovery  *recovery.Controller
 	endpoints *endpoints.Controller
+	jobs      *jobs.Controller
 }
 
 // cellAuthority tells the controllers whether this node holds the placement
@@ -57,13 +60,16 @@
 	p.placement = placement.New(placement.DefaultConfig(s.DataCentre), n.newWorld, st.tasks, st.cell, auth, view, p.learning, n.counters, n.log, time.Now)
 	p.recovery = recovery.New(recovery.DefaultConfig(), st.tasks, st.cell, auth, view, n.counters, n.log, time.Now)
 	p.endpoints = endpoints.New(p.vms, n.owner, n.router, n.outside.Endpoint, time.Now)
+	p.jobs = jobs.New(jobs.Config{
+		DataCentre: s.DataCentre, DataCentres: s.DataCentres, Home: filter.HomeOf,
+	}, st.configs, st.tasks, st.cell, auth, n.counters, time.Now)
 	return p
 }
 
 // loops returns what runs until the node stops.
 func (p *cellParts) loops() []func(context.Context) error {
 	return []func(context.Context) error{
-		p.vms.Run, p.worker.Run, p.learning.Run, p.placement.Run, p.recovery.Run, p.endpoints.Run,
+		p.vms.Run, p.worker.Run, p.learning.Run, p.placement.Run, p.recovery.Run, p.endpoints.Run, p.jobs.Run,
 	}
 }
 
@@ -92,8 +98,8 @@
 }
 
 // jobs returns what takes callers' jobs.
-func (n *Node) jobs() jobs {
-	return jobs{machine: n.streams.tasks, proposer: n.streams.cell, complete: completeJob, now: time.Now}
+func (n *Node) callerJobs() callerJobs {
+	return callerJobs{machine: n.streams.tasks, proposer: n.streams.cell, complete: completeJob, now: time.Now}
 }
 
 // completeJob checks a caller's job as if it had been published as a record,
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -15,8 +15,8 @@
 // journalRetry is told to callers whose entry could not be journaled.
 const journalRetry = time.Second
 
-// jobs takes callers' jobs into the data centre's stream.
-type jobs struct {
+// callerJobs takes callers' jobs into the data centre's stream.
+type callerJobs struct {
 	machine  *cell.Machine
 	proposer journal.Proposer
 	complete func(api.JobSpec) (api.JobSpec, error) // checks and fills in defaults
@@ -25,7 +25,7 @@
 
 // Submit implements front.Jobs. A job that is known already under the same
 // description was accepted before: repeats are answered alike.
-func (j jobs) Submit(ctx context.Context, spec api.JobSpec) error {
+func (j callerJobs) Submit(ctx context.Context, spec api.JobSpec) error {
 	spec, err := j.complete(spec)
 	if err != nil {
 		return api.NotRun(api.ReasonMalformed, 0, err.Error())
@@ -34,7 +34,7 @@
 }
 
 // Cancel implements front.Jobs.
-func (j jobs) Cancel(ctx context.Context, id api.JobID) error {
+func (j callerJobs) Cancel(ctx context.Context, id api.JobID) error {
 	if _, ok := j.machine.Job(id); !ok {
 		return api.NotRun(api.ReasonUnknownJob, 0, fmt.Sprintf("no job %q here", id))
 	}
@@ -42,7 +42,7 @@
 }
 
 // Status implements front.Jobs.
-func (j jobs) Status(_ context.Context, id api.JobID) (front.JobStatus, error) {
+func (j callerJobs) Status(_ context.Context, id api.JobID) (front.JobStatus, error) {
 	view, ok := j.machine.Job(id)
 	if !ok {
 		return front.JobStatus{}, api.NotRun(api.ReasonUnknownJob, 0, fmt.Sprintf("no job %q here", id))
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -105,7 +105,7 @@
 	n.connectPeers()
 	n.connectRequests()
 	n.cell = newCellParts(n)
-	n.front = front.New(frontSettings(s), n.chain, n.jobs(), n.chain.Gate(), n.counters, n.log)
+	n.front = front.New(frontSettings(s), n.chain, n.callerJobs(), n.chain.Gate(), n.counters, n.log)
 	if err := n.register(); err != nil {
 		return nil, err
 	}
