Demo: cluster of entry nodes, records, traffic and faults

Cause: the README needs one command for the main job. Change: first part, not yet wired to a command.

--- /dev/null
+++ b/internal/demo/scenario.go
@@ -0,0 +1,115 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/load"
+	"github.com/skylarklock/skylarklock/internal/standin/executor"
+	"github.com/skylarklock/skylarklock/internal/standin/logserver"
+	"github.com/skylarklock/skylarklock/internal/standin/site"
+	"github.com/skylarklock/skylarklock/internal/standin/worker"
+)
+
+// Sizes of the demo: the users' own of today.
+const (
+	entriesPerDC   = 2
+	vmsPerDC       = 13
+	executorsPerDC = 13 // about 50 over four data centres
+	vmsPerRack     = 6
+)
+
+// siteConfig returns the two users' services on VMs of 32 cores and 64 GB.
+func siteConfig(seed uint64) site.Config {
+	service := func(name string, mean time.Duration) site.Service {
+		return site.Service{
+			Name: name, Executors: executorsPerDC, Slots: 8, Connections: 60,
+			ServiceTime: mean, Spread: 0.5,
+		}
+	}
+	return site.Config{
+		DataCentres: []api.DataCentre{"dc-a", "dc-b", "dc-c", "dc-d"},
+		VMs:         vmsPerDC,
+		VMsPerRack:  vmsPerRack,
+		Capacity:    api.Resources{MilliCPU: 32_000, MemoryMB: 64 << 10},
+		Services:    []site.Service{service("torquebench", 60*time.Millisecond), service("auction", 90*time.Millisecond)},
+		UsageLag:    500 * time.Millisecond,
+		Seed:        seed,
+	}
+}
+
+// streams returns the traffic of both users.
+func streams() []load.Stream {
+	return []load.Stream{
+		{
+			Caller: "workshop", Class: "interactive", Service: "torquebench", Path: "/sweep",
+			Rate: 120, Idempotent: true, BodyBytes: 200, Timeout: 5 * time.Second, Repeat: 0.05,
+		},
+		{
+			Caller: "warranty", Class: "interactive", Service: "torquebench", Path: "/billed-check",
+			Rate: 40, BodyBytes: 200, Timeout: 5 * time.Second, Repeat: 0.1,
+		},
+		{
+			Caller: "sales", Class: "batch", Service: "auction", Path: "/deposit-check",
+			Rate: 40, BodyBytes: 400, Timeout: 8 * time.Second, Repeat: 0.1,
+		},
+	}
+}
+
+// fault is one thing that goes wrong during the demo.
+type fault struct {
+	at   time.Duration
+	what string
+	do   func(context.Context, *cluster)
+}
+
+// faults returns one fault of each kind, in order of time.
+func faults(out io.Writer) []fault {
+	return []fault{
+		{1 * time.Second, "three appends take effect and their answers are lost", func(_ context.Context, c *cluster) {
+			c.site.Log.SetFaults(logserver.Faults{LoseAnswers: 3})
+		}},
+		{2 * time.Second, "one executor fails everything", func(_ context.Context, c *cluster) {
+			c.site.Executors["dc-a-torquebench-000"].SetFaults(executor.Faults{FailAll: true})
+		}},
+		{3 * time.Second, "one executor leaves", func(_ context.Context, c *cluster) {
+			c.site.Executors["dc-b-torquebench-001"].SetFaults(executor.Faults{Leaving: true})
+		}},
+		{3500 * time.Millisecond, "one executor breaks answers off halfway", func(_ context.Context, c *cluster) {
+			c.site.Executors["dc-c-torquebench-002"].SetFaults(executor.Faults{BreakHalfway: true})
+		}},
+		{4 * time.Second, "one worker VM restarts, another fails everything", func(_ context.Context, c *cluster) {
+			c.site.Workers.VM("dc-a-vm001").Restart()
+			c.site.Workers.VM("dc-b-vm002").SetFaults(worker.Faults{FailEverything: true})
+		}},
+		{5 * time.Second, "the log is down for two seconds", func(_ context.Context, c *cluster) {
+			c.site.Log.SetFaults(logserver.Faults{Down: true})
+		}},
+		{7 * time.Second, "the log is back", func(_ context.Context, c *cluster) {
+			c.site.Log.SetFaults(logserver.Faults{})
+		}},
+		{8 * time.Second, "two operators race to publish one record", func(ctx context.Context, c *cluster) {
+			raceOperators(ctx, c, out)
+		}},
+		{9 * time.Second, "one entry VM is stopped gracefully", func(_ context.Context, c *cluster) {
+			c.nodes[len(c.nodes)-1].stop()
+		}},
+	}
+}
+
+// runFaults causes each fault at its time, until ctx ends.
+func runFaults(ctx context.Context, c *cluster, out io.Writer) {
+	start := time.Now()
+	for _, f := range faults(out) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(start.Add(f.at))):
+		}
+		fmt.Fprintf(out, "fault at=%s what=%q\n", f.at, f.what)
+		f.do(ctx, c)
+	}
+}
