filter: request_id_reused from an old view is checked with the peers

Cause: a view that has not read the release of an unused mark takes the id for another request's; a repeat of the request that ran was told not-run, request_id_reused. Ruled out: never releasing marks (an id refused in an overload would stay unknown once its writer is gone).

--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -203,7 +203,16 @@
 func TestNotRunWithoutTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld("a", "b")
-		w.logs[1].deaf = true
+		w.fault = failing(map[string][]string{"router": {"queue_full", "*"}, "peer": {"unreachable", "*"}, "log": {"", "slow"}})
+		w.says(t, call{node: "a", id: "re", body: "x"}, "not-run queue_full")
+		synctest.Wait()
+		w.mu.Lock()
+		w.logs[1].deaf = true // after the mark, before its release
+		w.mu.Unlock()
+		w.close()
+		w.fault = failing(nil)
+		w.says(t, call{node: "a", id: "re", body: "y"}, "re=y")
+		w.says(t, call{node: "b", id: "re", body: "y"}, "re=y")
 		w.says(t, call{node: "a", id: "id", body: "x"}, "id=x")
 		w.close()
 		for _, row := range []struct{ id, body, log, peer, want string }{
--- a/internal/filter/truth.go
+++ b/internal/filter/truth.go
@@ -38,10 +38,11 @@
 }
 
 // ownFault reports whether a refusal with reason holds for this very request,
-// whatever became of others with its id.
+// whatever became of others with its id. ReasonIDReused doesn't: an old view
+// may show a mark that was released since.
 func ownFault(reason api.Reason) bool {
 	switch reason {
-	case api.ReasonMalformed, api.ReasonIDMissing, api.ReasonIDReused, api.ReasonTooLarge:
+	case api.ReasonMalformed, api.ReasonIDMissing, api.ReasonTooLarge:
 		return true
 	}
 	return false
