ownership: a process never suspects itself

Cause: the failing case of the trial: the simulation reported a process as silent to itself, and it challenged and answered itself for ever. The real heartbeats leave the own node out; Plan now does so by itself.

The shards stayed unused because a dead incarnation that joined late was taken for heard of by its node's name; the simulation now tells incarnations apart, as internal/member does.

Change: View.silent excludes the own process; the simulation keys signs of life by incarnation.

--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -302,10 +302,10 @@
 	}
 }
 
-// silent reports whether who is suspected.
+// silent reports whether who, another process, is suspected.
 func (v View) silent(who Identity) bool {
 	h, known := v.Health[who.Node]
-	return known && h.Who == who && h.Suspected
+	return who != v.Evidence.Self && known && h.Who == who && h.Suspected
 }
 
 // planExpel removes silent members that the VM list has dropped.
--- a/internal/ownership/sim_test.go
+++ b/internal/ownership/sim_test.go
@@ -67,8 +67,8 @@
 	table     *Table
 	applied   int
 	rate      float64
-	heard     map[api.NodeID]time.Time
-	alive     map[api.NodeID]time.Time
+	heard     map[Identity]time.Time
+	alive     map[Identity]time.Time
 	proposing map[string]*simEntry
 	reading   bool
 	cutLog    int // until this step
@@ -105,7 +105,7 @@
 	return &simNode{
 		slot: slot, evidence: NewEvidence(Identity{Node: name, Incarnation: s.lastInc}), table: NewTable(),
 		rate:  1 + simTiming.Drift*s.random.Float64(),
-		heard: make(map[api.NodeID]time.Time), alive: make(map[api.NodeID]time.Time),
+		heard: make(map[Identity]time.Time), alive: make(map[Identity]time.Time),
 		proposing: make(map[string]*simEntry),
 	}
 }
@@ -236,7 +236,7 @@
 		if p == n {
 			continue
 		}
-		id := p.evidence.Self.Node
+		id := p.evidence.Self
 		if s.connected(n, p) && p.paused <= s.step {
 			if now.Sub(n.heard[id]) >= simSilent {
 				n.alive[id] = now
@@ -269,8 +269,8 @@
 	now := s.now(n)
 	health := make(map[api.NodeID]Health)
 	for node, m := range n.table.Members {
-		silent := now.Sub(n.heard[node]) >= simSilent
-		health[node] = Health{Who: m.Who, Suspected: silent, AliveFor: now.Sub(n.alive[node])}
+		silent := now.Sub(n.heard[m.Who]) >= simSilent
+		health[node] = Health{Who: m.Who, Suspected: silent, AliveFor: now.Sub(n.alive[m.Who])}
 	}
 	inFlight := make(map[Shard]int)
 	for shard, using := range n.using {
