Rotate request keys; candidates list the whole roster

Cause: marks were never forgotten, so that a stream's memory only grew, and a VM cut off alone took its silent peers for none. Change: every entry VM proposes the next generation when due; the first in log order wins.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -62,6 +62,7 @@
 	peerServer *peer.Server
 	router     *router.Router
 	chain      *filter.Chain
+	keys       *reqkey.Keys
 	front      *front.Server
 	cell       *cellParts
 	listeners  listeners
@@ -180,6 +181,7 @@
 	s := n.settings
 	n.router = router.New(router.Config{})
 	n.streams.configs.Subscribe(n.configChanged)
+	n.keys = reqkey.NewKeys(n.streams.marks, n.streams.cell, n.streams.cell, n.origin, reqkey.DefaultMaxBody)
 	n.chain = filter.New(filter.Settings{
 		Node:           s.NodeID,
 		DataCentre:     s.DataCentre,
@@ -194,11 +196,12 @@
 			self: s.NodeID, address: n.advertised(),
 			members: n.members, owners: n.streams.owners, client: n.handovers,
 		},
-		Keys:     reqkey.NewKeys(n.streams.marks, n.streams.cell, n.streams.cell, n.origin, reqkey.DefaultMaxBody),
+		Keys:     n.keys,
 		Services: records{configs: n.streams.configs},
 		Limits:   records{configs: n.streams.configs},
 		Counters: n.counters,
 		Now:      time.Now,
+		Log:      n.log,
 	})
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -23,11 +23,19 @@
 	client  *peer.Client
 }
 
-// Candidates implements filter.Peers.
+// Candidates implements filter.Peers. It lists the whole roster: members that
+// are out of reach, or have no room, with none.
 func (p peers) Candidates(service string) []filter.PeerLoad {
-	var loads []filter.PeerLoad
+	free := make(map[api.NodeID]int)
 	for _, c := range p.members.Candidates(service) {
-		loads = append(loads, filter.PeerLoad{Node: c.Node, Free: c.Free})
+		free[c.Node] = c.Free
+	}
+	roster, _ := p.owners.Roster()
+	var loads []filter.PeerLoad
+	for _, m := range roster {
+		if m.Who.Node != p.self {
+			loads = append(loads, filter.PeerLoad{Node: m.Who.Node, Free: free[m.Who.Node]})
+		}
 	}
 	return loads
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,11 +8,15 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/operator"
+	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
 // stopGrace bounds the parts of a shutdown that come after the drain.
 const stopGrace = 2 * time.Second
 
+// rotationInterval is the time between two looks at the age of request keys.
+const rotationInterval = time.Second
+
 // readinessInterval is the time between two looks at the streams' state.
 const readinessInterval = 50 * time.Millisecond
 
@@ -48,6 +52,7 @@
 		n.members.Run,
 		n.owner.Run,
 		n.watchReadiness,
+		n.rotateKeys,
 	}
 	loops = append(loops, n.cell.loops()...)
 	for _, loop := range loops {
@@ -71,6 +76,28 @@
 	}
 }
 
+// rotateKeys starts new generations of request keys, so that marks older than
+// the retention are forgotten by all entry VMs alike.
+func (n *Node) rotateKeys(ctx context.Context) error {
+	limits := reqkey.DefaultLimits
+	rotation := &reqkey.Rotation{
+		Every:  n.settings.RequestRetention.Std() / time.Duration(limits.Generations-1),
+		Limits: limits,
+	}
+	ticker := time.NewTicker(rotationInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if err := n.keys.Rotate(ctx, rotation, time.Now()); err != nil {
+			n.counters.Inc("request_keys", "rotation_not_applied") // the next look tries again
+		}
+	}
+}
+
 // addServers adds the three listeners. The callers' server ends with the drain
 // and then waits for the rest of the shutdown.
 func (n *Node) addServers(work context.Context, g *run.Group) {
