Measure waits by class under a wave of batch

Change: an experiment in virtual time with urgent, service, steady batch and gang work under one team's wave of twenty times the steady rate.

--- /dev/null
+++ b/internal/scheduler/wave_test.go
@@ -0,0 +1,148 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/scheduler"
+)
+
+// Virtual times of the wave experiment.
+const (
+	waveTick       = 200 * time.Millisecond
+	checkpointTime = time.Second // a victim takes to stop
+	waveStarts     = time.Minute
+	waveEnds       = 2 * time.Minute
+	waveOver       = 3 * time.Minute
+	waveFactor     = 20
+)
+
+// wave drives one cell in virtual time.
+type wave struct {
+	*cell
+	now      time.Time
+	rnd      *rand.Rand
+	next     int
+	kinds    map[api.JobID]string
+	arrived  map[api.JobID]time.Time
+	stopping map[api.TaskID]time.Time
+	waits    map[string]*hdrhistogram.Histogram
+}
+
+var waveKinds = [...]string{"urgent", "service", "steady", "gang", "wave"}
+
+func newWave(by cycler) *wave {
+	w := &wave{cell: newCell(by), now: time.Unix(0, 0), rnd: seeded(5), kinds: map[api.JobID]string{}, arrived: map[api.JobID]time.Time{},
+		stopping: map[api.TaskID]time.Time{}, waits: map[string]*hdrhistogram.Histogram{}}
+	for _, kind := range waveKinds {
+		w.waits[kind] = hdrhistogram.New(1, time.Hour.Milliseconds(), 3)
+	}
+	putFleet(w.World, 48, 2)
+	return w
+}
+
+func (w *wave) arrive(kind, team string, spec api.JobSpec) {
+	w.next++
+	spec.ID = api.JobID(fmt.Sprintf("job-%06d", w.next))
+	spec.Team = team
+	if spec.Tasks == 0 {
+		spec.Tasks = 1
+	}
+	w.kinds[spec.ID] = kind
+	w.arrived[spec.ID] = w.now
+	w.submit(pendingAll(spec, w.now))
+}
+
+// arrivals submits the jobs of one tick: the steady load takes about 40% of
+// the fleet; the wave, of one team, comes at twenty times its rate.
+func (w *wave) arrivals() {
+	passed := w.now.Sub(time.Unix(0, 0))
+	tick := int(passed / waveTick)
+	batch := api.JobSpec{Class: api.ClassBatch, Priority: api.PriorityDefault, Checkpointable: true, RunTime: 60 * time.Second,
+		Resources: api.Resources{MilliCPU: 2000, MemoryMB: 4000}}
+	w.arrive("steady", fmt.Sprintf("team-%d", tick%8), batch)
+	if w.rnd.IntN(10) == 0 {
+		urgent := batch
+		urgent.Priority, urgent.RunTime = api.PriorityUrgent, 10*time.Second
+		urgent.Resources = batch.Resources.Times(4)
+		w.arrive("urgent", "team-0", urgent)
+	}
+	if w.rnd.IntN(25) == 0 {
+		w.arrive("service", "team-1", api.JobSpec{Class: api.ClassService, Priority: api.PriorityDefault + 200, Resources: batch.Resources})
+	}
+	if tick%300 == 150 {
+		w.arrive("gang", "team-2", api.JobSpec{Class: api.ClassGang, Priority: api.PriorityDefault, Tasks: 16, RunTime: 45 * time.Second,
+			Resources: api.Resources{MilliCPU: 8000, MemoryMB: 16000}})
+	}
+	if passed >= waveStarts && passed < waveEnds {
+		for range waveFactor {
+			w.arrive("wave", "team-wave", batch)
+		}
+	}
+}
+
+// ends vacates what ran out or has been checkpointed; the latter is pending
+// again.
+func (w *wave) ends() {
+	kept := w.running[:0]
+	for _, r := range w.running {
+		stopped, isVictim := w.stopping[r.Task]
+		switch {
+		case !r.ExpectedEnd.IsZero() && !r.ExpectedEnd.After(w.now):
+			w.Vacate(r.Task)
+		case isVictim && !stopped.After(w.now):
+			w.Vacate(r.Task)
+			w.PutJob(scheduler.Job{Spec: w.specs[r.Task.Job], Submitted: w.now, Pending: []uint32{r.Task.Index}})
+		default:
+			kept = append(kept, r)
+			continue
+		}
+		delete(w.stopping, r.Task)
+	}
+	w.running = kept
+}
+
+func (w *wave) tick() {
+	w.arrivals()
+	w.ends()
+	p := w.by.Cycle(w.World, w.now, 1000)
+	w.apply(p, w.now)
+	for _, s := range p.Starts {
+		if at, first := w.arrived[s.Task.Job]; first {
+			_ = w.waits[w.kinds[s.Task.Job]].RecordValue(w.now.Sub(at).Milliseconds())
+			delete(w.arrived, s.Task.Job)
+		}
+	}
+	for _, p := range p.Preempts {
+		w.stopping[p.Task] = w.now.Add(checkpointTime)
+	}
+	w.now = w.now.Add(waveTick)
+}
+
+// BenchmarkWave measures the waits by kind of work under a wave of batch at
+// twenty times the steady load, in virtual time. What has not started by the
+// end counts with its wait so far.
+func BenchmarkWave(b *testing.B) {
+	for _, name := range [...]string{"sampled", "first_fit"} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				w := newWave(contenders()[name]())
+				for w.now.Before(time.Unix(0, 0).Add(waveOver)) {
+					w.tick()
+				}
+				for id, at := range w.arrived {
+					_ = w.waits[w.kinds[id]].RecordValue(w.now.Sub(at).Milliseconds())
+				}
+				for _, kind := range waveKinds {
+					b.ReportMetric(float64(w.waits[kind].ValueAtQuantile(50))/1000, kind+"-p50-s")
+					b.ReportMetric(float64(w.waits[kind].Max())/1000, kind+"-max-s")
+				}
+			}
+		})
+	}
+}
