ownership: status for operators, and the case of lost heartbeats

Cause: operators need to read who holds what and why; the page claimed that nobody loses a shard when only the heartbeats are lost, without a run.

Ruled out: a status of the log's state alone; it would not say what this process may do.

--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/ownership"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -61,7 +59,6 @@
 
 	Random *rand.Rand       // used under the service's lock only
 	Now    func() time.Time // nil means time.Now
-	Log    *logrus.Entry
 }
 
 // withDefaults fills what is zero.
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -45,7 +45,7 @@
 	InFlight func(Shard) int
 
 	Now func() time.Time // nil means time.Now
-	Log *logrus.Entry
+	Log *logrus.Entry    // nil means the standard logger
 }
 
 // withDefaults fills what is zero.
@@ -74,6 +74,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Log == nil {
+		c.Log = logrus.NewEntry(logrus.StandardLogger())
+	}
 	return c
 }
 
--- /dev/null
+++ b/internal/ownership/status.go
@@ -0,0 +1,142 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+// MemberStatus is one member of the roster as this process sees it.
+type MemberStatus struct {
+	Node        api.NodeID      `json:"node"`
+	Incarnation api.Incarnation `json:"incarnation"`
+	Address     string          `json:"address"`
+	Shards      int             `json:"shards"`     // that it holds
+	Suspected   bool            `json:"suspected"`  // silent for too long
+	Challenged  bool            `json:"challenged"` // owes an answer in the log
+	Leaving     bool            `json:"leaving"`
+	Behind      uint64          `json:"behind"` // table versions that it has not acknowledged
+}
+
+// ShardStatus is one shard as this process sees it.
+type ShardStatus struct {
+	Shard    string     `json:"shard"`
+	Status   string     `json:"status"` // "free", "held", "released" or "ended"
+	Holder   api.NodeID `json:"holder,omitempty"`
+	Epoch    api.Epoch  `json:"epoch"`
+	State    string     `json:"state"`               // what this process may do: "none", "floor" or "full"
+	WaitMs   int64      `json:"wait_ms,omitempty"`   // until its claim may be used
+	Closed   bool       `json:"closed,omitempty"`    // it is giving the shard up
+	ByGrants bool       `json:"by_grants,omitempty"` // confirmed by the members, not by the log
+	LeftTo   []LeftTo   `json:"left_to,omitempty"`   // earlier holders that may still use slots
+	Silent   bool       `json:"silent,omitempty"`    // the holder is suspected
+	Unlisted bool       `json:"unlisted,omitempty"`  // the holder is not in the VM list
+}
+
+// LeftTo is what an earlier holder may still use.
+type LeftTo struct {
+	Node     api.NodeID `json:"node"`
+	Lost     bool       `json:"lost"`      // it lost the shard and may use its floor share
+	InFlight int        `json:"in_flight"` // else: requests at each endpoint
+}
+
+// Status is what this process knows of ownership, for operators.
+type Status struct {
+	Self         api.NodeID     `json:"self"`
+	Member       bool           `json:"member"`
+	Draining     bool           `json:"draining"`
+	Version      uint64         `json:"version"`          // of the table
+	ConfirmedMs  int64          `json:"confirmed_ms_ago"` // age of the log's confirmation; -1 before the first
+	LogConfirmed bool           `json:"log_confirmed"`
+	Members      []MemberStatus `json:"members"`
+	Shards       []ShardStatus  `json:"shards"`
+}
+
+var holdStatusNames = [...]string{"free", "held", "released", "ended"}
+
+// String names the status for operators.
+func (s HoldStatus) String() string {
+	if int(s) < len(holdStatusNames) {
+		return holdStatusNames[s]
+	}
+	return "invalid"
+}
+
+// Status returns what this process knows at now.
+func (c *Controller) Status(now time.Time) Status {
+	health := c.cfg.Health(now)
+	unlisted := c.cfg.Unlisted(now)
+	status := Status{Self: c.cfg.Self.Node, Draining: c.Draining()}
+	c.look(func(t *Table, e *Evidence) {
+		status.Member = t.IsMember(e.Self)
+		status.Version = t.Version
+		status.ConfirmedMs = confirmedAge(e, now)
+		status.LogConfirmed = c.cfg.Timing.LogConfirmed(e, now)
+		status.Members = memberStatuses(t, health)
+		for _, s := range Shards() {
+			shard := c.shardStatus(t, e, s, now)
+			_, shard.Unlisted = unlisted[shard.Holder]
+			shard.Silent = health[shard.Holder].Suspected
+			status.Shards = append(status.Shards, shard)
+		}
+	})
+	return status
+}
+
+// confirmedAge is the age of the log's confirmation in milliseconds.
+func confirmedAge(e *Evidence, now time.Time) int64 {
+	if e.Confirmed.IsZero() {
+		return -1
+	}
+	return now.Sub(e.Confirmed).Milliseconds()
+}
+
+// memberStatuses describes the roster.
+func memberStatuses(t *Table, health map[api.NodeID]Health) []MemberStatus {
+	shards := make(map[Identity]int)
+	for _, h := range t.Holds {
+		if h.Status == StatusHeld {
+			shards[h.Who]++
+		}
+	}
+	members := make([]MemberStatus, 0, len(t.Members))
+	for _, m := range t.Roster() {
+		members = append(members, MemberStatus{
+			Node:        m.Who.Node,
+			Incarnation: m.Who.Incarnation,
+			Address:     m.Address,
+			Shards:      shards[m.Who],
+			Suspected:   health[m.Who.Node].Suspected,
+			Challenged:  m.Challenged > m.Acked,
+			Leaving:     m.Leaving || health[m.Who.Node].Draining,
+			Behind:      t.Version - m.Acked,
+		})
+	}
+	return members
+}
+
+// shardStatus describes one shard.
+func (c *Controller) shardStatus(t *Table, e *Evidence, s Shard, now time.Time) ShardStatus {
+	h := t.Holds[s]
+	a := c.cfg.Timing.Decide(t, e, s, now)
+	status := ShardStatus{
+		Shard:    s.String(),
+		Status:   h.Status.String(),
+		Epoch:    h.Epoch,
+		State:    a.State.String(),
+		Closed:   h.HeldBy(e.Self) && e.Closed[s] == h.Epoch,
+		ByGrants: a.Granted,
+	}
+	if h.Status == StatusHeld {
+		status.Holder = h.Who.Node
+	}
+	if a.UsableAt.After(now) {
+		status.WaitMs = a.UsableAt.Sub(now).Milliseconds()
+	}
+	for _, f := range h.Previous {
+		if t.IsMember(f.Who) {
+			status.LeftTo = append(status.LeftTo, LeftTo{Node: f.Who.Node, Lost: f.Lost, InFlight: int(f.InFlight)})
+		}
+	}
+	return status
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,8 +40,11 @@
 }
 
 // NewServer returns a server without services. Zero limits take their
-// defaults.
+// defaults; a nil log means the standard logger.
 func NewServer(limits Limits, log *logrus.Entry) *Server {
+	if log == nil {
+		log = logrus.NewEntry(logrus.StandardLogger())
+	}
 	s := &Server{
 		limits: limits.withDefaults(),
 		log:    log,
@@ -130,15 +133,7 @@
 // flight to be answered and closes the connections. When ctx ends first it
 // closes them at once and returns the context's error.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	if s.listener != nil {
-		s.listener.Close()
-	}
-	for codec := range s.conns {
-		codec.drain()
-	}
-	s.mu.Unlock()
+	s.stopAccepting()
 	done := make(chan struct{})
 	go func() {
 		s.serving.Wait()
@@ -148,13 +143,29 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		s.closeAll()
+		s.Close()
 		return ctx.Err()
 	}
 }
 
-// closeAll closes every connection.
-func (s *Server) closeAll() {
+// stopAccepting closes the listener and makes every connection refuse
+// further calls.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for codec := range s.conns {
+		codec.drain()
+	}
+}
+
+// Close stops the server at once. Calls in flight run on, but their answers
+// reach nobody.
+func (s *Server) Close() {
+	s.stopAccepting()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for codec := range s.conns {
