ownership: date the claim of the placement shard after a hand-over too

Cause: CellAuthority gave no time of takeover after a planned hand-over, but the former holder may have renewed leases right before its release, so that a task could be started again while its lease still runs.

Ruled out: waiting the lease out before the first use; only restarts of tasks need it.

Change: takeoverAt is the claim's read-back for every holder; TestDrain failed first.

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -65,8 +65,9 @@
 			seen[m.Who.Node] = true
 		}
 	}
-	if len(seen) != nodes-1 {
-		t.Fatalf("%d peers reached", len(seen))
+	few, all := len(l.Targets(now, random, false, 0)), len(l.Targets(now, random, true, time.Second))
+	if len(seen) != nodes-1 || few != DefaultFanout || all != nodes-1 {
+		t.Fatalf("%d peers reached, %d in a round, %d for grants", len(seen), few, all)
 	}
 }
 
--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -126,7 +126,7 @@
 	Epoch    api.Epoch
 	State    State
 	UsableAt time.Time // end of the wait after a takeover; zero without one
-	Takeover time.Time // when the claim was read back; zero unless taken over unreleased
+	Takeover time.Time // when the claim was read back; zero for who doesn't hold the shard
 	Granted  bool      // confirmed by grants, not by the log
 }
 
@@ -140,9 +140,8 @@
 	if own.Epoch != h.Epoch {
 		return Authority{}
 	}
-	a := Authority{Epoch: h.Epoch}
+	a := Authority{Epoch: h.Epoch, Takeover: own.ReadBack}
 	if h.Wait {
-		a.Takeover = own.ReadBack
 		a.UsableAt = own.ReadBack.Add(c.Stretched(c.Hold))
 		if now.Before(a.UsableAt) {
 			return a
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -32,7 +32,8 @@
 	Proposer journal.Proposer
 	Follower journal.Follower
 
-	// Health returns what the heartbeats say of the other members.
+	// Health returns what the heartbeats say of the other members; nil when
+	// there are none.
 	Health func(now time.Time) map[api.NodeID]Health
 	// Unlisted returns for how long the platform's VM list has lacked each
 	// node that it lacks; nil when there is no list.
@@ -68,6 +69,9 @@
 	if c.Unlisted == nil {
 		c.Unlisted = func(time.Time) map[api.NodeID]time.Duration { return nil }
 	}
+	if c.Health == nil {
+		c.Health = func(time.Time) map[api.NodeID]Health { return nil }
+	}
 	if c.InFlight == nil {
 		c.InFlight = func(Shard) int { return 0 }
 	}
@@ -223,7 +227,10 @@
 	c.wakeUp()
 }
 
-// noteClaiming notes the shards of a claim under way. c.mu is held.
+// noteClaiming notes the shards of a claim under way, so that no grant is
+// given to their holder. A claim that lands after its proposer gave up waiting
+// is safe too: its wait starts when it is read back, and from then on the
+// holder gets no grant. c.mu is held.
 func (c *Controller) noteClaiming(a Claim) {
 	for _, at := range a.Shards {
 		c.evidence.Claiming[at.Shard] = true
--- a/internal/ownership/failover_test.go
+++ b/internal/ownership/failover_test.go
@@ -317,6 +317,11 @@
 		if err := <-left; err != nil {
 			t.Fatal(err)
 		}
+		for _, n := range rest {
+			if _, ok, at := n.controller.CellAuthority(time.Now()); ok && at.IsZero() {
+				t.Fatal("the former holder's last renewal can't be dated")
+			}
+		}
 	})
 }
 
--- a/internal/ownership/query.go
+++ b/internal/ownership/query.go
@@ -52,9 +52,9 @@
 }
 
 // CellAuthority says whether this process may place tasks and renew leases at
-// now, and at which epoch. takeoverAt is when its claim was read back if it
-// took the shard over without a release, else zero; leases of the former
-// holder are counted from there.
+// now, and at which epoch. takeoverAt is when its claim was read back; the
+// former holder may have renewed leases until then if it released the shard,
+// and until the end of its hold if not.
 func (c *Controller) CellAuthority(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time) {
 	a := c.decide(Cell, now)
 	return a.Epoch, a.State == Full, a.Takeover
--- a/internal/ownership/safety_test.go
+++ b/internal/ownership/safety_test.go
@@ -236,7 +236,7 @@
 	from, to := NewMachine(), NewMachine()
 	from.table = table
 	data, err := from.Snapshot()
-	if err = errors.Join(err, to.Restore(data)); err != nil || !reflect.DeepEqual(table, to.table) {
+	if err = errors.Join(err, to.Restore(data)); err != nil || !reflect.DeepEqual(table, to.table) || to.Restore([]byte{0xff}) == nil {
 		t.Fatalf("%v: restored %+v, want %+v", err, to.table, table)
 	}
 }
