--- a/internal/ownership/safety_test.go
+++ b/internal/ownership/safety_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,11 +16,7 @@
 
 // init makes every run draw the same cases.
 func init() {
-	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.checks": "120", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	must(errors.Join(flag.Set("rapid.seed", "20261202"), flag.Set("rapid.checks", "120"), flag.Set("rapid.nofailfile", "true")))
 }
 
 // watched are the shards that the simulation checks; the rest run along.
@@ -177,12 +174,8 @@
 	released := func(after time.Duration) bool {
 		now := start.Add(after)
 		evidence.Confirmed = now
-		for _, action := range Plan(now, View{Table: table, Evidence: evidence, Timing: simTiming, Draining: true}) {
-			if _, ok := action.(Release); ok {
-				return true
-			}
-		}
-		return false
+		actions := Plan(now, View{Table: table, Evidence: evidence, Timing: simTiming, Draining: true})
+		return slices.ContainsFunc(actions, func(a Action) bool { _, ok := a.(Release); return ok })
 	}
 	wait := simTiming.Stretched(simTiming.Hold)
 	if released(wait-1) || !released(wait) {
