Expel entry VMs that the platform's list has dropped

Change: entry VMs are listed by node ID; what the list lacks is passed to ownership; VMs without capacity are not journaled as workers. Ruled out: expelling on silence alone, which a cut looks like.

--- a/internal/controller/vms/vms.go
+++ b/internal/controller/vms/vms.go
@@ -140,7 +140,7 @@
 		journaled[v.ID] = v
 	}
 	for id, l := range c.known {
-		if l.absentSince.IsZero() && differs(l.vm, journaled[id]) {
+		if l.absentSince.IsZero() && isWorker(l.vm) && differs(l.vm, journaled[id]) {
 			seen = append(seen, cell.SeenVM{ID: id, Rack: l.vm.Rack, Capacity: l.vm.Capacity})
 		}
 	}
@@ -150,6 +150,9 @@
 	return seen, gone
 }
 
+// isWorker tells a worker VM from an entry VM, which runs no tasks.
+func isWorker(vm api.VM) bool { return !vm.Capacity.IsZero() }
+
 func differs(vm api.VM, v cell.VMView) bool {
 	return v.ID == "" || v.Gone || v.Rack != vm.Rack || v.Capacity != vm.Capacity
 }
@@ -169,9 +172,9 @@
 		}
 		v, isJournaled := journaled[id]
 		switch {
-		case !isJournaled:
+		case !isJournaled && now.Sub(l.absentSince) >= c.cfg.DoubtFor:
 			delete(c.known, id)
-		case !v.Gone:
+		case isJournaled && !v.Gone:
 			gone = append(gone, id)
 		}
 	}
@@ -214,3 +217,17 @@
 	l := c.known[id]
 	return l != nil && l.vm.State == api.VMLeaving
 }
+
+// Absent returns for how long the list, while it could be read, has lacked
+// each VM that it once held.
+func (c *Controller) Absent(now time.Time) map[api.VMID]time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	absent := make(map[api.VMID]time.Duration)
+	for id, l := range c.known {
+		if !l.absentSince.IsZero() {
+			absent[id] = now.Sub(l.absentSince)
+		}
+	}
+	return absent
+}
--- a/internal/entry/cellparts.go
+++ b/internal/entry/cellparts.go
@@ -144,3 +144,13 @@
 	}
 	return n.router.MostInFlight(ids)
 }
+
+// unlisted tells for how long the platform's list has lacked each entry VM
+// that it lacks; entry VMs are listed by their node ID.
+func (n *Node) unlisted(now time.Time) map[api.NodeID]time.Duration {
+	nodes := make(map[api.NodeID]time.Duration)
+	for id, absent := range n.cell.vms.Absent(now) {
+		nodes[api.NodeID(id)] = absent
+	}
+	return nodes
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -160,7 +160,6 @@
 		Load:    n.load,
 		Drains:  func() bool { return n.owner.Draining() },
 		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Log:     n.log,
 	})
 	n.owner = ownership.NewController(ownership.Config{
 		Self:     identityOf(n.origin),
@@ -170,6 +169,7 @@
 		Proposer: n.streams.cell,
 		Follower: n.streams.cell,
 		Health:   n.members.Health,
+		Unlisted: n.unlisted,
 		InFlight: n.inFlight,
 		Log:      n.log,
 	})
--- a/internal/standin/site/settings.go
+++ b/internal/standin/site/settings.go
@@ -49,6 +49,7 @@
 	e.Listen = settings.Listen{Callers: ports[0], Operators: ports[1], Peers: ports[2]}
 	e.AdvertisePeer = ports[2]
 	e.Log.URLs = []string{"http://" + s.LogAddress}
+	s.List.Put(api.VM{ID: api.VMID(e.NodeID), DataCentre: dc, Address: e.Listen.Peers, State: api.VMLive})
 	e.VMList.URL = "http://" + s.ListAddress
 	return e, nil
 }
