--- a/internal/platform/httplog/client_test.go
+++ b/internal/platform/httplog/client_test.go
@@ -121,7 +121,9 @@
 		handler http.HandlerFunc
 	}{
 		{"503 of somebody else", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }},
-		{"redirect", func(w http.ResponseWriter, req *http.Request) { http.Redirect(w, req, "/", http.StatusTemporaryRedirect) }},
+		{"redirect", func(w http.ResponseWriter, req *http.Request) {
+			http.Redirect(w, req, "/", http.StatusTemporaryRedirect)
+		}},
 		{"not JSON", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") }},
 		{"endless", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) }},
 		{"half", func(w http.ResponseWriter, _ *http.Request) {
