--- a/internal/journal/codec_test.go
+++ b/internal/journal/codec_test.go
@@ -21,3 +21,12 @@
 		t.Fatalf("got %v, %v", id, err)
 	}
 }
+
+// TestDecodeTakesArraysLargerThanTheFleet failed with the library's default
+// bound of 131072 elements.
+func TestDecodeTakesArraysLargerThanTheFleet(t *testing.T) {
+	tasks := make([]api.TaskID, 500_000)
+	if err := Decode(Encode(tasks), &tasks); err != nil {
+		t.Fatal(err)
+	}
+}
