--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -13,31 +13,42 @@
 
 // appender is the state of the append loop.
 type appender struct {
-	r       *Replica
-	backoff backoff
-	limit   int // of one record; lowered when the log refuses a record as too large
+	r            *Replica
+	backoff      backoff
+	lastWasChunk bool // snapshots and entries take turns
 }
 
 // appendLoop sends batches, one at a time, until ctx ends.
 func (r *Replica) appendLoop(ctx context.Context) error {
-	a := &appender{r: r, backoff: r.newBackoff(), limit: r.cfg.MaxRecordBytes}
+	a := &appender{r: r, backoff: r.newBackoff()}
 	for ctx.Err() == nil {
 		a.waitForWork(ctx)
 		a.waitForBudget(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		a.appendBatch(ctx)
+		a.appendNext(ctx)
 	}
 	return ctx.Err()
 }
 
+// appendNext sends a chunk of a snapshot or a batch of entries.
+func (a *appender) appendNext(ctx context.Context) {
+	c, ok := a.nextChunk()
+	a.lastWasChunk = ok
+	if ok {
+		a.appendChunk(ctx, c)
+		return
+	}
+	a.appendBatch(ctx)
+}
+
 func (r *Replica) newBackoff() backoff {
 	return backoff{min: r.cfg.BackoffMin, max: r.cfg.BackoffMax, random: r.cfg.Random}
 }
 
-// waitForWork returns when a batch is full or its oldest entry has waited
-// for the flush interval.
+// waitForWork returns when a batch is full, its oldest entry has waited for
+// the flush interval, or a snapshot is to be written.
 func (a *appender) waitForWork(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait, ok := a.untilFlush()
@@ -54,11 +65,14 @@
 	r := a.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.snapshot != nil {
+		return 0, true
+	}
 	since, ok := r.batcher.oldest()
 	if !ok {
 		return 0, false
 	}
-	if r.batcher.waiting >= a.room() {
+	if r.batcher.waiting >= r.room() {
 		return 0, true
 	}
 	return r.cfg.FlushInterval - r.cfg.Now().Sub(since), true
@@ -88,14 +102,10 @@
 	_ = limiter.Wait(ctx) // fails only when ctx ends, which the caller checks
 }
 
-func (a *appender) room() int {
-	return entryRoom(a.limit, a.r.cfg.Origin)
-}
-
 // appendBatch sends one batch and stays with it until its fate is known or
 // nobody asks for it any more.
 func (a *appender) appendBatch(ctx context.Context) {
-	o := a.r.takeBatch(a.room())
+	o := a.r.takeBatch(a.r.room())
 	if o == nil {
 		return
 	}
@@ -134,22 +144,29 @@
 		a.shrink(o)
 		return false
 	case errors.Is(err, platform.ErrUnavailable) && !o.uncertain:
-		r.counters.appendUnavailable.Add(1)
+		r.countFailure(err)
 		r.returnBatch(o)
 		a.pause(ctx, err)
 		return false
-	case errors.Is(err, platform.ErrUnavailable):
-		r.counters.appendUnavailable.Add(1)
-	default:
-		r.counters.appendUncertain.Add(1)
+	case !errors.Is(err, platform.ErrUnavailable):
 		o.uncertain = true
 		o.lostAt = r.cfg.Now()
 		r.markSent(o)
 	}
+	r.countFailure(err)
 	a.pause(ctx, err)
 	return a.settle(ctx, o)
 }
 
+// countFailure counts an append that failed, other than for its size.
+func (r *Replica) countFailure(err error) {
+	if errors.Is(err, platform.ErrUnavailable) {
+		r.counters.appendUnavailable.Add(1)
+		return
+	}
+	r.counters.appendUncertain.Add(1)
+}
+
 // shrink makes the following batches smaller. An entry that is too large by
 // itself is answered; a batch that may be in the log is left unsettled.
 func (a *appender) shrink(o *outgoing) {
@@ -161,7 +178,7 @@
 		a.r.finish(o, []error{ErrEntryTooLarge})
 		return
 	}
-	a.limit = max(len(o.data)/2, minRecordBytes)
+	a.r.lowerLimit(len(o.data))
 	a.r.returnBatch(o)
 }
 
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -23,6 +23,9 @@
 	DefaultPollWait         = 500 * time.Millisecond
 	DefaultReadInterval     = 5 * time.Millisecond
 	DefaultReadMax          = 1000
+	DefaultSnapshotEvery    = 20000
+	DefaultSnapshotInterval = 10 * time.Minute
+	DefaultMaxSnapshotBytes = 64 << 20
 	DefaultBackoffMin       = 20 * time.Millisecond
 	DefaultBackoffMax       = 2 * time.Second
 )
@@ -46,6 +49,11 @@
 	ReadInterval time.Duration // shortest time between the starts of two reads
 	ReadTimeout  time.Duration // of one read, besides PollWait
 
+	SnapshotEvery    uint64        // records between snapshots, at most
+	SnapshotInterval time.Duration // time between snapshots, at most; keep below a quarter of the log's retention
+	RetainRecords    uint64        // that the log keeps, if it counts them; snapshots come within half of them
+	MaxSnapshotBytes int           // larger ones are neither written nor read
+
 	BackoffMin time.Duration // first pause after a failure
 	BackoffMax time.Duration // longest pause after a failure
 
@@ -65,6 +73,9 @@
 	setDefault(&c.PollWait, DefaultPollWait)
 	setDefault(&c.ReadInterval, DefaultReadInterval)
 	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&c.SnapshotInterval, DefaultSnapshotInterval)
+	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
 	setDefault(&c.BackoffMin, DefaultBackoffMin)
 	setDefault(&c.BackoffMax, DefaultBackoffMax)
 	if c.AppendsPerSecond == nil {
@@ -103,6 +114,7 @@
 	l.Check(c.MaxBacklogBytes >= c.MaxRecordBytes, "max_backlog_bytes", c.MaxBacklogBytes, "max_record_bytes or more")
 	l.Check(c.AppendBurst > 0, "append_burst", c.AppendBurst, "1 or more")
 	l.Check(c.ReadMax > 0, "read_max", c.ReadMax, "1 or more")
+	l.Check(c.MaxSnapshotBytes > 0, "max_snapshot_bytes", c.MaxSnapshotBytes, "above zero")
 	l.Check(c.BackoffMax >= c.BackoffMin, "backoff_max", c.BackoffMax, "backoff_min or more")
 	c.checkDurations(&l)
 	c.checkMachines(&l)
@@ -115,6 +127,7 @@
 	l.Check(c.PollWait > 0, "poll_wait", c.PollWait, "above zero")
 	l.Check(c.ReadInterval > 0, "read_interval", c.ReadInterval, "above zero")
 	l.Check(c.ReadTimeout > 0, "read_timeout", c.ReadTimeout, "above zero")
+	l.Check(c.SnapshotInterval > 0, "snapshot_interval", c.SnapshotInterval, "above zero")
 	l.Check(c.BackoffMin > 0, "backoff_min", c.BackoffMin, "above zero")
 }
 
--- a/internal/journal/core.go
+++ b/internal/journal/core.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -14,6 +13,7 @@
 	recordApplied recordKind = iota + 1 // a new batch
 	recordRepeat                        // a second copy, dropped
 	recordTorn                          // damaged, skipped by every reader
+	recordChunk                         // a piece of a snapshot
 )
 
 // appliedRecord is what became of one record.
@@ -23,21 +23,33 @@
 	sequence uint64
 	results  []error // of each entry, as returned by its machine
 	unknown  int     // entries whose type no local machine knows
+	started  bool    // the first chunk of a snapshot
+	snapshot *State  // that the record completed, without its data
 }
 
 // core is the deterministic part of a replica: records in, state out. Every
 // core that is fed the same records holds the same state. It is not safe for
 // concurrent use.
 type core struct {
+	stream   string
 	machines []Machine
 	byType   map[EntryType]Machine
 	seen     *sequencer
+	snaps    *assembler
 	next     platform.Offset // of the first record not yet applied
+	damaged  bool            // a restore broke off; nothing may be applied
+	foreign  bool            // holds less than the stream says: entries of unknown types were passed over
 }
 
-func newCore(machines []Machine) *core {
-	c := &core{machines: machines, byType: make(map[EntryType]Machine), seen: newSequencer()}
-	for _, m := range machines {
+func newCore(cfg Config) *core {
+	c := &core{
+		stream:   cfg.Stream,
+		machines: cfg.Machines,
+		byType:   make(map[EntryType]Machine),
+		seen:     newSequencer(),
+		snaps:    newAssembler(cfg.Stream, false, cfg.MaxSnapshotBytes),
+	}
+	for _, m := range cfg.Machines {
 		for _, t := range m.Types() {
 			c.byType[t] = m
 		}
@@ -46,24 +58,61 @@
 }
 
 // apply applies the record at c.next. It fails, and changes nothing, when
-// the record is not the next one or is of a newer format.
+// the record is not the next one, is torn (errTorn) or of a newer format
+// (errNewerFormat).
 func (c *core) apply(rec platform.LogRecord) (appliedRecord, error) {
-	if rec.Offset != c.next {
+	if rec.Offset != c.next || c.damaged {
 		return appliedRecord{}, fmt.Errorf("journal: record %d where %d was due", rec.Offset, c.next)
 	}
 	b, err := decodeRecord(rec.Data)
-	if errors.Is(err, errNewerFormat) {
+	if err != nil {
 		return appliedRecord{}, err
 	}
-	out := appliedRecord{kind: recordTorn}
-	if err == nil {
+	var out appliedRecord
+	if b.Sequence == unsequenced {
+		out = c.followChunks(rec.Offset, b)
+	} else {
 		out = c.applyBatch(rec.Offset, b)
 	}
-	c.seen.passed(rec.Offset)
-	c.next++
+	c.pass()
 	return out, nil
 }
 
+// skip passes over the record at c.next, which is torn.
+func (c *core) skip() appliedRecord {
+	c.pass()
+	return appliedRecord{kind: recordTorn}
+}
+
+func (c *core) pass() {
+	c.seen.passed(c.next)
+	c.next++
+}
+
+// followChunks notes how far snapshots have come, without keeping their data.
+func (c *core) followChunks(offset platform.Offset, b batch) appliedRecord {
+	out := appliedRecord{kind: recordChunk, origin: b.Origin}
+	for _, part := range chunksOf(b) {
+		out.started = out.started || part.Index == 0
+		if done := c.snaps.add(b.Origin, offset, part); done != nil {
+			out.snapshot = done
+		}
+	}
+	return out
+}
+
+// chunksOf returns the readable chunks of an unsequenced batch.
+func chunksOf(b batch) []chunk {
+	var parts []chunk
+	for _, e := range b.Entries {
+		var part chunk
+		if e.Type == typeChunk && Decode(e.Body, &part) == nil {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 func (c *core) applyBatch(offset platform.Offset, b batch) appliedRecord {
 	out := appliedRecord{kind: recordRepeat, origin: b.Origin, sequence: b.Sequence}
 	if !c.seen.accept(b.Origin, b.Sequence, offset) {
@@ -75,6 +124,7 @@
 		m, ok := c.byType[e.Type]
 		if !ok {
 			out.unknown++
+			c.foreign = true
 			out.results[i] = ErrNoMachine
 			continue
 		}
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -5,18 +5,46 @@
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
-// errBroken ends what the read loop can do by itself.
-var errBroken = errors.New("journal: state can't be continued from the log")
+// errLogBehind: the log ends before what has been applied. It isn't the log
+// that the state came from, or it has lost records.
+var errLogBehind = errors.New("journal: log ends before the applied position")
 
 // reader is the state of the read loop.
 type reader struct {
 	r       *Replica
 	backoff backoff
+	scan    *scan // set while looking for a snapshot to start from
+	suspect suspect
+}
+
+// tornReads is how many reads must bring the same unreadable bytes before a
+// record is passed over.
+const tornReads = 3
+
+// suspect is a record that could not be read. It is passed over only when
+// several reads bring the same bytes, so that damage on the way to one reader
+// doesn't make it differ from the others.
+type suspect struct {
+	offset platform.Offset
+	sum    uint64
+	reads  int
+}
+
+// confirmed reports whether rec has now been read often enough with the same
+// bytes.
+func (s *suspect) confirmed(rec platform.LogRecord) bool {
+	sum := xxhash.Sum64(rec.Data)
+	if s.offset != rec.Offset || s.sum != sum {
+		*s = suspect{offset: rec.Offset, sum: sum}
+	}
+	s.reads++
+	return s.reads >= tornReads
 }
 
 // readLoop reads and applies until ctx ends.
@@ -34,18 +62,35 @@
 	return ctx.Err()
 }
 
-// readOnce does one read and applies what it brought.
+// readOnce does one read and applies what it brought, or searches it for a
+// snapshot.
 func (l *reader) readOnce(ctx context.Context, sent time.Time) error {
 	r := l.r
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.PollWait+r.cfg.ReadTimeout)
-	defer cancel()
+	l.dropOldScan()
 	from := r.Applied()
-	r.counters.reads.Add(1)
-	got, err := r.cfg.Log.Read(ctx, r.cfg.Stream, from, r.cfg.ReadMax, r.cfg.PollWait)
-	if err != nil {
+	if l.scan != nil {
+		from = l.scan.next
+	}
+	got, err := r.read(ctx, from)
+	var trimmed *platform.TrimmedError
+	switch {
+	case errors.As(err, &trimmed):
+		l.startScan(trimmed)
+		return nil
+	case err != nil:
 		return err
+	case l.scan != nil:
+		return l.continueScan(got)
+	default:
+		return l.follow(sent, from, got)
 	}
-	return r.follow(sent, from, got)
+}
+
+func (r *Replica) read(ctx context.Context, from platform.Offset) (platform.LogBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.PollWait+r.cfg.ReadTimeout)
+	defer cancel()
+	r.counters.reads.Add(1)
+	return r.cfg.Log.Read(ctx, r.cfg.Stream, from, r.cfg.ReadMax, r.cfg.PollWait)
 }
 
 // pause waits after a failure.
@@ -59,31 +104,45 @@
 	sleep(ctx, wait)
 }
 
-// follow applies the records of a read that was sent at the given time.
-func (r *Replica) follow(sent time.Time, from platform.Offset, got platform.LogBatch) error {
+// follow applies the records of a read from offset from that was sent at the
+// given time.
+func (l *reader) follow(sent time.Time, from platform.Offset, got platform.LogBatch) error {
+	r := l.r
 	r.applying.Lock()
 	defer r.applying.Unlock()
+	if r.core.next != from {
+		return nil // a peer's state came in meanwhile
+	}
+	if r.logBehind || got.Next < from {
+		r.logBehind = true
+		r.breakDown(errLogBehind)
+		return errLogBehind
+	}
 	for _, rec := range got.Records {
-		if err := r.applyRecord(rec); err != nil {
-			r.breakDown(err)
+		if err := l.applyRecord(rec); err != nil {
 			return err
 		}
 	}
-	if got.Next < r.core.next {
-		r.breakDown(errBroken)
-		return errBroken
-	}
 	r.giveUpPassed(r.core.next)
 	if got.Next == r.core.next {
 		r.reachedEnd(sent)
 	}
+	r.maybeSnapshot(got.First)
 	return nil
 }
 
 // applyRecord applies one record and answers the local proposers.
-func (r *Replica) applyRecord(rec platform.LogRecord) error {
+func (l *reader) applyRecord(rec platform.LogRecord) error {
+	r := l.r
 	out, err := r.core.apply(rec)
-	if err != nil {
+	switch {
+	case errors.Is(err, errTorn) && !l.suspect.confirmed(rec):
+		return err // read it once more
+	case errors.Is(err, errTorn):
+		out = r.core.skip()
+		r.noteTorn(rec, err)
+	case err != nil:
+		r.breakDown(err)
 		return err
 	}
 	r.applied.Store(uint64(r.core.next))
@@ -91,21 +150,28 @@
 	if out.kind == recordApplied && out.origin == r.cfg.Origin {
 		r.readBack(out)
 	}
+	r.noteRecord(out)
 	return nil
 }
 
 // reachedEnd notes a read that came to the end of the stream.
 func (r *Replica) reachedEnd(sent time.Time) {
 	r.confirmed.Store(&sent)
-	if !r.ready.Swap(true) {
-		r.log.WithFields(logrus.Fields{"event": "ready", "applied": r.core.next}).Info("state complete")
-	}
+	r.becomeReady("log")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.broadcastLocked()
 }
 
-// breakDown notes a gap that the log can't bridge.
+// becomeReady notes that the state is complete.
+func (r *Replica) becomeReady(source string) {
+	if r.ready.Swap(true) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{"event": "ready", "applied": r.core.next, "source": source}).Info("state complete")
+}
+
+// breakDown notes a gap that the log can't bridge now.
 func (r *Replica) breakDown(err error) {
 	r.ready.Store(false)
 	r.counters.gaps.Add(1)
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -29,8 +29,10 @@
 	confirmed atomic.Pointer[time.Time] // see Follower
 	ready     atomic.Bool
 
-	applying sync.Mutex // guards core; taken before mu
-	core     *core
+	applying   sync.Mutex // guards what follows up to mu, and is taken before it
+	core       *core
+	generation uint64 // counts the states that replaced core's
+	logBehind  bool   // the log was seen to end before core.next
 
 	mu       sync.Mutex // guards what follows
 	batcher  batcher
@@ -38,6 +40,12 @@
 	lastSent uint64               // highest sequence that may be in the log
 	stopped  bool
 	progress chan struct{} // closed and renewed when a read reached the end
+	schedule schedule
+	snapshot *snapshotWriter // nil when none is being written
+	torn     []TornRecord
+
+	snapshotID  uint64       // of the latest snapshot written here; guarded by mu
+	recordLimit atomic.Int64 // bytes of one record; lowered when the log refuses one as too large
 
 	wake chan struct{} // tells the append loop that there may be work
 }
@@ -58,12 +66,17 @@
 		cfg:      cfg,
 		log:      cfg.Logger.WithFields(logrus.Fields{"stream": cfg.Stream, "node": cfg.Origin.Node}),
 		limiter:  rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond()), cfg.AppendBurst),
-		core:     newCore(cfg.Machines),
+		core:     newCore(cfg),
 		batcher:  batcher{maxBytes: cfg.MaxBacklogBytes},
 		unread:   make(map[uint64]*outgoing),
 		progress: make(chan struct{}),
 		wake:     make(chan struct{}, 1),
 	}
+	r.recordLimit.Store(int64(cfg.MaxRecordBytes))
+	r.schedule = schedule{
+		every: cfg.SnapshotEvery, interval: cfg.SnapshotInterval, retain: cfg.RetainRecords, random: cfg.Random,
+	}
+	r.schedule.completed(0, cfg.Now())
 	return r, nil
 }
 
@@ -182,6 +195,17 @@
 	return r.batcher.waiting + r.batcher.taken
 }
 
+// room is how many bytes of entries fit into one record.
+func (r *Replica) room() int {
+	return entryRoom(int(r.recordLimit.Load()), r.cfg.Origin)
+}
+
+// lowerLimit makes the following records smaller than one of size bytes that
+// the log refused.
+func (r *Replica) lowerLimit(size int) {
+	r.recordLimit.Store(int64(max(size/2, minRecordBytes)))
+}
+
 // wakeAppender tells the append loop that there may be work.
 func (r *Replica) wakeAppender() {
 	select {
--- a/internal/journal/stats.go
+++ b/internal/journal/stats.go
@@ -31,6 +31,12 @@
 	RecordsRepeated   uint64          `json:"records_repeated"`
 	RecordsTorn       uint64          `json:"records_torn"`
 	Gaps              uint64          `json:"gaps"`
+	Scans             uint64          `json:"scans"`
+	Imports           uint64          `json:"imports"`
+	SnapshotsWritten  uint64          `json:"snapshots_written"`
+	SnapshotsFailed   uint64          `json:"snapshots_failed"`
+	SnapshotsSeen     uint64          `json:"snapshots_seen"`
+	SnapshotsRestored uint64          `json:"snapshots_restored"`
 }
 
 // counters are a replica's running counts.
@@ -41,7 +47,9 @@
 	appendRepeated, batchesAbandoned                   atomic.Uint64
 	reads, readFailed                                  atomic.Uint64
 	records, entries, entriesRejected, entriesUnknown  atomic.Uint64
-	recordsRepeated, recordsTorn, gaps                 atomic.Uint64
+	recordsRepeated, recordsTorn, gaps, scans, imports atomic.Uint64
+	snapshotsWritten, snapshotsFailed                  atomic.Uint64
+	snapshotsSeen, snapshotsRestored                   atomic.Uint64
 }
 
 // Stats returns the counters as they stand.
@@ -71,6 +79,12 @@
 		RecordsRepeated:   c.recordsRepeated.Load(),
 		RecordsTorn:       c.recordsTorn.Load(),
 		Gaps:              c.gaps.Load(),
+		Scans:             c.scans.Load(),
+		Imports:           c.imports.Load(),
+		SnapshotsWritten:  c.snapshotsWritten.Load(),
+		SnapshotsFailed:   c.snapshotsFailed.Load(),
+		SnapshotsSeen:     c.snapshotsSeen.Load(),
+		SnapshotsRestored: c.snapshotsRestored.Load(),
 	}
 }
 
