Stop sending a batch again once the replica stops

Cause: a batch of unknown fate for which a read had come to the end was sent again and again, without a pause, when its context had ended and the log refused appends. Ruled out: the stand-in's own handling of an ended context, which hides it. Change: the loop ends with its context. Conclusion: settled.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -120,6 +120,9 @@
 			return
 		}
 		a.waitForBudget(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		a.r.counters.appendRepeated.Add(1)
 	}
 }
@@ -202,7 +205,7 @@
 		finished, deserted := o.finished, o.deserted()
 		r.mu.Unlock()
 		switch {
-		case finished:
+		case finished || ctx.Err() != nil:
 			return false
 		case deserted || r.Applied() > o.startedAt+resendRetention:
 			r.counters.batchesAbandoned.Add(1)
--- a/internal/journal/recovery_test.go
+++ b/internal/journal/recovery_test.go
@@ -417,3 +417,24 @@
 		t.Errorf("%d wrong answers, %d entries applied", wrong, len(applied))
 	}
 }
+
+// TestStopEndsTheRetryOfABatch hung: the append loop went on sending a batch
+// of unknown fate after its context had ended, without a pause.
+func TestStopEndsTheRetryOfABatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logserver.New(logserver.Config{})
+		toA := &link{Log: log}
+		a := startNode(t, toA, "a", nil)
+		settleTime()
+		log.SetFaults(logserver.Faults{DropAppends: 1})
+		answer := make(chan error, 1)
+		go func() { answer <- a.propose("x", time.Hour) }()
+		time.Sleep(DefaultFlushInterval + time.Millisecond)
+		log.SetFaults(logserver.Faults{RefuseWrites: true})
+		settleTime()
+		toA.cut.Store(true)
+		settleTime()
+		a.stopAndWait()
+		wantErr(t, <-answer, ErrUnsettled)
+	})
+}
