--- /dev/null
+++ b/internal/journal/bench_test.go
@@ -0,0 +1,135 @@
+package journal
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/standin/logserver"
+)
+
+// startBody is of the size of a task's start.
+type startBody struct {
+	_       struct{} `cbor:",toarray"`
+	Task    api.TaskID
+	Attempt uint32
+	VM      api.VMID
+	Shard   uint32
+	Epoch   api.Epoch
+}
+
+func startEntry(i int) Entry {
+	task := api.TaskID{Job: api.JobID(fmt.Sprintf("team-%02d/job-%06d", i%92, i%330_000)), Index: uint32(i)}
+	return Entry{Type: TypeCellFirst, Body: Encode(startBody{
+		Task: task, Attempt: 1, VM: api.VMID(fmt.Sprintf("vm-%05d", i%18_000)), Shard: 5, Epoch: 77,
+	})}
+}
+
+// TestPeakFitsTheAppendBudget puts 5,000 starts a second through nine nodes
+// and a log that refuses more than 200 appends a second, in virtual time.
+func TestPeakFitsTheAppendBudget(t *testing.T) {
+	const nodes, budget, perSecond, seconds = 9, 200, 5000, 3
+	synctest.Test(t, func(t *testing.T) {
+		log := logserver.New(logserver.Config{AppendsPerSecond: budget, AppendBurst: budget / 10})
+		var all []*node
+		for i := range nodes {
+			all = append(all, startNode(t, log, fmt.Sprint("n", i), func(c *Config) {
+				c.AppendsPerSecond = func() float64 { return 0.95 * budget / nodes }
+			}))
+		}
+		settleTime()
+		began, before := time.Now(), log.Stats()
+		var mu sync.Mutex
+		var waits []time.Duration
+		var wg sync.WaitGroup
+		for i := range perSecond * seconds {
+			sent := time.Now()
+			wg.Go(func() {
+				err := all[i%nodes].Propose(t.Context(), startEntry(i))
+				mu.Lock()
+				defer mu.Unlock()
+				wantErr(t, err, nil)
+				waits = append(waits, time.Since(sent))
+			})
+			time.Sleep(time.Second / perSecond)
+		}
+		wg.Wait()
+		spent, stats := time.Since(began).Seconds(), log.Stats()
+		appends := float64(stats.Appends - before.Appends)
+		slices.Sort(waits)
+		n := len(waits)
+		t.Logf("%d entries, %.0f appends/s, %.1f bytes an entry, wait p50 %v p99 %v max %v", n, appends/spent,
+			float64(stats.AppendBytes-before.AppendBytes)/float64(n), waits[n/2], waits[n*99/100], waits[n-1])
+		if appends/spent > budget {
+			t.Errorf("%.0f appends/s", appends/spent)
+		}
+		for _, node := range all {
+			node.stopAndWait()
+		}
+	})
+}
+
+func BenchmarkReplay(b *testing.B) {
+	const records, perRecord = 2000, 25
+	var all []platform.LogRecord
+	for i := range records {
+		entries := make([]Entry, perRecord)
+		for j := range entries {
+			entries[j] = startEntry(i*perRecord + j)
+		}
+		data := encodeRecord(batch{Origin: Origin{Node: "n", Incarnation: 1}, Sequence: uint64(i + 1), Entries: entries})
+		all = append(all, platform.LogRecord{Offset: platform.Offset(i), Data: data})
+	}
+	for b.Loop() {
+		c := newCore(Config{Machines: []Machine{&starts{}}})
+		for _, rec := range all {
+			if _, err := c.apply(rec); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.N*records*perRecord)/b.Elapsed().Seconds(), "entries/s")
+}
+
+// starts is a machine that decodes every start, and keeps some.
+type starts struct {
+	kept [][]byte
+}
+
+func (m *starts) Types() []EntryType { return []EntryType{TypeCellFirst} }
+
+func (m *starts) Apply(_ Position, e Entry) error { return Decode(e.Body, &startBody{}) }
+
+func (m *starts) Snapshot() ([]byte, error) { return Encode(m.kept), nil }
+
+func (m *starts) Restore(data []byte) error {
+	m.kept = nil
+	return Decode(data, &m.kept)
+}
+
+// BenchmarkSnapshot takes and restores the state of a data centre's share of
+// 460,000 running tasks.
+func BenchmarkSnapshot(b *testing.B) {
+	m := &starts{}
+	for i := range 460_000 / 11 {
+		m.kept = append(m.kept, startEntry(i).Body)
+	}
+	c := newCore(Config{Machines: []Machine{m}})
+	var st State
+	for b.Loop() {
+		var err error
+		if st, err = c.snapshot(); err != nil {
+			b.Fatal(err)
+		}
+		if err := c.restore(st); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(st.Data)), "bytes")
+	b.ReportMetric(float64(len(split(st, 1, DefaultMaxRecordBytes))), "chunks")
+}
