A share of zero appends a second no longer blocks a node for good

Cause: the limiter computes a wait once, from the share at that moment; with no share the append loop waited without end, also after the share had grown. Ruled out: polling the share while waiting, which costs wake-ups for nothing. Change: a node takes at least 0.5 appends a second. Measured: the new test failed before (withdrawn after a minute) and passes.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -93,10 +93,22 @@
 	}
 }
 
+// minAppendsPerSecond is the least share that a node takes, so that a wait
+// never outlasts a change of its share by more than two seconds.
+const minAppendsPerSecond = 0.5
+
+// appendLimit returns the limit for a share of the budget.
+func appendLimit(share float64) rate.Limit {
+	if share > minAppendsPerSecond {
+		return rate.Limit(share)
+	}
+	return minAppendsPerSecond
+}
+
 // waitForBudget takes one append from this node's share of the log's budget.
 func (a *appender) waitForBudget(ctx context.Context) {
 	limiter := a.r.limiter
-	if limit := rate.Limit(a.r.cfg.AppendsPerSecond()); limit != limiter.Limit() {
+	if limit := appendLimit(a.r.cfg.AppendsPerSecond()); limit != limiter.Limit() {
 		limiter.SetLimit(limit)
 	}
 	_ = limiter.Wait(ctx) // fails only when ctx ends, which the caller checks
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -40,7 +40,7 @@
 	FlushInterval    time.Duration  // longest wait for more entries before an append
 	MaxRecordBytes   int            // the log's limit for one record
 	MaxBacklogBytes  int            // of entries not yet settled
-	AppendsPerSecond func() float64 // this node's present share of the log's budget
+	AppendsPerSecond func() float64 // this node's present share of the log's budget; 0.5 at least
 	AppendBurst      int            // appends that may follow each other at once
 	AppendTimeout    time.Duration  // of one append
 
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -65,7 +65,7 @@
 	r := &Replica{
 		cfg:      cfg,
 		log:      cfg.Logger.WithFields(logrus.Fields{"stream": cfg.Stream, "node": cfg.Origin.Node}),
-		limiter:  rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond()), cfg.AppendBurst),
+		limiter:  rate.NewLimiter(appendLimit(cfg.AppendsPerSecond()), cfg.AppendBurst),
 		core:     newCore(cfg),
 		batcher:  batcher{maxBytes: cfg.MaxBacklogBytes},
 		unread:   make(map[uint64]*outgoing),
--- a/internal/journal/replica_test.go
+++ b/internal/journal/replica_test.go
@@ -226,3 +226,22 @@
 		wantBodies(t, a, []string(nil)...)
 	})
 }
+
+// TestNoShareOfTheBudgetIsNotForever hung: the append loop waited without end
+// for a share of zero, also after the share had grown.
+func TestNoShareOfTheBudgetIsNotForever(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logserver.New(logserver.Config{})
+		began := time.Now()
+		a := startNode(t, log, "a", func(c *Config) {
+			c.AppendBurst = 1
+			c.AppendsPerSecond = func() float64 { return max(0, time.Since(began).Seconds()-10) }
+		})
+		settleTime()
+		wantErr(t, a.propose("1", time.Minute), nil)
+		wantErr(t, a.propose("2", time.Minute), nil)
+		time.Sleep(10 * time.Second)
+		wantErr(t, a.propose("3", time.Second), nil)
+		a.stopAndWait()
+	})
+}
