Hold entries back while the replica can't read them back

Cause: entries queued before a gap was found were still sent, and then could only end unsettled; a batch of another process with the same origin could end the process by an index out of range.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -60,9 +60,12 @@
 }
 
 // untilFlush returns how long the pending entries may still wait, false when
-// there are none.
+// there are none, or the replica couldn't read them back.
 func (a *appender) untilFlush() (time.Duration, bool) {
 	r := a.r
+	if !r.Ready() {
+		return 0, false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.snapshot != nil {
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -21,7 +21,7 @@
 	DefaultAppendTimeout    = 2 * time.Second
 	DefaultReadTimeout      = 2 * time.Second
 	DefaultPollWait         = 500 * time.Millisecond
-	DefaultReadInterval     = 5 * time.Millisecond
+	DefaultReadInterval     = 10 * time.Millisecond
 	DefaultReadMax          = 1000
 	DefaultSnapshotEvery    = 20000
 	DefaultSnapshotInterval = 10 * time.Minute
--- a/internal/journal/outgoing.go
+++ b/internal/journal/outgoing.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -113,9 +115,16 @@
 func (r *Replica) readBack(rec appliedRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o, ok := r.unread[rec.sequence]; ok {
-		r.finishLocked(o, rec.results)
+	o, ok := r.unread[rec.sequence]
+	if !ok {
+		return
 	}
+	results := rec.results
+	if len(results) != len(o.proposals) { // another process uses the same origin
+		r.log.WithFields(logrus.Fields{"event": "origin_shared", "sequence": rec.sequence}).Error("foreign batch")
+		results = r.sameForAll(o, ErrUnsettled)
+	}
+	r.finishLocked(o, results)
 }
 
 // giveUpPassed answers batches that the log has acknowledged but that did not
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -168,6 +168,7 @@
 	if r.ready.Swap(true) {
 		return
 	}
+	r.wakeAppender()
 	r.log.WithFields(logrus.Fields{"event": "ready", "applied": r.core.next, "source": source}).Info("state complete")
 }
 
--- a/internal/platform/httplog/client_test.go
+++ b/internal/platform/httplog/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -52,7 +53,11 @@
 
 	_, err = c.Append(ctx, "dc/a", make([]byte, 101))
 	wantErr(t, err, platform.ErrTooLarge)
-	log.SetFaults(logserver.Faults{Down: true})
+	resp, err := http.Post(server.URL+"/faults", "application/json", strings.NewReader(`{"down":true}`))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	resp.Body.Close()
 	_, err = c.Append(ctx, "dc/a", []byte("x"))
 	wantErr(t, err, platform.ErrUnavailable)
 	_, err = c.Read(ctx, "dc/a", 3, 10, 0)
