End the tests' tasks in a fixed order

Cause: TestNothingStarves failed in 2 of 100 runs; its bench ended due tasks in the order of a map, so that no two runs were the same. Change: due tasks end in order of their ids; the bounds stay as they were. Conclusion: the scheduler itself was deterministic, its test was not.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,14 +56,19 @@
 	return p
 }
 
-// advance lets a second pass and ends what is due.
+// advance lets a second pass and ends what is due, in a fixed order.
 func (b *bench) advance() {
 	b.now = b.now.Add(time.Second)
+	var due []api.TaskID
 	for id, r := range b.runs {
 		if !r.ExpectedEnd.After(b.now) {
-			b.end(id)
+			due = append(due, id)
 		}
 	}
+	slices.SortFunc(due, func(x, y api.TaskID) int { return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Index, y.Index)) })
+	for _, id := range due {
+		b.end(id)
+	}
 }
 
 func (b *bench) end(id api.TaskID) {
