Find the shapes that a freed VM fits by an index

Cause: each VM that was freed read every blocked shape, of which a queue of unlike jobs has as many as jobs. Change: blocked shapes are kept in the cells of the VM index, by need. Ruled out: waking by team, which reads the same shapes in another order.

--- a/internal/scheduler/park.go
+++ b/internal/scheduler/park.go
@@ -1,19 +1,13 @@
 package scheduler
 
-import "slices"
-
 // A queue whose head found no place is parked: on its shape when capacity is
 // short, on its team when the quota is. What frees either makes it ready.
 
 // parkOnCapacity parks q until a VM is freed that could hold its tasks.
 func (w *World) parkOnCapacity(q *shapeQueue) {
 	q.owner.park(q)
-	s := q.shape
-	s.parked = append(s.parked, q)
-	if !s.blocked {
-		s.blocked = true
-		w.blocked = append(w.blocked, s)
-	}
+	q.shape.parked = append(q.shape.parked, q)
+	w.queue.blocked.block(q.shape)
 }
 
 // parkOnQuota parks q until its team holds less or may hold more.
@@ -73,39 +67,21 @@
 func (w *World) wakeBlocked() {
 	for _, v := range w.freed {
 		v.freed = false
-		if len(w.blocked) > 0 && v.known && v.Schedulable {
-			w.wakeFor(v)
+		if !v.known || !v.Schedulable {
+			continue
+		}
+		w.woken = w.queue.blocked.fitting(w.woken[:0], v)
+		for _, s := range w.woken {
+			w.retryShape(s)
 		}
 	}
 	clear(w.freed)
 	w.freed = w.freed[:0]
 }
 
-func (w *World) wakeFor(v *vmState) {
-	free := v.free()
-	kept := w.blocked[:0]
-	for _, s := range w.blocked {
-		switch {
-		case s.queues == 0:
-			s.blocked = false
-		case s.key.need.Fits(free):
-			s.unblock()
-		default:
-			kept = append(kept, s)
-		}
-	}
-	clear(w.blocked[len(kept):])
-	w.blocked = kept
-}
-
-// retryShape lets the jobs of s be tried although nothing was freed.
+// retryShape lets the jobs of s be tried again.
 func (w *World) retryShape(s *shape) {
-	s.unblock()
-	w.blocked = slices.DeleteFunc(w.blocked, func(o *shape) bool { return o == s })
-}
-
-func (s *shape) unblock() {
-	s.blocked = false
+	w.queue.blocked.unblock(s)
 	for _, q := range s.parked {
 		if q.live > 0 {
 			q.owner.makeReady(q)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -25,11 +25,12 @@
 
 // queue holds the jobs with pending tasks.
 type queue struct {
-	bands  [bandCount]band
-	shapes map[shapeKey]*shape
-	aging  [bandCount]ageHeap // by bands already gained
-	jobs   int
-	tasks  int
+	bands   [bandCount]band
+	shapes  map[shapeKey]*shape
+	blocked blockedIndex       // shapes that wait for capacity
+	aging   [bandCount]ageHeap // by bands already gained
+	jobs    int
+	tasks   int
 }
 
 // band is the jobs of one priority band.
@@ -112,6 +113,7 @@
 	delete(t.shapes, sq.shape)
 	sq.shape.queues--
 	if sq.shape.queues == 0 {
+		q.blocked.unblock(sq.shape)
 		delete(q.shapes, sq.shape.key)
 	}
 	if len(t.shapes) == 0 {
--- a/internal/scheduler/shape.go
+++ b/internal/scheduler/shape.go
@@ -20,12 +20,13 @@
 // shape is the jobs of one key. While it is blocked, no search is made for
 // them: nothing has been freed that could hold one of their tasks.
 type shape struct {
-	key     shapeKey
-	queues  int // that refer to it
-	blocked bool
-	judged  uint64 // judgement of the World at which it could run, plus 1
-	verdict verdict
-	parked  []*shapeQueue
+	key        shapeKey
+	queues     int  // that refer to it
+	blocked    bool // by way of queue.blocked
+	blockedPos int
+	judged     uint64 // judgement of the World at which it could run, plus 1
+	verdict    verdict
+	parked     []*shapeQueue
 	// outright: no VM had room, whatever the job.
 	outright bool
 	// headroom: idle accelerators kept room against it.
--- a/internal/scheduler/world.go
+++ b/internal/scheduler/world.go
@@ -29,7 +29,7 @@
 	clock     time.Time // of the last cycle
 
 	queue       queue
-	blocked     []*shape     // waiting for capacity
+	woken       []*shape     // scratch
 	frontier    frontier     // of those
 	waking      []*teamState // hold less, or may hold more, than when last looked at
 	condemned   []*jobState  // judged never to run
