Let runs of whole entry VMs be driven and recorded

Cause: an entry VM could be stopped gracefully only, its peers could not be put behind a network that fails, and the load kept no answers.

Ruled out: a proxy process between peers, which can't tell the sender of a connection; a hook that only tests can reach, since the command may want to end at once as well.

Change: Node.Abort, Outside.DialPeer, the setting readiness_delay, and answers, failures and the choice of the entry VM in load.Runner.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,7 @@
 	VMList   platform.VMList
 	Worker   platform.Worker
 	Endpoint Endpoint
+	DialPeer peer.Dialer // nil: TCP
 }
 
 // Endpoint sends requests to endpoints and keeps connections to them.
@@ -65,6 +67,8 @@
 	front      *front.Server
 	cell       *cellParts
 	listeners  listeners
+	aborted    chan struct{} // closed by Abort
+	abortOnce  sync.Once
 }
 
 // listeners are open from New on, so that a port that is taken is reported
@@ -96,6 +100,7 @@
 		started:  time.Now(),
 		counters: counter.NewSet(),
 		outside:  outside,
+		aborted:  make(chan struct{}),
 	}
 	var err error
 	n.streams, err = newStreams(s, outside.Log, n.origin, n.entries, n.counters, n.log)
@@ -137,11 +142,11 @@
 func (n *Node) connectPeers() {
 	s := n.settings
 	limits := peer.DefaultLimits()
-	n.heartbeats = peer.NewClient(limits, nil)
+	n.heartbeats = peer.NewClient(limits, n.outside.DialPeer)
 	limits.MaxRequest = int(s.Limits.MaxPeerBytes)
 	limits.MaxAnswer = int(s.Limits.MaxPeerBytes)
 	limits.Call = s.Limits.MaxRequestTimeout.Std()
-	n.handovers = peer.NewClient(limits, nil)
+	n.handovers = peer.NewClient(limits, n.outside.DialPeer)
 	n.peerServer = peer.NewServer(limits, n.log)
 	n.members = member.New(member.Config{
 		Self:       identityOf(n.origin),
@@ -260,5 +265,6 @@
 		ReadBodyTimeout:   s.Limits.ReadTimeout.Std(),
 		WriteTimeout:      s.Limits.WriteTimeout.Std(),
 		IdleTimeout:       s.Limits.IdleTimeout.Std(),
+		ReadinessDelay:    s.ReadinessDelay.Std(),
 	}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
@@ -16,6 +17,15 @@
 // readinessInterval is the time between two looks at the streams' state.
 const readinessInterval = 50 * time.Millisecond
 
+// ErrAborted is returned by Run after Abort.
+var ErrAborted = errors.New("entry: aborted")
+
+// Abort makes Run end at once, without a drain: requests in flight are cut off
+// and nothing is handed over, as when the process dies.
+func (n *Node) Abort() {
+	n.abortOnce.Do(func() { close(n.aborted) })
+}
+
 // Run serves until ctx ends, then shuts down gracefully within the drain
 // deadline. It returns nil after a graceful shutdown, and otherwise the error
 // of the part that failed first.
@@ -87,25 +97,31 @@
 	)
 	g.Add(
 		func() error { return n.peerServer.Serve(n.listeners.peers) },
-		func(error) { stopWithin(n.peerServer.Shutdown) },
+		func(error) { n.stopWithin(n.peerServer.Shutdown) },
 	)
 	g.Add(
 		func() error { return operators.Serve(n.listeners.operators) },
-		func(error) { stopWithin(operators.Shutdown) },
+		func(error) { n.stopWithin(operators.Shutdown) },
 	)
 }
 
 // stopCallers drains the callers' server, unless that was done.
 func (n *Node) stopCallers() {
 	if !n.front.Leaving() {
-		stopWithin(n.front.Drain)
+		n.stopWithin(n.front.Drain)
 	}
 }
 
-// stopWithin calls stop, which gets the grace for what is still open.
-func stopWithin(stop func(context.Context) error) {
+// stopWithin calls stop, which gets the grace for what is still open. An
+// aborted node has none.
+func (n *Node) stopWithin(stop func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
 	defer cancel()
+	select {
+	case <-n.aborted:
+		cancel()
+	default:
+	}
 	_ = stop(ctx)
 }
 
@@ -115,6 +131,8 @@
 	select {
 	case <-work.Done():
 		return work.Err()
+	case <-n.aborted:
+		return ErrAborted
 	case <-ctx.Done():
 	}
 	deadline, cancel := context.WithTimeout(work, n.settings.DrainDeadline.Std())
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -28,6 +28,10 @@
 	Outcome api.Outcome   // empty when no answer came
 	Reason  api.Reason
 	Status  int
+	Err     error // why no whole answer came
+	// Answer and Checksum are set with Runner.KeepAnswers.
+	Answer   []byte
+	Checksum string // of a stand-in's answer, from its trailer
 }
 
 // Result is what a run gathered for one stream. It is safe for concurrent use.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/standin/executor"
 )
 
 // answerGrace is how long past its timeout a request is waited for.
@@ -27,6 +28,11 @@
 	turn   atomic.Uint64
 	// OnSample, when set, is called for every sample, from many goroutines.
 	OnSample func(Sample)
+	// KeepAnswers keeps the answers' bodies in the samples.
+	KeepAnswers bool
+	// Pick, when set, chooses the entry VM of each request, as a balancer
+	// does, in place of taking turns.
+	Pick func() string
 }
 
 // NewRunner returns a runner, or every finding in cfg.
@@ -122,8 +128,7 @@
 	sample := Sample{ID: id, Stream: i}
 	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout+answerGrace)
 	defer cancel()
-	entry := r.cfg.Entries[r.turn.Add(1)%uint64(len(r.cfg.Entries))]
-	url := "http://" + entry + "/v1/services/" + s.Service + s.Path
+	url := "http://" + r.entry() + "/v1/services/" + s.Service + s.Path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(make([]byte, s.BodyBytes)))
 	if err != nil {
 		return sample
@@ -136,14 +141,34 @@
 	req.Header.Set(api.HeaderTimeout, strconv.FormatInt(s.Timeout.Milliseconds(), 10))
 	resp, err := r.client.Do(req)
 	if err != nil {
+		sample.Err = err
 		return sample
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if sample.Answer, err = r.readAnswer(resp.Body); err != nil {
+		sample.Err = err
 		return sample
 	}
+	sample.Checksum = resp.Trailer.Get(executor.TrailerChecksum)
 	sample.Status = resp.StatusCode
 	sample.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
 	sample.Reason = api.Reason(resp.Header.Get(api.HeaderReason))
 	return sample
 }
+
+// entry returns the entry VM for the next request.
+func (r *Runner) entry() string {
+	if r.Pick != nil {
+		return r.Pick()
+	}
+	return r.cfg.Entries[r.turn.Add(1)%uint64(len(r.cfg.Entries))]
+}
+
+// readAnswer reads a whole body and returns it if it is to be kept.
+func (r *Runner) readAnswer(body io.Reader) ([]byte, error) {
+	if r.KeepAnswers {
+		return io.ReadAll(body)
+	}
+	_, err := io.Copy(io.Discard, body)
+	return nil, err
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,6 +34,7 @@
 	allowed := "one of " + strings.Join(logging.Levels, ", ")
 	l.Check(slices.Contains(logging.Levels, s.LogLevel), "log_level", s.LogLevel, allowed)
 	between(l, "drain_deadline", s.DrainDeadline, time.Second, time.Hour)
+	between(l, "readiness_delay", s.ReadinessDelay, time.Millisecond, s.DrainDeadline.Std())
 	between(l, "request_retention", s.RequestRetention, time.Minute, 7*24*time.Hour)
 }
 
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -18,6 +18,7 @@
 		Limits:           defaultLimits(),
 		LogLevel:         "info",
 		DrainDeadline:    seconds(30),
+		ReadinessDelay:   seconds(2),
 		RequestRetention: Duration(time.Hour),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,9 @@
 	Limits        Limits           `json:"limits"`          // of requests and memory
 	LogLevel      string           `json:"log_level"`
 	DrainDeadline Duration         `json:"drain_deadline"` // longest graceful shutdown
+	// ReadinessDelay is how long a leaving VM still takes requests after it
+	// told the balancer that it isn't ready.
+	ReadinessDelay Duration `json:"readiness_delay"`
 	// RequestRetention is how long the id of a non-idempotent request is
 	// remembered.
 	RequestRetention Duration `json:"request_retention"`
