load: readiness checks as a balancer does, direct calls

Cause: runs that stop an entry VM need callers behind a balancer; the added latency needs the same calls straight to an executor. Ruled out: a second generator for direct calls, its schedule would differ. Change: Config.Check polls /v1/ready and passes over entry VMs that are not ready, and a request whose dial failed goes to the next; Stream.Direct takes any whole answer as ran.

--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -32,11 +32,16 @@
 	BodyBytes  int
 	Timeout    time.Duration
 	Repeat     float64 // share of requests sent a second time with the same id, 0 to 1
+	Direct     bool    // straight to an executor: any whole answer counts as ran
 }
 
 // Config describes one load run.
 type Config struct {
-	Entries  []string // callers' addresses, IP:port; taken in turn
+	Entries []string // callers' addresses, IP:port; taken in turn
+	// Check is the time between two looks at the readiness of each entry VM,
+	// as a balancer takes them; requests go to ready ones only. Zero: none,
+	// every entry VM gets its share.
+	Check    time.Duration
 	Streams  []Stream
 	Duration time.Duration
 	MaxOpen  int // open requests of all streams together
@@ -63,6 +68,7 @@
 	}
 	l.Check(total <= MaxRate, "streams.rate", total, "at most 50000 in all")
 	l.Check(c.Duration > 0 && c.Duration <= MaxDuration, "duration", c.Duration, "up to 5m")
+	l.Check(c.Check >= 0, "check", c.Check, "not negative")
 	l.Check(c.MaxOpen > 0 && c.MaxOpen <= MaxOpen, "max_open", c.MaxOpen, "1 to 20000")
 	return l.Err()
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,7 +11,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -21,10 +21,10 @@
 
 // Runner sends the requests of one run.
 type Runner struct {
-	cfg    Config
-	client *http.Client
-	open   chan struct{}
-	turn   atomic.Uint64
+	cfg     Config
+	client  *http.Client
+	open    chan struct{}
+	targets *balancer
 	// OnSample, when set, is called for every sample, from many goroutines.
 	OnSample func(Sample)
 }
@@ -41,9 +41,10 @@
 		DisableCompression:  true,
 	}
 	return &Runner{
-		cfg:    cfg,
-		client: &http.Client{Transport: transport},
-		open:   make(chan struct{}, cfg.MaxOpen),
+		cfg:     cfg,
+		client:  &http.Client{Transport: transport},
+		targets: newBalancer(cfg.Entries),
+		open:    make(chan struct{}, cfg.MaxOpen),
 	}, nil
 }
 
@@ -51,6 +52,11 @@
 // the open requests and returns one result per stream.
 func (r *Runner) Run(ctx context.Context) []*Result {
 	results := make([]*Result, len(r.cfg.Streams))
+	checking, stopChecks := context.WithCancel(ctx)
+	defer stopChecks()
+	if r.cfg.Check > 0 {
+		r.targets.watch(checking, r.cfg.Check)
+	}
 	start := time.Now()
 	var streams, requests sync.WaitGroup
 	for i := range r.cfg.Streams {
@@ -117,16 +123,41 @@
 	}
 }
 
+// request sends one request. One that certainly reached nobody, since no
+// connection came about, goes to the next entry VM.
 func (r *Runner) request(i int, id string) Sample {
 	s := r.cfg.Streams[i]
 	sample := Sample{ID: id, Stream: i}
 	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout+answerGrace)
 	defer cancel()
-	entry := r.cfg.Entries[r.turn.Add(1)%uint64(len(r.cfg.Entries))]
+	for range r.cfg.Entries {
+		req, err := buildRequest(ctx, r.targets.next(), s, id)
+		if err != nil {
+			return sample
+		}
+		resp, err := r.client.Do(req)
+		if notConnected(err) && r.cfg.Check > 0 {
+			continue
+		}
+		if err == nil {
+			sample.read(resp, s.Direct)
+		}
+		return sample
+	}
+	return sample
+}
+
+// notConnected reports whether err is that of a dial.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func buildRequest(ctx context.Context, entry string, s Stream, id string) (*http.Request, error) {
 	url := "http://" + entry + "/v1/services/" + s.Service + s.Path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(make([]byte, s.BodyBytes)))
 	if err != nil {
-		return sample
+		return nil, err
 	}
 	req.GetBody = nil // a repeat must be this runner's own decision
 	req.Header.Set(api.HeaderRequestID, id)
@@ -134,16 +165,19 @@
 	req.Header.Set(api.HeaderClass, s.Class)
 	req.Header.Set(api.HeaderIdempotent, strconv.FormatBool(s.Idempotent))
 	req.Header.Set(api.HeaderTimeout, strconv.FormatInt(s.Timeout.Milliseconds(), 10))
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return sample
-	}
+	return req, nil
+}
+
+// read takes a whole answer; one that breaks off is none.
+func (s *Sample) read(resp *http.Response, direct bool) {
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return sample
+		return
+	}
+	s.Status = resp.StatusCode
+	s.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
+	s.Reason = api.Reason(resp.Header.Get(api.HeaderReason))
+	if direct {
+		s.Outcome = api.OutcomeRan
 	}
-	sample.Status = resp.StatusCode
-	sample.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
-	sample.Reason = api.Reason(resp.Header.Get(api.HeaderReason))
-	return sample
 }
