standin: executors that let requests wait, entry VMs counted per data centre

Cause: an executor with 8 slots and 60 connections may let requests wait instead of refusing them, which is what a baseline without limits runs into; the user's cell has 3, 2, 2 and 2 entry VMs. Ruled out: a queue in the stand-in with a bound of its own, connections bound it. Change: executor.Config.Wait, site.Service.Wait, Site.EntriesOf. Figures: go test ./internal/standin/...: ok.

--- a/internal/standin/executor/executor.go
+++ b/internal/standin/executor/executor.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
@@ -40,12 +41,16 @@
 	ServiceTime time.Duration // mean
 	Spread      float64       // share of ServiceTime that varies either way, 0 to 1
 	Seed        uint64        // of service times and failures
+	// Wait lets requests beyond the slots wait for one, as many as there are
+	// connections. Otherwise they are refused in-band.
+	Wait bool
 }
 
 // Executor is a stand-in endpoint. It is an http.Handler.
 type Executor struct {
 	cfg      Config
 	recorder recorder
+	waiting  chan struct{} // one element for each slot in use; nil without Wait
 
 	mu     sync.Mutex
 	faults Faults
@@ -60,11 +65,15 @@
 	if cfg.Connections == 0 {
 		cfg.Connections = DefaultConnections
 	}
-	return &Executor{
+	e := &Executor{
 		cfg:      cfg,
 		recorder: recorder{record: Record{Runs: make(map[string][]Run)}},
 		rand:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
+	if cfg.Wait {
+		e.waiting = make(chan struct{}, cfg.Slots)
+	}
+	return e
 }
 
 // Serve serves on l, within the connection limit, until the returned server
@@ -123,6 +132,11 @@
 		refuse(w, e.recorder.refuse())
 		return
 	}
+	leave, ok := e.waitForSlot(r.Context())
+	if !ok {
+		return // the caller left
+	}
+	defer leave()
 	id := r.Header.Get(api.HeaderRequestID)
 	busy, run, ok := e.recorder.start(id, e.cfg.Slots)
 	if !ok {
@@ -147,6 +161,20 @@
 	writeAnswer(w, id, body, faults.BreakHalfway)
 }
 
+// waitForSlot waits for a slot when requests may wait. It reports false when
+// ctx ended first; otherwise leave gives the slot back.
+func (e *Executor) waitForSlot(ctx context.Context) (leave func(), ok bool) {
+	if e.waiting == nil {
+		return func() {}, true
+	}
+	select {
+	case e.waiting <- struct{}{}:
+		return func() { <-e.waiting }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // draw returns the faults, the service time and whether the request fails.
 func (e *Executor) draw() (Faults, time.Duration, bool) {
 	e.mu.Lock()
--- a/internal/standin/site/settings.go
+++ b/internal/standin/site/settings.go
@@ -17,10 +17,19 @@
 // site, on free ports of 127.0.0.1. Every entry VM has the first of each data
 // centre as a seed.
 func (s *Site) Entries(perDC int) ([]*settings.Settings, error) {
+	counts := make([]int, len(s.cfg.DataCentres))
+	for i := range counts {
+		counts[i] = perDC
+	}
+	return s.EntriesOf(counts)
+}
+
+// EntriesOf is Entries with the number of entry VMs of each data centre.
+func (s *Site) EntriesOf(counts []int) ([]*settings.Settings, error) {
 	var all []*settings.Settings
 	var seeds []string
-	for _, dc := range s.cfg.DataCentres {
-		for i := range perDC {
+	for at, dc := range s.cfg.DataCentres {
+		for i := range counts[at] {
 			entry, err := s.entry(dc, i)
 			if err != nil {
 				return nil, err
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -27,6 +27,7 @@
 	Connections int
 	ServiceTime time.Duration // mean
 	Spread      float64       // share of ServiceTime that varies either way
+	Wait        bool          // requests beyond the slots wait instead of being refused
 }
 
 // Config describes a site. Sizes are for each data centre.
@@ -137,7 +138,7 @@
 	}
 	x := executor.New(executor.Config{
 		ID: ep.ID, Slots: service.Slots, Connections: service.Connections,
-		ServiceTime: service.ServiceTime, Spread: service.Spread,
+		ServiceTime: service.ServiceTime, Spread: service.Spread, Wait: service.Wait,
 		Seed: s.cfg.Seed + uint64(len(s.Executors)),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
