Start from peers' state while the log is down

Cause: an entry VM that started during an outage of the log was never ready. Change: while a stream is not complete after 2 s, the node asks the peers of its settings and those learned by gossip, and imports the furthest sound state. The longest pause between reads after a failure falls from 2 s to 0.5 s: in the demo, answers to marked requests came up to 1.5 s after a 2 s outage ended. Ruled out: serving without state; an older state in place of none. Measured: test with the log down, ready with the record in force; without the change it waits in vain.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -238,6 +238,9 @@
 	if err := n.peerServer.Register(member.ServiceName, n.members.Handler()); err != nil {
 		return errors.Wrap(err, "register heartbeats")
 	}
+	if err := n.peerServer.Register(statesService, &States{replicas: n.replicas()}); err != nil {
+		return errors.Wrap(err, "register states")
+	}
 	err := n.peerServer.Register(requestsService, &Requests{chain: n.chain, wait: wait})
 	return errors.Wrap(err, "register hand-overs")
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -63,6 +63,7 @@
 		n.owner.Run,
 		n.watchReadiness,
 		n.rotateKeys,
+		n.bootstrap,
 	}
 	loops = append(loops, n.cell.loops()...)
 	for _, loop := range loops {
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -66,6 +66,10 @@
 		AppendTimeout:    s.Log.AppendTimeout.Std(),
 		PollWait:         s.Log.ReadWait.Std(),
 		ReadTimeout:      s.Log.ReadTimeout.Std(),
+		SnapshotEvery:    uint64(s.Journal.SnapshotRecords),
+		SnapshotInterval: s.Journal.SnapshotInterval.Std(),
+		BackoffMin:       s.Log.RetryMin.Std(),
+		BackoffMax:       s.Log.RetryMax.Std(),
 	})
 	if err != nil {
 		return nil, err
@@ -80,6 +84,10 @@
 		AppendTimeout:    s.Log.AppendTimeout.Std(),
 		PollWait:         min(s.Log.ReadWait.Std(), s.Hold.Hold.Std()/confirmationsPerHold),
 		ReadTimeout:      s.Log.ReadTimeout.Std(),
+		SnapshotEvery:    uint64(s.Journal.SnapshotRecords),
+		SnapshotInterval: s.Journal.SnapshotInterval.Std(),
+		BackoffMin:       s.Log.RetryMin.Std(),
+		BackoffMax:       s.Log.RetryMax.Std(),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -30,7 +30,7 @@
 		ReadWait:      seconds(1),
 		ReadRecords:   500,
 		RetryMin:      Duration(50 * time.Millisecond),
-		RetryMax:      seconds(2),
+		RetryMax:      Duration(500 * time.Millisecond),
 	}
 }
 
