Lose no wake-up of a waiting job

Cause: verdicts are cached until something is freed, and three things that let a job go on were not counted as that. Failed first: a job that only a quarantined VM could hold was never tried again as its probe; a spread job was not, after its task had left a closed VM or its limits had been raised; nor was any, after a running task was reported to hold less. Change: VMs due for a probe wake what waits, a few in each cycle; the end of a spread job's task and its new limits wake the job; a changed report counts as freed. An unchanged PutVM does nothing, so that it wakes nothing. Conclusion: the state machine's rule that nothing waits beside a VM with room covers batch; these tests cover the rest.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -104,8 +104,11 @@
 		w.queue.setPending(j, w.placeable(job))
 		j.Job = job
 		j.Job.Pending = nil
-		if len(j.pending) == 0 {
+		switch {
+		case len(j.pending) == 0:
 			w.dequeue(j)
+		case j.queue.shape.key.own != "":
+			w.retryShape(j.queue.shape) // its own limits may have changed
 		}
 		return
 	}
--- a/internal/scheduler/probe.go
+++ b/internal/scheduler/probe.go
@@ -1,7 +1,11 @@
 package scheduler
 
-// probesTried bounds the quarantined VMs looked at for one task.
-const probesTried = 4
+const (
+	// probesTried bounds the quarantined VMs looked at for one task.
+	probesTried = 4
+	// probesOffered bounds those looked at in each cycle for being due.
+	probesOffered = 16
+)
 
 // probeTarget returns a quarantined VM that is due for a probe and may take
 // a task of j, or nil. Probes are ordinary batch tasks that may be started
@@ -21,6 +25,20 @@
 	return nil
 }
 
+// offerProbes wakes work that waits for VMs which are due for a probe, as
+// nothing else may. It looks at a few VMs in each cycle.
+func (c *cycle) offerProbes() {
+	list := c.world.quarantine.list
+	for i := range min(probesOffered, len(list)) {
+		v := list[(c.world.offerCursor+i)%len(list)]
+		if c.probeDue(v) && c.now.Sub(v.offered) >= c.cfg.ProbeInterval {
+			v.offered = c.now
+			c.world.markFreed(v)
+		}
+	}
+	c.world.offerCursor += probesOffered
+}
+
 // startProbe starts the next task of j as the one probe on v.
 func (c *cycle) startProbe(j *jobState, v *vmState) {
 	c.start(j, v).probe = true
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	}
 	w.requeueCondemned()
 	w.expireNominations(c.now)
+	c.offerProbes()
 	w.renewHolds(c.now, c.cfg.MaxHolds)
 	w.wake()
 	w.queue.promote(c.now, c.cfg.AgeStep)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -321,3 +321,42 @@
 		So(b.nominations, ShouldBeEmpty)
 	})
 }
+
+func TestNoWakeUpIsLost(t *testing.T) {
+	Convey("A job that waits is tried again", t, func() {
+		b := newBench(1, small, Config{})
+		Convey("when a quarantined VM is due for a probe, with nothing freed", func() {
+			b.PutVM(VM{ID: "bad", DataCentre: "dc", Capacity: small.Times(2), Schedulable: true, Quarantined: true})
+			b.submit(job("a1", api.ClassBatch, 2, 5000))
+			So(started(b.cycle()), ShouldResemble, []string{"a1/0"})
+			b.end(api.TaskID{Job: "a1"})
+			b.cycle()
+			b.now = b.now.Add(DefaultProbeInterval)
+			So(started(b.cycle()), ShouldResemble, []string{"a1/1"})
+		})
+		Convey("when its own limits allow more, or its task left a closed VM", func() {
+			spec := job("s1", api.ClassService, 3, 1000)
+			spec.MaxPerRack = 1
+			b.submit(spec)
+			So(b.cycle().Starts, ShouldHaveLength, 1)
+			b.PutVM(VM{ID: "vm-9", DataCentre: "dc", Rack: "rack-0", Capacity: small, Schedulable: true})
+			b.PutVM(VM{ID: "vm-0", DataCentre: "dc", Rack: "rack-0", Capacity: small})
+			So(b.cycle().Starts, ShouldBeEmpty)
+			b.end(api.TaskID{Job: "s1"})
+			So(started(b.cycle()), ShouldResemble, []string{"s1/1"})
+			spec.MaxPerRack = 2
+			b.PutJob(Job{Spec: spec, Submitted: b.now, Pending: []uint32{2}})
+			So(started(b.cycle()), ShouldResemble, []string{"s1/2"})
+		})
+		Convey("when a task that runs is reported to hold less", func() {
+			b.submit(job("a1", api.ClassBatch, 1, 4000))
+			b.cycle()
+			b.submit(job("a2", api.ClassBatch, 1, 2000))
+			So(b.cycle().Starts, ShouldBeEmpty)
+			r := b.runs[api.TaskID{Job: "a1"}]
+			r.Resources = api.Resources{MilliCPU: 2000, MemoryMB: 2000}
+			b.Occupy(r)
+			So(started(b.cycle()), ShouldResemble, []string{"a2/0"})
+		})
+	})
+}
--- a/internal/scheduler/vm.go
+++ b/internal/scheduler/vm.go
@@ -18,6 +18,7 @@
 	hold      *hold // VM is held for a waiting job; out of the index
 	holdTasks int64 // tasks of that job it is held for
 	lastProbe time.Time
+	offered   time.Time // when waiting work was last woken to probe v
 
 	part  *partition // nil: not in the index
 	at    cellAt
@@ -57,6 +58,9 @@
 // PutVM adds a VM or replaces what is known of it; its tasks stay.
 func (w *World) PutVM(vm VM) {
 	v := w.vmOf(vm.ID)
+	if v.known && v.VM == vm {
+		return
+	}
 	w.unindex(v)
 	if v.known {
 		w.fleet.remove(v)
--- a/internal/scheduler/world.go
+++ b/internal/scheduler/world.go
@@ -36,6 +36,7 @@
 	rejudge     bool         // condemned jobs are to be judged again
 	judgement   uint64       // counts the changes that ask for it
 	probeCursor int
+	offerCursor int
 	retry       []*shapeQueue // to be tried again next cycle
 	holds       []*hold
 	wantHold    []*jobState // found no place for a hold
@@ -145,6 +146,7 @@
 		}
 		probe = old.probe
 		w.vacate(old)
+		w.wakeAfter(old)
 	}
 	w.dropPending(r.Task)
 	w.hold(&holding{
@@ -186,9 +188,18 @@
 		return
 	}
 	w.vacate(h)
+	w.wakeAfter(h)
+	w.dropIfEmpty(h.vm)
+}
+
+// wakeAfter lets be tried what may go on without h: work for its VM, its
+// team's, and its own job's if that is spread.
+func (w *World) wakeAfter(h *holding) {
 	w.markFreed(h.vm)
 	w.wakeTeam(h.team)
-	w.dropIfEmpty(h.vm)
+	if j := w.jobs[h.task.Job]; j != nil && j.spread != nil && j.queue != nil {
+		w.retryShape(j.queue.shape)
+	}
 }
 
 // Release drops the reservation of a start that was rejected; the task is
