Check histories of jobs and records on whole entry VMs

Cause: no test ran several real entry VMs against faults of workers, of the log and of each other and held the complete record against what must hold.

Ruled out: a simulator of the cluster; the stand-ins and a fake network at the adapters do. A proxy between peers can't freeze a sender; the fake network can, and lets it go on with what it had decided.

Ports lie below those that the system hands out, so that a replacement finds its own free.

--- /dev/null
+++ b/internal/entry/cluster_test.go
@@ -0,0 +1,442 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/history"
+	"github.com/skylarklock/skylarklock/internal/load"
+	"github.com/skylarklock/skylarklock/internal/logging"
+	"github.com/skylarklock/skylarklock/internal/platform/httpendpoint"
+	"github.com/skylarklock/skylarklock/internal/platform/httplog"
+	"github.com/skylarklock/skylarklock/internal/platform/httpvmlist"
+	"github.com/skylarklock/skylarklock/internal/platform/httpworker"
+	"github.com/skylarklock/skylarklock/internal/schema"
+	"github.com/skylarklock/skylarklock/internal/settings"
+	"github.com/skylarklock/skylarklock/internal/standin/executor"
+	"github.com/skylarklock/skylarklock/internal/standin/site"
+)
+
+// deadline bounds every wait. It is far beyond what any of them takes, so
+// that no verdict depends on the machine's speed.
+const deadline = 60 * time.Second
+
+// serviceTime is the mean time that a sound executor takes.
+const serviceTime = 5 * time.Millisecond
+
+// requestTimeout is what callers ask for. It is longer than the hold.
+const requestTimeout = 2 * time.Second
+
+// faultTime is how long a fault lasts at least: longer than the hold and the
+// callers' patience together, so that nothing sits it out.
+const faultTime = 4 * time.Second
+
+// service is the service that is called in all scenarios.
+const service = "torquebench"
+
+// leavingBound is the longest time of new work after a leaving is announced.
+const leavingBound = 5 * time.Second
+
+// logLevel of the nodes; the environment variable LOG_LEVEL sets another.
+func logLevel() string {
+	if level := os.Getenv("LOG_LEVEL"); level != "" {
+		return level
+	}
+	return "error"
+}
+
+// process is one run of an entry VM.
+type process struct {
+	*Node
+	settings *settings.Settings
+	stop     context.CancelFunc // starts the graceful shutdown
+	done     chan error         // Run's result
+	dead     atomic.Bool
+}
+
+func (p *process) callers() string { return p.settings.Listen.Callers }
+
+// cluster is a running site with its entry VMs and the record of the run.
+type cluster struct {
+	t     *testing.T
+	site  *site.Site
+	net   *network
+	rec   *history.Recorder
+	mu    sync.Mutex // guards nodes
+	nodes []*process
+	log   *logrus.Logger
+	http  *http.Client
+
+	rate    float64       // requests a second of each kind in traffic
+	timeout time.Duration // of each request
+}
+
+// startCluster starts two data centres with two entry VMs each, and waits
+// until every one serves.
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	t.Parallel()
+	s, err := site.Start(site.Config{
+		DataCentres: []api.DataCentre{"bne", "cas"}, VMs: 4, VMsPerRack: 2,
+		Capacity: api.Resources{MilliCPU: 4000, MemoryMB: 4096},
+		Services: []site.Service{{Name: service, Executors: 4, Slots: 8, Connections: 60, ServiceTime: serviceTime, Spread: 0.5}},
+		Seed:     1,
+	})
+	must(t, err)
+	log, err := logging.New(t.Output(), logLevel())
+	must(t, err)
+	c := &cluster{t: t, site: s, net: newNetwork(), rec: history.NewRecorder(), log: log, http: &http.Client{Timeout: deadline},
+		rate: 30, timeout: requestTimeout}
+	t.Cleanup(c.close)
+	all, err := s.Entries(2)
+	must(t, err)
+	c.addresses(all)
+	for _, e := range all {
+		e.Hold.Hold, e.Hold.Lease, e.Hold.Heartbeat = ms(600), ms(2000), ms(100)
+		e.Log.AppendTimeout, e.Log.ReadTimeout, e.Log.ReadWait = ms(500), ms(500), ms(200)
+		e.VMList.Interval, e.VMList.Timeout = ms(200), ms(500)
+		e.ReadinessDelay, e.DrainDeadline = ms(200), settings.Duration(deadline)
+		must(t, e.Validate())
+		c.nodes = append(c.nodes, c.run(e))
+	}
+	c.publish(c.nodes[0], "service", service, 0, `{"max_attempts":3,"queue_ms":1000}`)
+	c.awaitServing(c.nodes...)
+	return c
+}
+
+// lastPort counts up the ports of entry VMs. They lie below those that the
+// system hands out, so that no connection takes one while its entry VM is
+// being replaced.
+var lastPort atomic.Int32
+
+const (
+	firstPort = 10_000
+	portRange = 20_000
+)
+
+func (c *cluster) freePort() string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(os.Getpid()*97+int(lastPort.Add(1)))%portRange)
+		if l, err := net.Listen("tcp", address); err == nil {
+			must(c.t, l.Close())
+			return address
+		}
+	}
+}
+
+// addresses gives all entry VMs ports that stay theirs, and names the peers'
+// ones in the network.
+func (c *cluster) addresses(all []*settings.Settings) {
+	var seeds []string
+	for _, e := range all {
+		e.Listen = settings.Listen{Callers: c.freePort(), Operators: c.freePort(), Peers: c.freePort()}
+		e.AdvertisePeer = e.Listen.Peers
+		c.net.names[e.AdvertisePeer] = e.NodeID
+		seeds = append(seeds, e.AdvertisePeer)
+	}
+	for _, e := range all {
+		e.Peers = seeds
+	}
+}
+
+func ms(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Millisecond) }
+
+// run starts a process with the given settings.
+func (c *cluster) run(s *settings.Settings) *process {
+	c.t.Helper()
+	logs, err := httplog.NewClient(httplog.Config{BaseURL: s.Log.URLs[0]})
+	must(c.t, err)
+	c.net.revive(s.NodeID)
+	n, err := NewWith(s, c.log, c.net.outside(s.NodeID, Outside{
+		Log: logs, VMList: httpvmlist.New(s.VMList.URL), Worker: httpworker.New(workerDialTimeout),
+		Endpoint: httpendpoint.New(httpendpoint.Config{}),
+	}))
+	must(c.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{Node: n, settings: s, stop: stop, done: make(chan error, 1)}
+	go func() { p.done <- n.Run(ctx) }()
+	return p
+}
+
+// kill ends a process at once: nothing more of it gets out.
+func (c *cluster) kill(p *process) {
+	c.net.setDead(p.settings.NodeID)
+	p.Abort()
+	if err := <-p.done; !errors.Is(err, ErrAborted) {
+		c.t.Errorf("%s: %v", p.settings.NodeID, err)
+	}
+	p.dead.Store(true)
+}
+
+// replace starts a new process in the place of a dead one.
+func (c *cluster) replace(p *process) *process {
+	next := c.run(p.settings)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[slices.Index(c.nodes, p)] = next
+	return next
+}
+
+// leave shuts a process down gracefully and waits until it has ended.
+func (c *cluster) leave(p *process) {
+	p.stop()
+	if err := <-p.done; err != nil {
+		c.t.Errorf("%s: %v", p.settings.NodeID, err)
+	}
+	p.dead.Store(true)
+}
+
+func (c *cluster) close() {
+	c.net.heal()
+	for _, p := range c.nodes {
+		if !p.dead.Load() {
+			c.kill(p)
+		}
+	}
+	c.http.CloseIdleConnections()
+	c.site.Close()
+}
+
+// live returns the processes that have not been ended.
+func (c *cluster) live() []*process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.nodes), func(p *process) bool { return p.dead.Load() })
+}
+
+// finish ends every process gracefully and holds the record against what must
+// always hold. Nothing is running any more then.
+func (c *cluster) finish() {
+	c.t.Helper()
+	var stops sync.WaitGroup
+	for _, p := range c.live() {
+		stops.Go(func() { c.leave(p) })
+	}
+	stops.Wait()
+	h := c.rec.History()
+	for _, vm := range c.site.VMs {
+		h.Workers = append(h.Workers, c.site.Workers.VM(vm.ID).Record())
+		for _, ep := range vm.Endpoints {
+			h.Endpoints = append(h.Endpoints, history.Endpoint{Spec: ep, Record: c.site.Executors[ep.ID].Record()})
+		}
+	}
+	h.End = time.Now()
+	for _, v := range history.Check(h, history.Limits{Connections: 60, Leaving: leavingBound, Attempts: 3}) {
+		c.t.Error(v)
+	}
+}
+
+// await waits until ok returns true.
+func (c *cluster) await(what string, ok func() bool) {
+	c.t.Helper()
+	if !c.within(ok) {
+		c.t.Fatalf("waited in vain: %s", what)
+	}
+}
+
+// within reports whether ok returns true before the deadline.
+func (c *cluster) within(ok func() bool) bool {
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitServing waits until every one of nodes answers requests of both kinds,
+// those whose home is another data centre included.
+func (c *cluster) awaitServing(nodes ...*process) {
+	c.t.Helper()
+	c.awaitIdempotent(nodes...)
+	c.each(nodes, func(p *process) bool {
+		for _, home := range p.settings.DataCentres {
+			if !c.within(func() bool { return c.serves(p, string(home)+"/", false) }) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// awaitIdempotent waits until every one of nodes answers idempotent requests.
+func (c *cluster) awaitIdempotent(nodes ...*process) {
+	c.t.Helper()
+	c.each(nodes, func(p *process) bool { return c.within(func() bool { return c.serves(p, "", true) }) })
+}
+
+// each calls served for all of nodes at once; all must be true.
+func (c *cluster) each(nodes []*process, served func(p *process) bool) {
+	c.t.Helper()
+	var all sync.WaitGroup
+	for _, p := range nodes {
+		all.Go(func() {
+			if !served(p) {
+				c.t.Errorf("%s doesn't serve", p.settings.NodeID)
+			}
+		})
+	}
+	all.Wait()
+	if c.t.Failed() {
+		c.t.FailNow()
+	}
+}
+
+// serves sends one request through p and reports whether it ran.
+func (c *cluster) serves(p *process, prefix string, idempotent bool) bool {
+	ran := false
+	id := fmt.Sprintf("%s%s-probe-%d", prefix, p.settings.NodeID, c.rec.Now())
+	c.load(id, load.Config{
+		Entries: []string{p.callers()}, MaxOpen: 1, Duration: time.Second,
+		Streams: []load.Stream{{Service: service, Rate: 1000, Idempotent: idempotent, Timeout: c.timeout}},
+	}, func(r *load.Runner, stop func()) {
+		record := r.OnSample
+		r.OnSample = func(s load.Sample) {
+			record(s)
+			ran = ran || s.Outcome == api.OutcomeRan
+			stop()
+		}
+	})
+	return ran
+}
+
+// load runs a load to its end and records it.
+func (c *cluster) load(prefix string, cfg load.Config, prepare ...func(r *load.Runner, stop func())) []*load.Result {
+	cfg.Seed, cfg.IDPrefix = 1, prefix
+	runner, err := load.NewRunner(cfg)
+	must(c.t, err)
+	runner.KeepAnswers = true
+	runner.OnSample = func(s load.Sample) { c.record(cfg, s) }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, f := range prepare {
+		f(runner, cancel)
+	}
+	return runner.Run(ctx)
+}
+
+func (c *cluster) record(cfg load.Config, s load.Sample) {
+	end := c.rec.Now()
+	stream := cfg.Streams[s.Stream]
+	c.rec.Request(history.Request{
+		ID: s.ID, Idempotent: stream.Idempotent, Body: make([]byte, stream.BodyBytes), Start: end - s.Latency, End: end,
+		Outcome: s.Outcome, Reason: s.Reason, Status: s.Status, Answer: s.Answer, Checksum: s.Checksum,
+	})
+}
+
+// traffic is load of both kinds through all of nodes, with repeats of half of
+// the ids through another entry VM, while faults are made.
+func (c *cluster) traffic(nodes []*process, faults func(), prepare ...func(r *load.Runner, stop func())) []*load.Result {
+	c.t.Helper()
+	cfg := load.Config{MaxOpen: 500, Duration: load.MaxDuration}
+	for _, idempotent := range []bool{true, false} {
+		cfg.Streams = append(cfg.Streams, load.Stream{
+			Caller: fmt.Sprintf("caller-%t", idempotent), Service: service, Rate: c.rate, Idempotent: idempotent, BodyBytes: 1000, Timeout: c.timeout, Repeat: 0.5,
+		})
+	}
+	for _, p := range nodes {
+		cfg.Entries = append(cfg.Entries, p.callers())
+	}
+	over := func(_ *load.Runner, stop func()) {
+		go func() {
+			defer stop()
+			faults()
+		}()
+	}
+	results := c.load("r", cfg, append(prepare, over)...)
+	for i, r := range results {
+		var line bytes.Buffer
+		r.Print(&line, cfg.Streams[i].Caller)
+		c.t.Log(line.String())
+	}
+	return results
+}
+
+// answered waits until n more requests were answered as run.
+func (c *cluster) answered(n int) {
+	before := c.ran()
+	c.await(fmt.Sprintf("%d answers", n), func() bool { return c.ran() >= before+n })
+}
+
+// outlasted waits until a fault has lasted, and requests were answered as run
+// meanwhile.
+func (c *cluster) outlasted() {
+	c.t.Helper()
+	start := time.Now()
+	c.answered(50)
+	c.await("the fault has lasted", func() bool { return time.Since(start) > faultTime })
+}
+
+func (c *cluster) ran() int {
+	n := 0
+	for _, r := range c.rec.History().Requests {
+		if r.Outcome == api.OutcomeRan {
+			n++
+		}
+	}
+	return n
+}
+
+// faulty sets the faults of the executors on vms.
+func (c *cluster) faulty(vms []api.VM, f executor.Faults) {
+	for _, vm := range vms {
+		for _, ep := range vm.Endpoints {
+			c.site.Executors[ep.ID].SetFaults(f)
+		}
+	}
+}
+
+// do sends one request to a node and returns its answer, or an error when
+// there is no whole answer.
+func (c *cluster) do(method, url, body string) (status int, outcome api.Outcome, answer []byte, err error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
+	must(c.t, err)
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer resp.Body.Close()
+	answer, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, api.Outcome(resp.Header.Get(api.HeaderOutcome)), answer, err
+}
+
+// publish publishes a record through p until its outcome is known, and records
+// the publication.
+func (c *cluster) publish(p *process, kind api.Kind, name string, basedOn api.Revision, spec string) api.PublishAnswer {
+	body, err := json.Marshal(api.Record{Kind: kind, Name: name, SchemaVersion: schema.Newest(kind), BasedOn: basedOn, Spec: json.RawMessage(spec)})
+	must(c.t, err)
+	done := history.Publish{Entry: string(p.settings.NodeID), Key: string(kind) + "/" + name, Value: spec, BasedOn: basedOn, Start: c.rec.Now()}
+	c.await("publication of "+done.Key, func() bool {
+		_, _, answer, err := c.do(http.MethodPost, "http://"+p.settings.Listen.Operators+"/v1/records", string(body))
+		if err != nil || json.Unmarshal(answer, &done.Answer) != nil {
+			return p.dead.Load()
+		}
+		return done.Answer.Outcome == api.PublishAccepted || done.Answer.Outcome == api.PublishConflict
+	})
+	done.End = c.rec.Now()
+	c.rec.Publish(done)
+	return done.Answer
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/entry/jobs_test.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/front"
+	"github.com/skylarklock/skylarklock/internal/history"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/standin/logserver"
+	"github.com/skylarklock/skylarklock/internal/standin/worker"
+)
+
+// runTime is how long each task takes by itself.
+const runTime = 300 * time.Millisecond
+
+// work is a set of jobs that were submitted to one data centre.
+type work struct {
+	c    *cluster
+	jobs []history.Job
+}
+
+// submit submits n batch jobs and n gang jobs of four tasks each through the
+// entry VMs of a data centre in turn. An answer that is lost or open is asked
+// for again.
+func (c *cluster) submit(dc api.DataCentre, name string, n int, runTime time.Duration) *work {
+	c.t.Helper()
+	w := &work{c: c}
+	for i := range 2 * n {
+		class := api.ClassBatch
+		if i%2 == 1 {
+			class = api.ClassGang
+		}
+		spec := api.JobSpec{
+			ID: api.JobID(fmt.Sprintf("%s-%s-%d", dc, name, i)), Team: "lots", Class: class, Tasks: 4, MaxAttempts: 20,
+			Resources: api.Resources{MilliCPU: 900, MemoryMB: 256}, RunTime: runTime, Checkpointable: i%4 < 2,
+		}
+		body, err := json.Marshal(spec)
+		must(c.t, err)
+		job := history.Job{Spec: spec}
+		c.await("submission of "+string(spec.ID), func() bool {
+			_, job.Submitted, _, _ = c.do(http.MethodPost, c.entryOf(dc, i)+"/v1/jobs", string(body))
+			return job.Submitted == api.OutcomeRan
+		})
+		w.jobs = append(w.jobs, job)
+	}
+	return w
+}
+
+// entryOf returns the callers' URL of a live entry VM of a data centre.
+func (c *cluster) entryOf(dc api.DataCentre, turn int) string {
+	var urls []string
+	for _, p := range c.live() {
+		if p.settings.DataCentre == dc {
+			urls = append(urls, "http://"+p.callers())
+		}
+	}
+	return urls[turn%len(urls)]
+}
+
+// cancel cancels all jobs at once.
+func (w *work) cancel() {
+	w.c.t.Helper()
+	var wave sync.WaitGroup
+	for i := range w.jobs {
+		job := &w.jobs[i]
+		wave.Go(func() {
+			job.Cancelled = w.c.within(func() bool {
+				_, outcome, _, _ := w.c.do(http.MethodDelete, w.c.entryOf(dcOf(job), i)+"/v1/jobs/"+string(job.Spec.ID), "")
+				return outcome == api.OutcomeRan
+			})
+		})
+	}
+	wave.Wait()
+}
+
+func dcOf(job *history.Job) api.DataCentre { return api.DataCentre(job.Spec.ID[:3]) }
+
+// await waits until every task has come to its end.
+func (w *work) await() {
+	w.c.t.Helper()
+	for i := range w.jobs {
+		job := &w.jobs[i]
+		w.c.await("end of "+string(job.Spec.ID), func() bool {
+			_, _, answer, err := w.c.do(http.MethodGet, w.c.entryOf(dcOf(job), 0)+"/v1/jobs/"+string(job.Spec.ID), "")
+			var status front.JobStatus
+			if err != nil || json.Unmarshal(answer, &status) != nil {
+				return false
+			}
+			job.Tasks = status.Tasks
+			return status.Tasks["finished"]+status.Tasks["failed"]+status.Tasks["cancelled"] == job.Spec.Tasks
+		})
+	}
+}
+
+// finish waits for the end of every task and records the jobs.
+func (w *work) finish() {
+	w.c.t.Helper()
+	w.await()
+	for _, job := range w.jobs {
+		w.c.rec.Job(job)
+	}
+}
+
+// running waits until n tasks are running in a data centre.
+func (c *cluster) running(dc api.DataCentre, n int) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("%d running tasks", n), func() bool {
+		count := 0
+		for _, vm := range c.site.VMs {
+			for _, run := range c.site.Workers.VM(vm.ID).Record().Runs {
+				if vm.DataCentre == dc && run.State == platform.RunRunning {
+					count++
+				}
+			}
+		}
+		return count >= n
+	})
+}
+
+// TestWorkerFaults: one of the workers of a data centre does wrong under work.
+func TestWorkerFaults(t *testing.T) {
+	for name, fault := range map[string]func(vm *worker.VM){
+		"frozen":        func(vm *worker.VM) { vm.SetFaults(worker.Faults{Frozen: true}) },
+		"restart":       func(vm *worker.VM) { vm.Restart() },
+		"loses answers": func(vm *worker.VM) { vm.SetFaults(worker.Faults{LoseAnswers: 30}) },
+		"slow answers":  func(vm *worker.VM) { vm.SetFaults(worker.Faults{Delay: 700 * time.Millisecond}) },
+		"fails all":     func(vm *worker.VM) { vm.SetFaults(worker.Faults{FailEverything: true}) },
+		"leaving":       func(vm *worker.VM) { vm.SetFaults(worker.Faults{Leaving: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t)
+			first := c.submit("bne", "first", 4, 10*runTime)
+			c.running("bne", 8)
+			fault(c.site.Workers.VM(c.site.VMs[0].ID))
+			if name == "leaving" {
+				c.rec.Leaving(history.Leaving{VM: c.site.VMs[0].ID, At: time.Now()})
+			}
+			second := c.submit("bne", "second", 4, runTime)
+			second.await()
+			if name != "leaving" {
+				c.site.Workers.VM(c.site.VMs[0].ID).SetFaults(worker.Faults{})
+			}
+			third := c.submit("bne", "third", 4, runTime)
+			for _, w := range []*work{first, second, third} {
+				w.finish()
+			}
+			c.finish()
+		})
+	}
+}
+
+// TestPlacementHolderLost: the entry VM that places tasks dies, or stops for a
+// while and goes on with what it had decided.
+func TestPlacementHolderLost(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, holder *process){
+		"killed": func(c *cluster, holder *process) { c.kill(holder); c.replace(holder) },
+		"frozen": func(c *cluster, holder *process) { c.net.setFrozen(holder.settings.NodeID, true) },
+		"cut from log": func(c *cluster, holder *process) {
+			c.net.setCut(true, [2]api.NodeID{holder.settings.NodeID, logName}, [2]api.NodeID{logName, holder.settings.NodeID})
+		},
+		"cut from workers": func(c *cluster, holder *process) {
+			c.net.setCut(true, [2]api.NodeID{workersName, holder.settings.NodeID})
+		},
+		"leaves": func(c *cluster, holder *process) { c.leave(holder); c.replace(holder) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t)
+			first := c.submit("bne", "first", 4, 10*runTime)
+			c.running("bne", 8)
+			lose(c, c.placementHolder("bne"))
+			var second *work
+			start := time.Now()
+			if name == "frozen" || name == "cut from log" {
+				c.await("the fault has lasted", func() bool { return time.Since(start) > faultTime })
+				c.net.heal()
+			}
+			second = c.submit("bne", "second", 4, runTime)
+			if name == "cut from workers" {
+				c.await("the fault has lasted", func() bool { return time.Since(start) > faultTime })
+				c.net.heal()
+			}
+			first.finish()
+			second.finish()
+			c.finish()
+		})
+	}
+}
+
+// placementHolder waits until some entry VM of a data centre places tasks.
+func (c *cluster) placementHolder(dc api.DataCentre) (holder *process) {
+	c.t.Helper()
+	c.await("holder of the placement shard", func() bool {
+		for _, p := range c.live() {
+			if _, held, _ := p.owner.CellAuthority(time.Now()); held && p.settings.DataCentre == dc {
+				holder = p
+			}
+		}
+		return holder != nil
+	})
+	return holder
+}
+
+// TestCancellationWave: all jobs are cancelled at once while the log loses
+// answers; some run, some wait.
+func TestCancellationWave(t *testing.T) {
+	c := startCluster(t)
+	w := c.submit("bne", "wave", 15, time.Hour)
+	c.running("bne", 8)
+	c.site.Log.SetFaults(logserver.Faults{LoseAnswers: 20})
+	w.cancel()
+	w.finish()
+	c.site.Log.SetFaults(logserver.Faults{})
+	c.finish()
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -57,6 +57,7 @@
 	At       time.Duration
 	Revision api.Revision // zero: there is none
 	Value    string
+	Final    bool // read when all publications were long over
 }
 
 // Leaving says when a VM or an endpoint on it was announced to be leaving.
