--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -165,7 +165,6 @@
 		Load:    n.load,
 		Drains:  func() bool { return n.owner.Draining() },
 		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Log:     n.log,
 	})
 	n.owner = ownership.NewController(ownership.Config{
 		Self:     identityOf(n.origin),
@@ -175,6 +174,7 @@
 		Proposer: n.streams.cell,
 		Follower: n.streams.cell,
 		Health:   n.members.Health,
+		Unlisted: n.unlisted,
 		InFlight: n.inFlight,
 		Log:      n.log,
 	})
@@ -238,6 +238,9 @@
 	if err := n.peerServer.Register(member.ServiceName, n.members.Handler()); err != nil {
 		return errors.Wrap(err, "register heartbeats")
 	}
+	if err := n.peerServer.Register(statesService, &States{replicas: n.replicas()}); err != nil {
+		return errors.Wrap(err, "register states")
+	}
 	err := n.peerServer.Register(requestsService, &Requests{chain: n.chain, wait: wait})
 	return errors.Wrap(err, "register hand-overs")
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,7 +11,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -22,10 +22,10 @@
 
 // Runner sends the requests of one run.
 type Runner struct {
-	cfg    Config
-	client *http.Client
-	open   chan struct{}
-	turn   atomic.Uint64
+	cfg     Config
+	client  *http.Client
+	open    chan struct{}
+	targets *balancer
 	// OnSample, when set, is called for every sample, from many goroutines.
 	OnSample func(Sample)
 	// KeepAnswers keeps the answers' bodies in the samples.
@@ -47,9 +47,10 @@
 		DisableCompression:  true,
 	}
 	return &Runner{
-		cfg:    cfg,
-		client: &http.Client{Transport: transport},
-		open:   make(chan struct{}, cfg.MaxOpen),
+		cfg:     cfg,
+		client:  &http.Client{Transport: transport},
+		targets: newBalancer(cfg.Entries),
+		open:    make(chan struct{}, cfg.MaxOpen),
 	}, nil
 }
 
@@ -57,6 +58,11 @@
 // the open requests and returns one result per stream.
 func (r *Runner) Run(ctx context.Context) []*Result {
 	results := make([]*Result, len(r.cfg.Streams))
+	checking, stopChecks := context.WithCancel(ctx)
+	defer stopChecks()
+	if r.cfg.Check > 0 {
+		r.targets.watch(checking, r.cfg.Check)
+	}
 	start := time.Now()
 	var streams, requests sync.WaitGroup
 	for i := range r.cfg.Streams {
@@ -123,15 +129,44 @@
 	}
 }
 
+// request sends one request. One that certainly reached nobody, since no
+// connection came about, goes to the next entry VM.
 func (r *Runner) request(i int, id string) Sample {
 	s := r.cfg.Streams[i]
 	sample := Sample{ID: id, Stream: i}
 	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout+answerGrace)
 	defer cancel()
-	url := "http://" + r.entry() + "/v1/services/" + s.Service + s.Path
+	for range r.cfg.Entries {
+		req, err := buildRequest(ctx, r.entry(), s, id)
+		if err != nil {
+			sample.Err = err
+			return sample
+		}
+		resp, err := r.client.Do(req)
+		if notConnected(err) && r.cfg.Check > 0 {
+			continue
+		}
+		if err != nil {
+			sample.Err = err
+			return sample
+		}
+		sample.read(resp, s.Direct, r.KeepAnswers)
+		return sample
+	}
+	return sample
+}
+
+// notConnected reports whether err is that of a dial.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func buildRequest(ctx context.Context, entry string, s Stream, id string) (*http.Request, error) {
+	url := "http://" + entry + "/v1/services/" + s.Service + s.Path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(make([]byte, s.BodyBytes)))
 	if err != nil {
-		return sample
+		return nil, err
 	}
 	req.GetBody = nil // a repeat must be this runner's own decision
 	req.Header.Set(api.HeaderRequestID, id)
@@ -139,21 +174,25 @@
 	req.Header.Set(api.HeaderClass, s.Class)
 	req.Header.Set(api.HeaderIdempotent, strconv.FormatBool(s.Idempotent))
 	req.Header.Set(api.HeaderTimeout, strconv.FormatInt(s.Timeout.Milliseconds(), 10))
-	resp, err := r.client.Do(req)
+	return req, nil
+}
+
+// read takes a whole answer; one that breaks off is none.
+func (s *Sample) read(resp *http.Response, direct, keep bool) {
+	defer resp.Body.Close()
+	body, err := readAnswer(resp.Body, keep)
 	if err != nil {
-		sample.Err = err
-		return sample
+		s.Err = err
+		return
 	}
-	defer resp.Body.Close()
-	if sample.Answer, err = r.readAnswer(resp.Body); err != nil {
-		sample.Err = err
-		return sample
+	s.Answer = body
+	s.Checksum = resp.Trailer.Get(executor.TrailerChecksum)
+	s.Status = resp.StatusCode
+	s.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
+	s.Reason = api.Reason(resp.Header.Get(api.HeaderReason))
+	if direct {
+		s.Outcome = api.OutcomeRan
 	}
-	sample.Checksum = resp.Trailer.Get(executor.TrailerChecksum)
-	sample.Status = resp.StatusCode
-	sample.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
-	sample.Reason = api.Reason(resp.Header.Get(api.HeaderReason))
-	return sample
 }
 
 // entry returns the entry VM for the next request.
@@ -161,12 +200,12 @@
 	if r.Pick != nil {
 		return r.Pick()
 	}
-	return r.cfg.Entries[r.turn.Add(1)%uint64(len(r.cfg.Entries))]
+	return r.targets.next()
 }
 
 // readAnswer reads a whole body and returns it if it is to be kept.
-func (r *Runner) readAnswer(body io.Reader) ([]byte, error) {
-	if r.KeepAnswers {
+func readAnswer(body io.Reader, keep bool) ([]byte, error) {
+	if keep {
 		return io.ReadAll(body)
 	}
 	_, err := io.Copy(io.Discard, body)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -25,11 +25,12 @@
 
 // queue holds the jobs with pending tasks.
 type queue struct {
-	bands  [bandCount]band
-	shapes map[shapeKey]*shape
-	aging  [bandCount]ageHeap // by bands already gained
-	jobs   int
-	tasks  int
+	bands   [bandCount]band
+	shapes  map[shapeKey]*shape
+	blocked blockedIndex       // shapes that wait for capacity
+	aging   [bandCount]ageHeap // by bands already gained
+	jobs    int
+	tasks   int
 }
 
 // band is the jobs of one priority band.
@@ -104,7 +105,8 @@
 	sq.compact()
 }
 
-// drop forgets an empty queue, and its shape with the last one.
+// drop forgets an empty queue, and its shape with the last one. The team's
+// place in the band stays: there are few of those.
 func (q *queue) drop(sq *shapeQueue) {
 	t := sq.owner
 	t.park(sq)
@@ -112,11 +114,9 @@
 	delete(t.shapes, sq.shape)
 	sq.shape.queues--
 	if sq.shape.queues == 0 {
+		q.blocked.unblock(sq.shape)
 		delete(q.shapes, sq.shape.key)
 	}
-	if len(t.shapes) == 0 {
-		delete(t.band.teams, t.team)
-	}
 }
 
 func (q *queue) shapeOf(key shapeKey) *shape {
--- a/internal/scheduler/world.go
+++ b/internal/scheduler/world.go
@@ -23,11 +23,14 @@
 	teams    map[string]*teamState
 	holdings map[api.TaskID]*holding
 	used     api.Resources
-	sequence uint64
-	clock    time.Time // of the last cycle
+	// evictable counts the tasks that may be preempted, by band.
+	evictable bandCounts
+	sequence  uint64
+	clock     time.Time // of the last cycle
 
 	queue       queue
-	blocked     []*shape     // waiting for capacity
+	woken       []*shape     // scratch
+	frontier    frontier     // of those
 	waking      []*teamState // hold less, or may hold more, than when last looked at
 	condemned   []*jobState  // judged never to run
 	rejudge     bool         // condemned jobs are to be judged again
@@ -136,6 +139,10 @@
 func (w *World) Occupy(r Running) {
 	probe := false
 	if old := w.holdings[r.Task]; old != nil {
+		if old.holdsAs(r) {
+			w.confirm(old, r)
+			return
+		}
 		probe = old.probe
 		w.vacate(old)
 	}
@@ -154,6 +161,23 @@
 	})
 }
 
+// holdsAs reports whether h holds the same on the same VM as r says.
+func (h *holding) holdsAs(r Running) bool {
+	return h.vm.ID == r.VM && h.team.name == r.Team && h.resources == r.Resources
+}
+
+// confirm takes over from r what doesn't change what h holds.
+func (w *World) confirm(h *holding, r Running) {
+	w.countEvictable(h, -1)
+	h.started = unixNano(r.Started)
+	h.end = unixNano(r.ExpectedEnd)
+	h.priority = int32(r.Priority)
+	h.class = r.Class
+	h.checkpointable = r.Checkpointable
+	h.reserved = false
+	w.countEvictable(h, 1)
+}
+
 // Vacate records that a task no longer occupies its VM. The task is not
 // pending again until a PutJob says so.
 func (w *World) Vacate(task api.TaskID) {
@@ -185,9 +209,7 @@
 	h.slot = int32(len(v.holdings))
 	v.holdings = append(v.holdings, h)
 	v.used = v.used.Add(h.resources)
-	if h.evictable() {
-		v.evictable = v.evictable.Add(h.resources)
-	}
+	w.countEvictable(h, 1)
 	w.used = w.used.Add(h.resources)
 	h.team.use = h.team.use.Add(h.resources)
 	w.countSpread(h, 1)
@@ -203,9 +225,7 @@
 	v.holdings[last] = nil
 	v.holdings = v.holdings[:last]
 	v.used = v.used.Sub(h.resources)
-	if h.evictable() {
-		v.evictable = v.evictable.Sub(h.resources)
-	}
+	w.countEvictable(h, -1)
 	w.used = w.used.Sub(h.resources)
 	h.team.use = h.team.use.Sub(h.resources)
 	w.countSpread(h, -1)
