Say not-run of a non-idempotent id only under its first mark

Cause: an entry VM that turned a copy away looked at the marks and asked its peers, then said not-run. Two copies under way at the same time at two VMs went through that: one was refused just before the other's mark came to stand.

Ruled out: asking more peers (no look closes it); a mark for every refusal (two appends for each under overload); not-run of request_id_reused, unknown_service and a record's too_large as refusals of form, since a mark may be released and records are read at different moments; and of a body that broke off or was slow, since another copy may have come in whole.

Change: what is turned away before its mark stands is unknown with Retry-After, status 503. Under the own mark, with nothing sent, a cause that passes releases the mark and is unknown with Retry-After; one that doesn't is journaled as not-run and said after the read-back, and the id stays dead. The question to all peers, the memory of hand-overs, MarkLag, AskTimeout and Keys.Confirmed go.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -13,9 +13,13 @@
 const (
 	// OutcomeRan: an endpoint ran the request and this is its whole answer.
 	OutcomeRan Outcome = "ran"
-	// OutcomeNotRun: it is certain that no endpoint ran the request.
+	// OutcomeNotRun: it is certain that no endpoint ran the request or will
+	// run it. Of a non-idempotent request it speaks of the request id: no
+	// copy, through any entry VM, ran or ever will. Of an idempotent request
+	// it speaks of this copy only; others of the same id may have run.
 	OutcomeNotRun Outcome = "not-run"
-	// OutcomeUnknown: the request may have run; no whole answer is known.
+	// OutcomeUnknown: the request, or a copy of it, may have run or come to
+	// run; no whole answer is known. Asking again with the same id is safe.
 	OutcomeUnknown Outcome = "unknown"
 )
 
@@ -80,5 +84,12 @@
 
 // Unknown returns the answer for a request that may have run.
 func Unknown(reason Reason, detail string) *Refusal {
-	return &Refusal{Outcome: OutcomeUnknown, Reason: reason, Detail: detail}
+	return UnknownRetry(reason, 0, detail)
+}
+
+// UnknownRetry returns the answer for a request of which a copy may have run
+// or may yet run. Asking again with the same id after retryAfter is safe and
+// may bring another word.
+func UnknownRetry(reason Reason, retryAfter time.Duration, detail string) *Refusal {
+	return &Refusal{Outcome: OutcomeUnknown, Reason: reason, RetryAfter: retryAfter, Detail: detail}
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -181,7 +181,7 @@
 	s := n.settings
 	n.router = router.New(router.Config{})
 	n.streams.configs.Subscribe(n.configChanged)
-	n.keys = reqkey.NewKeys(n.streams.marks, n.streams.cell, n.streams.cell, n.origin, reqkey.DefaultMaxBody)
+	n.keys = reqkey.NewKeys(n.streams.marks, n.streams.cell, n.origin, reqkey.DefaultMaxBody)
 	n.chain = filter.New(filter.Settings{
 		Node:           s.NodeID,
 		DataCentre:     s.DataCentre,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -23,19 +23,11 @@
 	client  *peer.Client
 }
 
-// Candidates implements filter.Peers. It lists the whole roster: members that
-// are out of reach, or have no room, with none.
+// Candidates implements filter.Peers.
 func (p peers) Candidates(service string) []filter.PeerLoad {
-	free := make(map[api.NodeID]int)
-	for _, c := range p.members.Candidates(service) {
-		free[c.Node] = c.Free
-	}
-	roster, _ := p.owners.Roster()
 	var loads []filter.PeerLoad
-	for _, m := range roster {
-		if m.Who.Node != p.self {
-			loads = append(loads, filter.PeerLoad{Node: m.Who.Node, Free: free[m.Who.Node]})
-		}
+	for _, c := range p.members.Candidates(service) {
+		loads = append(loads, filter.PeerLoad{Node: c.Node, Free: c.Free})
 	}
 	return loads
 }
--- a/internal/filter/answer.go
+++ b/internal/filter/answer.go
@@ -15,11 +15,7 @@
 			c.deps.Counters.Inc(GroupAnswered, CountRan)
 			return answer, nil
 		}
-		answer, refusal := c.truthful(ctx, x, asRefusal(err))
-		if answer != nil {
-			c.deps.Counters.Inc(GroupAnswered, CountRan)
-			return answer, nil
-		}
+		refusal := asRefusal(err)
 		group := GroupUnknown
 		if refusal.Outcome == api.OutcomeNotRun {
 			group = GroupRefused
--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
-	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
@@ -27,7 +26,7 @@
 		kind, f, kept := c.runs.enter(x, cancel)
 		switch kind {
 		case entryReused:
-			return nil, reused(x.Request.ID)
+			return nil, c.reused(x)
 		case entryKept:
 			c.deps.Counters.Inc(GroupRepeat, CountKept)
 			return kept.unpack()
@@ -51,8 +50,17 @@
 	}
 }
 
-func reused(id string) *api.Refusal {
-	return api.NotRun(api.ReasonIDReused, 0, fmt.Sprintf("request id %q was used for another request", id))
+// reused refuses x because its id belongs to another request. That is final
+// once the other's outcome is in the log; until then its mark may be released
+// and the id be used for x.
+func (c *Chain) reused(x *Exchange) *api.Refusal {
+	id := x.Request.ID
+	refusal := api.NotRun(api.ReasonIDReused, 0, fmt.Sprintf("request id %q was used for another request", id))
+	state, marked := c.deps.Keys.Lookup(id)
+	if marked && state.Mark.Digest != x.Digest && state.Outcome != "" {
+		return refusal
+	}
+	return c.turnedAway(x, refusal)
 }
 
 // run carries f to its end. A panic ends this request only, as in net/http,
@@ -84,13 +92,10 @@
 	}).Error("a request's handler panicked")
 }
 
-// keepable reports whether res is the last word on the id: a whole answer,
-// or unknown for a request that was sent under this VM's mark.
+// keepable reports whether res is the last word on the id: a whole answer, or
+// a refusal under this VM's mark that asking again won't change.
 func keepable(x *Exchange, res result) bool {
-	if res.refusal == nil {
-		return true
-	}
-	return x.Mark != nil && res.refusal.Outcome == api.OutcomeUnknown
+	return res.refusal == nil || x.Mark != nil && res.refusal.RetryAfter == 0
 }
 
 // firstOrRepeat goes on with a first request and answers a repeat.
@@ -138,9 +143,7 @@
 }
 
 func (c *Chain) stillRunning(id string) *api.Refusal {
-	refusal := api.Unknown(api.ReasonStillRunning, fmt.Sprintf("request %q is in flight", id))
-	refusal.RetryAfter = c.settings.RetryAfter
-	return refusal
+	return api.UnknownRetry(api.ReasonStillRunning, c.settings.RetryAfter, fmt.Sprintf("request %q is in flight", id))
 }
 
 // errNotSent says that the mark found was never used, so that the id may be
@@ -151,7 +154,7 @@
 // the writer of the mark never used it.
 func (c *Chain) repeat(ctx context.Context, x *Exchange, state reqkey.State) (*api.Answer, error) {
 	if state.Mark.Digest != x.Digest {
-		return nil, reused(x.Request.ID)
+		return nil, c.reused(x)
 	}
 	if answer, err, ok := c.journaled(state); ok {
 		return answer, err
@@ -175,16 +178,22 @@
 		c.deps.Counters.Inc(GroupRepeat, CountJournaled)
 		return state.Answer, nil, true
 	case state.Outcome == api.OutcomeUnknown:
-		reason := state.Reason
-		if reason == "" {
-			reason = api.ReasonAnswerLost
-		}
-		return nil, api.Unknown(reason, "an earlier attempt brought no whole answer"), true
+		return nil, api.Unknown(keptReason(state), "an earlier attempt brought no whole answer"), true
+	case state.Outcome == api.OutcomeNotRun:
+		return nil, api.NotRun(keptReason(state), 0, notRunDetail), true
 	default:
 		return nil, nil, false
 	}
 }
 
+// keptReason returns the journaled reason, or answer_lost when it was dropped.
+func keptReason(state reqkey.State) api.Reason {
+	if state.Reason == "" {
+		return api.ReasonAnswerLost
+	}
+	return state.Reason
+}
+
 // askWriter asks the entry VM that marked the id.
 func (c *Chain) askWriter(ctx context.Context, x *Exchange, state reqkey.State) (*api.Answer, error) {
 	writer := state.Mark.Writer.Node
@@ -215,18 +224,13 @@
 			return answer, err
 		}
 	}
-	refusal := api.Unknown(reason, detail)
-	refusal.RetryAfter = c.settings.RetryAfter
-	return nil, refusal
+	return nil, api.UnknownRetry(reason, c.settings.RetryAfter, detail)
 }
 
 // AnswerOf serves Peers.AnswerOf: it tells what became of the request that
 // this entry VM marked, waiting for one in flight at most query.Wait.
 func (c *Chain) AnswerOf(ctx context.Context, query *AnswerQuery) *AnswerReply {
 	mark := query.Mark
-	if mark.Writer == (journal.Origin{}) {
-		return c.anyTrace(query)
-	}
 	if mark.Writer != c.deps.Keys.Self() {
 		return &AnswerReply{State: AnswerForgotten}
 	}
@@ -262,7 +266,7 @@
 
 // notSentReply frees the id first, so that the asker's own mark can win.
 func (c *Chain) notSentReply(ctx context.Context, mark reqkey.Mark) *AnswerReply {
-	ctx, cancel := context.WithTimeout(ctx, c.settings.AskTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.settings.ReleaseTimeout)
 	defer cancel()
 	c.release(ctx, mark)
 	return &AnswerReply{State: AnswerNotSent}
--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -67,10 +67,8 @@
 
 // Peers reaches other entry VMs. Nothing is repeated by it.
 type Peers interface {
-	// Candidates lists every entry VM in the roster of this data centre,
-	// without this one, with its room for service. One that is out of reach
-	// is listed with no room until it has left the roster: it is asked
-	// before not-run is said while the log can't be read.
+	// Candidates lists the other entry VMs of this data centre that have
+	// room for service.
 	Candidates(service string) []PeerLoad
 	// Home lists the live entry VMs of another data centre, best first.
 	Home(dc api.DataCentre) []api.NodeID
@@ -101,11 +99,8 @@
 	Self() journal.Origin
 	Lookup(id string) (reqkey.State, bool)
 	Mark(ctx context.Context, id string, digest uint64) (reqkey.Mark, error)
-	Settle(ctx context.Context, mark reqkey.Mark, answer *api.Answer, reason api.Reason) error
+	Settle(ctx context.Context, mark reqkey.Mark, answer *api.Answer, refusal *api.Refusal) error
 	Release(ctx context.Context, mark reqkey.Mark) error
-	// Confirmed is the local time before which every mark that was in the
-	// log is known here; zero when none is.
-	Confirmed() time.Time
 }
 
 var _ Keys = (*reqkey.Keys)(nil)
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -3,7 +3,8 @@
 //
 // It decides what a caller is told. Each final answer is one of three: the
 // whole answer of an endpoint (ran), a refusal of a request that certainly
-// did not run (not-run), or a refusal that leaves it open (unknown). See
+// did not run (not-run), or a refusal that leaves it open (unknown). Of a
+// non-idempotent request only the writer of its first mark says not-run. See
 // docs/design/requests.md.
 package filter
 
@@ -55,8 +56,7 @@
 	AnswerGrace    time.Duration    // for which a caller waits past the deadline for the final word
 	JournalTimeout time.Duration    // of outcomes and releases, which no caller waits for
 	JournalBacklog int              // outcomes and releases under way at once
-	MarkLag        time.Duration    // age of the view of the log from which peers are asked before not-run is said
-	AskTimeout     time.Duration    // of asking them
+	ReleaseTimeout time.Duration    // for which a peer that asks for an unused mark waits for its release
 }
 
 // Defaults of Settings.
@@ -72,8 +72,7 @@
 	DefaultAnswerGrace    = 50 * time.Millisecond
 	DefaultJournalTimeout = 10 * time.Second
 	DefaultJournalBacklog = 4096
-	DefaultMarkLag        = time.Second
-	DefaultAskTimeout     = 200 * time.Millisecond
+	DefaultReleaseTimeout = 200 * time.Millisecond
 )
 
 func (s Settings) withDefaults() Settings {
@@ -88,8 +87,7 @@
 	setDefault(&s.AnswerGrace, DefaultAnswerGrace)
 	setDefault(&s.JournalTimeout, DefaultJournalTimeout)
 	setDefault(&s.JournalBacklog, DefaultJournalBacklog)
-	setDefault(&s.MarkLag, DefaultMarkLag)
-	setDefault(&s.AskTimeout, DefaultAskTimeout)
+	setDefault(&s.ReleaseTimeout, DefaultReleaseTimeout)
 	return s
 }
 
@@ -109,7 +107,6 @@
 	limits   *limiter
 	budget   *retry.Budget
 	journal  *background
-	asking   chan struct{} // one element for each request about which peers are asked
 
 	whole Handler // of callers' requests
 	home  Handler // of requests handed over to their home data centre
@@ -130,7 +127,6 @@
 		limits:   newLimiter(settings, deps.Limits),
 		budget:   retry.NewBudget(),
 		journal:  newBackground(settings.JournalBacklog, settings.JournalTimeout),
-		asking:   make(chan struct{}, maxAsking),
 	}
 	c.whole = assemble(c.attempt,
 		c.answer,
--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -119,7 +119,7 @@
 	return func(ctx context.Context, x *Exchange) (*api.Answer, error) {
 		if refusal := c.gate.Enter(); refusal != nil {
 			refusal.RetryAfter = c.settings.RetryAfter
-			return nil, refusal
+			return nil, c.turnedAway(x, refusal)
 		}
 		defer c.gate.Leave()
 		return next(ctx, x)
--- a/internal/filter/home.go
+++ b/internal/filter/home.go
@@ -70,22 +70,15 @@
 		c.deps.Counters.Inc(GroupForward, CountHome)
 		reply, err := c.deps.Peers.Forward(ctx, node, c.forwardRequest(x, ForwardHome))
 		if err == nil && reply != nil {
-			answer, err := reply.unpack()
-			if err == nil || asRefusal(err).Outcome != api.OutcomeNotRun {
-				c.runs.handedOver(x.Request.ID)
-			}
-			return answer, err
+			return reply.unpack()
 		}
 		if !certainlyNotSent(err) {
-			c.runs.handedOver(x.Request.ID)
 			detail := fmt.Sprintf("entry VM %s of %s may have the request, its reply was lost", node, home)
-			refusal := api.Unknown(api.ReasonPeerUnreachable, detail)
-			refusal.RetryAfter = c.settings.RetryAfter
-			return nil, refusal
+			return nil, api.UnknownRetry(api.ReasonPeerUnreachable, c.settings.RetryAfter, detail)
 		}
 	}
 	detail := fmt.Sprintf("no entry VM of the request's home data centre %s can be reached", home)
-	return nil, api.NotRun(api.ReasonHomeUnreachable, c.settings.RetryAfter, detail)
+	return nil, api.UnknownRetry(api.ReasonHomeUnreachable, c.settings.RetryAfter, detail)
 }
 
 func certainlyNotSent(err error) bool {
@@ -126,15 +119,15 @@
 		Deadline: c.deps.Now().Add(req.Remaining),
 		Hops:     req.Hops,
 	}
-	if refusal := c.checkForward(req); refusal != nil {
-		return &ForwardReply{Refusal: refusal}
-	}
 	handle := c.home
 	if req.Kind == ForwardAttempt {
 		handle = c.once
 		x.Mark = req.Mark
 		x.Single = true
 	}
+	if refusal := c.checkForward(req); refusal != nil {
+		return &ForwardReply{Refusal: c.turnedAway(x, refusal)}
+	}
 	answer, err := handle(ctx, x)
 	if err != nil {
 		return &ForwardReply{Refusal: asRefusal(err)}
--- a/internal/filter/identify.go
+++ b/internal/filter/identify.go
@@ -73,13 +73,17 @@
 	return timeout, nil
 }
 
+// findService reads the service's record. Records change, and another entry
+// VM may have another one in force, so its refusals don't rule out a run.
 func (c *Chain) findService(x *Exchange) *api.Refusal {
 	spec, ok := c.deps.Services.Service(x.Request.Service)
 	if !ok {
-		return api.NotRun(api.ReasonUnknownService, 0, fmt.Sprintf("no service %q", x.Request.Service))
+		detail := fmt.Sprintf("no service %q", x.Request.Service)
+		return c.turnedAway(x, api.NotRun(api.ReasonUnknownService, 0, detail))
 	}
 	if size := int64(len(x.Request.Body)); spec.MaxBodyBytes > 0 && size > spec.MaxBodyBytes {
-		return api.NotRun(api.ReasonTooLarge, 0, fmt.Sprintf("body has %d bytes, service %s takes %d", size, spec.Service, spec.MaxBodyBytes))
+		detail := fmt.Sprintf("body has %d bytes, service %s takes %d", size, spec.Service, spec.MaxBodyBytes)
+		return c.turnedAway(x, api.NotRun(api.ReasonTooLarge, 0, detail))
 	}
 	x.Spec = spec
 	return nil
--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -185,7 +185,7 @@
 		start := c.deps.Now()
 		state, refusal := c.limits.enter(x.Request.Caller, x.Request.Class, start)
 		if refusal != nil {
-			return nil, refusal
+			return nil, c.turnedAway(x, refusal)
 		}
 		defer func() {
 			c.limits.leave(state, x.Request.Class, c.deps.Now().Sub(start))
--- a/internal/filter/message.go
+++ b/internal/filter/message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
-	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
@@ -35,12 +34,10 @@
 	Refusal *api.Refusal
 }
 
-// AnswerQuery asks the writer of a mark what became of the request. Without
-// a writer it asks any entry VM for whatever it knows of the id.
+// AnswerQuery asks the writer of a mark what became of the request.
 type AnswerQuery struct {
-	Mark  reqkey.Mark
-	Wait  time.Duration  // longest wait for a request in flight
-	Asker journal.Origin // of a query without a writer
+	Mark reqkey.Mark
+	Wait time.Duration // longest wait for a request in flight
 }
 
 // AnswerState is what a mark's writer knows.
--- a/internal/filter/report.go
+++ b/internal/filter/report.go
@@ -22,7 +22,6 @@
 	KeptBytes   int64          `json:"kept_bytes"`
 	Withdrawn   int            `json:"withdrawn_marks"`   // never used, perhaps still in the log
 	Journaling  int            `json:"journaling"`        // outcomes and releases under way
-	Asking      int            `json:"asking_peers"`      // requests about which peers are asked
 	Callers     []CallerReport `json:"callers,omitempty"` // with requests in flight, most first
 }
 
@@ -52,7 +51,6 @@
 		MaxInFlight: c.settings.MaxInFlight,
 		Batch:       c.limits.batch.Load(),
 		Journaling:  len(c.journal.slots),
-		Asking:      len(c.asking),
 		Callers:     c.limits.report(reportedCallers),
 	}
 	c.runs.report(&r)
--- a/internal/filter/runs.go
+++ b/internal/filter/runs.go
@@ -27,8 +27,6 @@
 	keptBytes int64
 	withdrawn map[string][]uint32 // serials of this VM's marks that were never used
 	drawOrder []string            // oldest first
-	handed    map[string]struct{} // handed over to their home, not known not to have run
-	handOrder []string            // oldest first
 	maxKept   int
 	maxBytes  int64
 }
@@ -70,7 +68,6 @@
 			flights:   make(map[string]*flight),
 			kept:      make(map[string]*keptResult),
 			withdrawn: make(map[string][]uint32),
-			handed:    make(map[string]struct{}),
 			maxKept:   max(maxKept/runShards, 1),
 			maxBytes:  max(maxBytes/runShards, 1),
 		}
@@ -124,13 +121,6 @@
 	return s.flights[id], s.kept[id]
 }
 
-// isUnderWay reports whether a non-idempotent request id with digest is in
-// flight here. A zero digest stands for any.
-func (r *runs) isUnderWay(id string, digest uint64) bool {
-	f, _ := r.find(id)
-	return f != nil && !f.idempotent && (digest == 0 || digest == f.digest)
-}
-
 // leave takes one waiter off f. An idempotent flight that nobody waits for is
 // cancelled and no longer joined; another one goes on.
 func (r *runs) leave(f *flight) {
@@ -212,28 +202,3 @@
 	defer s.mu.Unlock()
 	return slices.Contains(s.withdrawn[id], serial)
 }
-
-// handedOver remembers that the home data centre may have run id. The oldest
-// are forgotten.
-func (r *runs) handedOver(id string) {
-	s := r.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.handed[id]; ok {
-		return
-	}
-	s.handed[id] = struct{}{}
-	s.handOrder = append(s.handOrder, id)
-	if len(s.handOrder) > s.maxKept {
-		delete(s.handed, s.handOrder[0])
-		s.handOrder = s.handOrder[1:]
-	}
-}
-
-func (r *runs) wasHandedOver(id string) bool {
-	s := r.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.handed[id]
-	return ok
-}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -164,16 +164,29 @@
 		return http.StatusConflict
 	case api.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case api.ReasonCallerLimit, api.ReasonQuota:
-		return http.StatusTooManyRequests
-	case api.ReasonDeadlinePassed, api.ReasonDeadlineUnmeetable, api.ReasonAnswerTimeout:
+	case api.ReasonAnswerTimeout:
 		return http.StatusGatewayTimeout
-	case api.ReasonStillRunning:
-		return http.StatusServiceUnavailable
 	case api.ReasonInternal:
 		return http.StatusInternalServerError
 	}
 	if refusal.Outcome == api.OutcomeUnknown {
+		return statusOfUnknown(refusal.Reason)
+	}
+	switch refusal.Reason {
+	case api.ReasonCallerLimit, api.ReasonQuota:
+		return http.StatusTooManyRequests
+	case api.ReasonDeadlinePassed, api.ReasonDeadlineUnmeetable:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// statusOfUnknown tells a request that was sent, or whose trace is lost, from
+// a copy that was turned away.
+func statusOfUnknown(reason api.Reason) int {
+	switch reason {
+	case api.ReasonAnswerBroken, api.ReasonAnswerTooLarge, api.ReasonEndpointFailed, api.ReasonPeerUnreachable,
+		api.ReasonHolderLost, api.ReasonAnswerLost, api.ReasonCallerGone:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -56,7 +56,7 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request, rest string) {
 	reserved := s.bodyBound(r)
 	if !s.bytes.take(reserved) {
-		s.refuse(w, api.NotRun(api.ReasonQueueFull, s.settings.RetryAfter, "the bodies in flight use all their memory"))
+		s.refuse(w, s.turnedAway(r, api.NotRun(api.ReasonQueueFull, s.settings.RetryAfter, "the bodies in flight use all their memory")))
 		return
 	}
 	defer s.bytes.give(reserved)
@@ -121,12 +121,17 @@
 	case errors.As(err, &large):
 		return nil, s.tooLarge(w)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, api.NotRun(api.ReasonDeadlinePassed, 0, fmt.Sprintf("the body took longer than %s", s.settings.ReadBodyTimeout))
+		return nil, s.turnedAway(r, api.NotRun(api.ReasonDeadlinePassed, 0, fmt.Sprintf("the body took longer than %s", s.settings.ReadBodyTimeout)))
 	default:
-		return nil, api.NotRun(api.ReasonMalformed, 0, "the body broke off")
+		return nil, s.turnedAway(r, api.NotRun(api.ReasonMalformed, 0, "the body broke off"))
 	}
 }
 
+// turnedAway is filter.TurnedAway for a request that the chain has not seen.
+func (s *Server) turnedAway(r *http.Request, refusal *api.Refusal) *api.Refusal {
+	return filter.TurnedAway(refusal, r.Header.Get(api.HeaderIdempotent) == "true", s.settings.RetryAfter)
+}
+
 func (s *Server) tooLarge(w http.ResponseWriter) *api.Refusal {
 	w.Header().Set("Connection", "close")
 	return api.NotRun(api.ReasonTooLarge, 0, fmt.Sprintf("the body has more than %d bytes", s.settings.MaxBodyBytes))
--- a/internal/reqkey/entry.go
+++ b/internal/reqkey/entry.go
@@ -36,8 +36,8 @@
 	ID      string
 	Writer  journal.Origin
 	Serial  uint32
-	Outcome api.Outcome // OutcomeRan or OutcomeUnknown
-	Reason  api.Reason  // of OutcomeUnknown
+	Outcome api.Outcome // OutcomeNotRun: nothing was or will be sent for the id
+	Reason  api.Reason  // unless Outcome is OutcomeRan
 	Answer  *api.Answer // whole, or nil when it was not kept
 }
 
--- a/internal/reqkey/keys.go
+++ b/internal/reqkey/keys.go
@@ -14,7 +14,6 @@
 type Keys struct {
 	machine  *Machine
 	proposer journal.Proposer
-	follower journal.Follower
 	self     journal.Origin
 	maxBody  int
 	serial   atomic.Uint32
@@ -24,10 +23,10 @@
 const DefaultMaxBody = 1 << 10
 
 // NewKeys returns the keys of the process self, whose machine is fed by the
-// stream that p appends to and f follows. Answers with a body of more
-// than maxBody bytes are journaled without the answer.
-func NewKeys(m *Machine, p journal.Proposer, f journal.Follower, self journal.Origin, maxBody int) *Keys {
-	return &Keys{machine: m, proposer: p, follower: f, self: self, maxBody: maxBody}
+// stream that p appends to. Answers with a body of more than maxBody bytes
+// are journaled without the answer.
+func NewKeys(m *Machine, p journal.Proposer, self journal.Origin, maxBody int) *Keys {
+	return &Keys{machine: m, proposer: p, self: self, maxBody: maxBody}
 }
 
 // Self returns the origin of this process's marks.
@@ -36,10 +35,6 @@
 // Lookup returns what the local machine remembers of id.
 func (k *Keys) Lookup(id string) (State, bool) { return k.machine.Lookup(id) }
 
-// Confirmed is the local time before which every mark that was in the log is
-// known here; zero when there was no such read yet.
-func (k *Keys) Confirmed() time.Time { return k.follower.Confirmed() }
-
 // Mark proposes a mark and waits for its place in the log. On success the
 // caller alone may send the request. Errors: *MarkedError, *ReusedError,
 // *FullError, and those of journal.Proposer. The mark is returned with
@@ -49,14 +44,15 @@
 	return mark, k.propose(ctx, TypeMark, mark)
 }
 
-// Settle journals that a marked request ran with answer, or, when answer is
-// nil, that its outcome is unknown for the given reason.
-func (k *Keys) Settle(ctx context.Context, mark Mark, answer *api.Answer, reason api.Reason) error {
-	o := Outcome{ID: mark.ID, Writer: mark.Writer, Serial: mark.Serial, Outcome: api.OutcomeUnknown, Reason: reason}
-	if answer != nil {
-		o.Outcome, o.Reason = api.OutcomeRan, ""
-	}
-	if answer != nil && len(answer.Body) <= k.maxBody {
+// Settle journals that a marked request ran with answer, or, when refusal is
+// set, that it was not run and never will be, or that its outcome is unknown.
+// After nil the outcome stands until the mark is forgotten.
+func (k *Keys) Settle(ctx context.Context, mark Mark, answer *api.Answer, refusal *api.Refusal) error {
+	o := Outcome{ID: mark.ID, Writer: mark.Writer, Serial: mark.Serial, Outcome: api.OutcomeRan}
+	switch {
+	case refusal != nil:
+		o.Outcome, o.Reason = refusal.Outcome, refusal.Reason
+	case len(answer.Body) <= k.maxBody:
 		o.Answer = answer
 	}
 	return k.propose(ctx, TypeOutcome, o)
--- a/internal/reqkey/machine.go
+++ b/internal/reqkey/machine.go
@@ -28,6 +28,7 @@
 	stateOpen    markState = iota // no outcome journaled
 	stateRan                      // ran; the answer may have been dropped
 	stateUnknown                  // sent, no whole answer
+	stateNotRun                   // not run, nor will it be
 )
 
 // record is the remembered part of a mark.
@@ -154,10 +155,7 @@
 		s.mu.Unlock()
 		return &NoMarkError{ID: o.ID}
 	}
-	old.state = stateUnknown
-	if o.Outcome == api.OutcomeRan {
-		old.state = stateRan
-	}
+	old.state = stateOf(o.Outcome)
 	s.records[k] = old
 	s.mu.Unlock()
 	m.keepAnswer(k, o)
@@ -302,7 +300,7 @@
 type State struct {
 	Mark    Mark
 	Outcome api.Outcome // empty while none is journaled
-	Reason  api.Reason  // of OutcomeUnknown, when kept
+	Reason  api.Reason  // of another outcome than OutcomeRan, when kept
 	Answer  *api.Answer // of OutcomeRan, when kept; shared, not to be changed
 }
 
@@ -330,11 +328,26 @@
 		return api.OutcomeRan
 	case stateUnknown:
 		return api.OutcomeUnknown
+	case stateNotRun:
+		return api.OutcomeNotRun
 	default:
 		return ""
 	}
 }
 
+// stateOf returns the state of a settled mark; an outcome that this binary
+// doesn't know leaves the request open for good.
+func stateOf(o api.Outcome) markState {
+	switch o {
+	case api.OutcomeRan:
+		return stateRan
+	case api.OutcomeNotRun:
+		return stateNotRun
+	default:
+		return stateUnknown
+	}
+}
+
 // Marks returns the number of marks remembered.
 func (m *Machine) Marks() int {
 	m.apply.Lock()
