Ask the router for a chance before a mark is appended

Cause: a non-idempotent request sought its slot after its mark. Under overload each one that was refused had cost two appends, mark and release. Ruled out: taking the slot first (it would stay idle for the append). Change: Router.Check gives the refusal that Acquire would give at once, without taking or displacing anything; with no peer that has room, either, the request is turned away before the append.

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -29,6 +29,11 @@
 	return s.router.Free(service)
 }
 
+// Check implements filter.Router.
+func (s slots) Check(ctx context.Context, service string, class api.Class, caller string) *api.Refusal {
+	return s.router.Check(ctx, service, class, caller)
+}
+
 // ticket lets the filter chain give a slot back to the router.
 type ticket struct {
 	*router.Ticket
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -65,6 +65,8 @@
 		{"mark and release land late", false, map[string][]string{"log": {"late", "late"}}, "unknown journal_unsettled", well, 1},
 		{"outcome not journaled", false, map[string][]string{"log": {"", "down"}}, well, well, 1},
 		{"queue full everywhere", false, map[string][]string{"router": {"queue_full", "*"}}, "unknown queue_full", well, 1},
+		{"no chance of a slot", false, map[string][]string{"check": {"queue_full"}, "peer-room": {"none"}}, "unknown queue_full", well, 1},
+		{"no chance here, a peer has room", false, map[string][]string{"check": {"queue_full"}}, well, well, 1},
 		{"no room here", false, map[string][]string{"room": {"none"}}, well, well, 1},
 		{"hold lapses", false, map[string][]string{"hold": {"lapsed"}}, well, well, 1},
 		{"hold lapsed for good", false, map[string][]string{"hold": {"lapsed", "*"}}, "unknown hold_unconfirmed", well, 1},
--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -36,6 +36,8 @@
 	Acquire(ctx context.Context, service string, class api.Class, caller string, exclude []api.EndpointID) (Ticket, error)
 	// Room returns the slots of service that this entry VM could give now.
 	Room(service string) int
+	// Check returns the refusal that Acquire would give at once, else nil.
+	Check(ctx context.Context, service string, class api.Class, caller string) *api.Refusal
 }
 
 // Ticket is one slot at one endpoint, held until Done.
--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -163,7 +163,7 @@
 
 func answerBody(req *api.Request) []byte { return []byte(req.ID + "=" + string(req.Body)) }
 
-// Room and Acquire implement Router.
+// Room, Check and Acquire implement Router.
 func (w *world) Room(string) int {
 	if w.fault("room") != "" {
 		return 0
@@ -171,6 +171,13 @@
 	return 8
 }
 
+func (w *world) Check(context.Context, string, api.Class, string) *api.Refusal {
+	if reason := w.fault("check"); reason != "" {
+		return api.NotRun(api.Reason(reason), time.Second, "fake")
+	}
+	return nil
+}
+
 func (w *world) Acquire(_ context.Context, _ string, _ api.Class, _ string, exclude []api.EndpointID) (Ticket, error) {
 	if reason := w.fault("router"); reason != "" {
 		return nil, api.NotRun(api.Reason(reason), time.Second, "fake")
--- a/internal/filter/mark.go
+++ b/internal/filter/mark.go
@@ -20,6 +20,9 @@
 		if x.Request.Idempotent {
 			return next(ctx, x)
 		}
+		if refusal := c.hopeless(ctx, x); refusal != nil {
+			return nil, refusal
+		}
 		for try := 1; ; try++ {
 			answer, err := c.markOnce(ctx, x)
 			if x.Mark != nil {
@@ -37,6 +40,22 @@
 	}
 }
 
+// hopeless refuses x, before an append is spent on its mark, when it would find
+// neither a slot nor room to wait here, nor a peer with room.
+func (c *Chain) hopeless(ctx context.Context, x *Exchange) *api.Refusal {
+	r := x.Request
+	refusal := c.deps.Router.Check(ctx, r.Service, r.Class, r.Caller)
+	if refusal == nil {
+		return nil
+	}
+	for _, peer := range c.deps.Peers.Candidates(r.Service) {
+		if peer.Free > 0 {
+			return nil
+		}
+	}
+	return c.turnedAway(x, refusal)
+}
+
 // markOnce sets x.Mark when this VM's mark is the first. Else it returns what
 // to tell the caller, or errNotSent when another try may succeed.
 func (c *Chain) markOnce(ctx context.Context, x *Exchange) (*api.Answer, error) {
--- /dev/null
+++ b/internal/filter/overload_test.go
@@ -0,0 +1,71 @@
+package filter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/router"
+)
+
+// routed is the real router; blind says of every request that it has a chance.
+type routed struct {
+	*router.Router
+	blind bool
+}
+
+func (r routed) Acquire(ctx context.Context, service string, class api.Class, caller string, exclude []api.EndpointID) (Ticket, error) {
+	t, err := r.Router.Acquire(ctx, service, class, caller, exclude)
+	if err != nil {
+		return nil, err
+	}
+	return slot{t}, nil
+}
+
+func (r routed) Room(service string) int { return r.Free(service) }
+
+func (r routed) Check(ctx context.Context, service string, class api.Class, caller string) *api.Refusal {
+	if r.blind {
+		return nil
+	}
+	return r.Router.Check(ctx, service, class, caller)
+}
+
+type slot struct{ *router.Ticket }
+
+func (s slot) Done(r Result) {
+	s.Ticket.Done(router.Result{Err: r.Err, Status: r.Status, Latency: r.Took, Feedback: platform.Feedback{SlotsBusy: -1}})
+}
+
+// TestOverloadSparesAppends: of requests at five times the rate that the slots
+// serve, most are refused before an append is spent on their mark.
+func TestOverloadSparesAppends(t *testing.T) {
+	appends := make(map[bool]int)
+	for _, blind := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			w.fault = func(site string) string { return map[string]string{"log": "slow"}[site] }
+			w.delay = 100 * time.Millisecond
+			c := w.start("a", "east", []api.DataCentre{"east"})
+			r := router.New(router.Config{Rand: rand.NewPCG(1, 2)})
+			r.SetService("svc", api.ServiceSpec{QueueLength: 8})
+			held := router.Held{Endpoint: api.Endpoint{ID: "e", Service: "svc", Slots: 8, Connections: 60}, SlotLimit: 8, Epoch: 1}
+			r.SetEndpoints(time.Now(), []router.Held{held})
+			c.deps.Router = routed{r, blind}
+			for i := range 2000 { // 400 a second; the slots serve 80
+				go w.do(t.Context(), call{node: "a", id: fmt.Sprint(i), body: "x"})
+				time.Sleep(2500 * time.Microsecond)
+			}
+			time.Sleep(10 * time.Second)
+			w.close()
+			appends[blind] = len(w.entries)
+			t.Logf("blind %t: %d of 2000 ran, %d appends", blind, w.count("answered/ran"), len(w.entries))
+		})
+	}
+	same(t, appends[false] < appends[true]/2, true)
+}
--- a/internal/filter/property_test.go
+++ b/internal/filter/property_test.go
@@ -22,6 +22,7 @@
 	"log":       {"down", "late", "landed", "lost", "slow"},
 	"endpoint":  {"refuse", "refuse", "refuse", "broken", "lost", "strange"},
 	"router":    {"queue_full", "no_endpoint", "deadline_passed"},
+	"check":     {"queue_full"},
 	"hold":      {"lapsed"},
 	"room":      {"none"},
 	"lag":       {"behind"},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,21 +91,9 @@
 // waits for one within the service's limits. The context carries the
 // deadline. Errors are of type *api.Refusal, with outcome not-run.
 func (r *Router) Acquire(ctx context.Context, service string, class api.Class, caller string, exclude []api.EndpointID) (*Ticket, error) {
-	s := r.find(service)
-	if s == nil {
-		return nil, api.NotRun(api.ReasonNoEndpoint, r.cfg.NoEndpointRetry, "service "+service+" has no endpoint here")
-	}
-	if ctx.Err() != nil {
-		return nil, api.NotRun(abandonReason(ctx), 0, "given up before it was routed")
-	}
-	w := &waiter{
-		demand:  demand{exclude: exclude, deadline: noExpiry},
-		class:   class,
-		caller:  caller,
-		settled: make(chan settlement, 1),
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		w.deadline = r.instant(deadline)
+	s, w, refusal := r.prepare(ctx, service, class, caller, exclude)
+	if refusal != nil {
+		return nil, refusal
 	}
 	return s.acquire(ctx, w)
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -106,8 +106,13 @@
 			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
 			start := time.Now()
+			foreseen := r.Check(ctx, "s", api.ClassInteractive, "a")
 			_, err := r.Acquire(ctx, "s", api.ClassInteractive, "a", nil)
-			return time.Since(start), err
+			took := time.Since(start)
+			if atOnce := err != nil && took == 0; atOnce != (foreseen != nil) {
+				t.Errorf("Check: %v, Acquire: %v after %v", foreseen, err, took)
+			}
+			return took, err
 		}
 		took, err := acquire(50 * time.Millisecond)
 		refusal := wantRefusal(t, err, api.ReasonDeadlineUnmeetable)
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -63,16 +63,10 @@
 
 // enter grants, queues or refuses a new request.
 func (s *shard) enter(now time.Duration, w *waiter) (*Ticket, *api.Refusal) {
-	if now >= w.deadline {
-		return nil, api.NotRun(api.ReasonDeadlinePassed, 0, "no time left")
-	}
-	if !s.reachable(now, w) {
-		return nil, api.NotRun(api.ReasonNoEndpoint, s.jitter(s.router.cfg.NoEndpointRetry), "no endpoint of the service is held here")
-	}
-	w.entered = now
-	if s.queue.interactive.turns.Len() == 0 {
-		s.calm = now
+	if refusal := s.rejects(now, w); refusal != nil {
+		return nil, refusal
 	}
+	s.meet(now, w)
 	if s.queue.length == 0 {
 		s.starved = false
 		e := s.chooser.choose(now, s.held, s.fleet(), w.demand)
@@ -102,18 +96,30 @@
 	return false
 }
 
+// meet notes that w came at now.
+func (s *shard) meet(now time.Duration, w *waiter) {
+	w.entered = now
+	if s.queue.interactive.turns.Len() == 0 {
+		s.calm = now
+	}
+}
+
+// rejects refuses a request without time left or without an endpoint.
+func (s *shard) rejects(now time.Duration, w *waiter) *api.Refusal {
+	if now >= w.deadline {
+		return api.NotRun(api.ReasonDeadlinePassed, 0, "no time left")
+	}
+	if !s.reachable(now, w) {
+		return api.NotRun(api.ReasonNoEndpoint, s.jitter(s.router.cfg.NoEndpointRetry), "no endpoint of the service is held here")
+	}
+	return nil
+}
+
 // admit refuses a request that can't be met in time or for which the queue
 // has no room.
 func (s *shard) admit(now time.Duration, w *waiter) *api.Refusal {
-	var wait time.Duration // can't be told while no slot may be used
-	if s.slots(now) > 0 {
-		wait = s.expectedWait(now, 1+s.queue.ahead(w.class, w.caller))
-	}
-	if !s.meets(now+wait, w) {
-		return s.refuse(now, api.ReasonDeadlineUnmeetable)
-	}
-	if wait > s.queueTime(now, w.class) {
-		return s.refuse(now, api.ReasonQueueFull)
+	if refusal := s.hopeless(now, w); refusal != nil {
+		return refusal
 	}
 	if s.queue.length < s.spec.queueLength {
 		return nil
@@ -127,6 +133,21 @@
 	return nil
 }
 
+// hopeless refuses a request whose expected wait is too long.
+func (s *shard) hopeless(now time.Duration, w *waiter) *api.Refusal {
+	var wait time.Duration // can't be told while no slot may be used
+	if s.slots(now) > 0 {
+		wait = s.expectedWait(now, 1+s.queue.ahead(w.class, w.caller))
+	}
+	if !s.meets(now+wait, w) {
+		return s.refuse(now, api.ReasonDeadlineUnmeetable)
+	}
+	if wait > s.queueTime(now, w.class) {
+		return s.refuse(now, api.ReasonQueueFull)
+	}
+	return nil
+}
+
 const (
 	// standingShare divides the queue's time while interactive requests have
 	// waited without a break.
