Send no non-idempotent request half its mark's retention after its receipt

Cause: an entry VM paused longer than request_retention could send after its mark was forgotten, while a repeat was marked anew and ran. Change: Exchange.Received is the receipt by the first entry VM, on the local clock; hand-overs carry the age. Before each send and each hand-over of an attempt less than half of Settings.Retention must have gone; else the request is not sent and its id closed. Not covered: the way between two entry VMs, when the receiver is paused with the request in its socket; a monotonic clock that stops during suspension.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -189,6 +189,7 @@
 		MaxInFlight:    s.Limits.MaxRequests,
 		MaxTimeout:     s.Limits.MaxRequestTimeout.Std(),
 		JournalTimeout: s.Log.AppendTimeout.Std(),
+		Retention:      s.RequestRetention.Std(),
 	}, filter.Deps{
 		Router:   slots{router: n.router},
 		Endpoint: n.outside.Endpoint,
--- a/internal/filter/attempt.go
+++ b/internal/filter/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -154,6 +155,9 @@
 		return nil, c.notSent(endedReason(ctx), "it ended before it was sent")
 	}
 	start := c.deps.Now()
+	if a.tooOld(start) {
+		return nil, c.tooOld()
+	}
 	if !ticket.Valid(start) {
 		return nil, c.notSent(api.ReasonHoldUnconfirmed, "the hold of the endpoint lapsed")
 	}
@@ -174,6 +178,19 @@
 	return nil, c.attemptFailed(res.Err)
 }
 
+// tooOld reports whether the mark of a non-idempotent request may be forgotten
+// before the request arrives: after that, a copy may be sent under a new mark.
+// It matters when the entry VM was paused.
+func (a *attempts) tooOld(now time.Time) bool {
+	return !a.x.Request.Idempotent && now.Sub(a.x.Received) >= a.chain.settings.Retention/2
+}
+
+func (c *Chain) tooOld() *failure {
+	failed := c.notSent(api.ReasonDeadlinePassed, fmt.Sprintf("received more than %s ago, half the time that marks are kept", c.settings.Retention/2))
+	failed.last = true
+	return failed
+}
+
 // errNoAnswer stands for an adapter that returned neither answer nor error.
 var errNoAnswer = &platform.AttemptError{
 	Certainty: platform.MayHaveRun,
@@ -222,7 +239,11 @@
 func (a *attempts) forward(ctx context.Context, peer api.NodeID) (*api.Answer, *failure) {
 	c := a.chain
 	a.peers = append(a.peers, peer)
-	if a.x.remaining(c.deps.Now()) < time.Millisecond {
+	now := c.deps.Now()
+	if a.tooOld(now) {
+		return nil, c.tooOld()
+	}
+	if a.x.remaining(now) < time.Millisecond {
 		return nil, c.notSent(api.ReasonDeadlinePassed, "no time left to hand it over")
 	}
 	c.deps.Counters.Inc(GroupForward, CountRoom)
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
 // failing returns a fault function that fails each site as often as its list
@@ -237,6 +238,30 @@
 	})
 }
 
+// TestTooOldToSend: half of the retention after its receipt a request is no
+// longer sent, neither here nor by the peer that it was handed to.
+func TestTooOldToSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.settings.Retention = 40 * time.Millisecond // the slow log takes 20 ms
+		a := w.start("a", "east", []api.DataCentre{"east"})
+		for _, room := range []string{"", "none"} {
+			k := call{node: "a", id: "old" + room, body: "x"}
+			w.fault = failing(map[string][]string{"log": {"slow"}, "room": {room}})
+			w.says(t, k, "not-run deadline_passed")
+			w.says(t, k, "not-run deadline_passed")
+		}
+		attempt := ForwardRequest{Kind: ForwardAttempt, Hops: 1, Remaining: time.Second, Mark: &reqkey.Mark{}, Request: api.Request{ID: "id", Service: "svc"}}
+		for age, want := range map[time.Duration]string{20 * time.Millisecond: "not-run deadline_passed", 19 * time.Millisecond: "id="} {
+			attempt.Age = age
+			reply := a.ServeForward(t.Context(), &attempt)
+			same(t, say(reply.Answer, reply.Refusal), want)
+		}
+		w.close()
+		same(t, w.count("ran/old")+w.count("ran/oldnone"), 0)
+	})
+}
+
 func TestHomeDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dcs := []api.DataCentre{"east", "west"}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -34,6 +34,7 @@
 	Header   http.Header // of the caller; read by identify only
 	Spec     api.ServiceSpec
 	Digest   uint64
+	Received time.Time    // by the first entry VM, on the local clock
 	Deadline time.Time    // on the local clock
 	Hops     int          // between entry VMs so far
 	Mark     *reqkey.Mark // under which a non-idempotent request is sent
@@ -57,6 +58,7 @@
 	JournalTimeout time.Duration    // of outcomes and releases, which no caller waits for
 	JournalBacklog int              // outcomes and releases under way at once
 	ReleaseTimeout time.Duration    // for which a peer that asks for an unused mark waits for its release
+	Retention      time.Duration    // of marks; half of it after its receipt a non-idempotent request is no longer sent
 }
 
 // Defaults of Settings.
@@ -73,6 +75,7 @@
 	DefaultJournalTimeout = 10 * time.Second
 	DefaultJournalBacklog = 4096
 	DefaultReleaseTimeout = 200 * time.Millisecond
+	DefaultRetention      = time.Hour
 )
 
 func (s Settings) withDefaults() Settings {
@@ -88,6 +91,7 @@
 	setDefault(&s.JournalTimeout, DefaultJournalTimeout)
 	setDefault(&s.JournalBacklog, DefaultJournalBacklog)
 	setDefault(&s.ReleaseTimeout, DefaultReleaseTimeout)
+	setDefault(&s.Retention, DefaultRetention)
 	return s
 }
 
--- a/internal/filter/home.go
+++ b/internal/filter/home.go
@@ -87,10 +87,12 @@
 }
 
 func (c *Chain) forwardRequest(x *Exchange, kind ForwardKind) *ForwardRequest {
+	now := c.deps.Now()
 	return &ForwardRequest{
 		Kind:      kind,
 		Request:   *x.Request,
-		Remaining: x.remaining(c.deps.Now()),
+		Remaining: x.remaining(now),
+		Age:       now.Sub(x.Received),
 		Hops:      x.Hops + 1,
 		Mark:      x.Mark,
 	}
@@ -114,9 +116,11 @@
 // ServeForward serves Peers.Forward. The context ends when the server stops,
 // not when the sender leaves.
 func (c *Chain) ServeForward(ctx context.Context, req *ForwardRequest) *ForwardReply {
+	now := c.deps.Now()
 	x := &Exchange{
 		Request:  &req.Request,
-		Deadline: c.deps.Now().Add(req.Remaining),
+		Received: now.Add(-req.Age),
+		Deadline: now.Add(req.Remaining),
 		Hops:     req.Hops,
 	}
 	handle := c.home
--- a/internal/filter/identify.go
+++ b/internal/filter/identify.go
@@ -29,7 +29,8 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		x.Deadline = c.deps.Now().Add(c.timeout(x, timeout))
+		x.Received = c.deps.Now()
+		x.Deadline = x.Received.Add(c.timeout(x, timeout))
 		x.Digest = reqkey.Digest(x.Request)
 		ctx, cancel := context.WithDeadline(ctx, x.Deadline)
 		defer cancel()
--- a/internal/filter/message.go
+++ b/internal/filter/message.go
@@ -24,6 +24,7 @@
 	Kind      ForwardKind
 	Request   api.Request
 	Remaining time.Duration // before the deadline, when sent; no wall clock crosses VMs
+	Age       time.Duration // since the request was received, when sent
 	Hops      int           // including this one
 	Mark      *reqkey.Mark  // of a non-idempotent ForwardAttempt
 }
