Let a panic in a hand-over end that request only

Cause: a single attempt for another entry VM runs without the deduplicate filter, which recovers panics, and net/rpc recovers none: one request could stop the VM that was asked to send it. Change: ServeForward recovers, logs and answers unknown, internal. Measured: TestPanicInAHandOver.

--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -262,6 +262,18 @@
 	})
 }
 
+// TestPanicInAHandOver: it ends the one request, not the entry VM, and leaves
+// the request open and its slot free.
+func TestPanicInAHandOver(t *testing.T) {
+	w := newWorld("a")
+	w.fault = failing(map[string][]string{"endpoint": {"panic"}})
+	reply := w.chains["a"].ServeForward(t.Context(), &ForwardRequest{
+		Kind: ForwardAttempt, Hops: 1, Remaining: time.Second, Mark: &reqkey.Mark{}, Request: api.Request{ID: "id", Service: "svc"},
+	})
+	same(t, say(reply.Answer, reply.Refusal), "unknown internal")
+	same(t, w.count("tickets")+w.chains["a"].gate.InFlight(), 0)
+}
+
 func TestHomeDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dcs := []api.DataCentre{"east", "west"}
--- a/internal/filter/dedup.go
+++ b/internal/filter/dedup.go
@@ -66,7 +66,7 @@
 // run carries f to its end. A panic ends this request only, as in net/http,
 // so that one request can't stop one entry VM after the other.
 func (c *Chain) run(ctx context.Context, x *Exchange, f *flight, next Handler) {
-	res := result{refusal: api.Unknown(api.ReasonInternal, "the request's handler panicked")}
+	res := result{refusal: panicked()}
 	defer func() {
 		if cause := recover(); cause != nil {
 			c.logPanic(x, cause)
@@ -81,6 +81,10 @@
 	res = result{answer: answer}
 }
 
+func panicked() *api.Refusal {
+	return api.Unknown(api.ReasonInternal, "the request's handler panicked")
+}
+
 func (c *Chain) logPanic(x *Exchange, cause any) {
 	c.deps.Counters.Inc(GroupUnknown, CountPanic)
 	c.deps.Log.WithFields(logrus.Fields{
--- a/internal/filter/home.go
+++ b/internal/filter/home.go
@@ -132,6 +132,17 @@
 	if refusal := c.checkForward(req); refusal != nil {
 		return &ForwardReply{Refusal: c.turnedAway(x, refusal)}
 	}
+	return c.reply(ctx, x, handle)
+}
+
+// reply runs handle for another entry VM. A panic ends this request only.
+func (c *Chain) reply(ctx context.Context, x *Exchange, handle Handler) (reply *ForwardReply) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.logPanic(x, cause)
+			reply = &ForwardReply{Refusal: panicked()}
+		}
+	}()
 	answer, err := handle(ctx, x)
 	if err != nil {
 		return &ForwardReply{Refusal: asRefusal(err)}
