--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -186,7 +186,7 @@
 	s := n.settings
 	n.router = router.New(router.Config{})
 	n.streams.configs.Subscribe(n.configChanged)
-	n.keys = reqkey.NewKeys(n.streams.marks, n.streams.cell, n.streams.cell, n.origin, reqkey.DefaultMaxBody)
+	n.keys = reqkey.NewKeys(n.streams.marks, n.streams.cell, n.origin, reqkey.DefaultMaxBody)
 	n.chain = filter.New(filter.Settings{
 		Node:           s.NodeID,
 		DataCentre:     s.DataCentre,
@@ -194,6 +194,7 @@
 		MaxInFlight:    s.Limits.MaxRequests,
 		MaxTimeout:     s.Limits.MaxRequestTimeout.Std(),
 		JournalTimeout: s.Log.AppendTimeout.Std(),
+		Retention:      s.RequestRetention.Std(),
 	}, filter.Deps{
 		Router:   slots{router: n.router},
 		Endpoint: n.outside.Endpoint,
--- a/internal/filter/identify.go
+++ b/internal/filter/identify.go
@@ -29,7 +29,8 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		x.Deadline = c.deps.Now().Add(c.timeout(x, timeout))
+		x.Received = c.deps.Now()
+		x.Deadline = x.Received.Add(c.timeout(x, timeout))
 		x.Digest = reqkey.Digest(x.Request)
 		ctx, cancel := context.WithDeadline(ctx, x.Deadline)
 		defer cancel()
@@ -73,13 +74,17 @@
 	return timeout, nil
 }
 
+// findService reads the service's record. Records change, and another entry
+// VM may have another one in force, so its refusals don't rule out a run.
 func (c *Chain) findService(x *Exchange) *api.Refusal {
 	spec, ok := c.deps.Services.Service(x.Request.Service)
 	if !ok {
-		return api.NotRun(api.ReasonUnknownService, 0, fmt.Sprintf("no service %q", x.Request.Service))
+		detail := fmt.Sprintf("no service %q", x.Request.Service)
+		return c.turnedAway(x, api.NotRun(api.ReasonUnknownService, 0, detail))
 	}
 	if size := int64(len(x.Request.Body)); spec.MaxBodyBytes > 0 && size > spec.MaxBodyBytes {
-		return api.NotRun(api.ReasonTooLarge, 0, fmt.Sprintf("body has %d bytes, service %s takes %d", size, spec.Service, spec.MaxBodyBytes))
+		detail := fmt.Sprintf("body has %d bytes, service %s takes %d", size, spec.Service, spec.MaxBodyBytes)
+		return c.turnedAway(x, api.NotRun(api.ReasonTooLarge, 0, detail))
 	}
 	x.Spec = spec
 	return nil
