Judge jobs again that were blocked before the fleet was known

Change: when the kinds of VMs change, blocked shapes that no VM could hold even when idle are tried again, in a fixed order.

--- a/internal/scheduler/judge.go
+++ b/internal/scheduler/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/skylarklock/skylarklock/api"
 )
@@ -40,6 +41,35 @@
 	}
 	clear(w.condemned)
 	w.condemned = w.condemned[:0]
+	w.retryUnfitting()
+}
+
+// retryUnfitting lets the blocked shapes be judged again that no VM could
+// hold even when idle: nothing that is freed would ever wake them. They were
+// blocked while the fleet was not known.
+func (w *World) retryUnfitting() {
+	var unfitting []*shape
+	for _, cell := range w.queue.blocked.cells {
+		for _, s := range cell {
+			if !w.fleet.holds(s.key.need) {
+				unfitting = append(unfitting, s)
+			}
+		}
+	}
+	slices.SortFunc(unfitting, func(a, b *shape) int { return a.key.compare(b.key) })
+	for _, s := range unfitting {
+		w.retryShape(s)
+	}
+}
+
+// holds reports whether some kind of VM, when idle, has room for need.
+func (f *fleet) holds(need api.Resources) bool {
+	for _, k := range f.list {
+		if k.peak > 0 && need.Fits(k.kind.capacity) {
+			return true
+		}
+	}
+	return false
 }
 
 // missing says what j would need that no VM, no quota or not the whole
--- a/internal/scheduler/shape.go
+++ b/internal/scheduler/shape.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math/bits"
 	"time"
 
@@ -17,6 +18,19 @@
 	own         api.JobID
 }
 
+// compare orders keys, so that what is done for many of them has one order.
+func (k shapeKey) compare(o shapeKey) int {
+	return cmp.Or(
+		cmp.Compare(k.need.MilliCPU, o.need.MilliCPU),
+		cmp.Compare(k.need.MemoryMB, o.need.MemoryMB),
+		cmp.Compare(k.need.Accelerators, o.need.Accelerators),
+		cmp.Compare(k.class, o.class),
+		cmp.Compare(k.dataCentres, o.dataCentres),
+		cmp.Compare(k.runTime, o.runTime),
+		cmp.Compare(k.own, o.own),
+	)
+}
+
 // shape is the jobs of one key. While it is blocked, no search is made for
 // them: nothing has been freed that could hold one of their tasks.
 type shape struct {
