--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -44,17 +44,13 @@
 		}
 		settleTime()
 		began, before := time.Now(), log.Stats()
-		var mu sync.Mutex
-		var waits []time.Duration
+		waits := make([]time.Duration, perSecond*seconds)
 		var wg sync.WaitGroup
-		for i := range perSecond * seconds {
+		for i := range waits {
 			sent := time.Now()
 			wg.Go(func() {
-				err := all[i%nodes].Propose(t.Context(), startEntry(i))
-				mu.Lock()
-				defer mu.Unlock()
-				wantErr(t, err, nil)
-				waits = append(waits, time.Since(sent))
+				wantErr(t, all[i%nodes].Propose(t.Context(), startEntry(i)), nil)
+				waits[i] = time.Since(sent)
 			})
 			time.Sleep(time.Second / perSecond)
 		}
@@ -68,9 +64,6 @@
 		if appends/spent > budget {
 			t.Errorf("%.0f appends/s", appends/spent)
 		}
-		for _, node := range all {
-			node.stopAndWait()
-		}
 	})
 }
 
--- a/internal/journal/http_test.go
+++ b/internal/journal/http_test.go
@@ -25,7 +25,6 @@
 		}
 		defer client.Close()
 		n := startNode(t, client, fmt.Sprint("n", i), nil)
-		defer n.stopAndWait()
 		for !n.Ready() {
 			time.Sleep(time.Millisecond)
 		}
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -108,6 +108,7 @@
 // given time.
 func (l *reader) follow(sent time.Time, from platform.Offset, got platform.LogBatch) error {
 	r := l.r
+	r.firstKept.Store(uint64(got.First))
 	r.applying.Lock()
 	defer r.applying.Unlock()
 	if r.core.next != from {
--- a/internal/journal/recovery_test.go
+++ b/internal/journal/recovery_test.go
@@ -80,8 +80,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logserver.New(logserver.Config{RetainRecords: 100})
 		toB := &link{Log: log}
-		a, b := startNode(t, log, "a", short), startNode(t, toB, "b", short)
-		settleTime()
+		a, b := readyNode(t, log, "a", short), readyNode(t, toB, "b", short)
 
 		// One copy of the first batch lands only after everything else.
 		log.SetFaults(logserver.Faults{LateAppends: 1, LateBy: time.Hour})
@@ -98,8 +97,7 @@
 		wantSame(t, a, b)
 		wantErr(t, lost, ErrUnsettled)
 
-		c := startNode(t, log, "c", short)
-		settleTime()
+		c := readyNode(t, log, "c", short)
 		wantSame(t, a, c)
 		time.Sleep(2 * time.Hour)
 		wantSame(t, a, c)
@@ -113,36 +111,26 @@
 		if s := c.Stats(); s.SnapshotsRestored != 1 || s.RecordsRepeated != 1 || written < 5 || written > 60 {
 			t.Errorf("%d snapshots written; stats of c %+v", written, s)
 		}
-		for _, n := range []*node{a, b, c} {
-			n.stopAndWait()
-		}
 	})
 }
 
 func TestQuietStreamsAreSnapshotInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
-		a := startNode(t, log, "a", nil)
-		settleTime()
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
+		a := readyNode(t, log, "a", nil)
 		writeMany(t, a, 0, 3)
 		for range 20 { // retention by time, two intervals long
-			_, end := a.Ready(), a.Applied()
+			end := a.Applied()
 			time.Sleep(2 * DefaultSnapshotInterval)
 			log.Trim("dc/a", end)
 		}
-		b := startNode(t, log, "b", nil)
-		settleTime()
+		b := readyNode(t, log, "b", nil)
 		wantSame(t, a, b)
-		a.stopAndWait()
-		b.stopAndWait()
 	})
 }
 
 func TestGapStopsTheReplicaUntilAPeerHelps(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
-		a := startNode(t, log, "a", nil)
-		settleTime()
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
+		a := readyNode(t, log, "a", nil)
 		writeMany(t, a, 0, 50)
 		old, err := a.Export()
 		wantErr(t, err, nil)
@@ -150,8 +138,7 @@
 		a.stopAndWait()
 		log.Trim("dc/a", a.Applied())
 
-		b := startNode(t, log, "b", nil)
-		settleTime()
+		b := readyNode(t, log, "b", nil)
 		if s := b.Stats(); s.Ready || s.Gaps != 1 || s.Reads > 100 {
 			t.Errorf("stats %+v", s)
 		}
@@ -173,20 +160,16 @@
 		settleTime()
 		wantSame(t, a, b)
 		writeMany(t, b, 60, 61)
-		b.stopAndWait()
 	})
 }
 
 func TestStartWithTheLogDownTakesAPeersState(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
-		a := startNode(t, log, "a", nil)
-		settleTime()
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
+		a := readyNode(t, log, "a", nil)
 		writeMany(t, a, 0, 5)
 		log.SetFaults(logserver.Faults{Down: true})
 		time.Sleep(time.Hour)
-		b := startNode(t, log, "b", nil)
-		settleTime()
+		b := readyNode(t, log, "b", nil)
 		if b.Ready() {
 			t.Error("ready without any state")
 		}
@@ -209,25 +192,19 @@
 		c := startNode(t, empty, "c", nil)
 		wantErr(t, c.Import(st), nil)
 		settleTime()
-		d := startNode(t, empty, "d", nil)
-		settleTime()
+		d := readyNode(t, empty, "d", nil)
 		writeMany(t, d, 0, 20) // also when that log has grown past the state
 		settleTime()
 		if c.Ready() {
 			t.Error("ready on a log that ended before the state")
 		}
-		for _, n := range []*node{a, b, c, d} {
-			n.stopAndWait()
-		}
 	})
 }
 
 func TestTornRecordsAreSkippedByAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
 		toB := &link{Log: log}
-		a, b := startNode(t, log, "a", nil), startNode(t, toB, "b", nil)
-		settleTime()
+		a, b := readyNode(t, log, "a", nil), readyNode(t, toB, "b", nil)
 		toB.damage.Store(3) // on the way to b only: must be read again
 		writeMany(t, a, 0, 3)
 
@@ -240,24 +217,19 @@
 		toB.cutReads.Store(false)
 		settleTime()
 		wantErr(t, torn, ErrUnsettled)
-		c := startNode(t, log, "c", nil)
-		settleTime()
+		c := readyNode(t, log, "c", nil)
 		wantBodies(t, b, "0", "1", "2")
 		wantSame(t, b, c)
 		if got := c.TornRecords(); len(got) != 1 || got[0].Offset != 3 || b.Stats().RecordsTorn != 1 {
 			t.Errorf("torn records %v, b %+v", got, b.Stats())
 		}
-		for _, n := range []*node{a, b, c} {
-			n.stopAndWait()
-		}
 	})
 }
 
 func TestBatchesShrinkToWhatTheLogTakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := logserver.New(logserver.Config{MaxRecordBytes: 2000})
-		a := startNode(t, log, "a", nil)
-		settleTime()
+		a := readyNode(t, log, "a", nil)
 		var wg sync.WaitGroup
 		for range 100 {
 			wg.Go(func() { wantErr(t, a.propose(string(make([]byte, 300)), time.Minute), nil) })
@@ -267,7 +239,6 @@
 		if got := len(a.machine.list()); got != 100 {
 			t.Errorf("%d entries", got)
 		}
-		a.stopAndWait()
 	})
 }
 
@@ -336,18 +307,11 @@
 		links = append(links, &link{Log: log})
 		nodes = append(nodes, start(i, 1))
 	}
-	settleTime()
-	var mu sync.Mutex
-	answers := make(map[string]error)
+	answers := make([]error, 2000)
 	var wg sync.WaitGroup
-	for i := range 2000 {
-		n, body, limit := nodes[rng.IntN(3)], fmt.Sprint(i), time.Duration(rng.IntN(6000))*time.Millisecond
-		wg.Go(func() {
-			err := n.propose(body, limit)
-			mu.Lock()
-			defer mu.Unlock()
-			answers[body] = err
-		})
+	for i := range answers {
+		n, limit := nodes[rng.IntN(3)], time.Duration(rng.IntN(6000))*time.Millisecond
+		wg.Go(func() { answers[i] = n.propose(fmt.Sprint(i), limit) })
 		time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
 		if i%10 == 0 {
 			log.SetFaults(randomFaults(rng))
@@ -368,8 +332,7 @@
 		l.cut.Store(false)
 	}
 	time.Sleep(time.Minute) // the latest late append is 5 s late
-	nodes = append(nodes, startNode(t, log, "fresh", short))
-	settleTime()
+	nodes = append(nodes, readyNode(t, log, "fresh", short))
 	checkAnswers(t, nodes[0].machine.list(), answers)
 	for _, n := range nodes {
 		wantSame(t, nodes[0], n)
@@ -380,61 +343,38 @@
 }
 
 func randomFaults(rng *rand.Rand) logserver.Faults {
-	f := logserver.Faults{LateBy: time.Duration(rng.IntN(5000)) * time.Millisecond}
-	switch rng.IntN(8) {
-	case 0:
-		f.Down = true
-	case 1:
-		f.Abort = true
-	case 2:
-		f.RefuseWrites = true
-	case 3:
-		f.LoseAnswers = 3
-	case 4:
-		f.DropAppends = 3
-	case 5:
-		f.LateAppends = 3
-	case 6:
-		f.Slow = time.Duration(rng.IntN(3000)) * time.Millisecond
+	upTo := func(ms int) time.Duration { return time.Duration(rng.IntN(ms)) * time.Millisecond }
+	all := []logserver.Faults{
+		{}, {Down: true}, {Abort: true}, {RefuseWrites: true}, {LoseAnswers: 3}, {DropAppends: 3},
+		{LateAppends: 3, LateBy: upTo(5000)}, {Slow: upTo(3000)},
 	}
-	return f
+	return all[rng.IntN(len(all))]
 }
 
 // checkAnswers holds every proposer's answer against what was applied.
-func checkAnswers(t *testing.T, applied []string, answers map[string]error) {
+func checkAnswers(t *testing.T, applied []string, answers []error) {
 	t.Helper()
 	count := make(map[string]int)
 	for _, body := range applied {
 		count[body]++
 	}
-	wrong := 0
-	for body, err := range answers {
-		n := count[body]
-		ok := n == 0 || n == 1
-		if err == nil {
-			ok = n == 1
-		}
-		if errors.Is(err, ErrNotWritten) {
-			ok = n == 0
-		}
-		if !ok {
-			wrong++
-			t.Errorf("entry %s is there %d times, proposer got %v", body, n, err)
+	for i, err := range answers {
+		n := count[fmt.Sprint(i)]
+		if n > 1 || (err == nil && n == 0) || (errors.Is(err, ErrNotWritten) && n > 0) {
+			t.Errorf("entry %d is there %d times, proposer got %v", i, n, err)
 		}
 	}
-	if wrong > 0 || len(applied) < 100 {
-		t.Errorf("%d wrong answers, %d entries applied", wrong, len(applied))
+	if len(applied) < 100 {
+		t.Errorf("only %d entries applied", len(applied))
 	}
 }
 
 // TestStopEndsTheRetryOfABatch hung: the append loop went on sending a batch
 // of unknown fate after its context had ended, without a pause.
 func TestStopEndsTheRetryOfABatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
 		toA := &link{Log: log}
-		a := startNode(t, toA, "a", nil)
-		settleTime()
+		a := readyNode(t, toA, "a", nil)
 		log.SetFaults(logserver.Faults{DropAppends: 1})
 		answer := make(chan error, 1)
 		go func() { answer <- a.propose("x", time.Hour) }()
@@ -449,10 +389,8 @@
 }
 
 func TestConfirmedMeansReadToTheEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
-		a := startNode(t, log, "a", nil)
-		settleTime()
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
+		a := readyNode(t, log, "a", nil)
 		writeMany(t, a, 0, 10)
 		log.SetFaults(logserver.Faults{Slow: time.Second})
 		b := startNode(t, log, "b", func(c *Config) { c.ReadMax = 1 })
@@ -467,16 +405,12 @@
 			}
 		}
 		wantSame(t, a, b)
-		a.stopAndWait()
-		b.stopAndWait()
 	})
 }
 
 func TestReadOvertakenByAPeersState(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
-		a := startNode(t, log, "a", nil)
-		settleTime()
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
+		a := readyNode(t, log, "a", nil)
 		writeMany(t, a, 0, 10)
 		toB := &link{Log: log}
 		var b *node
@@ -493,7 +427,5 @@
 		if s := b.Stats(); s.Gaps != 0 || s.Imports != 1 {
 			t.Errorf("stats %+v", s)
 		}
-		a.stopAndWait()
-		b.stopAndWait()
 	})
 }
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -28,6 +28,7 @@
 	applied   atomic.Uint64             // platform.Offset
 	confirmed atomic.Pointer[time.Time] // see Follower
 	ready     atomic.Bool
+	firstKept atomic.Uint64 // platform.Offset; the oldest that the log kept at the latest read
 
 	applying   sync.Mutex // guards what follows up to mu, and is taken before it
 	core       *core
@@ -195,6 +196,13 @@
 	return r.batcher.waiting + r.batcher.taken
 }
 
+// snapshotPosition is what the newest complete snapshot stands for.
+func (r *Replica) snapshotPosition() platform.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.schedule.position
+}
+
 // room is how many bytes of entries fit into one record.
 func (r *Replica) room() int {
 	return entryRoom(int(r.recordLimit.Load()), r.cfg.Origin)
--- a/internal/journal/replica_test.go
+++ b/internal/journal/replica_test.go
@@ -36,9 +36,7 @@
 	return nil
 }
 
-func (m *tally) Snapshot() ([]byte, error) {
-	return Encode(m.list()), nil
-}
+func (m *tally) Snapshot() ([]byte, error) { return Encode(m.list()), nil }
 
 func (m *tally) Restore(data []byte) error {
 	m.mu.Lock()
@@ -79,6 +77,7 @@
 		t.Fatal(err)
 	}
 	n.Replica = r
+	t.Cleanup(n.stopAndWait)
 	var ctx context.Context
 	ctx, n.stopRun = context.WithCancel(t.Context())
 	go func() {
@@ -88,6 +87,19 @@
 	return n
 }
 
+// readyNode starts a node and lets it read to the end of the stream.
+func readyNode(t *testing.T, log platform.Log, name string, change func(*Config)) *node {
+	t.Helper()
+	n := startNode(t, log, name, change)
+	settleTime()
+	return n
+}
+
+// inBubble runs f in virtual time with an empty log.
+func inBubble(t *testing.T, f func(*testing.T, *logserver.Server)) {
+	synctest.Test(t, func(t *testing.T) { f(t, logserver.New(logserver.Config{})) })
+}
+
 func (n *node) stopAndWait() {
 	n.stopRun()
 	<-n.ended
@@ -121,15 +133,13 @@
 }
 
 func TestReplicasAgreeAndReturnTheMachinesVerdict(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
 		a, b := startNode(t, log, "a", nil), startNode(t, log, "b", nil)
 		wantErr(t, a.propose("early", time.Second), ErrNotReady)
 		settleTime()
 		var wg sync.WaitGroup
 		for i := range 200 {
-			n := []*node{a, b}[i%2]
-			wg.Go(func() { wantErr(t, n.propose(fmt.Sprint(i), time.Second), nil) })
+			wg.Go(func() { wantErr(t, []*node{a, b}[i%2].propose(fmt.Sprint(i), time.Second), nil) })
 		}
 		wg.Wait()
 		wantErr(t, a.propose("bad", time.Second), errOdd)
@@ -158,10 +168,8 @@
 	}
 	for name, f := range faults {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				log := logserver.New(logserver.Config{})
-				a, b := startNode(t, log, "a", nil), startNode(t, log, "b", nil)
-				settleTime()
+			inBubble(t, func(t *testing.T, log *logserver.Server) {
+				a, b := readyNode(t, log, "a", nil), readyNode(t, log, "b", nil)
 				log.SetFaults(f)
 				time.AfterFunc(2*time.Second, func() { log.SetFaults(logserver.Faults{}) })
 				wantErr(t, a.propose("1", time.Minute), nil)
@@ -169,18 +177,14 @@
 				settleTime()
 				wantBodies(t, a, "1", "2")
 				wantBodies(t, b, "1", "2")
-				a.stopAndWait()
-				b.stopAndWait()
 			})
 		})
 	}
 }
 
 func TestNotWrittenIsSaidOnlyWhenItIsCertain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
-		a := startNode(t, log, "a", nil)
-		settleTime()
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
+		a := readyNode(t, log, "a", nil)
 
 		log.SetFaults(logserver.Faults{RefuseWrites: true})
 		wantErr(t, a.propose("withdrawn", time.Second), ErrNotWritten)
@@ -198,13 +202,11 @@
 		if s := a.Stats(); s.RecordsRepeated != 1 || s.BatchesAbandoned != 1 || s.BacklogBytes != 0 {
 			t.Errorf("stats %+v", s)
 		}
-		a.stopAndWait()
 	})
 }
 
 func TestBacklogIsBoundedWhileTheLogIsDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
 		a := startNode(t, log, "a", func(c *Config) { c.MaxRecordBytes, c.MaxBacklogBytes = 2048, 2048 })
 		settleTime()
 		log.SetFaults(logserver.Faults{Down: true})
@@ -230,8 +232,7 @@
 // TestNoShareOfTheBudgetIsNotForever hung: the append loop waited without end
 // for a share of zero, also after the share had grown.
 func TestNoShareOfTheBudgetIsNotForever(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := logserver.New(logserver.Config{})
+	inBubble(t, func(t *testing.T, log *logserver.Server) {
 		began := time.Now()
 		a := startNode(t, log, "a", func(c *Config) {
 			c.AppendBurst = 1
@@ -242,6 +243,5 @@
 		wantErr(t, a.propose("2", time.Minute), nil)
 		time.Sleep(10 * time.Second)
 		wantErr(t, a.propose("3", time.Second), nil)
-		a.stopAndWait()
 	})
 }
--- a/internal/journal/stats.go
+++ b/internal/journal/stats.go
@@ -9,6 +9,8 @@
 // Stats is a reading of a replica's counters, for expvar.Func.
 type Stats struct {
 	Applied           platform.Offset `json:"applied"`
+	FirstKept         platform.Offset `json:"first_kept"`        // oldest offset in the log, at the latest read
+	SnapshotPosition  platform.Offset `json:"snapshot_position"` // of the newest complete snapshot
 	Ready             bool            `json:"ready"`
 	BacklogBytes      int             `json:"backlog_bytes"`
 	Proposed          uint64          `json:"proposed"`
@@ -57,6 +59,8 @@
 	c := &r.counters
 	return Stats{
 		Applied:           r.Applied(),
+		FirstKept:         platform.Offset(r.firstKept.Load()),
+		SnapshotPosition:  r.snapshotPosition(),
 		Ready:             r.Ready(),
 		BacklogBytes:      r.backlogBytes(),
 		Proposed:          c.proposed.Load(),
--- a/internal/platform/httplog/client_test.go
+++ b/internal/platform/httplog/client_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -76,16 +75,9 @@
 	if !errors.As(err, &trimmed) || trimmed.First != 2 {
 		t.Errorf("read below the horizon: %v", err)
 	}
-}
 
-func TestNoConnectionMeansNoEffect(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	listener.Close()
-	_, err = newClient(t, address).Append(t.Context(), "s", []byte("x"))
+	server.Close() // no connection means no effect
+	_, err = newClient(t, server.Listener.Addr().String()).Append(ctx, "dc/a", []byte("x"))
 	wantErr(t, err, platform.ErrUnavailable)
 }
 
