--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -51,7 +51,7 @@
 
 	SnapshotEvery    uint64        // records between snapshots, at most
 	SnapshotInterval time.Duration // time between snapshots, at most; keep below a quarter of the log's retention
-	RetainRecords    uint64        // that the log keeps, if it counts them; snapshots come within half of them
+	RetainRecords    uint64        // that the log keeps, if it counts them; snapshots come within a quarter of them
 	MaxSnapshotBytes int           // larger ones are neither written nor read
 
 	BackoffMin time.Duration // first pause after a failure
