--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"expvar"
 	"net/http"
 	"time"
 
@@ -20,10 +21,28 @@
 		Explainer: explainer{machine: n.streams.tasks},
 		Reporter:  n,
 		Counters:  n.counters,
+		Vars:      n.vars(),
 		Log:       n.log,
 	}, operator.Options{MaxBodyBytes: n.settings.Limits.MaxOperatorBytes})
 }
 
+// vars returns what the parts count besides refusals, retries and waits.
+func (n *Node) vars() map[string]expvar.Var {
+	stats := func(r *journal.Replica) expvar.Var {
+		return expvar.Func(func() any { return r.Stats() })
+	}
+	return map[string]expvar.Var{
+		"journal_config":  stats(n.streams.config),
+		"journal_cell":    stats(n.streams.cell),
+		"heartbeats":      n.members.Vars(),
+		"ownership":       n.owner.Vars(),
+		"peer_server":     n.peerServer.Vars(),
+		"peer_heartbeats": n.heartbeats.Vars(),
+		"peer_handovers":  n.handovers.Vars(),
+		"requests":        expvar.Func(func() any { return n.chain.Report() }),
+	}
+}
+
 // Status implements operator.Reporter.
 func (n *Node) Status() api.Status {
 	now := time.Now()
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -67,13 +67,16 @@
 	writeJSON(w, http.StatusOK, e)
 }
 
-// vars writes the process's expvars and, under "counters", those of this
-// node, which needs no registration of its own.
+// vars writes the process's expvars and those of this node, which need no
+// registration of their own.
 func (s *service) vars(w http.ResponseWriter, _ *http.Request) {
 	all := map[string]json.RawMessage{}
 	expvar.Do(func(kv expvar.KeyValue) {
 		all[kv.Key] = json.RawMessage(kv.Value.String())
 	})
+	for name, v := range s.Vars {
+		all[name] = json.RawMessage(v.String())
+	}
 	all["counters"] = json.RawMessage(s.Counters.String())
 	writeJSON(w, http.StatusOK, all)
 }
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -4,6 +4,7 @@
 package operator
 
 import (
+	"expvar"
 	"context"
 	"net/http"
 	"time"
@@ -55,6 +56,7 @@
 	Explainer Explainer
 	Reporter  Reporter
 	Counters  *counter.Set
+	Vars      map[string]expvar.Var // further variables of this node, by name; may be nil
 	Log       *logrus.Entry
 }
 
