Enforce the limits on connections and memory

Cause: limits.max_connections and limits.memory_bytes were settings only. Change: the callers' listener takes no more connections than that (x/net's LimitListener), and the runtime's soft memory limit is set at the start.

--- a/cmd/skylarklock/main.go
+++ b/cmd/skylarklock/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/skylarklock/skylarklock/internal/entry"
@@ -40,6 +41,9 @@
 	if err != nil {
 		return badInput(err)
 	}
+	if s.Limits.MemoryBytes > 0 {
+		debug.SetMemoryLimit(s.Limits.MemoryBytes)
+	}
 	log, err := logging.New(os.Stderr, s.LogLevel)
 	if err != nil {
 		return badInput(err)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/config"
@@ -260,7 +261,11 @@
 	n.listeners.callers = open(n.settings.Listen.Callers)
 	n.listeners.operators = open(n.settings.Listen.Operators)
 	n.listeners.peers = open(n.settings.Listen.Peers)
-	return errors.Wrap(err, "listen")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	n.listeners.callers = netutil.LimitListener(n.listeners.callers, n.settings.Limits.MaxConnections)
+	return nil
 }
 
 // frontSettings takes the bounds of the callers' server from the settings.
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -4,8 +4,8 @@
 package operator
 
 import (
-	"expvar"
 	"context"
+	"expvar"
 	"net/http"
 	"time"
 
