--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -144,6 +144,7 @@
 func (n *Node) connectPeers() {
 	s := n.settings
 	limits := peer.DefaultLimits()
+	limits.Call = s.Limits.PeerTimeout.Std()
 	n.heartbeats = peer.NewClient(limits, n.outside.DialPeer)
 	limits.MaxRequest = int(s.Limits.MaxPeerBytes)
 	limits.MaxAnswer = int(s.Limits.MaxPeerBytes)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,7 +18,6 @@
 	allowedAddress = "IP:port, without host names"
 	allowedURL     = "http://IP:port or https://IP:port, without host names"
 	maxDrift       = 0.2
-	maxShards      = 4096
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
@@ -88,8 +87,7 @@
 func (s *Settings) checkJournal(l *finding.List) {
 	j := s.Journal
 	number(l, "journal.batch_bytes", int64(j.BatchBytes), 128*kib, 64*mib)
-	number(l, "journal.batch_entries", int64(j.BatchEntries), 1, 1_000_000)
-	number(l, "journal.backlog", int64(j.Backlog), int64(j.BatchEntries), 10_000_000)
+	number(l, "journal.backlog_bytes", int64(j.BacklogBytes), int64(j.BatchBytes), 1024*mib)
 	number(l, "journal.snapshot_records", int64(j.SnapshotRecords), 10, 10_000_000)
 	between(l, "journal.batch_delay", j.BatchDelay, 0, time.Second)
 	between(l, "journal.snapshot_interval", j.SnapshotInterval, time.Second, 24*time.Hour)
@@ -102,16 +100,14 @@
 	between(l, "hold.hold", h.Hold, 2*h.Heartbeat.Std(), 10*time.Minute)
 	between(l, "hold.lease", h.Lease, 2*h.Heartbeat.Std(), time.Hour)
 	l.Check(h.Drift >= 0 && h.Drift <= maxDrift, "hold.drift", h.Drift, fmt.Sprintf("0 to %v", maxDrift))
-	number(l, "hold.shards", int64(h.Shards), 1, maxShards)
 }
 
 func (s *Settings) checkLimits(l *finding.List) {
 	m := s.Limits
 	number(l, "limits.max_body_bytes", m.MaxBodyBytes, 1*kib, 1024*mib)
-	number(l, "limits.max_answer_bytes", m.MaxAnswerBytes, 1*kib, 1024*mib)
 	number(l, "limits.max_header_bytes", int64(m.MaxHeaderBytes), 1*kib, 1*mib)
 	number(l, "limits.max_operator_bytes", m.MaxOperatorBytes, 1*kib, 64*mib)
-	number(l, "limits.max_peer_bytes", m.MaxPeerBytes, max(m.MaxBodyBytes, m.MaxAnswerBytes), 2048*mib)
+	number(l, "limits.max_peer_bytes", m.MaxPeerBytes, m.MaxBodyBytes, 2048*mib)
 	number(l, "limits.max_connections", int64(m.MaxConnections), 1, 1_000_000)
 	number(l, "limits.max_requests", int64(m.MaxRequests), 1, 1_000_000)
 	l.Check(m.MemoryBytes == 0 || m.MemoryBytes >= 16*mib, "limits.memory_bytes", m.MemoryBytes, "0 (none) or at least 16777216")
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -37,10 +37,9 @@
 func defaultJournal() Journal {
 	return Journal{
 		BatchBytes:       256 * kib,
-		BatchEntries:     2000,
 		BatchDelay:       Duration(5 * time.Millisecond),
 		AppendsPerSecond: 300,
-		Backlog:          20000,
+		BacklogBytes:     4 * mib,
 		SnapshotInterval: Duration(2 * time.Minute),
 		SnapshotRecords:  5000,
 	}
@@ -52,14 +51,12 @@
 		Lease:     seconds(10),
 		Heartbeat: Duration(500 * time.Millisecond),
 		Drift:     0.01,
-		Shards:    64,
 	}
 }
 
 func defaultLimits() Limits {
 	return Limits{
 		MaxBodyBytes:      4 * mib,
-		MaxAnswerBytes:    8 * mib,
 		MaxHeaderBytes:    32 * kib,
 		MaxOperatorBytes:  1 * mib,
 		MaxPeerBytes:      16 * mib,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,10 +96,9 @@
 // Journal tunes the batches and snapshots of streams.
 type Journal struct {
 	BatchBytes       int      `json:"batch_bytes"`        // most bytes in one record
-	BatchEntries     int      `json:"batch_entries"`      // most entries in one record
 	BatchDelay       Duration `json:"batch_delay"`        // longest wait for company
 	AppendsPerSecond float64  `json:"appends_per_second"` // budget of the whole cell
-	Backlog          int      `json:"backlog"`            // entries that may wait
+	BacklogBytes     int      `json:"backlog_bytes"`      // of entries that wait to be read back; more are refused
 	SnapshotInterval Duration `json:"snapshot_interval"`  // between snapshots of a stream
 	SnapshotRecords  int      `json:"snapshot_records"`   // or after so many records
 }
@@ -110,13 +109,11 @@
 	Lease     Duration `json:"lease"`     // of the tasks on a worker
 	Heartbeat Duration `json:"heartbeat"` // between exchanges with peers and workers
 	Drift     float64  `json:"drift"`     // bound on the difference of clock rates, as a fraction
-	Shards    int      `json:"shards"`    // of each data centre; the same on all its entry VMs
 }
 
 // Limits bounds what one entry VM takes on.
 type Limits struct {
 	MaxBodyBytes      int64    `json:"max_body_bytes"`      // of a caller's request
-	MaxAnswerBytes    int64    `json:"max_answer_bytes"`    // of an endpoint's answer
 	MaxHeaderBytes    int      `json:"max_header_bytes"`    // of a request
 	MaxOperatorBytes  int64    `json:"max_operator_bytes"`  // of an operator's request
 	MaxPeerBytes      int64    `json:"max_peer_bytes"`      // of one message between peers
