--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -38,14 +38,18 @@
 func putFleet(w *scheduler.World, vms, dcs int) {
 	for i := range vms {
 		vm := scheduler.VM{ID: api.VMID(fmt.Sprintf("vm-%05d", i)), DataCentre: api.DataCentre(fmt.Sprintf("dc-%d", i%dcs)),
-			Rack: fmt.Sprintf("rack-%d-%d", i%dcs, i/dcs/6), Capacity: api.Resources{MilliCPU: 32000, MemoryMB: 65536}, Schedulable: true}
-		if i%6 == 5 {
-			vm.Capacity = api.Resources{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8}
-		}
+			Rack: fmt.Sprintf("rack-%d-%d", i%dcs, i/dcs/6), Capacity: capacityOf(i), Schedulable: true}
 		w.PutVM(vm)
 	}
 }
 
+func capacityOf(i int) api.Resources {
+	if i%6 == 5 {
+		return api.Resources{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8}
+	}
+	return api.Resources{MilliCPU: 32000, MemoryMB: 65536}
+}
+
 // stream draws jobs of many teams and mixed sizes.
 type stream struct {
 	rnd    *rand.Rand
@@ -331,8 +335,10 @@
 		}
 	}
 	over := 0
-	for _, used := range real {
-		if !used.Fits(api.Resources{MilliCPU: 32000, MemoryMB: 65536}) && !used.Fits(api.Resources{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8}) {
+	for id, used := range real {
+		var i int
+		_, _ = fmt.Sscanf(string(id), "vm-%d", &i)
+		if !used.Fits(capacityOf(i)) {
 			over++
 		}
 	}
