standin: ports of all entry VMs drawn together

Cause: a run failed with "address already in use": an outgoing connection of an entry VM that already ran took a port drawn for a later one. Ruled out: fixed ports, other runs share the machine.

--- a/internal/standin/site/settings.go
+++ b/internal/standin/site/settings.go
@@ -26,14 +26,19 @@
 
 // EntriesOf is Entries with the number of entry VMs of each data centre.
 func (s *Site) EntriesOf(counts []int) ([]*settings.Settings, error) {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	ports, err := freePorts(total * portsOfEntry)
+	if err != nil {
+		return nil, err
+	}
 	var all []*settings.Settings
 	var seeds []string
 	for at, dc := range s.cfg.DataCentres {
 		for i := range counts[at] {
-			entry, err := s.entry(dc, i)
-			if err != nil {
-				return nil, err
-			}
+			entry := s.entry(dc, i, ports[len(all)*portsOfEntry:])
 			if i == 0 {
 				seeds = append(seeds, entry.Listen.Peers)
 			}
@@ -46,11 +51,8 @@
 	return all, nil
 }
 
-func (s *Site) entry(dc api.DataCentre, i int) (*settings.Settings, error) {
-	ports, err := freePorts(portsOfEntry)
-	if err != nil {
-		return nil, err
-	}
+// entry returns the settings of one entry VM, on the first of ports.
+func (s *Site) entry(dc api.DataCentre, i int, ports []string) *settings.Settings {
 	e := settings.Default()
 	e.NodeID = api.NodeID(fmt.Sprintf("%s-entry%d", dc, i))
 	e.DataCentre = dc
@@ -59,10 +61,10 @@
 	e.AdvertisePeer = ports[2]
 	e.Log.URLs = []string{"http://" + s.LogAddress}
 	e.VMList.URL = "http://" + s.ListAddress
-	return e, nil
+	return e
 }
 
-// freePorts returns n addresses on which nothing listens now.
+// freePorts returns n different addresses on which nothing listens now.
 func freePorts(n int) ([]string, error) {
 	var addresses []string
 	for range n {
