Measure latency and overload of whole entry VMs

Cause: routing was measured in virtual time only, single parts without the others. Ruled out: the router's virtual-time experiment with several routers, it has neither sockets nor the log nor hand-overs. Change: skylarkctl experiment latency|overload: stand-ins, 8 to 9 entry VMs and an open load in one process, ours and the baseline policy in the same run, the callers' answers held against the executors' records.

--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/skylarklock/skylarklock/internal/ctl"
+	"github.com/skylarklock/skylarklock/internal/experiment"
 )
 
 func main() {
@@ -17,5 +18,9 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return ctl.Run(ctx, ctl.New(os.Stdout, os.Stderr, ctl.Standin(os.Stdout)), os.Args[1:], os.Stderr)
+	root := ctl.New(os.Stdout, os.Stderr,
+		ctl.Standin(os.Stdout),
+		experiment.Command(os.Stdout, ctl.EnvPrefix),
+	)
+	return ctl.Run(ctx, root, os.Args[1:], os.Stderr)
 }
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,46 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+)
+
+// experiments by name.
+var experiments = map[string]func(context.Context, Config, *report) error{
+	"latency":  latency,
+	"overload": overload,
+}
+
+// Names returns the names of all experiments, sorted.
+func Names() []string {
+	var names []string
+	for name := range experiments {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Run runs one experiment and writes its table.
+func Run(ctx context.Context, w io.Writer, name string, cfg Config) error {
+	do, ok := experiments[name]
+	if !ok {
+		return errors.Newf("no experiment %q, want one of %v", name, Names())
+	}
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "experiment=%s cell=%s entries=%v executors=%dx%d slots=%d service_time=%s timeout=%s seconds=%d wait=%t per_entry=%t log_delay=%s cpus=%d load_average=%q\n",
+		name, cfg.Cell.Name, cfg.Cell.Entries, len(cfg.Cell.DataCentres), cfg.Cell.Executors, slots,
+		cfg.ServiceTime, cfg.Timeout, cfg.Seconds, cfg.Wait, cfg.PerEntry, cfg.LogDelay, runtime.NumCPU(), loadAverage())
+	r := newReport(w)
+	err := do(ctx, cfg, r)
+	r.flush(w)
+	fmt.Fprintf(w, "load_average=%q\n", loadAverage())
+	return err
+}
--- /dev/null
+++ b/internal/experiment/publish.go
@@ -0,0 +1,89 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/schema"
+	"github.com/skylarklock/skylarklock/internal/standin/site"
+)
+
+const publishTimeout = 10 * time.Second
+
+// publishAll publishes the services' records and limits of callers that bound
+// nothing but a flood, and waits until they are in force everywhere.
+func (c *cell) publishAll(ctx context.Context, services []site.Service) error {
+	specs := map[string]string{}
+	for _, p := range c.cfg.Policies {
+		specs[serviceOf(p)] = p
+	}
+	for _, s := range services {
+		specs[s.Name] = schema.RoutingLeastLoaded
+	}
+	for name, policy := range specs {
+		spec := schema.DefaultService(name)
+		spec.RoutingPolicy = policy
+		if err := c.publish(ctx, api.KindService, name, spec); err != nil {
+			return err
+		}
+	}
+	limits := api.LimitsSpec{Caller: schema.AnyCaller, RatePerSec: 5000, Burst: 5000, Concurrency: 2000}
+	if err := c.publish(ctx, api.KindLimits, schema.AnyCaller, limits); err != nil {
+		return err
+	}
+	return c.awaitRevision(ctx)
+}
+
+// publish publishes one record of a key that doesn't exist yet, through the
+// first entry VM.
+func (c *cell) publish(ctx context.Context, kind api.Kind, name string, spec any) error {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(api.Record{Kind: kind, Name: name, SchemaVersion: schema.Newest(kind), Spec: data})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	target := "http://" + c.entries[0].settings.Listen.Operators + "/v1/records"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var answer api.PublishAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return errors.Wrapf(err, "publish %s/%s: status %d", kind, name, resp.StatusCode)
+	}
+	if answer.Outcome != api.PublishAccepted {
+		return errors.Newf("publish %s/%s: %s: %s %v", kind, name, answer.Outcome, answer.Detail, answer.Findings)
+	}
+	return nil
+}
+
+// awaitRevision waits until all entry VMs have the newest configuration.
+func (c *cell) awaitRevision(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	newest := c.entries[0].node.Status().Revision
+	for _, e := range c.entries {
+		for e.node.Status().Revision < newest {
+			if !pause(ctx, 20*time.Millisecond) {
+				return errors.New("records not in force everywhere in time")
+			}
+		}
+	}
+	return nil
+}
