Policy and quotas come into force without a new tenure

Cause: placement read policy and quotas when it took the placement shard over, learning when the process started; a record published later was not in force. Ruled out: building the world anew on each change.

--- a/internal/controller/learning/learning.go
+++ b/internal/controller/learning/learning.go
@@ -33,6 +33,7 @@
 // implements the Observer of the worker controller, the Advisor of placement
 // and the Quarantine of the fleet's view.
 type Controller struct {
+	policy   func() api.PolicySpec // in force
 	machine  *cell.Machine
 	proposer journal.Proposer
 	auth     Authority
@@ -52,15 +53,16 @@
 const counterGroup = "learning"
 
 // New returns a controller that has learned nothing yet.
-func New(policy api.PolicySpec, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, now func() time.Time) *Controller {
+func New(policy func() api.PolicySpec, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, now func() time.Time) *Controller {
 	return &Controller{
+		policy:    policy,
 		machine:   machine,
 		proposer:  proposer,
 		auth:      auth,
 		counters:  counters,
 		now:       now,
-		estimates: estimate.New(estimate.Config{Policy: policy}),
-		failures:  quarantine.New(quarantine.Config{Policy: policy}),
+		estimates: estimate.New(estimate.Config{Policy: policy()}),
+		failures:  quarantine.New(quarantine.Config{Policy: policy()}),
 		started:   make(map[api.TaskID]time.Time),
 		throttles: make(map[api.VMID][]platform.TaskStop),
 		avoid:     make(map[api.JobID]map[api.VMID]bool),
@@ -85,7 +87,10 @@
 func (c *Controller) Step(ctx context.Context) {
 	now := c.now()
 	fleet := len(c.machine.VMs())
+	policy := c.policy()
 	c.mu.Lock()
+	c.estimates.SetPolicy(policy)
+	c.failures.SetPolicy(policy)
 	for _, change := range c.failures.Decide(fleet, now) {
 		if change.Quarantined {
 			c.counters.Inc(counterGroup, api.ReasonQuarantine)
--- a/internal/entry/cellparts.go
+++ b/internal/entry/cellparts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -18,7 +17,6 @@
 	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/lease"
 	"github.com/skylarklock/skylarklock/internal/ownership"
-	"github.com/skylarklock/skylarklock/internal/scheduler"
 	"github.com/skylarklock/skylarklock/internal/schema"
 )
 
@@ -54,7 +52,7 @@
 	vmsConfig.Poll = s.VMList.Interval.Std()
 	vmsConfig.Timeout = s.VMList.Timeout.Std()
 	p.vms = vms.New(vmsConfig, n.outside.VMList, st.tasks, st.cell, auth, n.counters, n.log, time.Now)
-	p.learning = learning.New(st.configs.Policy(), st.tasks, st.cell, auth, n.counters, time.Now)
+	p.learning = learning.New(st.configs.Policy, st.tasks, st.cell, auth, n.counters, time.Now)
 	p.worker = worker.New(worker.DefaultConfig(params), st.tasks, st.cell, n.outside.Worker, p.vms, auth, p.learning, n.counters, n.log, time.Now)
 	view := fleet.New(s.DataCentre, st.tasks, p.vms, p.worker, p.learning)
 	p.placement = placement.New(placement.DefaultConfig(s.DataCentre), n.newWorld, st.tasks, st.cell, auth, view, p.learning, n.counters, n.log, time.Now)
@@ -73,30 +71,6 @@
 	}
 }
 
-// world binds a scheduler to the state that it plans on.
-type world struct {
-	*scheduler.World
-	scheduler *scheduler.Scheduler
-}
-
-// Cycle implements placement.World.
-func (w world) Cycle(now time.Time, maxStarts int) scheduler.Plan {
-	return w.scheduler.Cycle(w.World, now, maxStarts)
-}
-
-// newWorld returns an empty world under the policy and quotas in force.
-func (n *Node) newWorld() placement.World {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	w := world{
-		World:     scheduler.NewWorld(),
-		scheduler: scheduler.New(scheduler.Config{Policy: n.streams.configs.Policy()}, random),
-	}
-	for _, quota := range n.streams.configs.Quotas() {
-		w.PutQuota(quota)
-	}
-	return w
-}
-
 // jobs returns what takes callers' jobs.
 func (n *Node) callerJobs() callerJobs {
 	return callerJobs{machine: n.streams.tasks, proposer: n.streams.cell, complete: completeJob, now: time.Now}
