Hand endpoints over while a leaving entry VM answers its callers

Cause: a leaving entry VM drained its callers first and gave up its shards after the last answer. For as long as its longest request nobody else could use its endpoints; others refused with no_endpoint although the slots were free.

Ruled out: leaving the roster early, since other entry VMs ask the writer of a mark for its answer by the roster. Handing over when alone in the roster or without the log: nobody would take over, and what still arrives in the readiness delay would find no endpoint.

Change: the ownership drains beside the callers. Until the last answer the leaving node counts at least one request in flight in each shard handed over, so that it stays in the roster. Abort ends a drain, too.

--- a/internal/entry/cellparts.go
+++ b/internal/entry/cellparts.go
@@ -106,7 +106,8 @@
 
 // inFlight returns the most requests in flight at any endpoint of a shard.
 // Placement needs none: what the former holder told a worker is bounded by
-// the lease.
+// the lease. A node that leaves counts at least one until its callers have
+// their answers, so that it stays in the roster, where others ask it for them.
 func (n *Node) inFlight(shard ownership.Shard) int {
 	var ids []api.EndpointID
 	for _, vm := range n.cell.vms.VMs() {
@@ -116,7 +117,11 @@
 			}
 		}
 	}
-	return n.router.MostInFlight(ids)
+	most := n.router.MostInFlight(ids)
+	if shard != ownership.Cell && n.owner.Draining() && !n.answered.Load() {
+		return max(most, 1)
+	}
+	return most
 }
 
 // unlisted tells for how long the platform's list has lacked each entry VM
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -250,3 +253,63 @@
 	c.awaitServing(c.live()...)
 	c.finish()
 }
+
+// TestLeavingEntryHandsOver: the endpoints of a leaving entry VM take requests
+// of others while one of its own is still in flight.
+func TestLeavingEntryHandsOver(t *testing.T) {
+	c := startCluster(t)
+	victim, other := c.nodes[0], c.nodes[1]
+	if victim.router.Free(service) == 0 {
+		victim, other = other, victim
+	}
+	endpoints := c.site.VMs[:4]
+	c.faulty(endpoints, executor.Faults{Hang: true})
+	ctx, hangUp := context.WithCancel(t.Context())
+	var asked sync.WaitGroup
+	c.await("a request in flight", func() bool {
+		asked.Go(func() { _, _ = c.http.Do(c.hanging(ctx, victim)) }) // nobody waits for the answer
+		return victim.router.MostInFlight([]api.EndpointID{endpoints[0].Endpoints[0].ID, endpoints[1].Endpoints[0].ID,
+			endpoints[2].Endpoints[0].ID, endpoints[3].Endpoints[0].ID}) > 0
+	})
+	c.faulty(endpoints, executor.Faults{})
+	stopped := time.Now()
+	victim.stop()
+	c.await("every endpoint takes requests of the other", func() bool {
+		c.serves(other, "", true)
+		return c.allRanSince(endpoints, stopped)
+	})
+	if victim.chain.Gate().InFlight() == 0 {
+		t.Error("the request in flight did not last until then")
+	}
+	hangUp()
+	asked.Wait()
+	c.leave(victim)
+	c.finish()
+}
+
+// hanging returns an idempotent request through p that gets no answer.
+func (c *cluster) hanging(ctx context.Context, p *process) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.callers()+"/v1/services/"+service+"/", nil)
+	must(c.t, err)
+	id := fmt.Sprintf("hanging-%d", c.rec.Now())
+	c.rec.Request(history.Request{ID: id, Idempotent: true, Start: c.rec.Now()})
+	req.Header.Set(api.HeaderRequestID, id)
+	req.Header.Set(api.HeaderIdempotent, "true")
+	req.Header.Set(api.HeaderTimeout, fmt.Sprint(deadline.Milliseconds()))
+	return req
+}
+
+// allRanSince reports whether every executor on vms started a request later
+// than at.
+func (c *cluster) allRanSince(vms []api.VM, at time.Time) bool {
+	for _, vm := range vms {
+		started := false
+		for _, runs := range c.site.Executors[vm.Endpoints[0].ID].Record().Runs {
+			started = started || runs[len(runs)-1].Start.After(at)
+		}
+		if !started {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,7 @@
 	front      *front.Server
 	cell       *cellParts
 	listeners  listeners
+	answered   atomic.Bool   // the drain has answered all callers
 	aborted    chan struct{} // closed by Abort
 	abortOnce  sync.Once
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -153,8 +154,7 @@
 	_ = stop(ctx)
 }
 
-// awaitShutdown waits until ctx ends and drains: callers first, then what
-// other entry VMs take over.
+// awaitShutdown waits until ctx ends and drains.
 func (n *Node) awaitShutdown(ctx, work context.Context) error {
 	select {
 	case <-work.Done():
@@ -165,18 +165,42 @@
 	}
 	deadline, cancel := context.WithTimeout(work, n.settings.DrainDeadline.Std())
 	defer cancel()
-	n.log.WithField("event", "drain_started").Info("drain started")
-	for _, step := range []struct {
-		name string
-		do   func(context.Context) error
-	}{
-		{"callers", n.front.Drain},
-		{"outcomes", n.chain.Close},
-		{"ownership", n.owner.Drain},
-	} {
-		if err := step.do(deadline); err != nil {
-			n.log.WithError(err).WithField("step", step.name).Warn("drain incomplete")
+	go func() {
+		select {
+		case <-n.aborted:
+			cancel()
+		case <-deadline.Done():
 		}
-	}
+	}()
+	n.log.WithField("event", "drain_started").Info("drain started")
+	n.drain(deadline)
 	return nil
 }
+
+// drain answers the callers and meanwhile hands the shards over, so that
+// others use the endpoints while the last requests here are in flight. The
+// node leaves the roster after its last answer. When nobody can take over, the
+// shards are kept until then.
+func (n *Node) drain(ctx context.Context) {
+	leave := sync.OnceFunc(func() { n.drainStep(ctx, "ownership", n.owner.Drain) })
+	if n.canHandOver() {
+		go leave()
+	}
+	n.drainStep(ctx, "callers", n.front.Drain)
+	n.drainStep(ctx, "outcomes", n.chain.Close)
+	n.answered.Store(true)
+	leave()
+}
+
+// canHandOver reports whether there is another member, and the log that a
+// hand-over goes through.
+func (n *Node) canHandOver() bool {
+	roster, _ := n.streams.owners.Roster()
+	return len(roster) > 1 && time.Since(n.streams.cell.Confirmed()) < n.settings.Hold.Hold.Std()
+}
+
+func (n *Node) drainStep(ctx context.Context, name string, do func(context.Context) error) {
+	if err := do(ctx); err != nil {
+		n.log.WithError(err).WithField("step", name).Warn("drain incomplete")
+	}
+}
