--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// Configure replaces the configuration; what was learned stays.
+func (e *Estimator) Configure(cfg Config) {
+	e.cfg = cfg.WithDefaults()
+}
+
 // Observe learns from a report and returns what to do about the task.
 func (e *Estimator) Observe(spec api.JobSpec, r Report) Verdict {
 	l := e.learnedOf(SignatureOf(spec))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -67,6 +67,12 @@
 	}
 }
 
+// Configure replaces the configuration; what was recorded stays. VMs beyond a
+// smaller share stay in quarantine until their probes end well.
+func (t *Tracker) Configure(cfg Config) {
+	t.cfg = cfg.WithDefaults()
+}
+
 // Succeeded records a task that ended well on a VM. On a quarantined VM it
 // counts as a probe.
 func (t *Tracker) Succeeded(vm api.VMID, task api.TaskID, now time.Time) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,7 +9,8 @@
 
 // Scheduler plans placements. It keeps no state of its own between cycles
 // but its random source, so the same World, time and seed give the same
-// plan. It is not safe for concurrent use.
+// plan, and a new policy is put in force by a new Scheduler on the same
+// World. It is not safe for concurrent use.
 type Scheduler struct {
 	cfg  Config
 	rand *rand.Rand
