Plan with learned run times

Cause: the scheduler takes a learned run time for backfill; placement passed the resources only. Change: the advisor gives both; estimate and quarantine take policies over by their own Configure. Measured: tests of placement, scheduler, estimate, quarantine pass.

--- a/internal/controller/learning/learning.go
+++ b/internal/controller/learning/learning.go
@@ -89,8 +89,8 @@
 	fleet := len(c.machine.VMs())
 	policy := c.policy()
 	c.mu.Lock()
-	c.estimates.SetPolicy(policy)
-	c.failures.SetPolicy(policy)
+	c.estimates.Configure(estimate.Config{Policy: policy})
+	c.failures.Configure(quarantine.Config{Policy: policy})
 	for _, change := range c.failures.Decide(fleet, now) {
 		if change.Quarantined {
 			c.counters.Inc(counterGroup, api.ReasonQuarantine)
@@ -191,11 +191,13 @@
 	return stops
 }
 
-// Estimate returns the resources to plan each task of a job with.
-func (c *Controller) Estimate(spec api.JobSpec) api.Resources {
+// Estimate returns the resources and the run time to plan each task of a job
+// with; a run time of zero is not known.
+func (c *Controller) Estimate(spec api.JobSpec) (api.Resources, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.estimates.Estimate(spec).Resources
+	e := c.estimates.Estimate(spec)
+	return e.Resources, e.RunTime
 }
 
 // Avoid returns the VMs on which tasks of a job failed.
--- a/internal/controller/placement/bench_test.go
+++ b/internal/controller/placement/bench_test.go
@@ -28,16 +28,18 @@
 func (r *rig) CellEpoch() api.Epoch                        { return 1 }
 func (r *rig) Cell(time.Time) (api.Epoch, bool, time.Time) { return 1, true, time.Time{} }
 func (r *rig) Inc(string, api.Reason)                      {}
-func (r *rig) Estimate(spec api.JobSpec) api.Resources     { return spec.Resources }
-func (r *rig) Avoid(api.JobID) map[api.VMID]bool           { return nil }
-func (r *rig) Fleet() []scheduler.VM                       { return r.vms }
-func (r *rig) PutVM(scheduler.VM)                          {}
-func (r *rig) RemoveVM(api.VMID)                           {}
-func (r *rig) RemoveJob(api.JobID)                         {}
-func (r *rig) Occupy(scheduler.Running)                    {}
-func (r *rig) Vacate(api.TaskID)                           {}
-func (r *rig) Release(api.TaskID)                          {}
-func (r *rig) PutJob(j scheduler.Job)                      { r.pending = append(r.pending, j) }
+func (r *rig) Estimate(spec api.JobSpec) (api.Resources, time.Duration) {
+	return spec.Resources, spec.RunTime
+}
+func (r *rig) Avoid(api.JobID) map[api.VMID]bool { return nil }
+func (r *rig) Fleet() []scheduler.VM             { return r.vms }
+func (r *rig) PutVM(scheduler.VM)                {}
+func (r *rig) RemoveVM(api.VMID)                 {}
+func (r *rig) RemoveJob(api.JobID)               {}
+func (r *rig) Occupy(scheduler.Running)          {}
+func (r *rig) Vacate(api.TaskID)                 {}
+func (r *rig) Release(api.TaskID)                {}
+func (r *rig) PutJob(j scheduler.Job)            { r.pending = append(r.pending, j) }
 
 func (r *rig) Propose(_ context.Context, e journal.Entry) error {
 	r.mu.Lock()
--- a/internal/controller/placement/feed.go
+++ b/internal/controller/placement/feed.go
@@ -186,11 +186,13 @@
 
 func (f *feed) putJob(v cell.JobView) {
 	id := v.Spec.ID
+	estimate, runTime := f.c.advisor.Estimate(v.Spec)
 	f.world.PutJob(scheduler.Job{
 		Spec:      v.Spec,
 		Submitted: f.jobs[id],
 		Pending:   f.toPlace(id),
-		Estimate:  f.c.advisor.Estimate(v.Spec),
+		Estimate:  estimate,
+		RunTime:   runTime,
 		Avoid:     f.c.advisor.Avoid(id),
 	})
 }
--- a/internal/controller/placement/placement.go
+++ b/internal/controller/placement/placement.go
@@ -47,8 +47,9 @@
 
 // Advisor gives what was learned about jobs.
 type Advisor interface {
-	// Estimate returns the resources to plan each task of a job with.
-	Estimate(spec api.JobSpec) api.Resources
+	// Estimate returns the resources and the run time to plan each task of a
+	// job with; a run time of zero is not known.
+	Estimate(spec api.JobSpec) (api.Resources, time.Duration)
 	// Avoid returns the VMs on which tasks of a job failed.
 	Avoid(job api.JobID) map[api.VMID]bool
 }
--- a/internal/controller/placement/site_test.go
+++ b/internal/controller/placement/site_test.go
@@ -138,8 +138,10 @@
 func (b *bench) Ended(api.VMID, api.TaskID, cell.Ending) {}
 func (b *bench) Throttles(api.VMID) []platform.TaskStop  { return nil }
 func (b *bench) Quarantined(api.VMID) bool               { return false }
-func (b *bench) Estimate(spec api.JobSpec) api.Resources { return spec.Resources }
-func (b *bench) Avoid(api.JobID) map[api.VMID]bool       { return nil }
+func (b *bench) Estimate(spec api.JobSpec) (api.Resources, time.Duration) {
+	return spec.Resources, spec.RunTime
+}
+func (b *bench) Avoid(api.JobID) map[api.VMID]bool { return nil }
 
 type list struct {
 	mu  sync.Mutex
