--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -19,6 +19,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := ctl.New(os.Stdout, os.Stderr,
+		ctl.Demo(os.Stdout),
 		ctl.Standin(os.Stdout),
 		experiment.Command(os.Stdout, ctl.EnvPrefix),
 	)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -3,10 +3,12 @@
 import (
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/config"
@@ -37,6 +39,7 @@
 	VMList   platform.VMList
 	Worker   platform.Worker
 	Endpoint Endpoint
+	DialPeer peer.Dialer // nil: TCP
 }
 
 // Endpoint sends requests to endpoints and keeps connections to them.
@@ -62,9 +65,12 @@
 	peerServer *peer.Server
 	router     *router.Router
 	chain      *filter.Chain
+	keys       *reqkey.Keys
 	front      *front.Server
 	cell       *cellParts
 	listeners  listeners
+	aborted    chan struct{} // closed by Abort
+	abortOnce  sync.Once
 }
 
 // listeners are open from New on, so that a port that is taken is reported
@@ -96,6 +102,7 @@
 		started:  time.Now(),
 		counters: counter.NewSet(),
 		outside:  outside,
+		aborted:  make(chan struct{}),
 	}
 	var err error
 	n.streams, err = newStreams(s, outside.Log, n.origin, n.entries, n.counters, n.log)
@@ -105,7 +112,7 @@
 	n.connectPeers()
 	n.connectRequests()
 	n.cell = newCellParts(n)
-	n.front = front.New(frontSettings(s), n.chain, n.jobs(), n.chain.Gate(), n.counters, n.log)
+	n.front = front.New(frontSettings(s), n.chain, n.callerJobs(), n.chain.Gate(), n.counters, n.log)
 	if err := n.register(); err != nil {
 		return nil, err
 	}
@@ -137,11 +144,11 @@
 func (n *Node) connectPeers() {
 	s := n.settings
 	limits := peer.DefaultLimits()
-	n.heartbeats = peer.NewClient(limits, nil)
+	n.heartbeats = peer.NewClient(limits, n.outside.DialPeer)
 	limits.MaxRequest = int(s.Limits.MaxPeerBytes)
 	limits.MaxAnswer = int(s.Limits.MaxPeerBytes)
 	limits.Call = s.Limits.MaxRequestTimeout.Std()
-	n.handovers = peer.NewClient(limits, nil)
+	n.handovers = peer.NewClient(limits, n.outside.DialPeer)
 	n.peerServer = peer.NewServer(limits, n.log)
 	n.members = member.New(member.Config{
 		Self:       identityOf(n.origin),
@@ -159,7 +166,6 @@
 		Load:    n.load,
 		Drains:  func() bool { return n.owner.Draining() },
 		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Log:     n.log,
 	})
 	n.owner = ownership.NewController(ownership.Config{
 		Self:     identityOf(n.origin),
@@ -169,6 +175,7 @@
 		Proposer: n.streams.cell,
 		Follower: n.streams.cell,
 		Health:   n.members.Health,
+		Unlisted: n.unlisted,
 		InFlight: n.inFlight,
 		Log:      n.log,
 	})
@@ -180,6 +187,7 @@
 	s := n.settings
 	n.router = router.New(router.Config{})
 	n.streams.configs.Subscribe(n.configChanged)
+	n.keys = reqkey.NewKeys(n.streams.marks, n.streams.cell, n.origin, reqkey.DefaultMaxBody)
 	n.chain = filter.New(filter.Settings{
 		Node:           s.NodeID,
 		DataCentre:     s.DataCentre,
@@ -187,6 +195,7 @@
 		MaxInFlight:    s.Limits.MaxRequests,
 		MaxTimeout:     s.Limits.MaxRequestTimeout.Std(),
 		JournalTimeout: s.Log.AppendTimeout.Std(),
+		Retention:      s.RequestRetention.Std(),
 	}, filter.Deps{
 		Router:   slots{router: n.router},
 		Endpoint: n.outside.Endpoint,
@@ -194,11 +203,12 @@
 			self: s.NodeID, address: n.advertised(),
 			members: n.members, owners: n.streams.owners, client: n.handovers,
 		},
-		Keys:     reqkey.NewKeys(n.streams.marks, n.streams.cell, n.streams.cell, n.origin, reqkey.DefaultMaxBody),
+		Keys:     n.keys,
 		Services: records{configs: n.streams.configs},
 		Limits:   records{configs: n.streams.configs},
 		Counters: n.counters,
 		Now:      time.Now,
+		Log:      n.log,
 	})
 }
 
@@ -230,6 +240,9 @@
 	if err := n.peerServer.Register(member.ServiceName, n.members.Handler()); err != nil {
 		return errors.Wrap(err, "register heartbeats")
 	}
+	if err := n.peerServer.Register(statesService, &States{replicas: n.replicas()}); err != nil {
+		return errors.Wrap(err, "register states")
+	}
 	err := n.peerServer.Register(requestsService, &Requests{chain: n.chain, wait: wait})
 	return errors.Wrap(err, "register hand-overs")
 }
@@ -248,7 +261,11 @@
 	n.listeners.callers = open(n.settings.Listen.Callers)
 	n.listeners.operators = open(n.settings.Listen.Operators)
 	n.listeners.peers = open(n.settings.Listen.Peers)
-	return errors.Wrap(err, "listen")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	n.listeners.callers = netutil.LimitListener(n.listeners.callers, n.settings.Limits.MaxConnections)
+	return nil
 }
 
 // frontSettings takes the bounds of the callers' server from the settings.
@@ -260,5 +277,6 @@
 		ReadBodyTimeout:   s.Limits.ReadTimeout.Std(),
 		WriteTimeout:      s.Limits.WriteTimeout.Std(),
 		IdleTimeout:       s.Limits.IdleTimeout.Std(),
+		ReadinessDelay:    s.ReadinessDelay.Std(),
 	}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,18 +4,32 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/operator"
+	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
 
 // stopGrace bounds the parts of a shutdown that come after the drain.
 const stopGrace = 2 * time.Second
 
+// rotationInterval is the time between two looks at the age of request keys.
+const rotationInterval = time.Second
+
 // readinessInterval is the time between two looks at the streams' state.
 const readinessInterval = 50 * time.Millisecond
 
+// ErrAborted is returned by Run after Abort.
+var ErrAborted = errors.New("entry: aborted")
+
+// Abort makes Run end at once, without a drain: requests in flight are cut off
+// and nothing is handed over, as when the process dies.
+func (n *Node) Abort() {
+	n.abortOnce.Do(func() { close(n.aborted) })
+}
+
 // Run serves until ctx ends, then shuts down gracefully within the drain
 // deadline. It returns nil after a graceful shutdown, and otherwise the error
 // of the part that failed first.
@@ -48,6 +62,8 @@
 		n.members.Run,
 		n.owner.Run,
 		n.watchReadiness,
+		n.rotateKeys,
+		n.bootstrap,
 	}
 	loops = append(loops, n.cell.loops()...)
 	for _, loop := range loops {
@@ -71,6 +87,28 @@
 	}
 }
 
+// rotateKeys starts new generations of request keys, so that marks older than
+// the retention are forgotten by all entry VMs alike.
+func (n *Node) rotateKeys(ctx context.Context) error {
+	limits := reqkey.DefaultLimits
+	rotation := &reqkey.Rotation{
+		Every:  n.settings.RequestRetention.Std() / time.Duration(limits.Generations-1),
+		Limits: limits,
+	}
+	ticker := time.NewTicker(rotationInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if err := n.keys.Rotate(ctx, rotation, time.Now()); err != nil {
+			n.counters.Inc("request_keys", "rotation_not_applied") // the next look tries again
+		}
+	}
+}
+
 // addServers adds the three listeners. The callers' server ends with the drain
 // and then waits for the rest of the shutdown.
 func (n *Node) addServers(work context.Context, g *run.Group) {
@@ -87,25 +125,31 @@
 	)
 	g.Add(
 		func() error { return n.peerServer.Serve(n.listeners.peers) },
-		func(error) { stopWithin(n.peerServer.Shutdown) },
+		func(error) { n.stopWithin(n.peerServer.Shutdown) },
 	)
 	g.Add(
 		func() error { return operators.Serve(n.listeners.operators) },
-		func(error) { stopWithin(operators.Shutdown) },
+		func(error) { n.stopWithin(operators.Shutdown) },
 	)
 }
 
 // stopCallers drains the callers' server, unless that was done.
 func (n *Node) stopCallers() {
 	if !n.front.Leaving() {
-		stopWithin(n.front.Drain)
+		n.stopWithin(n.front.Drain)
 	}
 }
 
-// stopWithin calls stop, which gets the grace for what is still open.
-func stopWithin(stop func(context.Context) error) {
+// stopWithin calls stop, which gets the grace for what is still open. An
+// aborted node has none.
+func (n *Node) stopWithin(stop func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
 	defer cancel()
+	select {
+	case <-n.aborted:
+		cancel()
+	default:
+	}
 	_ = stop(ctx)
 }
 
@@ -115,6 +159,8 @@
 	select {
 	case <-work.Done():
 		return work.Err()
+	case <-n.aborted:
+		return ErrAborted
 	case <-ctx.Done():
 	}
 	deadline, cancel := context.WithTimeout(work, n.settings.DrainDeadline.Std())
--- a/internal/filter/home.go
+++ b/internal/filter/home.go
@@ -70,22 +70,15 @@
 		c.deps.Counters.Inc(GroupForward, CountHome)
 		reply, err := c.deps.Peers.Forward(ctx, node, c.forwardRequest(x, ForwardHome))
 		if err == nil && reply != nil {
-			answer, err := reply.unpack()
-			if err == nil || asRefusal(err).Outcome != api.OutcomeNotRun {
-				c.runs.handedOver(x.Request.ID)
-			}
-			return answer, err
+			return reply.unpack()
 		}
 		if !certainlyNotSent(err) {
-			c.runs.handedOver(x.Request.ID)
 			detail := fmt.Sprintf("entry VM %s of %s may have the request, its reply was lost", node, home)
-			refusal := api.Unknown(api.ReasonPeerUnreachable, detail)
-			refusal.RetryAfter = c.settings.RetryAfter
-			return nil, refusal
+			return nil, api.UnknownRetry(api.ReasonPeerUnreachable, c.settings.RetryAfter, detail)
 		}
 	}
 	detail := fmt.Sprintf("no entry VM of the request's home data centre %s can be reached", home)
-	return nil, api.NotRun(api.ReasonHomeUnreachable, c.settings.RetryAfter, detail)
+	return nil, api.UnknownRetry(api.ReasonHomeUnreachable, c.settings.RetryAfter, detail)
 }
 
 func certainlyNotSent(err error) bool {
@@ -94,10 +87,12 @@
 }
 
 func (c *Chain) forwardRequest(x *Exchange, kind ForwardKind) *ForwardRequest {
+	now := c.deps.Now()
 	return &ForwardRequest{
 		Kind:      kind,
 		Request:   *x.Request,
-		Remaining: x.remaining(c.deps.Now()),
+		Remaining: x.remaining(now),
+		Age:       now.Sub(x.Received),
 		Hops:      x.Hops + 1,
 		Mark:      x.Mark,
 	}
@@ -121,20 +116,33 @@
 // ServeForward serves Peers.Forward. The context ends when the server stops,
 // not when the sender leaves.
 func (c *Chain) ServeForward(ctx context.Context, req *ForwardRequest) *ForwardReply {
+	now := c.deps.Now()
 	x := &Exchange{
 		Request:  &req.Request,
-		Deadline: c.deps.Now().Add(req.Remaining),
+		Received: now.Add(-req.Age),
+		Deadline: now.Add(req.Remaining),
 		Hops:     req.Hops,
 	}
-	if refusal := c.checkForward(req); refusal != nil {
-		return &ForwardReply{Refusal: refusal}
-	}
 	handle := c.home
 	if req.Kind == ForwardAttempt {
 		handle = c.once
 		x.Mark = req.Mark
 		x.Single = true
 	}
+	if refusal := c.checkForward(req); refusal != nil {
+		return &ForwardReply{Refusal: c.turnedAway(x, refusal)}
+	}
+	return c.reply(ctx, x, handle)
+}
+
+// reply runs handle for another entry VM. A panic ends this request only.
+func (c *Chain) reply(ctx context.Context, x *Exchange, handle Handler) (reply *ForwardReply) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.logPanic(x, cause)
+			reply = &ForwardReply{Refusal: panicked()}
+		}
+	}()
 	answer, err := handle(ctx, x)
 	if err != nil {
 		return &ForwardReply{Refusal: asRefusal(err)}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/standin/executor"
 )
 
 // answerGrace is how long past its timeout a request is waited for.
@@ -27,6 +28,11 @@
 	targets *balancer
 	// OnSample, when set, is called for every sample, from many goroutines.
 	OnSample func(Sample)
+	// KeepAnswers keeps the answers' bodies in the samples.
+	KeepAnswers bool
+	// Pick, when set, chooses the entry VM of each request, as a balancer
+	// does, in place of taking turns.
+	Pick func() string
 }
 
 // NewRunner returns a runner, or every finding in cfg.
@@ -131,17 +137,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout+answerGrace)
 	defer cancel()
 	for range r.cfg.Entries {
-		req, err := buildRequest(ctx, r.targets.next(), s, id)
+		req, err := buildRequest(ctx, r.entry(), s, id)
 		if err != nil {
+			sample.Err = err
 			return sample
 		}
 		resp, err := r.client.Do(req)
 		if notConnected(err) && r.cfg.Check > 0 {
 			continue
 		}
-		if err == nil {
-			sample.read(resp, s.Direct)
+		if err != nil {
+			sample.Err = err
+			return sample
 		}
+		sample.read(resp, s.Direct, r.KeepAnswers)
 		return sample
 	}
 	return sample
@@ -169,11 +178,15 @@
 }
 
 // read takes a whole answer; one that breaks off is none.
-func (s *Sample) read(resp *http.Response, direct bool) {
+func (s *Sample) read(resp *http.Response, direct, keep bool) {
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	body, err := readAnswer(resp.Body, keep)
+	if err != nil {
+		s.Err = err
 		return
 	}
+	s.Answer = body
+	s.Checksum = resp.Trailer.Get(executor.TrailerChecksum)
 	s.Status = resp.StatusCode
 	s.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
 	s.Reason = api.Reason(resp.Header.Get(api.HeaderReason))
@@ -181,3 +194,20 @@
 		s.Outcome = api.OutcomeRan
 	}
 }
+
+// entry returns the entry VM for the next request.
+func (r *Runner) entry() string {
+	if r.Pick != nil {
+		return r.Pick()
+	}
+	return r.targets.next()
+}
+
+// readAnswer reads a whole body and returns it if it is to be kept.
+func readAnswer(body io.Reader, keep bool) ([]byte, error) {
+	if keep {
+		return io.ReadAll(body)
+	}
+	_, err := io.Copy(io.Discard, body)
+	return nil, err
+}
--- a/internal/ownership/sim_test.go
+++ b/internal/ownership/sim_test.go
@@ -50,7 +50,6 @@
 }
 
 type simEntry struct {
-	action Action
 	landed bool
 	doneBy int // step at which its proposer gives up waiting
 }
@@ -67,8 +66,8 @@
 	table     *Table
 	applied   int
 	rate      float64
-	heard     map[api.NodeID]time.Time
-	alive     map[api.NodeID]time.Time
+	heard     map[Identity]time.Time
+	alive     map[Identity]time.Time
 	proposing map[string]*simEntry
 	reading   bool
 	cutLog    int // until this step
@@ -105,7 +104,7 @@
 	return &simNode{
 		slot: slot, evidence: NewEvidence(Identity{Node: name, Incarnation: s.lastInc}), table: NewTable(),
 		rate:  1 + simTiming.Drift*s.random.Float64(),
-		heard: make(map[api.NodeID]time.Time), alive: make(map[api.NodeID]time.Time),
+		heard: make(map[Identity]time.Time), alive: make(map[Identity]time.Time),
 		proposing: make(map[string]*simEntry),
 	}
 }
@@ -137,9 +136,7 @@
 }
 
 func (s *sim) strike(f fault) {
-	n := s.nodes[f.Node%len(s.nodes)]
-	peer := s.nodes[f.Peer%len(s.nodes)]
-	until := s.step + f.Steps
+	n, peer, until := s.nodes[f.Node%len(s.nodes)], s.nodes[f.Peer%len(s.nodes)], s.step+f.Steps
 	switch f.Kind {
 	case faultCutLog:
 		n.cutLog = until
@@ -218,7 +215,7 @@
 			n.evidence.Claiming[at.Shard] = true
 		}
 	}
-	p := &simEntry{action: action, doneBy: s.step + 30}
+	p := &simEntry{doneBy: s.step + 30}
 	n.proposing[name] = p
 	most := 5
 	if s.random.IntN(10) == 0 {
@@ -233,17 +230,17 @@
 func (s *sim) heartbeats(n *simNode) {
 	now := s.now(n)
 	for _, p := range s.all() {
-		if p == n {
+		id := p.evidence.Self
+		if p == n || !s.connected(n, p) {
 			continue
 		}
-		id := p.evidence.Self.Node
-		if s.connected(n, p) && p.paused <= s.step {
+		if p.paused <= s.step {
 			if now.Sub(n.heard[id]) >= simSilent {
 				n.alive[id] = now
 			}
 			n.heard[id] = now
 		}
-		if s.connected(n, p) && now.Sub(n.evidence.Confirmed) >= simTiming.Hold/2 && s.step%5 == 0 {
+		if now.Sub(n.evidence.Confirmed) >= simTiming.Hold/2 && s.step%5 == 0 {
 			s.exchange(n, p, now)
 		}
 	}
@@ -269,8 +266,8 @@
 	now := s.now(n)
 	health := make(map[api.NodeID]Health)
 	for node, m := range n.table.Members {
-		silent := now.Sub(n.heard[node]) >= simSilent
-		health[node] = Health{Who: m.Who, Suspected: silent, AliveFor: now.Sub(n.alive[node])}
+		silent := now.Sub(n.heard[m.Who]) >= simSilent
+		health[node] = Health{Who: m.Who, Suspected: silent, AliveFor: now.Sub(n.alive[m.Who])}
 	}
 	inFlight := make(map[Shard]int)
 	for shard, using := range n.using {
@@ -308,10 +305,10 @@
 func (n *simNode) leftIn(shard Shard, step int) int {
 	h := n.table.Holds[shard]
 	lost := slices.Contains(h.Previous, Former{Who: n.evidence.Self, Lost: true})
-	if n.using[shard] && n.runsOn(step) && !lost && !h.HeldBy(n.evidence.Self) {
-		return simInFlight
+	if lost || !n.using[shard] || !n.runsOn(step) || h.HeldBy(n.evidence.Self) {
+		return 0
 	}
-	return 0
+	return simInFlight
 }
 
 // all returns every process that runs.
--- a/internal/platform/httplog/client_test.go
+++ b/internal/platform/httplog/client_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -52,7 +52,11 @@
 
 	_, err = c.Append(ctx, "dc/a", make([]byte, 101))
 	wantErr(t, err, platform.ErrTooLarge)
-	log.SetFaults(logserver.Faults{Down: true})
+	resp, err := http.Post(server.URL+"/faults", "application/json", strings.NewReader(`{"down":true}`))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	resp.Body.Close()
 	_, err = c.Append(ctx, "dc/a", []byte("x"))
 	wantErr(t, err, platform.ErrUnavailable)
 	_, err = c.Read(ctx, "dc/a", 3, 10, 0)
@@ -71,16 +75,9 @@
 	if !errors.As(err, &trimmed) || trimmed.First != 2 {
 		t.Errorf("read below the horizon: %v", err)
 	}
-}
 
-func TestNoConnectionMeansNoEffect(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	listener.Close()
-	_, err = newClient(t, address).Append(t.Context(), "s", []byte("x"))
+	server.Close() // no connection means no effect
+	_, err = newClient(t, server.Listener.Addr().String()).Append(ctx, "dc/a", []byte("x"))
 	wantErr(t, err, platform.ErrUnavailable)
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,14 +56,19 @@
 	return p
 }
 
-// advance lets a second pass and ends what is due.
+// advance lets a second pass and ends what is due, in a fixed order.
 func (b *bench) advance() {
 	b.now = b.now.Add(time.Second)
+	var due []api.TaskID
 	for id, r := range b.runs {
 		if !r.ExpectedEnd.After(b.now) {
-			b.end(id)
+			due = append(due, id)
 		}
 	}
+	slices.SortFunc(due, func(x, y api.TaskID) int { return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Index, y.Index)) })
+	for _, id := range due {
+		b.end(id)
+	}
 }
 
 func (b *bench) end(id api.TaskID) {
@@ -302,6 +309,24 @@
 		So(b.cycle().Preempts, ShouldHaveLength, 1)
 		So(b.cycle().Preempts, ShouldBeEmpty)
 	})
+	Convey("An urgent gang has room made for all its tasks, or for none", t, func() {
+		gang := urgent
+		gang.Class, gang.Tasks = api.ClassGang, 3
+		for most, stopped := range map[int]int{1: 0, 2: 2} {
+			b := newBench(3, small, Config{Policy: api.PolicySpec{MaxPreemptions: most}})
+			b.submit(job("a1", api.ClassBatch, 2, 4000))
+			b.cycle()
+			b.submit(gang)
+			p := b.cycle()
+			So(p.Preempts, ShouldHaveLength, stopped)
+			for i, v := range p.Preempts {
+				b.submit(job("x1", api.ClassBatch, 1, 1000))
+				So(b.cycle().Starts, ShouldBeEmpty)
+				b.end(v.Task)
+				So(len(b.cycle().Starts), ShouldEqual, i*3)
+			}
+		}
+	})
 	Convey("A nomination whose victims do not stop is given up and made again", t, func() {
 		b := newBench(1, small, Config{})
 		b.submit(job("a1", api.ClassBatch, 1, 4000))
@@ -314,3 +339,42 @@
 		So(b.nominations, ShouldBeEmpty)
 	})
 }
+
+func TestNoWakeUpIsLost(t *testing.T) {
+	Convey("A job that waits is tried again", t, func() {
+		b := newBench(1, small, Config{})
+		Convey("when a quarantined VM is due for a probe, with nothing freed", func() {
+			b.PutVM(VM{ID: "bad", DataCentre: "dc", Capacity: small.Times(2), Schedulable: true, Quarantined: true})
+			b.submit(job("a1", api.ClassBatch, 2, 5000))
+			So(started(b.cycle()), ShouldResemble, []string{"a1/0"})
+			b.end(api.TaskID{Job: "a1"})
+			b.cycle()
+			b.now = b.now.Add(DefaultProbeInterval)
+			So(started(b.cycle()), ShouldResemble, []string{"a1/1"})
+		})
+		Convey("when its own limits allow more, or its task left a closed VM", func() {
+			spec := job("s1", api.ClassService, 3, 1000)
+			spec.MaxPerRack = 1
+			b.submit(spec)
+			So(b.cycle().Starts, ShouldHaveLength, 1)
+			b.PutVM(VM{ID: "vm-9", DataCentre: "dc", Rack: "rack-0", Capacity: small, Schedulable: true})
+			b.PutVM(VM{ID: "vm-0", DataCentre: "dc", Rack: "rack-0", Capacity: small})
+			So(b.cycle().Starts, ShouldBeEmpty)
+			b.end(api.TaskID{Job: "s1"})
+			So(started(b.cycle()), ShouldResemble, []string{"s1/1"})
+			spec.MaxPerRack = 2
+			b.PutJob(Job{Spec: spec, Submitted: b.now, Pending: []uint32{2}})
+			So(started(b.cycle()), ShouldResemble, []string{"s1/2"})
+		})
+		Convey("when a task that runs is reported to hold less", func() {
+			b.submit(job("a1", api.ClassBatch, 1, 4000))
+			b.cycle()
+			b.submit(job("a2", api.ClassBatch, 1, 2000))
+			So(b.cycle().Starts, ShouldBeEmpty)
+			r := b.runs[api.TaskID{Job: "a1"}]
+			r.Resources = api.Resources{MilliCPU: 2000, MemoryMB: 2000}
+			b.Occupy(r)
+			So(started(b.cycle()), ShouldResemble, []string{"a2/0"})
+		})
+	})
+}
--- a/internal/scheduler/shape.go
+++ b/internal/scheduler/shape.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math/bits"
 	"time"
 
@@ -17,15 +18,33 @@
 	own         api.JobID
 }
 
+// compare orders keys, so that what is done for many of them has one order.
+func (k shapeKey) compare(o shapeKey) int {
+	return cmp.Or(
+		cmp.Compare(k.need.MilliCPU, o.need.MilliCPU),
+		cmp.Compare(k.need.MemoryMB, o.need.MemoryMB),
+		cmp.Compare(k.need.Accelerators, o.need.Accelerators),
+		cmp.Compare(k.class, o.class),
+		cmp.Compare(k.dataCentres, o.dataCentres),
+		cmp.Compare(k.runTime, o.runTime),
+		cmp.Compare(k.own, o.own),
+	)
+}
+
 // shape is the jobs of one key. While it is blocked, no search is made for
 // them: nothing has been freed that could hold one of their tasks.
 type shape struct {
-	key     shapeKey
-	queues  int // that refer to it
-	blocked bool
-	judged  uint64 // judgement of the World at which it could run, plus 1
-	verdict verdict
-	parked  []*shapeQueue
+	key        shapeKey
+	queues     int  // that refer to it
+	blocked    bool // by way of queue.blocked
+	blockedPos int
+	judged     uint64 // judgement of the World at which it could run, plus 1
+	verdict    verdict
+	parked     []*shapeQueue
+	// outright: no VM had room, whatever the job.
+	outright bool
+	// headroom: idle accelerators kept room against it.
+	headroom bool
 	// shortest is the run time searched for in vain while VMs with room were
 	// held, for which a shorter job may still have them; 0: none were.
 	shortest time.Duration
--- a/internal/scheduler/vm.go
+++ b/internal/scheduler/vm.go
@@ -12,11 +12,13 @@
 	known     bool          // listed; false for a VM seen only in reports
 	used      api.Resources // running and reserved
 	evictable api.Resources // of what runs here, by checkpoint
+	victims   bandCounts    // the number of those, by band
 	nominated api.Resources // kept for urgent tasks whose victims are stopping
 	holdings  []*holding
 	hold      *hold // VM is held for a waiting job; out of the index
 	holdTasks int64 // tasks of that job it is held for
 	lastProbe time.Time
+	offered   time.Time // when waiting work was last woken to probe v
 
 	part  *partition // nil: not in the index
 	at    cellAt
@@ -56,6 +58,9 @@
 // PutVM adds a VM or replaces what is known of it; its tasks stay.
 func (w *World) PutVM(vm VM) {
 	v := w.vmOf(vm.ID)
+	if v.known && v.VM == vm {
+		return
+	}
 	w.unindex(v)
 	if v.known {
 		w.fleet.remove(v)
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -18,6 +18,7 @@
 		Limits:           defaultLimits(),
 		LogLevel:         "info",
 		DrainDeadline:    seconds(30),
+		ReadinessDelay:   seconds(2),
 		RequestRetention: Duration(time.Hour),
 	}
 }
@@ -29,7 +30,7 @@
 		ReadWait:      seconds(1),
 		ReadRecords:   500,
 		RetryMin:      Duration(50 * time.Millisecond),
-		RetryMax:      seconds(2),
+		RetryMax:      Duration(500 * time.Millisecond),
 	}
 }
 
