One place for defaults, one for the VM list's doubts

Change: internal/defaults; the VM controller stands on the pure internal/directory, with contacts from the router as evidence. Ruled out: keeping the controller's own rules, which knew no evidence. Measured: tests of controllers, directory and entry pass, TestListInDoubt unchanged.

--- a/internal/controller/placement/site_test.go
+++ b/internal/controller/placement/site_test.go
@@ -242,7 +242,7 @@
 		log.SetOutput(io.Discard)
 		ctx, cancel := context.WithCancel(t.Context())
 		params := lease.Params{Lease: 6 * time.Second, Hold: 2 * time.Second, Drift: 0.001}
-		dir := vms.New(vms.DefaultConfig(dc), b.list, b.machine, b, b, b, log, time.Now)
+		dir := vms.New(vms.DefaultConfig(dc), b.list, nil, b.machine, b, b, b, log, time.Now)
 		syncs := worker.New(worker.DefaultConfig(params), b.machine, b, b, dir, b, b, b, log, time.Now)
 		view := fleet.New(dc, b.machine, dir, syncs, b)
 		places := placement.New(placement.DefaultConfig(dc), newFirstFit, b.machine, b, b, view, b, b, log, time.Now)
--- a/internal/controller/vms/vms.go
+++ b/internal/controller/vms/vms.go
@@ -7,7 +7,8 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/directory"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
@@ -26,36 +28,37 @@
 
 // Config holds the controller's settings.
 type Config struct {
-	DataCentre  api.DataCentre
-	Poll        time.Duration // between two reads of the list
-	Timeout     time.Duration // of a read and of a proposal
-	GoneAfter   time.Duration // absence from the list until a VM is dropped
-	ShrinkShare float64       // with more than this share of the VMs absent, the list is in doubt
-	DoubtFor    time.Duration // absence until a VM is dropped even by a list in doubt
+	DataCentre api.DataCentre
+	Poll       time.Duration // between two reads of the list
+	Timeout    time.Duration // of a read and of a proposal
+	Directory  directory.Config
 }
 
+// goneAfter is how long a VM is absent from a list that is believed until it
+// is dropped; the list lags.
+const goneAfter = 30 * time.Second
+
+// departedFor is how long a dropped VM is remembered as absent.
+const departedFor = time.Hour
+
 // DefaultConfig returns the settings used in production.
 func DefaultConfig(dc api.DataCentre) Config {
 	return Config{
-		DataCentre:  dc,
-		Poll:        time.Second,
-		Timeout:     3 * time.Second,
-		GoneAfter:   30 * time.Second,
-		ShrinkShare: 0.2,
-		DoubtFor:    10 * time.Minute,
+		DataCentre: dc,
+		Poll:       time.Second,
+		Timeout:    3 * time.Second,
+		Directory:  directory.Config{Grace: goneAfter},
 	}
 }
 
-// listed is one VM and since when the list lacks it.
-type listed struct {
-	vm          api.VM
-	absentSince time.Time // zero while listed
-}
+// Contacts tells which VMs answered lately; it may be nil.
+type Contacts func() []directory.Contact
 
 // Controller follows the list. Its methods are safe for concurrent use.
 type Controller struct {
 	cfg      Config
 	list     platform.VMList
+	contacts Contacts
 	machine  *cell.Machine
 	proposer journal.Proposer
 	auth     Authority
@@ -63,15 +66,19 @@
 	log      logrus.FieldLogger
 	clock    func() time.Time
 
-	mu    sync.RWMutex
-	known map[api.VMID]*listed
+	mu       sync.RWMutex
+	view     directory.View
+	departed map[api.VMID]time.Time // dropped from the view, absent since
 }
 
 // New returns a controller that has not read the list yet.
-func New(cfg Config, list platform.VMList, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+func New(cfg Config, list platform.VMList, contacts Contacts, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+	if contacts == nil {
+		contacts = func() []directory.Contact { return nil }
+	}
 	return &Controller{
-		cfg: cfg, list: list, machine: machine, proposer: proposer, auth: auth,
-		counters: counters, log: log, clock: clock, known: make(map[api.VMID]*listed),
+		cfg: cfg, list: list, contacts: contacts, machine: machine, proposer: proposer, auth: auth,
+		counters: counters, log: log, clock: clock, departed: make(map[api.VMID]time.Time),
 	}
 }
 
@@ -99,12 +106,13 @@
 		return
 	}
 	now := c.clock()
-	c.take(now, vms)
+	journaled := c.journaled()
+	c.take(now, vms, journaled)
 	epoch, ok, _ := c.auth.Cell(now)
 	if !ok {
 		return
 	}
-	seen, gone := c.changes(now)
+	seen, gone := c.changes(journaled)
 	if len(seen)+len(gone) == 0 {
 		return
 	}
@@ -115,97 +123,89 @@
 	c.log.WithFields(logrus.Fields{"seen": len(seen), "gone": len(gone), "epoch": epoch}).Info("vms_changed")
 }
 
-// take puts a fresh list in place of the last one.
-func (c *Controller) take(now time.Time, vms []api.VM) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	present := make(map[api.VMID]bool, len(vms))
-	for _, vm := range vms {
-		present[vm.ID] = true
-		c.known[vm.ID] = &listed{vm: vm}
-	}
-	for id, l := range c.known {
-		if !present[id] && l.absentSince.IsZero() {
-			l.absentSince = now
-		}
+// journaled returns the VMs that the log holds.
+func (c *Controller) journaled() map[api.VMID]cell.VMView {
+	journaled := make(map[api.VMID]cell.VMView)
+	for _, v := range c.machine.VMs() {
+		journaled[v.ID] = v
 	}
+	return journaled
 }
 
-// changes compares the list with what the log holds.
-func (c *Controller) changes(now time.Time) (seen []cell.SeenVM, gone []api.VMID) {
+// take merges a fresh list into what is believed.
+func (c *Controller) take(now time.Time, vms []api.VM, journaled map[api.VMID]cell.VMView) {
+	contacts := c.contacts()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	journaled := make(map[api.VMID]cell.VMView)
-	for _, v := range c.machine.VMs() {
-		journaled[v.ID] = v
-	}
-	for id, l := range c.known {
-		if l.absentSince.IsZero() && isWorker(l.vm) && differs(l.vm, journaled[id]) {
-			seen = append(seen, cell.SeenVM{ID: id, Rack: l.vm.Rack, Capacity: l.vm.Capacity})
-		}
+	known := adopt(c.view.Observe(contacts), journaled, now)
+	next, events := directory.Merge(c.cfg.Directory, known, vms, true, now)
+	for _, e := range events {
+		c.note(e, known)
 	}
-	sort.Slice(seen, func(i, j int) bool { return seen[i].ID < seen[j].ID })
-	gone = c.dropped(now, journaled)
-	sort.Slice(gone, func(i, j int) bool { return gone[i] < gone[j] })
-	return seen, gone
+	maps.DeleteFunc(c.departed, func(_ api.VMID, since time.Time) bool { return now.Sub(since) > departedFor })
+	c.view = next
 }
 
-// isWorker tells a worker VM from an entry VM, which runs no tasks.
-func isWorker(vm api.VM) bool { return !vm.Capacity.IsZero() }
-
-func differs(vm api.VM, v cell.VMView) bool {
-	return v.ID == "" || v.Gone || v.Rack != vm.Rack || v.Capacity != vm.Capacity
+// note counts an event and remembers what was dropped. c.mu is held.
+func (c *Controller) note(e directory.Event, known directory.View) {
+	c.counters.Inc("vm_list", api.Reason(e.Type))
+	switch e.Type {
+	case directory.EventDropped:
+		c.departed[e.VM] = known.Entries[e.VM].Missing
+	case directory.EventAdded:
+		delete(c.departed, e.VM)
+	}
 }
 
-// dropped lists VMs that are absent for long enough, which is longer while so
-// many are that the list itself is in doubt.
-func (c *Controller) dropped(now time.Time, journaled map[api.VMID]cell.VMView) []api.VMID {
-	wait := c.cfg.GoneAfter
-	if absent := c.absent(now, journaled); absent > 1 && float64(absent) > c.cfg.ShrinkShare*float64(len(journaled)) {
-		c.counters.Inc("vm_list", "shrunk")
-		wait = c.cfg.DoubtFor
-	}
-	var gone []api.VMID
-	for id, l := range c.known {
-		if l.absentSince.IsZero() || now.Sub(l.absentSince) < wait {
+// adopt adds what an earlier holder journaled and this process has not seen:
+// it counts as missing from now on, and is given the time to show.
+func adopt(view directory.View, journaled map[api.VMID]cell.VMView, now time.Time) directory.View {
+	for id, v := range journaled {
+		if _, known := view.Entries[id]; known || v.Gone {
 			continue
 		}
-		v, isJournaled := journaled[id]
-		switch {
-		case !isJournaled && now.Sub(l.absentSince) >= c.cfg.DoubtFor:
-			delete(c.known, id)
-		case isJournaled && !v.Gone:
-			gone = append(gone, id)
+		if view.Entries == nil {
+			view.Entries = make(map[api.VMID]directory.Entry)
 		}
+		vm := api.VM{ID: id, Rack: v.Rack, Capacity: v.Capacity}
+		view.Entries[id] = directory.Entry{VM: vm, Missing: now}
 	}
-	return gone
+	return view
 }
 
-// absent counts the journaled VMs that the list lacks. One journaled by an
-// earlier holder is given the time to show from now on.
-func (c *Controller) absent(now time.Time, journaled map[api.VMID]cell.VMView) int {
-	n := 0
-	for id, v := range journaled {
-		l := c.known[id]
-		if l == nil {
-			l = &listed{vm: api.VM{ID: id, Rack: v.Rack, Capacity: v.Capacity}, absentSince: now}
-			c.known[id] = l
+// changes compares what is believed with what the log holds.
+func (c *Controller) changes(journaled map[api.VMID]cell.VMView) (seen []cell.SeenVM, gone []api.VMID) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, id := range slices.Sorted(maps.Keys(c.view.Entries)) {
+		entry := c.view.Entries[id]
+		if !entry.Suspect() && isWorker(entry.VM) && differs(entry.VM, journaled[id]) {
+			seen = append(seen, cell.SeenVM{ID: id, Rack: entry.VM.Rack, Capacity: entry.VM.Capacity})
 		}
-		if !l.absentSince.IsZero() {
-			n++
+	}
+	for _, id := range slices.Sorted(maps.Keys(journaled)) {
+		if _, believed := c.view.Entries[id]; !believed && !journaled[id].Gone {
+			gone = append(gone, id)
 		}
 	}
-	return n
+	return seen, gone
 }
 
-// VMs returns the VMs as last listed, with those that have since been absent
-// from the list and are not yet forgotten.
+// isWorker tells a worker VM from an entry VM, which runs no tasks.
+func isWorker(vm api.VM) bool { return !vm.Capacity.IsZero() }
+
+func differs(vm api.VM, v cell.VMView) bool {
+	return v.ID == "" || v.Gone || v.Rack != vm.Rack || v.Capacity != vm.Capacity
+}
+
+// VMs returns the VMs as believed: those listed, and those missing from the
+// list that are not given up.
 func (c *Controller) VMs() []api.VM {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	vms := make([]api.VM, 0, len(c.known))
-	for _, l := range c.known {
-		vms = append(vms, l.vm)
+	vms := make([]api.VM, 0, len(c.view.Entries))
+	for _, entry := range c.view.Entries {
+		vms = append(vms, entry.VM)
 	}
 	return vms
 }
@@ -214,8 +214,7 @@
 func (c *Controller) Leaving(id api.VMID) bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	l := c.known[id]
-	return l != nil && l.vm.State == api.VMLeaving
+	return c.view.Entries[id].VM.State == api.VMLeaving
 }
 
 // Absent returns for how long the list, while it could be read, has lacked
@@ -224,9 +223,12 @@
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	absent := make(map[api.VMID]time.Duration)
-	for id, l := range c.known {
-		if !l.absentSince.IsZero() {
-			absent[id] = now.Sub(l.absentSince)
+	for id, since := range c.departed {
+		absent[id] = now.Sub(since)
+	}
+	for id, entry := range c.view.Entries {
+		if entry.Suspect() {
+			absent[id] = now.Sub(entry.Missing)
 		}
 	}
 	return absent
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
 )
 
@@ -28,18 +29,10 @@
 
 // WithDefaults returns c with its zero fields filled in.
 func (c Config) WithDefaults() Config {
-	if c.Grace == 0 {
-		c.Grace = DefaultGrace
-	}
-	if c.MaxShrink == 0 {
-		c.MaxShrink = DefaultMaxShrink
-	}
-	if c.MinMissing == 0 {
-		c.MinMissing = DefaultMinMissing
-	}
-	if c.MaxSuspense == 0 {
-		c.MaxSuspense = DefaultMaxSuspense
-	}
+	defaults.Set(&c.Grace, DefaultGrace)
+	defaults.Set(&c.MaxShrink, DefaultMaxShrink)
+	defaults.Set(&c.MinMissing, DefaultMinMissing)
+	defaults.Set(&c.MaxSuspense, DefaultMaxSuspense)
 	return c
 }
 
--- a/internal/entry/cellparts.go
+++ b/internal/entry/cellparts.go
@@ -51,7 +51,7 @@
 	vmsConfig := vms.DefaultConfig(s.DataCentre)
 	vmsConfig.Poll = s.VMList.Interval.Std()
 	vmsConfig.Timeout = s.VMList.Timeout.Std()
-	p.vms = vms.New(vmsConfig, n.outside.VMList, st.tasks, st.cell, auth, n.counters, n.log, time.Now)
+	p.vms = vms.New(vmsConfig, n.outside.VMList, n.router.Contacts, st.tasks, st.cell, auth, n.counters, n.log, time.Now)
 	p.learning = learning.New(st.configs.Policy, st.tasks, st.cell, auth, n.counters, time.Now)
 	p.worker = worker.New(worker.DefaultConfig(params), st.tasks, st.cell, n.outside.Worker, p.vms, auth, p.learning, n.counters, n.log, time.Now)
 	view := fleet.New(s.DataCentre, st.tasks, p.vms, p.worker, p.learning)
--- a/internal/estimate/config.go
+++ b/internal/estimate/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
 )
 
@@ -56,20 +57,13 @@
 
 // WithDefaults returns c with its zero fields replaced.
 func (c Config) WithDefaults() Config {
-	orDefault(&c.Policy.OveruseFactor, DefaultOveruseFactor)
-	orDefault(&c.Policy.OverrunFactor, DefaultOverrunFactor)
-	orDefault(&c.Floor, DefaultFloor)
-	orDefault(&c.Quantile, DefaultQuantile)
-	orDefault(&c.FewestReports, DefaultFewestReports)
-	orDefault(&c.FewestRuns, DefaultFewestRuns)
-	orDefault(&c.Grace, DefaultGrace)
-	orDefault(&c.MaxSignatures, DefaultMaxSignatures)
+	defaults.Set(&c.Policy.OveruseFactor, DefaultOveruseFactor)
+	defaults.Set(&c.Policy.OverrunFactor, DefaultOverrunFactor)
+	defaults.Set(&c.Floor, DefaultFloor)
+	defaults.Set(&c.Quantile, DefaultQuantile)
+	defaults.Set(&c.FewestReports, DefaultFewestReports)
+	defaults.Set(&c.FewestRuns, DefaultFewestRuns)
+	defaults.Set(&c.Grace, DefaultGrace)
+	defaults.Set(&c.MaxSignatures, DefaultMaxSignatures)
 	return c
 }
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 	"github.com/skylarklock/skylarklock/internal/retry"
 )
@@ -79,29 +80,22 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&s.CallerShare, DefaultCallerShare)
-	setDefault(&s.BatchShare, DefaultBatchShare)
-	setDefault(&s.KeptAnswers, DefaultKeptAnswers)
-	setDefault(&s.KeptBytes, DefaultKeptBytes)
-	setDefault(&s.DefaultTimeout, DefaultTimeout)
-	setDefault(&s.MaxTimeout, DefaultMaxTimeout)
-	setDefault(&s.RetryAfter, DefaultRetryAfter)
-	setDefault(&s.AnswerGrace, DefaultAnswerGrace)
-	setDefault(&s.JournalTimeout, DefaultJournalTimeout)
-	setDefault(&s.JournalBacklog, DefaultJournalBacklog)
-	setDefault(&s.ReleaseTimeout, DefaultReleaseTimeout)
-	setDefault(&s.Retention, DefaultRetention)
+	defaults.Set(&s.MaxInFlight, DefaultMaxInFlight)
+	defaults.Set(&s.CallerShare, DefaultCallerShare)
+	defaults.Set(&s.BatchShare, DefaultBatchShare)
+	defaults.Set(&s.KeptAnswers, DefaultKeptAnswers)
+	defaults.Set(&s.KeptBytes, DefaultKeptBytes)
+	defaults.Set(&s.DefaultTimeout, DefaultTimeout)
+	defaults.Set(&s.MaxTimeout, DefaultMaxTimeout)
+	defaults.Set(&s.RetryAfter, DefaultRetryAfter)
+	defaults.Set(&s.AnswerGrace, DefaultAnswerGrace)
+	defaults.Set(&s.JournalTimeout, DefaultJournalTimeout)
+	defaults.Set(&s.JournalBacklog, DefaultJournalBacklog)
+	defaults.Set(&s.ReleaseTimeout, DefaultReleaseTimeout)
+	defaults.Set(&s.Retention, DefaultRetention)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Chain is the assembled chain of one entry VM. It is safe for concurrent use.
 type Chain struct {
 	settings Settings
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/filter"
 )
 
@@ -70,26 +71,19 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	setDefault(&s.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&s.MaxBytes, DefaultMaxBytes)
-	setDefault(&s.ReadHeaderTimeout, DefaultReadHeaderTimeout)
-	setDefault(&s.ReadBodyTimeout, DefaultReadBodyTimeout)
-	setDefault(&s.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&s.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&s.ReadinessDelay, DefaultReadinessDelay)
-	setDefault(&s.CloseDelay, DefaultCloseDelay)
-	setDefault(&s.RetryAfter, DefaultRetryAfter)
+	defaults.Set(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	defaults.Set(&s.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.Set(&s.MaxBytes, DefaultMaxBytes)
+	defaults.Set(&s.ReadHeaderTimeout, DefaultReadHeaderTimeout)
+	defaults.Set(&s.ReadBodyTimeout, DefaultReadBodyTimeout)
+	defaults.Set(&s.WriteTimeout, DefaultWriteTimeout)
+	defaults.Set(&s.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&s.ReadinessDelay, DefaultReadinessDelay)
+	defaults.Set(&s.CloseDelay, DefaultCloseDelay)
+	defaults.Set(&s.RetryAfter, DefaultRetryAfter)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Server is the callers' HTTP server of one entry VM.
 type Server struct {
 	settings Settings
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
@@ -64,20 +65,20 @@
 
 // withDefaults returns c with every zero field set.
 func (c Config) withDefaults() Config {
-	setDefault(&c.FlushInterval, DefaultFlushInterval)
-	setDefault(&c.MaxRecordBytes, DefaultMaxRecordBytes)
-	setDefault(&c.MaxBacklogBytes, DefaultMaxBacklogBytes)
-	setDefault(&c.AppendBurst, DefaultAppendBurst)
-	setDefault(&c.AppendTimeout, DefaultAppendTimeout)
-	setDefault(&c.ReadMax, DefaultReadMax)
-	setDefault(&c.PollWait, DefaultPollWait)
-	setDefault(&c.ReadInterval, DefaultReadInterval)
-	setDefault(&c.ReadTimeout, DefaultReadTimeout)
-	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
-	setDefault(&c.SnapshotInterval, DefaultSnapshotInterval)
-	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
-	setDefault(&c.BackoffMin, DefaultBackoffMin)
-	setDefault(&c.BackoffMax, DefaultBackoffMax)
+	defaults.Set(&c.FlushInterval, DefaultFlushInterval)
+	defaults.Set(&c.MaxRecordBytes, DefaultMaxRecordBytes)
+	defaults.Set(&c.MaxBacklogBytes, DefaultMaxBacklogBytes)
+	defaults.Set(&c.AppendBurst, DefaultAppendBurst)
+	defaults.Set(&c.AppendTimeout, DefaultAppendTimeout)
+	defaults.Set(&c.ReadMax, DefaultReadMax)
+	defaults.Set(&c.PollWait, DefaultPollWait)
+	defaults.Set(&c.ReadInterval, DefaultReadInterval)
+	defaults.Set(&c.ReadTimeout, DefaultReadTimeout)
+	defaults.Set(&c.SnapshotEvery, DefaultSnapshotEvery)
+	defaults.Set(&c.SnapshotInterval, DefaultSnapshotInterval)
+	defaults.Set(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	defaults.Set(&c.BackoffMin, DefaultBackoffMin)
+	defaults.Set(&c.BackoffMax, DefaultBackoffMax)
 	if c.AppendsPerSecond == nil {
 		c.AppendsPerSecond = func() float64 { return DefaultAppendsPerSecond }
 	}
@@ -95,13 +96,6 @@
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate reports every fault of c, after defaults, as a *finding.List.
 func (c Config) Validate() error {
 	c = c.withDefaults()
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/ownership"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
@@ -69,9 +70,7 @@
 // withDefaults fills what is zero.
 func (c Config) withDefaults() Config {
 	c.Timing = c.Timing.withDefaults()
-	if c.Hold == 0 {
-		c.Hold = ownership.DefaultHold
-	}
+	defaults.Set(&c.Hold, ownership.DefaultHold)
 	if c.Load == nil {
 		c.Load = func() []ServiceFree { return nil }
 	}
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/journal"
 )
 
@@ -60,12 +61,8 @@
 	if c.Limits == (PlanLimits{}) {
 		c.Limits = DefaultPlanLimits()
 	}
-	if c.Tick == 0 {
-		c.Tick = DefaultTick
-	}
-	if c.ProposeTimeout == 0 {
-		c.ProposeTimeout = DefaultProposeTimeout
-	}
+	defaults.Set(&c.Tick, DefaultTick)
+	defaults.Set(&c.ProposeTimeout, DefaultProposeTimeout)
 	if c.Unlisted == nil {
 		c.Unlisted = func(time.Time) map[api.NodeID]time.Duration { return nil }
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/defaults"
 )
 
 // Errors of Call. Every failed call wraps exactly one of ErrNotSent,
@@ -66,20 +68,13 @@
 // withDefaults fills every field that is zero.
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
-	setDefault(&l.MaxRequest, d.MaxRequest)
-	setDefault(&l.MaxAnswer, d.MaxAnswer)
-	setDefault(&l.MaxConns, d.MaxConns)
-	setDefault(&l.MaxCalls, d.MaxCalls)
-	setDefault(&l.Call, d.Call)
-	setDefault(&l.Dial, d.Dial)
-	setDefault(&l.Frame, d.Frame)
-	setDefault(&l.Idle, d.Idle)
+	defaults.Set(&l.MaxRequest, d.MaxRequest)
+	defaults.Set(&l.MaxAnswer, d.MaxAnswer)
+	defaults.Set(&l.MaxConns, d.MaxConns)
+	defaults.Set(&l.MaxCalls, d.MaxCalls)
+	defaults.Set(&l.Call, d.Call)
+	defaults.Set(&l.Dial, d.Dial)
+	defaults.Set(&l.Frame, d.Frame)
+	defaults.Set(&l.Idle, d.Idle)
 	return l
 }
-
-// setDefault sets *field to value when it is zero.
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/platform/httpendpoint/config.go
+++ b/internal/platform/httpendpoint/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
 )
 
@@ -22,15 +23,9 @@
 
 // withDefaults returns c with its zero fields filled in.
 func (c Config) withDefaults() Config {
-	if c.DialTimeout == 0 {
-		c.DialTimeout = DefaultDialTimeout
-	}
-	if c.IdleTimeout == 0 {
-		c.IdleTimeout = DefaultIdleTimeout
-	}
-	if c.MaxHeaderBytes == 0 {
-		c.MaxHeaderBytes = DefaultMaxHeaderBytes
-	}
+	defaults.Set(&c.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&c.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	return c
 }
 
--- a/internal/quarantine/config.go
+++ b/internal/quarantine/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
 )
 
@@ -59,21 +60,14 @@
 
 // WithDefaults returns c with its zero fields replaced.
 func (c Config) WithDefaults() Config {
-	orDefault(&c.Policy.QuarantineShare, DefaultShare)
-	orDefault(&c.Policy.QuarantineFailures, DefaultFailures)
-	orDefault(&c.RateFactor, DefaultRateFactor)
-	orDefault(&c.LeastRate, DefaultLeastRate)
-	orDefault(&c.FewestJobs, DefaultFewestJobs)
-	orDefault(&c.HalfLife, DefaultHalfLife)
-	orDefault(&c.Probes, DefaultProbes)
-	orDefault(&c.DistinctVMs, DefaultDistinctVMs)
-	orDefault(&c.MaxRemembered, DefaultMaxRemembered)
+	defaults.Set(&c.Policy.QuarantineShare, DefaultShare)
+	defaults.Set(&c.Policy.QuarantineFailures, DefaultFailures)
+	defaults.Set(&c.RateFactor, DefaultRateFactor)
+	defaults.Set(&c.LeastRate, DefaultLeastRate)
+	defaults.Set(&c.FewestJobs, DefaultFewestJobs)
+	defaults.Set(&c.HalfLife, DefaultHalfLife)
+	defaults.Set(&c.Probes, DefaultProbes)
+	defaults.Set(&c.DistinctVMs, DefaultDistinctVMs)
+	defaults.Set(&c.MaxRemembered, DefaultMaxRemembered)
 	return c
 }
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
 )
 
@@ -51,21 +52,21 @@
 
 // withDefaults returns c with its zero fields filled in.
 func (c Config) withDefaults() Config {
-	setDefault(&c.EjectShare, DefaultEjectShare)
-	setDefault(&c.EjectMargin, DefaultEjectMargin)
-	setDefault(&c.EjectSamples, DefaultEjectSamples)
-	setDefault(&c.HealthHalfLife, DefaultHealthHalfLife)
-	setDefault(&c.ProbeInterval, DefaultProbeInterval)
-	setDefault(&c.MaxProbeInterval, DefaultMaxProbeInterval)
-	setDefault(&c.RefusalBackoff, DefaultRefusalBackoff)
-	setDefault(&c.MaxRefusalBackoff, DefaultMaxRefusalBackoff)
-	setDefault(&c.LeavingHold, DefaultLeavingHold)
-	setDefault(&c.BusyAge, DefaultBusyAge)
-	setDefault(&c.InteractiveWeight, DefaultInteractiveWeight)
-	setDefault(&c.QueueLength, DefaultQueueLength)
-	setDefault(&c.QueueTime, DefaultQueueTime)
-	setDefault(&c.CallerShare, DefaultCallerShare)
-	setDefault(&c.NoEndpointRetry, DefaultNoEndpointRetry)
+	defaults.Set(&c.EjectShare, DefaultEjectShare)
+	defaults.Set(&c.EjectMargin, DefaultEjectMargin)
+	defaults.Set(&c.EjectSamples, DefaultEjectSamples)
+	defaults.Set(&c.HealthHalfLife, DefaultHealthHalfLife)
+	defaults.Set(&c.ProbeInterval, DefaultProbeInterval)
+	defaults.Set(&c.MaxProbeInterval, DefaultMaxProbeInterval)
+	defaults.Set(&c.RefusalBackoff, DefaultRefusalBackoff)
+	defaults.Set(&c.MaxRefusalBackoff, DefaultMaxRefusalBackoff)
+	defaults.Set(&c.LeavingHold, DefaultLeavingHold)
+	defaults.Set(&c.BusyAge, DefaultBusyAge)
+	defaults.Set(&c.InteractiveWeight, DefaultInteractiveWeight)
+	defaults.Set(&c.QueueLength, DefaultQueueLength)
+	defaults.Set(&c.QueueTime, DefaultQueueTime)
+	defaults.Set(&c.CallerShare, DefaultCallerShare)
+	defaults.Set(&c.NoEndpointRetry, DefaultNoEndpointRetry)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -75,14 +76,6 @@
 	return c
 }
 
-// setDefault sets a zero field.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate adds the faults of c to findings, with paths below path. Zero
 // fields are in order.
 func (c Config) Validate(path string, findings *finding.List) {
--- a/internal/router/shard.go
+++ b/internal/router/shard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 )
 
 // shard is the state of one service.
@@ -64,10 +65,10 @@
 		queueTime:   time.Duration(spec.QueueMs) * time.Millisecond,
 		callerShare: spec.CallerShare,
 	}
-	setDefault(&next.policy, PolicyLeastLoaded)
-	setDefault(&next.queueLength, cfg.QueueLength)
-	setDefault(&next.queueTime, cfg.QueueTime)
-	setDefault(&next.callerShare, cfg.CallerShare)
+	defaults.Set(&next.policy, PolicyLeastLoaded)
+	defaults.Set(&next.queueLength, cfg.QueueLength)
+	defaults.Set(&next.queueTime, cfg.QueueTime)
+	defaults.Set(&next.callerShare, cfg.CallerShare)
 	if s.chooser == nil || next.policy != s.spec.policy {
 		s.chooser = newChooser(next.policy, s.rand)
 	}
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
 )
 
@@ -74,24 +75,17 @@
 
 // WithDefaults returns c with its zero fields replaced.
 func (c Config) WithDefaults() Config {
-	orDefault(&c.Policy.SampleSize, DefaultSampleSize)
-	orDefault(&c.Policy.MaxPreemptions, DefaultMaxPreemptions)
-	orDefault(&c.AgeStep, DefaultAgeStep)
-	orDefault(&c.StarveAfter, DefaultStarveAfter)
-	orDefault(&c.PreemptMargin, DefaultPreemptMargin)
-	orDefault(&c.NominationTimeout, DefaultNominationTimeout)
-	orDefault(&c.UnknownRunTime, DefaultUnknownRunTime)
-	orDefault(&c.MaxHolds, DefaultMaxHolds)
-	orDefault(&c.HoldShare, DefaultHoldShare)
-	orDefault(&c.MaxSearches, DefaultMaxSearches)
-	orDefault(&c.ProbeInterval, DefaultProbeInterval)
-	orDefault(&c.CapacityMemory, DefaultCapacityMemory)
+	defaults.Set(&c.Policy.SampleSize, DefaultSampleSize)
+	defaults.Set(&c.Policy.MaxPreemptions, DefaultMaxPreemptions)
+	defaults.Set(&c.AgeStep, DefaultAgeStep)
+	defaults.Set(&c.StarveAfter, DefaultStarveAfter)
+	defaults.Set(&c.PreemptMargin, DefaultPreemptMargin)
+	defaults.Set(&c.NominationTimeout, DefaultNominationTimeout)
+	defaults.Set(&c.UnknownRunTime, DefaultUnknownRunTime)
+	defaults.Set(&c.MaxHolds, DefaultMaxHolds)
+	defaults.Set(&c.HoldShare, DefaultHoldShare)
+	defaults.Set(&c.MaxSearches, DefaultMaxSearches)
+	defaults.Set(&c.ProbeInterval, DefaultProbeInterval)
+	defaults.Set(&c.CapacityMemory, DefaultCapacityMemory)
 	return c
 }
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
