--- a/spec/check.sh
+++ b/spec/check.sh
@@ -65,7 +65,7 @@
 	elif [ "${errors:-0}" -ge 1 ] && grep -q 'assertion violated' pan.out; then
 		verdict=ok
 	fi
-	echo "$verdict $name: states ${states:-?}, depth ${depth:-?}, ${seconds:-?} s$(sed -n 's/^pan:1: \(.*\) (at depth.*/, \1/p' pan.out)"
+	echo "$verdict $name: states ${states:-?}, depth ${depth:-?}, ${seconds:-?} s$(sed -n 's/^pan:1: \(.*\) (at depth.*/, \1/p' pan.out | cut -c1-100)"
 	if [ "$verdict" = FAIL ]; then
 		grep -E '^pan|error|not completed|limit' pan.out | sed 's/^/    /' | head -10
 	fi
