A claimant's wait covers the time from check to send

Cause: the model of the hold finds more than the slots in use when a holder sends after its hold ran out, having checked before (NO_SEND_BOUND). Ruled out: a fence as the only safeguard, since an endpoint may ignore it.

--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -32,15 +32,23 @@
 // every entry VM of a data centre.
 type Timing struct {
 	Hold  time.Duration // how long a confirmation lasts
+	Send  time.Duration // longest time from a check of the hold to the send
 	Drift float64       // most by which two clocks' rates differ, as a fraction
 }
 
 // Defaults of Timing.
 const (
 	DefaultHold  = 1500 * time.Millisecond
+	DefaultSend  = 200 * time.Millisecond
 	DefaultDrift = 0.01
 )
 
+// TakeoverWait returns how long a claimant waits from the read-back of its
+// claim: until whatever the former holder had checked has been sent.
+func (t Timing) TakeoverWait() time.Duration {
+	return t.Stretched(t.Hold + t.Send)
+}
+
 // Stretched returns how long a process waits to be sure that d has passed on
 // every other clock.
 func (t Timing) Stretched(d time.Duration) time.Duration {
@@ -142,7 +150,7 @@
 	}
 	a := Authority{Epoch: h.Epoch, Takeover: own.ReadBack}
 	if h.Wait {
-		a.UsableAt = own.ReadBack.Add(c.Stretched(c.Hold))
+		a.UsableAt = own.ReadBack.Add(c.TakeoverWait())
 		if now.Before(a.UsableAt) {
 			return a
 		}
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -52,12 +52,9 @@
 
 // withDefaults fills what is zero.
 func (c Config) withDefaults() Config {
-	if c.Timing.Hold == 0 {
-		c.Timing.Hold = DefaultHold
-	}
-	if c.Timing.Drift == 0 {
-		c.Timing.Drift = DefaultDrift
-	}
+	defaults.Set(&c.Timing.Hold, DefaultHold)
+	defaults.Set(&c.Timing.Send, DefaultSend)
+	defaults.Set(&c.Timing.Drift, DefaultDrift)
 	if c.Limits == (PlanLimits{}) {
 		c.Limits = DefaultPlanLimits()
 	}
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -246,7 +246,7 @@
 		return true
 	}
 	own := v.Evidence.Claims[s]
-	return own.Epoch == h.Epoch && !now.Before(own.ReadBack.Add(v.Timing.Stretched(v.Timing.Hold)))
+	return own.Epoch == h.Epoch && !now.Before(own.ReadBack.Add(v.Timing.TakeoverWait()))
 }
 
 // planLeave leaves the roster when nothing is held or left of a hold.
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -47,9 +47,9 @@
 
 func defaultHold() Hold {
 	return Hold{
-		Hold:      seconds(3),
+		Hold:      Duration(1500 * time.Millisecond),
 		Lease:     seconds(10),
-		Heartbeat: Duration(500 * time.Millisecond),
+		Heartbeat: Duration(250 * time.Millisecond),
 		Drift:     0.01,
 	}
 }
