Measure faults, floods, stops, outages, marks and idle cost of whole entry VMs

Cause: none of these had been measured with sockets, the log and several entry VMs together. Ruled out: one long mixed run, its parts can't be told apart. Change: skylarkctl experiment faults|flood|stop|outage|marks|idle.

--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -37,6 +37,7 @@
 	site    *site.Site
 	entries []*entryVM
 	running sync.WaitGroup
+	victims map[api.EndpointID]bool // endpoints that a fault was put on
 }
 
 // startCell starts stand-ins and entry VMs, publishes the records and waits
@@ -79,6 +80,7 @@
 func (c *cell) newEntry(s *settings.Settings) error {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	c.cfg.adjust(s)
 	node, err := entry.New(s, log)
 	if err != nil {
 		return err
--- a/internal/experiment/command.go
+++ b/internal/experiment/command.go
@@ -29,6 +29,10 @@
 	fs.BoolVar(&cfg.Wait, "wait", false, "executors let requests wait beyond their slots")
 	fs.BoolVar(&cfg.PerEntry, "per-entry", false, "the same share of the load for each entry VM, not each data centre")
 	fs.DurationVar(&cfg.LogDelay, "log-delay", 5*time.Millisecond, "delay of every call of the log")
+	fs.DurationVar(&cfg.BatchDelay, "batch-delay", 0, "journal.batch_delay of the entry VMs; 0: the default")
+	fs.Float64Var(&cfg.Appends, "appends", 0, "journal.appends_per_second of the entry VMs; 0: the default")
+	fs.DurationVar(&cfg.Heartbeat, "heartbeat", 0, "hold.heartbeat of the entry VMs; 0: the default")
+	fs.IntVar(&cfg.Executors, "executors", 0, "executors in each data centre; 0: the cell's")
 	fs.Uint64Var(&cfg.Seed, "seed", 1, "of the load")
 	return &ffcli.Command{
 		Name:       "experiment",
@@ -44,6 +48,9 @@
 			if !ok {
 				return errors.Newf("experiment: no cell %q", *cell)
 			}
+			if cfg.Executors > 0 {
+				sizes.Executors = cfg.Executors
+			}
 			cfg.Cell = sizes
 			cfg.Policies = strings.Split(*policy, ",")
 			if err := Run(ctx, stdout, args[0], cfg); err != nil {
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -6,6 +6,7 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/finding"
 	"github.com/skylarklock/skylarklock/internal/router"
+	"github.com/skylarklock/skylarklock/internal/settings"
 	"github.com/skylarklock/skylarklock/internal/standin/logserver"
 	"github.com/skylarklock/skylarklock/internal/standin/site"
 )
@@ -55,6 +56,7 @@
 // Config describes one experiment.
 type Config struct {
 	Cell        Sizes
+	Executors   int           // of each data centre; zero: the cell's
 	Policies    []string      // compared, in this order
 	Seconds     int           // of each measured phase
 	ServiceTime time.Duration // mean
@@ -62,6 +64,9 @@
 	Wait        bool          // executors let requests wait beyond their slots
 	PerEntry    bool          // the balancer gives each entry VM the same share, not each data centre
 	LogDelay    time.Duration // of every call of the log
+	BatchDelay  time.Duration // of the journal; zero: the default
+	Appends     float64       // a second, of the whole cell; zero: the default
+	Heartbeat   time.Duration // between entry VMs; zero: the default
 	Seed        uint64
 }
 
@@ -89,6 +94,19 @@
 	return time.Duration(c.Seconds) * time.Second
 }
 
+// adjust sets what c changes in the settings of an entry VM.
+func (c *Config) adjust(s *settings.Settings) {
+	if c.BatchDelay > 0 {
+		s.Journal.BatchDelay = settings.Duration(c.BatchDelay)
+	}
+	if c.Appends > 0 {
+		s.Journal.AppendsPerSecond = c.Appends
+	}
+	if c.Heartbeat > 0 {
+		s.Hold.Heartbeat = settings.Duration(c.Heartbeat)
+	}
+}
+
 // serviceOf names the service that is run under a policy. Each has executors
 // of its own.
 func serviceOf(policy string) string { return "torquebench-" + policy }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -12,8 +12,14 @@
 
 // experiments by name.
 var experiments = map[string]func(context.Context, Config, *report) error{
+	"faults":   faults,
+	"flood":    flood,
+	"idle":     idle,
 	"latency":  latency,
+	"marks":    marks,
+	"outage":   outage,
 	"overload": overload,
+	"stop":     stop,
 }
 
 // Names returns the names of all experiments, sorted.
