Measure what each role costs, at several sizes, with one command

Cause: the users ask for a page that gives each role's cost at the size designed for, from measured slopes, and that others can check. Figures so far were spread over benchmarks that each take one or two sizes.

Ruled out: Go benchmarks with a parser of their output, which a user of the binaries doesn't have; timing by the clock, which on a shared machine measures the neighbours. Processor time of the process and bytes written (both ends of every connection are in it) are taken instead.

Change: "skylarkctl capacity" runs small functions of a size, four sizes or more each, with the real packages and small stand-ins in one process, and prints points, fit and residual; with -out it writes plots and raw points.

Conclusion: the slopes can be taken again with one command.

--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -17,5 +17,5 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return ctl.Run(ctx, ctl.New(os.Stdout, os.Stderr, ctl.Standin(os.Stdout)), os.Args[1:], os.Stderr)
+	return ctl.Run(ctx, ctl.New(os.Stdout, os.Stderr, ctl.Standin(os.Stdout), ctl.Capacity(os.Stdout)), os.Args[1:], os.Stderr)
 }
--- /dev/null
+++ b/internal/capacity/members.go
@@ -0,0 +1,84 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/ownership"
+)
+
+// rosterSizes are the entry VMs of one data centre.
+var rosterSizes = []int{3, 9, 30, 90}
+
+func identity(i int) ownership.Identity {
+	return ownership.Identity{Node: api.NodeID(fmt.Sprintf("dc-a-entry%02d", i)), Incarnation: api.Incarnation(i + 1)}
+}
+
+// settledTable returns a table in which members hold all shards as they
+// want them.
+func settledTable(members int) (*ownership.Table, error) {
+	t := ownership.NewTable()
+	var nodes []api.NodeID
+	for i := range members {
+		nodes = append(nodes, identity(i).Node)
+		if err := t.Apply(ownership.Join{Who: identity(i), Address: fmt.Sprintf("127.0.0.1:%d", 10_000+i)}); err != nil {
+			return nil, err
+		}
+	}
+	for round := range 2 { // the second tells each of the others' acknowledgements
+		for i := range members {
+			ack := ownership.Acknowledge{Who: identity(i), Version: t.Version, Members: uint32(members)}
+			if err := t.Apply(ack); err != nil && round == 0 {
+				return nil, err
+			}
+		}
+	}
+	for _, shard := range ownership.Shards() {
+		who := t.Members[ownership.Wanted(shard, nodes)].Who
+		if err := t.Apply(ownership.Claim{Who: who, Shards: []ownership.ShardAt{{Shard: shard}}}); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+// quietView is what a member sees in a roster that is well.
+func quietView(t *ownership.Table, members int, now time.Time) ownership.View {
+	v := ownership.View{
+		Table: t, Evidence: ownership.NewEvidence(identity(0)), Limits: ownership.DefaultPlanLimits(),
+		Timing: ownership.Timing{Hold: ownership.DefaultHold, Drift: ownership.DefaultDrift},
+		Health: make(map[api.NodeID]ownership.Health),
+	}
+	v.Evidence.Confirmed = now
+	for i := 1; i < members; i++ {
+		who := identity(i)
+		v.Health[who.Node] = ownership.Health{Who: who, AliveFor: time.Minute}
+	}
+	return v
+}
+
+// planTime is the processor time of one plan in a quiet roster.
+func planTime(members int) (float64, error) {
+	const plans = 3000
+	t, err := settledTable(members)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	v := quietView(t, members, now)
+	seconds, err := processorTime(func() error {
+		for range plans {
+			ownership.Plan(now, v)
+		}
+		return nil
+	})
+	return seconds * microseconds / plans, err
+}
+
+func ownershipPlan() []Measurement {
+	return []Measurement{{
+		Name: "ownership_plan_time", XLabel: "entry VMs in the roster, 65 shards", YLabel: "processor time of a plan, us",
+		Sizes: rosterSizes, Run: planTime,
+	}}
+}
