Look at a VM when one of its tasks should have ended

Cause: the end of a task was seen only with the next renewal of the lease, up to a quarter of it later (2.5 s by default), when nothing else was to be told to its VM. The room of short tasks stood empty that long, and so did that of tasks that were told to checkpoint for urgent work.

Ruled out: a shorter interval for all, which costs as much for VMs on which nothing ends; remembering the run times of each VM's jobs, which showed no gain over asking the machine and would take memory for each task.

Change: the next exchange is due when the declared run time of a task is over, counted by the worker. An overrun is looked at again after as long as it lasted, at least an eighth of the declared time; a stop under way after 50 ms and then at doubled times. The smallest gap between two exchanges with a VM and the treatment of silent VMs stay.

Tasks that end early, or declare no time, wait as before.

--- a/internal/controller/placement/site_test.go
+++ b/internal/controller/placement/site_test.go
@@ -44,6 +44,7 @@
 	logDown  bool
 	hanging  map[api.VMID]bool // messages to them are swallowed
 	late     sync.WaitGroup
+	syncs    int  // exchanges that were asked for
 	vmFaults bool // VMs restart and freeze: the end of a task can be lost with its VM
 }
 
@@ -100,6 +101,9 @@
 }
 
 func (b *bench) Sync(ctx context.Context, vm api.VM, msg platform.WorkerSync) (platform.WorkerReport, error) {
+	b.mu.Lock()
+	b.syncs++
+	b.mu.Unlock()
 	w := b.workers[vm.ID]
 	if w == nil {
 		return platform.WorkerReport{}, platform.ErrWorkerUnreachable
--- a/internal/controller/worker/exchange.go
+++ b/internal/controller/worker/exchange.go
@@ -193,6 +193,7 @@
 		reported[lease.Attempt{Task: r.Task, Attempt: r.Attempt}] = r
 		c.observer.Reported(v.id, r)
 	}
+	c.expectEnds(v, v.answeredAt, held, reported)
 	for _, h := range held {
 		a := attemptOf(h)
 		if r, ok := reported[a]; ok {
--- a/internal/controller/worker/vm.go
+++ b/internal/controller/worker/vm.go
@@ -27,6 +27,8 @@
 	failures   int       // exchanges without an answer in a row
 	leaving    bool
 	report     *platform.WorkerReport // latest
+	look       time.Time              // when a task may have ended; from the latest report
+	stopGap    time.Duration          // from one look at stops under way to the next; zero: none are
 }
 
 func newVM(address api.VM, t tenure, cfg Config) *vm {
@@ -70,7 +72,20 @@
 	if v.busy {
 		return d, false
 	}
-	return d, d.lapsing || !now.Before(v.last.Add(v.pause()))
+	return d, d.lapsing || !now.Before(v.next())
+}
+
+// next is when the next exchange is due: when a task may have ended, if that
+// comes first.
+func (v *vm) next() time.Time {
+	at := v.last.Add(v.pause())
+	if v.failures > 0 || v.look.IsZero() || !v.look.Before(at) {
+		return at
+	}
+	if earliest := v.last.Add(v.cfg.MinGap); v.look.Before(earliest) {
+		return earliest
+	}
+	return v.look
 }
 
 // begin marks the VM as busy. Only the loop calls it.
