One loop and one authority for all controllers

Change: package controller holds both; learning does a round at once, as the others. Ruled out: a common base type, since what they take differs.

--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,33 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestEveryRoundIsDoneOnTimeAndWhenWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		wake := make(chan struct{}, 1)
+		start := time.Now()
+		var at []time.Duration
+		err := Every(ctx, time.Second, wake, func(context.Context) {
+			at = append(at, time.Since(start))
+			if len(at) == 2 {
+				wake <- struct{}{}
+			}
+		})
+		want := []time.Duration{0, time.Second, time.Second, 2 * time.Second}
+		if err != context.DeadlineExceeded || len(at) != len(want) {
+			t.Fatalf("rounds at %v, %v", at, err)
+		}
+		for i := range want {
+			if at[i] != want[i] {
+				t.Fatalf("rounds at %v, want %v", at, want)
+			}
+		}
+	})
+}
--- a/internal/controller/endpoints/endpoints.go
+++ b/internal/controller/endpoints/endpoints.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/router"
 )
 
@@ -56,16 +57,7 @@
 
 // Run refreshes until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(Refresh)
-	defer ticker.Stop()
-	for {
-		c.Step()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	return controller.Every(ctx, Refresh, nil, func(context.Context) { c.Step() })
 }
 
 // Step refreshes once.
--- a/internal/controller/jobs/jobs.go
+++ b/internal/controller/jobs/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
 	"github.com/skylarklock/skylarklock/internal/config"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/journal"
 )
 
@@ -29,11 +30,6 @@
 	PublishedRevision() api.Revision
 }
 
-// Authority tells whether this entry VM may act for the cell.
-type Authority interface {
-	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
-}
-
 // Home returns the home of an ID among data centres.
 type Home func(id string, dcs []api.DataCentre) api.DataCentre
 
@@ -58,7 +54,7 @@
 	records  Records
 	cell     Cell
 	proposer journal.Proposer
-	auth     Authority
+	auth     controller.Authority
 	counters cell.Counters
 	now      func() time.Time
 }
@@ -67,7 +63,7 @@
 const counterGroup = "published_jobs"
 
 // New returns a controller. Zero fields of cfg take the defaults.
-func New(cfg Config, records Records, c Cell, proposer journal.Proposer, auth Authority, counters cell.Counters, now func() time.Time) *Controller {
+func New(cfg Config, records Records, c Cell, proposer journal.Proposer, auth controller.Authority, counters cell.Counters, now func() time.Time) *Controller {
 	if cfg.Tick == 0 {
 		cfg.Tick = DefaultTick
 	}
@@ -81,17 +77,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	changed, cancel := c.records.Notify()
 	defer cancel()
-	ticker := time.NewTicker(c.cfg.Tick)
-	defer ticker.Stop()
-	for {
-		c.Step(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		case <-changed:
-		}
-	}
+	return controller.Every(ctx, c.cfg.Tick, changed, c.Step)
 }
 
 // Step takes what is due, while this entry VM holds the placement shard.
--- a/internal/controller/learning/learning.go
+++ b/internal/controller/learning/learning.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/estimate"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -24,11 +25,6 @@
 // maxAvoid bounds the VMs remembered for one job.
 const maxAvoid = 64
 
-// Authority tells whether this entry VM may act for the cell.
-type Authority interface {
-	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
-}
-
 // Controller learns from reports and proposes the stops that follow. It
 // implements the Observer of the worker controller, the Advisor of placement
 // and the Quarantine of the fleet's view.
@@ -36,7 +32,7 @@
 	policy   func() api.PolicySpec // in force
 	machine  *cell.Machine
 	proposer journal.Proposer
-	auth     Authority
+	auth     controller.Authority
 	counters cell.Counters
 	now      func() time.Time
 
@@ -53,7 +49,7 @@
 const counterGroup = "learning"
 
 // New returns a controller that has learned nothing yet.
-func New(policy func() api.PolicySpec, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, now func() time.Time) *Controller {
+func New(policy func() api.PolicySpec, machine *cell.Machine, proposer journal.Proposer, auth controller.Authority, counters cell.Counters, now func() time.Time) *Controller {
 	return &Controller{
 		policy:    policy,
 		machine:   machine,
@@ -71,16 +67,7 @@
 
 // Run proposes stops and decides on quarantine until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(decideEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			c.Step(ctx)
-		}
-	}
+	return controller.Every(ctx, decideEvery, nil, c.Step)
 }
 
 // Step decides once.
--- a/internal/controller/placement/placement.go
+++ b/internal/controller/placement/placement.go
@@ -15,6 +15,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/scheduler"
 )
@@ -35,11 +36,6 @@
 	Cycle(now time.Time, maxStarts int) scheduler.Plan
 }
 
-// Authority tells whether this entry VM may act for the cell.
-type Authority interface {
-	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
-}
-
 // Fleet gives the VMs as the scheduler should see them.
 type Fleet interface {
 	Fleet() []scheduler.VM
@@ -87,7 +83,7 @@
 	newWorld func() World
 	machine  *cell.Machine
 	proposer journal.Proposer
-	auth     Authority
+	auth     controller.Authority
 	fleet    Fleet
 	advisor  Advisor
 	counters cell.Counters
@@ -109,7 +105,7 @@
 
 // New returns a controller. newWorld returns an empty world for each tenure.
 // New subscribes to machine.
-func New(cfg Config, newWorld func() World, machine *cell.Machine, proposer journal.Proposer, auth Authority, fleet Fleet, advisor Advisor, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+func New(cfg Config, newWorld func() World, machine *cell.Machine, proposer journal.Proposer, auth controller.Authority, fleet Fleet, advisor Advisor, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
 	c := &Controller{
 		cfg: cfg, newWorld: newWorld, machine: machine, proposer: proposer, auth: auth, fleet: fleet,
 		advisor: advisor, counters: counters, log: log, clock: clock,
@@ -138,16 +134,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	var running sync.WaitGroup
 	defer running.Wait()
-	ticker := time.NewTicker(c.cfg.Tick)
-	defer ticker.Stop()
-	for {
-		c.step(ctx, &running)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	return controller.Every(ctx, c.cfg.Tick, nil, func(ctx context.Context) { c.step(ctx, &running) })
 }
 
 // step does one round: authority, events, VMs, a cycle, proposals.
--- a/internal/controller/recovery/evacuate.go
+++ b/internal/controller/recovery/evacuate.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/journal"
 )
 
@@ -17,7 +18,7 @@
 	DataCentre api.DataCentre
 	Machine    *cell.Machine
 	Proposer   journal.Proposer
-	Authority  Authority // of the lost cell; nil for the one that takes over
+	Authority  controller.Authority // of the lost cell; nil for the one that takes over
 }
 
 // MaxMoves bounds the jobs moved with one entry.
--- a/internal/controller/recovery/recovery.go
+++ b/internal/controller/recovery/recovery.go
@@ -10,14 +10,10 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/journal"
 )
 
-// Authority tells whether this entry VM may act for the cell.
-type Authority interface {
-	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
-}
-
 // Leavers tells which VMs leave.
 type Leavers interface {
 	Leaving(id api.VMID) bool
@@ -42,7 +38,7 @@
 	cfg      Config
 	machine  *cell.Machine
 	proposer journal.Proposer
-	auth     Authority
+	auth     controller.Authority
 	leavers  Leavers
 	counters cell.Counters
 	log      logrus.FieldLogger
@@ -54,7 +50,7 @@
 }
 
 // New returns a controller. It subscribes to machine.
-func New(cfg Config, machine *cell.Machine, proposer journal.Proposer, auth Authority, leavers Leavers, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+func New(cfg Config, machine *cell.Machine, proposer journal.Proposer, auth controller.Authority, leavers Leavers, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
 	c := &Controller{
 		cfg: cfg, machine: machine, proposer: proposer, auth: auth, leavers: leavers,
 		counters: counters, log: log, clock: clock,
@@ -90,16 +86,7 @@
 
 // Run recovers until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(c.cfg.Tick)
-	defer ticker.Stop()
-	for {
-		c.Step(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	return controller.Every(ctx, c.cfg.Tick, nil, c.Step)
 }
 
 // Step does one round.
--- a/internal/controller/vms/vms.go
+++ b/internal/controller/vms/vms.go
@@ -16,16 +16,12 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/directory"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
-// Authority tells whether this entry VM may act for the cell.
-type Authority interface {
-	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
-}
-
 // Config holds the controller's settings.
 type Config struct {
 	DataCentre api.DataCentre
@@ -61,7 +57,7 @@
 	contacts Contacts
 	machine  *cell.Machine
 	proposer journal.Proposer
-	auth     Authority
+	auth     controller.Authority
 	counters cell.Counters
 	log      logrus.FieldLogger
 	clock    func() time.Time
@@ -72,7 +68,7 @@
 }
 
 // New returns a controller that has not read the list yet.
-func New(cfg Config, list platform.VMList, contacts Contacts, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+func New(cfg Config, list platform.VMList, contacts Contacts, machine *cell.Machine, proposer journal.Proposer, auth controller.Authority, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
 	if contacts == nil {
 		contacts = func() []directory.Contact { return nil }
 	}
@@ -84,16 +80,7 @@
 
 // Run follows the list until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(c.cfg.Poll)
-	defer ticker.Stop()
-	for {
-		c.Step(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	return controller.Every(ctx, c.cfg.Poll, nil, c.Step)
 }
 
 // Step reads the list once and proposes what changed.
--- a/internal/controller/worker/batcher.go
+++ b/internal/controller/worker/batcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/controller/recovery"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/lease"
@@ -18,7 +19,7 @@
 	cfg      Config
 	machine  *cell.Machine
 	proposer journal.Proposer
-	auth     Authority
+	auth     controller.Authority
 	counters cell.Counters
 	clock    func() time.Time
 	full     chan struct{} // a batch is full
@@ -36,7 +37,7 @@
 // maxBatches bounds the entries under way at once.
 const maxBatches = 4
 
-func newBatcher(cfg Config, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, clock func() time.Time) *batcher {
+func newBatcher(cfg Config, machine *cell.Machine, proposer journal.Proposer, auth controller.Authority, counters cell.Counters, clock func() time.Time) *batcher {
 	return &batcher{
 		cfg: cfg, machine: machine, proposer: proposer, auth: auth, counters: counters, clock: clock,
 		full:  make(chan struct{}, 1),
--- a/internal/controller/worker/worker.go
+++ b/internal/controller/worker/worker.go
@@ -17,17 +17,12 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/lease"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
-// Authority tells whether this entry VM may act for the cell, at which epoch
-// and when its claim was read back.
-type Authority interface {
-	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
-}
-
 // Directory gives the addresses of the VMs.
 type Directory interface {
 	VMs() []api.VM
@@ -94,7 +89,7 @@
 	machine  *cell.Machine
 	workers  platform.Worker
 	dir      Directory
-	auth     Authority
+	auth     controller.Authority
 	observer Observer
 	counters cell.Counters
 	log      logrus.FieldLogger
@@ -113,7 +108,7 @@
 const counterGroup = "worker_sync"
 
 // New returns a controller. It subscribes to machine.
-func New(cfg Config, machine *cell.Machine, proposer journal.Proposer, workers platform.Worker, dir Directory, auth Authority, observer Observer, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
+func New(cfg Config, machine *cell.Machine, proposer journal.Proposer, workers platform.Worker, dir Directory, auth controller.Authority, observer Observer, counters cell.Counters, log logrus.FieldLogger, clock func() time.Time) *Controller {
 	c := &Controller{
 		cfg: cfg, machine: machine, workers: workers, dir: dir, auth: auth, observer: observer,
 		counters: counters, log: log, clock: clock,
@@ -155,16 +150,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	running.Go(func() { c.journal.run(ctx) })
-	ticker := time.NewTicker(c.cfg.Tick)
-	defer ticker.Stop()
-	for {
-		c.step(ctx, &running)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	return controller.Every(ctx, c.cfg.Tick, nil, func(ctx context.Context) { c.step(ctx, &running) })
 }
 
 // step starts the exchanges that are due.
