A stop with the log down gives the hand-over up after 5 s

Cause: an entry process that was stopped during an outage of the log waited its whole drain deadline (30 s) for releases that nobody could write. Change: the hand-over ends once the log has not been read for 5 s. Ruled out: not trying, since the log may come back.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -18,6 +18,10 @@
 // rotationInterval is the time between two looks at the age of request keys.
 const rotationInterval = time.Second
 
+// handOverPatience is how old the last reading of the log may be in a
+// hand-over.
+const handOverPatience = 5 * time.Second
+
 // readinessInterval is the time between two looks at the streams' state.
 const readinessInterval = 50 * time.Millisecond
 
@@ -47,8 +51,8 @@
 	err := g.Run()
 	n.handovers.Close()
 	n.heartbeats.Close()
-	if ctx.Err() != nil && (err == nil || work.Err() != nil && err == context.Canceled) {
-		err = nil
+	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
+		err = nil // loops end so after a graceful shutdown
 	}
 	n.log.WithField("event", "entry_stopped").Info("entry stopped")
 	return err
@@ -133,6 +137,36 @@
 	)
 }
 
+// handOver releases what this node holds. It gives up once the log has not
+// been read for a while: without it nothing can be handed over, and the others
+// take over after the hold time.
+func (n *Node) handOver(ctx context.Context) error {
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	watch := time.NewTicker(readinessInterval)
+	defer watch.Stop()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-watch.C:
+			}
+			if time.Since(n.streams.cell.Confirmed()) > handOverPatience {
+				giveUp(errLogUnread)
+				return
+			}
+		}
+	}()
+	if err := n.owner.Drain(ctx); err != nil {
+		return errors.Wrap(context.Cause(ctx), "hand over")
+	}
+	return nil
+}
+
+// errLogUnread ends a hand-over that can't be journaled.
+var errLogUnread = errors.New("the log can't be read")
+
 // stopCallers drains the callers' server, unless that was done.
 func (n *Node) stopCallers() {
 	if !n.front.Leaving() {
@@ -172,7 +206,7 @@
 	}{
 		{"callers", n.front.Drain},
 		{"outcomes", n.chain.Close},
-		{"ownership", n.owner.Drain},
+		{"ownership", n.handOver},
 	} {
 		if err := step.do(deadline); err != nil {
 			n.log.WithError(err).WithField("step", step.name).Warn("drain incomplete")
