--- a/internal/controller/placement/site_test.go
+++ b/internal/controller/placement/site_test.go
@@ -232,7 +232,10 @@
 }
 
 // run builds a bench of n VMs and calls f while the controllers run.
-func run(t *testing.T, n int, f func(b *bench)) {
+func run(t *testing.T, n int, f func(b *bench)) { runWith(t, n, newFirstFit, f) }
+
+// runWith is run with the world of the caller's choice.
+func runWith(t *testing.T, n int, newWorld func() placement.World, f func(b *bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &bench{t: t, epoch: 1, takeover: time.Now(), list: &list{}, workers: map[api.VMID]*standin.VM{}}
 		b.machine = cell.New(b, b)
@@ -249,7 +252,7 @@
 		dir := vms.New(vms.DefaultConfig(dc), b.list, nil, b.machine, b, b, b, log, time.Now)
 		syncs := worker.New(worker.DefaultConfig(params), b.machine, b, b, dir, b, b, b, log, time.Now)
 		view := fleet.New(dc, b.machine, dir, syncs, b)
-		places := placement.New(placement.DefaultConfig(dc), newFirstFit, b.machine, b, b, view, b, b, log, time.Now)
+		places := placement.New(placement.DefaultConfig(dc), newWorld, b.machine, b, b, view, b, b, log, time.Now)
 		recovers := recovery.New(recovery.DefaultConfig(), b.machine, b, b, view, b, log, time.Now)
 		var running sync.WaitGroup
 		for _, c := range []interface{ Run(context.Context) error }{dir, syncs, places, recovers} {
