Demo: a service of the cell, an entry VM that dies, a balancer

Cause: the main job lacked a long-running service and an abrupt death. Change: both, and a balancer that asks for readiness as the platform's does.

--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/front"
@@ -47,6 +49,25 @@
 	}
 }
 
+// awaitService waits until all tasks of the service run, after the faults.
+func awaitService(ctx context.Context, c *cluster, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, settleFor)
+	defer cancel()
+	for {
+		var status front.JobStatus
+		err := get(ctx, "http://"+c.home(serviceJob)+"/v1/jobs/"+serviceJob, &status)
+		if err == nil && status.Tasks[api.TaskRunning.String()] == serviceTasks {
+			fmt.Fprintf(out, "service=%s tasks=%v\n", serviceJob, status.Tasks)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ErrBroken, "service %s has tasks %v", serviceJob, status.Tasks)
+		case <-time.After(settlePoll):
+		}
+	}
+}
+
 // awaitJob returns the last that was told of a job before ctx ended.
 func (c *cluster) awaitJob(ctx context.Context, id api.JobID) front.JobStatus {
 	var last front.JobStatus
--- a/internal/demo/publish.go
+++ b/internal/demo/publish.go
@@ -25,6 +25,7 @@
 	return []api.Record{
 		record(api.KindService, "torquebench", 2, map[string]any{"service": "torquebench"}),
 		record(api.KindService, "auction", 2, map[string]any{"service": "auction"}),
+		record(api.KindService, serviceJob, 2, map[string]any{"service": serviceJob, "job": service(serviceJob, serviceTasks)}),
 		record(api.KindQuota, "sales", 1, map[string]any{
 			"team": "sales", "weight": 2, "max": map[string]any{"milli_cpu": 400_000, "memory_mb": 800_000},
 		}),
@@ -43,6 +44,19 @@
 	}
 }
 
+// The long-running service that the cell itself runs.
+const (
+	serviceJob   = "catalogue-web"
+	serviceTasks = 4
+)
+
+func service(id string, tasks int) map[string]any {
+	return map[string]any{
+		"id": id, "team": "sales", "class": "service", "tasks": tasks, "max_attempts": 5, "max_per_rack": 2,
+		"resources": map[string]any{"milli_cpu": 2000, "memory_mb": 2048},
+	}
+}
+
 func record(kind api.Kind, name string, schema int, spec map[string]any) api.Record {
 	data, _ := json.Marshal(spec) // of numbers and strings only
 	return api.Record{Kind: kind, Name: name, SchemaVersion: schema, Spec: data}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -15,13 +15,14 @@
 
 // Times of the demo.
 const (
-	trafficFor  = 11 * time.Second
-	settleFor   = 60 * time.Second // longest wait for the jobs to end
-	settlePoll  = 200 * time.Millisecond
-	seed        = 20
-	connections = 60 // of an executor, from all entry VMs together
-	leavingTime = 3 * time.Second
-	maxAttempts = 3 // runs that one copy of an idempotent request may cause
+	trafficFor    = 11 * time.Second
+	balancerCheck = 200 * time.Millisecond // between the balancer's looks at the entry VMs
+	settleFor     = 60 * time.Second       // longest wait for the jobs to end
+	settlePoll    = 200 * time.Millisecond
+	seed          = 20
+	connections   = 60 // of an executor, from all entry VMs together
+	leavingTime   = 3 * time.Second
+	maxAttempts   = 3 // runs that one copy of an idempotent request may cause
 )
 
 // ErrBroken is returned when a promise was broken.
@@ -49,6 +50,9 @@
 	}
 	withdraw(ctx, c, out)
 	awaitJobs(ctx, c, recorder, out)
+	if err := awaitService(ctx, c, out); err != nil {
+		return err
+	}
 	c.report(out)
 	return verdict(c, recorder, out)
 }
@@ -57,7 +61,7 @@
 func traffic(ctx context.Context, c *cluster, recorder *history.Recorder, out io.Writer) error {
 	cfg := load.Config{
 		Entries: c.callers(), Streams: streams(), Duration: trafficFor,
-		MaxOpen: 4000, Seed: seed, IDPrefix: "demo",
+		MaxOpen: 4000, Check: balancerCheck, Seed: seed, IDPrefix: "demo",
 	}
 	runner, err := load.NewRunner(cfg)
 	if err != nil {
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -94,6 +94,9 @@
 		{8 * time.Second, "two operators race to publish one record", func(ctx context.Context, c *cluster) {
 			raceOperators(ctx, c, out)
 		}},
+		{8500 * time.Millisecond, "one entry VM dies", func(_ context.Context, c *cluster) {
+			c.nodes[3].entry.Abort()
+		}},
 		{9 * time.Second, "one entry VM is stopped gracefully", func(_ context.Context, c *cluster) {
 			c.nodes[len(c.nodes)-1].stop()
 		}},
