--- a/internal/controller/placement/site_test.go
+++ b/internal/controller/placement/site_test.go
@@ -44,6 +44,7 @@
 	logDown  bool
 	hanging  map[api.VMID]bool // messages to them are swallowed
 	late     sync.WaitGroup
+	syncs    int  // exchanges that were asked for
 	vmFaults bool // VMs restart and freeze: the end of a task can be lost with its VM
 }
 
@@ -100,6 +101,9 @@
 }
 
 func (b *bench) Sync(ctx context.Context, vm api.VM, msg platform.WorkerSync) (platform.WorkerReport, error) {
+	b.mu.Lock()
+	b.syncs++
+	b.mu.Unlock()
 	w := b.workers[vm.ID]
 	if w == nil {
 		return platform.WorkerReport{}, platform.ErrWorkerUnreachable
@@ -138,8 +142,10 @@
 func (b *bench) Ended(api.VMID, api.TaskID, cell.Ending) {}
 func (b *bench) Throttles(api.VMID) []platform.TaskStop  { return nil }
 func (b *bench) Quarantined(api.VMID) bool               { return false }
-func (b *bench) Estimate(spec api.JobSpec) api.Resources { return spec.Resources }
-func (b *bench) Avoid(api.JobID) map[api.VMID]bool       { return nil }
+func (b *bench) Estimate(spec api.JobSpec) (api.Resources, time.Duration) {
+	return spec.Resources, spec.RunTime
+}
+func (b *bench) Avoid(api.JobID) map[api.VMID]bool { return nil }
 
 type list struct {
 	mu  sync.Mutex
@@ -226,7 +232,10 @@
 }
 
 // run builds a bench of n VMs and calls f while the controllers run.
-func run(t *testing.T, n int, f func(b *bench)) {
+func run(t *testing.T, n int, f func(b *bench)) { runWith(t, n, newFirstFit, f) }
+
+// runWith is run with the world of the caller's choice.
+func runWith(t *testing.T, n int, newWorld func() placement.World, f func(b *bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &bench{t: t, epoch: 1, takeover: time.Now(), list: &list{}, workers: map[api.VMID]*standin.VM{}}
 		b.machine = cell.New(b, b)
@@ -240,10 +249,10 @@
 		log.SetOutput(io.Discard)
 		ctx, cancel := context.WithCancel(t.Context())
 		params := lease.Params{Lease: 6 * time.Second, Hold: 2 * time.Second, Drift: 0.001}
-		dir := vms.New(vms.DefaultConfig(dc), b.list, b.machine, b, b, b, log, time.Now)
+		dir := vms.New(vms.DefaultConfig(dc), b.list, nil, b.machine, b, b, b, log, time.Now)
 		syncs := worker.New(worker.DefaultConfig(params), b.machine, b, b, dir, b, b, b, log, time.Now)
 		view := fleet.New(dc, b.machine, dir, syncs, b)
-		places := placement.New(placement.DefaultConfig(dc), newFirstFit, b.machine, b, b, view, b, b, log, time.Now)
+		places := placement.New(placement.DefaultConfig(dc), newWorld, b.machine, b, b, view, b, b, log, time.Now)
 		recovers := recovery.New(recovery.DefaultConfig(), b.machine, b, b, view, b, log, time.Now)
 		var running sync.WaitGroup
 		for _, c := range []interface{ Run(context.Context) error }{dir, syncs, places, recovers} {
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/journal"
 )
 
@@ -51,21 +52,14 @@
 
 // withDefaults fills what is zero.
 func (c Config) withDefaults() Config {
-	if c.Timing.Hold == 0 {
-		c.Timing.Hold = DefaultHold
-	}
-	if c.Timing.Drift == 0 {
-		c.Timing.Drift = DefaultDrift
-	}
+	defaults.Set(&c.Timing.Hold, DefaultHold)
+	defaults.Set(&c.Timing.Send, DefaultSend)
+	defaults.Set(&c.Timing.Drift, DefaultDrift)
 	if c.Limits == (PlanLimits{}) {
 		c.Limits = DefaultPlanLimits()
 	}
-	if c.Tick == 0 {
-		c.Tick = DefaultTick
-	}
-	if c.ProposeTimeout == 0 {
-		c.ProposeTimeout = DefaultProposeTimeout
-	}
+	defaults.Set(&c.Tick, DefaultTick)
+	defaults.Set(&c.ProposeTimeout, DefaultProposeTimeout)
 	if c.Unlisted == nil {
 		c.Unlisted = func(time.Time) map[api.NodeID]time.Duration { return nil }
 	}
