Hand endpoints over beside the last requests of a graceful stop

Ruled out: releasing at once, the balancer still sends for the readiness delay; releasing when the gate closes, requests that wait for a slot would find none. Change: the hand-over begins once the gate is closed and every request in flight is at an endpoint.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/operator"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
@@ -187,8 +189,8 @@
 	_ = stop(ctx)
 }
 
-// awaitShutdown waits until ctx ends and drains: callers first, then what
-// other entry VMs take over.
+// awaitShutdown waits until ctx ends and drains. What this node holds is handed
+// over beside the last requests, so that its endpoints don't stand idle.
 func (n *Node) awaitShutdown(ctx, work context.Context) error {
 	select {
 	case <-work.Done():
@@ -200,17 +202,41 @@
 	deadline, cancel := context.WithTimeout(work, n.settings.DrainDeadline.Std())
 	defer cancel()
 	n.log.WithField("event", "drain_started").Info("drain started")
-	for _, step := range []struct {
-		name string
-		do   func(context.Context) error
-	}{
-		{"callers", n.front.Drain},
-		{"outcomes", n.chain.Close},
-		{"ownership", n.handOver},
-	} {
-		if err := step.do(deadline); err != nil {
-			n.log.WithError(err).WithField("step", step.name).Warn("drain incomplete")
+	var steps sync.WaitGroup
+	steps.Go(func() {
+		n.drainStep(deadline, "callers", n.front.Drain)
+		n.drainStep(deadline, "outcomes", n.chain.Close)
+	})
+	steps.Go(func() {
+		n.awaitUnqueued(deadline)
+		n.drainStep(deadline, "ownership", n.handOver)
+	})
+	steps.Wait()
+	return nil
+}
+
+// drainStep does one step of the drain.
+func (n *Node) drainStep(ctx context.Context, name string, do func(context.Context) error) {
+	if err := do(ctx); err != nil {
+		n.log.WithError(err).WithField("step", name).Warn("drain incomplete")
+	}
+}
+
+// awaitUnqueued waits until nothing new is taken on and every request in
+// flight is at an endpoint: one that waits for a slot would find none after
+// the hand-over.
+func (n *Node) awaitUnqueued(ctx context.Context) {
+	look := time.NewTicker(readinessInterval)
+	defer look.Stop()
+	for {
+		gate := n.chain.Gate()
+		if gate.State() == filter.GateDraining && gate.InFlight() <= n.router.InFlight() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-look.C:
 		}
 	}
-	return nil
 }
