--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -9,6 +9,7 @@
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/operator"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
@@ -216,7 +217,10 @@
 // node leaves the roster after its last answer. When nobody can take over, the
 // shards are kept until then.
 func (n *Node) drain(ctx context.Context) {
-	leave := sync.OnceFunc(func() { n.drainStep(ctx, "ownership", n.handOver) })
+	leave := sync.OnceFunc(func() {
+		n.awaitUnqueued(ctx)
+		n.drainStep(ctx, "ownership", n.handOver)
+	})
 	if n.canHandOver() {
 		go leave()
 	}
@@ -238,3 +242,22 @@
 		n.log.WithError(err).WithField("step", name).Warn("drain incomplete")
 	}
 }
+
+// awaitUnqueued waits until nothing new is taken on and every request in
+// flight is at an endpoint: one that waits for a slot would find none after
+// the hand-over.
+func (n *Node) awaitUnqueued(ctx context.Context) {
+	look := time.NewTicker(readinessInterval)
+	defer look.Stop()
+	for {
+		gate := n.chain.Gate()
+		if gate.State() == filter.GateDraining && gate.InFlight() <= n.router.InFlight() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-look.C:
+		}
+	}
+}
