Measure idle worker VMs over a whole interval

Cause: exchanges with VMs that were found together stay close together, so a window of 2 s saw between none and all of those that come every 2.5 s.

Change: the window is one interval, 2.5 s.

Conclusion: a window must hold whole periods of what it measures.

--- a/internal/capacity/idle.go
+++ b/internal/capacity/idle.go
@@ -15,7 +15,9 @@
 const (
 	settleAlone    = 2500 * time.Millisecond // until one entry VM holds its shards
 	settleTogether = 6500 * time.Millisecond // until several have shared them out
-	idleFor        = 2 * time.Second
+	// idleFor is a whole interval of the exchanges with worker VMs, which come
+	// close together.
+	idleFor = 2500 * time.Millisecond
 )
 
 // idle is what entry processes without any work cost.
