--- a/internal/controller/worker/batcher.go
+++ b/internal/controller/worker/batcher.go
@@ -21,7 +21,6 @@
 	auth     Authority
 	counters cell.Counters
 	clock    func() time.Time
-	some     chan struct{} // a report waits
 	full     chan struct{} // a batch is full
 
 	mu      sync.Mutex
@@ -40,7 +39,6 @@
 func newBatcher(cfg Config, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, clock func() time.Time) *batcher {
 	return &batcher{
 		cfg: cfg, machine: machine, proposer: proposer, auth: auth, counters: counters, clock: clock,
-		some:  make(chan struct{}, 1),
 		full:  make(chan struct{}, 1),
 		known: make(map[lease.Attempt]cell.Ending),
 	}
@@ -60,28 +58,27 @@
 	}
 	b.known[a] = r.Ending
 	b.waiting = append(b.waiting, waiting{report: r, order: order})
-	signal(b.some)
 	if len(b.waiting) >= b.cfg.FlushSize {
-		signal(b.full)
-	}
-}
-
-// signal puts a value into c unless it holds one.
-func signal(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
+		select {
+		case b.full <- struct{}{}:
+		default:
+		}
 	}
 }
 
 // run journals batches until ctx ends.
 func (b *batcher) run(ctx context.Context) {
+	ticker := time.NewTicker(b.cfg.FlushEvery)
+	defer ticker.Stop()
 	slots := make(chan struct{}, maxBatches)
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
-		if !b.await(ctx) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-ticker.C:
+		case <-b.full:
 		}
 		batch := b.take()
 		if len(batch) == 0 {
@@ -99,25 +96,6 @@
 	}
 }
 
-// await waits until a report has waited for FlushEvery or a batch is full. It
-// returns false when ctx has ended.
-func (b *batcher) await(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-b.some:
-	}
-	timer := time.NewTimer(b.cfg.FlushEvery)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-b.full:
-	}
-	return true
-}
-
 // take removes a batch, in the order in which lost work is placed again.
 func (b *batcher) take() []cell.Report {
 	b.mu.Lock()
@@ -129,9 +107,6 @@
 		batch[i] = w.report
 	}
 	b.waiting = append([]waiting(nil), b.waiting[n:]...)
-	if len(b.waiting) > 0 {
-		signal(b.some)
-	}
 	return batch
 }
 
--- a/internal/controller/worker/worker.go
+++ b/internal/controller/worker/worker.go
@@ -51,7 +51,6 @@
 	MinGap      time.Duration // between exchanges with a VM that has changes
 	Retry       time.Duration // after an exchange without an answer, while the lease may hold
 	Tick        time.Duration // between two looks for VMs that are due
-	IdleTick    time.Duration // the same, while this entry VM doesn't hold the cell
 	Timeout     time.Duration // of an exchange with a VM that answered the last
 	Concurrency int           // such exchanges under way at once
 	FlushEvery  time.Duration // longest wait of a report for its entry
@@ -71,7 +70,6 @@
 		MinGap:      50 * time.Millisecond,
 		Retry:       p.Lease / 12,
 		Tick:        20 * time.Millisecond,
-		IdleTick:    200 * time.Millisecond,
 		Timeout:     p.Lease / 4,
 		Concurrency: 128,
 		FlushEvery:  20 * time.Millisecond,
@@ -157,25 +155,24 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	running.Go(func() { c.journal.run(ctx) })
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	ticker := time.NewTicker(c.cfg.Tick)
+	defer ticker.Stop()
 	for {
+		c.step(ctx, &running)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-timer.C:
+		case <-ticker.C:
 		}
-		timer.Reset(c.step(ctx, &running))
 	}
 }
 
-// step starts the exchanges that are due and returns the time to the next
-// step.
-func (c *Controller) step(ctx context.Context, running *sync.WaitGroup) time.Duration {
+// step starts the exchanges that are due.
+func (c *Controller) step(ctx context.Context, running *sync.WaitGroup) {
 	now := c.clock()
 	epoch, ok, takeover := c.auth.Cell(now)
 	if !ok {
-		return c.cfg.IdleTick
+		return
 	}
 	c.enter(tenure{epoch: epoch, takeover: takeover})
 	c.refresh(now)
@@ -185,7 +182,6 @@
 		}
 		c.launch(ctx, running, d, now)
 	}
-	return c.cfg.Tick
 }
 
 // launch starts an exchange if there is room for it. VMs that may not answer
