Count what is in flight after the router's limits are refreshed

Cause: spec/hold.pml (NO_STOP_BEFORE_COUNT): a release told what was in flight after the shard was closed, but up to 50 ms before the router knew of it, so requests could start that the next holder leaves no slots for. Change: ownership has the endpoints refreshed before it counts; rounds don't overlap, so that an older one never ends last. Ruled out: a longer validity of limits, which is what opened the gap.

--- a/internal/controller/endpoints/endpoints.go
+++ b/internal/controller/endpoints/endpoints.go
@@ -51,6 +51,8 @@
 	conns  Connections
 	now    func() time.Time
 
+	round sync.Mutex // one round at a time, so that an older one never ends last
+
 	mu      sync.RWMutex
 	byShard map[ownership.Shard][]api.EndpointID // of the last round
 }
@@ -65,8 +67,11 @@
 	return controller.Every(ctx, Refresh, nil, func(context.Context) { c.Step() })
 }
 
-// Step refreshes once.
+// Step refreshes once. What ownership stopped before the call gets nothing new
+// when it returns.
 func (c *Controller) Step() {
+	c.round.Lock()
+	defer c.round.Unlock()
 	now := c.now()
 	var held []router.Held
 	var ids []api.EndpointID
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -171,16 +171,17 @@
 		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.owner = ownership.NewController(ownership.Config{
-		Self:     identityOf(n.origin),
-		Address:  n.advertised(),
-		Timing:   ownership.Timing{Hold: s.Hold.Hold.Std(), Drift: s.Hold.Drift},
-		Machine:  n.streams.owners,
-		Proposer: n.streams.cell,
-		Follower: n.streams.cell,
-		Health:   n.members.Health,
-		Unlisted: n.unlisted,
-		InFlight: n.inFlight,
-		Log:      n.log,
+		Self:        identityOf(n.origin),
+		Address:     n.advertised(),
+		Timing:      ownership.Timing{Hold: s.Hold.Hold.Std(), Drift: s.Hold.Drift},
+		Machine:     n.streams.owners,
+		Proposer:    n.streams.cell,
+		Follower:    n.streams.cell,
+		Health:      n.members.Health,
+		Unlisted:    n.unlisted,
+		InFlight:    n.inFlight,
+		BeforeCount: func() { n.cell.endpoints.Step() },
+		Log:         n.log,
 	})
 	n.members.Bind(n.owner)
 }
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -45,6 +45,10 @@
 	// before it asks for authority, so that it is seen here or sees that the
 	// shard is closed.
 	InFlight func(Shard) int
+	// BeforeCount is called before InFlight is asked, after the use of the
+	// shards was stopped: when it returns, nothing new starts for them. Nil
+	// means that this holds at once.
+	BeforeCount func()
 
 	Now func() time.Time // nil means time.Now
 	Log *logrus.Entry    // nil means the standard logger
@@ -162,6 +166,9 @@
 	c.mu.RLock()
 	shards := releasable(t, c.evidence)
 	c.mu.RUnlock()
+	if len(shards) > 0 && c.cfg.BeforeCount != nil {
+		c.cfg.BeforeCount()
+	}
 	counts := make(map[Shard]int, len(shards))
 	for _, s := range shards {
 		counts[s] = c.cfg.InFlight(s)
