--- a/spec/hold.pml
+++ b/spec/hold.pml
@@ -44,12 +44,8 @@
  *   WITH_UNCOMPARED_CLAIM  a claim is not compared with the epoch
  */
 
-#ifndef MAX_EPOCH               /* no claim goes beyond it */
-#ifdef NO_RELEASE_EPOCH
-#define MAX_EPOCH 4
-#else
-#define MAX_EPOCH 3
-#endif
+#ifndef MAX_EPOCH
+#define MAX_EPOCH 3             /* no claim goes beyond it */
 #endif
 #ifndef HOLD
 #define HOLD 2
