--- a/internal/ownership/sim_test.go
+++ b/internal/ownership/sim_test.go
@@ -304,7 +304,7 @@
 // leftIn is how many of a slots n still uses in a shard that it gave up.
 func (n *simNode) leftIn(shard Shard, step int) int {
 	h := n.table.Holds[shard]
-	lost := slices.Contains(h.Previous, Former{Who: n.evidence.Self, Lost: true})
+	lost := slices.ContainsFunc(h.Previous, func(f Former) bool { return f.Lost && f.Who == n.evidence.Self })
 	if lost || !n.using[shard] || !n.runsOn(step) || h.HeldBy(n.evidence.Self) {
 		return 0
 	}
