skylarkctl load: drive entry VMs from the command line

Cause: operators had the generator in tests only. Ruled out: a file of streams, key=value flags are enough for a handful.

--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -21,6 +21,7 @@
 	root := ctl.New(os.Stdout, os.Stderr,
 		ctl.Demo(os.Stdout),
 		ctl.Standin(os.Stdout),
+		ctl.Load(os.Stdout),
 		ctl.Capacity(os.Stdout),
 		experiment.Command(os.Stdout, ctl.EnvPrefix),
 	)
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -19,6 +19,8 @@
 	MaxDuration = 5 * time.Minute
 	MaxRate     = 50_000
 	MaxOpen     = 20_000
+
+	maxBodyBytes = 16 << 20
 )
 
 // Stream is the traffic of one caller.
@@ -62,6 +64,7 @@
 	for _, s := range c.Streams {
 		l.Check(s.Rate > 0, "streams.rate", s.Rate, "more than 0")
 		l.Check(s.Repeat >= 0 && s.Repeat <= 1, "streams.repeat", s.Repeat, "0 to 1")
+		l.Check(s.BodyBytes >= 0 && s.BodyBytes <= maxBodyBytes, "streams.bytes", s.BodyBytes, "0 to 16777216")
 		l.Check(s.Timeout > 0, "streams.timeout", s.Timeout, "more than 0")
 		l.Check(s.Service != "", "streams.service", nil, "a service name")
 		total += s.Rate
