Refuse marks at once while the log is down

Hand-overs to the home data centre ran into the caller's timeout and came back as peer_unreachable. Ruled out: the age of the last confirmed read, a quiet stream reaches 1.2 s without a fault; a single failed call, the next one often succeeds. Appends that were not tried for 3 s don't count, so that a log that takes no writes is tried again. The first 250 ms of an outage still wait for their timeout.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -66,6 +66,7 @@
 	router     *router.Router
 	chain      *filter.Chain
 	keys       *reqkey.Keys
+	logWatch   *logWatch
 	front      *front.Server
 	cell       *cellParts
 	listeners  listeners
@@ -105,7 +106,8 @@
 		aborted:  make(chan struct{}),
 	}
 	var err error
-	n.streams, err = newStreams(s, outside.Log, n.origin, n.entries, n.counters, n.log)
+	n.logWatch = newLogWatch(outside.Log, time.Now)
+	n.streams, err = newStreams(s, n.logWatch, n.origin, n.entries, n.counters, n.log)
 	if err != nil {
 		return nil, err
 	}
@@ -204,7 +206,7 @@
 			self: s.NodeID, address: n.advertised(),
 			members: n.members, owners: n.streams.owners, client: n.handovers,
 		},
-		Keys:     n.keys,
+		Keys:     promptKeys{Keys: n.keys, log: n.logWatch},
 		Services: records{configs: n.streams.configs},
 		Limits:   records{configs: n.streams.configs},
 		Counters: n.counters,
