--- a/internal/controller/learning/learning.go
+++ b/internal/controller/learning/learning.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/cell"
+	"github.com/skylarklock/skylarklock/internal/controller"
 	"github.com/skylarklock/skylarklock/internal/estimate"
 	"github.com/skylarklock/skylarklock/internal/journal"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -24,18 +25,14 @@
 // maxAvoid bounds the VMs remembered for one job.
 const maxAvoid = 64
 
-// Authority tells whether this entry VM may act for the cell.
-type Authority interface {
-	Cell(now time.Time) (epoch api.Epoch, ok bool, takeoverAt time.Time)
-}
-
 // Controller learns from reports and proposes the stops that follow. It
 // implements the Observer of the worker controller, the Advisor of placement
 // and the Quarantine of the fleet's view.
 type Controller struct {
+	policy   func() api.PolicySpec // in force
 	machine  *cell.Machine
 	proposer journal.Proposer
-	auth     Authority
+	auth     controller.Authority
 	counters cell.Counters
 	now      func() time.Time
 
@@ -52,15 +49,16 @@
 const counterGroup = "learning"
 
 // New returns a controller that has learned nothing yet.
-func New(policy api.PolicySpec, machine *cell.Machine, proposer journal.Proposer, auth Authority, counters cell.Counters, now func() time.Time) *Controller {
+func New(policy func() api.PolicySpec, machine *cell.Machine, proposer journal.Proposer, auth controller.Authority, counters cell.Counters, now func() time.Time) *Controller {
 	return &Controller{
+		policy:    policy,
 		machine:   machine,
 		proposer:  proposer,
 		auth:      auth,
 		counters:  counters,
 		now:       now,
-		estimates: estimate.New(estimate.Config{Policy: policy}),
-		failures:  quarantine.New(quarantine.Config{Policy: policy}),
+		estimates: estimate.New(estimate.Config{Policy: policy()}),
+		failures:  quarantine.New(quarantine.Config{Policy: policy()}),
 		started:   make(map[api.TaskID]time.Time),
 		throttles: make(map[api.VMID][]platform.TaskStop),
 		avoid:     make(map[api.JobID]map[api.VMID]bool),
@@ -69,23 +67,17 @@
 
 // Run proposes stops and decides on quarantine until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(decideEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			c.Step(ctx)
-		}
-	}
+	return controller.Every(ctx, decideEvery, nil, c.Step)
 }
 
 // Step decides once.
 func (c *Controller) Step(ctx context.Context) {
 	now := c.now()
 	fleet := len(c.machine.VMs())
+	policy := c.policy()
 	c.mu.Lock()
+	c.estimates.Configure(estimate.Config{Policy: policy})
+	c.failures.Configure(quarantine.Config{Policy: policy})
 	for _, change := range c.failures.Decide(fleet, now) {
 		if change.Quarantined {
 			c.counters.Inc(counterGroup, api.ReasonQuarantine)
@@ -186,11 +178,13 @@
 	return stops
 }
 
-// Estimate returns the resources to plan each task of a job with.
-func (c *Controller) Estimate(spec api.JobSpec) api.Resources {
+// Estimate returns the resources and the run time to plan each task of a job
+// with; a run time of zero is not known.
+func (c *Controller) Estimate(spec api.JobSpec) (api.Resources, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.estimates.Estimate(spec).Resources
+	e := c.estimates.Estimate(spec)
+	return e.Resources, e.RunTime
 }
 
 // Avoid returns the VMs on which tasks of a job failed.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,7 @@
 	front      *front.Server
 	cell       *cellParts
 	listeners  listeners
+	answered   atomic.Bool   // the drain has answered all callers
 	aborted    chan struct{} // closed by Abort
 	abortOnce  sync.Once
 }
@@ -144,6 +146,7 @@
 func (n *Node) connectPeers() {
 	s := n.settings
 	limits := peer.DefaultLimits()
+	limits.Call = s.Limits.PeerTimeout.Std()
 	n.heartbeats = peer.NewClient(limits, n.outside.DialPeer)
 	limits.MaxRequest = int(s.Limits.MaxPeerBytes)
 	limits.MaxAnswer = int(s.Limits.MaxPeerBytes)
@@ -164,20 +167,21 @@
 		},
 		Applied: n.streams.cell.Applied,
 		Load:    n.load,
-		Drains:  func() bool { return n.owner.Draining() },
+		Drains:  func() bool { return n.front.Leaving() || n.owner.Draining() },
 		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.owner = ownership.NewController(ownership.Config{
-		Self:     identityOf(n.origin),
-		Address:  n.advertised(),
-		Timing:   ownership.Timing{Hold: s.Hold.Hold.Std(), Drift: s.Hold.Drift},
-		Machine:  n.streams.owners,
-		Proposer: n.streams.cell,
-		Follower: n.streams.cell,
-		Health:   n.members.Health,
-		Unlisted: n.unlisted,
-		InFlight: n.inFlight,
-		Log:      n.log,
+		Self:        identityOf(n.origin),
+		Address:     n.advertised(),
+		Timing:      ownership.Timing{Hold: s.Hold.Hold.Std(), Drift: s.Hold.Drift},
+		Machine:     n.streams.owners,
+		Proposer:    n.streams.cell,
+		Follower:    n.streams.cell,
+		Health:      n.members.Health,
+		Unlisted:    n.unlisted,
+		InFlight:    n.inFlight,
+		BeforeCount: func() { n.cell.endpoints.Step() },
+		Log:         n.log,
 	})
 	n.members.Bind(n.owner)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/operator"
 	"github.com/skylarklock/skylarklock/internal/reqkey"
 )
@@ -18,6 +20,10 @@
 // rotationInterval is the time between two looks at the age of request keys.
 const rotationInterval = time.Second
 
+// handOverPatience is how old the last reading of the log may be in a
+// hand-over.
+const handOverPatience = 5 * time.Second
+
 // readinessInterval is the time between two looks at the streams' state.
 const readinessInterval = 50 * time.Millisecond
 
@@ -47,8 +53,8 @@
 	err := g.Run()
 	n.handovers.Close()
 	n.heartbeats.Close()
-	if ctx.Err() != nil && (err == nil || work.Err() != nil && err == context.Canceled) {
-		err = nil
+	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
+		err = nil // loops end so after a graceful shutdown
 	}
 	n.log.WithField("event", "entry_stopped").Info("entry stopped")
 	return err
@@ -133,6 +139,36 @@
 	)
 }
 
+// handOver releases what this node holds. It gives up once the log has not
+// been read for a while: without it nothing can be handed over, and the others
+// take over after the hold time.
+func (n *Node) handOver(ctx context.Context) error {
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	watch := time.NewTicker(readinessInterval)
+	defer watch.Stop()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-watch.C:
+			}
+			if time.Since(n.streams.cell.Confirmed()) > handOverPatience {
+				giveUp(errLogUnread)
+				return
+			}
+		}
+	}()
+	if err := n.owner.Drain(ctx); err != nil {
+		return errors.Wrap(context.Cause(ctx), "hand over")
+	}
+	return nil
+}
+
+// errLogUnread ends a hand-over that can't be journaled.
+var errLogUnread = errors.New("the log can't be read")
+
 // stopCallers drains the callers' server, unless that was done.
 func (n *Node) stopCallers() {
 	if !n.front.Leaving() {
@@ -153,8 +189,7 @@
 	_ = stop(ctx)
 }
 
-// awaitShutdown waits until ctx ends and drains: callers first, then what
-// other entry VMs take over.
+// awaitShutdown waits until ctx ends and drains.
 func (n *Node) awaitShutdown(ctx, work context.Context) error {
 	select {
 	case <-work.Done():
@@ -165,18 +200,64 @@
 	}
 	deadline, cancel := context.WithTimeout(work, n.settings.DrainDeadline.Std())
 	defer cancel()
+	go func() {
+		select {
+		case <-n.aborted:
+			cancel()
+		case <-deadline.Done():
+		}
+	}()
 	n.log.WithField("event", "drain_started").Info("drain started")
-	for _, step := range []struct {
-		name string
-		do   func(context.Context) error
-	}{
-		{"callers", n.front.Drain},
-		{"outcomes", n.chain.Close},
-		{"ownership", n.owner.Drain},
-	} {
-		if err := step.do(deadline); err != nil {
-			n.log.WithError(err).WithField("step", step.name).Warn("drain incomplete")
+	n.drain(deadline)
+	return nil
+}
+
+// drain answers the callers and meanwhile hands the shards over, so that
+// others use the endpoints while the last requests here are in flight. The
+// node leaves the roster after its last answer. When nobody can take over, the
+// shards are kept until then.
+func (n *Node) drain(ctx context.Context) {
+	leave := sync.OnceFunc(func() {
+		n.awaitUnqueued(ctx)
+		n.drainStep(ctx, "ownership", n.handOver)
+	})
+	if n.canHandOver() {
+		go leave()
+	}
+	n.drainStep(ctx, "callers", n.front.Drain)
+	n.drainStep(ctx, "outcomes", n.chain.Close)
+	n.answered.Store(true)
+	leave()
+}
+
+// canHandOver reports whether there is another member, and the log that a
+// hand-over goes through.
+func (n *Node) canHandOver() bool {
+	roster, _ := n.streams.owners.Roster()
+	return len(roster) > 1 && time.Since(n.streams.cell.Confirmed()) < n.settings.Hold.Hold.Std()
+}
+
+func (n *Node) drainStep(ctx context.Context, name string, do func(context.Context) error) {
+	if err := do(ctx); err != nil {
+		n.log.WithError(err).WithField("step", name).Warn("drain incomplete")
+	}
+}
+
+// awaitUnqueued waits until nothing new is taken on and every request in
+// flight is at an endpoint: one that waits for a slot would find none after
+// the hand-over.
+func (n *Node) awaitUnqueued(ctx context.Context) {
+	look := time.NewTicker(readinessInterval)
+	defer look.Stop()
+	for {
+		gate := n.chain.Gate()
+		if gate.State() == filter.GateDraining && gate.InFlight() <= n.router.InFlight() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-look.C:
 		}
 	}
-	return nil
 }
--- a/internal/ownership/controller.go
+++ b/internal/ownership/controller.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/journal"
 )
 
@@ -44,6 +45,10 @@
 	// before it asks for authority, so that it is seen here or sees that the
 	// shard is closed.
 	InFlight func(Shard) int
+	// BeforeCount is called before InFlight is asked, after the use of the
+	// shards was stopped: when it returns, nothing new starts for them. Nil
+	// means that this holds at once.
+	BeforeCount func()
 
 	Now func() time.Time // nil means time.Now
 	Log *logrus.Entry    // nil means the standard logger
@@ -51,21 +56,14 @@
 
 // withDefaults fills what is zero.
 func (c Config) withDefaults() Config {
-	if c.Timing.Hold == 0 {
-		c.Timing.Hold = DefaultHold
-	}
-	if c.Timing.Drift == 0 {
-		c.Timing.Drift = DefaultDrift
-	}
+	defaults.Set(&c.Timing.Hold, DefaultHold)
+	defaults.Set(&c.Timing.Send, DefaultSend)
+	defaults.Set(&c.Timing.Drift, DefaultDrift)
 	if c.Limits == (PlanLimits{}) {
 		c.Limits = DefaultPlanLimits()
 	}
-	if c.Tick == 0 {
-		c.Tick = DefaultTick
-	}
-	if c.ProposeTimeout == 0 {
-		c.ProposeTimeout = DefaultProposeTimeout
-	}
+	defaults.Set(&c.Tick, DefaultTick)
+	defaults.Set(&c.ProposeTimeout, DefaultProposeTimeout)
 	if c.Unlisted == nil {
 		c.Unlisted = func(time.Time) map[api.NodeID]time.Duration { return nil }
 	}
@@ -168,6 +166,9 @@
 	c.mu.RLock()
 	shards := releasable(t, c.evidence)
 	c.mu.RUnlock()
+	if len(shards) > 0 && c.cfg.BeforeCount != nil {
+		c.cfg.BeforeCount()
+	}
 	counts := make(map[Shard]int, len(shards))
 	for _, s := range shards {
 		counts[s] = c.cfg.InFlight(s)
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -37,10 +37,9 @@
 func defaultJournal() Journal {
 	return Journal{
 		BatchBytes:       256 * kib,
-		BatchEntries:     2000,
 		BatchDelay:       Duration(5 * time.Millisecond),
 		AppendsPerSecond: 300,
-		Backlog:          20000,
+		BacklogBytes:     4 * mib,
 		SnapshotInterval: Duration(2 * time.Minute),
 		SnapshotRecords:  5000,
 	}
@@ -48,18 +47,16 @@
 
 func defaultHold() Hold {
 	return Hold{
-		Hold:      seconds(3),
+		Hold:      Duration(1500 * time.Millisecond),
 		Lease:     seconds(10),
-		Heartbeat: Duration(500 * time.Millisecond),
+		Heartbeat: Duration(250 * time.Millisecond),
 		Drift:     0.01,
-		Shards:    64,
 	}
 }
 
 func defaultLimits() Limits {
 	return Limits{
 		MaxBodyBytes:      4 * mib,
-		MaxAnswerBytes:    8 * mib,
 		MaxHeaderBytes:    32 * kib,
 		MaxOperatorBytes:  1 * mib,
 		MaxPeerBytes:      16 * mib,
