Remove the records of published jobs that have ended

Change: the holder of the placement shard deletes the record of a job of its data centre once it was taken and has ended, at most 20 in a look. Ruled out: forgetting ended jobs in the configuration's state by itself, which readers of other versions might do otherwise.

--- a/internal/controller/jobs/jobs.go
+++ b/internal/controller/jobs/jobs.go
@@ -1,5 +1,6 @@
 // Package jobs is the controller that takes the jobs that operators published
-// as records into the cell of their home data centre.
+// as records into the cell of their home data centre, and removes the records
+// of those that have ended.
 //
 // A job has one home: the data centre that its ID or its spec names, else the
 // one with the highest hash. Every entry VM works it out alike.
@@ -15,7 +16,9 @@
 	"github.com/skylarklock/skylarklock/internal/cell"
 	"github.com/skylarklock/skylarklock/internal/config"
 	"github.com/skylarklock/skylarklock/internal/controller"
+	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/journal"
+	"github.com/skylarklock/skylarklock/internal/schema"
 )
 
 // Records reads the records in force; *config.Machine implements it.
@@ -25,9 +28,16 @@
 	Notify() (changed <-chan struct{}, cancel func())
 }
 
-// Cell tells which revisions were taken; *cell.Machine implements it.
+// Cell tells which revisions were taken and which jobs have ended;
+// *cell.Machine implements it.
 type Cell interface {
 	PublishedRevision() api.Revision
+	Job(id api.JobID) (cell.JobView, bool)
+}
+
+// Publisher publishes records; *config.Publisher implements it.
+type Publisher interface {
+	Publish(ctx context.Context, rec api.Record) (api.Revision, error)
 }
 
 // Home returns the home of an ID among data centres.
@@ -40,37 +50,37 @@
 	Home        Home
 	Tick        time.Duration // longest time between two looks
 	MaxBatch    int           // jobs in one entry
+	MaxRetired  int           // records removed in one look
 }
 
 // Defaults of Config.
 const (
-	DefaultTick     = time.Second
-	DefaultMaxBatch = 200
+	DefaultTick       = time.Second
+	DefaultMaxBatch   = 200
+	DefaultMaxRetired = 20
 )
 
 // Controller takes published jobs into the cell.
 type Controller struct {
-	cfg      Config
-	records  Records
-	cell     Cell
-	proposer journal.Proposer
-	auth     controller.Authority
-	counters cell.Counters
-	now      func() time.Time
+	cfg       Config
+	records   Records
+	cell      Cell
+	proposer  journal.Proposer
+	publisher Publisher
+	auth      controller.Authority
+	counters  cell.Counters
+	now       func() time.Time
 }
 
 // counterGroup is the group of this package's counters.
 const counterGroup = "published_jobs"
 
 // New returns a controller. Zero fields of cfg take the defaults.
-func New(cfg Config, records Records, c Cell, proposer journal.Proposer, auth controller.Authority, counters cell.Counters, now func() time.Time) *Controller {
-	if cfg.Tick == 0 {
-		cfg.Tick = DefaultTick
-	}
-	if cfg.MaxBatch == 0 {
-		cfg.MaxBatch = DefaultMaxBatch
-	}
-	return &Controller{cfg: cfg, records: records, cell: c, proposer: proposer, auth: auth, counters: counters, now: now}
+func New(cfg Config, records Records, c Cell, proposer journal.Proposer, publisher Publisher, auth controller.Authority, counters cell.Counters, now func() time.Time) *Controller {
+	defaults.Set(&cfg.Tick, DefaultTick)
+	defaults.Set(&cfg.MaxBatch, DefaultMaxBatch)
+	defaults.Set(&cfg.MaxRetired, DefaultMaxRetired)
+	return &Controller{cfg: cfg, records: records, cell: c, proposer: proposer, publisher: publisher, auth: auth, counters: counters, now: now}
 }
 
 // Run takes jobs until ctx ends.
@@ -94,6 +104,38 @@
 			return
 		}
 	}
+	c.retire(ctx)
+}
+
+// retire removes the records of jobs that were taken and have ended, so that
+// the configuration holds what is to be done and not all that ever was.
+func (c *Controller) retire(ctx context.Context) {
+	taken := c.cell.PublishedRevision()
+	retired := 0
+	for _, job := range c.records.Jobs() {
+		if retired == c.cfg.MaxRetired {
+			return
+		}
+		if job.Key.Kind == api.KindService || job.Revision > taken || !c.isHome(job.Spec) || !c.ended(job.Spec.ID) {
+			continue
+		}
+		retired++
+		_, err := c.publisher.Publish(ctx, api.Record{
+			Kind: job.Key.Kind, Name: job.Key.Name, SchemaVersion: schema.Newest(job.Key.Kind),
+			BasedOn: job.Revision, Deleted: true,
+		})
+		if err != nil {
+			c.counters.Inc(counterGroup, "not_retired") // an operator was first, or the next look tries again
+			return
+		}
+	}
+}
+
+// ended reports whether a job that was taken has ended; one that the cell has
+// forgotten has.
+func (c *Controller) ended(id api.JobID) bool {
+	view, known := c.cell.Job(id)
+	return !known || view.Ended
 }
 
 // Due returns the jobs of this data centre published after a revision, in
--- a/internal/controller/jobs/jobs_test.go
+++ b/internal/controller/jobs/jobs_test.go
@@ -36,7 +36,7 @@
 	records, tasks, counters := config.NewMachine(), cell.New(holder{}, counter.NewSet()), counter.NewSet()
 	publisher := config.NewPublisher(records, direct{[]journal.Machine{records}})
 	home := func(id string, _ []api.DataCentre) api.DataCentre { return api.DataCentre(id[:1]) }
-	c := New(Config{DataCentre: "a", Home: home}, records, tasks, direct{[]journal.Machine{tasks}}, holder{}, counters, time.Now)
+	c := New(Config{DataCentre: "a", Home: home}, records, tasks, direct{[]journal.Machine{tasks}}, publisher, holder{}, counters, time.Now)
 
 	publish := func(rec api.Record) api.Revision {
 		t.Helper()
@@ -77,4 +77,21 @@
 	if job, _ := tasks.Job("a1"); !job.Cancelled {
 		t.Fatal("the deleted job was not cancelled")
 	}
+
+	// The record of a job that has ended is removed; the other cell's stays.
+	second := publish(api.Record{Name: "a2", Spec: spec("a2")})
+	c.Step(t.Context())
+	if _, ok := records.Job("a2"); !ok {
+		t.Fatal("the record of a job that has not ended was removed")
+	}
+	if err := tasks.Apply(journal.Position{}, cell.CancelEntry([]api.JobID{"a2"}, 0)); err != nil {
+		t.Fatal(err)
+	}
+	c.Step(t.Context())
+	if _, ok := records.Job("a2"); ok {
+		t.Fatalf("the record of revision %d outlives its job", second)
+	}
+	if _, ok := records.Job("b1"); !ok {
+		t.Fatal("the record of another data centre's job was removed")
+	}
 }
--- a/internal/entry/cellparts.go
+++ b/internal/entry/cellparts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/config"
 	"github.com/skylarklock/skylarklock/internal/controller/endpoints"
 	"github.com/skylarklock/skylarklock/internal/controller/fleet"
 	"github.com/skylarklock/skylarklock/internal/controller/jobs"
@@ -60,7 +61,7 @@
 	p.endpoints = endpoints.New(p.vms, n.owner, n.router, n.outside.Endpoint, time.Now)
 	p.jobs = jobs.New(jobs.Config{
 		DataCentre: s.DataCentre, DataCentres: s.DataCentres, Home: filter.HomeOf,
-	}, st.configs, st.tasks, st.cell, auth, n.counters, time.Now)
+	}, st.configs, st.tasks, st.cell, config.NewPublisher(st.configs, st.config), auth, n.counters, time.Now)
 	return p
 }
 
