--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -11,15 +11,16 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cluster"
 	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/front"
 	"github.com/skylarklock/skylarklock/internal/history"
 )
 
 // withdraw deletes the record of a running job, which cancels it.
-func withdraw(ctx context.Context, c *cluster, out io.Writer) {
+func withdraw(ctx context.Context, c *cluster.Cluster, out io.Writer) {
 	var state api.RecordState
-	operators := c.nodes[0].settings.Listen.Operators
+	operators := c.Entries[0].Settings.Listen.Operators
 	if err := get(ctx, "http://"+operators+"/v1/config/batchjob/withdrawn", &state); err != nil {
 		fmt.Fprintf(out, "withdraw err=%q\n", err)
 		return
@@ -34,11 +35,11 @@
 
 // awaitJobs waits until every job has ended or is known never to run, and
 // records and prints what became of each.
-func awaitJobs(ctx context.Context, c *cluster, recorder *history.Recorder, out io.Writer) {
+func awaitJobs(ctx context.Context, c *cluster.Cluster, recorder *history.Recorder, out io.Writer) {
 	ctx, cancel := context.WithTimeout(ctx, settleFor)
 	defer cancel()
 	for _, id := range jobNames() {
-		status := c.awaitJob(ctx, id)
+		status := awaitJob(ctx, c, id)
 		fmt.Fprintf(out, "job=%s tasks=%v reason=%s detail=%q\n", id, status.Tasks, status.Reason, status.Detail)
 		if status.Reason == api.ReasonNeverFits {
 			continue // waits for a larger VM, as it was told
@@ -50,12 +51,12 @@
 }
 
 // awaitService waits until all tasks of the service run, after the faults.
-func awaitService(ctx context.Context, c *cluster, out io.Writer) error {
+func awaitService(ctx context.Context, c *cluster.Cluster, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, settleFor)
 	defer cancel()
 	for {
 		var status front.JobStatus
-		err := get(ctx, "http://"+c.home(serviceJob)+"/v1/jobs/"+serviceJob, &status)
+		err := get(ctx, "http://"+home(c, serviceJob)+"/v1/jobs/"+serviceJob, &status)
 		if err == nil && status.Tasks[api.TaskRunning.String()] == serviceTasks {
 			fmt.Fprintf(out, "service=%s tasks=%v\n", serviceJob, status.Tasks)
 			return nil
@@ -69,11 +70,11 @@
 }
 
 // awaitJob returns the last that was told of a job before ctx ended.
-func (c *cluster) awaitJob(ctx context.Context, id api.JobID) front.JobStatus {
+func awaitJob(ctx context.Context, c *cluster.Cluster, id api.JobID) front.JobStatus {
 	var last front.JobStatus
 	for {
 		var status front.JobStatus
-		if err := get(ctx, "http://"+c.home(id)+"/v1/jobs/"+string(id), &status); err == nil {
+		if err := get(ctx, "http://"+home(c, id)+"/v1/jobs/"+string(id), &status); err == nil {
 			last = status
 		}
 		if ended(last) || ctx.Err() != nil {
@@ -104,16 +105,16 @@
 
 // home returns the callers' address of an entry VM in the home of a job: the
 // one that places tasks there, since it knows best why a job waits.
-func (c *cluster) home(id api.JobID) string {
+func home(c *cluster.Cluster, id api.JobID) string {
 	dcs := siteConfig(seed).DataCentres
 	home := filter.HomeOf(string(id), dcs)
 	address := ""
-	for _, n := range c.nodes {
-		if n.settings.DataCentre != home {
+	for _, n := range c.Entries {
+		if n.Settings.DataCentre != home {
 			continue
 		}
-		if address == "" || places(n.entry.Status()) {
-			address = n.settings.Listen.Callers
+		if address == "" || places(n.Node.Status()) {
+			address = n.Settings.Listen.Callers
 		}
 	}
 	return address
--- a/internal/demo/publish.go
+++ b/internal/demo/publish.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cluster"
 )
 
 // publishTries bounds the tries to publish one record while the log recovers.
@@ -114,14 +115,14 @@
 
 // raceOperators publishes two unlike records of one new key through two entry
 // VMs at once and prints who won.
-func raceOperators(ctx context.Context, c *cluster, out io.Writer) {
+func raceOperators(ctx context.Context, c *cluster.Cluster, out io.Writer) {
 	verdicts := make(chan string, 2)
 	for i := range 2 {
 		go func() {
 			rec := record(api.KindLimits, "workshop", 2, map[string]any{
 				"caller": "workshop", "rate_per_second": 1000 + i, "burst": 1000, "concurrency": 1000,
 			})
-			status, _, err := publish(ctx, c.nodes[i].settings.Listen.Operators, rec)
+			status, _, err := publish(ctx, c.Entries[i].Settings.Listen.Operators, rec)
 			verdicts <- fmt.Sprintf("operator=%d status=%d err=%v", i, status, err)
 		}()
 	}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -9,8 +9,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cluster"
 	"github.com/skylarklock/skylarklock/internal/history"
 	"github.com/skylarklock/skylarklock/internal/load"
+	"github.com/skylarklock/skylarklock/internal/standin/site"
 )
 
 // Times of the demo.
@@ -31,17 +33,17 @@
 // Run runs the demo and prints what happened to out; the nodes log to logs.
 // It fails with ErrBroken, or with what kept it from running.
 func Run(ctx context.Context, out, logs io.Writer) error {
-	c, err := startCluster(ctx, siteConfig(seed), entriesPerDC, logs)
+	c, err := start(logs)
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	fmt.Fprintf(out, "started entries=%d data_centres=%d executors=%d vms=%d\n",
-		len(c.nodes), len(siteConfig(seed).DataCentres), len(c.site.Executors), len(c.site.VMs))
-	if err := publishAll(ctx, c.nodes[0].settings.Listen.Operators, out); err != nil {
+		len(c.Entries), len(siteConfig(seed).DataCentres), len(c.Site.Executors), len(c.Site.VMs))
+	if err := c.AwaitServing(ctx); err != nil {
 		return err
 	}
-	if err := c.awaitServing(ctx); err != nil {
+	if err := publishAll(ctx, c.Entries[0].Settings.Listen.Operators, out); err != nil {
 		return err
 	}
 	recorder := history.NewRecorder()
@@ -53,14 +55,28 @@
 	if err := awaitService(ctx, c, out); err != nil {
 		return err
 	}
-	c.report(out)
+	report(c, out)
 	return verdict(c, recorder, out)
 }
 
+// start starts the stand-ins and the entry nodes.
+func start(logs io.Writer) (*cluster.Cluster, error) {
+	s, err := site.Start(siteConfig(seed))
+	if err != nil {
+		return nil, err
+	}
+	entries, err := s.Entries(entriesPerDC)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	return cluster.Start(s, entries, logs)
+}
+
 // traffic sends the users' requests while the faults happen.
-func traffic(ctx context.Context, c *cluster, recorder *history.Recorder, out io.Writer) error {
+func traffic(ctx context.Context, c *cluster.Cluster, recorder *history.Recorder, out io.Writer) error {
 	cfg := load.Config{
-		Entries: c.callers(), Streams: streams(), Duration: trafficFor,
+		Entries: c.Callers(), Streams: streams(), Duration: trafficFor,
 		MaxOpen: 4000, Check: balancerCheck, Seed: seed, IDPrefix: "demo",
 	}
 	runner, err := load.NewRunner(cfg)
@@ -90,13 +106,13 @@
 }
 
 // verdict checks the complete record and prints every violation.
-func verdict(c *cluster, recorder *history.Recorder, out io.Writer) error {
+func verdict(c *cluster.Cluster, recorder *history.Recorder, out io.Writer) error {
 	h := recorder.History()
-	for _, vm := range c.site.VMs {
+	for _, vm := range c.Site.VMs {
 		for _, ep := range vm.Endpoints {
-			h.Endpoints = append(h.Endpoints, history.Endpoint{Spec: ep, Record: c.site.Executors[ep.ID].Record()})
+			h.Endpoints = append(h.Endpoints, history.Endpoint{Spec: ep, Record: c.Site.Executors[ep.ID].Record()})
 		}
-		h.Workers = append(h.Workers, c.site.Workers.VM(vm.ID).Record())
+		h.Workers = append(h.Workers, c.Site.Workers.VM(vm.ID).Record())
 	}
 	h.End = time.Now()
 	violations := history.Check(h, history.Limits{Connections: connections, Leaving: leavingTime, Attempts: maxAttempts})
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cluster"
 	"github.com/skylarklock/skylarklock/internal/load"
 	"github.com/skylarklock/skylarklock/internal/standin/executor"
 	"github.com/skylarklock/skylarklock/internal/standin/logserver"
@@ -63,48 +64,48 @@
 type fault struct {
 	at   time.Duration
 	what string
-	do   func(context.Context, *cluster)
+	do   func(context.Context, *cluster.Cluster)
 }
 
 // faults returns one fault of each kind, in order of time.
 func faults(out io.Writer) []fault {
 	return []fault{
-		{1 * time.Second, "three appends take effect and their answers are lost", func(_ context.Context, c *cluster) {
-			c.site.Log.SetFaults(logserver.Faults{LoseAnswers: 3})
+		{1 * time.Second, "three appends take effect and their answers are lost", func(_ context.Context, c *cluster.Cluster) {
+			c.Site.Log.SetFaults(logserver.Faults{LoseAnswers: 3})
 		}},
-		{2 * time.Second, "one executor fails everything", func(_ context.Context, c *cluster) {
-			c.site.Executors["dc-a-torquebench-000"].SetFaults(executor.Faults{FailAll: true})
+		{2 * time.Second, "one executor fails everything", func(_ context.Context, c *cluster.Cluster) {
+			c.Site.Executors["dc-a-torquebench-000"].SetFaults(executor.Faults{FailAll: true})
 		}},
-		{3 * time.Second, "one executor leaves", func(_ context.Context, c *cluster) {
-			c.site.Executors["dc-b-torquebench-001"].SetFaults(executor.Faults{Leaving: true})
+		{3 * time.Second, "one executor leaves", func(_ context.Context, c *cluster.Cluster) {
+			c.Site.Executors["dc-b-torquebench-001"].SetFaults(executor.Faults{Leaving: true})
 		}},
-		{3500 * time.Millisecond, "one executor breaks answers off halfway", func(_ context.Context, c *cluster) {
-			c.site.Executors["dc-c-torquebench-002"].SetFaults(executor.Faults{BreakHalfway: true})
+		{3500 * time.Millisecond, "one executor breaks answers off halfway", func(_ context.Context, c *cluster.Cluster) {
+			c.Site.Executors["dc-c-torquebench-002"].SetFaults(executor.Faults{BreakHalfway: true})
 		}},
-		{4 * time.Second, "one worker VM restarts, another fails everything", func(_ context.Context, c *cluster) {
-			c.site.Workers.VM("dc-a-vm001").Restart()
-			c.site.Workers.VM("dc-b-vm002").SetFaults(worker.Faults{FailEverything: true})
+		{4 * time.Second, "one worker VM restarts, another fails everything", func(_ context.Context, c *cluster.Cluster) {
+			c.Site.Workers.VM("dc-a-vm001").Restart()
+			c.Site.Workers.VM("dc-b-vm002").SetFaults(worker.Faults{FailEverything: true})
 		}},
-		{5 * time.Second, "the log is down for two seconds", func(_ context.Context, c *cluster) {
-			c.site.Log.SetFaults(logserver.Faults{Down: true})
+		{5 * time.Second, "the log is down for two seconds", func(_ context.Context, c *cluster.Cluster) {
+			c.Site.Log.SetFaults(logserver.Faults{Down: true})
 		}},
-		{7 * time.Second, "the log is back", func(_ context.Context, c *cluster) {
-			c.site.Log.SetFaults(logserver.Faults{})
+		{7 * time.Second, "the log is back", func(_ context.Context, c *cluster.Cluster) {
+			c.Site.Log.SetFaults(logserver.Faults{})
 		}},
-		{8 * time.Second, "two operators race to publish one record", func(ctx context.Context, c *cluster) {
+		{8 * time.Second, "two operators race to publish one record", func(ctx context.Context, c *cluster.Cluster) {
 			raceOperators(ctx, c, out)
 		}},
-		{8500 * time.Millisecond, "one entry VM dies", func(_ context.Context, c *cluster) {
-			c.nodes[3].entry.Abort()
+		{8500 * time.Millisecond, "one entry VM dies", func(_ context.Context, c *cluster.Cluster) {
+			c.Entries[3].Node.Abort()
 		}},
-		{9 * time.Second, "one entry VM is stopped gracefully", func(_ context.Context, c *cluster) {
-			c.nodes[len(c.nodes)-1].stop()
+		{9 * time.Second, "one entry VM is stopped gracefully", func(_ context.Context, c *cluster.Cluster) {
+			c.Entries[len(c.Entries)-1].Stop()
 		}},
 	}
 }
 
 // runFaults causes each fault at its time, until ctx ends.
-func runFaults(ctx context.Context, c *cluster, out io.Writer) {
+func runFaults(ctx context.Context, c *cluster.Cluster, out io.Writer) {
 	start := time.Now()
 	for _, f := range faults(out) {
 		select {
