Count what peers make of hand-overs; measure stale free slots

Cause: the room that peers tell is up to a heartbeat (500 ms) old; nobody knew how often a hand-over went to a peer without room. Change: counter group handover, by answered, not_reached, no_reply or the peer's reason; skylarkctl experiment handover.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -204,7 +204,7 @@
 		Endpoint: n.outside.Endpoint,
 		Peers: peers{
 			self: s.NodeID, address: n.advertised(),
-			members: n.members, owners: n.streams.owners, client: n.handovers,
+			members: n.members, owners: n.streams.owners, client: n.handovers, counts: n.counters,
 		},
 		Keys:     promptKeys{Keys: n.keys, log: n.logWatch},
 		Services: records{configs: n.streams.configs},
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -21,8 +21,18 @@
 	members *member.Service
 	owners  *ownership.Machine
 	client  *peer.Client
+	counts  filter.Counters
 }
 
+// groupHandover counts what peers made of hand-overs, by reason: as answered,
+// or the reason of the refusal.
+const (
+	groupHandover              = "handover"
+	countAnswered   api.Reason = "answered"
+	countNoReply    api.Reason = "no_reply"
+	countNotReached api.Reason = "not_reached"
+)
+
 // Candidates implements filter.Peers.
 func (p peers) Candidates(service string) []filter.PeerLoad {
 	var loads []filter.PeerLoad
@@ -46,12 +56,27 @@
 // Forward implements filter.Peers.
 func (p peers) Forward(ctx context.Context, node api.NodeID, req *filter.ForwardRequest) (*filter.ForwardReply, error) {
 	reply := new(filter.ForwardReply)
-	if err := p.call(ctx, node, methodForward, req, reply); err != nil {
+	err := p.call(ctx, node, methodForward, req, reply)
+	p.counts.Inc(groupHandover, handoverReason(reply, err))
+	if err != nil {
 		return nil, err
 	}
 	return reply, nil
 }
 
+func handoverReason(reply *filter.ForwardReply, err error) api.Reason {
+	var failed *filter.PeerError
+	switch {
+	case errors.As(err, &failed) && !failed.Sent:
+		return countNotReached
+	case err != nil:
+		return countNoReply
+	case reply.Refusal != nil:
+		return reply.Refusal.Reason
+	}
+	return countAnswered
+}
+
 // AnswerOf implements filter.Peers.
 func (p peers) AnswerOf(ctx context.Context, node api.NodeID, query *filter.AnswerQuery) (*filter.AnswerReply, error) {
 	reply := new(filter.AnswerReply)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -14,6 +14,7 @@
 var experiments = map[string]func(context.Context, Config, *report) error{
 	"faults":   faults,
 	"flood":    flood,
+	"handover": handover,
 	"idle":     idle,
 	"latency":  latency,
 	"marks":    marks,
--- a/internal/experiment/phase.go
+++ b/internal/experiment/phase.go
@@ -65,6 +65,7 @@
 type outcome struct {
 	tallies   []*tally
 	forwarded int64 // hand-overs to peers with room
+	answered  int64 // hand-overs of any kind that a peer answered
 	retried   int64
 	truth     truth
 	seen      executorsSeen // of the first stream's service
@@ -152,6 +153,7 @@
 			out.tallies[s.Stream].addAnswer(s)
 		}
 	}
+	answered := c.count("handover", "answered")
 	room, retried := c.count(filter.GroupForward, filter.CountRoom), c.retries()
 	var beside sync.WaitGroup
 	if p.during != nil {
@@ -166,6 +168,7 @@
 		out.tallies[i].skipped = r.Skipped()
 	}
 	out.forwarded = c.count(filter.GroupForward, filter.CountRoom) - room
+	out.answered = c.count("handover", "answered") - answered
 	out.retried = c.retries() - retried
 	pause(ctx, settleTime)
 	out.seen = c.seen(service, started.Add(p.from), started.Add(duration))
