skylarkctl: a conflict settles an earlier attempt only when it is certain of it

Cause: spec/config.pml (NO_EARLIER_ATTEMPT): after an unsettled attempt, a conflict with a revision in force that is not above the base says nothing of the earlier copy, which may still land; publish ended with the code of a conflict. Change: such a conflict counts as open; the tries go on. The test failed first: exit code 3 where 1 is right.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -68,6 +68,8 @@
 		{"conflict", []string{"publish", good, good}, []string{`409 {"outcome":"conflict","in_force":9,"detail":"taken"}`}, ExitConflict, "in_force=9", 1, 0},
 		{"invalid for the entry VM", []string{"publish", good}, []string{`400 {"outcome":"invalid","findings":[{"path":"spec.x","allowed":"y"}]}`}, ExitBadInput, "good.json[0]: spec.x: want y", 1, 0},
 		{"settled by repeating", []string{"publish", good}, []string{`503 {"outcome":"not-written"}`, `202 {"outcome":"unsettled"}`, accepted}, ExitOK, "accepted", 3, 2},
+		{"conflict that says nothing of an earlier attempt", []string{"publish", "-attempts", "2", good}, []string{`202 {"outcome":"unsettled"}`, `409 {"outcome":"conflict","in_force":0}`}, ExitFailed, "gave up after 2", 2, 1},
+		{"conflict that settles an earlier attempt", []string{"publish", good}, []string{`202 {"outcome":"unsettled"}`, `409 {"outcome":"conflict","in_force":9}`}, ExitConflict, "conflict", 2, 1},
 		{"never settled", []string{"publish", "-attempts", "2", good}, []string{`202 {"outcome":"unsettled"}`}, ExitFailed, "gave up after 2", 2, 1},
 		{"refused for good", []string{"publish", good}, []string{`404 {"error":"not here"}`}, ExitBadInput, "404 not here", 1, 0},
 		{"explained", []string{"explain", "task", "j", "3"}, []string{`200 {"job":"j","state":"pending","reason":"no_capacity"}`}, ExitOK, `"reason": "no_capacity"`, 1, 0},
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -111,35 +111,59 @@
 func (c *command) publishOne(ctx context.Context, client *Client, id string, attempts int, r placedRecord) error {
 	attempts = max(attempts, 1)
 	var last error
+	open := false // an earlier attempt may still come to be accepted
 	for i := range attempts {
 		entry := client.entries[i%len(client.entries)]
-		pause, err := c.attempt(ctx, client, entry, id, r)
-		if err == nil || pause == 0 {
+		result, err := c.attempt(ctx, client, entry, id, r)
+		if err == nil || result.final && !(open && result.aboutThisOnly) {
 			return err
 		}
-		last = err
+		open = open || result.open
+		if !result.final {
+			last = err
+		}
 		if i+1 == attempts {
 			break
 		}
-		if err := c.wait(ctx, pause); err != nil {
+		if err := c.wait(ctx, result.pause); err != nil {
 			return errors.Join(err, last)
 		}
 	}
 	return fmt.Errorf("%s: gave up after %d attempts: %w; publishing the same file again settles it", r.place, attempts, last)
 }
 
-// attempt publishes once. With an error it returns how long to wait before
-// the next attempt, or zero when the outcome is final.
-func (c *command) attempt(ctx context.Context, client *Client, entry, id string, r placedRecord) (time.Duration, error) {
+// attemptResult is what one failed attempt says of the record's outcome.
+type attemptResult struct {
+	final bool // nothing more is to be learned by repeating
+	open  bool // it may have been written, and may land late
+	// aboutThisOnly: the refusal is certain of this attempt's copy, not of an
+	// earlier one. A conflict is certain of all copies only when a later
+	// revision than the base is in force.
+	aboutThisOnly bool
+	pause         time.Duration // before the next attempt
+}
+
+// attempt publishes once.
+func (c *command) attempt(ctx context.Context, client *Client, entry, id string, r placedRecord) (attemptResult, error) {
 	p, err := client.Publish(ctx, entry, id, r.record)
 	var final *ExitError
 	if errors.As(err, &final) {
-		return 0, err
+		return attemptResult{final: true}, err
 	}
 	if err != nil {
-		return defaultRetryAfter, err
+		return attemptResult{open: true, pause: defaultRetryAfter}, err
+	}
+	a := p.answer
+	result := attemptResult{
+		final:         p.retryAfter == 0,
+		open:          a.Outcome == api.PublishUnsettled,
+		aboutThisOnly: a.Outcome == api.PublishConflict && a.InForce <= r.record.BasedOn,
+		pause:         p.retryAfter,
+	}
+	if result.pause == 0 {
+		result.pause = defaultRetryAfter
 	}
-	return p.retryAfter, c.report(r, p.answer)
+	return result, c.report(r, a)
 }
 
 // report prints the outcome on one line and returns the error it stands for.
