--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -5,43 +5,23 @@
 	"io"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
-
 	"github.com/skylarklock/skylarklock/api"
-	"github.com/skylarklock/skylarklock/internal/entry"
-	"github.com/skylarklock/skylarklock/internal/ownership"
-	"github.com/skylarklock/skylarklock/internal/settings"
+	"github.com/skylarklock/skylarklock/internal/cluster"
 	"github.com/skylarklock/skylarklock/internal/standin/logserver"
 	"github.com/skylarklock/skylarklock/internal/standin/site"
 )
 
-// readyTimeout bounds the start of a cell, in which every shard finds a
-// holder.
-const readyTimeout = 60 * time.Second
-
-// entryVM is one entry VM of a running cell.
-type entryVM struct {
-	settings *settings.Settings
-	node     *entry.Node
-	stop     context.CancelFunc // graceful
-	ended    chan struct{}      // closed when Run has returned
-}
-
 // cell is a running cell with its stand-ins.
 type cell struct {
+	*cluster.Cluster
 	cfg     Config
-	site    *site.Site
-	entries []*entryVM
-	running sync.WaitGroup
 	victims map[api.EndpointID]bool // endpoints that a fault was put on
 }
 
-// startCell starts stand-ins and entry VMs, publishes the records and waits
-// until every shard is held.
+// startCell starts stand-ins and entry VMs, waits until every shard is held
+// and publishes the records.
 func startCell(ctx context.Context, cfg Config, services ...site.Service) (*cell, error) {
 	siteConfig := cfg.siteConfig()
 	siteConfig.Services = append(siteConfig.Services, services...)
@@ -50,88 +30,32 @@
 		return nil, err
 	}
 	s.Log.SetFaults(logserver.Faults{Slow: cfg.LogDelay})
-	c := &cell{cfg: cfg, site: s}
-	if err := c.start(ctx, services); err != nil {
-		c.close()
-		return nil, err
-	}
-	return c, nil
-}
-
-func (c *cell) start(ctx context.Context, services []site.Service) error {
-	all, err := c.site.EntriesOf(c.cfg.Cell.Entries)
+	all, err := s.EntriesOf(cfg.Cell.Entries)
 	if err != nil {
-		return err
-	}
-	for _, s := range all { // all listen before any connects, or ports are taken
-		if err := c.newEntry(s); err != nil {
-			return err
-		}
-	}
-	for _, e := range c.entries {
-		c.runEntry(e)
+		s.Close()
+		return nil, err
 	}
-	if err := c.awaitReady(ctx); err != nil {
-		return err
+	for _, e := range all {
+		cfg.adjust(e)
 	}
-	return c.publishAll(ctx, services)
-}
-
-func (c *cell) newEntry(s *settings.Settings) error {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	c.cfg.adjust(s)
-	node, err := entry.New(s, log)
+	running, err := cluster.Start(s, all, io.Discard)
 	if err != nil {
-		return err
-	}
-	c.entries = append(c.entries, &entryVM{settings: s, node: node})
-	return nil
-}
-
-// runEntry runs an entry VM until it is stopped.
-func (c *cell) runEntry(e *entryVM) {
-	ctx, stop := context.WithCancel(context.Background())
-	e.stop = stop
-	e.ended = make(chan struct{})
-	c.running.Go(func() {
-		defer close(e.ended)
-		_ = e.node.Run(ctx)
-	})
-}
-
-// awaitReady waits until every entry VM is ready and every shard is held.
-func (c *cell) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for !c.ready() {
-		if !pause(ctx, 100*time.Millisecond) {
-			return errors.Newf("cell not ready within %s: %d shards held", readyTimeout, c.heldShards())
-		}
+		return nil, err
 	}
-	return nil
-}
-
-func (c *cell) ready() bool {
-	for _, e := range c.entries {
-		if !e.node.Status().Ready {
-			return false
-		}
+	c := &cell{Cluster: running, cfg: cfg}
+	if err := c.ready(ctx, services); err != nil {
+		c.Close()
+		return nil, err
 	}
-	return c.heldShards() == len(c.cfg.Cell.DataCentres)*len(ownership.Shards())
+	return c, nil
 }
 
-// heldShards counts the shards of all data centres whose hold is confirmed.
-func (c *cell) heldShards() int {
-	held := 0
-	for _, e := range c.entries {
-		for _, shard := range e.node.Status().Shards {
-			if shard.Confirmed {
-				held++
-			}
-		}
+// ready waits until the cell serves and publishes the records.
+func (c *cell) ready(ctx context.Context, services []site.Service) error {
+	if err := c.AwaitServing(ctx); err != nil {
+		return err
 	}
-	return held
+	return c.publishAll(ctx, services)
 }
 
 // callers returns the callers' addresses of all entry VMs, in turns that give
@@ -142,13 +66,13 @@
 		turns *= n
 	}
 	var all []string
-	for _, e := range c.entries {
+	for _, e := range c.Entries {
 		times := 1
 		if !c.cfg.PerEntry {
-			times = turns / c.entriesIn(e.settings.DataCentre)
+			times = turns / c.entriesIn(e.Settings.DataCentre)
 		}
 		for range times {
-			all = append(all, e.settings.Listen.Callers)
+			all = append(all, e.Settings.Listen.Callers)
 		}
 	}
 	mix := rand.New(rand.NewPCG(c.cfg.Seed, 0))
@@ -164,7 +88,7 @@
 // executors returns the addresses of a service's executors.
 func (c *cell) executors(service string) []string {
 	var all []string
-	for _, vm := range c.site.VMs {
+	for _, vm := range c.Site.VMs {
 		for _, ep := range vm.Endpoints {
 			if ep.Service == service {
 				all = append(all, ep.Address)
@@ -177,23 +101,12 @@
 // count adds up one counter over all entry VMs.
 func (c *cell) count(group string, reason api.Reason) int64 {
 	total := int64(0)
-	for _, e := range c.entries {
-		total += e.node.Counters().Value(group, reason)
+	for _, e := range c.Entries {
+		total += e.Node.Counters().Value(group, reason)
 	}
 	return total
 }
 
-// close stops the entry VMs and the stand-ins.
-func (c *cell) close() {
-	for _, e := range c.entries {
-		if e.stop != nil {
-			e.stop()
-		}
-	}
-	c.running.Wait()
-	c.site.Close()
-}
-
 // pause waits for d and reports whether ctx still stands.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	if err := c.warmUp(ctx); err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 func (c *cell) noteVictims(name string, begun time.Time, r *report) {
 	got, last := 0, time.Duration(0)
 	for id := range c.victims {
-		for _, runs := range c.site.Executors[id].Record().Runs {
+		for _, runs := range c.Site.Executors[id].Record().Runs {
 			for _, run := range runs {
 				if after := run.Start.Sub(begun); after > 0 {
 					got++
@@ -119,7 +119,7 @@
 	c.victims = map[api.EndpointID]bool{}
 	for _, ep := range c.endpoints(service)[from:to] {
 		c.victims[ep.ID] = true
-		c.site.Executors[ep.ID].SetFaults(f)
+		c.Site.Executors[ep.ID].SetFaults(f)
 	}
 }
 
@@ -127,7 +127,7 @@
 // come back.
 func repairExecutors(c *cell, service string) {
 	for _, ep := range c.endpoints(service) {
-		c.site.Executors[ep.ID].SetFaults(executor.Faults{})
+		c.Site.Executors[ep.ID].SetFaults(executor.Faults{})
 	}
 }
 
@@ -138,7 +138,7 @@
 	for _, ep := range c.endpoints(service)[from:to] {
 		c.victims[ep.ID] = true
 	}
-	for _, vm := range c.site.VMs {
+	for _, vm := range c.Site.VMs {
 		vm.Endpoints = slices.Clone(vm.Endpoints)
 		changed := false
 		for i := range vm.Endpoints {
@@ -148,7 +148,7 @@
 			}
 		}
 		if changed {
-			c.site.List.Put(vm)
+			c.Site.List.Put(vm)
 		}
 	}
 }
@@ -156,7 +156,7 @@
 // endpoints returns the endpoints of a service, of all data centres in turn.
 func (c *cell) endpoints(service string) []api.Endpoint {
 	var all []api.Endpoint
-	for _, vm := range c.site.VMs {
+	for _, vm := range c.Site.VMs {
 		for _, ep := range vm.Endpoints {
 			if ep.Service == service {
 				all = append(all, ep)
--- a/internal/experiment/idle.go
+++ b/internal/experiment/idle.go
@@ -17,9 +17,9 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	started := heap()
-	entries := uint64(len(c.entries))
+	entries := uint64(len(c.Entries))
 	r.note("memory: a cell of %d entry VMs with its stand-ins: heap %d KiB, %d KiB for each entry VM", entries, (started-before)>>10, (started-before)/entries>>10)
 	cpu := processorTime()
 	pause(ctx, cfg.duration())
@@ -37,8 +37,8 @@
 		base := heap()
 		pause(ctx, c.cfg.duration()/2)
 		now := heap()
-		for _, e := range c.entries {
-			open += e.node.Status().Requests
+		for _, e := range c.Entries {
+			open += e.Node.Status().Requests
 		}
 		grown = now - min(now, base)
 	}})
--- a/internal/experiment/latency.go
+++ b/internal/experiment/latency.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cluster"
 	"github.com/skylarklock/skylarklock/internal/load"
 	"github.com/skylarklock/skylarklock/internal/ownership"
 	"github.com/skylarklock/skylarklock/internal/router"
@@ -32,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	if err := c.warmUp(ctx); err != nil {
 		return err
 	}
@@ -80,24 +81,24 @@
 // holdersOf returns the callers' addresses of the entry VMs that hold an
 // endpoint of the service, and of the others.
 func (c *cell) holdersOf(service string) (holders, others []string) {
-	for _, e := range c.entries {
+	for _, e := range c.Entries {
 		if c.holds(e, service) {
-			holders = append(holders, e.settings.Listen.Callers)
+			holders = append(holders, e.Settings.Listen.Callers)
 		} else {
-			others = append(others, e.settings.Listen.Callers)
+			others = append(others, e.Settings.Listen.Callers)
 		}
 	}
 	return holders, others
 }
 
-func (c *cell) holds(e *entryVM, service string) bool {
+func (c *cell) holds(e *cluster.Entry, service string) bool {
 	held := map[string]bool{}
-	for _, shard := range e.node.Status().Shards {
+	for _, shard := range e.Node.Status().Shards {
 		held[shard.Shard] = true
 	}
-	for _, vm := range c.site.VMs {
+	for _, vm := range c.Site.VMs {
 		for _, ep := range vm.Endpoints {
-			if ep.Service == service && ep.DataCentre == e.settings.DataCentre && held[ownership.ShardOf(ep.ID).String()] {
+			if ep.Service == service && ep.DataCentre == e.Settings.DataCentre && held[ownership.ShardOf(ep.ID).String()] {
 				return true
 			}
 		}
--- a/internal/experiment/marks.go
+++ b/internal/experiment/marks.go
@@ -21,24 +21,24 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	if err := c.warmUp(ctx); err != nil {
 		return err
 	}
 	for _, rate := range markRates {
-		idempotent := c.stream(cfg.Policies[0], rate*float64(len(c.entries)))
+		idempotent := c.stream(cfg.Policies[0], rate*float64(len(c.Entries)))
 		marked := idempotent
 		marked.Idempotent = false
 		plain, err := c.run(ctx, phase{streams: []load.Stream{idempotent}, from: cfg.duration() / 5})
 		if err != nil {
 			return err
 		}
-		before, started := c.site.Log.Stats(), time.Now()
+		before, started := c.Site.Log.Stats(), time.Now()
 		o, err := c.run(ctx, phase{streams: []load.Stream{marked}, from: cfg.duration() / 5})
 		if err != nil {
 			return err
 		}
-		after, took := c.site.Log.Stats(), time.Since(started).Seconds()
+		after, took := c.Site.Log.Stats(), time.Since(started).Seconds()
 		r.add(fmt.Sprintf("%g/s idempotent", rate), plain)
 		r.add(fmt.Sprintf("%g/s marked", rate), o)
 		r.note("%g/s: the mark adds p50=%s p99=%s; log: %.0f appends/s, %.0f bytes each", rate,
--- a/internal/experiment/outage.go
+++ b/internal/experiment/outage.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	if err := c.warmUp(ctx); err != nil {
 		return err
 	}
@@ -31,7 +31,7 @@
 		{"log down,", logserver.Faults{Down: true}},
 		{"log up again,", logserver.Faults{Slow: cfg.LogDelay}},
 	} {
-		c.site.Log.SetFaults(p.faults)
+		c.Site.Log.SetFaults(p.faults)
 		o, err := c.run(ctx, phase{streams: streams})
 		if err != nil {
 			return err
--- a/internal/experiment/overload.go
+++ b/internal/experiment/overload.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	if err := c.warmUp(ctx); err != nil {
 		return err
 	}
--- a/internal/experiment/publish.go
+++ b/internal/experiment/publish.go
@@ -53,7 +53,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	target := "http://" + c.entries[0].settings.Listen.Operators + "/v1/records"
+	target := "http://" + c.Entries[0].Settings.Listen.Operators + "/v1/records"
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -77,9 +77,9 @@
 func (c *cell) awaitRevision(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	newest := c.entries[0].node.Status().Revision
-	for _, e := range c.entries {
-		for e.node.Status().Revision < newest {
+	newest := c.Entries[0].Node.Status().Revision
+	for _, e := range c.Entries {
+		for e.Node.Status().Revision < newest {
 			if !pause(ctx, 20*time.Millisecond) {
 				return errors.New("records not in force everywhere in time")
 			}
--- a/internal/experiment/stop.go
+++ b/internal/experiment/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/cluster"
 	"github.com/skylarklock/skylarklock/internal/load"
 	"github.com/skylarklock/skylarklock/internal/ownership"
 )
@@ -26,19 +27,19 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	if err := c.warmUp(ctx); err != nil {
 		return err
 	}
-	first, last := c.entries[0], c.entries[len(c.entries)-1]
+	first, last := c.Entries[0], c.Entries[len(c.Entries)-1]
 	for _, p := range []struct {
 		name  string
-		entry *entryVM
-		stop  func(*entryVM)
+		entry *cluster.Entry
+		stop  func(*cluster.Entry)
 	}{
 		{"none stopped", nil, nil},
-		{"stopped gracefully", first, func(e *entryVM) { e.stop() }},
-		{"killed", last, func(e *entryVM) { e.node.Abort() }},
+		{"stopped gracefully", first, func(e *cluster.Entry) { e.Stop() }},
+		{"killed", last, func(e *cluster.Entry) { e.Node.Abort() }},
 	} {
 		if err := c.runStop(ctx, policy, p.name, p.entry, p.stop, r); err != nil {
 			return err
@@ -47,7 +48,7 @@
 	return nil
 }
 
-func (c *cell) runStop(ctx context.Context, policy, name string, e *entryVM, stop func(*entryVM), r *report) error {
+func (c *cell) runStop(ctx context.Context, policy, name string, e *cluster.Entry, stop func(*cluster.Entry), r *report) error {
 	idempotent := c.stream(policy, steadyShare*c.cfg.capacity()/2)
 	idempotent.Caller = "idempotent"
 	marked := idempotent
@@ -76,14 +77,14 @@
 }
 
 // heldBy returns the endpoints of a service that an entry VM holds.
-func (c *cell) heldBy(e *entryVM, service string) []api.Endpoint {
+func (c *cell) heldBy(e *cluster.Entry, service string) []api.Endpoint {
 	shards := map[string]bool{}
-	for _, shard := range e.node.Status().Shards {
+	for _, shard := range e.Node.Status().Shards {
 		shards[shard.Shard] = true
 	}
 	var held []api.Endpoint
 	for _, ep := range c.endpoints(service) {
-		if ep.DataCentre == e.settings.DataCentre && shards[ownership.ShardOf(ep.ID).String()] {
+		if ep.DataCentre == e.Settings.DataCentre && shards[ownership.ShardOf(ep.ID).String()] {
 			held = append(held, ep)
 		}
 	}
@@ -108,7 +109,7 @@
 // began at an endpoint.
 func (c *cell) longestGap(id api.EndpointID, from, to time.Time) time.Duration {
 	var starts []time.Time
-	for _, runs := range c.site.Executors[id].Record().Runs {
+	for _, runs := range c.Site.Executors[id].Record().Runs {
 		for _, run := range runs {
 			if run.Start.After(from) && run.Start.Before(to) {
 				starts = append(starts, run.Start)
--- a/internal/experiment/truth.go
+++ b/internal/experiment/truth.go
@@ -24,7 +24,7 @@
 // from memory with the cell only, so ids of earlier phases don't matter.
 func (c *cell) check(samples []load.Sample, streams []load.Stream) truth {
 	runs := make(map[string]int, len(samples))
-	for _, x := range c.site.Executors {
+	for _, x := range c.Site.Executors {
 		for id, list := range x.Record().Runs {
 			runs[id] += len(list)
 		}
@@ -60,12 +60,12 @@
 func (c *cell) seen(service string, from, to time.Time) executorsSeen {
 	var s executorsSeen
 	var used, all time.Duration
-	for _, vm := range c.site.VMs {
+	for _, vm := range c.Site.VMs {
 		for _, ep := range vm.Endpoints {
 			if ep.Service != service {
 				continue
 			}
-			record := c.site.Executors[ep.ID].Record()
+			record := c.Site.Executors[ep.ID].Record()
 			s.refused += record.Refused
 			all += time.Duration(ep.Slots) * to.Sub(from)
 			for _, list := range record.Runs {
