Measure a read of the VM list

Cause: the page took the list's bytes as what idle worker VMs cost less their exchanges, and put down the rest of their processor time to the list too.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -23,7 +23,7 @@
 	var all []Measurement
 	for _, group := range []func() []Measurement{
 		cellMemory, cellTime, requestKeys, configRecords, ownershipPlan, heartbeats,
-		journalStarts, journalRequests, placements, worlds, workerExchanges, requests, entryRequests, idleEntries,
+		journalStarts, journalRequests, placements, worlds, workerExchanges, vmLists, requests, entryRequests, idleEntries,
 	} {
 		all = append(all, group()...)
 	}
