--- a/internal/ctl/capacity.go
+++ b/internal/ctl/capacity.go
@@ -44,6 +44,11 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			ctx, cancel := context.WithTimeout(ctx, capacityLimit)
 			defer cancel()
+			if *out != "" {
+				if err := os.MkdirAll(*out, 0o755); err != nil {
+					return err
+				}
+			}
 			results, err := runCapacity(ctx, stdout, strings.Split(*only, ","), *out)
 			if err != nil || *out == "" {
 				return err
