--- a/internal/entry/bootstrap.go
+++ b/internal/entry/bootstrap.go
@@ -18,6 +18,9 @@
 	bootstrapAfter = 2 * time.Second // the log gets so long to be read first
 	bootstrapEvery = time.Second     // between two rounds of asking peers
 	bootstrapCall  = 5 * time.Second // of one call
+	// bootstrapPatience is how long a silent peer is waited for, whose state
+	// may lie further on than those of the peers that answer.
+	bootstrapPatience = 30 * time.Second
 )
 
 // counterBootstrap is the group of this file's counters.
@@ -70,6 +73,7 @@
 // the highest position first, until this node is ready.
 func (n *Node) bootstrap(ctx context.Context) error {
 	wait := bootstrapAfter
+	started := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -79,7 +83,7 @@
 		wait = bootstrapEvery
 		for stream, replica := range n.replicas() {
 			if !replica.Ready() {
-				n.takeState(ctx, stream, replica)
+				n.takeState(ctx, stream, replica, time.Since(started) < bootstrapPatience)
 			}
 		}
 	}
@@ -94,9 +98,10 @@
 }
 
 // takeState asks every known peer and imports the furthest state that is
-// sound.
-func (n *Node) takeState(ctx context.Context, stream string, replica *journal.Replica) {
+// sound. With all set it takes none unless every peer answered.
+func (n *Node) takeState(ctx context.Context, stream string, replica *journal.Replica, all bool) {
 	var states []journal.State
+	silent := 0
 	for _, address := range n.bootstrapPeers() {
 		var reply StateReply
 		callCtx, cancel := context.WithTimeout(ctx, bootstrapCall)
@@ -104,12 +109,16 @@
 		cancel()
 		if err != nil {
 			n.counters.Inc(counterBootstrap, api.ReasonPeerUnreachable)
+			silent++
 			continue
 		}
 		if reply.State.Stream == stream {
 			states = append(states, reply.State)
 		}
 	}
+	if all && silent > 0 {
+		return
+	}
 	slices.SortFunc(states, func(a, b journal.State) int { return cmp.Compare(b.Position, a.Position) })
 	for _, state := range states {
 		err := replica.Import(state)
