Test that a second signal ends the process at once

Cause: the behaviour was written down and not tested. Change: a process in its drain gets SIGTERM again and ends by it.

--- a/cmd/skylarklock/main_test.go
+++ b/cmd/skylarklock/main_test.go
@@ -181,3 +181,34 @@
 		}
 	}
 }
+
+// A second signal ends the process at once, whatever is still in flight.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	s, err := site.Start(site.Config{
+		DataCentres: []api.DataCentre{"dc-a"}, VMs: 1, Capacity: api.Resources{MilliCPU: 1000, MemoryMB: 1000},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	entries, err := s.Entries(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries[0].ReadinessDelay = settings.Duration(time.Minute) // the drain lasts longer than the test
+	entries[0].DrainDeadline = settings.Duration(2 * time.Minute)
+	process, logs := start(t, writeSettings(t, entries[0]))
+	ready := func() int {
+		resp, _ := send(t, http.MethodGet, "http://"+entries[0].Listen.Callers+"/v1/ready", "", nil)
+		return resp.StatusCode
+	}
+	await(t, "readiness", func() bool { return ready() == http.StatusOK })
+	_ = process.Process.Signal(syscall.SIGTERM)
+	await(t, "the drain", func() bool { return ready() == http.StatusServiceUnavailable })
+	_ = process.Process.Signal(syscall.SIGTERM)
+	_ = process.Wait()
+	status, ok := process.ProcessState.Sys().(syscall.WaitStatus)
+	if !ok || !status.Signaled() || status.Signal() != syscall.SIGTERM {
+		t.Fatalf("ended as %v\n%s", process.ProcessState, logs.String())
+	}
+}
