--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -16,6 +16,7 @@
 	"flood":    flood,
 	"handover": handover,
 	"idle":     idle,
+	"inforce":  inForce,
 	"latency":  latency,
 	"marks":    marks,
 	"outage":   outage,
