Ports of test nodes lie below the kernel's range for connections

Cause: a run of all checks failed once in TestStartWithLogDownTakesStateFromPeers: the port chosen for an entry VM had gone to a connection before the node listened (address already in use). Ruled out: a fault of the node; tests that run side by side in other processes choose from the same range, hence the stride by process. Change: site chooses ports as the fault tests did for themselves; those use it.

--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -5,9 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -117,33 +115,11 @@
 	return c
 }
 
-// lastPort counts up the ports of entry VMs. They lie below those that the
-// system hands out, so that no connection takes one while its entry VM is
-// being replaced.
-var lastPort atomic.Int32
-
-const (
-	firstPort = 10_000
-	portRange = 20_000
-)
-
-func (c *cluster) freePort() string {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(os.Getpid()*97+int(lastPort.Add(1)))%portRange)
-		if l, err := net.Listen("tcp", address); err == nil {
-			must(c.t, l.Close())
-			return address
-		}
-	}
-}
-
-// addresses gives all entry VMs ports that stay theirs, and names the peers'
-// ones in the network.
+// addresses names the peers' addresses in the network and makes all of them
+// seeds.
 func (c *cluster) addresses(all []*settings.Settings) {
 	var seeds []string
 	for _, e := range all {
-		e.Listen = settings.Listen{Callers: c.freePort(), Operators: c.freePort(), Peers: c.freePort()}
-		e.AdvertisePeer = e.Listen.Peers
 		c.net.names[e.AdvertisePeer] = e.NodeID
 		seeds = append(seeds, e.AdvertisePeer)
 	}
--- a/internal/standin/site/settings.go
+++ b/internal/standin/site/settings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -30,7 +32,7 @@
 	for _, n := range counts {
 		total += n
 	}
-	ports, err := freePorts(total * portsOfEntry)
+	addresses, err := freePorts(total * portsOfEntry)
 	if err != nil {
 		return nil, err
 	}
@@ -38,7 +40,7 @@
 	var seeds []string
 	for at, dc := range s.cfg.DataCentres {
 		for i := range counts[at] {
-			entry := s.entry(dc, i, ports[len(all)*portsOfEntry:])
+			entry := s.entry(dc, i, addresses[len(all)*portsOfEntry:])
 			if i == 0 {
 				seeds = append(seeds, entry.Listen.Peers)
 			}
@@ -65,16 +67,37 @@
 	return e
 }
 
-// freePorts returns n different addresses on which nothing listens now.
+// Ports for entry VMs lie below those that the kernel gives to outgoing
+// connections (from 32768 on), so that none is taken between the choice and
+// the listening, and after a node has stopped until it listens again.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+	// processStride keeps processes that run side by side apart.
+	processStride = 97
+)
+
+// lastPort counts the ports chosen by this process.
+var lastPort atomic.Int64
+
+// freePorts returns n addresses that this process has not given out before and
+// on which nothing listens now.
 func freePorts(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range ports {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		port := firstPort + (os.Getpid()*processStride+int(lastPort.Add(1)))%ports
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
 			return nil, errors.Wrap(err, "free port")
 		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, errors.Newf("no %d free ports from %d on", n, firstPort)
 }
