Take back the shorter hold: it doubles what an idle entry VM spends

Cause: hold 1.5 s and heartbeat 250 ms had become the settings' defaults for a shorter takeover. Tried: heartbeat 500 ms with them, and fewer readings of the log in a hold; neither brought the cost down (3.2 and 3.5 KB/s). Conclusion: reverted; operators to whom waiting counts more set the shorter one.

--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -47,9 +47,9 @@
 
 func defaultHold() Hold {
 	return Hold{
-		Hold:      Duration(1500 * time.Millisecond),
+		Hold:      seconds(3),
 		Lease:     seconds(10),
-		Heartbeat: Duration(250 * time.Millisecond),
+		Heartbeat: Duration(500 * time.Millisecond),
 		Drift:     0.01,
 	}
 }
