Drop the counters' default set

Cause: nothing counts in it (found by a search for unreachable code); each node has its own. Ruled out: dropping the evacuation of a lost data centre with it, which is tested and waits for its claim from outside. Measured: vet and tests pass.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -83,14 +83,3 @@
 	s.groups.Set(name, g)
 	return g
 }
-
-// defaultSet is the set of a process that runs one node.
-var defaultSet = NewSet()
-
-// Default returns the set that the package's own Inc counts in.
-func Default() *Set { return defaultSet }
-
-// Inc adds one to the counter of reason in group of the default set.
-func Inc(group string, reason api.Reason) {
-	defaultSet.Inc(group, reason)
-}
