Learning forgets what it held against VMs when a job ends

Cause: read again: the VMs to avoid were kept for every job that ever failed a task, and nothing dropped them.

--- a/internal/controller/learning/learning.go
+++ b/internal/controller/learning/learning.go
@@ -48,9 +48,10 @@
 // counterGroup is the group of this package's counters.
 const counterGroup = "learning"
 
-// New returns a controller that has learned nothing yet.
+// New returns a controller that has learned nothing yet. It subscribes to
+// machine.
 func New(policy func() api.PolicySpec, machine *cell.Machine, proposer journal.Proposer, auth controller.Authority, counters cell.Counters, now func() time.Time) *Controller {
-	return &Controller{
+	c := &Controller{
 		policy:    policy,
 		machine:   machine,
 		proposer:  proposer,
@@ -63,6 +64,19 @@
 		throttles: make(map[api.VMID][]platform.TaskStop),
 		avoid:     make(map[api.JobID]map[api.VMID]bool),
 	}
+	machine.Subscribe(c.applied)
+	return c
+}
+
+// applied forgets what was held against the VMs for a job that has ended.
+func (c *Controller) applied(events []cell.Event) {
+	for _, e := range events {
+		if e.Kind == cell.EventJobEnded {
+			c.mu.Lock()
+			delete(c.avoid, e.Task.Job)
+			c.mu.Unlock()
+		}
+	}
 }
 
 // Run proposes stops and decides on quarantine until ctx ends.
@@ -149,6 +163,9 @@
 		}
 	case cell.ReportErrored:
 		c.failed(vm, task, now)
+		if ok && !job.Ended {
+			c.avoidVM(vm, task.Job)
+		}
 	default:
 		c.estimates.Forget(task)
 	}
@@ -160,11 +177,15 @@
 	if _, blamed := c.failures.Failed(vm, task, now); blamed {
 		c.counters.Inc(counterGroup, api.ReasonFailsAnywhere)
 	}
-	if c.avoid[task.Job] == nil {
-		c.avoid[task.Job] = make(map[api.VMID]bool)
+}
+
+// avoidVM notes that a task of a job failed on vm. c.mu is held.
+func (c *Controller) avoidVM(vm api.VMID, job api.JobID) {
+	if c.avoid[job] == nil {
+		c.avoid[job] = make(map[api.VMID]bool)
 	}
-	if len(c.avoid[task.Job]) < maxAvoid {
-		c.avoid[task.Job][vm] = true
+	if len(c.avoid[job]) < maxAvoid {
+		c.avoid[job][vm] = true
 	}
 }
 
