--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -50,6 +50,19 @@
 	return c, nil
 }
 
+// startWarmCell is startCell followed by a load that warms it up.
+func startWarmCell(ctx context.Context, cfg Config) (*cell, error) {
+	c, err := startCell(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.warmUp(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // ready waits until the cell serves and publishes the records.
 func (c *cell) ready(ctx context.Context, services []site.Service) error {
 	if err := c.AwaitServing(ctx); err != nil {
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -52,14 +52,11 @@
 
 // faults puts faults on executors a third into the load.
 func faults(ctx context.Context, cfg Config, r *report) error {
-	c, err := startCell(ctx, cfg)
+	c, err := startWarmCell(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.warmUp(ctx); err != nil {
-		return err
-	}
 	for _, policy := range cfg.Policies {
 		for _, f := range kindsOfFault {
 			if err := c.runFault(ctx, policy, f, r); err != nil {
--- a/internal/experiment/flood.go
+++ b/internal/experiment/flood.go
@@ -13,14 +13,11 @@
 
 // flood measures one caller alone and beside one that floods.
 func flood(ctx context.Context, cfg Config, r *report) error {
-	c, err := startCell(ctx, cfg)
+	c, err := startWarmCell(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.warmUp(ctx); err != nil {
-		return err
-	}
 	for _, policy := range cfg.Policies {
 		quiet := c.stream(policy, quietShare*cfg.capacity())
 		quiet.Caller = "quiet"
--- a/internal/experiment/handover.go
+++ b/internal/experiment/handover.go
@@ -13,14 +13,11 @@
 // handover measures how often a peer with room, by its latest heartbeat,
 // refuses what is handed over to it.
 func handover(ctx context.Context, cfg Config, r *report) error {
-	c, err := startCell(ctx, cfg)
+	c, err := startWarmCell(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.warmUp(ctx); err != nil {
-		return err
-	}
 	for _, factor := range handoverLoads {
 		name := fmt.Sprintf("%gx", factor)
 		s := c.stream(cfg.Policies[0], factor*cfg.capacity())
--- a/internal/experiment/marks.go
+++ b/internal/experiment/marks.go
@@ -17,14 +17,11 @@
 	cfg.ServiceTime = quick
 	cfg.Policies = []string{router.PolicyLeastLoaded}
 	cfg.PerEntry = true
-	c, err := startCell(ctx, cfg)
+	c, err := startWarmCell(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.warmUp(ctx); err != nil {
-		return err
-	}
 	for _, rate := range markRates {
 		idempotent := c.stream(cfg.Policies[0], rate*float64(len(c.Entries)))
 		marked := idempotent
--- a/internal/experiment/outage.go
+++ b/internal/experiment/outage.go
@@ -9,14 +9,11 @@
 
 // outage takes the log away under load and gives it back.
 func outage(ctx context.Context, cfg Config, r *report) error {
-	c, err := startCell(ctx, cfg)
+	c, err := startWarmCell(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.warmUp(ctx); err != nil {
-		return err
-	}
 	policy := cfg.Policies[0]
 	idempotent := c.stream(policy, steadyShare*cfg.capacity()/2)
 	idempotent.Caller = "idempotent"
--- a/internal/experiment/overload.go
+++ b/internal/experiment/overload.go
@@ -14,14 +14,11 @@
 // overload offers more than the slots can serve and looks at what is kept of
 // the goodput, and how soon the rest is refused.
 func overload(ctx context.Context, cfg Config, r *report) error {
-	c, err := startCell(ctx, cfg)
+	c, err := startWarmCell(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.warmUp(ctx); err != nil {
-		return err
-	}
 	for _, policy := range cfg.Policies {
 		for _, factor := range overloads {
 			s := c.stream(policy, factor*cfg.capacity())
--- a/internal/experiment/stop.go
+++ b/internal/experiment/stop.go
@@ -23,14 +23,11 @@
 }
 
 func stopUnder(ctx context.Context, cfg Config, policy string, r *report) error {
-	c, err := startCell(ctx, cfg)
+	c, err := startWarmCell(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.warmUp(ctx); err != nil {
-		return err
-	}
 	first, last := c.Entries[0], c.Entries[len(c.Entries)-1]
 	for _, p := range []struct {
 		name  string
