--- a/cmd/skylarklock/main.go
+++ b/cmd/skylarklock/main.go
@@ -29,11 +29,18 @@
 	exitBadInput = 2
 )
 
+// platformCommand runs the process on the users' platform, whose settings file
+// it reads in place of our own.
+const platformCommand = "platform"
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == platformCommand {
+		return runOnPlatform()
+	}
 	s, err := settings.Parse(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
--- /dev/null
+++ b/internal/assist/helpers.go
@@ -0,0 +1,135 @@
+package assist
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Limits of the calls handed to machines.
+const (
+	// longCall is the expected time from which a call counts as long. On the
+	// users' queues long ones take about 600 ms and short ones 10 to 100 ms.
+	longCall = 200 * time.Millisecond
+	// shortShare is the share of the machines that make only short calls, so
+	// that these never wait behind a long one.
+	shortShare = 0.4
+	// shortAtOnce is how many short calls a machine has under way: one is
+	// answered while the next is on its way.
+	shortAtOnce = 2
+	// attachedFor is how long an offer holds; machines repeat it every
+	// second (node.attachEvery).
+	attachedFor = 2500 * time.Millisecond
+)
+
+// Helpers are the machines that make calls for the leader, itself included.
+type Helpers struct {
+	caller Caller
+	own    platform.Adviser
+
+	mu       sync.Mutex
+	machines map[api.NodeID]*helper
+}
+
+type helper struct {
+	node    api.NodeID
+	address string    // empty: this machine
+	seen    time.Time // last offer
+	long    int       // calls under way
+	short   int
+}
+
+// NewHelpers returns the helpers of a leader, at first only itself.
+func NewHelpers(self api.NodeID, own platform.Adviser, caller Caller) *Helpers {
+	h := &Helpers{caller: caller, own: own, machines: make(map[api.NodeID]*helper)}
+	h.machines[self] = &helper{node: self}
+	return h
+}
+
+// Attached takes in a machine's offer.
+func (h *Helpers) Attached(a Attachment, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.machines[a.Node]
+	if m == nil {
+		m = &helper{node: a.Node}
+		h.machines[a.Node] = m
+	}
+	m.address = a.Address
+	m.seen = now
+}
+
+// Slot is the right to hand one call to one machine.
+type Slot struct {
+	helper *helper
+	long   bool
+}
+
+// Take returns a slot for a call of an expected time, or nil if none is free.
+func (h *Helpers) Take(cost time.Duration, now time.Time) *Slot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	machines := h.present(now)
+	forShort := max(1, int(shortShare*float64(len(machines))+0.5))
+	long := cost >= longCall
+	for i, m := range machines {
+		if long && (i >= forShort || len(machines) == 1) && m.long == 0 {
+			m.long++
+			return &Slot{helper: m, long: true}
+		}
+		if !long && i < forShort && m.short < shortAtOnce {
+			m.short++
+			return &Slot{helper: m}
+		}
+	}
+	return nil
+}
+
+// present returns the machines whose offer holds, in a fixed order but with
+// this machine last: it has most to do.
+func (h *Helpers) present(now time.Time) []*helper {
+	var machines []*helper
+	for node, m := range h.machines {
+		if m.address != "" && now.Sub(m.seen) > attachedFor {
+			if m.long == 0 && m.short == 0 {
+				delete(h.machines, node)
+			}
+			continue
+		}
+		machines = append(machines, m)
+	}
+	sort.Slice(machines, func(a, b int) bool {
+		own, other := machines[a].address == "", machines[b].address == ""
+		if own != other {
+			return other
+		}
+		return machines[a].node < machines[b].node
+	})
+	return machines
+}
+
+// Advise makes the slot's call and gives the slot back.
+func (h *Helpers) Advise(ctx context.Context, s *Slot, step work.StepKey, executors []string) ([]platform.Grant, time.Duration, error) {
+	defer h.giveBack(s)
+	if s.helper.address == "" {
+		return h.own.Advise(ctx, step, executors)
+	}
+	var answer AdviceAnswer
+	err := h.caller.Call(ctx, s.helper.address, methodAdvise, &AdviceRequest{Step: step, Executors: executors}, &answer)
+	return answer.Grants, answer.Valid, err
+}
+
+func (h *Helpers) giveBack(s *Slot) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.long {
+		s.helper.long--
+		return
+	}
+	s.helper.short--
+}
--- /dev/null
+++ b/internal/dispatch/registry.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Timing of the reader of executors' records.
+const (
+	// registryPace is the time between two reads: each executor writes a
+	// heartbeat about every 1.5 s, so waiting for a record would read all
+	// the time. A leaving executor may be given work for 2 s at least.
+	registryPace    = 300 * time.Millisecond
+	registryTimeout = 700 * time.Millisecond
+)
+
+// DecodeExecutor reads an executor's record.
+type DecodeExecutor func(id string, data []byte) (*fleet.Executor, error)
+
+// registry follows the records in which executors describe themselves.
+type registry struct {
+	log       platform.PartitionLog
+	partition platform.Partition
+	decode    DecodeExecutor
+	events    *logrus.Entry
+	listed    map[string]*fleet.Executor
+	next      platform.Offset
+	read      bool // the newest records were read once
+}
+
+// refresh reads what was written since the last call and reports whether
+// something but heartbeats was.
+func (g *registry) refresh(ctx context.Context) (bool, error) {
+	if !g.read {
+		return true, g.restore(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	batch, err := g.log.Read(ctx, g.partition, g.next, 0)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		return true, g.restore(ctx)
+	}
+	if err != nil {
+		return false, err
+	}
+	g.next = batch.Next
+	changed := false
+	for _, r := range batch.Records {
+		changed = g.apply(r) || changed
+	}
+	return changed, nil
+}
+
+// restore reads the newest record of every executor.
+func (g *registry) restore(ctx context.Context) error {
+	fresh := &registry{decode: g.decode, events: g.events, listed: make(map[string]*fleet.Executor)}
+	after := ""
+	for page := 0; ; page++ {
+		got, err := g.newest(ctx, after)
+		if err != nil {
+			return err
+		}
+		if page == 0 {
+			fresh.next = got.End
+		}
+		for _, r := range got.Records {
+			fresh.apply(r)
+			after = r.Key
+		}
+		if !got.More {
+			break
+		}
+	}
+	g.listed, g.next, g.read = fresh.listed, fresh.next, true
+	return nil
+}
+
+func (g *registry) newest(ctx context.Context, after string) (platform.NewestPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	return g.log.Newest(ctx, g.partition, after)
+}
+
+// apply takes in one record and reports whether it brought news.
+func (g *registry) apply(r platform.Record) bool {
+	before := g.listed[r.Key]
+	if len(r.Value) == 0 {
+		delete(g.listed, r.Key)
+		return before != nil
+	}
+	e, err := g.decode(r.Key, r.Value)
+	if err != nil {
+		g.events.WithError(err).Error("unreadable record of an executor is skipped")
+		return false
+	}
+	g.listed[r.Key] = e
+	return before == nil || before.Draining != e.Draining || before.Ref != e.Ref || before.Capacity != e.Capacity
+}
--- /dev/null
+++ b/internal/dispatch/runner.go
@@ -0,0 +1,323 @@
+// Package dispatch carries out what package plan decides for a cell: it makes
+// progress durable, sends starts and stops, keeps the leases of executors,
+// reads their reports and the registry, and has advice asked for. It runs on
+// the machine that leads the cell.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/plan"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Timing of the loops.
+const (
+	cyclePace    = 4 * time.Millisecond   // least time between two cycles: what comes meanwhile shares an append
+	cycleIdle    = 100 * time.Millisecond // longest time between two cycles: tickets and leases end without an event
+	holdWait     = time.Second            // how long an executor's report waits for an end
+	holdTimeout  = 700 * time.Millisecond // for a report, beside its wait
+	holdRetry    = 200 * time.Millisecond
+	callTimeout  = 700 * time.Millisecond // of a start or stop; executors answer within a few milliseconds
+	askTimeout   = 3 * time.Second        // of a call for advice, which may wait behind others
+	forgetEvery  = 5 * time.Second        // between two deletions of ended jobs
+	forgetAtOnce = 200
+)
+
+// Config is what a Runner works with.
+type Config struct {
+	Plan      plan.Config
+	Epoch     api.Epoch
+	Log       platform.PartitionLog
+	Jobs      platform.Partition // of the cell's jobs
+	Registry  platform.Partition // of the executors' records
+	Decode    DecodeExecutor
+	Executors platform.Executors
+	Replica   *replica.Replica
+	Reader    *replica.Reader
+	Helpers   *assist.Helpers
+	Table     func() *queue.Table
+	MayRenew  func() bool // leases may be extended
+	Replaced  func()      // somebody refused this leader's epoch
+	Events    *logrus.Entry
+}
+
+// Runner leads a cell.
+type Runner struct {
+	cfg    Config
+	writer *writer
+	wake   chan struct{}
+
+	mu    sync.Mutex // guards the fields below
+	cell  *plan.Cell
+	cycle chan struct{} // closed when the next whole cycle has ended
+	holds map[string]context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+// New returns a runner that has not begun.
+func New(cfg Config) *Runner {
+	return &Runner{
+		cfg:    cfg,
+		writer: &writer{log: cfg.Log, partition: cfg.Jobs, epoch: cfg.Epoch, events: cfg.Events},
+		wake:   make(chan struct{}, 1),
+		cycle:  make(chan struct{}),
+		holds:  make(map[string]context.CancelFunc),
+	}
+}
+
+// Run leads the cell until ctx ends or a higher epoch has written.
+func (r *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer r.tasks.Wait()
+	defer cancel()
+	if err := r.begin(ctx); err != nil {
+		return err
+	}
+	defer r.cfg.Replica.Follow(nil)
+	r.spawn(func() { r.followRegistry(ctx) })
+	return r.cycles(ctx)
+}
+
+// begin fences the former leader and takes over what it knew.
+func (r *Runner) begin(ctx context.Context) error {
+	if err := r.writer.fence(ctx); err != nil {
+		return r.failed(err)
+	}
+	for ctx.Err() == nil {
+		err := r.cfg.Reader.Sync(ctx)
+		if err == nil {
+			break
+		}
+		r.cfg.Events.WithError(err).Debug("jobs not read yet")
+		pause(ctx, appendRetry)
+	}
+	r.mu.Lock()
+	r.cell = plan.NewCell(r.cfg.Plan, r.lookup, r.cfg.Events, time.Now())
+	r.cell.Configure(r.cfg.Table())
+	r.mu.Unlock()
+	r.cfg.Replica.Follow(r.changed)
+	return ctx.Err()
+}
+
+// lookup returns any stored job.
+func (r *Runner) lookup(id work.ID) *work.Job {
+	e, _ := r.cfg.Replica.Get(id)
+	return e.Job
+}
+
+// failed tells the elector when the store has refused this leader's epoch.
+func (r *Runner) failed(err error) error {
+	if errors.Is(err, platform.ErrFenced) {
+		r.cfg.Replaced()
+	}
+	return err
+}
+
+func (r *Runner) spawn(f func()) {
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		f()
+	}()
+}
+
+// Wake has a cycle begin soon.
+func (r *Runner) Wake() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// changed takes in records of jobs.
+func (r *Runner) changed(changes []replica.Change) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, ch := range changes {
+		switch {
+		case ch.Entry.Job == nil || ch.Kind == work.KindProgress:
+		case ch.Kind == work.KindCancel:
+			r.cell.Cancel(ch.ID)
+		case !ch.Entry.State().Final():
+			r.cell.AddJob(ch.Entry.Job, ch.Entry.Progress, now.UnixMilli(), now)
+		}
+	}
+	r.Wake()
+}
+
+// cycles plans, stores and sends until ctx ends or the leader was replaced.
+func (r *Runner) cycles(ctx context.Context) error {
+	forgot := time.Now()
+	for ctx.Err() == nil {
+		r.await(ctx)
+		if err := r.once(ctx); err != nil {
+			return r.failed(err)
+		}
+		if time.Since(forgot) > forgetEvery {
+			forgot = time.Now()
+			if err := r.forget(ctx); err != nil {
+				return r.failed(err)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *Runner) await(ctx context.Context) {
+	pause(ctx, cyclePace)
+	timer := time.NewTimer(cycleIdle)
+	defer timer.Stop()
+	select {
+	case <-r.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// once makes one cycle: decide, make durable, check again, send.
+func (r *Runner) once(ctx context.Context) error {
+	r.mu.Lock()
+	now := time.Now()
+	r.cell.Configure(r.cfg.Table())
+	r.cell.BeginDue(now.UnixMilli(), now)
+	r.cell.DropSilent(now)
+	starts := r.cell.Plan(now)
+	stops := r.cell.TakeStops(now)
+	records := r.cell.TakeDirty()
+	done := r.cycle
+	r.cycle = make(chan struct{})
+	r.askAdvice(ctx, now)
+	r.keepHolds(ctx)
+	r.mu.Unlock()
+	for _, s := range stops {
+		r.spawn(func() { r.sendStop(ctx, s) })
+	}
+	if len(records) > 0 {
+		if err := r.writer.write(ctx, records); err != nil {
+			return err
+		}
+	}
+	close(done)
+	r.send(ctx, starts)
+	return nil
+}
+
+// send sends the planned starts that are still right.
+func (r *Runner) send(ctx context.Context, starts []plan.Start) {
+	if len(starts) == 0 {
+		return
+	}
+	r.mu.Lock()
+	orders := r.cell.Confirm(starts, time.Now())
+	r.mu.Unlock()
+	for _, o := range orders {
+		r.spawn(func() { r.sendStart(ctx, o) })
+	}
+	if len(orders) < len(starts) {
+		r.Wake()
+	}
+}
+
+func (r *Runner) sendStart(ctx context.Context, o plan.Order) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o.Order.Token = uint64(r.cfg.Epoch)
+	_, err := r.cfg.Executors.Start(ctx, o.Start.To, o.Order)
+	r.noticeFence(err)
+	r.mu.Lock()
+	r.cell.Started(o.Start, err, time.Now())
+	r.mu.Unlock()
+	if err != nil {
+		r.cfg.Events.WithError(err).WithFields(logrus.Fields{"executor": o.Start.To.ID, "task": o.Start.Run.Task, "run": o.Start.Run.Number}).Debug("start not confirmed")
+		r.Wake()
+	}
+}
+
+func (r *Runner) sendStop(ctx context.Context, s plan.Stop) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := r.cfg.Executors.Stop(ctx, s.To, s.Run, uint64(r.cfg.Epoch))
+	r.noticeFence(err)
+	r.mu.Lock()
+	r.cell.Stopped(s, err, time.Now())
+	r.mu.Unlock()
+}
+
+// noticeFence tells the elector when an executor has seen a higher token.
+func (r *Runner) noticeFence(err error) {
+	var refused *platform.RefusedError
+	if errors.As(err, &refused) && refused.Reason == platform.RefusedFence {
+		r.cfg.Replaced()
+	}
+}
+
+// forget deletes jobs that ended long ago.
+func (r *Runner) forget(ctx context.Context) error {
+	ids := r.cfg.Replica.Expired(time.Now(), forgetAtOnce)
+	if len(ids) == 0 {
+		return nil
+	}
+	return r.writer.forget(ctx, ids)
+}
+
+// followRegistry keeps the cell's list of executors up to date.
+func (r *Runner) followRegistry(ctx context.Context) {
+	g := &registry{log: r.cfg.Log, partition: r.cfg.Registry, decode: r.cfg.Decode, events: r.cfg.Events}
+	for ctx.Err() == nil {
+		changed, err := g.refresh(ctx)
+		if err != nil {
+			r.cfg.Events.WithError(err).Debug("executors not read")
+		}
+		if err == nil && changed {
+			r.mu.Lock()
+			r.cell.Executors(g.listed, time.Now())
+			r.mu.Unlock()
+			r.Wake()
+		}
+		pause(ctx, registryPace)
+	}
+}
+
+// askAdvice has the calls for advice made that are due; r.mu is held.
+func (r *Runner) askAdvice(ctx context.Context, now time.Time) {
+	var slots []*assist.Slot
+	asks := r.cell.Asks(now, func(cost time.Duration) bool {
+		slot := r.cfg.Helpers.Take(cost, now)
+		if slot != nil {
+			slots = append(slots, slot)
+		}
+		return slot != nil
+	})
+	for i, a := range asks {
+		r.spawn(func() { r.advise(ctx, a, slots[i]) })
+	}
+}
+
+func (r *Runner) advise(ctx context.Context, a plan.Ask, slot *assist.Slot) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	grants, valid, err := r.cfg.Helpers.Advise(ctx, slot, a.Step, a.Executors)
+	r.mu.Lock()
+	if err != nil {
+		r.cell.NoAdvice(a, time.Now())
+	} else {
+		r.cell.Granted(a, grants, valid, time.Now())
+	}
+	r.mu.Unlock()
+	if err != nil {
+		r.cfg.Events.WithError(err).WithField("step", a.Step).Debug("no advice")
+	}
+	r.Wake()
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,207 @@
+// Package intake makes clients' jobs and cancels durable. Requests that
+// arrive close together share an append to the platform's store.
+package intake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Outcomes of Store besides success.
+var (
+	// ErrNotStored: the record is not stored and never will be.
+	ErrNotStored = errors.New("intake: not stored")
+	// ErrUnknown: the record may be stored, or may come to be.
+	ErrUnknown = errors.New("intake: may be stored")
+)
+
+// Config holds the intervals and limits of an Intake.
+type Config struct {
+	Gather     time.Duration // how long a request waits for others to share its append
+	Append     time.Duration // longest append; its answer may be lost
+	Retry      time.Duration // pause before an append is repeated
+	AtOnce     int           // appends under way
+	BatchBytes int           // of one append
+	Waiting    int           // requests that may wait
+}
+
+// DefaultConfig returns the configuration in use. An append takes about 5 ms
+// at the store, which makes one at a time in each partition. One that gives
+// no answer is repeated: a second record of the same key changes nothing.
+func DefaultConfig() Config {
+	return Config{
+		Gather:     2 * time.Millisecond,
+		Append:     500 * time.Millisecond,
+		Retry:      30 * time.Millisecond,
+		AtOnce:     4,
+		BatchBytes: 512 << 10,
+		Waiting:    2000,
+	}
+}
+
+// Intake stores records in one keyed partition.
+type Intake struct {
+	cfg       Config
+	log       platform.PartitionLog
+	partition platform.Partition
+	events    *logrus.Entry
+	slots     chan struct{}
+	wake      chan struct{}
+
+	mu      sync.Mutex
+	pending []*request
+}
+
+// request is one record that waits to be stored.
+type request struct {
+	ctx    context.Context
+	record platform.Record
+	done   chan error // takes one value
+}
+
+// New returns an intake for a partition.
+func New(cfg Config, log platform.PartitionLog, p platform.Partition, events *logrus.Entry) *Intake {
+	return &Intake{
+		cfg:       cfg,
+		log:       log,
+		partition: p,
+		events:    events,
+		slots:     make(chan struct{}, cfg.AtOnce),
+		wake:      make(chan struct{}, 1),
+	}
+}
+
+// Store returns when the record is stored, certainly is not, or ctx has
+// ended. It fails with ErrNotStored or ErrUnknown.
+func (in *Intake) Store(ctx context.Context, record platform.Record) error {
+	r := &request{ctx: ctx, record: record, done: make(chan error, 1)}
+	in.mu.Lock()
+	if len(in.pending) >= in.cfg.Waiting {
+		in.mu.Unlock()
+		return errors.Wrap(ErrNotStored, "too many requests wait")
+	}
+	in.pending = append(in.pending, r)
+	in.mu.Unlock()
+	select {
+	case in.wake <- struct{}{}:
+	default:
+	}
+	return <-r.done
+}
+
+// Run stores what is handed in until ctx ends.
+func (in *Intake) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-in.wake:
+		case <-ctx.Done():
+			in.refuseAll()
+			return nil
+		}
+		pause(ctx, in.cfg.Gather)
+		for {
+			batch := in.take()
+			if len(batch) == 0 {
+				break
+			}
+			in.slots <- struct{}{}
+			go func() {
+				defer func() { <-in.slots }()
+				in.store(batch)
+			}()
+		}
+	}
+}
+
+// take returns the next requests that share an append.
+func (in *Intake) take() []*request {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	size, n := 0, 0
+	for n < len(in.pending) && (n == 0 || size+len(in.pending[n].record.Value) <= in.cfg.BatchBytes) {
+		size += len(in.pending[n].record.Value)
+		n++
+	}
+	batch := in.pending[:n:n]
+	in.pending = in.pending[n:]
+	return batch
+}
+
+func (in *Intake) refuseAll() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, r := range in.pending {
+		r.done <- errors.Wrap(ErrNotStored, "the process stops")
+	}
+	in.pending = nil
+}
+
+// store appends a batch, again and again while some of its requests have time
+// left and it isn't known whether it was stored.
+func (in *Intake) store(batch []*request) {
+	uncertain := false
+	for {
+		err := in.append(batch)
+		switch {
+		case err == nil:
+			answer(batch, nil)
+			return
+		case errors.Is(err, platform.ErrUncertain):
+			uncertain = true
+		case !uncertain:
+			in.events.WithError(err).WithField("requests", len(batch)).Info("store took no jobs")
+			answer(batch, errors.Mark(err, ErrNotStored))
+			return
+		}
+		batch = expire(batch)
+		if len(batch) == 0 {
+			return
+		}
+		time.Sleep(in.cfg.Retry)
+	}
+}
+
+// expire answers the requests whose time is over and returns the others.
+func expire(batch []*request) []*request {
+	var left []*request
+	for _, r := range batch {
+		if r.ctx.Err() != nil {
+			r.done <- errors.Mark(r.ctx.Err(), ErrUnknown)
+			continue
+		}
+		left = append(left, r)
+	}
+	return left
+}
+
+func (in *Intake) append(batch []*request) error {
+	ctx, cancel := context.WithTimeout(context.Background(), in.cfg.Append)
+	defer cancel()
+	records := make([]platform.Record, len(batch))
+	for i, r := range batch {
+		records[i] = r.record
+	}
+	_, err := in.log.Append(ctx, platform.Append{Partition: in.partition, Records: records})
+	return err
+}
+
+func answer(batch []*request, err error) {
+	for _, r := range batch {
+		r.done <- err
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/jobapi/api.go
@@ -0,0 +1,140 @@
+// Package jobapi answers clients: it takes jobs and cancels and tells where
+// jobs stand. Any machine answers for any job.
+package jobapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Forms are the bodies and headers that clients send and get.
+type Forms struct {
+	Remaining     func(http.Header) (time.Duration, bool) // how long the client waits for the answer
+	DecodeJob     func([]byte) (*work.Job, error)
+	EncodeState   func(work.State) []byte
+	EncodePending func(int) ([]byte, error)
+	EncodeError   func(reason string, retryAfter time.Duration) ([]byte, error)
+}
+
+// Store makes records durable; *intake.Intake is one.
+type Store interface {
+	Store(ctx context.Context, record platform.Record) error
+}
+
+// API answers clients' requests.
+type API struct {
+	Forms   Forms
+	Table   func() *queue.Table // nil before the first configuration
+	Replica *replica.Replica
+	Sync    func(ctx context.Context) error // reads what the store holds by now
+	Store   Store
+	Events  *logrus.Entry
+}
+
+// Timing of answers.
+const (
+	// defaultWait is how long a client waits that doesn't say.
+	defaultWait = 3 * time.Second
+	// answerMargin is kept of the client's time, for the answer's way back.
+	answerMargin = 50 * time.Millisecond
+	// busyRetryAfter is named where the store took no job: its outages last
+	// seconds, and the balancer leads a retry to another machine.
+	busyRetryAfter = time.Second
+)
+
+// reply is an answer before it is written.
+type reply struct {
+	status     int
+	body       []byte
+	retryAfter time.Duration // 0: none is named
+}
+
+// request is what the stages learn of a client's request.
+type request struct {
+	*http.Request
+	table *queue.Table
+	queue *queue.Queue
+	rest  string // of the path behind the queue's prefix
+}
+
+// stage is one step of the chain; it returns nil to pass the request on.
+type stage func(*request) *reply
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	ctx, cancel := context.WithTimeout(hr.Context(), a.patience(hr.Header))
+	defer cancel()
+	r := &request{Request: hr.WithContext(ctx)}
+	for _, next := range []stage{a.configured, a.locate, a.act} {
+		if answer := next(r); answer != nil {
+			a.write(w, answer)
+			return
+		}
+	}
+}
+
+// patience returns how long the answer may take.
+func (a *API) patience(h http.Header) time.Duration {
+	wait, ok := a.Forms.Remaining(h)
+	if !ok {
+		wait = defaultWait
+	}
+	return max(wait-answerMargin, answerMargin)
+}
+
+// configured refuses while there is no configuration.
+func (a *API) configured(r *request) *reply {
+	r.table = a.Table()
+	if r.table == nil {
+		return a.refuse(http.StatusServiceUnavailable, "no configuration yet", busyRetryAfter)
+	}
+	return nil
+}
+
+// locate finds the queue.
+func (a *API) locate(r *request) *reply {
+	r.queue = r.table.Find(r.Host, r.URL.Path)
+	if r.queue == nil {
+		return a.refuse(http.StatusNotFound, "no such queue", 0)
+	}
+	r.rest = r.URL.Path[len(r.queue.Prefix):]
+	return nil
+}
+
+// act answers by method.
+func (a *API) act(r *request) *reply {
+	if r.Method == http.MethodGet && r.rest == "" {
+		return a.pending(r)
+	}
+	id, err := work.ParseID(r.rest)
+	if err != nil {
+		return a.refuse(http.StatusBadRequest, "the job's id is not 16 hexadecimal digits", 0)
+	}
+	switch r.Method {
+	case http.MethodPost:
+		return a.submit(r, id)
+	case http.MethodGet:
+		return a.state(r, id)
+	case http.MethodDelete:
+		return a.cancel(r, id)
+	default:
+		return a.refuse(http.StatusMethodNotAllowed, "GET, POST and DELETE are answered", 0)
+	}
+}
+
+// refuse returns a refusal with its reason.
+func (a *API) refuse(status int, reason string, retryAfter time.Duration) *reply {
+	body, err := a.Forms.EncodeError(reason, retryAfter)
+	if err != nil {
+		a.Events.WithError(err).Error("reason of a refusal not encoded")
+	}
+	return &reply{status: status, body: body, retryAfter: retryAfter}
+}
--- /dev/null
+++ b/internal/jobapi/jobs.go
@@ -0,0 +1,156 @@
+package jobapi
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/intake"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// submit takes a job. An ID that is known is the same job once more.
+func (a *API) submit(r *request, id work.ID) *reply {
+	body, refusal := a.read(r)
+	if refusal != nil {
+		return refusal
+	}
+	if _, known := a.Replica.Get(id); known {
+		return accepted()
+	}
+	job, err := a.Forms.DecodeJob(body)
+	if err != nil {
+		return a.refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	job.ID = id
+	job.Queue = r.queue.Name
+	job.Service = r.queue.Service
+	job.Accepted = time.Now().UnixMilli()
+	faults := &finding.List{}
+	job.Check(faults)
+	if err := faults.Err(); err != nil {
+		return a.refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	if what := unsupported(job); what != "" {
+		return a.refuse(http.StatusServiceUnavailable, what+" is not supported", 0)
+	}
+	value, err := work.EncodeJob(job)
+	if err != nil {
+		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
+	}
+	return a.store(r, platform.Record{Key: work.Key(work.KindJob, id), Value: value})
+}
+
+// unsupported names something that the job needs and that isn't built.
+func unsupported(j *work.Job) string {
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		switch {
+		case s.Fills:
+			return fmt.Sprintf("steps[%d]: filling unused processors", i)
+		case s.TailTarget > 0:
+			return fmt.Sprintf("steps[%d]: a target for response times", i)
+		}
+	}
+	return ""
+}
+
+// read reads a request's body within the limits in force.
+func (a *API) read(r *request) ([]byte, *reply) {
+	limit := r.table.Limits.BodyBytes
+	if r.ContentLength > limit {
+		return nil, a.refuse(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, a.refuse(http.StatusBadRequest, "body not read: "+err.Error(), 0)
+	}
+	if int64(len(body)) > limit {
+		return nil, a.refuse(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
+	}
+	return body, nil
+}
+
+// store makes a record durable and says so.
+func (a *API) store(r *request, record platform.Record) *reply {
+	err := a.Store.Store(r.Context(), record)
+	switch {
+	case err == nil:
+		return accepted()
+	case errors.Is(err, intake.ErrNotStored):
+		return a.refuse(http.StatusServiceUnavailable, "the store takes nothing at the moment", busyRetryAfter)
+	default:
+		return a.refuse(http.StatusGatewayTimeout, "it is not known whether the store took the request", 0)
+	}
+}
+
+func accepted() *reply { return &reply{status: http.StatusOK, body: []byte("{}")} }
+
+// find returns what is known of a job. Of one that isn't known here the store
+// is asked first, since it may just have been accepted elsewhere.
+func (a *API) find(r *request, id work.ID) (replica.Entry, *reply) {
+	e, known := a.Replica.Get(id)
+	if !known || e.Job == nil {
+		if err := a.Sync(r.Context()); err != nil {
+			a.Events.WithError(err).WithField("job", id).Info("job not known here and the store gives no answer")
+			return e, a.refuse(http.StatusServiceUnavailable, "the store gives no answer", busyRetryAfter)
+		}
+		e, known = a.Replica.Get(id)
+	}
+	if !known || e.Job == nil || e.Job.Queue != r.queue.Name {
+		return e, a.refuse(http.StatusGone, "no such job", 0)
+	}
+	return e, nil
+}
+
+// state tells where a job stands.
+func (a *API) state(r *request, id work.ID) *reply {
+	e, refusal := a.find(r, id)
+	if refusal != nil {
+		return refusal
+	}
+	return &reply{status: http.StatusOK, body: a.Forms.EncodeState(e.State())}
+}
+
+// cancel cancels a job that has not ended.
+func (a *API) cancel(r *request, id work.ID) *reply {
+	e, refusal := a.find(r, id)
+	if refusal != nil {
+		return refusal
+	}
+	if e.State().Final() {
+		return &reply{status: http.StatusOK, body: a.Forms.EncodeState(e.State())}
+	}
+	return a.store(r, platform.Record{Key: work.Key(work.KindCancel, id), Value: work.CancelValue})
+}
+
+// pending tells how many jobs of the queue have not begun.
+func (a *API) pending(r *request) *reply {
+	body, err := a.Forms.EncodePending(a.Replica.Pending(r.queue.Name))
+	if err != nil {
+		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
+	}
+	return &reply{status: http.StatusOK, body: body}
+}
+
+// write sends the answer.
+func (a *API) write(w http.ResponseWriter, answer *reply) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	if answer.retryAfter > 0 {
+		seconds := (answer.retryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(answer.status)
+	if _, err := w.Write(answer.body); err != nil {
+		a.Events.WithError(err).Debug("answer not delivered")
+	}
+}
--- /dev/null
+++ b/internal/leader/elector.go
@@ -0,0 +1,343 @@
+package leader
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Timing holds the elector's intervals.
+type Timing struct {
+	Renew        time.Duration // between two renewals of the leader
+	Takeover     time.Duration // silence after which another process claims
+	Suspected    time.Duration // the same when the leader's process answers no call
+	Spread       time.Duration // claims of several processes are spread over this time
+	Call         time.Duration // longest append or read beside its wait
+	Retry        time.Duration // pause after a call that failed
+	LeaseRenewal time.Duration // after the last confirmed renewal, for which executors' leases are extended
+}
+
+// DefaultTiming returns the timing in use. A renewal takes about 5 ms at the
+// platform's store; two may be lost before the leader is given up. The time
+// for which leases are extended covers an outage of the store of 5 s, the
+// longest that the users name.
+func DefaultTiming() Timing {
+	return Timing{
+		Renew:        400 * time.Millisecond,
+		Takeover:     1300 * time.Millisecond,
+		Suspected:    500 * time.Millisecond,
+		Spread:       200 * time.Millisecond,
+		Call:         700 * time.Millisecond,
+		Retry:        100 * time.Millisecond,
+		LeaseRenewal: 5 * time.Second,
+	}
+}
+
+// Config is what an Elector works with.
+type Config struct {
+	Log       platform.PartitionLog
+	Partition platform.Partition
+	Self      Leader // without an epoch
+	Timing    Timing
+	Events    *logrus.Entry
+	// Gained is called when this process has become the leader, Lost when it
+	// no longer is. Neither may block.
+	Gained func(epoch api.Epoch)
+	Lost   func()
+}
+
+// Elector takes part in the election of one cell's leader. Its methods may be
+// called from any goroutine.
+type Elector struct {
+	cfg Config
+
+	mu        sync.Mutex
+	state     *State // nil until the partition was read once
+	suspected bool   // the leader's process answers no call
+	stopping  bool
+	wake      chan struct{}
+}
+
+// New returns an elector that has not read anything yet.
+func New(cfg Config) *Elector {
+	return &Elector{cfg: cfg, wake: make(chan struct{}, 1)}
+}
+
+// Current returns the leader as far as is known.
+func (e *Elector) Current() Leader {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == nil {
+		return Leader{}
+	}
+	return e.state.Current()
+}
+
+// MayRenewLeases reports whether this process may extend executors' leases.
+func (e *Elector) MayRenewLeases() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state != nil && e.state.MayRenewLeases(time.Now(), e.cfg.Timing.LeaseRenewal)
+}
+
+// Suspect notes that the process of the given leader answers no call, so that
+// less silence is waited for.
+func (e *Elector) Suspect(epoch api.Epoch) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state != nil && e.state.Current().Epoch == epoch {
+		e.suspected = true
+	}
+}
+
+// Trust takes back a suspicion.
+func (e *Elector) Trust() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.suspected = false
+}
+
+// Replaced tells the elector that the store refused this process's epoch.
+func (e *Elector) Replaced() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Release makes this process step down and claim no more.
+func (e *Elector) Release(ctx context.Context) {
+	e.mu.Lock()
+	e.stopping = true
+	leads := e.state != nil && e.state.Leads()
+	e.mu.Unlock()
+	if !leads {
+		return
+	}
+	e.cfg.Lost()
+	if _, err := e.append(ctx, releases); err != nil {
+		e.cfg.Events.WithError(err).Warn("leadership not released; others wait for the silence to end")
+	}
+}
+
+// Run takes part until ctx ends.
+func (e *Elector) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := e.step(ctx); err != nil {
+			e.cfg.Events.WithError(err).Debug("leader partition not reached")
+			pause(ctx, e.cfg.Timing.Retry)
+		}
+	}
+	return nil
+}
+
+// step makes the next call: the first read, a renewal, a claim or a watch.
+func (e *Elector) step(ctx context.Context) error {
+	e.mu.Lock()
+	state, stopping := e.state, e.stopping
+	leads := state != nil && state.Leads()
+	e.mu.Unlock()
+	switch {
+	case state == nil:
+		return e.begin(ctx)
+	case stopping:
+		pause(ctx, e.cfg.Timing.Renew)
+		return nil
+	case leads:
+		e.sleep(ctx, e.cfg.Timing.Renew)
+		return e.renew(ctx)
+	case e.due():
+		return e.claim(ctx)
+	default:
+		return e.watch(ctx)
+	}
+}
+
+// begin finds the partition's end by reading all that is kept of it.
+func (e *Elector) begin(ctx context.Context) error {
+	from := platform.Offset(0)
+	batch, err := e.read(ctx, from, 0)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		from = trimmed.First
+		batch, err = e.read(ctx, from, 0)
+	}
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = NewState(e.cfg.Self, from, time.Now())
+	e.take(batch)
+	if len(batch.Records) == 0 {
+		e.state.released = true // nobody leads and nobody is waited for
+	}
+	return nil
+}
+
+// due reports whether this process should claim the cell.
+func (e *Elector) due() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	silence := e.state.Silence(time.Now())
+	switch {
+	case e.state.Released():
+		return true
+	case e.suspected:
+		return silence > e.cfg.Timing.Suspected
+	default:
+		return silence > e.cfg.Timing.Takeover
+	}
+}
+
+// claim appends a claim.
+func (e *Elector) claim(ctx context.Context) error {
+	pause(ctx, rand.N(e.cfg.Timing.Spread))
+	if err := e.watchOnce(ctx, 0); err != nil { // somebody may have been faster
+		return err
+	}
+	if !e.due() {
+		return nil
+	}
+	at, err := e.append(ctx, claims)
+	if err != nil {
+		return e.settle(ctx, err)
+	}
+	e.mu.Lock()
+	e.state.claimed(at, time.Now())
+	e.suspected = false
+	epoch := e.state.self.Epoch
+	e.mu.Unlock()
+	e.cfg.Events.WithField("epoch", epoch).Info("this process leads the cell")
+	e.cfg.Gained(epoch)
+	return nil
+}
+
+// renew appends a renewal.
+func (e *Elector) renew(ctx context.Context) error {
+	at, err := e.append(ctx, renews)
+	if err != nil {
+		return e.settle(ctx, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.renewed(at, time.Now())
+	return nil
+}
+
+// settle finds out what became of an append that failed: it reads on.
+func (e *Elector) settle(ctx context.Context, cause error) error {
+	if errors.Is(cause, platform.ErrUnavailable) {
+		return cause
+	}
+	return e.watchOnce(ctx, 0)
+}
+
+// watch waits for the next record.
+func (e *Elector) watch(ctx context.Context) error {
+	return e.watchOnce(ctx, e.cfg.Timing.Renew)
+}
+
+// watchOnce reads on from the known end.
+func (e *Elector) watchOnce(ctx context.Context, wait time.Duration) error {
+	e.mu.Lock()
+	from := e.state.End()
+	e.mu.Unlock()
+	batch, err := e.read(ctx, from, wait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		e.mu.Lock()
+		e.state.end = trimmed.First
+		e.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	led := e.state.Leads()
+	e.take(batch)
+	lost := led && !e.state.Leads()
+	by := e.state.Current()
+	e.mu.Unlock()
+	if lost {
+		e.cfg.Events.WithFields(logrus.Fields{"by": by.Node, "epoch": by.Epoch}).Warn("this process was replaced as leader")
+		e.cfg.Lost()
+	}
+	return nil
+}
+
+// take applies records; e.mu is held. A record of this process that it holds
+// for unwritten (its answer was lost) is recognised by its incarnation.
+func (e *Elector) take(batch platform.RecordBatch) {
+	now := time.Now()
+	for _, r := range batch.Records {
+		rec, err := decode(r.Value)
+		if err != nil {
+			e.cfg.Events.WithError(err).WithField("offset", r.Offset).Error("unreadable record in the leader partition is skipped")
+			e.state.end = r.Offset + 1
+			continue
+		}
+		before := e.state.Current().Epoch
+		e.state.read(r.Offset, rec, now)
+		if rec.Kind == claims && e.state.isOwn(rec) {
+			// The claim counts, but nothing was begun on it: give it back by
+			// claiming again, which is simpler than to begin late.
+			e.state.released = true
+		}
+		if e.state.Current().Epoch != before {
+			e.suspected = false
+		}
+	}
+}
+
+func (e *Elector) append(ctx context.Context, k kind) (platform.Offset, error) {
+	e.mu.Lock()
+	rec, at := e.state.own(k), e.state.End()
+	e.state.sending(time.Now())
+	e.mu.Unlock()
+	data, err := encode(rec)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.Timing.Call)
+	defer cancel()
+	return e.cfg.Log.Append(ctx, platform.Append{
+		Partition: e.cfg.Partition,
+		Records:   []platform.Record{{Value: data}},
+		At:        &at,
+	})
+}
+
+func (e *Elector) read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.RecordBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.Timing.Call+wait)
+	defer cancel()
+	return e.cfg.Log.Read(ctx, e.cfg.Partition, from, wait)
+}
+
+// sleep pauses for d, or less if the store refused this process's epoch.
+func (e *Elector) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-e.wake:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/leader/state.go
@@ -0,0 +1,118 @@
+// Package leader decides which process plans for a cell. Candidates append to
+// one partition of the platform's store, each on the condition that the
+// partition still ends where the candidate saw it end; so of several claims
+// one succeeds, and a leader whose renewal meets another record knows that it
+// was replaced.
+//
+// Safety of starts does not rest on time: the epoch of a claim fences the
+// cell's records at the store and is the fencing token at executors. Only the
+// renewal of executors' leases looks at the clock (State.MayRenewLeases).
+package leader
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Leader names a process that has claimed the cell.
+type Leader struct {
+	Epoch       api.Epoch // one more than the place of its claim
+	Node        api.NodeID
+	Incarnation api.Incarnation
+	Address     string // of its peer service
+}
+
+// State is what one process knows of its cell's leader. It holds no clock and
+// makes no calls.
+type State struct {
+	self      Leader // Epoch is zero unless this process leads
+	end       platform.Offset
+	current   Leader    // zero: none is known or the last one stepped down
+	heard     time.Time // when the newest record was read, or the watch began
+	sent      time.Time // when the newest own append was sent
+	confirmed time.Time // when the newest own record that was stored was sent
+	released  bool
+}
+
+// NewState returns the state of a process that has read the partition up to
+// end and nothing in it.
+func NewState(self Leader, end platform.Offset, now time.Time) *State {
+	return &State{self: self, end: end, heard: now}
+}
+
+// End returns where the partition ends as far as is known.
+func (s *State) End() platform.Offset { return s.end }
+
+// Current returns the leader as far as is known; its epoch is zero if there
+// is none.
+func (s *State) Current() Leader { return s.current }
+
+// Leads reports whether this process is the leader as far as it knows.
+func (s *State) Leads() bool { return s.self.Epoch != 0 }
+
+// Released reports whether the last leader stepped down.
+func (s *State) Released() bool { return s.released }
+
+// Silence returns how long no record has been read.
+func (s *State) Silence(now time.Time) time.Duration { return now.Sub(s.heard) }
+
+// MayRenewLeases reports whether the leader may extend executors' leases. It
+// stops some time after its last confirmed renewal, since a successor counts
+// on it.
+func (s *State) MayRenewLeases(now time.Time, limit time.Duration) bool {
+	return s.Leads() && now.Sub(s.confirmed) < limit
+}
+
+// read takes in a record at an offset.
+func (s *State) read(at platform.Offset, r record, now time.Time) {
+	s.end = at + 1
+	s.heard = now
+	switch r.Kind {
+	case claims:
+		s.current = Leader{Epoch: api.Epoch(at + 1), Node: r.Node, Incarnation: r.Incarnation, Address: r.Address}
+		s.released = false
+	case renews:
+		s.current = Leader{Epoch: r.Epoch, Node: r.Node, Incarnation: r.Incarnation, Address: r.Address}
+		s.released = false
+	case releases:
+		s.current = Leader{}
+		s.released = true
+	}
+	if s.current.Epoch != s.self.Epoch {
+		s.self.Epoch = 0
+	} else if s.Leads() {
+		s.confirmed = s.sent // an own renewal whose answer was lost
+	}
+}
+
+// sending notes that an own append is about to be sent.
+func (s *State) sending(now time.Time) { s.sent = now }
+
+// claimed takes in that the own claim was stored.
+func (s *State) claimed(at platform.Offset, now time.Time) {
+	s.self.Epoch = api.Epoch(at + 1)
+	s.current = s.self
+	s.end = at + 1
+	s.heard = now
+	s.confirmed = s.sent
+	s.released = false
+}
+
+// renewed takes in that the own renewal was stored.
+func (s *State) renewed(at platform.Offset, now time.Time) {
+	s.end = at + 1
+	s.heard = now
+	s.confirmed = s.sent
+}
+
+// own returns the record of a kind that this process would append.
+func (s *State) own(k kind) record {
+	return record{Kind: k, Node: s.self.Node, Incarnation: s.self.Incarnation, Address: s.self.Address, Epoch: s.self.Epoch}
+}
+
+// isOwn reports whether a record was written by this run of this process.
+func (s *State) isOwn(r record) bool {
+	return r.Node == s.self.Node && r.Incarnation == s.self.Incarnation
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,252 @@
+// Package node puts together the process of one machine on the users'
+// platform: it answers clients, follows the store, takes part in the election
+// of the cell's leader, leads when elected, and helps the leader otherwise.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/dispatch"
+	"github.com/skylarklock/skylarklock/internal/intake"
+	"github.com/skylarklock/skylarklock/internal/jobapi"
+	"github.com/skylarklock/skylarklock/internal/leader"
+	"github.com/skylarklock/skylarklock/internal/peer"
+	"github.com/skylarklock/skylarklock/internal/plan"
+	product "github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/platform"
+)
+
+// cellNumber is the cell that this process belongs to.
+const cellNumber = 0
+
+// Topics of the store that the system keeps for itself. The number of a
+// partition is that of its cell.
+const (
+	topicJobs   = "jobs"   // keyed: submissions, cancels, progress
+	topicLeader = "leader" // claims and renewals of leadership
+)
+
+// Node is one process.
+type Node struct {
+	settings *platform.Settings
+	log      *logrus.Entry
+	store    *platform.Store
+	watch    *queue.Watch
+	replica  *replica.Replica
+	reader   *replica.Reader
+	intake   *intake.Intake
+	elector  *leader.Elector
+	helpers  *assist.Helpers
+	caller   *peer.Client
+	adviser  product.Adviser
+	leading  chan api.Epoch
+	epoch    atomic.Uint64 // that this process leads; 0: none
+	stopLead atomic.Pointer[context.CancelFunc]
+	draining atomic.Bool
+}
+
+// New returns a process that has opened nothing yet.
+func New(s *platform.Settings, log *logrus.Entry) *Node {
+	n := &Node{
+		settings: s,
+		log:      log,
+		store:    platform.NewStore(s.Store),
+		caller:   peer.NewClient(peerLimits(), nil),
+		leading:  make(chan api.Epoch, 1),
+	}
+	if s.Advice != "" {
+		n.adviser = platform.NewAdvice(s.Advice)
+	}
+	jobs := product.Partition{Topic: topicJobs, Number: cellNumber, Keyed: true}
+	n.watch = &queue.Watch{
+		Log:       n.store,
+		Partition: platform.OperatorRecords,
+		Key:       platform.ConfigurationKey,
+		Decode:    platform.DecodeConfiguration,
+		Events:    log,
+	}
+	n.replica = replica.New(2*s.StateKept, log)
+	n.reader = &replica.Reader{
+		Replica:   n.replica,
+		Log:       n.store,
+		Partition: jobs,
+		Timing:    replica.DefaultTiming(),
+		Leads:     func() bool { return n.epoch.Load() != 0 },
+	}
+	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, log)
+	n.helpers = assist.NewHelpers(s.Node, n.adviser, n.caller)
+	n.elector = leader.New(leader.Config{
+		Log:       n.store,
+		Partition: product.Partition{Topic: topicLeader, Number: cellNumber},
+		Self:      leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.Peer},
+		Timing:    leader.DefaultTiming(),
+		Events:    log,
+		Gained:    n.gained,
+		Lost:      n.lost,
+	})
+	return n
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.WithFields(logrus.Fields{"front": n.settings.Front, "store": n.settings.Store}).Info("process started")
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g run.Group
+	loops := []func(context.Context) error{
+		n.watch.Run, n.reader.Run, n.intake.Run, n.elector.Run, n.lead, n.attach,
+	}
+	for _, loop := range loops {
+		loopCtx, cancel := context.WithCancel(work)
+		g.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
+	}
+	n.addServers(&g)
+	g.Add(func() error { return n.awaitShutdown(ctx, work) }, func(error) { stop() })
+	err := g.Run()
+	n.log.Info("process stopped")
+	return err
+}
+
+// gained begins to lead.
+func (n *Node) gained(epoch api.Epoch) {
+	n.lost()
+	n.epoch.Store(uint64(epoch))
+	select {
+	case <-n.leading: // a claim that was not taken up
+	default:
+	}
+	n.leading <- epoch
+}
+
+// lost ends leading.
+func (n *Node) lost() {
+	n.epoch.Store(0)
+	if cancel := n.stopLead.Swap(nil); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// lead runs the cell whenever this process is elected.
+func (n *Node) lead(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case epoch := <-n.leading:
+			n.leadAs(ctx, epoch)
+		}
+	}
+}
+
+func (n *Node) leadAs(ctx context.Context, epoch api.Epoch) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.stopLead.Store(&cancel)
+	if n.epoch.Load() != uint64(epoch) {
+		return
+	}
+	executors := platform.NewExecutors()
+	defer executors.Close()
+	runner := dispatch.New(dispatch.Config{
+		Plan:      n.planConfig(),
+		Epoch:     epoch,
+		Log:       n.store,
+		Jobs:      n.reader.Partition,
+		Registry:  platform.ExecutorRecords,
+		Decode:    platform.DecodeExecutor,
+		Executors: executors,
+		Replica:   n.replica,
+		Reader:    n.reader,
+		Helpers:   n.helpers,
+		Table:     n.table,
+		MayRenew:  n.elector.MayRenewLeases,
+		Replaced:  n.elector.Replaced,
+		Events:    n.log.WithField("epoch", epoch),
+	})
+	err := runner.Run(ctx)
+	n.log.WithError(err).WithField("epoch", epoch).Info("this process no longer plans for the cell")
+}
+
+// table returns the configuration in force, or an empty one before the first.
+func (n *Node) table() *queue.Table {
+	if t := n.watch.Table(); t != nil {
+		return t
+	}
+	return &queue.Table{}
+}
+
+func (n *Node) planConfig() plan.Config {
+	cfg := plan.DefaultConfig()
+	cfg.Lease = min(cfg.Lease, n.settings.LongestLease)
+	cfg.DrainMargin = min(cfg.DrainMargin, n.settings.DrainAfter/4)
+	cfg.Inherited = leader.DefaultTiming().LeaseRenewal
+	cfg.MostAdvised = platform.MostAdvised
+	if n.settings.RemoteFactor > 0 {
+		cfg.RemoteFactor = n.settings.RemoteFactor
+	}
+	return cfg
+}
+
+// api returns the handler of clients' requests.
+func (n *Node) api() http.Handler {
+	return &jobapi.API{
+		Forms: jobapi.Forms{
+			Remaining:     platform.Remaining,
+			DecodeJob:     platform.DecodeSubmission,
+			EncodeState:   platform.EncodeState,
+			EncodePending: platform.EncodePending,
+			EncodeError:   platform.EncodeError,
+		},
+		Table:   n.watch.Table,
+		Replica: n.replica,
+		Sync:    n.reader.Sync,
+		Store:   n.intake,
+		Events:  n.log,
+	}
+}
+
+// attachEvery is the time between two offers of help to the leader.
+const attachEvery = time.Second
+
+// attach offers this machine's help to the leader and suspects it when its
+// process can't be reached.
+func (n *Node) attach(ctx context.Context) error {
+	ticker := time.NewTicker(attachEvery)
+	defer ticker.Stop()
+	for {
+		n.attachOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) attachOnce(ctx context.Context) {
+	current := n.elector.Current()
+	if current.Epoch == 0 || current.Address == n.settings.Peer || n.draining.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, attachEvery)
+	defer cancel()
+	offer := assist.Attachment{Node: n.settings.Node, Address: n.settings.Peer}
+	_, err := assist.Attach(ctx, n.caller, current.Address, offer)
+	if err == nil {
+		n.elector.Trust()
+		return
+	}
+	n.log.WithError(err).WithField("leader", current.Node).Debug("leader not reached")
+	n.elector.Suspect(current.Epoch)
+}
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/peer"
+	"github.com/skylarklock/skylarklock/platform"
+)
+
+// Limits of the clients' server, where no configuration names others.
+const (
+	readHeaderTimeout = 3 * time.Second
+	readTimeout       = 5 * time.Second // of a whole request
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// Timing of a shutdown.
+const (
+	// serveOn is how long requests are answered as usual after the process
+	// was asked to stop: the platform needs two missed looks, a second
+	// apart, before it sends new connections elsewhere.
+	serveOn = 2500 * time.Millisecond
+	// lastAnswers is kept of the grace for answers that are being written.
+	lastAnswers = 2 * time.Second
+)
+
+// storeSilence is how long the store may give this machine no answer before
+// it asks the platform for no more connections: it could take no jobs.
+const storeSilence = 2 * time.Second
+
+// adviceTimeout bounds a call to the advice service, which answers the calls
+// of a machine in turn.
+const adviceTimeout = 4 * time.Second
+
+// addServers adds the listeners for clients, readiness and peers.
+func (n *Node) addServers(g *run.Group) {
+	front := &http.Server{
+		Addr:              n.settings.Front,
+		Handler:           n.api(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          stdlog.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
+	}
+	g.Add(func() error { return served(front.ListenAndServe()) }, func(error) { n.close(front) })
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadinessPath, n.serveReadiness)
+	ready := &http.Server{Addr: n.settings.Ready, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	g.Add(func() error { return served(ready.ListenAndServe()) }, func(error) { n.close(ready) })
+	n.addPeers(g)
+}
+
+// served hides the error that a shutdown brings.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// close ends a server after the answers that are being written.
+func (n *Node) close(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		n.log.WithError(err).WithField("address", s.Addr).Warn("connections were open at the end")
+	}
+}
+
+func (n *Node) addPeers(g *run.Group) {
+	server := peer.NewServer(peerLimits(), n.log)
+	handler := &assist.Handler{
+		Leads:   func() api.Epoch { return api.Epoch(n.epoch.Load()) },
+		Helpers: n.helpers,
+		Adviser: n.adviser,
+		Longest: adviceTimeout,
+	}
+	if err := server.Register(assist.ServiceName, handler); err != nil {
+		n.log.WithError(err).Error("peer service not registered")
+	}
+	g.Add(func() error {
+		listener, err := net.Listen("tcp", n.settings.Peer)
+		if err != nil {
+			return errors.Wrap(err, "peer listener")
+		}
+		return server.Serve(listener)
+	}, func(error) { server.Close() })
+}
+
+// Limits of calls between processes.
+const (
+	peerMessageBytes = 1 << 20
+	peerConns        = 256
+	peerCallTimeout  = 5 * time.Second
+)
+
+func peerLimits() peer.Limits {
+	return peer.Limits{
+		MaxRequest: peerMessageBytes,
+		MaxAnswer:  peerMessageBytes,
+		MaxConns:   peerConns,
+		Call:       peerCallTimeout,
+	}
+}
+
+// serveReadiness tells the platform whether to send new connections.
+func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) ready() bool {
+	return !n.draining.Load() &&
+		n.watch.Table() != nil &&
+		n.replica.Synced() &&
+		n.replica.Age(time.Now()) < storeSilence
+}
+
+// awaitShutdown waits until the process is asked to stop, hands leadership
+// over and serves on for a while. Its return ends the process.
+func (n *Node) awaitShutdown(ctx, work context.Context) error {
+	<-ctx.Done()
+	n.draining.Store(true)
+	n.log.Info("asked to stop")
+	release, cancel := context.WithTimeout(work, time.Second)
+	defer cancel()
+	n.elector.Release(release)
+	timer := time.NewTimer(min(serveOn, n.settings.Grace/2))
+	defer timer.Stop()
+	<-timer.C
+	return nil
+}
--- /dev/null
+++ b/internal/plan/advice.go
@@ -0,0 +1,156 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// advice is what is known of the executors that may run a step. Whether one
+// may never changes in its life; the permission itself lapses.
+type advice struct {
+	tickets map[string]ticket   // of executors that may
+	denied  map[string]struct{} // executors that may not
+	asking  bool                // a call is under way
+	again   time.Time           // no call before this, after one that failed
+}
+
+// ticket is the permission to start a step's tasks on one executor.
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// Ask is a call for advice that should be made.
+type Ask struct {
+	Step      work.StepKey
+	Executors []string
+	Cost      time.Duration // expected time of the call
+}
+
+// grant takes in the answer to a call about the named executors.
+func (a *advice) grant(asked []string, grants []platform.Grant, until time.Time) {
+	if a.tickets == nil {
+		a.tickets = make(map[string]ticket)
+		a.denied = make(map[string]struct{})
+	}
+	for _, g := range grants {
+		a.tickets[g.Executor] = ticket{text: g.Ticket, until: until}
+	}
+	for _, id := range asked {
+		if _, granted := a.tickets[id]; !granted {
+			a.denied[id] = struct{}{}
+		}
+	}
+}
+
+// knows reports whether it is known if the step may run on the executor.
+func (a *advice) knows(id string) bool {
+	if _, ok := a.denied[id]; ok {
+		return true
+	}
+	_, ok := a.tickets[id]
+	return ok
+}
+
+// valid returns the ticket for an executor if it is valid at now.
+func (a *advice) valid(id string, now time.Time) (ticket, bool) {
+	t, ok := a.tickets[id]
+	return t, ok && now.Before(t.until)
+}
+
+// anyValid reports whether some ticket is valid at now.
+func (a *advice) anyValid(now time.Time) bool {
+	for _, t := range a.tickets {
+		if now.Before(t.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// Asks returns the calls for advice that are due and whose cost accept takes,
+// in the order in which the steps are to start, and counts them as under way.
+func (c *Cell) Asks(now time.Time, accept func(cost time.Duration) bool) []Ask {
+	var asks []Ask
+	for _, s := range c.ordered(now) {
+		q := c.queue(s.job)
+		if q == nil || q.Advice == nil || s.advice.asking || now.Before(s.advice.again) {
+			continue
+		}
+		ids := c.toAsk(s, q, now)
+		if len(ids) == 0 {
+			continue
+		}
+		cost := q.Advice.Cost(len(ids))
+		if !accept(cost) {
+			continue
+		}
+		s.advice.asking = true
+		asks = append(asks, Ask{Step: s.key(), Executors: ids, Cost: cost})
+	}
+	return asks
+}
+
+// toAsk returns the executors that a call about the step should name, or none
+// if no call is due. The first call names all executors, since what it tells
+// stays true. Later ones renew lapsed tickets, when room for the step is
+// near, and name new executors with them.
+func (c *Cell) toAsk(s *step, q *queue.Queue, now time.Time) []string {
+	if len(s.unplaced()) == 0 || s.advice.anyValid(now) {
+		return nil
+	}
+	first := s.advice.tickets == nil
+	if !first {
+		soon := now.Add(q.Advice.Cost(len(s.advice.tickets)) + askAhead)
+		if !c.fitsBy(s, q, soon, now) {
+			return nil
+		}
+	}
+	return c.candidates(s, q, now)
+}
+
+// askAhead is how much earlier than needed a ticket may be renewed: run times
+// are only estimated.
+const askAhead = 150 * time.Millisecond
+
+// candidates returns the executors that may run the step, or of which that is
+// not known yet.
+func (c *Cell) candidates(s *step, q *queue.Queue, now time.Time) []string {
+	var ids []string
+	for _, v := range c.sorted {
+		if len(ids) == c.cfg.MostAdvised {
+			break
+		}
+		if _, denied := s.advice.denied[v.Ref.ID]; denied || !c.suits(s, q, v, now) {
+			continue
+		}
+		ids = append(ids, v.Ref.ID)
+	}
+	return ids
+}
+
+// Granted takes in the answer to a call for advice, which arrived at now.
+func (c *Cell) Granted(a Ask, grants []platform.Grant, valid time.Duration, now time.Time) {
+	s := c.step(a.Step)
+	if s == nil {
+		return
+	}
+	s.advice.asking = false
+	s.advice.grant(a.Executors, grants, now.Add(valid-c.cfg.TicketMargin))
+}
+
+// NoAdvice takes in that a call for advice failed.
+func (c *Cell) NoAdvice(a Ask, now time.Time) {
+	s := c.step(a.Step)
+	if s == nil {
+		return
+	}
+	s.advice.asking = false
+	s.advice.again = now.Add(adviceRetry)
+}
+
+// adviceRetry is the pause after a call for advice that failed.
+const adviceRetry = 50 * time.Millisecond
--- /dev/null
+++ b/internal/plan/cell.go
@@ -0,0 +1,332 @@
+package plan
+
+import (
+	"sort"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Cell is the state of one cell as its leader plans it. Its user guards it.
+type Cell struct {
+	cfg     Config
+	events  *logrus.Entry
+	lookup  func(work.ID) *work.Job // any stored job, also one that has ended; nil if unknown
+	table   *queue.Table
+	began   time.Time // when this leader took over
+	vms     map[string]*vm
+	sorted  []*vm // by id
+	jobs    map[work.ID]*job
+	waiting []*step // with tasks to place
+	timed   []*job  // with occurrences to come
+	dirty   []*job  // whose durable record is behind
+	stops   []Stop  // to be sent
+}
+
+// Stop is an order to stop a run.
+type Stop struct {
+	To  platform.ExecutorRef
+	Run platform.Run
+}
+
+// NewCell returns a cell without jobs and executors, led from now on.
+func NewCell(cfg Config, lookup func(work.ID) *work.Job, events *logrus.Entry, now time.Time) *Cell {
+	return &Cell{
+		cfg:    cfg,
+		events: events,
+		lookup: lookup,
+		table:  &queue.Table{},
+		began:  now,
+		vms:    make(map[string]*vm),
+		jobs:   make(map[work.ID]*job),
+	}
+}
+
+// Configure takes in a new version of the configuration.
+func (c *Cell) Configure(t *queue.Table) { c.table = t }
+
+// queue returns the queue of a job as configured now; nil if it was removed.
+func (c *Cell) queue(j *job) *queue.Queue { return c.table.Named(j.spec.Queue) }
+
+// service returns whose executors run a job's tasks: as configured now, or as
+// it was when the job was accepted if its queue was removed since.
+func (c *Cell) service(j *job) string {
+	if q := c.queue(j); q != nil {
+		return q.Service
+	}
+	return j.spec.Service
+}
+
+// step returns a step that is still planned, or nil.
+func (c *Cell) step(key work.StepKey) *step {
+	j := c.jobs[key.Job]
+	if j == nil {
+		return nil
+	}
+	for _, o := range j.running {
+		if o.number == key.Occurrence && key.Step < len(o.steps) {
+			return o.steps[key.Step]
+		}
+	}
+	return nil
+}
+
+// task returns a task that is still planned, or nil.
+func (c *Cell) task(key work.TaskKey) *task {
+	s := c.step(key.StepKey)
+	if s == nil || key.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[key.Index]
+}
+
+// AddJob takes in a job that has not ended. Its progress is nil when nothing
+// of it has started; otherwise the runs that it names may exist.
+func (c *Cell) AddJob(spec *work.Job, p *work.Progress, wall int64, now time.Time) {
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	age := time.Duration(max(0, wall-spec.Accepted)) * time.Millisecond
+	j := &job{spec: spec, arrived: now.Add(-min(age, longestAge))}
+	c.jobs[spec.ID] = j
+	if p != nil {
+		c.restore(j, p, now)
+	}
+	if spec.Repetitions > 0 {
+		c.timed = append(c.timed, j)
+		return
+	}
+	if len(j.running) == 0 && j.finished == 0 {
+		c.begin(j, j.arrived)
+	}
+}
+
+// longestAge bounds the age that a job may claim, since clocks of machines
+// can jump.
+const longestAge = time.Minute
+
+// begin starts the job's next occurrence.
+func (c *Cell) begin(j *job, due time.Time) {
+	o := newOccurrence(j, j.next, due)
+	j.next++
+	j.running = append(j.running, o)
+	c.offer(o)
+}
+
+// offer puts the occurrence's steps that may start among those to place.
+func (c *Cell) offer(o *occurrence) {
+	for _, s := range o.steps {
+		if !s.ready && o.stepReady(s) {
+			s.ready = true
+			c.enqueue(s)
+		}
+	}
+}
+
+func (c *Cell) enqueue(s *step) {
+	if !s.waiting && s.ready && !s.complete() {
+		s.waiting = true
+		c.waiting = append(c.waiting, s)
+	}
+}
+
+// BeginDue starts the occurrences that are due at the wall clock time, in
+// milliseconds since 1970.
+func (c *Cell) BeginDue(wall int64, now time.Time) {
+	kept := c.timed[:0]
+	for _, j := range c.timed {
+		for j.next < j.spec.Occurrences() && j.spec.Due(j.next) <= wall && !j.state.Final() {
+			c.begin(j, now)
+		}
+		if j.next < j.spec.Occurrences() && !j.state.Final() {
+			kept = append(kept, j)
+		}
+	}
+	c.timed = kept
+}
+
+// Cancel ends a job that a client has cancelled and stops what runs of it.
+func (c *Cell) Cancel(id work.ID) {
+	if j := c.jobs[id]; j != nil {
+		c.end(j, work.Cancelled)
+	}
+}
+
+// end ends a job. Runs that exist keep their claims until they are over.
+func (c *Cell) end(j *job, state work.State) {
+	j.state = state
+	c.mark(j)
+	for _, o := range j.running {
+		for _, s := range o.steps {
+			c.abandon(s)
+		}
+	}
+	j.running = nil
+	delete(c.jobs, j.spec.ID)
+}
+
+// abandon lets go of a step whose job has ended.
+func (c *Cell) abandon(s *step) {
+	s.ready = false
+	for _, t := range s.tasks {
+		if t.claims > 0 {
+			c.unwant(t)
+		}
+	}
+}
+
+// unwant has every run of a task stopped.
+func (c *Cell) unwant(t *task) {
+	v := c.vms[t.vm]
+	if v == nil {
+		return
+	}
+	for _, cl := range v.claims {
+		if cl.task == t && !cl.unwanted {
+			cl.unwanted = true
+			c.stop(cl)
+		}
+	}
+}
+
+// stop has a run stopped; the order is repeated while the run is listed.
+func (c *Cell) stop(cl *claim) {
+	if cl.state == planned {
+		return // it is dropped before it is sent
+	}
+	c.stops = append(c.stops, Stop{To: cl.vm.Ref, Run: cl.run})
+}
+
+// TakeStops returns the stops to send and counts them as sent.
+func (c *Cell) TakeStops(now time.Time) []Stop {
+	stops := c.stops
+	c.stops = nil
+	for _, s := range stops {
+		if v := c.vms[s.To.ID]; v != nil {
+			if cl := v.claims[s.Run]; cl != nil {
+				cl.stopped = now
+			}
+		}
+	}
+	return stops
+}
+
+// mark notes that the job's durable record is behind.
+func (c *Cell) mark(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		c.dirty = append(c.dirty, j)
+	}
+}
+
+// Record is the durable record of a job's progress.
+type Record struct {
+	Job      work.ID
+	Progress *work.Progress
+}
+
+// TakeDirty returns the records that are behind.
+func (c *Cell) TakeDirty() []Record {
+	records := make([]Record, len(c.dirty))
+	for i, j := range c.dirty {
+		j.dirty = false
+		records[i] = Record{Job: j.spec.ID, Progress: j.progress()}
+	}
+	c.dirty = nil
+	return records
+}
+
+// Executors takes in who is registered now.
+func (c *Cell) Executors(listed map[string]*fleet.Executor, now time.Time) {
+	for id, e := range listed {
+		v := c.vms[id]
+		if v == nil {
+			v = newVM(*e)
+			c.vms[id] = v
+			c.sorted = append(c.sorted, v)
+		}
+		v.Executor = *e
+		v.listed = true
+		if e.Draining && v.draining.IsZero() {
+			v.draining = now
+		}
+	}
+	for id, v := range c.vms {
+		if listed[id] == nil {
+			v.listed = false
+		}
+	}
+	sort.Slice(c.sorted, func(a, b int) bool { return c.sorted[a].Ref.ID < c.sorted[b].Ref.ID })
+	c.dropReplaced()
+}
+
+// dropReplaced lets go of executors whose address another life has taken.
+func (c *Cell) dropReplaced() {
+	lives := make(map[string]*vm, len(c.sorted))
+	for _, v := range c.sorted {
+		if v.listed {
+			lives[v.Ref.Address] = v
+		}
+	}
+	for _, v := range append([]*vm(nil), c.sorted...) {
+		if now := lives[v.Ref.Address]; !v.listed && now != nil && now != v {
+			c.Gone(v.Ref.ID)
+		}
+	}
+}
+
+// Gone takes in that a life of an executor is certainly over, and with it
+// everything that ran on it.
+func (c *Cell) Gone(id string) {
+	v := c.vms[id]
+	if v == nil {
+		return
+	}
+	if len(v.claims) > 0 {
+		c.events.WithFields(logrus.Fields{"executor": id, "runs": len(v.claims)}).Info("executor is gone with its runs")
+	}
+	for _, cl := range v.claims {
+		c.over(cl, platform.EndLapsed, "")
+	}
+	delete(c.vms, id)
+	for i, o := range c.sorted {
+		if o == v {
+			c.sorted = append(c.sorted[:i], c.sorted[i+1:]...)
+			break
+		}
+	}
+}
+
+// DropSilent lets go of the runs on executors whose lease is certainly over,
+// and of executors that are not registered and hold nothing.
+func (c *Cell) DropSilent(now time.Time) {
+	for _, v := range append([]*vm(nil), c.sorted...) {
+		if now.Sub(v.clockAt) < c.cfg.SilentAfter || !v.leaseOver(now, c.cfg.ClockDrift) {
+			continue
+		}
+		for _, cl := range v.claims {
+			c.events.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Info("lease is over without a report")
+			c.over(cl, platform.EndLapsed, "")
+		}
+		if !v.listed {
+			c.Gone(v.Ref.ID)
+		}
+	}
+}
+
+// Refs returns the executors that should be called: the registered ones and
+// those that may run something.
+func (c *Cell) Refs() []platform.ExecutorRef {
+	refs := make([]platform.ExecutorRef, 0, len(c.sorted))
+	for _, v := range c.sorted {
+		if v.Ref.Address != "" && (v.listed || len(v.claims) > 0) {
+			refs = append(refs, v.Ref)
+		}
+	}
+	return refs
+}
--- /dev/null
+++ b/internal/plan/config.go
@@ -0,0 +1,73 @@
+// Package plan decides for one cell: which task starts on which executor,
+// what the advice service is asked, what is stopped, and what the reports of
+// executors mean. It holds the cell's state and neither clock, sockets nor
+// goroutines: time, records and reports come in, decisions go out.
+//
+// A start that is planned here becomes durable before it is sent, so that a
+// successor knows of every run that may exist. A claim holds a run's room on
+// its executor until the run certainly is over.
+package plan
+
+import "time"
+
+// Config holds the limits and intervals of planning.
+type Config struct {
+	// Lease is how long everything on an executor runs on after the last
+	// renewal that reached it. A longer one saves work when a data centre is
+	// cut off, a shorter one lets work that is lost start again earlier.
+	Lease time.Duration
+	// ClockDrift is by how much an executor's clock may be slow.
+	ClockDrift float64
+	// StartValid is after what time on the executor's clock a start order is
+	// void. It bounds for how long an order without an answer holds room.
+	StartValid time.Duration
+	// Inherited is how long after a takeover the former leader may have
+	// extended leases (leader.Timing.LeaseRenewal).
+	Inherited time.Duration
+	// SilentAfter is the age of an executor's last report above which it is
+	// given no new work. A report comes at least every hold wait.
+	SilentAfter time.Duration
+	// TicketMargin is taken off the validity of a ticket, for the way of the
+	// start to the executor.
+	TicketMargin time.Duration
+	// DrainMargin is how long after a leaving executor was read as such it
+	// may still receive starts that were planned before.
+	DrainMargin time.Duration
+	// StopRepeat is the time after which a stop that had no effect is sent
+	// again.
+	StopRepeat time.Duration
+	// FailStreak is how many tasks of different jobs must fail in a row on
+	// an executor before it is avoided, and Avoid for how long.
+	FailStreak int
+	Avoid      time.Duration
+	// SickAvoid is how long an executor is left alone that refused a start
+	// since it isn't well.
+	SickAvoid time.Duration
+	// RemoteFactor is the slowdown of a task away from its data or rack.
+	RemoteFactor float64
+	// MostAdvised is how many executors one call for advice may name.
+	MostAdvised int
+	// ReservedGangs is how many gangs without room may hold executors free.
+	ReservedGangs int
+}
+
+// DefaultConfig returns the configuration in use, before what the platform's
+// settings say.
+func DefaultConfig() Config {
+	return Config{
+		Lease:         6 * time.Second,
+		ClockDrift:    0.02,
+		StartValid:    1500 * time.Millisecond,
+		Inherited:     5 * time.Second,
+		SilentAfter:   2500 * time.Millisecond,
+		TicketMargin:  150 * time.Millisecond,
+		DrainMargin:   500 * time.Millisecond,
+		StopRepeat:    400 * time.Millisecond,
+		FailStreak:    3,
+		Avoid:         5 * time.Second,
+		SickAvoid:     time.Second,
+		RemoteFactor:  2,
+		MostAdvised:   100,
+		ReservedGangs: 2,
+	}
+}
--- /dev/null
+++ b/internal/plan/job.go
@@ -0,0 +1,204 @@
+package plan
+
+import (
+	"slices"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// job is one job that has not ended, as the leader plans it.
+type job struct {
+	spec     *work.Job
+	arrived  time.Time
+	state    work.State
+	next     int           // occurrence that is due next
+	finished int           // occurrences numbered below this have ended
+	ended    map[int]bool  // further occurrences that have ended
+	running  []*occurrence // that have begun and not ended, by number
+	dirty    bool          // the durable record is behind
+}
+
+// occurrence is one run of a job's steps.
+type occurrence struct {
+	number int
+	due    time.Time // when it may start
+	steps  []*step
+	left   int // steps that have not ended
+}
+
+// step is one step of an occurrence.
+type step struct {
+	job     *job
+	occ     *occurrence
+	index   int
+	spec    *work.Step
+	tasks   []*task
+	done    int
+	fails   int    // runs of the gang that failed
+	failed  uint32 // newest of them
+	ready   bool
+	advice  advice
+	waiting bool // is in the cell's list of steps with tasks to place
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	phase      work.Phase
+	run        uint32 // newest
+	failures   int
+	checkpoint string
+	claims     int    // runs that may exist
+	vm         string // of the newest run
+	failedAt   *vm    // where the newest failed run was
+}
+
+func (s *step) key() work.StepKey {
+	return work.StepKey{Job: s.job.spec.ID, Occurrence: s.occ.number, Step: s.index}
+}
+
+func (t *task) key() work.TaskKey { return work.TaskKey{StepKey: t.step.key(), Index: t.index} }
+
+// placeable reports whether the task waits for a start and nothing of it can
+// be running.
+func (t *task) placeable() bool { return t.phase == work.Pending && t.claims == 0 }
+
+// complete reports whether all tasks of the step have ended.
+func (s *step) complete() bool { return s.done == len(s.tasks) }
+
+// unplaced returns the tasks that wait for a start. A gang waits whole.
+func (s *step) unplaced() []*task {
+	var waiting []*task
+	for _, t := range s.tasks {
+		switch {
+		case t.placeable():
+			waiting = append(waiting, t)
+		case s.spec.Gang:
+			return nil
+		}
+	}
+	return waiting
+}
+
+// newOccurrence returns the number-th run of the job's steps.
+func newOccurrence(j *job, number int, due time.Time) *occurrence {
+	o := &occurrence{number: number, due: due, left: len(j.spec.Steps)}
+	for i := range j.spec.Steps {
+		s := &step{job: j, occ: o, index: i, spec: &j.spec.Steps[i]}
+		s.tasks = make([]*task, s.spec.Tasks)
+		for k := range s.tasks {
+			s.tasks[k] = &task{step: s, index: k}
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+// stepReady reports whether all steps that s waits for have ended.
+func (o *occurrence) stepReady(s *step) bool {
+	for _, before := range s.spec.After {
+		if !o.steps[before].complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// remaining returns the longest chain of estimated run times from step i on.
+func (o *occurrence) remaining(i int) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range o.steps[i+1:] {
+		for _, before := range s.spec.After {
+			if before == i {
+				longest = max(longest, o.remaining(s.index))
+			}
+		}
+	}
+	return o.steps[i].spec.Estimate + longest
+}
+
+// chain returns the longest chain of estimated run times of the occurrence.
+func (o *occurrence) chain() time.Duration {
+	longest := time.Duration(0)
+	for i := range o.steps {
+		longest = max(longest, o.remaining(i))
+	}
+	return longest
+}
+
+// objective returns within what time after its arrival an occurrence should
+// end.
+func (o *occurrence) objective(q *queue.Queue) time.Duration {
+	if q == nil {
+		return o.chain()
+	}
+	return time.Duration(q.Stretch*float64(o.chain())) + q.TargetLatency
+}
+
+// from returns when the occurrence's time began to count.
+func (j *job) from(o *occurrence) time.Time {
+	if j.spec.Repetitions > 0 {
+		return o.due
+	}
+	return j.arrived
+}
+
+// endOccurrence notes that an occurrence has ended.
+func (j *job) endOccurrence(o *occurrence) {
+	j.running = slices.DeleteFunc(j.running, func(other *occurrence) bool { return other == o })
+	if j.ended == nil {
+		j.ended = make(map[int]bool)
+	}
+	j.ended[o.number] = true
+	for j.ended[j.finished] {
+		delete(j.ended, j.finished)
+		j.finished++
+	}
+}
+
+// progress returns the durable record of the job.
+func (j *job) progress() *work.Progress {
+	p := &work.Progress{State: j.state, Finished: j.finished}
+	if j.state.Final() {
+		return p
+	}
+	for number := range j.ended {
+		p.Ended = append(p.Ended, number)
+	}
+	slices.Sort(p.Ended)
+	places := make(map[string]int)
+	for _, o := range j.running {
+		p.Occurrences = append(p.Occurrences, o.progress(p, places))
+	}
+	return p
+}
+
+func (o *occurrence) progress(p *work.Progress, places map[string]int) work.Occurrence {
+	out := work.Occurrence{Number: o.number}
+	for _, s := range o.steps {
+		row := make([]work.TaskProgress, len(s.tasks))
+		for i, t := range s.tasks {
+			row[i] = work.TaskProgress{Phase: t.phase, Run: t.run, Failures: uint8(min(t.failures, 255)), Checkpoint: t.checkpoint}
+			if t.phase == work.Started || (t.phase == work.Pending && t.claims > 0) {
+				row[i].Phase = work.Started
+				row[i].VM = place(p, places, t.vm)
+			}
+		}
+		out.Steps = append(out.Steps, row)
+	}
+	return out
+}
+
+// place returns the index of an executor in the record's list.
+func place(p *work.Progress, places map[string]int, id string) int {
+	i, ok := places[id]
+	if !ok {
+		i = len(p.VMs)
+		places[id] = i
+		p.VMs = append(p.VMs, id)
+	}
+	return i
+}
--- /dev/null
+++ b/internal/plan/place.go
@@ -0,0 +1,290 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Start is a start that has been planned. It may be sent once the job's
+// record is durable and Confirm has allowed it.
+type Start struct {
+	To            platform.ExecutorRef
+	Run           platform.Run
+	Specification string
+	Checkpoint    string
+	Ticket        string
+}
+
+// Plan starts what can be started now and takes the room for it.
+func (c *Cell) Plan(now time.Time) []Start {
+	var starts []Start
+	held := reservations{until: make(map[*vm]time.Time)}
+	for _, s := range c.ordered(now) {
+		q := c.queue(s.job)
+		tasks := s.unplaced()
+		if len(tasks) == 0 {
+			continue
+		}
+		placed := c.placeStep(s, q, tasks, &held, now)
+		for _, p := range placed {
+			starts = append(starts, c.take(p, q, now))
+		}
+		if len(placed) < len(tasks) && s.spec.Gang && held.gangs < c.cfg.ReservedGangs {
+			c.reserve(s, q, tasks, &held, now)
+		}
+	}
+	return starts
+}
+
+// placement is a task with the executor chosen for it.
+type placement struct {
+	task *task
+	vm   *vm
+}
+
+// placeStep chooses an executor for each task; for a gang, for all or none.
+func (c *Cell) placeStep(s *step, q *queue.Queue, tasks []*task, held *reservations, now time.Time) []placement {
+	room := &roomView{taken: make(map[*vm]api.Resources), count: make(map[*vm]int)}
+	vms := c.eligible(s, q, held, now)
+	var placed []placement
+	for _, t := range tasks {
+		v := c.best(s, vms, room)
+		if v == nil {
+			break
+		}
+		room.take(v, s.spec.Need)
+		placed = append(placed, placement{task: t, vm: v})
+	}
+	if s.spec.Gang && len(placed) < len(tasks) {
+		return nil
+	}
+	return placed
+}
+
+// roomView is the room that a step's own choices have taken so far.
+type roomView struct {
+	taken map[*vm]api.Resources
+	count map[*vm]int
+}
+
+func (r *roomView) take(v *vm, need api.Resources) {
+	r.taken[v] = r.taken[v].Add(need)
+	r.count[v]++
+}
+
+// eligible returns the executors on which a task of the step may start now,
+// whatever their room.
+func (c *Cell) eligible(s *step, q *queue.Queue, held *reservations, now time.Time) []*vm {
+	var vms []*vm
+	for _, v := range c.sorted {
+		if !c.suits(s, q, v, now) || !held.admits(v, s, now) {
+			continue
+		}
+		if q != nil && q.Advice != nil {
+			if _, ok := s.advice.valid(v.Ref.ID, now); !ok {
+				continue
+			}
+		}
+		vms = append(vms, v)
+	}
+	return vms
+}
+
+// suits reports whether the executor is one of those that the step asks for
+// and may be given work at all.
+func (c *Cell) suits(s *step, q *queue.Queue, v *vm, now time.Time) bool {
+	service := s.job.spec.Service
+	if q != nil {
+		service = q.Service
+	}
+	if v.Service != service || !v.usable(now, &c.cfg) {
+		return false
+	}
+	return s.spec.Label == "" || v.HasLabel(s.spec.Label)
+}
+
+// best returns the executor on which one more task of the step should start:
+// near its data, not slow, and with the least room left over, which keeps
+// whole executors free for large tasks.
+func (c *Cell) best(s *step, vms []*vm, room *roomView) *vm {
+	var best *vm
+	var bestScore float64
+	for _, v := range vms {
+		left := v.free().Sub(room.taken[v]).Sub(s.spec.Need)
+		if left.MilliCPU < 0 || left.MemoryMB < 0 || left.Accelerators < 0 {
+			continue
+		}
+		if s.spec.MaxPerVM > 0 && v.countOf(s)+room.count[v] >= s.spec.MaxPerVM {
+			continue
+		}
+		score := c.score(s, v, left)
+		if best == nil || score < bestScore {
+			best, bestScore = v, score
+		}
+	}
+	return best
+}
+
+// Weights of the score: a share of the executor left over counts 1.
+const (
+	remoteWeight = 2.0 // away from the data's rack a task takes RemoteFactor times as long
+	slowWeight   = 1.0 // for each time that the executor is slower than the fleet
+)
+
+// score says how badly the executor fits; left is the room that would remain.
+func (c *Cell) score(s *step, v *vm, left api.Resources) float64 {
+	score := share(left.MilliCPU, v.Capacity.MilliCPU) + share(left.MemoryMB, v.Capacity.MemoryMB)
+	score += slowWeight * (v.slowness - 1)
+	if s.spec.DataRack != "" && v.Rack() != s.spec.DataRack {
+		score += remoteWeight
+	}
+	return score
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// countOf returns how many runs of the step's occurrence the executor holds.
+func (v *vm) countOf(s *step) int {
+	n := 0
+	for _, cl := range v.claims {
+		if cl.task != nil && cl.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// take books a placement: the task has a new run whose room is held.
+func (c *Cell) take(p placement, q *queue.Queue, now time.Time) Start {
+	t, s := p.task, p.task.step
+	t.run = c.nextRun(t)
+	t.phase = work.Started
+	t.vm = p.vm.Ref.ID
+	cl := &claim{
+		run:   platform.Run{Task: t.key(), Number: t.run},
+		task:  t,
+		need:  s.spec.Need,
+		state: planned,
+		ends:  now.Add(time.Duration(float64(s.spec.Estimate) * p.vm.slowness)),
+	}
+	p.vm.add(cl)
+	if s.job.state == work.Queued {
+		s.job.state = work.Running
+	}
+	c.mark(s.job)
+	start := Start{To: p.vm.Ref, Run: cl.run, Specification: s.job.spec.Specification, Checkpoint: t.checkpoint}
+	if q != nil && q.Advice != nil {
+		start.Ticket = s.advice.tickets[p.vm.Ref.ID].text
+	}
+	return start
+}
+
+// nextRun returns the number of the task's next run, which all tasks of a
+// gang share.
+func (c *Cell) nextRun(t *task) uint32 {
+	if !t.step.spec.Gang {
+		return t.run + 1
+	}
+	highest := uint32(0)
+	for _, o := range t.step.tasks {
+		if o.phase != work.Started {
+			highest = max(highest, o.run)
+		}
+	}
+	for _, o := range t.step.tasks {
+		if o.phase == work.Started {
+			return o.run // set for an earlier task of this gang
+		}
+	}
+	return highest + 1
+}
+
+// Order is a start that may be sent now.
+type Order struct {
+	Start Start
+	Order platform.StartOrder // without its token
+}
+
+// Confirm checks planned starts again right before they are sent, after their
+// records have become durable. It returns the orders of those that are still
+// right and gives the room of the others back. A gang is sent whole or not at
+// all.
+func (c *Cell) Confirm(starts []Start, now time.Time) []Order {
+	wrong := make(map[*step]bool)
+	for _, st := range starts {
+		if cl := c.planned(st); cl != nil && !c.stillRight(cl, now) {
+			wrong[cl.task.step] = true
+		}
+	}
+	var orders []Order
+	for _, st := range starts {
+		cl := c.planned(st)
+		if cl == nil {
+			continue
+		}
+		s := cl.task.step
+		if !c.stillRight(cl, now) || (s.spec.Gang && wrong[s]) {
+			c.over(cl, platform.EndStopped, "")
+			continue
+		}
+		orders = append(orders, Order{Start: st, Order: c.order(cl, st, now)})
+	}
+	return orders
+}
+
+// planned returns the claim of a start that has not been sent, or nil.
+func (c *Cell) planned(st Start) *claim {
+	v := c.vms[st.To.ID]
+	if v == nil {
+		return nil
+	}
+	cl := v.claims[st.Run]
+	if cl == nil || cl.state != planned {
+		return nil
+	}
+	return cl
+}
+
+// order returns the start order of a claim, which counts as sent from now on.
+func (c *Cell) order(cl *claim, st Start, now time.Time) platform.StartOrder {
+	v := cl.vm
+	cl.state = sent
+	cl.voidAt = v.clockNow(now, 0).Add(c.cfg.StartValid)
+	v.lease = max(v.lease, cl.voidAt)
+	return platform.StartOrder{
+		Run:           st.Run,
+		Specification: st.Specification,
+		Checkpoint:    st.Checkpoint,
+		LeaseUntil:    cl.voidAt,
+		Ticket:        st.Ticket,
+	}
+}
+
+// stillRight reports whether a planned start may be sent.
+func (c *Cell) stillRight(cl *claim, now time.Time) bool {
+	v := cl.vm
+	if cl.unwanted {
+		return false
+	}
+	if !v.draining.IsZero() && now.Sub(v.draining) > c.cfg.DrainMargin {
+		return false
+	}
+	if now.Sub(v.clockAt) > c.cfg.SilentAfter {
+		return false
+	}
+	s := cl.task.step
+	if q := c.queue(s.job); q != nil && q.Advice != nil {
+		_, ok := s.advice.valid(v.Ref.ID, now)
+		return ok
+	}
+	return true
+}
--- /dev/null
+++ b/internal/plan/report.go
@@ -0,0 +1,335 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Hold returns the next renewal for an executor; without renew it only asks.
+func (c *Cell) Hold(id string, renew bool, now time.Time) (platform.HoldOrder, bool) {
+	v := c.vms[id]
+	if v == nil {
+		return platform.HoldOrder{}, false
+	}
+	order := platform.HoldOrder{Seen: v.seen}
+	if renew && v.known {
+		order.LeaseUntil = v.clockNow(now, 0).Add(c.cfg.Lease)
+		v.lease = max(v.lease, order.LeaseUntil)
+	}
+	return order, true
+}
+
+// Started takes in the answer to a start order.
+func (c *Cell) Started(st Start, err error, now time.Time) {
+	v := c.vms[st.To.ID]
+	if v == nil {
+		return
+	}
+	cl := v.claims[st.Run]
+	if cl == nil || cl.state != sent {
+		return
+	}
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		cl.state = atWork
+		cl.since = now
+	case errors.As(err, &refused):
+		c.refused(cl, refused.Reason, now)
+	case errors.Is(err, platform.ErrNotReached):
+		c.over(cl, platform.EndStopped, "")
+	default:
+		cl.state = unsure
+		c.stop(cl) // a stop that is answered settles what became of the start
+	}
+}
+
+// refused takes in that an executor refused a start and did nothing.
+func (c *Cell) refused(cl *claim, reason platform.Refusal, now time.Time) {
+	c.events.WithFields(logrus.Fields{"executor": cl.vm.Ref.ID, "task": cl.run.Task, "run": cl.run.Number, "reason": reason}).Info("start was refused")
+	switch reason {
+	case platform.RefusedSick:
+		cl.vm.avoidUntil = now.Add(c.cfg.SickAvoid)
+	case platform.RefusedTicket:
+		delete(cl.task.step.advice.tickets, cl.vm.Ref.ID)
+	case platform.RefusedGone:
+		c.Gone(cl.vm.Ref.ID)
+		return
+	}
+	c.over(cl, platform.EndStopped, "")
+}
+
+// Stopped takes in the answer to a stop order: once an executor has taken it,
+// the run doesn't start there any more.
+func (c *Cell) Stopped(s Stop, err error, now time.Time) {
+	v := c.vms[s.To.ID]
+	if v == nil {
+		return
+	}
+	cl := v.claims[s.Run]
+	var refused *platform.RefusedError
+	switch {
+	case errors.As(err, &refused) && refused.Reason == platform.RefusedGone:
+		c.Gone(s.To.ID)
+	case err == nil && cl != nil && cl.state == unsure:
+		cl.state = stopping
+		cl.since = now
+	}
+}
+
+// Report takes in an executor's report on a hold that was sent at a given
+// time. It returns whether ends were applied that are to be made durable.
+func (c *Cell) Report(id string, r platform.ExecutorReport, asked, now time.Time) bool {
+	v := c.vms[id]
+	if v == nil {
+		return false
+	}
+	v.known = true
+	v.clock = r.Clock
+	v.clockAt = now
+	v.lapses = time.Time{}
+	news := c.applyEnds(v, r)
+	listed := c.applyRunning(v, r, now)
+	for _, cl := range v.claims {
+		if !listed[cl.run] {
+			c.missing(cl, r.Clock, asked)
+		}
+	}
+	return news
+}
+
+// applyEnds takes in the ends that were not applied before.
+func (c *Cell) applyEnds(v *vm, r platform.ExecutorReport) bool {
+	news := false
+	for _, e := range r.Ended {
+		if e.Number <= v.taken {
+			continue
+		}
+		v.taken = e.Number
+		news = true
+		cl := v.claims[e.Run]
+		if cl == nil {
+			c.lateEnd(e)
+			continue
+		}
+		c.judge(cl, e.How)
+		c.over(cl, e.How, e.Checkpoint)
+	}
+	return news
+}
+
+// Seen notes that the ends applied up to now are durable.
+func (c *Cell) Seen(id string, upTo uint64) {
+	if v := c.vms[id]; v != nil {
+		v.seen = max(v.seen, upTo)
+	}
+}
+
+// Taken returns up to which number an executor's ends have been applied.
+func (c *Cell) Taken(id string) uint64 {
+	if v := c.vms[id]; v != nil {
+		return v.taken
+	}
+	return 0
+}
+
+// lateEnd takes in the end of a run that holds no claim: its lease was held to
+// be over. If nothing newer of the task was started, a done end still counts.
+func (c *Cell) lateEnd(e platform.EndedRun) {
+	t := c.task(e.Run.Task)
+	if t == nil || t.run != e.Run.Number || t.phase != work.Pending {
+		return
+	}
+	if e.How == platform.EndDone {
+		c.finishTask(t)
+	}
+}
+
+// applyRunning takes in what is at work and returns the runs listed.
+func (c *Cell) applyRunning(v *vm, r platform.ExecutorReport, now time.Time) map[platform.Run]bool {
+	listed := make(map[platform.Run]bool, len(r.Running))
+	for _, row := range r.Running {
+		listed[row.Run] = true
+		cl := v.claims[row.Run]
+		if cl == nil {
+			cl = c.stranger(v, row.Run)
+		}
+		if cl.state != atWork && cl.state != stopping {
+			cl.state = atWork
+			cl.since = now
+		}
+		if cl.task != nil && row.Checkpoint != "" {
+			cl.task.checkpoint = row.Checkpoint
+		}
+		if cl.unwanted && now.Sub(cl.stopped) > c.cfg.StopRepeat {
+			c.stop(cl)
+		}
+	}
+	return listed
+}
+
+// stranger claims the room of a run that is listed and that this leader knows
+// nothing of, and has it stopped.
+func (c *Cell) stranger(v *vm, run platform.Run) *claim {
+	cl := &claim{run: run, state: atWork, unwanted: true}
+	cl.need = c.needOf(run.Task, v)
+	v.add(cl)
+	c.events.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": run.Task, "run": run.Number}).Info("unknown run is stopped")
+	return cl
+}
+
+// needOf returns the room of a run that this leader knows nothing of: that of
+// its step, also of a job that has ended, or else the whole executor.
+func (c *Cell) needOf(t work.TaskKey, v *vm) api.Resources {
+	spec := c.lookup(t.Job)
+	if spec == nil || t.Step >= len(spec.Steps) {
+		return v.Capacity
+	}
+	return spec.Steps[t.Step].Need
+}
+
+// missing judges a claim whose run a report doesn't list as running.
+func (c *Cell) missing(cl *claim, clock platform.ExecutorClock, asked time.Time) {
+	switch cl.state {
+	case inherited:
+		// The executor has seen this leader's token: an order of the former
+		// leader that is still on its way will be refused.
+		c.over(cl, platform.EndStopped, "")
+	case stopping:
+		if asked.After(cl.since) {
+			c.over(cl, platform.EndStopped, "")
+		}
+	case unsure:
+		if clock > cl.voidAt {
+			c.over(cl, platform.EndStopped, "")
+		}
+	case atWork:
+		if asked.After(cl.since) {
+			c.events.WithFields(logrus.Fields{"executor": cl.vm.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Warn("run vanished without an end")
+			c.over(cl, platform.EndLapsed, "")
+		}
+	}
+}
+
+// judge learns from an end how an executor does.
+func (c *Cell) judge(cl *claim, how platform.How) {
+	v := cl.vm
+	switch how {
+	case platform.EndDone:
+		clear(v.failJobs)
+	case platform.EndFailed:
+		if cl.task == nil {
+			return
+		}
+		cl.task.failedAt = v
+		v.failJobs[cl.task.step.job] = struct{}{}
+	}
+}
+
+// over gives a run's room back and says what that means for its task.
+func (c *Cell) over(cl *claim, how platform.How, checkpoint string) {
+	cl.vm.remove(cl)
+	t := cl.task
+	if t == nil {
+		return
+	}
+	if checkpoint != "" && t.run == cl.run.Number {
+		t.checkpoint = checkpoint
+	}
+	if t.step.job.state.Final() || t.run != cl.run.Number || t.phase != work.Started {
+		c.again(t.step)
+		return
+	}
+	c.mark(t.step.job)
+	switch how {
+	case platform.EndDone:
+		c.finishTask(t)
+		return
+	case platform.EndFailed:
+		c.failTask(t, cl.run.Number)
+	}
+	t.phase = work.Pending
+	if t.step.spec.Gang {
+		c.breakGang(t.step, cl.run.Number)
+	}
+	c.again(t.step)
+}
+
+// again puts a step back among those to place if it still has something to
+// start.
+func (c *Cell) again(s *step) {
+	if s.ready && !s.job.state.Final() {
+		c.enqueue(s)
+	}
+}
+
+// breakGang has the other members of a gang's run stopped.
+func (c *Cell) breakGang(s *step, run uint32) {
+	for _, t := range s.tasks {
+		if t.claims > 0 && t.run == run {
+			c.unwant(t)
+		}
+	}
+}
+
+// failTask counts a failed run, of a gang once, and ends the job when the
+// task has had its attempts.
+func (c *Cell) failTask(t *task, run uint32) {
+	s := t.step
+	t.failures++
+	if s.spec.Gang {
+		if run > s.failed {
+			s.failed = run
+			s.fails++
+		}
+		t.failures = s.fails
+	}
+	attempts := 1
+	if q := c.queue(s.job); q != nil {
+		attempts = q.Attempts
+	}
+	if t.failures >= attempts && !s.spec.LongRunning {
+		c.events.WithFields(logrus.Fields{"job": s.job.spec.ID, "task": t.key(), "attempts": t.failures}).Info("job failed")
+		c.end(s.job, work.Failed)
+	}
+}
+
+// finishTask ends a task, or its whole gang, as done.
+func (c *Cell) finishTask(t *task) {
+	s := t.step
+	members := []*task{t}
+	if s.spec.Gang {
+		members = s.tasks
+	}
+	for _, m := range members {
+		if m.phase != work.Done {
+			m.phase = work.Done
+			s.done++
+		}
+	}
+	c.mark(s.job)
+	if s.complete() {
+		c.finishStep(s)
+	}
+}
+
+// finishStep ends a step and offers those that waited for it.
+func (c *Cell) finishStep(s *step) {
+	o, j := s.occ, s.job
+	s.ready = false
+	o.left--
+	if o.left > 0 {
+		c.offer(o)
+		return
+	}
+	j.endOccurrence(o)
+	if j.next == j.spec.Occurrences() && len(j.running) == 0 {
+		c.end(j, work.Completed)
+	}
+}
--- /dev/null
+++ b/internal/plan/restore.go
@@ -0,0 +1,79 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// restore takes over a job that a former leader had begun. Each run that its
+// record names may exist, so it holds its room until its executor reports or
+// its lease is certainly over.
+func (c *Cell) restore(j *job, p *work.Progress, now time.Time) {
+	j.state = p.State
+	j.finished = p.Finished
+	j.next = p.Finished
+	for _, number := range p.Ended {
+		if j.ended == nil {
+			j.ended = make(map[int]bool)
+		}
+		j.ended[number] = true
+		j.next = max(j.next, number+1)
+	}
+	for i := range p.Occurrences {
+		po := &p.Occurrences[i]
+		o := newOccurrence(j, po.Number, j.arrived)
+		if due := j.spec.Due(po.Number); due > 0 {
+			o.due = time.UnixMilli(due)
+		}
+		j.next = max(j.next, po.Number+1)
+		j.running = append(j.running, o)
+		for k := range po.Steps {
+			c.restoreStep(o.steps[k], po.Steps[k], p.VMs, now)
+		}
+		for _, s := range o.steps {
+			if s.complete() {
+				o.left--
+			}
+		}
+		c.offer(o)
+	}
+}
+
+func (c *Cell) restoreStep(s *step, rows []work.TaskProgress, vms []string, now time.Time) {
+	for i, row := range rows {
+		t := s.tasks[i]
+		t.run = row.Run
+		t.failures = int(row.Failures)
+		t.checkpoint = row.Checkpoint
+		t.phase = row.Phase
+		s.fails = max(s.fails, t.failures)
+		switch row.Phase {
+		case work.Done:
+			s.done++
+		case work.Started:
+			t.vm = vms[row.VM]
+			v := c.inherit(t.vm, now)
+			run := platform.Run{Task: t.key(), Number: t.run}
+			v.add(&claim{run: run, task: t, need: s.spec.Need, state: inherited, ends: now.Add(s.spec.Estimate)})
+		}
+	}
+}
+
+// inherit returns the executor of a run that a former leader ordered. The
+// registry may not list it any more.
+func (c *Cell) inherit(id string, now time.Time) *vm {
+	v := c.vms[id]
+	if v == nil {
+		v = newVM(fleet.Executor{Ref: platform.ExecutorRef{ID: id}})
+		c.vms[id] = v
+		c.sorted = append(c.sorted, v)
+	}
+	if v.lapses.IsZero() && !v.known {
+		longest := time.Duration(float64(c.cfg.Lease+c.cfg.StartValid) / (1 - c.cfg.ClockDrift))
+		v.lapses = now.Add(c.cfg.Inherited + longest)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/plan/vm.go
@@ -0,0 +1,107 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// claimState is what is known of a run that may exist.
+type claimState uint8
+
+const (
+	planned   claimState = iota // its record is being written; nothing was sent
+	sent                        // the order is on its way
+	unsure                      // the order had no answer and may come late
+	atWork                      // the executor has confirmed or listed it
+	inherited                   // a former leader ordered it
+	stopping                    // the executor has taken a stop of it
+)
+
+// claim holds the room of one run on an executor.
+type claim struct {
+	run      platform.Run
+	task     *task // nil: of a job that is not planned any more
+	vm       *vm
+	need     api.Resources
+	state    claimState
+	voidAt   platform.ExecutorClock // of the order that is sent or unsure
+	since    time.Time              // when it was confirmed to be at work
+	ends     time.Time              // expected
+	unwanted bool                   // to be stopped
+	stopped  time.Time              // when a stop was last sent
+}
+
+// vm is one life of an executor as the leader sees it.
+type vm struct {
+	fleet.Executor
+	listed   bool // in the registry
+	used     api.Resources
+	claims   map[platform.Run]*claim
+	draining time.Time // when it was first read as leaving; zero: it isn't
+
+	known   bool                   // it has reported to this leader
+	clock   platform.ExecutorClock // at its newest report
+	clockAt time.Time              // when that report arrived; zero: never
+	lease   platform.ExecutorClock // latest end of lease that was sent
+	seen    uint64                 // ends up to here are durable
+	taken   uint64                 // ends up to here were applied
+	lapses  time.Time              // when an inherited lease is certainly over
+
+	failJobs   map[*job]struct{} // whose tasks failed in a row
+	avoidUntil time.Time
+	slowness   float64 // moving ratio of run times to estimates against the fleet's; 1: as the fleet
+}
+
+func newVM(e fleet.Executor) *vm {
+	return &vm{Executor: e, claims: make(map[platform.Run]*claim), failJobs: make(map[*job]struct{}), slowness: 1}
+}
+
+// free returns the room that no claim holds.
+func (v *vm) free() api.Resources { return v.Capacity.Sub(v.used) }
+
+// add takes room for a run.
+func (v *vm) add(c *claim) {
+	c.vm = v
+	v.claims[c.run] = c
+	v.used = v.used.Add(c.need)
+	if c.task != nil {
+		c.task.claims++
+	}
+}
+
+// remove gives the room of a run back.
+func (v *vm) remove(c *claim) {
+	delete(v.claims, c.run)
+	v.used = v.used.Sub(c.need)
+	if c.task != nil {
+		c.task.claims--
+	}
+}
+
+// clockNow returns a reading that the executor's clock has reached by now at
+// the earliest.
+func (v *vm) clockNow(now time.Time, drift float64) platform.ExecutorClock {
+	passed := float64(now.Sub(v.clockAt)) * (1 - drift)
+	return v.clock.Add(time.Duration(passed))
+}
+
+// leaseOver reports whether everything on the executor is certainly over.
+func (v *vm) leaseOver(now time.Time, drift float64) bool {
+	if !v.lapses.IsZero() && now.Before(v.lapses) {
+		return false
+	}
+	if v.clockAt.IsZero() {
+		return !v.lapses.IsZero()
+	}
+	return v.clockNow(now, drift) > v.lease
+}
+
+// usable reports whether the executor may be given new work.
+func (v *vm) usable(now time.Time, cfg *Config) bool {
+	return v.listed && v.known && !v.Draining &&
+		now.Sub(v.clockAt) < cfg.SilentAfter &&
+		!now.Before(v.avoidUntil)
+}
--- /dev/null
+++ b/internal/platform/executor.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// ExecutorClock is a reading of an executor's own steady clock, in
+// milliseconds. Readings of different executors can't be compared.
+type ExecutorClock int64
+
+// Add returns the reading d later on the same clock.
+func (c ExecutorClock) Add(d time.Duration) ExecutorClock {
+	return c + ExecutorClock(d.Milliseconds())
+}
+
+// ExecutorRef names one life of an executor and where to reach it.
+type ExecutorRef struct {
+	ID      string // new with each life
+	Address string // IP:port
+}
+
+// Run is one start of a task.
+type Run struct {
+	Task   work.TaskKey
+	Number uint32 // from 1, rises with each start of the task
+}
+
+// StartOrder asks an executor to start a task.
+type StartOrder struct {
+	Run           Run
+	Specification string
+	Checkpoint    string        // to resume from; empty: from the beginning
+	LeaseUntil    ExecutorClock // the order is void from then on
+	Token         uint64        // fencing token
+	Ticket        string        // permission of the advice service; empty: none
+}
+
+// HoldOrder renews the lease of everything on an executor and asks what runs
+// there.
+type HoldOrder struct {
+	LeaseUntil ExecutorClock // 0: the lease stays as it is
+	Token      uint64        // fencing token
+	Seen       uint64        // ends up to this number may be forgotten
+	Wait       time.Duration // how long the answer may wait for an end
+}
+
+// How says how a run ended.
+type How uint8
+
+// The ways in which a run ends.
+const (
+	EndUnknown How = iota // a word that this version doesn't know; counts as stopped
+	EndDone               //
+	EndFailed             // through its own fault or the executor's
+	EndStopped            // by an order
+	EndLapsed             // its lease expired
+	EndBroken             // another member of its gang ended
+	EndAlone              // the rest of its gang didn't come in time
+)
+
+// String returns the way's name in logs.
+func (h How) String() string {
+	return [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone"}[h]
+}
+
+// RunningTask is one task at work on an executor.
+type RunningTask struct {
+	Run        Run
+	Checkpoint string // newest that it has saved
+	Percent    int    // share of its pace that it is allowed
+	Load       int    // rough: processors used (thousandths), or for a task with users their tail response time (ms)
+}
+
+// EndedRun is one end that an executor lists until it is told that it was seen.
+type EndedRun struct {
+	Number     uint64 // rises within one life of the executor, from 1
+	Run        Run
+	How        How
+	Checkpoint string
+}
+
+// ExecutorReport is an executor's answer to a hold.
+type ExecutorReport struct {
+	Clock   ExecutorClock
+	Running []RunningTask
+	Ended   []EndedRun
+}
+
+// Refusal is the reason why an executor refused a start.
+type Refusal string
+
+// Reasons of refusal.
+const (
+	RefusedFence  Refusal = "fenced"     // it has seen a higher token
+	RefusedOld    Refusal = "old_run"    // this run, or a later one, has ended or been stopped there
+	RefusedLate   Refusal = "late"       // the order's lease is over
+	RefusedRoom   Refusal = "no_room"    // it guards its capacity
+	RefusedTicket Refusal = "ticket"     // missing, lapsed or for another step
+	RefusedBad    Refusal = "bad_order"  // it can't read the order
+	RefusedSick   Refusal = "unhealthy"  // it did nothing and isn't well
+	RefusedGone   Refusal = "other_life" // another life of the executor answers at the address
+)
+
+// RefusedError is an executor's refusal; the order had no effect.
+type RefusedError struct {
+	Reason Refusal
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "executor refused: " + string(e.Reason) }
+
+// ErrNotReached: the call certainly did not reach the executor.
+var ErrNotReached = errors.New("executor not reached")
+
+// ErrNoAnswer: the order may have been carried out, or may be later.
+var ErrNoAnswer = errors.New("executor gave no answer")
+
+// Executors sends orders to executors. Calls fail with *RefusedError,
+// ErrNotReached or ErrNoAnswer.
+type Executors interface {
+	Start(ctx context.Context, to ExecutorRef, order StartOrder) (ExecutorClock, error)
+	Stop(ctx context.Context, to ExecutorRef, run Run, token uint64) (ExecutorClock, error)
+	Hold(ctx context.Context, to ExecutorRef, order HoldOrder) (ExecutorReport, error)
+}
+
+// Grant is the advice service's permission to run a step on an executor.
+type Grant struct {
+	Executor string
+	Ticket   string
+}
+
+// Adviser asks which of some executors a step may run on.
+type Adviser interface {
+	// Advise returns the grants and how long their tickets are valid.
+	Advise(ctx context.Context, step work.StepKey, executors []string) ([]Grant, time.Duration, error)
+}
--- /dev/null
+++ b/internal/queue/watch.go
@@ -0,0 +1,114 @@
+package queue
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Timing of the watch. A configuration has to be in force 2 s after its
+// confirmation, also when a connection went silent and its read timed out.
+const (
+	watchWait    = 800 * time.Millisecond
+	watchTimeout = 500 * time.Millisecond // beside the wait
+	watchRetry   = 100 * time.Millisecond
+)
+
+// Watch follows the operator's configuration in the store. The version in
+// force never goes back, whatever the store returns.
+type Watch struct {
+	Log       platform.PartitionLog
+	Partition platform.Partition
+	Key       string // of the configuration's record
+	Decode    func([]byte) (*Table, error)
+	Events    *logrus.Entry
+
+	table atomic.Pointer[Table]
+	next  platform.Offset
+	read  bool // the newest record was read once
+}
+
+// Table returns the configuration in force; nil before the first.
+func (w *Watch) Table() *Table { return w.table.Load() }
+
+// Run follows the configuration until ctx ends.
+func (w *Watch) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := w.step(ctx); err != nil {
+			w.Events.WithError(err).Debug("configuration not read")
+			timer := time.NewTimer(watchRetry)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+	}
+	return nil
+}
+
+func (w *Watch) step(ctx context.Context) error {
+	if !w.read {
+		return w.newest(ctx)
+	}
+	readCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
+	defer cancel()
+	batch, err := w.Log.Read(readCtx, w.Partition, w.next, watchWait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		w.read = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.next = batch.Next
+	for _, r := range batch.Records {
+		w.apply(r)
+	}
+	return nil
+}
+
+// newest reads the newest configuration and where to go on.
+func (w *Watch) newest(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	after := ""
+	for first := true; ; first = false {
+		page, err := w.Log.Newest(ctx, w.Partition, after)
+		if err != nil {
+			return err
+		}
+		if first {
+			w.next = page.End
+		}
+		for _, r := range page.Records {
+			w.apply(r)
+			after = r.Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			w.read = true
+			return nil
+		}
+	}
+}
+
+func (w *Watch) apply(r platform.Record) {
+	if r.Key != w.Key || len(r.Value) == 0 {
+		return
+	}
+	t, err := w.Decode(r.Value)
+	if err != nil {
+		w.Events.WithError(err).WithField("offset", r.Offset).Error("unreadable configuration is skipped")
+		return
+	}
+	if old := w.table.Load(); old != nil && t.Version <= old.Version {
+		return
+	}
+	w.table.Store(t)
+	w.Events.WithFields(logrus.Fields{"version": t.Version, "queues": len(t.Queues)}).Info("configuration in force")
+}
--- /dev/null
+++ b/internal/replica/follow.go
@@ -0,0 +1,160 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Timing holds the intervals of the reader.
+type Timing struct {
+	Wait  time.Duration // how long a read waits for a record
+	Pace  time.Duration // least time between two reads
+	Eager time.Duration // the same on the machine that leads
+	Call  time.Duration // longest read beside its wait
+	Retry time.Duration // pause after a read that failed
+}
+
+// DefaultTiming returns the timing in use. A client learns of its job's end
+// from this replica, and the tightest latency objective leaves 0.6 s beside
+// the work: the pace adds at most a sixth of that. The leader plans from what
+// it reads, and pays one read for each batch of records.
+func DefaultTiming() Timing {
+	return Timing{
+		Wait:  time.Second,
+		Pace:  100 * time.Millisecond,
+		Eager: 10 * time.Millisecond,
+		Call:  700 * time.Millisecond,
+		Retry: 100 * time.Millisecond,
+	}
+}
+
+// Reader keeps a replica up to date.
+type Reader struct {
+	Replica   *Replica
+	Log       platform.PartitionLog
+	Partition platform.Partition
+	Timing    Timing
+	Leads     func() bool // this machine plans from the replica
+}
+
+// Run reads until ctx ends.
+func (f *Reader) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		started := time.Now()
+		if err := f.step(ctx); err != nil {
+			f.Replica.events.WithError(err).Debug("jobs not read")
+			pause(ctx, f.Timing.Retry)
+			continue
+		}
+		pause(ctx, f.pace()-time.Since(started))
+	}
+	return nil
+}
+
+func (f *Reader) pace() time.Duration {
+	if f.Leads() {
+		return f.Timing.Eager
+	}
+	return f.Timing.Pace
+}
+
+func (f *Reader) step(ctx context.Context) error {
+	if !f.Replica.Synced() {
+		return f.Restore(ctx)
+	}
+	err := f.read(ctx, f.Timing.Wait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		f.Replica.events.WithField("first", trimmed.First).Info("records are gone; reading the newest of each key")
+		return f.Restore(ctx)
+	}
+	return err
+}
+
+// Sync reads everything that the store held when it was called.
+func (f *Reader) Sync(ctx context.Context) error {
+	if !f.Replica.Synced() {
+		return f.Restore(ctx)
+	}
+	err := f.read(ctx, 0)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		return f.Restore(ctx)
+	}
+	return err
+}
+
+// read applies what follows the replica's position, until the end that the
+// first answer names.
+func (f *Reader) read(ctx context.Context, wait time.Duration) error {
+	for {
+		batch, err := f.readOnce(ctx, wait)
+		if err != nil {
+			return err
+		}
+		f.Replica.apply(batch.Records, batch.Next, time.Now())
+		if batch.Next >= batch.End || len(batch.Records) == 0 {
+			return nil
+		}
+		wait = 0
+	}
+}
+
+func (f *Reader) readOnce(ctx context.Context, wait time.Duration) (platform.RecordBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Timing.Call+wait)
+	defer cancel()
+	return f.Log.Read(ctx, f.Partition, f.Replica.Position(), wait)
+}
+
+// Restore reads the newest record of every key. Records that were written
+// meanwhile follow from the end that the first page names.
+func (f *Reader) Restore(ctx context.Context) error {
+	after := ""
+	end := platform.Offset(0)
+	for page := 0; ; page++ {
+		got, err := f.newest(ctx, after)
+		if err != nil {
+			return err
+		}
+		if page == 0 {
+			end = got.End
+		}
+		f.Replica.apply(got.Records, 0, time.Now())
+		if !got.More || len(got.Records) == 0 {
+			break
+		}
+		after = got.Records[len(got.Records)-1].Key
+	}
+	f.Replica.restored(end)
+	return nil
+}
+
+func (f *Reader) newest(ctx context.Context, after string) (platform.NewestPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Timing.Call)
+	defer cancel()
+	return f.Log.Newest(ctx, f.Partition, after)
+}
+
+// restored notes that all records before end have been applied.
+func (r *Replica) restored(end platform.Offset) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next = max(r.next, end)
+	r.synced = true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,207 @@
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// shardCount is the number of parts that the jobs are spread over, each under
+// its own lock, so that requests rarely wait for the reader.
+const shardCount = 16
+
+// Replica is the state of a cell's jobs. Its methods may be called from any
+// goroutine.
+type Replica struct {
+	events *logrus.Entry
+	kept   time.Duration // how long an ended job stays known
+	shards [shardCount]shard
+
+	mu       sync.Mutex // guards the fields below and orders changes
+	next     platform.Offset
+	synced   bool      // everything up to next has been applied
+	current  time.Time // when the store last answered a read
+	listener func([]Change)
+}
+
+type shard struct {
+	mu   sync.RWMutex
+	jobs map[work.ID]*Entry
+}
+
+// New returns an empty replica that forgets a job some time after its end.
+func New(kept time.Duration, events *logrus.Entry) *Replica {
+	r := &Replica{events: events, kept: kept}
+	for i := range r.shards {
+		r.shards[i].jobs = make(map[work.ID]*Entry)
+	}
+	return r
+}
+
+func (r *Replica) shard(id work.ID) *shard { return &r.shards[id[len(id)-1]%shardCount] }
+
+// Get returns what is known of a job.
+func (r *Replica) Get(id work.ID) (Entry, bool) {
+	s := r.shard(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e := s.jobs[id]
+	if e == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Synced reports whether the store has been read to its end once.
+func (r *Replica) Synced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.synced
+}
+
+// Age returns how long ago the store last answered.
+func (r *Replica) Age(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.current)
+}
+
+// Position returns up to where the partition has been applied.
+func (r *Replica) Position() platform.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (r *Replica) Pending(queue string) int {
+	n := 0
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for _, e := range s.jobs {
+			if e.Job != nil && e.Job.Queue == queue && e.State() == work.Queued {
+				n++
+			}
+		}
+		s.mu.RUnlock()
+	}
+	return n
+}
+
+// Follow calls listener with every job that is known and, from then on, with
+// each batch of changes, in order and one call at a time. It replaces the
+// former listener; nil ends it.
+func (r *Replica) Follow(listener func([]Change)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listener = listener
+	if listener == nil {
+		return
+	}
+	var all []Change
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for id, e := range s.jobs {
+			all = append(all, Change{ID: id, Kind: work.KindJob, Entry: *e})
+		}
+		s.mu.RUnlock()
+	}
+	listener(all)
+}
+
+// apply takes in records that were read in order; next is where to read on.
+func (r *Replica) apply(records []platform.Record, next platform.Offset, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.current = now
+	var changes []Change
+	for _, rec := range records {
+		if c, ok := r.applyOne(rec, now); ok {
+			changes = append(changes, c)
+		}
+	}
+	r.next = max(r.next, next)
+	if r.listener != nil && len(changes) > 0 {
+		r.listener(changes)
+	}
+}
+
+// applyOne takes in one record; r.mu is held.
+func (r *Replica) applyOne(rec platform.Record, now time.Time) (Change, bool) {
+	kind, id, err := work.ParseKey(rec.Key)
+	if err != nil {
+		r.events.WithError(err).WithField("offset", rec.Offset).Error("record with an unknown key is skipped")
+		return Change{}, false
+	}
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(rec.Value) == 0 {
+		delete(s.jobs, id) // the leader deletes all of a job's keys together
+		return Change{}, false
+	}
+	e := s.jobs[id]
+	if e == nil {
+		e = &Entry{}
+		s.jobs[id] = e
+	}
+	if err := e.take(kind, rec); err != nil {
+		r.events.WithError(err).WithFields(logrus.Fields{"job": id, "offset": rec.Offset}).Error("unreadable record is skipped")
+		return Change{}, false
+	}
+	if e.ended.IsZero() && e.State().Final() {
+		e.ended = now
+	}
+	return Change{ID: id, Kind: kind, Entry: *e}, true
+}
+
+// take applies a record to the entry of its job.
+func (e *Entry) take(kind work.Kind, rec platform.Record) error {
+	switch kind {
+	case work.KindJob:
+		if e.Job != nil {
+			return nil // the first submission of an ID counts
+		}
+		job, err := work.DecodeJob(rec.Value)
+		if err != nil {
+			return err
+		}
+		e.Job = job
+	case work.KindProgress:
+		if rec.Offset < e.progressAt {
+			return nil // a page of the newest records is older than what was read since
+		}
+		progress, err := work.DecodeProgress(rec.Value)
+		if err != nil {
+			return err
+		}
+		e.Progress = progress
+		e.progressAt = rec.Offset
+	case work.KindCancel:
+		e.Cancelled = true
+	}
+	return nil
+}
+
+// Expired returns up to limit jobs that ended long enough ago to be
+// forgotten.
+func (r *Replica) Expired(now time.Time, limit int) []work.ID {
+	var ids []work.ID
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for id, e := range s.jobs {
+			if len(ids) < limit && !e.ended.IsZero() && now.Sub(e.ended) > r.kept {
+				ids = append(ids, id)
+			}
+		}
+		s.mu.RUnlock()
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/work/codec.go
@@ -0,0 +1,60 @@
+package work
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Kind says what a record of the cell's partition holds.
+type Kind byte
+
+// Kinds of records. A record's key is its kind and the job's ID, as text,
+// since the platform's store returns keys inside JSON.
+const (
+	KindJob      Kind = 'j' // a submission; value: Job
+	KindProgress Kind = 'p' // value: Progress
+	KindCancel   Kind = 'c' // a client's cancel; the value holds nothing of meaning
+)
+
+// Key returns the key of the record of the given kind for a job.
+func Key(kind Kind, id ID) string { return string(rune(kind)) + id.String() }
+
+// ParseKey reads a key made by Key.
+func ParseKey(key string) (Kind, ID, error) {
+	if key == "" {
+		return 0, ID{}, errors.New("work: empty record key")
+	}
+	id, err := ParseID(key[1:])
+	if err != nil {
+		return 0, id, errors.Wrapf(err, "record key %q", key)
+	}
+	return Kind(key[0]), id, nil
+}
+
+// EncodeJob returns the value of a job's record.
+func EncodeJob(j *Job) ([]byte, error) { return cbor.Marshal(j) }
+
+// DecodeJob reads the value of a job's record.
+func DecodeJob(data []byte) (*Job, error) {
+	j := &Job{}
+	if err := cbor.Unmarshal(data, j); err != nil {
+		return nil, errors.Wrap(err, "work: job record")
+	}
+	return j, nil
+}
+
+// EncodeProgress returns the value of a progress record.
+func EncodeProgress(p *Progress) ([]byte, error) { return cbor.Marshal(p) }
+
+// DecodeProgress reads the value of a progress record.
+func DecodeProgress(data []byte) (*Progress, error) {
+	p := &Progress{}
+	if err := cbor.Unmarshal(data, p); err != nil {
+		return nil, errors.Wrap(err, "work: progress record")
+	}
+	return p, nil
+}
+
+// CancelValue is the value of a cancel's record: a record without a value
+// would delete the key.
+var CancelValue = []byte{1}
--- /dev/null
+++ b/internal/work/id.go
@@ -0,0 +1,79 @@
+package work
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ID names a job. Clients choose it; on the wire it is 16 hexadecimal digits.
+type ID [8]byte
+
+// ErrBadID says that a text is not a job ID.
+var ErrBadID = errors.New("work: job ID is not 16 hexadecimal digits")
+
+// ParseID reads 16 hexadecimal digits.
+func ParseID(text string) (ID, error) {
+	var id ID
+	if len(text) != 2*len(id) {
+		return id, ErrBadID
+	}
+	if _, err := hex.Decode(id[:], []byte(text)); err != nil {
+		return id, ErrBadID
+	}
+	return id, nil
+}
+
+// String returns the 16 digits in lower case.
+func (id ID) String() string { return hex.EncodeToString(id[:]) }
+
+// StepKey names one step of one occurrence of a job.
+type StepKey struct {
+	Job        ID
+	Occurrence int // counted from 0; 0 for a job without a schedule
+	Step       int // counted from 0
+}
+
+// String returns the form in which executors and the advice service know it.
+func (k StepKey) String() string {
+	return fmt.Sprintf("%s.%d.%d", k.Job, k.Occurrence, k.Step)
+}
+
+// TaskKey names one task.
+type TaskKey struct {
+	StepKey
+	Index int // within the step, counted from 0
+}
+
+// String returns the task's name as executors know it.
+func (k TaskKey) String() string {
+	return k.StepKey.String() + "." + strconv.Itoa(k.Index)
+}
+
+// taskKeyParts is the number of parts between the dots of a task's name.
+const taskKeyParts = 4
+
+// ParseTaskKey reads the name of a task.
+func ParseTaskKey(text string) (TaskKey, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != taskKeyParts {
+		return TaskKey{}, errors.Newf("work: task name %q has %d parts, not %d", text, len(parts), taskKeyParts)
+	}
+	id, err := ParseID(parts[0])
+	if err != nil {
+		return TaskKey{}, errors.Wrapf(err, "task name %q", text)
+	}
+	var numbers [taskKeyParts - 1]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return TaskKey{}, errors.Newf("work: task name %q: part %q is not a number", text, part)
+		}
+		numbers[i] = n
+	}
+	step := StepKey{Job: id, Occurrence: numbers[0], Step: numbers[1]}
+	return TaskKey{StepKey: step, Index: numbers[2]}, nil
+}
