Ask about executors that came later; never add an ended job again

Change: calls name executors that are not known yet; few reports after a takeover are waited for; the cell remembers what ended under it, and a submission read twice is no change. Steps that wait long are explained in the log.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -194,6 +194,7 @@
 	r.cell.BeginDue(now.UnixMilli(), now)
 	r.cell.DropSilent(now)
 	starts := r.cell.Plan(now)
+	r.cell.ExplainWaits(now)
 	stops := r.cell.TakeStops(now)
 	records := r.cell.TakeDirty()
 	done := r.cycle
@@ -269,7 +270,13 @@
 	if len(ids) == 0 {
 		return nil
 	}
-	return r.writer.forget(ctx, ids)
+	if err := r.writer.forget(ctx, ids); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cell.Forget(ids)
+	return nil
 }
 
 // followRegistry keeps the cell's list of executors up to date.
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -96,22 +96,56 @@
 
 // toAsk returns the executors that a call about the step should name, or none
 // if no call is due. The first call names all executors, since what it tells
-// stays true. Later ones renew lapsed tickets, when room for the step is
-// near, and name new executors with them.
+// stays true. Later ones renew lapsed tickets when room for the step is near.
+// Executors that are not known yet are asked about where those that may run
+// the step are too few for it.
 func (c *Cell) toAsk(s *step, q *queue.Queue, now time.Time) []string {
-	if len(s.unplaced()) == 0 || s.advice.anyValid(now) {
+	if len(s.unplaced()) == 0 {
 		return nil
 	}
-	first := s.advice.tickets == nil
-	if !first {
-		soon := now.Add(q.Advice.Cost(len(s.advice.tickets)) + askAhead)
-		if !c.fitsBy(s, q, soon, now) {
-			return nil
+	ids := c.candidates(s, q, now)
+	fresh := 0
+	for _, id := range ids {
+		if !s.advice.knows(id) {
+			fresh++
 		}
 	}
-	return c.candidates(s, q, now)
+	if fresh > 0 && fresh == len(ids) {
+		return c.worthAsking(ids, s, now)
+	}
+	if s.advice.anyValid(now) {
+		return nil
+	}
+	soon := now.Add(q.Advice.Cost(len(ids)) + askAhead)
+	if fresh > 0 || c.fitsBy(s, q, soon, now) {
+		return ids
+	}
+	return nil
+}
+
+// worthAsking returns ids for a step's first call unless this leader has
+// heard of few executors yet: after a takeover the reports come in within
+// moments.
+func (c *Cell) worthAsking(ids []string, s *step, now time.Time) []string {
+	if now.Sub(c.began) > gatherFor {
+		return ids
+	}
+	listed := 0
+	for _, v := range c.sorted {
+		if v.listed && v.Service == c.service(s.job) {
+			listed++
+		}
+	}
+	if 2*len(ids) < listed {
+		return nil
+	}
+	return ids
 }
 
+// gatherFor is how long after a takeover first reports are waited for before
+// advice is asked about few executors.
+const gatherFor = time.Second
+
 // askAhead is how much earlier than needed a ticket may be renewed: run times
 // are only estimated.
 const askAhead = 150 * time.Millisecond
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -14,18 +14,20 @@
 
 // Cell is the state of one cell as its leader plans it. Its user guards it.
 type Cell struct {
-	cfg     Config
-	events  *logrus.Entry
-	lookup  func(work.ID) *work.Job // any stored job, also one that has ended; nil if unknown
-	table   *queue.Table
-	began   time.Time // when this leader took over
-	vms     map[string]*vm
-	sorted  []*vm // by id
-	jobs    map[work.ID]*job
-	waiting []*step // with tasks to place
-	timed   []*job  // with occurrences to come
-	dirty   []*job  // whose durable record is behind
-	stops   []Stop  // to be sent
+	cfg       Config
+	events    *logrus.Entry
+	lookup    func(work.ID) *work.Job // any stored job, also one that has ended; nil if unknown
+	table     *queue.Table
+	began     time.Time // when this leader took over
+	vms       map[string]*vm
+	sorted    []*vm // by id
+	jobs      map[work.ID]*job
+	ended     map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
+	waiting   []*step              // with tasks to place
+	timed     []*job               // with occurrences to come
+	dirty     []*job               // whose durable record is behind
+	stops     []Stop               // to be sent
+	explained time.Time            // when waiting steps were last explained
 }
 
 // Stop is an order to stop a run.
@@ -44,6 +46,7 @@
 		began:  now,
 		vms:    make(map[string]*vm),
 		jobs:   make(map[work.ID]*job),
+		ended:  make(map[work.ID]struct{}),
 	}
 }
 
@@ -88,7 +91,7 @@
 // AddJob takes in a job that has not ended. Its progress is nil when nothing
 // of it has started; otherwise the runs that it names may exist.
 func (c *Cell) AddJob(spec *work.Job, p *work.Progress, wall int64, now time.Time) {
-	if c.jobs[spec.ID] != nil {
+	if _, over := c.ended[spec.ID]; over || c.jobs[spec.ID] != nil {
 		return
 	}
 	age := time.Duration(max(0, wall-spec.Accepted)) * time.Millisecond
@@ -168,6 +171,14 @@
 	}
 	j.running = nil
 	delete(c.jobs, j.spec.ID)
+	c.ended[j.spec.ID] = struct{}{}
+}
+
+// Forget lets go of what is remembered of jobs whose records were deleted.
+func (c *Cell) Forget(ids []work.ID) {
+	for _, id := range ids {
+		delete(c.ended, id)
+	}
 }
 
 // abandon lets go of a step whose job has ended.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -151,8 +152,11 @@
 		e = &Entry{}
 		s.jobs[id] = e
 	}
-	if err := e.take(kind, rec); err != nil {
+	news, err := e.take(kind, rec)
+	if err != nil {
 		r.events.WithError(err).WithFields(logrus.Fields{"job": id, "offset": rec.Offset}).Error("unreadable record is skipped")
+	}
+	if !news {
 		return Change{}, false
 	}
 	if e.ended.IsZero() && e.State().Final() {
@@ -161,32 +165,36 @@
 	return Change{ID: id, Kind: kind, Entry: *e}, true
 }
 
-// take applies a record to the entry of its job.
-func (e *Entry) take(kind work.Kind, rec platform.Record) error {
+// take applies a record to the entry of its job and reports whether it says
+// anything new: a submission may be stored twice, and records are read again
+// when the store has dropped its history.
+func (e *Entry) take(kind work.Kind, rec platform.Record) (bool, error) {
 	switch kind {
 	case work.KindJob:
 		if e.Job != nil {
-			return nil // the first submission of an ID counts
+			return false, nil // the first submission of an ID counts
 		}
 		job, err := work.DecodeJob(rec.Value)
-		if err != nil {
-			return err
-		}
 		e.Job = job
+		return err == nil, err
 	case work.KindProgress:
-		if rec.Offset < e.progressAt {
-			return nil // a page of the newest records is older than what was read since
+		if e.Progress != nil && rec.Offset <= e.progressAt {
+			return false, nil // a page of the newest records is older than what was read since
 		}
 		progress, err := work.DecodeProgress(rec.Value)
 		if err != nil {
-			return err
+			return false, err
 		}
 		e.Progress = progress
 		e.progressAt = rec.Offset
+		return true, nil
 	case work.KindCancel:
+		news := !e.Cancelled
 		e.Cancelled = true
+		return news, nil
+	default:
+		return false, errors.Newf("replica: unknown kind of record %q", kind)
 	}
-	return nil
 }
 
 // Expired returns up to limit jobs that ended long enough ago to be
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,81 @@
+package replica
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func jobRecord(at platform.Offset, j *work.Job) platform.Record {
+	value, err := work.EncodeJob(j)
+	So(err, ShouldBeNil)
+	return platform.Record{Offset: at, Key: work.Key(work.KindJob, j.ID), Value: value}
+}
+
+func progressRecord(at platform.Offset, id work.ID, s work.State) platform.Record {
+	value, err := work.EncodeProgress(&work.Progress{State: s})
+	So(err, ShouldBeNil)
+	return platform.Record{Offset: at, Key: work.Key(work.KindProgress, id), Value: value}
+}
+
+func TestReplica(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	id := work.ID{1}
+	Convey("Given a replica that is followed", t, func() {
+		r := New(time.Minute, quiet())
+		var seen []Change
+		r.Follow(func(changes []Change) { seen = append(seen, changes...) })
+		first := &work.Job{ID: id, Queue: "q", Specification: "first"}
+		r.apply([]platform.Record{jobRecord(0, first)}, 1, now)
+
+		Convey("a job counts as pending until it has begun", func() {
+			So(r.Pending("q"), ShouldEqual, 1)
+			r.apply([]platform.Record{progressRecord(1, id, work.Running)}, 2, now)
+			So(r.Pending("q"), ShouldEqual, 0)
+		})
+		Convey("a second submission of the ID changes nothing and tells the follower nothing", func() {
+			second := &work.Job{ID: id, Queue: "q", Specification: "second"}
+			r.apply([]platform.Record{jobRecord(1, second)}, 2, now)
+			e, known := r.Get(id)
+			So(known, ShouldBeTrue)
+			So(e.Job.Specification, ShouldEqual, "first")
+			So(seen, ShouldHaveLength, 1)
+		})
+		Convey("an older progress read from a page doesn't replace a newer one", func() {
+			r.apply([]platform.Record{progressRecord(5, id, work.Completed)}, 6, now)
+			r.apply([]platform.Record{progressRecord(3, id, work.Running)}, 0, now)
+			e, _ := r.Get(id)
+			So(e.State(), ShouldEqual, work.Completed)
+		})
+		Convey("a cancelled job stays completed if the leader had it completed", func() {
+			r.apply([]platform.Record{{Offset: 1, Key: work.Key(work.KindCancel, id), Value: work.CancelValue}}, 2, now)
+			e, _ := r.Get(id)
+			So(e.State(), ShouldEqual, work.Cancelled)
+			r.apply([]platform.Record{progressRecord(2, id, work.Completed)}, 3, now)
+			e, _ = r.Get(id)
+			So(e.State(), ShouldEqual, work.Completed)
+		})
+		Convey("a deleted key is forgotten", func() {
+			r.apply([]platform.Record{{Offset: 1, Key: work.Key(work.KindJob, id)}}, 2, now)
+			_, known := r.Get(id)
+			So(known, ShouldBeFalse)
+		})
+		Convey("a job expires some time after its end", func() {
+			r.apply([]platform.Record{progressRecord(1, id, work.Failed)}, 2, now)
+			So(r.Expired(now.Add(time.Minute), 10), ShouldBeEmpty)
+			So(r.Expired(now.Add(time.Minute+time.Second), 10), ShouldHaveLength, 1)
+		})
+	})
+}
