Count a lease from the executor's last report

Ruled out: restore after a takeover, tickets, gangs (the claims were at work on executors that had reported once and were gone since). Change: the renewal names the time from the last report, so that repeats name the same. Test plays the calls to a silent executor.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -31,7 +31,7 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		asked := time.Now()
-		order, wanted := r.cell.Hold(ref.ID, r.cfg.MayRenew(), asked)
+		order, wanted := r.cell.Hold(ref.ID, r.cfg.MayRenew())
 		r.mu.Unlock()
 		if !wanted {
 			return
--- /dev/null
+++ b/internal/plan/lease_test.go
@@ -0,0 +1,99 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+func TestLeases(t *testing.T) {
+	Convey("Given a task on an executor that falls silent", t, func() {
+		w := newWorld(t, 2)
+		w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: 20 * time.Second})
+		orders := w.cycle()
+		So(orders, ShouldHaveLength, 1)
+		w.startAll(orders)
+		at := orders[0].Start.To.ID
+		other := map[string]string{"e0": "e1", "e1": "e0"}[at]
+		w.report(at, running(orders[0].Start.Run), nil)
+
+		// silence lets d pass while the silent executor is called every 200 ms.
+		silence := func(d time.Duration) []Order {
+			for end := w.now.Add(d); w.now.Before(end); w.pass(200 * time.Millisecond) {
+				w.cell.Hold(at, true)
+				w.report(other, nil, nil)
+				if orders := w.cycle(); len(orders) > 0 {
+					return orders
+				}
+			}
+			return nil
+		}
+		Convey("nothing of it starts elsewhere before its lease is certainly over", func() {
+			So(silence(6*time.Second), ShouldBeEmpty)
+		})
+		Convey("it starts elsewhere after that, however often the executor was called", func() {
+			orders := silence(7 * time.Second)
+			So(orders, ShouldHaveLength, 1)
+			So(orders[0].Start.To.ID, ShouldEqual, other)
+			So(orders[0].Start.Run.Number, ShouldEqual, 2)
+		})
+		Convey("a new leader waits for what the former one may have extended", func() {
+			w.listed = map[string]*fleet.Executor{other: w.listed[other]}
+			w.takeOver()
+			w.report(other, nil, nil)
+			So(silence(12*time.Second), ShouldBeEmpty)
+			So(silence(time.Second), ShouldHaveLength, 1)
+		})
+		Convey("a new leader that hears from it starts nothing twice", func() {
+			w.takeOver()
+			w.report(at, running(orders[0].Start.Run), nil)
+			w.report(other, nil, nil)
+			So(w.cycle(), ShouldBeEmpty)
+			So(w.cell.vms[at].used.MilliCPU, ShouldEqual, 4000)
+		})
+		Convey("a new leader that hears that the run isn't there starts it again", func() {
+			w.takeOver()
+			w.report(at, nil, nil)
+			orders := w.cycle()
+			So(orders, ShouldHaveLength, 1)
+			So(orders[0].Start.Run.Number, ShouldEqual, 2)
+		})
+	})
+	Convey("Given a start without an answer", t, func() {
+		w := newWorld(t, 1)
+		w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Second})
+		orders := w.cycle()
+		w.cell.Started(orders[0].Start, platform.ErrNoAnswer, w.now)
+		stops := w.cell.TakeStops(w.now)
+		So(stops, ShouldHaveLength, 1)
+
+		Convey("its room is held while the order may be carried out late", func() {
+			w.pass(time.Second)
+			w.report("e0", nil, nil)
+			So(w.cycle(), ShouldBeEmpty)
+			Convey("and given back once the executor's clock has passed the order's end", func() {
+				w.pass(time.Second)
+				w.report("e0", nil, nil)
+				So(w.cycle(), ShouldHaveLength, 1)
+			})
+		})
+		Convey("a stop that was taken settles it, with the next report", func() {
+			w.cell.Stopped(stops[0], nil, w.now)
+			w.report("e0", nil, nil) // asked before the stop was answered
+			So(w.cycle(), ShouldBeEmpty)
+			w.pass(10 * time.Millisecond)
+			w.report("e0", nil, nil)
+			So(w.cycle(), ShouldHaveLength, 1)
+		})
+		Convey("a report that lists it confirms it", func() {
+			w.report("e0", running(orders[0].Start.Run), nil)
+			w.pass(2 * time.Second)
+			So(w.cycle(), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -12,14 +12,17 @@
 )
 
 // Hold returns the next renewal for an executor; without renew it only asks.
-func (c *Cell) Hold(id string, renew bool, now time.Time) (platform.HoldOrder, bool) {
+// The lease counts from the executor's last report: were it counted from now,
+// each attempt to reach a silent executor would put off the time from which
+// its work is certainly over.
+func (c *Cell) Hold(id string, renew bool) (platform.HoldOrder, bool) {
 	v := c.vms[id]
 	if v == nil {
 		return platform.HoldOrder{}, false
 	}
 	order := platform.HoldOrder{Seen: v.seen}
 	if renew && v.known {
-		order.LeaseUntil = v.clockNow(now, 0).Add(c.cfg.Lease)
+		order.LeaseUntil = v.clock.Add(c.cfg.Lease)
 		v.lease = max(v.lease, order.LeaseUntil)
 	}
 	return order, true
