Hand clients' records to the leader, which stores and delivers them

A release of leadership met a renewal under way and failed, so nobody led for 1.5 s. Each machine read the store ten times a second. Ruled out: connections to the store (16, half of them used). Change: submissions and cancels go to the leader, which stores them with its progress in one append; a new job is planned before it is durable, so that its submission and first starts share the append; what the store certainly refused is taken back. Without a leader a machine appends by itself. The leader delivers what it stored to the machines. The append's timeout follows its usual time. The release is made by the elector's loop.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -1,9 +1,11 @@
-// Package assist is what the machines of a cell do for its leader: they make
-// calls to the advice service, which answers one call of a machine at a time,
-// so that a single machine could not ask for a whole cell.
+// Package assist is what the machines of a cell and its leader do for each
+// other. The machines make calls to the advice service, which answers one call
+// of a machine at a time, so that a single machine could not ask for a whole
+// cell. The leader stores what clients hand in at the machines together with
+// its own records, in one append, and delivers to them what was stored.
 //
 // Each machine attaches to the leader again and again; the leader then hands
-// it calls to make.
+// it calls to make and records.
 package assist
 
 import (
@@ -13,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/peer"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -22,8 +25,10 @@
 
 // Methods of the peer service.
 const (
-	methodAttach = ServiceName + ".Attach"
-	methodAdvise = ServiceName + ".Advise"
+	methodAttach  = ServiceName + ".Attach"
+	methodAdvise  = ServiceName + ".Advise"
+	methodStore   = ServiceName + ".Store"
+	methodDeliver = ServiceName + ".Deliver"
 )
 
 // Caller calls a peer once; *peer.Client is one.
@@ -58,12 +63,103 @@
 	Valid  time.Duration
 }
 
+// Record is a record of the cell's partition between two processes.
+type Record struct {
+	_     struct{} `cbor:",toarray"`
+	Key   string
+	Value []byte
+}
+
+// StoreRequest asks the leader to store records, all or none.
+type StoreRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Records []Record
+}
+
+// StoreOutcome says what became of records.
+type StoreOutcome uint8
+
+// Outcomes of storing.
+const (
+	StoreUnknown StoreOutcome = iota // they may be stored, or may come to be
+	Stored
+	NotStored // and never will be
+	NotLeader // the asked machine doesn't lead; it did nothing
+)
+
+// StoreAnswer tells what became of the records.
+type StoreAnswer struct {
+	_       struct{} `cbor:",toarray"`
+	Outcome StoreOutcome
+}
+
+// Delivery brings stored records to a machine, in the order of the partition.
+type Delivery struct {
+	_       struct{}        `cbor:",toarray"`
+	First   platform.Offset // of the first record
+	Records []Record
+	End     platform.Offset // of the partition as far as the leader knows
+}
+
+// DeliveryAnswer tells up to where the machine knows the partition.
+type DeliveryAnswer struct {
+	_        struct{} `cbor:",toarray"`
+	Position platform.Offset
+}
+
+// Storer stores records as the leader; *dispatch.Runner is one.
+type Storer interface {
+	Store(ctx context.Context, records []platform.Record) StoreOutcome
+}
+
+// Receiver takes in deliveries; *replica.Reader is one.
+type Receiver interface {
+	Deliver(first platform.Offset, records []platform.Record, end platform.Offset) platform.Offset
+}
+
 // Handler answers peers' calls.
 type Handler struct {
-	Leads   func() api.Epoch // 0: this machine doesn't lead
-	Helpers *Helpers
-	Adviser platform.Adviser
-	Longest time.Duration // bound of a call to the advice service
+	Leads    func() api.Epoch // 0: this machine doesn't lead
+	Storer   func() Storer    // nil: this machine doesn't lead
+	Receiver Receiver
+	Helpers  *Helpers
+	Adviser  platform.Adviser
+	Longest  time.Duration // bound of a call to the advice service or the store
+}
+
+// Store stores records for another machine.
+func (h *Handler) Store(request *StoreRequest, reply *StoreAnswer) error {
+	storer := h.Storer()
+	if storer == nil {
+		reply.Outcome = NotLeader
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), h.Longest)
+	defer cancel()
+	reply.Outcome = storer.Store(ctx, unpack(request.Records))
+	return nil
+}
+
+// Deliver takes in records from the leader.
+func (h *Handler) Deliver(d *Delivery, reply *DeliveryAnswer) error {
+	reply.Position = h.Receiver.Deliver(d.First, unpack(d.Records), d.End)
+	return nil
+}
+
+func unpack(records []Record) []platform.Record {
+	out := make([]platform.Record, len(records))
+	for i, r := range records {
+		out[i] = platform.Record{Key: r.Key, Value: r.Value}
+	}
+	return out
+}
+
+func pack(records []platform.Record) []Record {
+	out := make([]Record, len(records))
+	for i, r := range records {
+		out[i] = Record{Key: r.Key, Value: r.Value}
+	}
+	return out
 }
 
 // Attach takes in a machine's offer.
@@ -95,3 +191,17 @@
 	err := c.Call(ctx, leader, methodAttach, &a, &answer)
 	return answer.Epoch, err
 }
+
+// Store asks the leader at an address to store records.
+func Store(ctx context.Context, c Caller, leader string, records []platform.Record) StoreOutcome {
+	var answer StoreAnswer
+	err := c.Call(ctx, leader, methodStore, &StoreRequest{Records: pack(records)}, &answer)
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return NotLeader
+	case err != nil:
+		return StoreUnknown
+	default:
+		return answer.Outcome
+	}
+}
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -64,6 +64,19 @@
 	m.seen = now
 }
 
+// Others returns the machines whose offer holds, but for this one.
+func (h *Helpers) Others(now time.Time) []Attachment {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var others []Attachment
+	for _, m := range h.present(now) {
+		if m.address != "" {
+			others = append(others, Attachment{Node: m.node, Address: m.address})
+		}
+	}
+	return others
+}
+
 // Slot is the right to hand one call to one machine.
 type Slot struct {
 	helper *helper
--- /dev/null
+++ b/internal/assist/publisher.go
@@ -0,0 +1,123 @@
+package assist
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Bounds of deliveries.
+const (
+	// deliverEvery is the time between two deliveries to a machine. Clients
+	// see the end of their job with this delay.
+	deliverEvery = 40 * time.Millisecond
+	// deliverIdle is the time after which a delivery without records says
+	// that there are none (replica.Timing.FedFor is twice that).
+	deliverIdle = 250 * time.Millisecond
+	// deliverTimeout bounds a delivery.
+	deliverTimeout = 500 * time.Millisecond
+	// keptRecords and sentRecords bound what is kept for machines that are
+	// behind, which otherwise read the store, and what one delivery brings.
+	keptRecords = 2000
+	sentRecords = 500
+)
+
+// Publisher delivers what the leader's replica applies to the machines that
+// are attached.
+type Publisher struct {
+	helpers *Helpers
+	caller  Caller
+	events  *logrus.Entry
+
+	mu      sync.Mutex
+	first   platform.Offset // of the first kept record
+	records []platform.Record
+	targets map[api.NodeID]*target
+}
+
+// target is one machine that is delivered to.
+type target struct {
+	position platform.Offset // up to where it knows the partition
+	sent     time.Time       // of the last delivery
+	busy     bool
+}
+
+// NewPublisher returns a publisher of records from an offset on.
+func NewPublisher(from platform.Offset, h *Helpers, c Caller, events *logrus.Entry) *Publisher {
+	return &Publisher{helpers: h, caller: c, events: events, first: from, targets: make(map[api.NodeID]*target)}
+}
+
+// Add takes in records that follow on the last ones.
+func (p *Publisher) Add(records []platform.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.records = append(p.records, records...)
+	if over := len(p.records) - keptRecords; over > 0 {
+		p.records = append([]platform.Record(nil), p.records[over:]...)
+		p.first += platform.Offset(over)
+	}
+}
+
+// Run delivers until ctx ends.
+func (p *Publisher) Run(ctx context.Context) {
+	ticker := time.NewTicker(deliverEvery)
+	defer ticker.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, m := range p.helpers.Others(now) {
+				if d, due := p.next(m.Node, now); due {
+					calls.Go(func() { p.deliver(ctx, m, d) })
+				}
+			}
+		}
+	}
+}
+
+// next returns what a machine should be sent now, if anything.
+func (p *Publisher) next(node api.NodeID, now time.Time) (Delivery, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[node]
+	if t == nil {
+		t = &target{}
+		p.targets[node] = t
+	}
+	end := p.first + platform.Offset(len(p.records))
+	if t.busy || (t.position >= end && now.Sub(t.sent) < deliverIdle) {
+		return Delivery{}, false
+	}
+	t.busy = true
+	t.sent = now
+	d := Delivery{First: end, End: end}
+	if t.position >= p.first && t.position < end {
+		d.First = t.position
+		d.Records = pack(p.records[t.position-p.first:][:min(int(end-t.position), sentRecords)])
+	}
+	return d, true
+}
+
+func (p *Publisher) deliver(ctx context.Context, m Attachment, d Delivery) {
+	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+	defer cancel()
+	var answer DeliveryAnswer
+	err := p.caller.Call(ctx, m.Address, methodDeliver, &d, &answer)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[m.Node]
+	t.busy = false
+	if err != nil {
+		p.events.WithError(err).WithField("machine", m.Node).Debug("records not delivered")
+		return
+	}
+	t.position = answer.Position
+}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -46,6 +46,7 @@
 	Replica   *replica.Replica
 	Reader    *replica.Reader
 	Helpers   *assist.Helpers
+	Caller    assist.Caller
 	Table     func() *queue.Table
 	MayRenew  func() bool // leases may be extended
 	Replaced  func()      // somebody refused this leader's epoch
@@ -61,7 +62,10 @@
 	mu    sync.Mutex // guards the fields below
 	cell  *plan.Cell
 	cycle chan struct{} // closed when the next whole cycle has ended
+	inbox []*submission // to be stored with the next cycle
+	stuck time.Time     // since when the store takes nothing; zero: it does
 	holds map[string]context.CancelFunc
+	ended bool
 	tasks sync.WaitGroup
 }
 
@@ -84,7 +88,7 @@
 	if err := r.begin(ctx); err != nil {
 		return err
 	}
-	defer r.cfg.Replica.Follow(nil)
+	defer r.end()
 	r.spawn(func() { r.followRegistry(ctx) })
 	return r.cycles(ctx)
 }
@@ -107,9 +111,36 @@
 	r.cell.Configure(r.cfg.Table())
 	r.mu.Unlock()
 	r.cfg.Replica.Follow(r.changed)
+	r.publish(ctx)
 	return ctx.Err()
 }
 
+// publish begins to deliver what the replica applies to the other machines.
+func (r *Runner) publish(ctx context.Context) {
+	var publisher *assist.Publisher
+	ready := make(chan struct{})
+	from := r.cfg.Replica.Publish(func(records []platform.Record) {
+		<-ready
+		publisher.Add(records)
+	})
+	publisher = assist.NewPublisher(from, r.cfg.Helpers, r.cfg.Caller, r.cfg.Events)
+	close(ready)
+	r.spawn(func() { publisher.Run(ctx) })
+}
+
+// end lets go of the replica and of what was handed in.
+func (r *Runner) end() {
+	r.cfg.Replica.Publish(nil)
+	r.cfg.Replica.Follow(nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.inbox {
+		s.done <- assist.NotStored
+	}
+	r.inbox = nil
+	r.ended = true
+}
+
 // lookup returns any stored job.
 func (r *Runner) lookup(id work.ID) *work.Job {
 	e, _ := r.cfg.Replica.Get(id)
@@ -191,6 +222,7 @@
 	r.mu.Lock()
 	now := time.Now()
 	r.cell.Configure(r.cfg.Table())
+	handedIn := r.takeInbox(now)
 	r.cell.BeginDue(now.UnixMilli(), now)
 	r.cell.DropSilent(now)
 	starts := r.cell.Plan(now)
@@ -205,10 +237,8 @@
 	for _, s := range stops {
 		r.spawn(func() { r.sendStop(ctx, s) })
 	}
-	if len(records) > 0 {
-		if err := r.writer.write(ctx, records); err != nil {
-			return err
-		}
+	if err := r.store(ctx, handedIn, records); err != nil {
+		return err
 	}
 	close(done)
 	r.send(ctx, starts)
--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -17,10 +17,14 @@
 // epochs fence former ones.
 const producerName = "leader"
 
-// Bounds of one append's repeats.
+// Bounds of one append's repeats. An append takes about 5 ms; its answer may
+// be lost, which only a timeout shows. While the store is slow, answers take
+// up to 60 times as long, so the timeout follows what the last ones took.
 const (
-	appendTimeout = 400 * time.Millisecond // an append takes about 5 ms; its answer may be lost
-	appendRetry   = 50 * time.Millisecond
+	appendTimeout    = 300 * time.Millisecond // least
+	appendTimeoutMax = 3 * time.Second
+	appendPatience   = 4 // times the usual time of an append
+	appendRetry      = 50 * time.Millisecond
 )
 
 // writer appends the leader's records one append after the other. An append
@@ -30,36 +34,41 @@
 	log       platform.PartitionLog
 	partition platform.Partition
 	epoch     api.Epoch
-	sequence  uint64 // of the next append
-	numbered  bool   // an append under this epoch has been answered
+	sequence  uint64        // of the next append
+	usual     time.Duration // moving mean of what appends take
 	events    *logrus.Entry
 }
 
 // fence makes the store refuse the appends of former leaders.
-func (w *writer) fence(ctx context.Context) error { return w.append(ctx, nil) }
+func (w *writer) fence(ctx context.Context) error {
+	_, err := w.append(ctx, nil, false)
+	return err
+}
 
 // maxAppendBytes bounds one append; the store takes 2 MiB.
 const maxAppendBytes = 1 << 20
 
-// write stores records of progress, in as many appends as they need.
-func (w *writer) write(ctx context.Context, records []plan.Record) error {
-	var batch []platform.Record
+// progress returns the records of progress, in parts that fit one append.
+func progress(records []plan.Record) ([][]platform.Record, error) {
+	var parts [][]platform.Record
+	var part []platform.Record
 	size := 0
 	for _, r := range records {
 		value, err := work.EncodeProgress(r.Progress)
 		if err != nil {
-			return errors.Wrapf(err, "dispatch: progress of job %s", r.Job)
+			return nil, errors.Wrapf(err, "dispatch: progress of job %s", r.Job)
 		}
 		if size+len(value) > maxAppendBytes {
-			if err := w.append(ctx, batch); err != nil {
-				return err
-			}
-			batch, size = nil, 0
+			parts = append(parts, part)
+			part, size = nil, 0
 		}
-		batch = append(batch, platform.Record{Key: work.Key(work.KindProgress, r.Job), Value: value})
+		part = append(part, platform.Record{Key: work.Key(work.KindProgress, r.Job), Value: value})
 		size += len(value)
 	}
-	return w.append(ctx, batch)
+	if len(part) > 0 {
+		parts = append(parts, part)
+	}
+	return parts, nil
 }
 
 // forget deletes all records of jobs.
@@ -70,45 +79,60 @@
 			out = append(out, platform.Record{Key: work.Key(kind, id)})
 		}
 	}
-	return w.append(ctx, out)
+	_, err := w.append(ctx, out, false)
+	return err
 }
 
-// append repeats one append until it is done. It fails when a higher epoch
-// has written or ctx has ended.
-func (w *writer) append(ctx context.Context, records []platform.Record) error {
+// append repeats one append until it is done and returns the offset of its
+// first record. It fails when a higher epoch has written or ctx has ended;
+// with giveUp also with platform.ErrUnavailable when the store refuses an
+// append that certainly was not done before.
+func (w *writer) append(ctx context.Context, records []platform.Record, giveUp bool) (platform.Offset, error) {
+	timeout := min(max(appendTimeout, appendPatience*w.usual), appendTimeoutMax)
 	for {
-		err := w.try(ctx, records)
+		first, err := w.try(ctx, records, timeout)
 		var sequence *platform.SequenceError
 		switch {
 		case err == nil:
-			w.numbered = true
 			if len(records) > 0 {
 				w.sequence++
 			}
-			return nil
+			return first, nil
 		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrTooLarge):
-			return err
+			return 0, err
 		case ctx.Err() != nil:
-			return ctx.Err()
+			return 0, ctx.Err()
 		case errors.As(err, &sequence) && sequence.Expected != w.sequence:
 			w.events.WithFields(logrus.Fields{"sent": w.sequence, "expected": sequence.Expected}).Info("store numbers the leader's appends differently")
 			w.sequence = sequence.Expected
-		default:
-			w.events.WithError(err).Debug("progress not stored yet")
-			pause(ctx, appendRetry)
+			continue
+		case giveUp && errors.Is(err, platform.ErrUnavailable):
+			return 0, err
+		case errors.Is(err, platform.ErrUncertain):
+			giveUp = false // it may have been done: only a repeat tells
+			timeout = min(2*timeout, appendTimeoutMax)
 		}
+		w.events.WithError(err).Debug("records not stored yet")
+		pause(ctx, appendRetry)
 	}
 }
 
-func (w *writer) try(ctx context.Context, records []platform.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+// usualShare is the weight of a new measurement in the moving mean.
+const usualShare = 0.2
+
+func (w *writer) try(ctx context.Context, records []platform.Record, timeout time.Duration) (platform.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := w.log.Append(ctx, platform.Append{
+	sent := time.Now()
+	first, err := w.log.Append(ctx, platform.Append{
 		Partition: w.partition,
 		Records:   records,
 		Producer:  &platform.Producer{Name: producerName, Epoch: uint64(w.epoch), Sequence: w.sequence},
 	})
-	return err
+	if err == nil {
+		w.usual += time.Duration(usualShare * float64(time.Since(sent)-w.usual))
+	}
+	return first, err
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -21,9 +21,18 @@
 	ErrUnknown = errors.New("intake: may be stored")
 )
 
+// Relay hands records to whoever leads the cell, which stores them with its
+// own. It fails with ErrNotStored, ErrUnknown, or ErrNoLeader.
+type Relay func(ctx context.Context, records []platform.Record) error
+
+// ErrNoLeader: there is no leader that could store the records; nothing was
+// done.
+var ErrNoLeader = errors.New("intake: no leader")
+
 // Config holds the intervals and limits of an Intake.
 type Config struct {
 	Gather     time.Duration // how long a request waits for others to share its append
+	Relay      time.Duration // longest call to the leader
 	Append     time.Duration // longest append; its answer may be lost
 	Retry      time.Duration // pause before an append is repeated
 	AtOnce     int           // appends under way
@@ -37,9 +46,10 @@
 func DefaultConfig() Config {
 	return Config{
 		Gather:     2 * time.Millisecond,
-		Append:     500 * time.Millisecond,
+		Relay:      1500 * time.Millisecond,
+		Append:     800 * time.Millisecond,
 		Retry:      30 * time.Millisecond,
-		AtOnce:     4,
+		AtOnce:     8,
 		BatchBytes: 512 << 10,
 		Waiting:    2000,
 	}
@@ -50,6 +60,7 @@
 	cfg       Config
 	log       platform.PartitionLog
 	partition platform.Partition
+	relay     Relay
 	events    *logrus.Entry
 	slots     chan struct{}
 	wake      chan struct{}
@@ -66,11 +77,12 @@
 }
 
 // New returns an intake for a partition.
-func New(cfg Config, log platform.PartitionLog, p platform.Partition, events *logrus.Entry) *Intake {
+func New(cfg Config, log platform.PartitionLog, p platform.Partition, relay Relay, events *logrus.Entry) *Intake {
 	return &Intake{
 		cfg:       cfg,
 		log:       log,
 		partition: p,
+		relay:     relay,
 		events:    events,
 		slots:     make(chan struct{}, cfg.AtOnce),
 		wake:      make(chan struct{}, 1),
@@ -142,11 +154,28 @@
 	in.pending = nil
 }
 
-// store appends a batch, again and again while some of its requests have time
-// left and it isn't known whether it was stored.
+// store has the leader store a batch. If that isn't possible, or it isn't
+// known what came of it, the batch is appended from here: a record that is
+// stored twice counts once.
 func (in *Intake) store(batch []*request) {
-	uncertain := false
-	for {
+	err := in.viaLeader(batch)
+	if err == nil {
+		answer(batch, nil)
+		return
+	}
+	in.storeHere(expire(batch), errors.Is(err, ErrUnknown))
+}
+
+func (in *Intake) viaLeader(batch []*request) error {
+	ctx, cancel := context.WithTimeout(context.Background(), in.cfg.Relay)
+	defer cancel()
+	return in.relay(ctx, recordsOf(batch))
+}
+
+// storeHere appends a batch, again and again while some of its requests have
+// time left and it isn't known whether it was stored.
+func (in *Intake) storeHere(batch []*request, uncertain bool) {
+	for len(batch) > 0 {
 		err := in.append(batch)
 		switch {
 		case err == nil:
@@ -160,9 +189,6 @@
 			return
 		}
 		batch = expire(batch)
-		if len(batch) == 0 {
-			return
-		}
 		time.Sleep(in.cfg.Retry)
 	}
 }
@@ -183,12 +209,17 @@
 func (in *Intake) append(batch []*request) error {
 	ctx, cancel := context.WithTimeout(context.Background(), in.cfg.Append)
 	defer cancel()
+	records := recordsOf(batch)
+	_, err := in.log.Append(ctx, platform.Append{Partition: in.partition, Records: records})
+	return err
+}
+
+func recordsOf(batch []*request) []platform.Record {
 	records := make([]platform.Record, len(batch))
 	for i, r := range batch {
 		records[i] = r.record
 	}
-	_, err := in.log.Append(ctx, platform.Append{Partition: in.partition, Records: records})
-	return err
+	return records
 }
 
 func answer(batch []*request, err error) {
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -63,11 +63,12 @@
 	suspected bool   // the leader's process answers no call
 	stopping  bool
 	wake      chan struct{}
+	released  chan struct{} // closed when this process has stepped down
 }
 
 // New returns an elector that has not read anything yet.
 func New(cfg Config) *Elector {
-	return &Elector{cfg: cfg, wake: make(chan struct{}, 1)}
+	return &Elector{cfg: cfg, wake: make(chan struct{}, 1), released: make(chan struct{})}
 }
 
 // Current returns the leader as far as is known.
@@ -112,7 +113,8 @@
 	}
 }
 
-// Release makes this process step down and claim no more.
+// Release makes this process step down and claim no more. It returns when
+// that is stored, or nothing was to be released, or ctx has ended.
 func (e *Elector) Release(ctx context.Context) {
 	e.mu.Lock()
 	e.stopping = true
@@ -122,11 +124,27 @@
 		return
 	}
 	e.cfg.Lost()
-	if _, err := e.append(ctx, releases); err != nil {
-		e.cfg.Events.WithError(err).Warn("leadership not released; others wait for the silence to end")
+	e.Replaced() // the loop makes the append, after the one that may be under way
+	select {
+	case <-e.released:
+	case <-ctx.Done():
+		e.cfg.Events.Warn("leadership not released yet; others wait for the silence to end")
 	}
 }
 
+// release appends that this process steps down.
+func (e *Elector) release(ctx context.Context) error {
+	at, err := e.append(ctx, releases)
+	if err != nil {
+		return e.settle(ctx, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.stepDown(at, time.Now())
+	close(e.released)
+	return nil
+}
+
 // Run takes part until ctx ends.
 func (e *Elector) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -147,12 +165,14 @@
 	switch {
 	case state == nil:
 		return e.begin(ctx)
+	case stopping && leads:
+		return e.release(ctx)
 	case stopping:
 		pause(ctx, e.cfg.Timing.Renew)
 		return nil
 	case leads:
 		e.sleep(ctx, e.cfg.Timing.Renew)
-		return e.renew(ctx)
+		return e.renewOrRelease(ctx)
 	case e.due():
 		return e.claim(ctx)
 	default:
@@ -220,6 +240,17 @@
 	return nil
 }
 
+// renewOrRelease renews unless the process was asked to stop meanwhile.
+func (e *Elector) renewOrRelease(ctx context.Context) error {
+	e.mu.Lock()
+	stopping := e.stopping
+	e.mu.Unlock()
+	if stopping {
+		return nil // the next step releases
+	}
+	return e.renew(ctx)
+}
+
 // renew appends a renewal.
 func (e *Elector) renew(ctx context.Context) error {
 	at, err := e.append(ctx, renews)
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -107,6 +107,15 @@
 	s.confirmed = s.sent
 }
 
+// stepDown takes in that the own release was stored.
+func (s *State) stepDown(at platform.Offset, now time.Time) {
+	s.end = at + 1
+	s.heard = now
+	s.self.Epoch = 0
+	s.current = Leader{}
+	s.released = true
+}
+
 // own returns the record of a kind that this process would append.
 func (s *State) own(k kind) record {
 	return record{Kind: k, Node: s.self.Node, Incarnation: s.self.Incarnation, Address: s.self.Address, Epoch: s.self.Epoch}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	leading  chan api.Epoch
 	epoch    atomic.Uint64 // that this process leads; 0: none
 	stopLead atomic.Pointer[context.CancelFunc]
+	runner   atomic.Pointer[dispatch.Runner] // while this process leads
 	draining atomic.Bool
 }
 
@@ -84,7 +85,7 @@
 		Timing:    replica.DefaultTiming(),
 		Leads:     func() bool { return n.epoch.Load() != 0 },
 	}
-	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, log)
+	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, n.relay, log)
 	n.helpers = assist.NewHelpers(s.Node, n.adviser, n.caller)
 	n.elector = leader.New(leader.Config{
 		Log:       n.store,
@@ -169,15 +170,47 @@
 		Replica:   n.replica,
 		Reader:    n.reader,
 		Helpers:   n.helpers,
+		Caller:    n.caller,
 		Table:     n.table,
 		MayRenew:  n.elector.MayRenewLeases,
 		Replaced:  n.elector.Replaced,
 		Events:    n.log.WithField("epoch", epoch),
 	})
+	n.runner.Store(runner)
 	err := runner.Run(ctx)
+	n.runner.Store(nil)
 	n.log.WithError(err).WithField("epoch", epoch).Info("this process no longer plans for the cell")
 }
 
+// storer returns who stores records as the leader; nil unless this process
+// leads.
+func (n *Node) storer() assist.Storer {
+	if r := n.runner.Load(); r != nil {
+		return r
+	}
+	return nil
+}
+
+// relay hands records to the leader.
+func (n *Node) relay(ctx context.Context, records []product.Record) error {
+	outcome := assist.NotLeader
+	if s := n.storer(); s != nil {
+		outcome = s.Store(ctx, records)
+	} else if current := n.elector.Current(); current.Epoch != 0 && current.Address != n.settings.Peer {
+		outcome = assist.Store(ctx, n.caller, current.Address, records)
+	}
+	switch outcome {
+	case assist.Stored:
+		return nil
+	case assist.NotStored:
+		return intake.ErrNotStored
+	case assist.NotLeader:
+		return intake.ErrNoLeader
+	default:
+		return intake.ErrUnknown
+	}
+}
+
 // table returns the configuration in force, or an empty one before the first.
 func (n *Node) table() *queue.Table {
 	if t := n.watch.Table(); t != nil {
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -89,10 +90,11 @@
 }
 
 // AddJob takes in a job that has not ended. Its progress is nil when nothing
-// of it has started; otherwise the runs that it names may exist.
-func (c *Cell) AddJob(spec *work.Job, p *work.Progress, wall int64, now time.Time) {
+// of it has started; otherwise the runs that it names may exist. It reports
+// whether the job was new.
+func (c *Cell) AddJob(spec *work.Job, p *work.Progress, wall int64, now time.Time) bool {
 	if _, over := c.ended[spec.ID]; over || c.jobs[spec.ID] != nil {
-		return
+		return false
 	}
 	age := time.Duration(max(0, wall-spec.Accepted)) * time.Millisecond
 	j := &job{spec: spec, arrived: now.Add(-min(age, longestAge))}
@@ -102,11 +104,31 @@
 	}
 	if spec.Repetitions > 0 {
 		c.timed = append(c.timed, j)
-		return
+		return true
 	}
 	if len(j.running) == 0 && j.finished == 0 {
 		c.begin(j, j.arrived)
 	}
+	return true
+}
+
+// Withdraw takes back a job that could not be made durable. Nothing of it may
+// have been sent.
+func (c *Cell) Withdraw(id work.ID) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	c.end(j, work.Cancelled)
+	delete(c.ended, id)
+	for _, v := range c.vms {
+		for _, cl := range v.claims {
+			if cl.run.Task.Job == id {
+				v.remove(cl)
+			}
+		}
+	}
+	c.dirty = slices.DeleteFunc(c.dirty, func(d *job) bool { return d == j })
 }
 
 // longestAge bounds the age that a job may claim, since clocks of machines
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,24 +12,29 @@
 
 // Timing holds the intervals of the reader.
 type Timing struct {
-	Wait  time.Duration // how long a read waits for a record
-	Pace  time.Duration // least time between two reads
-	Eager time.Duration // the same on the machine that leads
-	Call  time.Duration // longest read beside its wait
-	Retry time.Duration // pause after a read that failed
+	Wait    time.Duration // how long a read waits for a record
+	Pace    time.Duration // least time between two reads
+	Leading time.Duration // between two reads on the machine that leads
+	Fed     time.Duration // between two reads while the leader delivers
+	FedFor  time.Duration // how long a delivery counts
+	Call    time.Duration // longest read beside its wait
+	Retry   time.Duration // pause after a read that failed
 }
 
-// DefaultTiming returns the timing in use. A client learns of its job's end
-// from this replica, and the tightest latency objective leaves 0.6 s beside
-// the work: the pace adds at most a sixth of that. The leader plans from what
-// it reads, and pays one read for each batch of records.
+// DefaultTiming returns the timing in use. The leader writes nearly all
+// records itself and delivers them to the other machines, which read the store
+// now and then for what others wrote while the leader could not be reached.
+// Without a leader a machine reads every 100 ms: the tightest latency
+// objective leaves 0.6 s beside the work.
 func DefaultTiming() Timing {
 	return Timing{
-		Wait:  time.Second,
-		Pace:  100 * time.Millisecond,
-		Eager: 10 * time.Millisecond,
-		Call:  700 * time.Millisecond,
-		Retry: 100 * time.Millisecond,
+		Wait:    time.Second,
+		Pace:    100 * time.Millisecond,
+		Leading: 250 * time.Millisecond,
+		Fed:     time.Second,
+		FedFor:  500 * time.Millisecond,
+		Call:    time.Second,
+		Retry:   100 * time.Millisecond,
 	}
 }
 
@@ -39,6 +45,27 @@
 	Partition platform.Partition
 	Timing    Timing
 	Leads     func() bool // this machine plans from the replica
+
+	fed atomic.Pointer[time.Time] // when the leader last delivered everything
+}
+
+// Deliver takes in records from the leader, the first of which has the given
+// offset, and where the leader knows the partition to end. It returns up to
+// where the replica is complete.
+func (f *Reader) Deliver(first platform.Offset, records []platform.Record, end platform.Offset) platform.Offset {
+	now := time.Now()
+	position := f.Replica.Offer(first, records, now)
+	if position >= end {
+		f.Replica.Heard(now)
+		f.fed.Store(&now)
+	}
+	return position
+}
+
+// isFed reports whether the leader delivers everything.
+func (f *Reader) isFed(now time.Time) bool {
+	last := f.fed.Load()
+	return last != nil && now.Sub(*last) < f.Timing.FedFor
 }
 
 // Run reads until ctx ends.
@@ -50,23 +77,52 @@
 			pause(ctx, f.Timing.Retry)
 			continue
 		}
-		pause(ctx, f.pace()-time.Since(started))
+		f.rest(ctx, started)
 	}
 	return nil
 }
 
-func (f *Reader) pace() time.Duration {
-	if f.Leads() {
-		return f.Timing.Eager
+// restStep is how often a resting reader looks whether it has to read sooner.
+const restStep = 100 * time.Millisecond
+
+// rest pauses between two reads, for as long as somebody else keeps the
+// replica up to date.
+func (f *Reader) rest(ctx context.Context, started time.Time) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		left := f.pace(now) - now.Sub(started)
+		if left <= 0 {
+			return
+		}
+		pause(ctx, min(left, restStep))
+	}
+}
+
+// pace returns the time between the starts of two reads.
+func (f *Reader) pace(now time.Time) time.Duration {
+	switch {
+	case f.Leads():
+		return f.Timing.Leading
+	case f.isFed(now):
+		return f.Timing.Fed
+	default:
+		return f.Timing.Pace
+	}
+}
+
+// wait returns how long a read waits for a record.
+func (f *Reader) wait(now time.Time) time.Duration {
+	if f.Leads() || f.isFed(now) {
+		return 0
 	}
-	return f.Timing.Pace
+	return f.Timing.Wait
 }
 
 func (f *Reader) step(ctx context.Context) error {
 	if !f.Replica.Synced() {
 		return f.Restore(ctx)
 	}
-	err := f.read(ctx, f.Timing.Wait)
+	err := f.read(ctx, f.wait(time.Now()))
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		f.Replica.events.WithField("first", trimmed.First).Info("records are gone; reading the newest of each key")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,8 +25,9 @@
 	mu       sync.Mutex // guards the fields below and orders changes
 	next     platform.Offset
 	synced   bool      // everything up to next has been applied
-	current  time.Time // when the store last answered a read
+	current  time.Time // when the store, or the leader, last told what it holds
 	listener func([]Change)
+	publish  func([]platform.Record) // what was applied in order, on the machine that leads
 }
 
 type shard struct {
@@ -116,23 +117,75 @@
 	listener(all)
 }
 
+// Publish has publish called with all records that are applied from now on, in
+// order, and returns from where. Nil ends it.
+func (r *Replica) Publish(publish func([]platform.Record)) platform.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.publish = publish
+	return r.next
+}
+
+// Offer takes in records whose first has the given offset, if they follow on
+// what is known. Those that are known already are passed over. It returns up
+// to where the replica is complete.
+func (r *Replica) Offer(first platform.Offset, records []platform.Record, now time.Time) platform.Offset {
+	r.mu.Lock()
+	next := r.next
+	synced := r.synced
+	r.mu.Unlock()
+	end := first + platform.Offset(len(records))
+	if !synced || first > next || end <= next {
+		return next
+	}
+	for i := range records {
+		records[i].Offset = first + platform.Offset(i)
+	}
+	r.apply(records[next-first:], end, now)
+	return r.Position()
+}
+
+// Heard notes that the leader has told that the store holds nothing more.
+func (r *Replica) Heard(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.current = now
+}
+
 // apply takes in records that were read in order; next is where to read on.
 func (r *Replica) apply(records []platform.Record, next platform.Offset, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.current = now
+	if next > 0 { // a page of the newest records has no place of its own
+		records = beyond(records, r.next)
+	}
 	var changes []Change
 	for _, rec := range records {
 		if c, ok := r.applyOne(rec, now); ok {
 			changes = append(changes, c)
 		}
 	}
+	if r.publish != nil && next > 0 && len(records) > 0 {
+		r.publish(records)
+	}
 	r.next = max(r.next, next)
 	if r.listener != nil && len(changes) > 0 {
 		r.listener(changes)
 	}
 }
 
+// beyond returns the records from an offset on; two readers may have read the
+// same ones.
+func beyond(records []platform.Record, from platform.Offset) []platform.Record {
+	for i, rec := range records {
+		if rec.Offset >= from {
+			return records[i:]
+		}
+	}
+	return nil
+}
+
 // applyOne takes in one record; r.mu is held.
 func (r *Replica) applyOne(rec platform.Record, now time.Time) (Change, bool) {
 	kind, id, err := work.ParseKey(rec.Key)
