Wait for a slow leader; suspect a silent one at once

Ruled out: false suspicion (leaders changed only where they were stopped). Change: deliveries stand for the leader's heartbeat; without them a machine calls it, and if that fails claims after 450 ms of silence in the store. Calls to a leader that delivers are waited for; appends from a machine are one at a time. Tests play a slow leader, none, and answers lost.

--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -17,8 +17,8 @@
 	// see the end of their job with this delay.
 	deliverEvery = 25 * time.Millisecond
 	// deliverIdle is the time after which a delivery without records says
-	// that there are none (replica.Timing.FedFor is twice that).
-	deliverIdle = 250 * time.Millisecond
+	// that there are none (replica.Timing.FedFor is over twice that).
+	deliverIdle = 200 * time.Millisecond
 	// deliverTimeout bounds a delivery.
 	deliverTimeout = 500 * time.Millisecond
 	// keptRecords and sentRecords bound what is kept for machines that are
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -32,10 +32,10 @@
 // Config holds the intervals and limits of an Intake.
 type Config struct {
 	Gather     time.Duration // how long a request waits for others to share its append
-	Relay      time.Duration // longest call to the leader
 	Append     time.Duration // longest append; its answer may be lost
 	Retry      time.Duration // pause before an append is repeated
-	AtOnce     int           // appends under way
+	AtOnce     int           // batches under way
+	Direct     int           // of these, appends made from here
 	BatchBytes int           // of one append
 	Waiting    int           // requests that may wait
 }
@@ -43,13 +43,16 @@
 // DefaultConfig returns the configuration in use. An append takes about 5 ms
 // at the store, which makes one at a time in each partition. One that gives
 // no answer is repeated: a second record of the same key changes nothing.
+// Appends made from here are few at a time, since all machines make them at
+// the same moment, when there is no leader, and a slow store takes no more
+// than 27 a second: what waits shares the next one.
 func DefaultConfig() Config {
 	return Config{
 		Gather:     2 * time.Millisecond,
-		Relay:      1500 * time.Millisecond,
 		Append:     800 * time.Millisecond,
 		Retry:      30 * time.Millisecond,
 		AtOnce:     8,
+		Direct:     1,
 		BatchBytes: 512 << 10,
 		Waiting:    2000,
 	}
@@ -63,6 +66,7 @@
 	relay     Relay
 	events    *logrus.Entry
 	slots     chan struct{}
+	direct    chan struct{}
 	wake      chan struct{}
 
 	mu      sync.Mutex
@@ -85,6 +89,7 @@
 		relay:     relay,
 		events:    events,
 		slots:     make(chan struct{}, cfg.AtOnce),
+		direct:    make(chan struct{}, cfg.Direct),
 		wake:      make(chan struct{}, 1),
 	}
 }
@@ -163,15 +168,36 @@
 		answer(batch, nil)
 		return
 	}
+	in.direct <- struct{}{}
+	defer func() { <-in.direct }()
 	in.storeHere(expire(batch), errors.Is(err, ErrUnknown))
 }
 
+// viaLeader hands a batch to the leader and waits as long as one of its
+// clients does.
 func (in *Intake) viaLeader(batch []*request) error {
-	ctx, cancel := context.WithTimeout(context.Background(), in.cfg.Relay)
+	ctx, cancel := context.WithDeadline(context.Background(), lastDeadline(batch))
 	defer cancel()
 	return in.relay(ctx, recordsOf(batch))
 }
 
+// lastDeadline returns when the last of the batch's clients gives up.
+func lastDeadline(batch []*request) time.Time {
+	var last time.Time
+	for _, r := range batch {
+		if d, ok := r.ctx.Deadline(); ok && d.After(last) {
+			last = d
+		}
+	}
+	if last.IsZero() {
+		return time.Now().Add(noDeadline)
+	}
+	return last
+}
+
+// noDeadline stands in for the time of clients that name none.
+const noDeadline = 3 * time.Second
+
 // storeHere appends a batch, again and again while some of its requests have
 // time left and it isn't known whether it was stored.
 func (in *Intake) storeHere(batch []*request, uncertain bool) {
@@ -188,8 +214,9 @@
 			answer(batch, errors.Mark(err, ErrNotStored))
 			return
 		}
-		batch = expire(batch)
-		time.Sleep(in.cfg.Retry)
+		if batch = expire(batch); len(batch) > 0 {
+			time.Sleep(in.cfg.Retry)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,158 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// fakeLog answers appends as told and counts those under way.
+type fakeLog struct {
+	platform.PartitionLog
+	mu      sync.Mutex
+	errs    []error // of the next appends; none left: success
+	takes   time.Duration
+	appends int
+	now     int
+	most    int
+}
+
+func (l *fakeLog) Append(ctx context.Context, _ platform.Append) (platform.Offset, error) {
+	l.mu.Lock()
+	l.appends++
+	l.now++
+	l.most = max(l.most, l.now)
+	var err error
+	if len(l.errs) > 0 {
+		err, l.errs = l.errs[0], l.errs[1:]
+	}
+	l.mu.Unlock()
+	time.Sleep(l.takes)
+	l.mu.Lock()
+	l.now--
+	l.mu.Unlock()
+	return 0, err
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func noLeader(context.Context, []platform.Record) error { return ErrNoLeader }
+
+// play runs an intake and hands in n records whose clients wait 3 s.
+func play(t *testing.T, l *fakeLog, relay Relay, n int) []error {
+	t.Helper()
+	var got []error
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		in := New(DefaultConfig(), l, platform.Partition{}, relay, quiet())
+		go func() { _ = in.Run(ctx) }()
+		var mu sync.Mutex
+		var clients sync.WaitGroup
+		for i := range n {
+			clients.Go(func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				client, cancel := context.WithTimeout(ctx, 3*time.Second)
+				defer cancel()
+				err := in.Store(client, platform.Record{Key: "k", Value: []byte{1}})
+				mu.Lock()
+				defer mu.Unlock()
+				got = append(got, err)
+			})
+		}
+		clients.Wait()
+		stop()
+		synctest.Wait()
+	})
+	return got
+}
+
+func count(errs []error, target error) int {
+	n := 0
+	for _, err := range errs {
+		if errors.Is(err, target) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestLeaderStores(t *testing.T) {
+	l := &fakeLog{}
+	got := play(t, l, func(context.Context, []platform.Record) error { return nil }, 20)
+	if n := count(got, nil); n != 20 || l.appends != 0 {
+		t.Fatalf("%d of 20 stored, %d appends from here", n, l.appends)
+	}
+}
+
+// A slow leader is waited for: appends beside it would queue at the same
+// partition and make it slower.
+func TestSlowLeaderIsWaitedFor(t *testing.T) {
+	l := &fakeLog{}
+	slow := func(ctx context.Context, _ []platform.Record) error {
+		time.Sleep(2 * time.Second)
+		return ctx.Err()
+	}
+	got := play(t, l, slow, 8)
+	if n := count(got, nil); n != 8 || l.appends != 0 {
+		t.Fatalf("%d of 8 stored, %d appends from here", n, l.appends)
+	}
+}
+
+func TestWithoutLeaderAppendsAreFewAtATime(t *testing.T) {
+	l := &fakeLog{takes: 200 * time.Millisecond}
+	got := play(t, l, noLeader, 100)
+	if n := count(got, nil); n != 100 {
+		t.Fatalf("%d of 100 stored", n)
+	}
+	if l.most > DefaultConfig().Direct || l.appends > 20 {
+		t.Fatalf("%d appends, %d at once", l.appends, l.most)
+	}
+}
+
+func TestRefusalIsCertain(t *testing.T) {
+	l := &fakeLog{errs: []error{platform.ErrUnavailable}}
+	got := play(t, l, noLeader, 1)
+	if count(got, ErrNotStored) != 1 || l.appends != 1 {
+		t.Fatalf("got %v after %d appends", got, l.appends)
+	}
+}
+
+// An append that may have been done is never answered as refused, whatever
+// the store says to its repeats.
+func TestUncertainStaysUncertain(t *testing.T) {
+	errs := []error{platform.ErrUncertain}
+	for range 1000 {
+		errs = append(errs, platform.ErrUnavailable)
+	}
+	l := &fakeLog{errs: errs}
+	got := play(t, l, noLeader, 1)
+	if count(got, ErrUnknown) != 1 {
+		t.Fatalf("got %v", got)
+	}
+}
+
+// The same holds when it was the leader of whom nothing was heard.
+func TestLostLeaderIsUncertain(t *testing.T) {
+	var errs []error
+	for range 1000 {
+		errs = append(errs, platform.ErrUnavailable)
+	}
+	l := &fakeLog{errs: errs}
+	lost := func(context.Context, []platform.Record) error { return ErrUnknown }
+	got := play(t, l, lost, 1)
+	if count(got, ErrUnknown) != 1 {
+		t.Fatalf("got %v", got)
+	}
+}
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -19,6 +19,7 @@
 	Takeover     time.Duration // silence after which another process claims
 	Suspected    time.Duration // the same when the leader's process answers no call
 	Spread       time.Duration // claims of several processes are spread over this time
+	Watch        time.Duration // how long a read waits for a record
 	Call         time.Duration // longest append or read beside its wait
 	Retry        time.Duration // pause after a call that failed
 	LeaseRenewal time.Duration // after the last confirmed renewal, for which executors' leases are extended
@@ -32,8 +33,9 @@
 	return Timing{
 		Renew:        400 * time.Millisecond,
 		Takeover:     1300 * time.Millisecond,
-		Suspected:    500 * time.Millisecond,
-		Spread:       200 * time.Millisecond,
+		Suspected:    450 * time.Millisecond,
+		Spread:       60 * time.Millisecond,
+		Watch:        200 * time.Millisecond,
 		Call:         700 * time.Millisecond,
 		Retry:        100 * time.Millisecond,
 		LeaseRenewal: 5 * time.Second,
@@ -273,7 +275,7 @@
 
 // watch waits for the next record.
 func (e *Elector) watch(ctx context.Context) error {
-	return e.watchOnce(ctx, e.cfg.Timing.Renew)
+	return e.watchOnce(ctx, e.cfg.Timing.Watch)
 }
 
 // watchOnce reads on from the known end.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,6 +197,8 @@
 	if s := n.storer(); s != nil {
 		outcome = s.Store(ctx, records)
 	} else if current := n.elector.Current(); current.Epoch != 0 && current.Address != n.settings.Peer {
+		ctx, cancel := n.whileFed(ctx)
+		defer cancel()
 		outcome = assist.Store(ctx, n.caller, current.Address, records)
 	}
 	switch outcome {
@@ -211,6 +213,28 @@
 	}
 }
 
+// whileFed returns a context that ends with ctx or when the leader delivers
+// nothing any more: a call to it is worth waiting for while it does.
+func (n *Node) whileFed(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	var look func()
+	look = func() {
+		switch {
+		case ctx.Err() != nil:
+		case n.reader.IsFed(time.Now()):
+			time.AfterFunc(tieLook, look)
+		default:
+			cancel()
+		}
+	}
+	time.AfterFunc(relayPatience, look)
+	return ctx, cancel
+}
+
+// relayPatience is how long the leader may take with records before it is
+// looked whether it still delivers.
+const relayPatience = 500 * time.Millisecond
+
 // table returns the configuration in force, or an empty one before the first.
 func (n *Node) table() *queue.Table {
 	if t := n.watch.Table(); t != nil {
@@ -249,16 +273,29 @@
 	}
 }
 
-// attachEvery is the time between two offers of help to the leader.
-const attachEvery = time.Second
+// Timing of the ties between a machine and the leader.
+const (
+	// attachEvery is the time between two offers of help to the leader.
+	attachEvery = time.Second
+	// tieLook is how often a machine looks whether the leader still delivers.
+	tieLook = 100 * time.Millisecond
+	// attachTimeout bounds an offer; it takes a few milliseconds.
+	attachTimeout = 300 * time.Millisecond
+)
 
-// attach offers this machine's help to the leader and suspects it when its
-// process can't be reached.
+// attach offers this machine's help to the leader now and then, and at once
+// when nothing comes from it any more. A leader that doesn't answer then is
+// suspected.
 func (n *Node) attach(ctx context.Context) error {
-	ticker := time.NewTicker(attachEvery)
+	ticker := time.NewTicker(tieLook)
 	defer ticker.Stop()
+	var offered time.Time
 	for {
-		n.attachOnce(ctx)
+		now := time.Now()
+		if now.Sub(offered) >= attachEvery || !n.reader.IsFed(now) {
+			n.attachOnce(ctx)
+			offered = now
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -272,14 +309,14 @@
 	if current.Epoch == 0 || current.Address == n.settings.Peer || n.draining.Load() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, attachEvery)
+	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
 	offer := assist.Attachment{Node: n.settings.Node, Address: n.settings.Peer}
-	_, err := assist.Attach(ctx, n.caller, current.Address, offer)
-	if err == nil {
+	epoch, err := assist.Attach(ctx, n.caller, current.Address, offer)
+	if err == nil && epoch == current.Epoch {
 		n.elector.Trust()
 		return
 	}
-	n.log.WithError(err).WithField("leader", current.Node).Debug("leader not reached")
+	n.log.WithError(err).WithFields(logrus.Fields{"leader": current.Node, "answered_epoch": epoch}).Debug("leader gives no answer or leads no more")
 	n.elector.Suspect(current.Epoch)
 }
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -62,8 +62,8 @@
 	return position
 }
 
-// isFed reports whether the leader delivers everything.
-func (f *Reader) isFed(now time.Time) bool {
+// IsFed reports whether the leader has lately delivered everything.
+func (f *Reader) IsFed(now time.Time) bool {
 	last := f.fed.Load()
 	return last != nil && now.Sub(*last) < f.Timing.FedFor
 }
@@ -103,7 +103,7 @@
 	switch {
 	case f.Leads():
 		return f.Timing.Leading
-	case f.isFed(now):
+	case f.IsFed(now):
 		return f.Timing.Fed
 	default:
 		return f.Timing.Pace
@@ -112,7 +112,7 @@
 
 // wait returns how long a read waits for a record.
 func (f *Reader) wait(now time.Time) time.Duration {
-	if f.Leads() || f.isFed(now) {
+	if f.Leads() || f.IsFed(now) {
 		return 0
 	}
 	return f.Timing.Wait
