Wait a little for a store that takes nothing

Ruled out: holding requests to the end of their time (words of the users). Change: a request waits for the store for up to a quarter of its job's latency objective and two fifths of its client's time, then is refused; repeats come every 0.6 s at most; silence counts only while the store can be read.

--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -22,8 +22,8 @@
 // up to 60 times as long, so the timeout follows what the last ones took.
 const (
 	appendTimeout    = 120 * time.Millisecond // least
-	appendTimeoutMax = 3 * time.Second
-	appendPatience   = 4 // times the usual time of an append
+	appendTimeoutMax = 600 * time.Millisecond // but for appendPatience: an outage may end at any moment
+	appendPatience   = 4                      // times the usual time of an append
 	appendRetry      = 20 * time.Millisecond
 )
 
@@ -88,7 +88,8 @@
 // with giveUp also with platform.ErrUnavailable when the store refuses an
 // append that certainly was not done before.
 func (w *writer) append(ctx context.Context, records []platform.Record, giveUp bool) (platform.Offset, error) {
-	timeout := min(max(appendTimeout, appendPatience*w.usual), appendTimeoutMax)
+	timeout := max(appendTimeout, appendPatience*w.usual)
+	longest := max(timeout, appendTimeoutMax)
 	for {
 		first, err := w.try(ctx, records, timeout)
 		var sequence *platform.SequenceError
@@ -110,7 +111,7 @@
 			return 0, err
 		case errors.Is(err, platform.ErrUncertain):
 			giveUp = false // it may have been done: only a repeat tells
-			timeout = min(2*timeout, appendTimeoutMax)
+			timeout = min(2*timeout, longest)
 		}
 		w.events.WithError(err).Debug("records not stored yet")
 		pause(ctx, appendRetry)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -34,6 +34,7 @@
 	Gather     time.Duration // how long a request waits for others to share its append
 	Append     time.Duration // longest append; its answer may be lost
 	Retry      time.Duration // pause before an append is repeated
+	Again      time.Duration // pause before a store that took nothing is tried again
 	AtOnce     int           // batches under way
 	Direct     int           // of these, appends made from here
 	BatchBytes int           // of one append
@@ -51,6 +52,7 @@
 		Gather:     2 * time.Millisecond,
 		Append:     800 * time.Millisecond,
 		Retry:      30 * time.Millisecond,
+		Again:      80 * time.Millisecond,
 		AtOnce:     8,
 		Direct:     1,
 		BatchBytes: 512 << 10,
@@ -76,9 +78,10 @@
 
 // request is one record that waits to be stored.
 type request struct {
-	ctx    context.Context
-	record platform.Record
-	done   chan error // takes one value
+	ctx      context.Context
+	record   platform.Record
+	patience time.Time  // until when a store that takes nothing is waited for
+	done     chan error // takes one value
 }
 
 // New returns an intake for a partition.
@@ -97,20 +100,13 @@
 }
 
 // Store returns when the record is stored, certainly is not, or ctx has
-// ended. It fails with ErrNotStored or ErrUnknown.
-func (in *Intake) Store(ctx context.Context, record platform.Record) error {
-	r := &request{ctx: ctx, record: record, done: make(chan error, 1)}
-	in.mu.Lock()
-	if len(in.pending) >= in.cfg.Waiting {
-		in.mu.Unlock()
+// ended. It fails with ErrNotStored or ErrUnknown. A store that takes nothing
+// is waited for up to the given time: its outages are often short.
+func (in *Intake) Store(ctx context.Context, record platform.Record, patience time.Duration) error {
+	r := &request{ctx: ctx, record: record, patience: time.Now().Add(patience), done: make(chan error, 1)}
+	if !in.enqueue(r) {
 		return errors.Wrap(ErrNotStored, "too many requests wait")
 	}
-	in.pending = append(in.pending, r)
-	in.mu.Unlock()
-	select {
-	case in.wake <- struct{}{}:
-	default:
-	}
 	select {
 	case err := <-r.done:
 		return err
@@ -119,6 +115,21 @@
 	}
 }
 
+// enqueue has a request stored, or returns false if too many wait.
+func (in *Intake) enqueue(r *request) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if len(in.pending) >= in.cfg.Waiting {
+		return false
+	}
+	in.pending = append(in.pending, r)
+	select {
+	case in.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
 // Run stores what is handed in until ctx ends.
 func (in *Intake) Run(ctx context.Context) error {
 	for {
@@ -177,11 +188,7 @@
 	}
 	uncertain := errors.Is(err, ErrUnknown)
 	if !in.awaitTurn() {
-		outcome := ErrNotStored
-		if uncertain {
-			outcome = ErrUnknown
-		}
-		answer(batch, errors.Wrap(outcome, "the store has been silent for a while"))
+		in.giveUp(batch, errors.New("the store has been silent for a while"), uncertain)
 		return
 	}
 	defer func() { <-in.direct }()
@@ -236,21 +243,13 @@
 func (in *Intake) storeHere(batch []*request, uncertain bool) {
 	for len(batch) > 0 {
 		err := in.append(batch)
-		switch {
-		case err == nil:
+		if err == nil {
 			answer(batch, nil)
 			return
-		case errors.Is(err, platform.ErrUncertain):
-			if uncertain = true; in.down() {
-				answer(batch, errors.Mark(err, ErrUnknown))
-				return
-			}
-		case uncertain && in.down():
-			answer(batch, errors.Mark(err, ErrUnknown))
-			return
-		case !uncertain:
-			in.events.WithError(err).WithField("requests", len(batch)).Info("store took no jobs")
-			answer(batch, errors.Mark(err, ErrNotStored))
+		}
+		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
+		if !uncertain || in.down() {
+			in.giveUp(batch, err, uncertain)
 			return
 		}
 		if batch = expire(batch, uncertain); len(batch) > 0 {
@@ -259,6 +258,37 @@
 	}
 }
 
+// giveUp answers a batch that the store doesn't take. Requests that certainly
+// aren't stored, and whose patience lasts, are tried again a little later.
+func (in *Intake) giveUp(batch []*request, cause error, uncertain bool) {
+	if uncertain {
+		answer(batch, errors.Mark(cause, ErrUnknown))
+		return
+	}
+	var again []*request
+	for _, r := range batch {
+		if time.Now().Before(r.patience) && r.ctx.Err() == nil {
+			again = append(again, r)
+			continue
+		}
+		r.done <- errors.Mark(cause, ErrNotStored)
+	}
+	if refused := len(batch) - len(again); refused > 0 {
+		in.events.WithError(cause).WithField("requests", refused).Info("store takes nothing")
+	}
+	if len(again) > 0 {
+		time.AfterFunc(in.cfg.Again, func() { in.tryAgain(again) })
+	}
+}
+
+func (in *Intake) tryAgain(batch []*request) {
+	for _, r := range batch {
+		if !in.enqueue(r) {
+			r.done <- errors.Wrap(ErrNotStored, "too many requests wait")
+		}
+	}
+}
+
 // expire answers the requests whose time is over and returns the others.
 func expire(batch []*request, uncertain bool) []*request {
 	outcome := ErrNotStored
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -17,13 +17,14 @@
 // fakeLog answers appends as told and counts those under way.
 type fakeLog struct {
 	platform.PartitionLog
-	mu      sync.Mutex
-	errs    []error // of the next appends; none left: success
-	takes   time.Duration
-	down    bool
-	appends int
-	now     int
-	most    int
+	mu       sync.Mutex
+	errs     []error // of the next appends; none left: success
+	takes    time.Duration
+	down     bool
+	patience time.Duration // of the clients
+	appends  int
+	now      int
+	most     int
 }
 
 func (l *fakeLog) Append(ctx context.Context, _ platform.Append) (platform.Offset, error) {
@@ -66,7 +67,7 @@
 				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
 				client, cancel := context.WithTimeout(ctx, 3*time.Second)
 				defer cancel()
-				err := in.Store(client, platform.Record{Key: "k", Value: []byte{1}})
+				err := in.Store(client, platform.Record{Key: "k", Value: []byte{1}}, l.patience)
 				mu.Lock()
 				defer mu.Unlock()
 				got = append(got, err)
@@ -167,3 +168,24 @@
 		t.Fatalf("got %v after %d appends", got, l.appends)
 	}
 }
+
+// A store that takes nothing is waited for as long as clients have patience.
+func TestShortOutageIsWaitedFor(t *testing.T) {
+	var errs []error
+	for range 5 {
+		errs = append(errs, platform.ErrUnavailable)
+	}
+	l := &fakeLog{errs: errs, patience: time.Second}
+	got := play(t, l, noLeader, 1)
+	if count(got, nil) != 1 || l.appends != 6 {
+		t.Fatalf("got %v after %d appends", got, l.appends)
+	}
+}
+
+func TestLongOutageIsRefused(t *testing.T) {
+	l := &fakeLog{down: true, patience: time.Second}
+	got := play(t, l, noLeader, 3)
+	if count(got, ErrNotStored) != 3 || l.appends != 0 {
+		t.Fatalf("got %v after %d appends", got, l.appends)
+	}
+}
--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -26,7 +26,7 @@
 
 // Store makes records durable; *intake.Intake is one.
 type Store interface {
-	Store(ctx context.Context, record platform.Record) error
+	Store(ctx context.Context, record platform.Record, patience time.Duration) error
 }
 
 // API answers clients' requests.
@@ -48,6 +48,14 @@
 	// busyRetryAfter is named where the store took no job: its outages last
 	// seconds, and the balancer leads a retry to another machine.
 	busyRetryAfter = time.Second
+	// storePatience is the share of a client's time for which a store that
+	// takes nothing is waited for, and objectivePatience the share of the
+	// job's latency objective. Outages last seconds; a client that is
+	// refused at once runs out of its few tries before the store is back,
+	// and one that waits too long learns too late that it should try
+	// elsewhere.
+	storePatience     = 0.4
+	objectivePatience = 0.25
 )
 
 // reply is an answer before it is written.
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -45,7 +45,17 @@
 	if err != nil {
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
 	}
-	return a.store(r, platform.Record{Key: work.Key(work.KindJob, id), Value: value})
+	return a.store(r, platform.Record{Key: work.Key(work.KindJob, id), Value: value}, patience(r, job))
+}
+
+// patience returns how long the store is waited for with a job.
+func patience(r *request, j *work.Job) time.Duration {
+	objective := time.Duration(r.queue.Stretch*float64(j.Chain())) + r.queue.TargetLatency
+	wait := time.Duration(objectivePatience * float64(objective))
+	if deadline, ok := r.Context().Deadline(); ok {
+		wait = min(wait, time.Duration(storePatience*float64(time.Until(deadline))))
+	}
+	return wait
 }
 
 // unsupported names something that the job needs and that isn't built.
@@ -79,8 +89,8 @@
 }
 
 // store makes a record durable and says so.
-func (a *API) store(r *request, record platform.Record) *reply {
-	err := a.Store.Store(r.Context(), record)
+func (a *API) store(r *request, record platform.Record, patience time.Duration) *reply {
+	err := a.Store.Store(r.Context(), record, patience)
 	switch {
 	case err == nil:
 		return accepted()
@@ -119,6 +129,9 @@
 	return &reply{status: http.StatusOK, body: a.Forms.EncodeState(e.State())}
 }
 
+// cancelPatience is how long the store is waited for with a cancel.
+const cancelPatience = time.Second
+
 // cancel cancels a job that has not ended.
 func (a *API) cancel(r *request, id work.ID) *reply {
 	e, refusal := a.find(r, id)
@@ -128,7 +141,7 @@
 	if e.State().Final() {
 		return &reply{status: http.StatusOK, body: a.Forms.EncodeState(e.State())}
 	}
-	return a.store(r, platform.Record{Key: work.Key(work.KindCancel, id), Value: work.CancelValue})
+	return a.store(r, platform.Record{Key: work.Key(work.KindCancel, id), Value: work.CancelValue}, cancelPatience)
 }
 
 // pending tells how many jobs of the queue have not begun.
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -23,6 +23,7 @@
 	Spread       time.Duration // claims of several processes are spread over this time
 	Watch        time.Duration // how long a read waits for a record
 	Append       time.Duration // least timeout of an append; it grows with what appends take
+	AppendMost   time.Duration // up to this
 	Call         time.Duration // longest read beside its wait
 	Retry        time.Duration // pause after a call that failed
 	LeaseRenewal time.Duration // after the last confirmed renewal, for which executors' leases are extended
@@ -44,6 +45,7 @@
 		Spread:       60 * time.Millisecond,
 		Watch:        200 * time.Millisecond,
 		Append:       200 * time.Millisecond,
+		AppendMost:   600 * time.Millisecond,
 		Call:         700 * time.Millisecond,
 		Retry:        100 * time.Millisecond,
 		LeaseRenewal: 3 * time.Second,
@@ -72,6 +74,7 @@
 	state     *State // nil until the partition was read once
 	suspected bool   // the leader's process answers no call
 	stopping  bool
+	blind     bool          // the last read failed
 	usual     time.Duration // what the last append took
 	wake      chan struct{}
 	released  chan struct{} // closed when this process has stepped down
@@ -311,10 +314,17 @@
 		return nil
 	}
 	if err != nil {
+		e.mu.Lock()
+		e.blind = true
+		e.mu.Unlock()
 		return err
 	}
 	e.mu.Lock()
 	led := e.state.Leads()
+	if e.blind {
+		e.blind = false
+		e.state.lookAgain(time.Now())
+	}
 	e.take(batch)
 	lost := led && !e.state.Leads()
 	by := e.state.Current()
@@ -374,7 +384,7 @@
 	case err == nil:
 		e.usual = time.Since(sent)
 	case errors.Is(err, platform.ErrUncertain):
-		e.usual = min(timeout, e.cfg.Timing.Call) // the next one is given more
+		e.usual = min(timeout, e.cfg.Timing.AppendMost/2) // the next one is given more
 	}
 	return offset, err
 }
@@ -384,7 +394,7 @@
 func (e *Elector) appendTimeout() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return max(e.cfg.Timing.Append, min(2*e.usual, 2*e.cfg.Timing.Call))
+	return max(e.cfg.Timing.Append, min(2*e.usual, e.cfg.Timing.AppendMost))
 }
 
 func (e *Elector) read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.RecordBatch, error) {
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -100,6 +100,11 @@
 // sending notes that an own append is about to be sent.
 func (s *State) sending(now time.Time) { s.sent = now }
 
+// lookAgain begins a new span of silence: while the store could not be read
+// nothing could be heard from the leader, which may not have reached the
+// store either.
+func (s *State) lookAgain(now time.Time) { s.heard = now }
+
 // claimed takes in that the own claim was stored.
 func (s *State) claimed(at platform.Offset, now time.Time) {
 	s.self.Epoch = api.Epoch(at + 1)
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -109,35 +109,13 @@
 	return true
 }
 
-// remaining returns the longest chain of estimated run times from step i on.
-func (o *occurrence) remaining(i int) time.Duration {
-	longest := time.Duration(0)
-	for _, s := range o.steps[i+1:] {
-		for _, before := range s.spec.After {
-			if before == i {
-				longest = max(longest, o.remaining(s.index))
-			}
-		}
-	}
-	return o.steps[i].spec.Estimate + longest
-}
-
-// chain returns the longest chain of estimated run times of the occurrence.
-func (o *occurrence) chain() time.Duration {
-	longest := time.Duration(0)
-	for i := range o.steps {
-		longest = max(longest, o.remaining(i))
-	}
-	return longest
-}
-
-// objective returns within what time after its arrival an occurrence should
-// end.
-func (o *occurrence) objective(q *queue.Queue) time.Duration {
+// objectiveOf returns within what time after its arrival an occurrence of a
+// job should end.
+func objectiveOf(j *work.Job, q *queue.Queue) time.Duration {
 	if q == nil {
-		return o.chain()
+		return j.Chain()
 	}
-	return time.Duration(q.Stretch*float64(o.chain())) + q.TargetLatency
+	return time.Duration(q.Stretch*float64(j.Chain())) + q.TargetLatency
 }
 
 // from returns when the occurrence's time began to count.
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -32,8 +32,8 @@
 func (c *Cell) turnOf(s *step, now time.Time) turn {
 	q := c.queue(s.job)
 	from := s.job.from(s.occ)
-	left := s.occ.remaining(s.index)
-	objective := s.occ.objective(q)
+	left := s.job.spec.Remaining(s.index)
+	objective := objectiveOf(s.job.spec, q)
 	t := turn{step: s, latest: from.Add(objective - left)}
 	switch {
 	case now.Before(t.latest) || s.spec.LongRunning:
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -4,6 +4,7 @@
 package work
 
 import (
+	"slices"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -35,6 +36,26 @@
 	return j.FirstRun + int64(occurrence)*j.Interval.Milliseconds()
 }
 
+// Remaining returns the longest chain of estimated run times from step i on.
+func (j *Job) Remaining(i int) time.Duration {
+	longest := time.Duration(0)
+	for k := i + 1; k < len(j.Steps); k++ {
+		if slices.Contains(j.Steps[k].After, i) {
+			longest = max(longest, j.Remaining(k))
+		}
+	}
+	return j.Steps[i].Estimate + longest
+}
+
+// Chain returns the longest chain of estimated run times of the steps.
+func (j *Job) Chain() time.Duration {
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		longest = max(longest, j.Remaining(i))
+	}
+	return longest
+}
+
 // Step is a number of equal tasks.
 type Step struct {
 	_           struct{}      `cbor:",toarray"`
