Machines learn of the leader and of each other from deliveries

Ruled out: the choice of the next leader. Change: a delivery names its leader and the machines; a new leader delivers to all that its predecessor did; a former leader learns its end from the answer; without a store, a machine asks the leader where the partition ends before it says that it doesn't know a job.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/peer"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -29,6 +30,7 @@
 	methodAdvise  = ServiceName + ".Advise"
 	methodStore   = ServiceName + ".Store"
 	methodDeliver = ServiceName + ".Deliver"
+	methodSync    = ServiceName + ".Sync"
 )
 
 // Caller calls a peer once; *peer.Client is one.
@@ -93,18 +95,35 @@
 	Outcome StoreOutcome
 }
 
-// Delivery brings stored records to a machine, in the order of the partition.
+// Delivery brings stored records to a machine, in the order of the partition,
+// and tells it who leads and which machines there are: one that can't reach
+// the store learns it only so.
 type Delivery struct {
-	_       struct{}        `cbor:",toarray"`
-	First   platform.Offset // of the first record
-	Records []Record
-	End     platform.Offset // of the partition as far as the leader knows
+	_        struct{} `cbor:",toarray"`
+	Leader   leader.Leader
+	First    platform.Offset // of the first record
+	Records  []Record
+	End      platform.Offset // of the partition as far as the leader knows
+	Machines []Attachment    // those that the leader delivers to; empty: as before
 }
 
-// DeliveryAnswer tells up to where the machine knows the partition.
+// DeliveryAnswer tells up to where the machine knows the partition, and the
+// highest epoch that it has heard of.
 type DeliveryAnswer struct {
 	_        struct{} `cbor:",toarray"`
 	Position platform.Offset
+	Epoch    api.Epoch
+}
+
+// SyncRequest asks the leader to read what the store holds.
+type SyncRequest struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// SyncAnswer tells where the cell's partition ends.
+type SyncAnswer struct {
+	_   struct{} `cbor:",toarray"`
+	End platform.Offset
 }
 
 // Storer stores records as the leader; *dispatch.Runner is one.
@@ -115,16 +134,25 @@
 // Receiver takes in deliveries; *replica.Reader is one.
 type Receiver interface {
 	Deliver(first platform.Offset, records []platform.Record, end platform.Offset) platform.Offset
+	Sync(ctx context.Context) error
+	Position() platform.Offset
+}
+
+// Electorate knows who leads; *leader.Elector is one.
+type Electorate interface {
+	// Learn takes in who leads and returns the highest epoch known.
+	Learn(l leader.Leader) api.Epoch
 }
 
 // Handler answers peers' calls.
 type Handler struct {
-	Leads    func() api.Epoch // 0: this machine doesn't lead
-	Storer   func() Storer    // nil: this machine doesn't lead
-	Receiver Receiver
-	Helpers  *Helpers
-	Adviser  platform.Adviser
-	Longest  time.Duration // bound of a call to the advice service or the store
+	Leads      func() api.Epoch // 0: this machine doesn't lead
+	Storer     func() Storer    // nil: this machine doesn't lead
+	Receiver   Receiver
+	Electorate Electorate
+	Helpers    *Helpers
+	Adviser    platform.Adviser
+	Longest    time.Duration // bound of a call to the advice service or the store
 }
 
 // Store stores records for another machine.
@@ -142,10 +170,27 @@
 
 // Deliver takes in records from the leader.
 func (h *Handler) Deliver(d *Delivery, reply *DeliveryAnswer) error {
+	reply.Epoch = h.Electorate.Learn(d.Leader)
+	if reply.Epoch != d.Leader.Epoch {
+		return nil // a former leader; what it brings may be behind
+	}
+	h.Helpers.Know(d.Machines)
 	reply.Position = h.Receiver.Deliver(d.First, unpack(d.Records), d.End)
 	return nil
 }
 
+// Sync reads what the store holds and tells where the partition ends.
+func (h *Handler) Sync(_ *SyncRequest, reply *SyncAnswer) error {
+	if h.Leads() == 0 {
+		return errors.New("assist: this machine doesn't lead")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), h.Longest)
+	defer cancel()
+	err := h.Receiver.Sync(ctx)
+	reply.End = h.Receiver.Position()
+	return err
+}
+
 func unpack(records []Record) []platform.Record {
 	out := make([]platform.Record, len(records))
 	for i, r := range records {
@@ -205,3 +250,10 @@
 		return answer.Outcome
 	}
 }
+
+// Sync asks the leader at an address where the cell's partition ends.
+func Sync(ctx context.Context, c Caller, leader string) (platform.Offset, error) {
+	var answer SyncAnswer
+	err := c.Call(ctx, leader, methodSync, &SyncRequest{}, &answer)
+	return answer.End, err
+}
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -23,6 +23,7 @@
 
 // Helpers are the machines that make calls for the leader, itself included.
 type Helpers struct {
+	self   api.NodeID
 	caller Caller
 	own    platform.Adviser
 
@@ -41,7 +42,7 @@
 
 // NewHelpers returns the helpers of a leader, at first only itself.
 func NewHelpers(self api.NodeID, own platform.Adviser, caller Caller) *Helpers {
-	h := &Helpers{caller: caller, own: own, machines: make(map[api.NodeID]*helper)}
+	h := &Helpers{self: self, caller: caller, own: own, machines: make(map[api.NodeID]*helper)}
 	h.machines[self] = &helper{node: self}
 	return h
 }
@@ -59,6 +60,17 @@
 	m.seen = now
 }
 
+// Know takes in machines that the leader delivers to. When this machine comes
+// to lead, it delivers to them until they are silent.
+func (h *Helpers) Know(machines []Attachment) {
+	now := time.Now()
+	for _, m := range machines {
+		if m.Node != h.self {
+			h.Attached(m, now)
+		}
+	}
+}
+
 // Others returns the machines whose offer holds, but for this one.
 func (h *Helpers) Others(now time.Time) []Attachment {
 	h.mu.Lock()
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -30,9 +31,11 @@
 // Publisher delivers what the leader's replica applies to the machines that
 // are attached.
 type Publisher struct {
-	helpers *Helpers
-	caller  Caller
-	events  *logrus.Entry
+	self     leader.Leader
+	helpers  *Helpers
+	caller   Caller
+	replaced func(epoch api.Epoch)
+	events   *logrus.Entry
 
 	mu      sync.Mutex
 	first   platform.Offset // of the first kept record
@@ -47,9 +50,18 @@
 	busy     bool
 }
 
-// NewPublisher returns a publisher of records from an offset on.
-func NewPublisher(from platform.Offset, h *Helpers, c Caller, events *logrus.Entry) *Publisher {
-	return &Publisher{helpers: h, caller: c, events: events, first: from, targets: make(map[api.NodeID]*target)}
+// NewPublisher returns a publisher of records from an offset on, for the leader
+// self. It calls replaced when a machine has heard of a higher epoch.
+func NewPublisher(self leader.Leader, from platform.Offset, h *Helpers, c Caller, replaced func(api.Epoch), events *logrus.Entry) *Publisher {
+	return &Publisher{
+		self:     self,
+		helpers:  h,
+		caller:   c,
+		replaced: replaced,
+		events:   events,
+		first:    from,
+		targets:  make(map[api.NodeID]*target),
+	}
 }
 
 // Add takes in records that follow on the last ones.
@@ -74,8 +86,12 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, m := range p.helpers.Others(now) {
+			machines := p.helpers.Others(now)
+			for _, m := range machines {
 				if d, due := p.next(m.Node, now); due {
+					if len(d.Records) == 0 {
+						d.Machines = machines
+					}
 					calls.Go(func() { p.deliver(ctx, m, d) })
 				}
 			}
@@ -98,7 +114,7 @@
 	}
 	t.busy = true
 	t.sent = now
-	d := Delivery{First: end, End: end}
+	d := Delivery{Leader: p.self, First: end, End: end}
 	if t.position >= p.first && t.position < end {
 		d.First = t.position
 		d.Records = pack(p.records[t.position-p.first:][:min(int(end-t.position), sentRecords)])
@@ -119,5 +135,10 @@
 		p.events.WithError(err).WithField("machine", m.Node).Debug("records not delivered")
 		return
 	}
+	if answer.Epoch > p.self.Epoch {
+		p.replaced(answer.Epoch)
+		return
+	}
 	t.position = answer.Position
+	p.helpers.Attached(m, time.Now())
 }
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/plan"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
@@ -38,6 +39,7 @@
 type Config struct {
 	Plan      plan.Config
 	Epoch     api.Epoch
+	Self      leader.Leader // with the epoch
 	Log       platform.PartitionLog
 	Jobs      platform.Partition // of the cell's jobs
 	Registry  platform.Partition // of the executors' records
@@ -48,8 +50,9 @@
 	Helpers   *assist.Helpers
 	Caller    assist.Caller
 	Table     func() *queue.Table
-	MayRenew  func() bool // leases may be extended
-	Replaced  func()      // somebody refused this leader's epoch
+	MayRenew  func() bool           // leases may be extended
+	Replaced  func()                // somebody refused this leader's epoch
+	HeardOf   func(epoch api.Epoch) // a machine has heard of a higher epoch
 	Events    *logrus.Entry
 }
 
@@ -123,7 +126,7 @@
 		<-ready
 		publisher.Add(records)
 	})
-	publisher = assist.NewPublisher(from, r.cfg.Helpers, r.cfg.Caller, r.cfg.Events)
+	publisher = assist.NewPublisher(r.cfg.Self, from, r.cfg.Helpers, r.cfg.Caller, r.cfg.HeardOf, r.cfg.Events)
 	close(ready)
 	r.spawn(func() { publisher.Run(ctx) })
 }
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -74,6 +74,7 @@
 	state     *State // nil until the partition was read once
 	suspected bool   // the leader's process answers no call
 	stopping  bool
+	unread    bool          // the state is from other processes; the store was not read yet
 	blind     bool          // the last read failed
 	usual     time.Duration // what the last append took
 	wake      chan struct{}
@@ -102,6 +103,28 @@
 	return e.state != nil && e.state.MayRenewLeases(time.Now(), e.cfg.Timing.LeaseRenewal)
 }
 
+// Learn takes in from another process who leads: one that can't read the
+// store learns it only so. It returns the highest epoch known.
+func (e *Elector) Learn(l Leader) api.Epoch {
+	e.mu.Lock()
+	if e.state == nil {
+		e.state = NewState(e.cfg.Self, 0, time.Now())
+		e.unread = true
+	}
+	led := e.state.Leads()
+	if e.state.learn(l, time.Now()) {
+		e.suspected = false
+	}
+	lost := led && !e.state.Leads()
+	highest := e.state.highest
+	e.mu.Unlock()
+	if lost {
+		e.cfg.Events.WithFields(logrus.Fields{"by": l.Node, "epoch": l.Epoch}).Warn("this process hears that it was replaced as leader")
+		e.cfg.Lost()
+	}
+	return highest
+}
+
 // Suspect notes that the process of the given leader answers no call, so that
 // less silence is waited for.
 func (e *Elector) Suspect(epoch api.Epoch) {
@@ -183,11 +206,11 @@
 // step makes the next call: the first read, a renewal, a claim or a watch.
 func (e *Elector) step(ctx context.Context) error {
 	e.mu.Lock()
-	state, stopping := e.state, e.stopping
+	state, stopping, unread := e.state, e.stopping, e.unread
 	leads := state != nil && state.Leads()
 	e.mu.Unlock()
 	switch {
-	case state == nil:
+	case state == nil || unread:
 		return e.begin(ctx)
 	case stopping && leads:
 		return e.release(ctx)
@@ -218,11 +241,16 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	learned := e.state
 	e.state = NewState(e.cfg.Self, from, time.Now())
+	e.unread = false
 	e.take(batch)
 	if len(batch.Records) == 0 {
 		e.state.released = true // nobody leads and nobody is waited for
 	}
+	if learned != nil {
+		e.state.learn(learned.current, learned.heard)
+	}
 	return nil
 }
 
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -18,6 +18,7 @@
 
 // Leader names a process that has claimed the cell.
 type Leader struct {
+	_           struct{}  `cbor:",toarray"`
 	Epoch       api.Epoch // one more than the place of its claim
 	Node        api.NodeID
 	Incarnation api.Incarnation
@@ -34,6 +35,7 @@
 	sent      time.Time // when the newest own append was sent
 	confirmed time.Time // when the newest own record that was stored was sent
 	released  bool
+	highest   api.Epoch     // of all leaders heard of
 	gap       time.Duration // usual time between two records of a leader
 }
 
@@ -90,6 +92,7 @@
 		s.current = Leader{}
 		s.released = true
 	}
+	s.highest = max(s.highest, s.current.Epoch)
 	if s.current.Epoch != s.self.Epoch {
 		s.self.Epoch = 0
 	} else if s.Leads() {
@@ -100,6 +103,21 @@
 // sending notes that an own append is about to be sent.
 func (s *State) sending(now time.Time) { s.sent = now }
 
+// learn takes in from elsewhere who leads. It reports whether that is news.
+// What is known already doesn't count as a sign of life: the leader may reach
+// this process and not the store.
+func (s *State) learn(l Leader, now time.Time) bool {
+	if l.Epoch <= s.highest {
+		return false
+	}
+	s.highest = l.Epoch
+	s.current = l
+	s.heard = now
+	s.released = false
+	s.self.Epoch = 0
+	return true
+}
+
 // lookAgain begins a new span of silence: while the store could not be read
 // nothing could be heard from the leader, which may not have reached the
 // store either.
@@ -108,6 +126,7 @@
 // claimed takes in that the own claim was stored.
 func (s *State) claimed(at platform.Offset, now time.Time) {
 	s.self.Epoch = api.Epoch(at + 1)
+	s.highest = s.self.Epoch
 	s.current = s.self
 	s.end = at + 1
 	s.heard = now
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 // Node is one process.
 type Node struct {
 	settings *platform.Settings
+	self     leader.Leader // without an epoch
 	log      *logrus.Entry
 	store    *storehealth.Log
 	watch    *queue.Watch
@@ -88,10 +89,11 @@
 	}
 	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, n.relay, n.store.Down, log)
 	n.helpers = assist.NewHelpers(s.Node, n.adviser, n.caller)
+	n.self = leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.Peer}
 	n.elector = leader.New(leader.Config{
 		Log:       n.store,
 		Partition: product.Partition{Topic: topicLeader, Number: cellNumber},
-		Self:      leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.Peer},
+		Self:      n.self,
 		Timing:    leader.DefaultTiming(),
 		Events:    log,
 		Gained:    n.gained,
@@ -160,9 +162,12 @@
 	}
 	executors := platform.NewExecutors()
 	defer executors.Close()
+	self := n.self
+	self.Epoch = epoch
 	runner := dispatch.New(dispatch.Config{
 		Plan:      n.planConfig(),
 		Epoch:     epoch,
+		Self:      self,
 		Log:       n.store,
 		Jobs:      n.reader.Partition,
 		Registry:  platform.ExecutorRecords,
@@ -175,6 +180,7 @@
 		Table:     n.table,
 		MayRenew:  n.elector.MayRenewLeases,
 		Replaced:  n.elector.Replaced,
+		HeardOf:   n.heardOf,
 		Events:    n.log.WithField("epoch", epoch),
 	})
 	n.runner.Store(runner)
@@ -183,6 +189,13 @@
 	n.log.WithError(err).WithField("epoch", epoch).Info("this process no longer plans for the cell")
 }
 
+// heardOf ends leading when another machine has heard of a higher epoch.
+func (n *Node) heardOf(epoch api.Epoch) {
+	n.log.WithField("higher_epoch", epoch).Warn("another machine has heard of a later leader")
+	n.elector.Replaced()
+	n.lost()
+}
+
 // storer returns who stores records as the leader; nil unless this process
 // leads.
 func (n *Node) storer() assist.Storer {
@@ -269,12 +282,41 @@
 		},
 		Table:   n.watch.Table,
 		Replica: n.replica,
-		Sync:    n.reader.Sync,
+		Sync:    n.sync,
 		Store:   n.intake,
 		Events:  n.log,
 	}
 }
 
+// syncLook is how often it is looked whether a delivery has come.
+const syncLook = 10 * time.Millisecond
+
+// sync returns when the replica holds everything that the store held when it
+// was called. Without a store the leader is asked, which delivers it.
+func (n *Node) sync(ctx context.Context) error {
+	if !n.store.Down() {
+		if err := n.reader.Sync(ctx); err == nil {
+			return nil
+		}
+	}
+	current := n.elector.Current()
+	if current.Epoch == 0 || current.Address == n.settings.Peer {
+		return product.ErrUnavailable
+	}
+	end, err := assist.Sync(ctx, n.caller, current.Address)
+	if err != nil {
+		return err
+	}
+	for n.replica.Position() < end {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(syncLook):
+		}
+	}
+	return nil
+}
+
 // Timing of the ties between a machine and the leader.
 const (
 	// attachEvery is the time between two offers of help to the leader.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -82,12 +82,13 @@
 func (n *Node) addPeers(g *run.Group) {
 	server := peer.NewServer(peerLimits(), n.log)
 	handler := &assist.Handler{
-		Leads:    func() api.Epoch { return api.Epoch(n.epoch.Load()) },
-		Storer:   n.storer,
-		Receiver: n.reader,
-		Helpers:  n.helpers,
-		Adviser:  n.adviser,
-		Longest:  adviceTimeout,
+		Leads:      func() api.Epoch { return api.Epoch(n.epoch.Load()) },
+		Storer:     n.storer,
+		Receiver:   n.reader,
+		Electorate: n.elector,
+		Helpers:    n.helpers,
+		Adviser:    n.adviser,
+		Longest:    adviceTimeout,
 	}
 	if err := server.Register(assist.ServiceName, handler); err != nil {
 		n.log.WithError(err).Error("peer service not registered")
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -62,6 +62,9 @@
 	return position
 }
 
+// Position returns up to where the replica is complete.
+func (f *Reader) Position() platform.Offset { return f.Replica.Position() }
+
 // IsFed reports whether the leader has lately delivered everything.
 func (f *Reader) IsFed(now time.Time) bool {
 	last := f.fed.Load()
