Bound what is accepted by what waits; fewer calls; gaps in deliveries

Ruled out: the store's numbering of the leader's appends (traced), sequence numbers after a fence. Change: deliveries carry offsets and start anew after a gap; one restore at a time; the place to read on is asked for before the first page (one function for jobs, executors and configuration); machines are divided for three and fewer too; a job is refused with 429 and Retry-After when what comes before it leaves it no useful time, or when more than 8 s of work waits; orders wait 250 ms for an answer, and an executor without one is given nothing before its next report; a machine that the leader tells of fresh renewals doesn't read the store; cycles of 10 ms and holds 40 ms apart.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -72,7 +72,7 @@
 	Value []byte
 }
 
-// StoreRequest asks the leader to store records, all or none.
+// StoreRequest asks the leader to store records.
 type StoreRequest struct {
 	_       struct{} `cbor:",toarray"`
 	Records []Record
@@ -87,12 +87,29 @@
 	Stored
 	NotStored // and never will be
 	NotLeader // the asked machine doesn't lead; it did nothing
+	TooBusy   // not stored: the job could not be of use in time
 )
 
-// StoreAnswer tells what became of the records.
+// StoreResult is what became of one record.
+type StoreResult struct {
+	_          struct{} `cbor:",toarray"`
+	Outcome    StoreOutcome
+	RetryAfter time.Duration // with TooBusy: when to come back
+}
+
+// Same returns the same result for n records.
+func Same(outcome StoreOutcome, n int) []StoreResult {
+	results := make([]StoreResult, n)
+	for i := range results {
+		results[i].Outcome = outcome
+	}
+	return results
+}
+
+// StoreAnswer tells what became of each record.
 type StoreAnswer struct {
 	_       struct{} `cbor:",toarray"`
-	Outcome StoreOutcome
+	Results []StoreResult
 }
 
 // Delivery brings stored records to a machine, in the order of the partition,
@@ -101,6 +118,7 @@
 type Delivery struct {
 	_        struct{} `cbor:",toarray"`
 	Leader   leader.Leader
+	Renewed  time.Duration   // how long ago the leader's last confirmed renewal was sent
 	First    platform.Offset // of the first record
 	Records  []Record
 	End      platform.Offset // of the partition as far as the leader knows
@@ -126,9 +144,10 @@
 	End platform.Offset
 }
 
-// Storer stores records as the leader; *dispatch.Runner is one.
+// Storer stores records as the leader, and tells what became of each;
+// *dispatch.Runner is one.
 type Storer interface {
-	Store(ctx context.Context, records []platform.Record) StoreOutcome
+	Store(ctx context.Context, records []platform.Record) []StoreResult
 }
 
 // Receiver takes in deliveries; *replica.Reader is one.
@@ -142,6 +161,9 @@
 type Electorate interface {
 	// Learn takes in who leads and returns the highest epoch known.
 	Learn(l leader.Leader) api.Epoch
+	// Assured takes in how long ago the leader's last confirmed renewal was
+	// sent.
+	Assured(epoch api.Epoch, age time.Duration)
 }
 
 // Handler answers peers' calls.
@@ -159,12 +181,12 @@
 func (h *Handler) Store(request *StoreRequest, reply *StoreAnswer) error {
 	storer := h.Storer()
 	if storer == nil {
-		reply.Outcome = NotLeader
+		reply.Results = Same(NotLeader, len(request.Records))
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), h.Longest)
 	defer cancel()
-	reply.Outcome = storer.Store(ctx, unpack(request.Records))
+	reply.Results = storer.Store(ctx, unpack(request.Records))
 	return nil
 }
 
@@ -174,6 +196,7 @@
 	if reply.Epoch != d.Leader.Epoch {
 		return nil // a former leader; what it brings may be behind
 	}
+	h.Electorate.Assured(d.Leader.Epoch, d.Renewed)
 	h.Helpers.Know(d.Machines)
 	reply.Position = h.Receiver.Deliver(d.First, unpack(d.Records), d.End)
 	return nil
@@ -237,17 +260,18 @@
 	return answer.Epoch, err
 }
 
-// Store asks the leader at an address to store records.
-func Store(ctx context.Context, c Caller, leader string, records []platform.Record) StoreOutcome {
+// Store asks the leader at an address to store records and returns what became
+// of each.
+func Store(ctx context.Context, c Caller, leader string, records []platform.Record) []StoreResult {
 	var answer StoreAnswer
 	err := c.Call(ctx, leader, methodStore, &StoreRequest{Records: pack(records)}, &answer)
 	switch {
 	case errors.Is(err, peer.ErrNotSent):
-		return NotLeader
-	case err != nil:
-		return StoreUnknown
+		return Same(NotLeader, len(records))
+	case err != nil || len(answer.Results) != len(records):
+		return Same(StoreUnknown, len(records))
 	default:
-		return answer.Outcome
+		return answer.Results
 	}
 }
 
--- a/internal/assist/demand.go
+++ b/internal/assist/demand.go
@@ -61,8 +61,9 @@
 type span struct{ from, to int }
 
 // divide deals n machines out to the lengths that were asked for lately, by
-// their demand, at least one to each. With fewer machines than lengths all
-// serve all.
+// their demand, at least one to each. Where there are fewer machines than
+// lengths, the shorter lengths share the first: a long call would keep them
+// waiting longest.
 func (d *demand) divide(n int) [lengths]span {
 	var out [lengths]span
 	total, wanted := 0.0, 0
@@ -72,11 +73,11 @@
 			total += d.taken[i]
 		}
 	}
-	if n <= wanted || total == 0 {
-		for i := range out {
-			out[i] = span{0, n}
-		}
-		return out
+	if n < wanted {
+		return d.crowd(n)
+	}
+	if total == 0 {
+		total = 1
 	}
 	spare := n - wanted
 	from, given := 0, 0.0
@@ -94,6 +95,21 @@
 	return out
 }
 
+// crowd deals out fewer machines than there are lengths asked for.
+func (d *demand) crowd(n int) [lengths]span {
+	var out [lengths]span
+	machine := n
+	for i := int(lengths) - 1; i >= 0; i-- {
+		if d.wanted(i) && machine > 1 {
+			machine--
+			out[i] = span{machine, machine + 1}
+			continue
+		}
+		out[i] = span{0, min(1, n)}
+	}
+	return out
+}
+
 // wanted reports whether calls of this length were asked for lately.
 func (d *demand) wanted(i int) bool {
 	return !d.asked[i].IsZero() && d.at.Sub(d.asked[i]) < 2*demandHalf
--- a/internal/assist/demand_test.go
+++ b/internal/assist/demand_test.go
@@ -50,6 +50,23 @@
 			So(h.Take(10*time.Millisecond, later), ShouldNotBeNil)
 		})
 	})
+	Convey("Given three machines, calls of each length have one of their own", t, func() {
+		h := NewHelpers("self", nil, nil)
+		attach(h, 2, now)
+		So(h.Take(10*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(100*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(700*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(700*time.Millisecond, now), ShouldBeNil)
+		So(h.Take(10*time.Millisecond, now), ShouldNotBeNil)
+	})
+	Convey("Given two machines, long calls have one of their own", t, func() {
+		h := NewHelpers("self", nil, nil)
+		attach(h, 1, now)
+		So(h.Take(10*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(100*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(700*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(700*time.Millisecond, now), ShouldBeNil)
+	})
 	Convey("One machine serves calls of all lengths", t, func() {
 		h := NewHelpers("self", nil, nil)
 		So(h.Take(10*time.Millisecond, now), ShouldNotBeNil)
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -115,6 +115,25 @@
 	return nil
 }
 
+// Wait returns how long a new call of an expected time would wait for its
+// turn, given the expected times of those that wait already.
+func (h *Helpers) Wait(cost time.Duration, waiting []time.Duration, now time.Time) time.Duration {
+	if cost == 0 {
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	of := lengthOf(cost)
+	machines := h.demand.divide(len(h.present(now)))[of]
+	total := time.Duration(0)
+	for _, w := range waiting {
+		if lengthOf(w) == of {
+			total += w
+		}
+	}
+	return total / time.Duration(max(1, machines.to-machines.from))
+}
+
 // take returns a slot of the machine, or nil if it has enough to do.
 func (m *helper) take(of length) *Slot {
 	if of == long {
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -34,6 +34,7 @@
 	self     leader.Leader
 	helpers  *Helpers
 	caller   Caller
+	renewed  func() time.Duration // how long ago the last confirmed renewal was sent
 	replaced func(epoch api.Epoch)
 	events   *logrus.Entry
 
@@ -52,11 +53,12 @@
 
 // NewPublisher returns a publisher of records from an offset on, for the leader
 // self. It calls replaced when a machine has heard of a higher epoch.
-func NewPublisher(self leader.Leader, from platform.Offset, h *Helpers, c Caller, replaced func(api.Epoch), events *logrus.Entry) *Publisher {
+func NewPublisher(self leader.Leader, from platform.Offset, h *Helpers, c Caller, renewed func() time.Duration, replaced func(api.Epoch), events *logrus.Entry) *Publisher {
 	return &Publisher{
 		self:     self,
 		helpers:  h,
 		caller:   c,
+		renewed:  renewed,
 		replaced: replaced,
 		events:   events,
 		first:    from,
@@ -64,10 +66,16 @@
 	}
 }
 
-// Add takes in records that follow on the last ones.
+// Add takes in records, which have their offsets. If they don't follow on the
+// last ones, as when the replica was read anew, machines that miss those
+// between read them from the store.
 func (p *Publisher) Add(records []platform.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if next := p.first + platform.Offset(len(p.records)); records[0].Offset != next {
+		p.first = records[0].Offset
+		p.records = nil
+	}
 	p.records = append(p.records, records...)
 	if over := len(p.records) - keptRecords; over > 0 {
 		p.records = append([]platform.Record(nil), p.records[over:]...)
@@ -114,7 +122,7 @@
 	}
 	t.busy = true
 	t.sent = now
-	d := Delivery{Leader: p.self, First: end, End: end}
+	d := Delivery{Leader: p.self, Renewed: p.renewed(), First: end, End: end}
 	if t.position >= p.first && t.position < end {
 		d.First = t.position
 		d.Records = pack(p.records[t.position-p.first:][:min(int(end-t.position), sentRecords)])
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -46,6 +46,7 @@
 			continue
 		}
 		r.takeReport(ctx, ref.ID, report, asked)
+		pause(ctx, holdPace-time.Since(asked))
 		wait = holdWait
 	}
 }
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -61,33 +61,18 @@
 // restore reads the newest record of every executor.
 func (g *registry) restore(ctx context.Context) error {
 	fresh := &registry{decode: g.decode, events: g.events, listed: make(map[string]*fleet.Executor)}
-	after := ""
-	for page := 0; ; page++ {
-		got, err := g.newest(ctx, after)
-		if err != nil {
-			return err
-		}
-		if page == 0 {
-			fresh.next = got.End
-		}
-		for _, r := range got.Records {
+	next, err := platform.ReadNewest(ctx, g.log, g.partition, registryTimeout, func(records []platform.Record) {
+		for _, r := range records {
 			fresh.apply(r)
-			after = r.Key
-		}
-		if !got.More {
-			break
 		}
+	})
+	if err != nil {
+		return err
 	}
-	g.listed, g.next, g.read = fresh.listed, fresh.next, true
+	g.listed, g.next, g.read = fresh.listed, next, true
 	return nil
 }
 
-func (g *registry) newest(ctx context.Context, after string) (platform.NewestPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
-	defer cancel()
-	return g.log.Newest(ctx, g.partition, after)
-}
-
 // apply takes in one record and reports whether it brought news.
 func (g *registry) apply(r platform.Record) bool {
 	before := g.listed[r.Key]
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -24,12 +24,13 @@
 
 // Timing of the loops.
 const (
-	cyclePace    = 4 * time.Millisecond   // least time between two cycles: what comes meanwhile shares an append
+	cyclePace    = 10 * time.Millisecond  // least time between two cycles: what comes meanwhile shares an append
 	cycleIdle    = 100 * time.Millisecond // longest time between two cycles: tickets and leases end without an event
 	holdWait     = time.Second            // how long an executor's report waits for an end
 	holdTimeout  = 700 * time.Millisecond // for a report, beside its wait
+	holdPace     = 40 * time.Millisecond  // least time between two holds on an executor: ends close together share one
 	holdRetry    = 200 * time.Millisecond
-	callTimeout  = 700 * time.Millisecond // of a start or stop; executors answer within a few milliseconds
+	callTimeout  = 250 * time.Millisecond // of a start or stop; executors answer within a few milliseconds
 	askTimeout   = 3 * time.Second        // of a call for advice, which may wait behind others
 	forgetEvery  = 5 * time.Second        // between two deletions of ended jobs
 	forgetAtOnce = 200
@@ -52,6 +53,7 @@
 	Table     func() *queue.Table
 	MayRenew  func() bool           // leases may be extended
 	Replaced  func()                // somebody refused this leader's epoch
+	Renewed   func() time.Duration  // how long ago the last confirmed renewal of leadership was sent
 	HeardOf   func(epoch api.Epoch) // a machine has heard of a higher epoch
 	Events    *logrus.Entry
 }
@@ -126,7 +128,7 @@
 		<-ready
 		publisher.Add(records)
 	})
-	publisher = assist.NewPublisher(r.cfg.Self, from, r.cfg.Helpers, r.cfg.Caller, r.cfg.HeardOf, r.cfg.Events)
+	publisher = assist.NewPublisher(r.cfg.Self, from, r.cfg.Helpers, r.cfg.Caller, r.cfg.Renewed, r.cfg.HeardOf, r.cfg.Events)
 	close(ready)
 	r.spawn(func() { publisher.Run(ctx) })
 }
@@ -138,7 +140,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.inbox {
-		s.done <- assist.NotStored
+		s.finish(assist.NotStored)
 	}
 	r.inbox = nil
 	r.ended = true
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/plan"
@@ -19,14 +20,37 @@
 // submission is what a machine has handed in and waits for.
 type submission struct {
 	records []platform.Record
-	jobs    []work.ID                // that the cell has taken from it
-	done    chan assist.StoreOutcome // takes one value
+	results []assist.StoreResult      // of the records that are refused; the others share the append's
+	jobs    []work.ID                 // that the cell has taken from it
+	done    chan []assist.StoreResult // takes one value
+}
+
+// accepted returns the records that are to be stored.
+func (s *submission) accepted() []platform.Record {
+	var out []platform.Record
+	for i, r := range s.records {
+		if s.results[i].Outcome != assist.TooBusy {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// finish tells what became of the submission.
+func (s *submission) finish(outcome assist.StoreOutcome) {
+	for i := range s.results {
+		if s.results[i].Outcome != assist.TooBusy {
+			s.results[i].Outcome = outcome
+		}
+	}
+	s.done <- s.results
 }
 
 // Store stores records that clients handed in, together with the leader's
 // own. It implements assist.Storer.
-func (r *Runner) Store(ctx context.Context, records []platform.Record) assist.StoreOutcome {
-	s := &submission{records: records, done: make(chan assist.StoreOutcome, 1)}
+func (r *Runner) Store(ctx context.Context, records []platform.Record) []assist.StoreResult {
+	n := len(records)
+	s := &submission{records: records, results: make([]assist.StoreResult, n), done: make(chan []assist.StoreResult, 1)}
 	r.mu.Lock()
 	refuse := r.ended || r.cell == nil || (!r.stuck.IsZero() && time.Since(r.stuck) > stuckAfter)
 	if !refuse {
@@ -34,20 +58,20 @@
 	}
 	r.mu.Unlock()
 	if refuse {
-		return assist.NotStored
+		return assist.Same(assist.NotStored, n)
 	}
 	r.Wake()
 	look := time.NewTicker(stuckLook)
 	defer look.Stop()
 	for {
 		select {
-		case outcome := <-s.done:
-			return outcome
+		case results := <-s.done:
+			return results
 		case <-ctx.Done():
-			return assist.StoreUnknown
+			return assist.Same(assist.StoreUnknown, n)
 		case <-look.C:
 			if outcome, hopeless := r.hopeless(s); hopeless {
-				return outcome
+				return assist.Same(outcome, n)
 			}
 		}
 	}
@@ -81,28 +105,61 @@
 func (r *Runner) takeInbox(now time.Time) []*submission {
 	handedIn := r.inbox
 	r.inbox = nil
+	if len(handedIn) == 0 {
+		return nil
+	}
+	backlog := r.cell.Backlog(now)
 	for _, s := range handedIn {
-		for _, rec := range s.records {
-			kind, id, err := work.ParseKey(rec.Key)
-			if err != nil || kind != work.KindJob {
-				continue
-			}
-			if e, known := r.cfg.Replica.Get(id); known && e.Job != nil {
-				continue
-			}
-			job, err := work.DecodeJob(rec.Value)
-			if err != nil {
-				r.cfg.Events.WithError(err).WithField("job", id).Error("unreadable job was handed in")
-				continue
-			}
-			if r.cell.AddJob(job, nil, now.UnixMilli(), now) {
-				s.jobs = append(s.jobs, id)
-			}
+		for i := range s.records {
+			r.takeRecord(s, i, backlog, now)
 		}
 	}
 	return handedIn
 }
 
+// takeRecord gives the job of a record to the cell, unless it could not be of
+// use in time. Other records are only to be stored. r.mu is held.
+func (r *Runner) takeRecord(s *submission, i int, backlog plan.Backlog, now time.Time) {
+	kind, id, err := work.ParseKey(s.records[i].Key)
+	if err != nil || kind != work.KindJob {
+		return
+	}
+	if e, known := r.cfg.Replica.Get(id); (known && e.Job != nil) || r.cell.Knows(id) {
+		return // handed in again
+	}
+	job, err := work.DecodeJob(s.records[i].Value)
+	if err != nil {
+		r.cfg.Events.WithError(err).WithField("job", id).Error("unreadable job was handed in")
+		return
+	}
+	if excess, late := r.tooLate(job, backlog, now); late {
+		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: excess}
+		return
+	}
+	if r.cell.AddJob(job, nil, now.UnixMilli(), now) {
+		s.jobs = append(s.jobs, id)
+	}
+}
+
+// tooLate reports whether a job would be of no use because of what waits
+// before it, or whether too much waits in all, and after what time that will
+// have changed.
+func (r *Runner) tooLate(j *work.Job, backlog plan.Backlog, now time.Time) (time.Duration, bool) {
+	q := r.cfg.Table().Named(j.Queue)
+	ask := r.cell.AskCost(q)
+	before := backlog.Before(j, q, now)
+	wait := before.Room() + r.cfg.Helpers.Wait(ask, before.Advice(), now)
+	all := max(backlog.Room(), r.cfg.Helpers.Wait(ask, backlog.Advice(), now))
+	excess := max(wait-plan.UsefulWait(j, q), all-plan.LongestWait)
+	if excess <= 0 {
+		return 0, false
+	}
+	r.cfg.Events.WithFields(logrus.Fields{
+		"job": j.ID, "queue": j.Queue, "wait_ms": wait.Milliseconds(), "backlog_ms": all.Milliseconds(),
+	}).Info("job refused: it would end too late to be of use, or too much waits")
+	return excess, true
+}
+
 // store makes what was handed in and the jobs' progress durable and answers
 // those who handed in. When the store refuses, their jobs are taken back: it
 // is certain that nothing was stored.
@@ -111,8 +168,10 @@
 	if err != nil {
 		return err
 	}
-	if len(handedIn) > 0 {
-		parts = join(handedIn, parts)
+	parts = join(handedIn, parts)
+	if len(parts) == 0 {
+		answer(handedIn, assist.Stored) // all were refused
+		return nil
 	}
 	for i, part := range parts {
 		first, err := r.appendPart(ctx, part, i == 0 && len(handedIn) > 0)
@@ -136,7 +195,10 @@
 func join(handedIn []*submission, parts [][]platform.Record) [][]platform.Record {
 	var first []platform.Record
 	for _, s := range handedIn {
-		first = append(first, s.records...)
+		first = append(first, s.accepted()...)
+	}
+	if len(first) == 0 {
+		return parts
 	}
 	if len(parts) == 0 {
 		return [][]platform.Record{first}
@@ -187,6 +249,6 @@
 
 func answer(handedIn []*submission, outcome assist.StoreOutcome) {
 	for _, s := range handedIn {
-		s.done <- outcome
+		s.finish(outcome)
 	}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,8 +22,18 @@
 )
 
 // Relay hands records to whoever leads the cell, which stores them with its
-// own. It fails with ErrNotStored, ErrUnknown, or ErrNoLeader.
-type Relay func(ctx context.Context, records []platform.Record) error
+// own. It returns what became of each: nil, ErrNotStored, ErrUnknown,
+// ErrNoLeader or a *BusyError.
+type Relay func(ctx context.Context, records []platform.Record) []error
+
+// BusyError says that a job was not stored because it would end too late to be
+// of use to its client.
+type BusyError struct {
+	RetryAfter time.Duration // when the wait will be shorter
+}
+
+// Error implements error.
+func (e *BusyError) Error() string { return "intake: too much waits before it" }
 
 // ErrNoLeader: there is no leader that could store the records; nothing was
 // done.
@@ -181,12 +191,10 @@
 // known what came of it, the batch is appended from here: a record that is
 // stored twice counts once.
 func (in *Intake) store(batch []*request) {
-	err := in.viaLeader(batch)
-	if err == nil {
-		answer(batch, nil)
+	uncertain, batch := in.viaLeader(batch)
+	if len(batch) == 0 {
 		return
 	}
-	uncertain := errors.Is(err, ErrUnknown)
 	if !in.awaitTurn() {
 		in.giveUp(batch, errors.New("the store has been silent for a while"), uncertain)
 		return
@@ -213,12 +221,23 @@
 	return false
 }
 
-// viaLeader hands a batch to the leader and waits as long as one of its
-// clients does.
-func (in *Intake) viaLeader(batch []*request) error {
+// viaLeader hands a batch to the leader, waits as long as one of its clients
+// does, and answers the requests that it has settled. It returns the others,
+// and whether some of these may be stored.
+func (in *Intake) viaLeader(batch []*request) (uncertain bool, left []*request) {
 	ctx, cancel := context.WithDeadline(context.Background(), lastDeadline(batch))
 	defer cancel()
-	return in.relay(ctx, recordsOf(batch))
+	for i, err := range in.relay(ctx, recordsOf(batch)) {
+		var busy *BusyError
+		switch r := batch[i]; {
+		case err == nil, errors.As(err, &busy):
+			r.done <- err
+		default:
+			uncertain = uncertain || errors.Is(err, ErrUnknown)
+			left = append(left, r)
+		}
+	}
+	return uncertain, left
 }
 
 // lastDeadline returns when the last of the batch's clients gives up.
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/finding"
 	"github.com/skylarklock/skylarklock/internal/intake"
@@ -91,7 +92,10 @@
 // store makes a record durable and says so.
 func (a *API) store(r *request, record platform.Record, patience time.Duration) *reply {
 	err := a.Store.Store(r.Context(), record, patience)
+	var busy *intake.BusyError
 	switch {
+	case errors.As(err, &busy):
+		return a.refuse(http.StatusTooManyRequests, "too much waits before it for the job to end in time", busy.RetryAfter)
 	case err == nil:
 		return accepted()
 	case errors.Is(err, intake.ErrNotStored):
@@ -115,6 +119,9 @@
 		e, known = a.Replica.Get(id)
 	}
 	if !known || e.Job == nil || e.Job.Queue != r.queue.Name {
+		a.Events.WithFields(logrus.Fields{
+			"job": id, "queue": r.queue.Name, "has_records": known, "has_submission": e.Job != nil, "read_up_to": a.Replica.Position(),
+		}).Info("no such job")
 		return e, a.refuse(http.StatusGone, "no such job", 0)
 	}
 	return e, nil
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -22,6 +22,8 @@
 	Abandoned    time.Duration // the same when it says that it doesn't lead
 	Spread       time.Duration // claims of several processes are spread over this time
 	Watch        time.Duration // how long a read waits for a record
+	Fresh        time.Duration // silence up to which the store is not read
+	Look         time.Duration // between two looks at that
 	Append       time.Duration // least timeout of an append; it grows with what appends take
 	AppendMost   time.Duration // up to this
 	Call         time.Duration // longest read beside its wait
@@ -44,6 +46,8 @@
 		Abandoned:    100 * time.Millisecond,
 		Spread:       60 * time.Millisecond,
 		Watch:        200 * time.Millisecond,
+		Fresh:        600 * time.Millisecond,
+		Look:         50 * time.Millisecond,
 		Append:       200 * time.Millisecond,
 		AppendMost:   600 * time.Millisecond,
 		Call:         700 * time.Millisecond,
@@ -125,6 +129,27 @@
 	return highest
 }
 
+// Assured takes in from the leader of an epoch how long ago its last confirmed
+// renewal was sent: while that is fresh the store need not be read.
+func (e *Elector) Assured(epoch api.Epoch, age time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state != nil {
+		e.state.assured(epoch, time.Now().Add(-age))
+	}
+}
+
+// Confirmed returns how long ago the last confirmed renewal of this process,
+// as leader, was sent.
+func (e *Elector) Confirmed() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == nil || !e.state.Leads() {
+		return time.Hour
+	}
+	return time.Since(e.state.confirmed)
+}
+
 // Suspect notes that the process of the given leader answers no call, so that
 // less silence is waited for.
 func (e *Elector) Suspect(epoch api.Epoch) {
@@ -222,11 +247,21 @@
 		return e.renewOrRelease(ctx)
 	case e.due():
 		return e.claim(ctx)
+	case e.quiet():
+		pause(ctx, e.cfg.Timing.Look)
+		return nil
 	default:
 		return e.watch(ctx)
 	}
 }
 
+// quiet reports whether the leader itself has told of a fresh renewal.
+func (e *Elector) quiet() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.suspected && e.state.Silence(time.Now()) < e.cfg.Timing.Fresh
+}
+
 // begin finds the partition's end by reading all that is kept of it.
 func (e *Elector) begin(ctx context.Context) error {
 	from := platform.Offset(0)
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -118,6 +118,13 @@
 	return true
 }
 
+// assured takes in from the leader when its last confirmed renewal was sent.
+func (s *State) assured(epoch api.Epoch, sent time.Time) {
+	if epoch == s.current.Epoch && sent.After(s.heard) {
+		s.heard = sent
+	}
+}
+
 // lookAgain begins a new span of silence: while the store could not be read
 // nothing could be heard from the leader, which may not have reached the
 // store either.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,6 +180,7 @@
 		Table:     n.table,
 		MayRenew:  n.elector.MayRenewLeases,
 		Replaced:  n.elector.Replaced,
+		Renewed:   n.elector.Confirmed,
 		HeardOf:   n.heardOf,
 		Events:    n.log.WithField("epoch", epoch),
 	})
@@ -206,22 +207,33 @@
 }
 
 // relay hands records to the leader.
-func (n *Node) relay(ctx context.Context, records []product.Record) error {
-	outcome := assist.NotLeader
+func (n *Node) relay(ctx context.Context, records []product.Record) []error {
+	results := assist.Same(assist.NotLeader, len(records))
 	if s := n.storer(); s != nil {
-		outcome = s.Store(ctx, records)
+		results = s.Store(ctx, records)
 	} else if current := n.elector.Current(); current.Epoch != 0 && current.Address != n.settings.Peer {
 		ctx, cancel := n.whileLeads(ctx, current.Epoch)
 		defer cancel()
-		outcome = assist.Store(ctx, n.caller, current.Address, records)
+		results = assist.Store(ctx, n.caller, current.Address, records)
 	}
-	switch outcome {
+	errs := make([]error, len(results))
+	for i, r := range results {
+		errs[i] = relayError(r)
+	}
+	return errs
+}
+
+// relayError returns what a result means to the intake.
+func relayError(r assist.StoreResult) error {
+	switch r.Outcome {
 	case assist.Stored:
 		return nil
 	case assist.NotStored:
 		return intake.ErrNotStored
 	case assist.NotLeader:
 		return intake.ErrNoLeader
+	case assist.TooBusy:
+		return &intake.BusyError{RetryAfter: r.RetryAfter}
 	default:
 		return intake.ErrUnknown
 	}
--- /dev/null
+++ b/internal/plan/admit.go
@@ -0,0 +1,119 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// waiting is a step that waits in a cell.
+type waiting struct {
+	turn   turn
+	advice time.Duration // expected time of the call for advice that it needs; 0: none
+	work   float64       // of its waiting tasks: thousandths of a processor, times seconds
+}
+
+// Backlog is the work that waits in a cell.
+type Backlog struct {
+	steps    []waiting
+	capacity float64 // thousandths of a processor
+}
+
+// Backlog returns the work that waits now.
+func (c *Cell) Backlog(now time.Time) Backlog {
+	b := Backlog{capacity: c.capacity()}
+	for _, s := range c.waiting {
+		tasks := len(s.unplaced())
+		if tasks == 0 || !s.ready || s.complete() {
+			continue
+		}
+		w := waiting{
+			turn: c.turnOf(s, now),
+			work: float64(tasks) * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds(),
+		}
+		if q := c.queue(s.job); q != nil && q.Advice != nil && !s.advice.anyValid(now) {
+			w.advice = q.Advice.Cost(c.advised(s))
+		}
+		b.steps = append(b.steps, w)
+	}
+	return b
+}
+
+// Before returns the part of the backlog that comes before a new job.
+func (b Backlog) Before(j *work.Job, q *queue.Queue, now time.Time) Backlog {
+	latest := now.Add(objectiveOf(j, q) - j.Chain())
+	before := Backlog{capacity: b.capacity}
+	for _, w := range b.steps {
+		if w.turn.stands == inTime && !w.turn.latest.After(latest) {
+			before.steps = append(before.steps, w)
+		}
+	}
+	return before
+}
+
+// Advice returns the expected times of the calls for advice that wait.
+func (b Backlog) Advice() []time.Duration {
+	var calls []time.Duration
+	for _, w := range b.steps {
+		if w.advice > 0 {
+			calls = append(calls, w.advice)
+		}
+	}
+	return calls
+}
+
+// Room returns how long all executors together need for the tasks that wait.
+func (b Backlog) Room() time.Duration {
+	if b.capacity <= 0 {
+		return 0
+	}
+	total := 0.0
+	for _, w := range b.steps {
+		total += w.work
+	}
+	return time.Duration(total / b.capacity * float64(time.Second))
+}
+
+// advised returns about how many executors a call for advice would name.
+func (c *Cell) advised(s *step) int {
+	if len(s.advice.tickets) > 0 {
+		return len(s.advice.tickets)
+	}
+	return min(len(c.sorted), c.cfg.MostAdvised)
+}
+
+// capacity returns the processors of all executors that may be given work, in
+// thousandths.
+func (c *Cell) capacity() float64 {
+	total := 0.0
+	for _, v := range c.sorted {
+		if v.listed && v.known && !v.Draining {
+			total += float64(v.Capacity.MilliCPU)
+		}
+	}
+	return total
+}
+
+// AskCost returns the expected time of a first call for advice for a job of
+// the queue; 0 if none is needed.
+func (c *Cell) AskCost(q *queue.Queue) time.Duration {
+	if q == nil || q.Advice == nil {
+		return 0
+	}
+	return q.Advice.Cost(min(len(c.sorted), c.cfg.MostAdvised))
+}
+
+// LongestWait bounds the whole backlog that a job may be accepted with. Clients of a
+// job that waits longer gain nothing by its acceptance, and what has been
+// accepted has to be started within some 10 s even when nothing new comes.
+const LongestWait = 8 * time.Second
+
+// UsefulWait returns for how long a job may wait for its first start and still
+// be of use.
+func UsefulWait(j *work.Job, q *queue.Queue) time.Duration {
+	if j.LongRunning() || j.Repetitions > 0 {
+		return LongestWait
+	}
+	return min(LongestWait, lateFactor*objectiveOf(j, q)-j.Chain())
+}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -95,7 +95,7 @@
 // of it has started; otherwise the runs that it names may exist. It reports
 // whether the job was new.
 func (c *Cell) AddJob(spec *work.Job, p *work.Progress, wall int64, now time.Time) bool {
-	if _, over := c.ended[spec.ID]; over || c.jobs[spec.ID] != nil {
+	if c.Knows(spec.ID) {
 		return false
 	}
 	age := time.Duration(max(0, wall-spec.Accepted)) * time.Millisecond
@@ -133,6 +133,12 @@
 	c.dirty = slices.DeleteFunc(c.dirty, func(d *job) bool { return d == j })
 }
 
+// Knows reports whether the job is planned or has ended under this leader.
+func (c *Cell) Knows(id work.ID) bool {
+	_, over := c.ended[id]
+	return over || c.jobs[id] != nil
+}
+
 // longestAge bounds the age that a job may claim, since clocks of machines
 // can jump.
 const longestAge = time.Minute
--- a/internal/plan/config.go
+++ b/internal/plan/config.go
@@ -25,7 +25,7 @@
 	// extended leases (leader.Timing.LeaseRenewal).
 	Inherited time.Duration
 	// SilentAfter is the age of an executor's last report above which it is
-	// given no new work. A report comes at least every hold wait.
+	// given no new work. A report comes at least every hold wait (1 s).
 	SilentAfter time.Duration
 	// TicketMargin is taken off the validity of a ticket, for the way of the
 	// start to the executor.
@@ -61,9 +61,9 @@
 	return Config{
 		Lease:         4 * time.Second,
 		ClockDrift:    0.02,
-		StartValid:    1500 * time.Millisecond,
+		StartValid:    800 * time.Millisecond,
 		Inherited:     3 * time.Second,
-		SilentAfter:   2500 * time.Millisecond,
+		SilentAfter:   1600 * time.Millisecond,
 		TicketMargin:  150 * time.Millisecond,
 		DrainMargin:   500 * time.Millisecond,
 		StopRepeat:    400 * time.Millisecond,
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -52,6 +52,7 @@
 		c.over(cl, platform.EndStopped, "")
 	default:
 		cl.state = unsure
+		v.unanswered = now
 		c.stop(cl) // a stop that is answered settles what became of the start
 	}
 }
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -53,6 +53,7 @@
 
 	failJobs   map[*job]struct{} // whose tasks failed in a row
 	avoidUntil time.Time
+	unanswered time.Time // when an order last got no answer
 	ratio      float64   // moving mean of run times to estimates; 0: none was seen
 	slowness   float64   // how many times as long as the fleet it takes; 1: it isn't slow
 	slowAt     time.Time // latest sign of that
@@ -102,11 +103,13 @@
 	return v.clockNow(now, drift) > v.lease
 }
 
-// usable reports whether the executor may be given new work.
+// usable reports whether the executor may be given new work. After an order
+// without an answer it has to report first.
 func (v *vm) usable(now time.Time, cfg *Config) bool {
 	return v.listed && v.known && !v.Draining &&
 		now.Sub(v.clockAt) < cfg.SilentAfter &&
 		!now.Before(v.avoidUntil) &&
+		v.clockAt.After(v.unanswered) &&
 		(!v.onTrial(cfg) || len(v.claims) == 0)
 }
 
--- a/internal/queue/watch.go
+++ b/internal/queue/watch.go
@@ -75,26 +75,17 @@
 
 // newest reads the newest configuration and where to go on.
 func (w *Watch) newest(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	after := ""
-	for first := true; ; first = false {
-		page, err := w.Log.Newest(ctx, w.Partition, after)
-		if err != nil {
-			return err
-		}
-		if first {
-			w.next = page.End
-		}
-		for _, r := range page.Records {
+	next, err := platform.ReadNewest(ctx, w.Log, w.Partition, watchTimeout, func(records []platform.Record) {
+		for _, r := range records {
 			w.apply(r)
-			after = r.Key
-		}
-		if !page.More || len(page.Records) == 0 {
-			w.read = true
-			return nil
 		}
+	})
+	if err != nil {
+		return err
 	}
+	w.next = next
+	w.read = true
+	return nil
 }
 
 func (w *Watch) apply(r platform.Record) {
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +31,8 @@
 	return Timing{
 		Wait:    time.Second,
 		Pace:    100 * time.Millisecond,
-		Leading: 250 * time.Millisecond,
-		Fed:     time.Second,
+		Leading: 500 * time.Millisecond,
+		Fed:     5 * time.Second,
 		FedFor:  500 * time.Millisecond,
 		Call:    time.Second,
 		Retry:   100 * time.Millisecond,
@@ -46,7 +47,8 @@
 	Timing    Timing
 	Leads     func() bool // this machine plans from the replica
 
-	fed atomic.Pointer[time.Time] // when the leader last delivered everything
+	restoring sync.Mutex                // one restore at a time
+	fed       atomic.Pointer[time.Time] // when the leader last delivered everything
 }
 
 // Deliver takes in records from the leader, the first of which has the given
@@ -169,35 +171,21 @@
 	return f.Log.Read(ctx, f.Partition, f.Replica.Position(), wait)
 }
 
-// Restore reads the newest record of every key. Records that were written
-// meanwhile follow from the end that the first page names.
+// Restore reads the newest record of every key. Records that are written
+// meanwhile are read after that.
 func (f *Reader) Restore(ctx context.Context) error {
-	after := ""
-	end := platform.Offset(0)
-	for page := 0; ; page++ {
-		got, err := f.newest(ctx, after)
-		if err != nil {
-			return err
-		}
-		if page == 0 {
-			end = got.End
-		}
-		f.Replica.apply(got.Records, 0, time.Now())
-		if !got.More || len(got.Records) == 0 {
-			break
-		}
-		after = got.Records[len(got.Records)-1].Key
+	f.restoring.Lock()
+	defer f.restoring.Unlock()
+	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, f.Timing.Call, func(records []platform.Record) {
+		f.Replica.apply(records, 0, time.Now())
+	})
+	if err != nil {
+		return err
 	}
-	f.Replica.restored(end)
+	f.Replica.restored(next)
 	return nil
 }
 
-func (f *Reader) newest(ctx context.Context, after string) (platform.NewestPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.Timing.Call)
-	defer cancel()
-	return f.Log.Newest(ctx, f.Partition, after)
-}
-
 // restored notes that all records before end have been applied.
 func (r *Replica) restored(end platform.Offset) {
 	r.mu.Lock()
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -36,6 +36,11 @@
 	return j.FirstRun + int64(occurrence)*j.Interval.Milliseconds()
 }
 
+// LongRunning reports whether tasks of the job run until it is cancelled.
+func (j *Job) LongRunning() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
+}
+
 // Remaining returns the longest chain of estimated run times from step i on.
 func (j *Job) Remaining(i int) time.Duration {
 	longest := time.Duration(0)
