Planning looks only at executors that a step may use

Change: objectives, chains and queues are worked out once; steps without tickets are passed over; only granted executors with room are looked at; calls for advice are made up only when somebody could make them.

--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -98,14 +98,30 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	of := lengthOf(cost)
+	m := h.find(of, now)
+	if m == nil {
+		return nil
+	}
+	h.demand.add(of, cost)
+	return m.take(of)
+}
+
+// Free reports whether Take would return a slot.
+func (h *Helpers) Free(cost time.Duration, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.find(lengthOf(cost), now) != nil
+}
+
+// find returns a machine that has time for a call, or nil.
+func (h *Helpers) find(of length, now time.Time) *helper {
 	h.demand.note(of, now)
 	machines := h.present(now)
 	ranges := h.demand.divide(len(machines))
 	for try := of; try < lengths; try++ {
 		for _, m := range machines[ranges[try].from:ranges[try].to] {
-			if s := m.take(of); s != nil {
-				h.demand.add(of, cost)
-				return s
+			if m.hasTime(of) {
+				return m
 			}
 		}
 		if of != shortest || try > of {
@@ -115,6 +131,14 @@
 	return nil
 }
 
+// hasTime reports whether the machine could make one more call.
+func (m *helper) hasTime(of length) bool {
+	if of == long {
+		return m.long == 0
+	}
+	return m.short < shortAtOnce && m.long == 0
+}
+
 // Wait returns how long a new call of an expected time would wait for its
 // turn, given the expected times of those that wait already.
 func (h *Helpers) Wait(cost time.Duration, waiting []time.Duration, now time.Time) time.Duration {
@@ -134,18 +158,12 @@
 	return total / time.Duration(max(1, machines.to-machines.from))
 }
 
-// take returns a slot of the machine, or nil if it has enough to do.
+// take counts one more call of the machine.
 func (m *helper) take(of length) *Slot {
 	if of == long {
-		if m.long > 0 {
-			return nil
-		}
 		m.long++
 		return &Slot{helper: m, long: true}
 	}
-	if m.short >= shortAtOnce || m.long > 0 {
-		return nil
-	}
 	m.short++
 	return &Slot{helper: m}
 }
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -332,18 +332,30 @@
 	}
 }
 
+// askers hands calls for advice to the cell's machines.
+type askers struct {
+	helpers *assist.Helpers
+	now     time.Time
+	slots   []*assist.Slot
+}
+
+// Free implements plan.Askers.
+func (a *askers) Free(cost time.Duration) bool { return a.helpers.Free(cost, a.now) }
+
+// Take implements plan.Askers.
+func (a *askers) Take(cost time.Duration) bool {
+	slot := a.helpers.Take(cost, a.now)
+	if slot != nil {
+		a.slots = append(a.slots, slot)
+	}
+	return slot != nil
+}
+
 // askAdvice has the calls for advice made that are due; r.mu is held.
 func (r *Runner) askAdvice(ctx context.Context, now time.Time) {
-	var slots []*assist.Slot
-	asks := r.cell.Asks(now, func(cost time.Duration) bool {
-		slot := r.cfg.Helpers.Take(cost, now)
-		if slot != nil {
-			slots = append(slots, slot)
-		}
-		return slot != nil
-	})
-	for i, a := range asks {
-		r.spawn(func() { r.advise(ctx, a, slots[i]) })
+	a := &askers{helpers: r.cfg.Helpers, now: now}
+	for i, ask := range r.cell.Asks(now, a) {
+		r.spawn(func() { r.advise(ctx, ask, a.slots[i]) })
 	}
 }
 
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -15,6 +15,8 @@
 	denied  map[string]struct{} // executors that may not
 	asking  bool                // a call is under way
 	again   time.Time           // no call before this, after one that failed
+	until   time.Time           // when the last ticket lapses
+	vms     []*vm               // those with tickets, in order; nil: to be made up
 }
 
 // ticket is the permission to start a step's tasks on one executor.
@@ -36,6 +38,10 @@
 		a.tickets = make(map[string]ticket)
 		a.denied = make(map[string]struct{})
 	}
+	a.vms = nil
+	if len(grants) > 0 {
+		a.until = until
+	}
 	for _, g := range grants {
 		a.tickets[g.Executor] = ticket{text: g.Ticket, until: until}
 	}
@@ -62,22 +68,26 @@
 }
 
 // anyValid reports whether some ticket is valid at now.
-func (a *advice) anyValid(now time.Time) bool {
-	for _, t := range a.tickets {
-		if now.Before(t.until) {
-			return true
-		}
-	}
-	return false
+func (a *advice) anyValid(now time.Time) bool { return now.Before(a.until) }
+
+// Askers says who could make calls for advice.
+type Askers interface {
+	// Free reports whether a call of about this cost could be made now.
+	Free(cost time.Duration) bool
+	// Take gives a call of this cost to somebody, or returns false.
+	Take(cost time.Duration) bool
 }
 
-// Asks returns the calls for advice that are due and whose cost accept takes,
-// in the order in which the steps are to start, and counts them as under way.
-func (c *Cell) Asks(now time.Time, accept func(cost time.Duration) bool) []Ask {
+// Asks returns the calls for advice that are due and that somebody takes, in
+// the order in which the steps are to start, and counts them as under way.
+func (c *Cell) Asks(now time.Time, askers Askers) []Ask {
 	var asks []Ask
-	for _, s := range c.ordered(now) {
+	for _, s := range c.inTurn {
 		q := c.queue(s.job)
-		if q == nil || q.Advice == nil || s.advice.asking || now.Before(s.advice.again) {
+		if q == nil || q.Advice == nil || s.advice.asking || now.Before(s.advice.again) || !s.ready {
+			continue
+		}
+		if !askers.Free(q.Advice.Cost(c.advised(s))) {
 			continue
 		}
 		ids := c.toAsk(s, q, now)
@@ -85,7 +95,7 @@
 			continue
 		}
 		cost := q.Advice.Cost(len(ids))
-		if !accept(cost) {
+		if !askers.Take(cost) {
 			continue
 		}
 		s.advice.asking = true
--- a/internal/plan/advice_test.go
+++ b/internal/plan/advice_test.go
@@ -10,7 +10,11 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-func anyCost(time.Duration) bool { return true }
+// anybody takes every call.
+type anybody struct{}
+
+func (anybody) Free(time.Duration) bool { return true }
+func (anybody) Take(time.Duration) bool { return true }
 
 func grants(ids ...string) []platform.Grant {
 	var out []platform.Grant
@@ -28,10 +32,10 @@
 		w.report("e1", nil, nil)
 		w.job(1, testAdvised, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Second})
 		So(w.cycle(), ShouldBeEmpty)
-		asks := w.cell.Asks(w.now, anyCost)
+		asks := w.cell.Asks(w.now, anybody{})
 		So(asks, ShouldHaveLength, 1)
 		So(asks[0].Executors, ShouldResemble, []string{"e0", "e1"})
-		So(w.cell.Asks(w.now, anyCost), ShouldBeEmpty)
+		So(w.cell.Asks(w.now, anybody{}), ShouldBeEmpty)
 
 		Convey("it starts where it is granted, with the ticket", func() {
 			w.cell.Granted(asks[0], grants("e1"), 2*time.Second, w.now)
@@ -42,9 +46,10 @@
 		})
 		Convey("when nothing was granted, executors that come later are asked about", func() {
 			w.cell.Granted(asks[0], nil, 2*time.Second, w.now)
-			So(w.cell.Asks(w.now, anyCost), ShouldBeEmpty)
+			So(w.cell.Asks(w.now, anybody{}), ShouldBeEmpty)
 			w.addExecutor("e2")
-			again := w.cell.Asks(w.now, anyCost)
+			So(w.cycle(), ShouldBeEmpty)
+			again := w.cell.Asks(w.now, anybody{})
 			So(again, ShouldHaveLength, 1)
 			So(again[0].Executors, ShouldResemble, []string{"e2"})
 		})
@@ -59,16 +64,16 @@
 			Convey("and the renewal names only those that may", func() {
 				w.report("e0", nil, nil)
 				w.report("e1", nil, nil)
-				again := w.cell.Asks(w.now, anyCost)
+				again := w.cell.Asks(w.now, anybody{})
 				So(again, ShouldHaveLength, 1)
 				So(again[0].Executors, ShouldResemble, []string{"e0"})
 			})
 		})
 		Convey("after a call that failed it is asked again, not at once", func() {
 			w.cell.NoAdvice(asks[0], w.now)
-			So(w.cell.Asks(w.now, anyCost), ShouldBeEmpty)
+			So(w.cell.Asks(w.now, anybody{}), ShouldBeEmpty)
 			w.pass(adviceRetry)
-			So(w.cell.Asks(w.now, anyCost), ShouldHaveLength, 1)
+			So(w.cell.Asks(w.now, anybody{}), ShouldHaveLength, 1)
 		})
 	})
 }
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -25,6 +25,7 @@
 	jobs      map[work.ID]*job
 	ended     map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
 	waiting   []*step              // with tasks to place
+	inTurn    []*step              // these, as the newest plan took their turns
 	timed     []*job               // with occurrences to come
 	dirty     []*job               // whose durable record is behind
 	stops     []Stop               // to be sent
@@ -57,7 +58,14 @@
 func (c *Cell) Configure(t *queue.Table) { c.table = t }
 
 // queue returns the queue of a job as configured now; nil if it was removed.
-func (c *Cell) queue(j *job) *queue.Queue { return c.table.Named(j.spec.Queue) }
+func (c *Cell) queue(j *job) *queue.Queue {
+	if j.table != c.table {
+		j.table = c.table
+		j.queue = c.table.Named(j.spec.Queue)
+		j.within = objectiveOf(j.spec, j.queue)
+	}
+	return j.queue
+}
 
 // service returns whose executors run a job's tasks: as configured now, or as
 // it was when the job was accepted if its queue was removed since.
--- a/internal/plan/explain.go
+++ b/internal/plan/explain.go
@@ -22,7 +22,7 @@
 	}
 	c.explained = now
 	lines := 0
-	for _, s := range c.ordered(now) {
+	for _, s := range c.inTurn {
 		if lines == explainMost {
 			return
 		}
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -10,6 +10,9 @@
 
 // job is one job that has not ended, as the leader plans it.
 type job struct {
+	queue    *queue.Queue  // as configured in table; nil if it was removed
+	table    *queue.Table  // of which queue is
+	within   time.Duration // latency objective by that
 	spec     *work.Job
 	arrived  time.Time
 	state    work.State
@@ -42,7 +45,8 @@
 	failed  uint32 // newest of them
 	ready   bool
 	advice  advice
-	waiting bool // is in the cell's list of steps with tasks to place
+	left    time.Duration // longest chain of estimated run times from this step on
+	waiting bool          // is in the cell's list of steps with tasks to place
 }
 
 // task is one task of a step.
@@ -89,7 +93,7 @@
 func newOccurrence(j *job, number int, due time.Time) *occurrence {
 	o := &occurrence{number: number, due: due, left: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
-		s := &step{job: j, occ: o, index: i, spec: &j.spec.Steps[i]}
+		s := &step{job: j, occ: o, index: i, spec: &j.spec.Steps[i], left: j.spec.Remaining(i)}
 		s.tasks = make([]*task, s.spec.Tasks)
 		for k := range s.tasks {
 			s.tasks[k] = &task{step: s, index: k}
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -30,10 +30,10 @@
 // objective thereby passes long work that can wait, and each job moves up as
 // it waits. A job that is late yields to those that are not.
 func (c *Cell) turnOf(s *step, now time.Time) turn {
-	q := c.queue(s.job)
+	c.queue(s.job) // brings the objective up to date
 	from := s.job.from(s.occ)
-	left := s.job.spec.Remaining(s.index)
-	objective := objectiveOf(s.job.spec, q)
+	left := s.left
+	objective := s.job.within
 	t := turn{step: s, latest: from.Add(objective - left)}
 	switch {
 	case now.Before(t.latest) || s.spec.LongRunning:
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -22,10 +22,15 @@
 // Plan starts what can be started now and takes the room for it.
 func (c *Cell) Plan(now time.Time) []Start {
 	c.now = now
+	c.inTurn = c.ordered(now)
 	var starts []Start
 	held := reservations{until: make(map[*vm]time.Time)}
-	for _, s := range c.ordered(now) {
+	for _, s := range c.inTurn {
 		q := c.queue(s.job)
+		advised := q != nil && q.Advice != nil
+		if advised && len(s.advice.tickets) == 0 {
+			continue // it isn't known where it may run
+		}
 		tasks := s.unplaced()
 		if len(tasks) == 0 {
 			continue
@@ -49,6 +54,9 @@
 
 // placeStep chooses an executor for each task; for a gang, for all or none.
 func (c *Cell) placeStep(s *step, q *queue.Queue, tasks []*task, held *reservations, now time.Time) []placement {
+	if q != nil && q.Advice != nil && !s.advice.anyValid(now) {
+		return nil
+	}
 	room := &roomView{taken: make(map[*vm]api.Resources), count: make(map[*vm]int)}
 	vms := c.eligible(s, q, held, now)
 	var placed []placement
@@ -77,12 +85,12 @@
 	r.count[v]++
 }
 
-// eligible returns the executors on which a task of the step may start now,
-// whatever their room.
+// eligible returns the executors on which a task of the step may start now
+// and has room.
 func (c *Cell) eligible(s *step, q *queue.Queue, held *reservations, now time.Time) []*vm {
 	var vms []*vm
-	for _, v := range c.sorted {
-		if !c.suits(s, q, v, now) || !held.admits(v, s, now) {
+	for _, v := range c.mayRunOn(s, q) {
+		if !s.spec.Need.Fits(v.free()) || !c.suits(s, q, v, now) || !held.admits(v, s, now) {
 			continue
 		}
 		if q != nil && q.Advice != nil {
@@ -95,6 +103,22 @@
 	return vms
 }
 
+// mayRunOn returns the executors that the step is known to be allowed on, in
+// a fixed order.
+func (c *Cell) mayRunOn(s *step, q *queue.Queue) []*vm {
+	if q == nil || q.Advice == nil {
+		return c.sorted
+	}
+	if s.advice.vms == nil {
+		for _, v := range c.sorted {
+			if _, granted := s.advice.tickets[v.Ref.ID]; granted {
+				s.advice.vms = append(s.advice.vms, v)
+			}
+		}
+	}
+	return s.advice.vms
+}
+
 // suits reports whether the executor is one of those that the step asks for
 // and may be given work at all.
 func (c *Cell) suits(s *step, q *queue.Queue, v *vm, now time.Time) bool {
@@ -247,7 +271,7 @@
 			c.over(cl, platform.EndStopped, "")
 			continue
 		}
-		orders = append(orders, Order{Start: st, Order: c.order(cl, st, now)})
+		orders = append(orders, Order{Start: st, Order: c.orderOf(cl, st, now)})
 	}
 	return orders
 }
@@ -265,8 +289,8 @@
 	return cl
 }
 
-// order returns the start order of a claim, which counts as sent from now on.
-func (c *Cell) order(cl *claim, st Start, now time.Time) platform.StartOrder {
+// orderOf returns the start order of a claim, which counts as sent from now on.
+func (c *Cell) orderOf(cl *claim, st Start, now time.Time) platform.StartOrder {
 	v := cl.vm
 	cl.state = sent
 	cl.voidAt = v.clockNow(now, 0).Add(c.cfg.StartValid)
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -74,8 +74,8 @@
 		slots int
 	}
 	var offers []offer
-	for _, v := range c.sorted {
-		if !c.suits(s, q, v, now) || !s.mayRun(q, v) {
+	for _, v := range c.mayRunOn(s, q) {
+		if !c.suits(s, q, v, now) {
 			continue
 		}
 		if slots := v.slotsAt(s, at); slots > 0 {
