--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -46,7 +47,7 @@
 			continue
 		}
 		r.takeReport(ctx, ref.ID, report, asked)
-		pause(ctx, holdPace-time.Since(asked))
+		pause.For(ctx, holdPace-time.Since(asked))
 		wait = holdWait
 	}
 }
@@ -69,7 +70,7 @@
 		return true
 	}
 	r.cfg.Events.WithError(err).WithField("executor", ref.ID).Debug("no report")
-	pause(ctx, holdRetry)
+	pause.For(ctx, holdRetry)
 	return false
 }
 
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -15,6 +15,7 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/leader"
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/plan"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
@@ -109,7 +110,7 @@
 			break
 		}
 		r.cfg.Events.WithError(err).Debug("jobs not read yet")
-		pause(ctx, appendRetry)
+		pause.For(ctx, appendRetry)
 	}
 	r.mu.Lock()
 	r.cell = plan.NewCell(r.cfg.Plan, r.lookup, r.cfg.Events, time.Now())
@@ -212,7 +213,7 @@
 }
 
 func (r *Runner) await(ctx context.Context) {
-	pause(ctx, cyclePace)
+	pause.For(ctx, cyclePace)
 	timer := time.NewTimer(cycleIdle)
 	defer timer.Stop()
 	select {
@@ -328,7 +329,7 @@
 			r.mu.Unlock()
 			r.Wake()
 		}
-		pause(ctx, registryPace)
+		pause.For(ctx, registryPace)
 	}
 }
 
--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/plan"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -114,7 +115,7 @@
 			timeout = min(2*timeout, longest)
 		}
 		w.events.WithError(err).Debug("records not stored yet")
-		pause(ctx, appendRetry)
+		pause.For(ctx, appendRetry)
 	}
 }
 
@@ -135,12 +136,3 @@
 	}
 	return first, err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -149,7 +150,7 @@
 			in.refuseAll()
 			return nil
 		}
-		pause(ctx, in.cfg.Gather)
+		pause.For(ctx, in.cfg.Gather)
 		for {
 			batch := in.take()
 			if len(batch) == 0 {
@@ -346,12 +347,3 @@
 		r.done <- err
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -204,7 +205,7 @@
 func (a *appender) pause(ctx context.Context, err error) {
 	wait := a.backoff.pause()
 	a.r.log.WithFields(logrus.Fields{"event": "append_failed", "error": err, "pause": wait}).Warn("append failed")
-	sleep(ctx, wait)
+	pause.For(ctx, wait)
 }
 
 // settle waits until the fate of o is known, by reading. It reports whether
--- a/internal/journal/backoff.go
+++ b/internal/journal/backoff.go
@@ -1,9 +1,6 @@
 package journal
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // backoff gives growing pauses with jitter. It is not safe for concurrent use.
 type backoff struct {
@@ -25,16 +22,3 @@
 func (b *backoff) reset() {
 	b.next = 0
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -57,7 +58,7 @@
 			continue
 		}
 		l.backoff.reset()
-		sleep(ctx, r.cfg.ReadInterval-r.cfg.Now().Sub(sent))
+		pause.For(ctx, r.cfg.ReadInterval-r.cfg.Now().Sub(sent))
 	}
 	return ctx.Err()
 }
@@ -101,7 +102,7 @@
 	l.r.counters.readFailed.Add(1)
 	wait := l.backoff.pause()
 	l.r.log.WithFields(logrus.Fields{"event": "read_failed", "error": err, "pause": wait}).Warn("read failed")
-	sleep(ctx, wait)
+	pause.For(ctx, wait)
 }
 
 // follow applies the records of a read from offset from that was sent at the
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -104,7 +105,7 @@
 func (e *Elector) MayRenewLeases() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state != nil && e.state.MayRenewLeases(time.Now(), e.cfg.Timing.LeaseRenewal)
+	return e.state != nil && e.state.MayRenewLeases(uptime(), e.cfg.Timing.LeaseRenewal)
 }
 
 // Learn takes in from another process who leads: one that can't read the
@@ -147,7 +148,7 @@
 	if e.state == nil || !e.state.Leads() {
 		return time.Hour
 	}
-	return time.Since(e.state.confirmed)
+	return time.Duration(uptime() - e.state.confirmed)
 }
 
 // Suspect notes that the process of the given leader answers no call, so that
@@ -222,7 +223,7 @@
 	for ctx.Err() == nil {
 		if err := e.step(ctx); err != nil {
 			e.cfg.Events.WithError(err).Debug("leader partition not reached")
-			pause(ctx, e.cfg.Timing.Retry)
+			pause.For(ctx, e.cfg.Timing.Retry)
 		}
 	}
 	return nil
@@ -240,7 +241,7 @@
 	case stopping && leads:
 		return e.release(ctx)
 	case stopping:
-		pause(ctx, e.cfg.Timing.Renew)
+		pause.For(ctx, e.cfg.Timing.Renew)
 		return nil
 	case leads:
 		e.sleep(ctx, e.cfg.Timing.Renew)
@@ -248,7 +249,7 @@
 	case e.due():
 		return e.claim(ctx)
 	case e.quiet():
-		pause(ctx, e.cfg.Timing.Look)
+		pause.For(ctx, e.cfg.Timing.Look)
 		return nil
 	default:
 		return e.watch(ctx)
@@ -306,7 +307,7 @@
 
 // claim appends a claim.
 func (e *Elector) claim(ctx context.Context) error {
-	pause(ctx, rand.N(e.cfg.Timing.Spread))
+	pause.For(ctx, rand.N(e.cfg.Timing.Spread))
 	if err := e.watchOnce(ctx, 0); err != nil { // somebody may have been faster
 		return err
 	}
@@ -426,7 +427,7 @@
 func (e *Elector) append(ctx context.Context, k kind) (platform.Offset, error) {
 	e.mu.Lock()
 	rec, at := e.state.own(k), e.state.End()
-	e.state.sending(time.Now())
+	e.state.sending(uptime())
 	e.mu.Unlock()
 	data, err := encode(rec)
 	if err != nil {
@@ -476,12 +477,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -25,6 +25,10 @@
 	Address     string // of its peer service
 }
 
+// Uptime is a time on a clock that also counts while the machine is suspended,
+// as the steady clock doesn't.
+type Uptime time.Duration
+
 // State is what one process knows of its cell's leader. It holds no clock and
 // makes no calls.
 type State struct {
@@ -32,8 +36,8 @@
 	end       platform.Offset
 	current   Leader    // zero: none is known or the last one stepped down
 	heard     time.Time // when the newest record was read, or the watch began
-	sent      time.Time // when the newest own append was sent
-	confirmed time.Time // when the newest own record that was stored was sent
+	sent      Uptime    // when the newest own append was sent
+	confirmed Uptime    // when the newest own record that was stored was sent
 	released  bool
 	highest   api.Epoch     // of all leaders heard of
 	gap       time.Duration // usual time between two records of a leader
@@ -64,8 +68,8 @@
 // MayRenewLeases reports whether the leader may extend executors' leases. It
 // stops some time after its last confirmed renewal, since a successor counts
 // on it.
-func (s *State) MayRenewLeases(now time.Time, limit time.Duration) bool {
-	return s.Leads() && now.Sub(s.confirmed) < limit
+func (s *State) MayRenewLeases(now Uptime, limit time.Duration) bool {
+	return s.Leads() && time.Duration(now-s.confirmed) < limit
 }
 
 // gapShare is the weight of a new gap in the moving mean.
@@ -101,7 +105,7 @@
 }
 
 // sending notes that an own append is about to be sent.
-func (s *State) sending(now time.Time) { s.sent = now }
+func (s *State) sending(now Uptime) { s.sent = now }
 
 // learn takes in from elsewhere who leads. It reports whether that is news.
 // What is known already doesn't count as a sign of life: the leader may reach
--- a/internal/leader/state_test.go
+++ b/internal/leader/state_test.go
@@ -51,29 +51,30 @@
 	})
 	Convey("Given a process that leads", t, func() {
 		s := NewState(Leader{Node: "a", Incarnation: 1}, 4, start)
-		s.sending(start)
+		up := func(d time.Duration) Uptime { return Uptime(time.Hour + d) }
+		s.sending(up(0))
 		s.claimed(4, at(10*time.Millisecond))
 		So(s.Leads(), ShouldBeTrue)
 		So(s.Current().Epoch, ShouldEqual, 5)
 
 		Convey("leases are extended for a while after the last confirmed renewal was sent", func() {
-			So(s.MayRenewLeases(at(2*time.Second), 3*time.Second), ShouldBeTrue)
-			So(s.MayRenewLeases(at(4*time.Second), 3*time.Second), ShouldBeFalse)
-			s.sending(at(5 * time.Second))
-			So(s.MayRenewLeases(at(5*time.Second), 3*time.Second), ShouldBeFalse)
+			So(s.MayRenewLeases(up(2*time.Second), 3*time.Second), ShouldBeTrue)
+			So(s.MayRenewLeases(up(4*time.Second), 3*time.Second), ShouldBeFalse)
+			s.sending(up(5 * time.Second))
+			So(s.MayRenewLeases(up(5*time.Second), 3*time.Second), ShouldBeFalse)
 			s.renewed(5, at(6*time.Second))
-			So(s.MayRenewLeases(at(7*time.Second), 3*time.Second), ShouldBeTrue)
+			So(s.MayRenewLeases(up(7*time.Second), 3*time.Second), ShouldBeTrue)
 		})
 		Convey("a renewal whose answer was lost counts when it is read", func() {
-			s.sending(at(5 * time.Second))
+			s.sending(up(5 * time.Second))
 			s.read(5, record{Kind: renews, Node: "a", Incarnation: 1, Epoch: 5}, at(6*time.Second))
 			So(s.Leads(), ShouldBeTrue)
-			So(s.MayRenewLeases(at(7*time.Second), 3*time.Second), ShouldBeTrue)
+			So(s.MayRenewLeases(up(7*time.Second), 3*time.Second), ShouldBeTrue)
 		})
 		Convey("another claim ends it", func() {
 			s.read(5, other, at(time.Second))
 			So(s.Leads(), ShouldBeFalse)
-			So(s.MayRenewLeases(at(time.Second), 3*time.Second), ShouldBeFalse)
+			So(s.MayRenewLeases(up(time.Second), 3*time.Second), ShouldBeFalse)
 		})
 		Convey("so does hearing of a later leader", func() {
 			So(s.learn(Leader{Epoch: 9, Node: "b"}, at(time.Second)), ShouldBeTrue)
--- a/internal/queue/watch.go
+++ b/internal/queue/watch.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -41,11 +42,7 @@
 	for ctx.Err() == nil {
 		if err := w.step(ctx); err != nil {
 			w.Events.WithError(err).Debug("configuration not read")
-			timer := time.NewTimer(watchRetry)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-			}
+			pause.For(ctx, watchRetry)
 		}
 	}
 	return nil
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -79,7 +80,7 @@
 		started := time.Now()
 		if err := f.step(ctx); err != nil {
 			f.Replica.events.WithError(err).Debug("jobs not read")
-			pause(ctx, f.Timing.Retry)
+			pause.For(ctx, f.Timing.Retry)
 			continue
 		}
 		f.rest(ctx, started)
@@ -99,7 +100,7 @@
 		if left <= 0 {
 			return
 		}
-		pause(ctx, min(left, restStep))
+		pause.For(ctx, min(left, restStep))
 	}
 }
 
@@ -193,15 +194,3 @@
 	r.next = max(r.next, end)
 	r.synced = true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
