--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -37,6 +37,7 @@
 	epoch     api.Epoch
 	sequence  uint64        // of the next append
 	usual     time.Duration // moving mean of what appends take
+	slow      bool          // it was logged that appends take long
 	events    *logrus.Entry
 }
 
@@ -133,6 +134,21 @@
 	})
 	if err == nil {
 		w.usual += time.Duration(usualShare * float64(time.Since(sent)-w.usual))
+		w.noteSpeed()
 	}
 	return first, err
 }
+
+// slowAppend is the usual time of an append above which the store is logged
+// as slow; it is about 5 ms in calm times.
+const slowAppend = 60 * time.Millisecond
+
+// noteSpeed logs when the store becomes slow and when it no longer is.
+func (w *writer) noteSpeed() {
+	slow := w.usual > slowAppend || (w.slow && w.usual > slowAppend/2)
+	if slow == w.slow {
+		return
+	}
+	w.slow = slow
+	w.events.WithFields(logrus.Fields{"append_ms": w.usual.Milliseconds(), "slow": slow}).Info("usual time of appends to the store has changed")
+}
--- /dev/null
+++ b/internal/plan/admit_test.go
@@ -0,0 +1,122 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+func TestAdmission(t *testing.T) {
+	Convey("Given an executor that is full and ten seconds of work that waits", t, func() {
+		w := newWorld(t, 1)
+		blocker := w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(32), Estimate: time.Minute})
+		So(w.cycle(), ShouldHaveLength, 1)
+		w.job(2, testQueue, work.Step{Tasks: 10, Need: cpus(32), Estimate: time.Second})
+		w.cycle()
+		q := w.cell.table.Named(testQueue)
+		backlog := w.cell.Backlog(w.now)
+		So(backlog.Room(), ShouldEqual, 10*time.Second)
+
+		Convey("a job with a tighter objective comes before it", func() {
+			urgent := &work.Job{Steps: []work.Step{{Tasks: 1, Need: cpus(1), Estimate: 100 * time.Millisecond}}}
+			So(backlog.Before(urgent, q, w.now).Room(), ShouldEqual, 0)
+		})
+		Convey("a job with as much time comes after it", func() {
+			So(backlog.Before(blocker, q, w.now).Room(), ShouldEqual, 10*time.Second)
+		})
+	})
+	Convey("A job may wait until its end would be three times too late, at most 8 s", t, func() {
+		table := testTable()
+		short := &work.Job{Steps: []work.Step{{Tasks: 1, Estimate: 500 * time.Millisecond}}}
+		So(UsefulWait(short, table.Named(testQueue)), ShouldEqual, 5500*time.Millisecond)
+		long := &work.Job{Steps: []work.Step{{Tasks: 1, Estimate: 10 * time.Second}}}
+		So(UsefulWait(long, table.Named(testQueue)), ShouldEqual, LongestWait)
+	})
+	Convey("A job that could not be made durable leaves nothing behind", t, func() {
+		w := newWorld(t, 1)
+		j := w.job(1, testQueue, work.Step{Tasks: 2, Need: cpus(4), Estimate: time.Second})
+		So(w.cell.Plan(w.now), ShouldHaveLength, 2)
+		w.cell.Withdraw(j.ID)
+		So(w.cell.vms["e0"].used.MilliCPU, ShouldEqual, 0)
+		So(w.cell.TakeDirty(), ShouldBeEmpty)
+		So(w.cell.Knows(j.ID), ShouldBeFalse)
+	})
+}
+
+func TestTurns(t *testing.T) {
+	Convey("Short work with a tight objective starts before long work that can wait", t, func() {
+		w := newWorld(t, 1)
+		w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(32), Estimate: 10 * time.Second})
+		short := w.job(2, testQueue, work.Step{Tasks: 1, Need: cpus(32), Estimate: 100 * time.Millisecond})
+		orders := w.cycle()
+		So(orders, ShouldHaveLength, 1)
+		So(orders[0].Start.Run.Task.Job, ShouldEqual, short.ID)
+	})
+	Convey("Steps start when all that they wait for has ended", t, func() {
+		w := newWorld(t, 1)
+		j := &work.Job{ID: work.ID{1}, Queue: testQueue, Service: testService, Accepted: w.now.UnixMilli(), Steps: []work.Step{
+			{Tasks: 2, Need: cpus(1), Estimate: time.Second},
+			{Tasks: 1, Need: cpus(1), Estimate: time.Second, After: []int{0}},
+		}}
+		w.add(j)
+		first := w.cycle()
+		So(first, ShouldHaveLength, 2)
+		w.startAll(first)
+		w.report("e0", running(first[1].Start.Run), ended(1, first[0].Start.Run, platform.EndDone))
+		So(w.cycle(), ShouldBeEmpty)
+		w.report("e0", nil, ended(2, first[1].Start.Run, platform.EndDone))
+		second := w.cycle()
+		So(second, ShouldHaveLength, 1)
+		So(second[0].Start.Run.Task.Step, ShouldEqual, 1)
+	})
+	Convey("Occurrences start when they are due, and the job ends with the last", t, func() {
+		w := newWorld(t, 1)
+		j := &work.Job{ID: work.ID{1}, Queue: testQueue, Service: testService, Accepted: w.now.UnixMilli(),
+			FirstRun: w.now.Add(time.Second).UnixMilli(), Interval: 2 * time.Second, Repetitions: 2,
+			Steps: []work.Step{{Tasks: 1, Need: cpus(1), Estimate: 100 * time.Millisecond}}}
+		w.add(j)
+		So(w.cycle(), ShouldBeEmpty)
+		for k := range 2 {
+			w.pass(time.Second)
+			w.report("e0", nil, nil)
+			orders := w.cycle()
+			So(orders, ShouldHaveLength, 1)
+			So(orders[0].Start.Run.Task.Occurrence, ShouldEqual, k)
+			w.startAll(orders)
+			w.pass(time.Second)
+			w.report("e0", nil, ended(uint64(k+1), orders[0].Start.Run, platform.EndDone))
+			w.save()
+		}
+		So(w.saved[j.ID].State, ShouldEqual, work.Completed)
+	})
+	Convey("A tasks limit on one executor, a label and the data's rack are kept", t, func() {
+		w := newWorld(t, 3)
+		w.listed["e2"].Labels = []string{"b", "rack-e2"}
+		w.cell.Executors(w.listed, w.now)
+		w.job(1, testQueue, work.Step{Tasks: 5, Need: cpus(1), Estimate: time.Second, MaxPerVM: 1})
+		So(w.cycle(), ShouldHaveLength, 3)
+		w.job(2, testQueue, work.Step{Tasks: 1, Need: cpus(1), Estimate: time.Second, Label: "b"})
+		orders := w.cycle()
+		So(orders, ShouldHaveLength, 1)
+		So(orders[0].Start.To.ID, ShouldEqual, "e2")
+		w.job(3, testQueue, work.Step{Tasks: 1, Need: cpus(1), Estimate: time.Second, DataRack: "rack-e1"})
+		orders = w.cycle()
+		So(orders, ShouldHaveLength, 1)
+		So(orders[0].Start.To.ID, ShouldEqual, "e1")
+	})
+	Convey("Room that is free is held for a gang, but for short work", t, func() {
+		w := newWorld(t, 1)
+		w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(16), Estimate: 3 * time.Second})
+		w.startAll(w.cycle())
+		w.job(2, testQueue, work.Step{Tasks: 2, Need: cpus(16), Estimate: 5 * time.Second, Gang: true})
+		w.pass(time.Millisecond)
+		w.job(3, testQueue, work.Step{Tasks: 1, Need: cpus(8), Estimate: 9 * time.Second})
+		So(w.cycle(), ShouldBeEmpty)
+		w.job(4, testQueue, work.Step{Tasks: 1, Need: cpus(8), Estimate: 500 * time.Millisecond})
+		So(w.cycle(), ShouldHaveLength, 1)
+	})
+}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -263,6 +263,7 @@
 	if cl.state == planned {
 		return // it is dropped before it is sent
 	}
+	cl.stopped = c.now
 	c.stops = append(c.stops, Stop{To: cl.vm.Ref, Run: cl.run})
 }
 
