--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -91,7 +91,7 @@
 		Node: api.NodeID(name), DataCentre: "z1",
 		Front: address(t), Ready: address(t), Peer: address(t),
 		Store: o.store.Address(), Advice: o.advice.Address(),
-		MemoryBytes: 1 << 28, LongestLease: 10 * time.Second, GangTimeout: 3 * time.Second,
+		MemoryBytes: 1 << 28, LongestLease: 10 * time.Second,
 		Grace: 2 * time.Second, StateKept: time.Minute, DrainAfter: 2 * time.Second,
 	}
 	log := logrus.New()
--- a/internal/plan/config.go
+++ b/internal/plan/config.go
@@ -47,7 +47,8 @@
 	// SickAvoid is how long an executor is left alone that refused a start
 	// since it isn't well.
 	SickAvoid time.Duration
-	// RemoteFactor is the slowdown of a task away from its data or rack.
+	// RemoteFactor is the slowdown of a task away from its data. It is also
+	// what that weighs in the choice of an executor (place.go).
 	RemoteFactor float64
 	// MostAdvised is how many executors one call for advice may name.
 	MostAdvised int
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -163,7 +163,6 @@
 
 // Weights of the score: a share of the executor left over counts 1.
 const (
-	remoteWeight = 2.0 // away from the data's rack a task takes RemoteFactor times as long
 	failedWeight = 4.0 // where the task has just failed; any other executor is tried first
 	slowWeight   = 1.0 // for each time that the executor is slower than the fleet
 )
@@ -173,7 +172,7 @@
 	score := share(left.MilliCPU, v.Capacity.MilliCPU) + share(left.MemoryMB, v.Capacity.MemoryMB)
 	score += slowWeight * (v.slow(c.now) - 1)
 	if s.spec.DataRack != "" && v.Rack() != s.spec.DataRack {
-		score += remoteWeight
+		score += c.cfg.RemoteFactor
 	}
 	return score
 }
@@ -203,11 +202,10 @@
 	t.phase = work.Started
 	t.vm = p.vm.Ref.ID
 	cl := &claim{
-		run:   platform.Run{Task: t.key(), Number: t.run},
-		task:  t,
-		need:  s.spec.Need,
-		state: planned,
-
+		run:     platform.Run{Task: t.key(), Number: t.run},
+		task:    t,
+		need:    s.spec.Need,
+		state:   planned,
 		resumed: t.checkpoint != "",
 		ends:    now.Add(time.Duration(float64(s.spec.Estimate) * p.vm.slow(now))),
 	}
