--- /dev/null
+++ b/internal/dispatch/writer_test.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// script answers appends with the errors given, then with success, and keeps
+// the sequence numbers that it saw.
+type script struct {
+	platform.PartitionLog
+	errs      []error
+	sequences []uint64
+	waits     []time.Duration // how long each append was waited for
+}
+
+func (s *script) Append(ctx context.Context, a platform.Append) (platform.Offset, error) {
+	s.sequences = append(s.sequences, a.Producer.Sequence)
+	if len(s.errs) == 0 {
+		return 7, nil
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	if errors.Is(err, platform.ErrUncertain) {
+		began := time.Now()
+		<-ctx.Done() // the answer is lost
+		s.waits = append(s.waits, time.Since(began))
+	}
+	return 0, err
+}
+
+func play(t *testing.T, s *script, use func(context.Context, *writer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		use(t.Context(), &writer{log: s, epoch: 3, events: logrus.NewEntry(log)})
+	})
+}
+
+var one = []platform.Record{{Key: "k", Value: []byte("v")}}
+
+// An append that may have been done is repeated under its number, with more
+// time each time, and the next one has the next number.
+func TestUncertainAppendIsRepeated(t *testing.T) {
+	s := &script{errs: []error{platform.ErrUncertain, platform.ErrUncertain, platform.ErrUnavailable}}
+	play(t, s, func(ctx context.Context, w *writer) {
+		for range 2 {
+			if _, err := w.append(ctx, one, true); err != nil {
+				t.Errorf("append: %v", err)
+			}
+		}
+	})
+	want := []uint64{0, 0, 0, 0, 1}
+	if len(s.sequences) != len(want) {
+		t.Fatalf("sequences %v, want %v", s.sequences, want)
+	}
+	for i := range want {
+		if s.sequences[i] != want[i] {
+			t.Fatalf("sequences %v, want %v", s.sequences, want)
+		}
+	}
+	if s.waits[0] != appendTimeout || s.waits[1] != 2*appendTimeout {
+		t.Errorf("waited %v", s.waits)
+	}
+}
+
+// What the store refuses at the first try certainly isn't stored.
+func TestRefusedAppendIsGivenUp(t *testing.T) {
+	s := &script{errs: []error{platform.ErrUnavailable}}
+	play(t, s, func(ctx context.Context, w *writer) {
+		if _, err := w.append(ctx, one, true); !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("append: %v", err)
+		}
+		if _, err := w.append(ctx, one, true); err != nil {
+			t.Errorf("next append: %v", err)
+		}
+	})
+	if len(s.sequences) != 2 || s.sequences[1] != 0 {
+		t.Errorf("sequences %v: the number of what was not stored is used again", s.sequences)
+	}
+}
+
+// A fence takes no number, and a higher epoch ends the writer.
+func TestFence(t *testing.T) {
+	s := &script{}
+	play(t, s, func(ctx context.Context, w *writer) {
+		if err := w.fence(ctx); err != nil {
+			t.Errorf("fence: %v", err)
+		}
+		if _, err := w.append(ctx, one, false); err != nil {
+			t.Errorf("append: %v", err)
+		}
+		s.errs = []error{platform.ErrFenced}
+		if _, err := w.append(ctx, one, false); !errors.Is(err, platform.ErrFenced) {
+			t.Errorf("append of a former leader: %v", err)
+		}
+	})
+	if s.sequences[0] != 0 || s.sequences[1] != 0 || s.sequences[2] != 1 {
+		t.Errorf("sequences %v", s.sequences)
+	}
+}
+
+// The store's numbering is taken over where it differs.
+func TestNumberingIsTakenOver(t *testing.T) {
+	s := &script{errs: []error{&platform.SequenceError{Expected: 5}}}
+	play(t, s, func(ctx context.Context, w *writer) {
+		if _, err := w.append(ctx, one, true); err != nil {
+			t.Errorf("append: %v", err)
+		}
+	})
+	if len(s.sequences) != 2 || s.sequences[1] != 5 {
+		t.Errorf("sequences %v", s.sequences)
+	}
+}
