Take back several appends at a time: a leader could stop for good

With the first appends of an epoch under way together the later one may come first, and the store lets an epoch start at any number; the earlier one is then refused for its number for ever. In the middle of an epoch an append that was done without an answer can fall out of the five that the store remembers. What it needs before it is tried again: the first append of an epoch alone, and a refusal that expects a higher number taken as done at a place unknown. Ruled out: the store's outage itself (one append at a time goes on).

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -65,15 +65,14 @@
 	writer *writer
 	wake   chan struct{}
 
-	mu      sync.Mutex // guards the fields below
-	cell    *plan.Cell
-	cycle   chan struct{} // closed when the next whole cycle has ended
-	inbox   []*submission // to be stored with the next cycle
-	stuck   time.Time     // since when the store takes nothing; zero: it does
-	appends int           // under way
-	holds   map[string]context.CancelFunc
-	ended   bool
-	tasks   sync.WaitGroup
+	mu    sync.Mutex // guards the fields below
+	cell  *plan.Cell
+	cycle chan struct{} // closed when the next whole cycle has ended
+	inbox []*submission // to be stored with the next cycle
+	stuck time.Time     // since when the store takes nothing; zero: it does
+	holds map[string]context.CancelFunc
+	ended bool
+	tasks sync.WaitGroup
 }
 
 // New returns a runner that has not begun.
@@ -197,25 +196,20 @@
 
 // cycles plans, stores and sends until ctx ends or the leader was replaced.
 func (r *Runner) cycles(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	pipe := newPipeline(r, cancel)
 	forgot := time.Now()
 	for ctx.Err() == nil {
 		r.await(ctx)
-		if !pipe.enter(ctx) {
-			break
+		if err := r.once(ctx); err != nil {
+			return r.failed(err)
 		}
-		r.once(ctx, pipe)
 		if time.Since(forgot) > forgetEvery {
 			forgot = time.Now()
 			if err := r.forget(ctx); err != nil {
-				cancel(err)
+				return r.failed(err)
 			}
 		}
 	}
-	pipe.wait()
-	return r.failed(context.Cause(ctx))
+	return ctx.Err()
 }
 
 func (r *Runner) await(ctx context.Context) {
@@ -229,28 +223,32 @@
 	}
 }
 
-// once makes one cycle: it decides, and has the pipeline make that durable and
-// send it.
-func (r *Runner) once(ctx context.Context, pipe *pipeline) {
+// once makes one cycle: decide, make durable, check again, send.
+func (r *Runner) once(ctx context.Context) error {
 	r.mu.Lock()
 	now := time.Now()
 	r.cell.Configure(r.cfg.Table())
-	b := &batch{handedIn: r.takeInbox(now)}
+	handedIn := r.takeInbox(now)
 	r.cell.BeginDue(now.UnixMilli(), now)
 	r.cell.DropSilent(now)
-	b.starts = r.cell.Plan(now)
+	starts := r.cell.Plan(now)
 	r.cell.ExplainWaits(now)
 	stops := r.cell.TakeStops(now)
-	b.records = r.cell.TakeDirty()
-	b.done = r.cycle
+	records := r.cell.TakeDirty()
+	done := r.cycle
 	r.cycle = make(chan struct{})
 	r.askAdvice(ctx, now)
 	r.keepHolds(ctx)
-	pipe.put(ctx, b)
 	r.mu.Unlock()
 	for _, s := range stops {
 		r.spawn(func() { r.sendStop(ctx, s) })
 	}
+	if err := r.store(ctx, handedIn, records); err != nil {
+		return err
+	}
+	close(done)
+	r.send(ctx, starts)
+	return nil
 }
 
 // send sends the planned starts that are still right.
@@ -308,12 +306,9 @@
 	if len(ids) == 0 {
 		return nil
 	}
-	records := deletions(ids)
-	first, err := r.writer.append(ctx, records, false)
-	if err != nil {
+	if err := r.writer.forget(ctx, ids); err != nil {
 		return err
 	}
-	r.cfg.Replica.Offer(first, records, time.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cell.Forget(ids)
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/assist"
@@ -114,16 +114,7 @@
 			r.takeRecord(s, i, backlog, now)
 		}
 	}
-	return slices.DeleteFunc(handedIn, (*submission).refused)
-}
-
-// refused answers a submission of which nothing is to be stored.
-func (s *submission) refused() bool {
-	if len(s.accepted()) > 0 {
-		return false
-	}
-	s.finish(assist.TooBusy)
-	return true
+	return handedIn
 }
 
 // takeRecord gives the job of a record to the cell, unless it could not be of
@@ -169,20 +160,35 @@
 	return excess, true
 }
 
-// storeParts makes a batch's appends and returns their offsets. It fails with
-// platform.ErrUnavailable when the store refused what was handed in, and
-// certainly stored nothing of the batch.
-func (r *Runner) storeParts(ctx context.Context, b *batch) ([]platform.Offset, error) {
-	offsets := make([]platform.Offset, len(b.parts))
-	for i, part := range b.parts {
-		giveUp := len(b.parts) == 1 && len(b.handedIn) > 0
-		first, err := r.appendPart(ctx, b.numbers[i], part, giveUp)
+// store makes what was handed in and the jobs' progress durable and answers
+// those who handed in. When the store refuses, their jobs are taken back: it
+// is certain that nothing was stored.
+func (r *Runner) store(ctx context.Context, handedIn []*submission, records []plan.Record) error {
+	parts, err := progress(records)
+	if err != nil {
+		return err
+	}
+	parts = join(handedIn, parts)
+	if len(parts) == 0 {
+		answer(handedIn, assist.Stored) // all were refused
+		return nil
+	}
+	for i, part := range parts {
+		first, err := r.appendPart(ctx, part, i == 0 && len(handedIn) > 0)
+		if errors.Is(err, platform.ErrUnavailable) && i == 0 && len(handedIn) > 0 {
+			return r.storeWithout(ctx, handedIn, records)
+		}
 		if err != nil {
-			return nil, err
+			answer(handedIn, assist.StoreUnknown)
+			return err
+		}
+		r.cfg.Replica.Offer(first, part, time.Now())
+		if i == 0 {
+			answer(handedIn, assist.Stored)
+			handedIn = nil
 		}
-		offsets[i] = first
 	}
-	return offsets, nil
+	return nil
 }
 
 // join puts what was handed in before the first part of the progress.
@@ -201,59 +207,44 @@
 	return parts
 }
 
-// appendPart makes one append and notes while none makes headway.
-func (r *Runner) appendPart(ctx context.Context, number uint64, part []platform.Record, giveUp bool) (platform.Offset, error) {
-	r.noteAppend(1)
-	first, err := r.writer.appendAs(ctx, number, part, giveUp)
-	r.noteAppend(-1)
+// appendPart makes one append and notes while it makes no headway.
+func (r *Runner) appendPart(ctx context.Context, part []platform.Record, giveUp bool) (platform.Offset, error) {
+	r.setStuck(time.Now())
+	first, err := r.writer.append(ctx, part, giveUp)
+	if err == nil {
+		r.setStuck(time.Time{})
+	}
 	return first, err
 }
 
-// noteAppend counts the appends under way; whenever that changes, those that
-// are left have until now to get stuck.
-func (r *Runner) noteAppend(change int) {
+func (r *Runner) setStuck(since time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.appends += change
-	switch {
-	case r.appends == 0:
-		r.stuck = time.Time{}
-	case change < 0 || r.stuck.IsZero():
-		r.stuck = time.Now()
+	if since.IsZero() || r.stuck.IsZero() {
+		r.stuck = since
 	}
 }
 
 // storeWithout takes back the jobs that the store has refused and stores the
 // progress of the others.
-func (r *Runner) storeWithout(ctx context.Context, b *batch) ([]platform.Offset, error) {
+func (r *Runner) storeWithout(ctx context.Context, handedIn []*submission, records []plan.Record) error {
 	refused := make(map[work.ID]bool)
 	r.mu.Lock()
-	for _, s := range b.handedIn {
+	for _, s := range handedIn {
 		for _, id := range s.jobs {
 			refused[id] = true
 			r.cell.Withdraw(id)
 		}
 	}
 	r.mu.Unlock()
-	answer(b.handedIn, assist.NotStored)
-	b.handedIn = nil
+	answer(handedIn, assist.NotStored)
 	var kept []plan.Record
-	for _, rec := range b.records {
+	for _, rec := range records {
 		if !refused[rec.Job] {
 			kept = append(kept, rec)
 		}
 	}
-	parts, err := progress(kept)
-	if err != nil {
-		return nil, err
-	}
-	b.parts, b.numbers = parts, nil
-	r.mu.Lock()
-	for range parts {
-		b.numbers = append(b.numbers, r.writer.take())
-	}
-	r.mu.Unlock()
-	return r.storeParts(ctx, b)
+	return r.store(ctx, nil, kept)
 }
 
 func answer(handedIn []*submission, outcome assist.StoreOutcome) {
