--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -92,12 +92,23 @@
 // store makes a record durable and says so.
 func (a *API) store(r *request, record platform.Record, patience time.Duration) *reply {
 	err := a.Store.Store(r.Context(), record, patience)
+	if err == nil {
+		return accepted()
+	}
+	answer := a.notConfirmed(err)
+	a.Events.WithError(err).WithFields(logrus.Fields{
+		"job": r.rest, "queue": r.queue.Name, "method": r.Method, "answered": answer.status,
+	}).Info("request not confirmed")
+	return answer
+}
+
+// notConfirmed returns the answer to a request whose record was not stored, or
+// of which that isn't known.
+func (a *API) notConfirmed(err error) *reply {
 	var busy *intake.BusyError
 	switch {
 	case errors.As(err, &busy):
 		return a.refuse(http.StatusTooManyRequests, "too much waits before it for the job to end in time", busy.RetryAfter)
-	case err == nil:
-		return accepted()
 	case errors.Is(err, intake.ErrNotStored):
 		return a.refuse(http.StatusServiceUnavailable, "the store takes nothing at the moment", busyRetryAfter)
 	default:
