One silent log; the runner's epoch is that of its leader

Cause: a logger whose lines go nowhere was made anew in six tests of this change and in two older files; the runner's configuration held its epoch twice. Ruled out: one for the older tests too (they need loggers of other kinds). Change: logging.Silent, used by eight; dispatch.Config loses Epoch.

--- a/internal/assist/publisher_test.go
+++ b/internal/assist/publisher_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/leader"
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -37,14 +36,12 @@
 
 func TestPublisher(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	Convey("Given a publisher and a machine that is up to date", t, func() {
 		m := &machine{position: 10}
 		replaced := api.Epoch(0)
 		fresh := func() time.Duration { return 0 }
 		h := NewHelpers("self", nil, m)
-		p := NewPublisher(leader.Leader{Epoch: 3}, 10, h, m, fresh, func(e api.Epoch) { replaced = e }, logrus.NewEntry(log))
+		p := NewPublisher(leader.Leader{Epoch: 3}, 10, h, m, fresh, func(e api.Epoch) { replaced = e }, logging.Silent())
 		at := Attachment{Node: "a", Address: "a:1"}
 		deliver := func() bool {
 			now = now.Add(time.Millisecond)
--- a/internal/capacity/heartbeat.go
+++ b/internal/capacity/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/member"
 	"github.com/skylarklock/skylarklock/internal/ownership"
 	"github.com/skylarklock/skylarklock/internal/peer"
@@ -45,9 +45,7 @@
 func (granter) Granted(ownership.Identity, time.Time) {}
 
 func quietLog() *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
+	return logging.Silent().Logger
 }
 
 // speaker is one entry VM's part of the heartbeats.
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -37,7 +37,7 @@
 		if !wanted {
 			return
 		}
-		order.Token = uint64(r.cfg.Epoch)
+		order.Token = uint64(r.cfg.Self.Epoch)
 		order.Wait = wait
 		report, err := r.hold(ctx, ref, order)
 		if err != nil {
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -40,7 +40,6 @@
 // Config is what a Runner works with.
 type Config struct {
 	Plan      plan.Config
-	Epoch     api.Epoch
 	Self      leader.Leader // with the epoch
 	Log       platform.PartitionLog
 	Jobs      platform.Partition // of the cell's jobs
@@ -79,7 +78,7 @@
 func New(cfg Config) *Runner {
 	return &Runner{
 		cfg:    cfg,
-		writer: &writer{log: cfg.Log, partition: cfg.Jobs, epoch: cfg.Epoch, events: cfg.Events},
+		writer: &writer{log: cfg.Log, partition: cfg.Jobs, epoch: cfg.Self.Epoch, events: cfg.Events},
 		wake:   make(chan struct{}, 1),
 		cycle:  make(chan struct{}),
 		holds:  make(map[string]context.CancelFunc),
@@ -270,7 +269,7 @@
 func (r *Runner) sendStart(ctx context.Context, o plan.Order) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	o.Order.Token = uint64(r.cfg.Epoch)
+	o.Order.Token = uint64(r.cfg.Self.Epoch)
 	_, err := r.cfg.Executors.Start(ctx, o.Start.To, o.Order)
 	r.noticeFence(err)
 	r.mu.Lock()
@@ -285,7 +284,7 @@
 func (r *Runner) sendStop(ctx context.Context, s plan.Stop) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := r.cfg.Executors.Stop(ctx, s.To, s.Run, uint64(r.cfg.Epoch))
+	_, err := r.cfg.Executors.Stop(ctx, s.To, s.Run, uint64(r.cfg.Self.Epoch))
 	r.noticeFence(err)
 	r.mu.Lock()
 	r.cell.Stopped(s, err, time.Now())
--- a/internal/dispatch/writer_test.go
+++ b/internal/dispatch/writer_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -40,9 +39,7 @@
 func play(t *testing.T, s *script, use func(context.Context, *writer)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		use(t.Context(), &writer{log: s, epoch: 3, events: logrus.NewEntry(log)})
+		use(t.Context(), &writer{log: s, epoch: 3, events: logging.Silent()})
 	})
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -44,12 +43,6 @@
 	return 0, err
 }
 
-func quiet() *logrus.Entry {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return logrus.NewEntry(log)
-}
-
 // always returns a relay with the same outcome for all records.
 func always(err error) Relay {
 	return func(_ context.Context, records []platform.Record) []error {
@@ -69,7 +62,7 @@
 	var got []error
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		in := New(DefaultConfig(), l, platform.Partition{}, relay, func() bool { return l.down }, quiet())
+		in := New(DefaultConfig(), l, platform.Partition{}, relay, func() bool { return l.down }, logging.Silent())
 		go func() { _ = in.Run(ctx) }()
 		var mu sync.Mutex
 		var clients sync.WaitGroup
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -89,9 +89,7 @@
 		c.Now = time.Now
 	}
 	if c.Logger == nil {
-		silent := logrus.New()
-		silent.SetOutput(io.Discard)
-		c.Logger = silent
+		c.Logger = logging.Silent()
 	}
 	return c
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -43,3 +43,11 @@
 func ForNode(log *logrus.Logger, node api.NodeID, dc api.DataCentre) *logrus.Entry {
 	return log.WithFields(logrus.Fields{KeyNode: string(node), KeyDataCentre: string(dc)})
 }
+
+// Silent returns an entry whose events go nowhere, for parts that were given no
+// log and for tests.
+func Silent() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,7 +166,6 @@
 	self.Epoch = epoch
 	runner := dispatch.New(dispatch.Config{
 		Plan:      n.planConfig(),
-		Epoch:     epoch,
 		Self:      self,
 		Log:       n.store,
 		Jobs:      n.reader.Partition,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,9 +10,8 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/platform"
 	"github.com/skylarklock/skylarklock/platform/standin"
 )
@@ -89,11 +88,9 @@
 		MemoryBytes: 1 << 28, LongestLease: 10 * time.Second,
 		Grace: 2 * time.Second, StateKept: time.Minute, DrainAfter: 2 * time.Second,
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{settings: s, stop: stop, done: make(chan error, 1)}
-	n := New(s, logrus.NewEntry(log))
+	n := New(s, logging.Silent())
 	go func() { p.done <- n.Run(ctx) }()
 	t.Cleanup(stop)
 	return p
--- a/internal/plan/harness_test.go
+++ b/internal/plan/harness_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -64,10 +62,8 @@
 // takeOver replaces the cell by that of a new leader, which knows only what
 // is durable.
 func (w *world) takeOver() {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	lookup := func(id work.ID) *work.Job { return w.stored[id] }
-	w.cell = NewCell(DefaultConfig(), lookup, logrus.NewEntry(log), w.now)
+	w.cell = NewCell(DefaultConfig(), lookup, logging.Silent(), w.now)
 	w.cell.Configure(testTable())
 	for id, j := range w.stored {
 		if p := w.saved[id]; p == nil || !p.State.Final() {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,23 +1,16 @@
 package replica
 
 import (
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-func quiet() *logrus.Entry {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return logrus.NewEntry(log)
-}
-
 func jobRecord(at platform.Offset, j *work.Job) platform.Record {
 	value, err := work.EncodeJob(j)
 	So(err, ShouldBeNil)
@@ -34,7 +27,7 @@
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	id := work.ID{1}
 	Convey("Given a replica that is followed", t, func() {
-		r := New(time.Minute, quiet())
+		r := New(time.Minute, logging.Silent())
 		var seen []Change
 		r.Follow(func(changes []Change) { seen = append(seen, changes...) })
 		first := &work.Job{ID: id, Queue: "q", Specification: "first"}
