--- /dev/null
+++ b/internal/assist/demand.go
@@ -0,0 +1,100 @@
+package assist
+
+import "time"
+
+// length sorts calls by how long they are expected to take.
+type length int
+
+const (
+	shortest length = iota
+	middling
+	long
+	lengths // how many there are
+)
+
+// Bounds between the lengths. On the users' queues calls take about 15, 100
+// and 700 ms; a call may delay another of its own length, not a shorter one.
+const (
+	shortestUpTo = 40 * time.Millisecond
+	middlingUpTo = 200 * time.Millisecond
+)
+
+func lengthOf(cost time.Duration) length {
+	switch {
+	case cost <= shortestUpTo:
+		return shortest
+	case cost <= middlingUpTo:
+		return middling
+	default:
+		return long
+	}
+}
+
+// demandHalf is the time after which the demand of the past counts half.
+const demandHalf = 2 * time.Second
+
+// demand is how much time the calls of each length have taken lately.
+type demand struct {
+	taken [lengths]float64   // seconds, halved every demandHalf
+	asked [lengths]time.Time // when a slot was last asked for
+	at    time.Time          // when taken was last halved
+}
+
+// note takes in that a slot for a call of this length is asked for.
+func (d *demand) note(of length, now time.Time) {
+	if d.at.IsZero() {
+		d.at = now
+	}
+	for now.Sub(d.at) >= demandHalf {
+		d.at = d.at.Add(demandHalf)
+		for i := range d.taken {
+			d.taken[i] /= 2
+		}
+	}
+	d.asked[of] = now
+}
+
+// add counts a call.
+func (d *demand) add(of length, cost time.Duration) { d.taken[of] += cost.Seconds() }
+
+// span is a range of machines in their order.
+type span struct{ from, to int }
+
+// divide deals n machines out to the lengths that were asked for lately, by
+// their demand, at least one to each. With fewer machines than lengths all
+// serve all.
+func (d *demand) divide(n int) [lengths]span {
+	var out [lengths]span
+	total, wanted := 0.0, 0
+	for i := range d.taken {
+		if d.wanted(i) {
+			wanted++
+			total += d.taken[i]
+		}
+	}
+	if n <= wanted || total == 0 {
+		for i := range out {
+			out[i] = span{0, n}
+		}
+		return out
+	}
+	spare := n - wanted
+	from, given := 0, 0.0
+	for i := range d.taken {
+		if !d.wanted(i) {
+			out[i] = span{from, from}
+			continue
+		}
+		before := int(given/total*float64(spare) + 0.5)
+		given += d.taken[i]
+		share := int(given/total*float64(spare)+0.5) - before
+		out[i] = span{from, from + 1 + share}
+		from = out[i].to
+	}
+	return out
+}
+
+// wanted reports whether calls of this length were asked for lately.
+func (d *demand) wanted(i int) bool {
+	return !d.asked[i].IsZero() && d.at.Sub(d.asked[i]) < 2*demandHalf
+}
--- /dev/null
+++ b/internal/assist/demand_test.go
@@ -0,0 +1,59 @@
+package assist
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/skylarklock/skylarklock/api"
+)
+
+func TestHelpers(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	attach := func(h *Helpers, n int, at time.Time) {
+		for i := range n {
+			h.Attached(Attachment{Node: api.NodeID([]byte{'a' + byte(i)}), Address: "x"}, at)
+		}
+	}
+	Convey("Given nine machines", t, func() {
+		h := NewHelpers("self", nil, nil)
+		attach(h, 8, now)
+
+		Convey("long calls never take all of them, once short ones were asked for", func() {
+			So(h.Take(10*time.Millisecond, now), ShouldNotBeNil)
+			taken := 0
+			for h.Take(700*time.Millisecond, now) != nil {
+				taken++
+			}
+			So(taken, ShouldBeBetween, 3, 9)
+			So(h.Take(10*time.Millisecond, now), ShouldNotBeNil)
+		})
+		Convey("calls of one length alone get all of them", func() {
+			taken := 0
+			for h.Take(700*time.Millisecond, now) != nil {
+				taken++
+			}
+			So(taken, ShouldEqual, 9)
+		})
+		Convey("a slot is free again when the call is over", func() {
+			var last *Slot
+			for s := h.Take(700*time.Millisecond, now); s != nil; s = h.Take(700*time.Millisecond, now) {
+				last = s
+			}
+			h.giveBack(last)
+			So(h.Take(700*time.Millisecond, now), ShouldNotBeNil)
+		})
+		Convey("a machine that is silent is asked no more", func() {
+			later := now.Add(attachedFor + time.Millisecond)
+			So(h.Others(later), ShouldBeEmpty)
+			So(h.Take(10*time.Millisecond, later), ShouldNotBeNil)
+		})
+	})
+	Convey("One machine serves calls of all lengths", t, func() {
+		h := NewHelpers("self", nil, nil)
+		So(h.Take(10*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(100*time.Millisecond, now), ShouldNotBeNil)
+		So(h.Take(700*time.Millisecond, now), ShouldNotBeNil)
+	})
+}
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -13,14 +13,8 @@
 
 // Limits of the calls handed to machines.
 const (
-	// longCall is the expected time from which a call counts as long. On the
-	// users' queues long ones take about 600 ms and short ones 10 to 100 ms.
-	longCall = 200 * time.Millisecond
-	// shortShare is the share of the machines that make only short calls, so
-	// that these never wait behind a long one.
-	shortShare = 0.4
-	// shortAtOnce is how many short calls a machine has under way: one is
-	// answered while the next is on its way.
+	// shortAtOnce is how many calls that aren't long a machine has under way:
+	// one is answered while the next is on its way.
 	shortAtOnce = 2
 	// attachedFor is how long an offer holds; machines repeat it every
 	// second (node.attachEvery).
@@ -34,6 +28,7 @@
 
 	mu       sync.Mutex
 	machines map[api.NodeID]*helper
+	demand   demand
 }
 
 type helper struct {
@@ -84,25 +79,46 @@
 }
 
 // Take returns a slot for a call of an expected time, or nil if none is free.
+// Calls of unlike length go to unlike machines, so that a short one never
+// waits behind a long one; the machines are divided by what the calls of each
+// length take in all.
 func (h *Helpers) Take(cost time.Duration, now time.Time) *Slot {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	of := lengthOf(cost)
+	h.demand.note(of, now)
 	machines := h.present(now)
-	forShort := max(1, int(shortShare*float64(len(machines))+0.5))
-	long := cost >= longCall
-	for i, m := range machines {
-		if long && (i >= forShort || len(machines) == 1) && m.long == 0 {
-			m.long++
-			return &Slot{helper: m, long: true}
+	ranges := h.demand.divide(len(machines))
+	for try := of; try < lengths; try++ {
+		for _, m := range machines[ranges[try].from:ranges[try].to] {
+			if s := m.take(of); s != nil {
+				h.demand.add(of, cost)
+				return s
+			}
 		}
-		if !long && i < forShort && m.short < shortAtOnce {
-			m.short++
-			return &Slot{helper: m}
+		if of != shortest || try > of {
+			break // only the shortest calls may slip in among the next longer ones
 		}
 	}
 	return nil
 }
 
+// take returns a slot of the machine, or nil if it has enough to do.
+func (m *helper) take(of length) *Slot {
+	if of == long {
+		if m.long > 0 {
+			return nil
+		}
+		m.long++
+		return &Slot{helper: m, long: true}
+	}
+	if m.short >= shortAtOnce || m.long > 0 {
+		return nil
+	}
+	m.short++
+	return &Slot{helper: m}
+}
+
 // present returns the machines whose offer holds, in a fixed order but with
 // this machine last: it has most to do.
 func (h *Helpers) present(now time.Time) []*helper {
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -15,7 +15,7 @@
 const (
 	// deliverEvery is the time between two deliveries to a machine. Clients
 	// see the end of their job with this delay.
-	deliverEvery = 40 * time.Millisecond
+	deliverEvery = 25 * time.Millisecond
 	// deliverIdle is the time after which a delivery without records says
 	// that there are none (replica.Timing.FedFor is twice that).
 	deliverIdle = 250 * time.Millisecond
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -173,6 +173,9 @@
 		return
 	}
 	s.advice.asking = false
+	if s.job.advised.IsZero() {
+		s.job.advised = now
+	}
 	s.advice.grant(a.Executors, grants, now.Add(valid-c.cfg.TicketMargin))
 }
 
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -28,6 +28,7 @@
 	timed     []*job               // with occurrences to come
 	dirty     []*job               // whose durable record is behind
 	stops     []Stop               // to be sent
+	now       time.Time            // of the newest call that brought the time
 	explained time.Time            // when waiting steps were last explained
 }
 
@@ -185,6 +186,7 @@
 // end ends a job. Runs that exist keep their claims until they are over.
 func (c *Cell) end(j *job, state work.State) {
 	j.state = state
+	c.logEnd(j)
 	c.mark(j)
 	for _, o := range j.running {
 		for _, s := range o.steps {
@@ -203,6 +205,20 @@
 	}
 }
 
+// logEnd logs how long the stages of a job took, counted from its arrival.
+func (c *Cell) logEnd(j *job) {
+	since := func(t time.Time) int64 {
+		if t.IsZero() {
+			return -1
+		}
+		return t.Sub(j.arrived).Milliseconds()
+	}
+	c.events.WithFields(logrus.Fields{
+		"job": j.spec.ID, "queue": j.spec.Queue, "state": j.state.String(),
+		"advised_ms": since(j.advised), "started_ms": since(j.started), "ended_ms": since(c.now),
+	}).Info("job ended")
+}
+
 // abandon lets go of a step whose job has ended.
 func (c *Cell) abandon(s *step) {
 	s.ready = false
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -18,6 +18,8 @@
 	ended    map[int]bool  // further occurrences that have ended
 	running  []*occurrence // that have begun and not ended, by number
 	dirty    bool          // the durable record is behind
+	advised  time.Time     // when executors were first granted
+	started  time.Time     // when an executor first confirmed a start
 }
 
 // occurrence is one run of a job's steps.
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -43,6 +43,9 @@
 	case err == nil:
 		cl.state = atWork
 		cl.since = now
+		if j := cl.task.step.job; j.started.IsZero() {
+			j.started = now
+		}
 	case errors.As(err, &refused):
 		c.refused(cl, refused.Reason, now)
 	case errors.Is(err, platform.ErrNotReached):
@@ -89,6 +92,7 @@
 // Report takes in an executor's report on a hold that was sent at a given
 // time. It returns whether ends were applied that are to be made durable.
 func (c *Cell) Report(id string, r platform.ExecutorReport, asked, now time.Time) bool {
+	c.now = now
 	v := c.vms[id]
 	if v == nil {
 		return false
@@ -298,7 +302,6 @@
 		attempts = q.Attempts
 	}
 	if t.failures >= attempts && !s.spec.LongRunning {
-		c.events.WithFields(logrus.Fields{"job": s.job.spec.ID, "task": t.key(), "attempts": t.failures}).Info("job failed")
 		c.end(s.job, work.Failed)
 	}
 }
