Name executors with room in calls for advice, and further ones where too few are granted

Cause: a call named the first hundred executors by ID. On a fleet of 350 all work went to these; gangs waited 7 s (median) for room on the 30 to 50 that were granted, with 250 executors hardly used. Change: candidates with room first, as many as the step needs by the share granted so far; a step whose granted executors are too full asks about others while its tickets hold.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -15,6 +15,7 @@
 	denied  map[string]struct{} // executors that may not
 	asking  bool                // a call is under way
 	again   time.Time           // no call before this, after one that failed
+	look    time.Time           // not before this is it worked out again whether a call is due
 	until   time.Time           // when the last ticket lapses
 	vms     []*vm               // those with tickets, in order; nil: to be made up
 }
@@ -52,15 +53,6 @@
 	}
 }
 
-// knows reports whether it is known if the step may run on the executor.
-func (a *advice) knows(id string) bool {
-	if _, ok := a.denied[id]; ok {
-		return true
-	}
-	_, ok := a.tickets[id]
-	return ok
-}
-
 // valid returns the ticket for an executor if it is valid at now.
 func (a *advice) valid(id string, now time.Time) (ticket, bool) {
 	t, ok := a.tickets[id]
@@ -84,7 +76,7 @@
 	var asks []Ask
 	for _, s := range c.inTurn {
 		q := c.queue(s.job)
-		if q == nil || q.Advice == nil || s.advice.asking || now.Before(s.advice.again) || !s.ready {
+		if q == nil || q.Advice == nil || s.advice.asking || now.Before(s.advice.again) || now.Before(s.advice.look) || !s.ready {
 			continue
 		}
 		if !askers.Free(q.Advice.Cost(c.advised(s))) {
@@ -92,6 +84,7 @@
 		}
 		ids := c.toAsk(s, q, now)
 		if len(ids) == 0 {
+			s.advice.look = now.Add(lookEvery)
 			continue
 		}
 		cost := q.Advice.Cost(len(ids))
@@ -105,38 +98,58 @@
 }
 
 // toAsk returns the executors that a call about the step should name, or none
-// if no call is due. The first call names all executors, since what it tells
-// stays true. Later ones renew lapsed tickets when room for the step is near.
-// Executors that are not known yet are asked about where those that may run
-// the step are too few for it.
+// if no call is due. The first call names those with room, since what it tells
+// stays true. Later ones renew lapsed tickets when room for the step is near,
+// and ask about further executors where those that may run it are too full or
+// too few.
 func (c *Cell) toAsk(s *step, q *queue.Queue, now time.Time) []string {
-	if len(s.unplaced()) == 0 {
+	tasks := len(s.unplaced())
+	if tasks == 0 {
 		return nil
 	}
-	ids := c.candidates(s, q, now)
-	fresh := 0
-	for _, id := range ids {
-		if !s.advice.knows(id) {
-			fresh++
-		}
+	soon := now.Add(q.Advice.Cost(c.advised(s)) + askAhead)
+	granted, fresh := c.candidates(s, q, soon, now)
+	if len(s.advice.tickets) == 0 {
+		return c.worthAsking(c.choose(fresh, s, q, tasks, c.cfg.MostAdvised), s, q, now)
 	}
-	if fresh > 0 && fresh == len(ids) {
-		return c.worthAsking(ids, s, now)
+	room := roomOf(granted)
+	enough := room >= 1
+	if s.spec.Gang {
+		enough = room >= tasks
 	}
-	if s.advice.anyValid(now) {
+	switch {
+	case s.advice.anyValid(now) && enough:
 		return nil
+	case s.advice.anyValid(now):
+		return c.further(fresh, s, q, tasks-room, c.cfg.MostAdvised)
+	case enough:
+		return idsOf(granted[:min(len(granted), c.cfg.MostAdvised)])
 	}
-	soon := now.Add(q.Advice.Cost(len(ids)) + askAhead)
-	if fresh > 0 || c.fitsBy(s, q, soon, now) {
-		return ids
+	ids := c.further(fresh, s, q, tasks-room, c.cfg.MostAdvised)
+	if len(ids) == 0 {
+		return nil
+	}
+	for _, one := range granted {
+		if len(ids) < c.cfg.MostAdvised {
+			ids = append(ids, one.vm.Ref.ID)
+		}
+	}
+	return ids
+}
+
+// further returns executors that are not known yet and promise room for a
+// number of tasks; none if they have no room either.
+func (c *Cell) further(fresh []candidate, s *step, q *queue.Queue, tasks, limit int) []string {
+	if roomOf(fresh) == 0 {
+		return nil
 	}
-	return nil
+	return c.choose(fresh, s, q, tasks, limit)
 }
 
 // worthAsking returns ids for a step's first call unless this leader has
 // heard of few executors yet: after a takeover the reports come in within
 // moments.
-func (c *Cell) worthAsking(ids []string, s *step, now time.Time) []string {
+func (c *Cell) worthAsking(ids []string, s *step, q *queue.Queue, now time.Time) []string {
 	if now.Sub(c.began) > gatherFor {
 		return ids
 	}
@@ -146,7 +159,7 @@
 			listed++
 		}
 	}
-	if 2*len(ids) < listed {
+	if 2*len(ids) < min(listed, cheapToName(q.Advice)) {
 		return nil
 	}
 	return ids
@@ -160,22 +173,6 @@
 // are only estimated.
 const askAhead = 150 * time.Millisecond
 
-// candidates returns the executors that may run the step, or of which that is
-// not known yet.
-func (c *Cell) candidates(s *step, q *queue.Queue, now time.Time) []string {
-	var ids []string
-	for _, v := range c.sorted {
-		if len(ids) == c.cfg.MostAdvised {
-			break
-		}
-		if _, denied := s.advice.denied[v.Ref.ID]; denied || !c.suits(s, q, v, now) {
-			continue
-		}
-		ids = append(ids, v.Ref.ID)
-	}
-	return ids
-}
-
 // Granted takes in the answer to a call for advice, which arrived at now.
 func (c *Cell) Granted(a Ask, grants []platform.Grant, valid time.Duration, now time.Time) {
 	s := c.step(a.Step)
@@ -186,6 +183,7 @@
 	if s.job.advised.IsZero() {
 		s.job.advised = now
 	}
+	c.learnShare(c.queue(s.job), len(a.Executors), len(grants))
 	s.advice.grant(a.Executors, grants, now.Add(valid-c.cfg.TicketMargin))
 }
 
@@ -199,5 +197,16 @@
 	s.advice.again = now.Add(adviceRetry)
 }
 
+// lookEvery is the time between two looks whether a step needs a call, which go
+// through all executors.
+const lookEvery = 40 * time.Millisecond
+
+// lookAgain has every waiting step look at once whether it needs a call.
+func (c *Cell) lookAgain() {
+	for _, s := range c.waiting {
+		s.advice.look = time.Time{}
+	}
+}
+
 // adviceRetry is the pause after a call for advice that failed.
 const adviceRetry = 50 * time.Millisecond
--- /dev/null
+++ b/internal/plan/candidates.go
@@ -0,0 +1,131 @@
+package plan
+
+import (
+	"sort"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/queue"
+)
+
+// Bounds of how many executors a call for advice names.
+const (
+	// namingShare is the part of a call's fixed time that naming executors
+	// may take before it matters how many are named: on the users' queues
+	// that is 34 executors, for 1.5 times the fixed time.
+	namingShare = 0.5
+	// roomMargin is how many times the room that a step needs the executors
+	// named should hold, by the share granted so far: others take some of it
+	// while the call is under way.
+	roomMargin = 1.5
+	// firstShare is the share granted that is expected of a queue that was
+	// not asked about yet. The users' queues grant 0.3 to 0.7; the least
+	// makes the first calls a little too long rather than useless.
+	firstShare = 0.3
+	// grantedWeight is the weight of a new call in the moving mean of shares.
+	grantedWeight = 0.1
+)
+
+// candidate is an executor that a call for advice could name.
+type candidate struct {
+	vm    *vm
+	slots int     // tasks of the step that should fit when the answer is there
+	left  float64 // room beside one task, as place.go scores it
+}
+
+// candidates returns the executors that may run the step, and those of which
+// that isn't known yet, with their expected room.
+func (c *Cell) candidates(s *step, q *queue.Queue, at, now time.Time) (granted, fresh []candidate) {
+	for _, v := range c.sorted {
+		if _, denied := s.advice.denied[v.Ref.ID]; denied || !c.suits(s, q, v, now) {
+			continue
+		}
+		one := candidate{vm: v, slots: v.slotsAt(s, at)}
+		if _, ok := s.advice.tickets[v.Ref.ID]; ok {
+			granted = append(granted, one)
+			continue
+		}
+		one.left = c.score(s, v, v.free().Sub(s.spec.Need))
+		fresh = append(fresh, one)
+	}
+	return granted, fresh
+}
+
+// choose returns those of the candidates that a call should name so that a
+// number of tasks finds room: at least as many as cost little, at most limit.
+// A gang looks for the most room in few places, other work for places that it
+// fills, as it is placed.
+func (c *Cell) choose(from []candidate, s *step, q *queue.Queue, tasks, limit int) []string {
+	sort.SliceStable(from, func(a, b int) bool {
+		x, y := from[a], from[b]
+		switch {
+		case s.spec.Gang && x.slots != y.slots:
+			return x.slots > y.slots
+		case (x.slots > 0) != (y.slots > 0):
+			return x.slots > 0
+		default:
+			return x.left < y.left
+		}
+	})
+	least := cheapToName(q.Advice)
+	wanted := roomMargin * float64(tasks) / c.shareOf(q)
+	var ids []string
+	room := 0
+	for _, one := range from {
+		if len(ids) >= limit || (len(ids) >= least && float64(room) >= wanted) {
+			break
+		}
+		ids = append(ids, one.vm.Ref.ID)
+		room += one.slots
+	}
+	return ids
+}
+
+// cheapToName returns how many executors a call may name at little cost.
+func cheapToName(a *queue.Advice) int {
+	if a.PerVM <= 0 {
+		return 1 << 20
+	}
+	return max(1, int(namingShare*float64(a.Decision)/float64(a.PerVM)))
+}
+
+// roomOf returns how many tasks should fit on the candidates.
+func roomOf(from []candidate) int {
+	room := 0
+	for _, one := range from {
+		room += one.slots
+	}
+	return room
+}
+
+func idsOf(from []candidate) []string {
+	ids := make([]string, len(from))
+	for i, one := range from {
+		ids[i] = one.vm.Ref.ID
+	}
+	return ids
+}
+
+// shareOf returns the share of the executors named that a queue's steps may
+// run on, by what was granted so far.
+func (c *Cell) shareOf(q *queue.Queue) float64 {
+	if share, ok := c.granted[q.Name]; ok {
+		return max(share, leastShare)
+	}
+	return firstShare
+}
+
+// leastShare bounds what a run of refusals does to the expected share.
+const leastShare = 0.05
+
+// learnShare takes in which share of the executors named was granted.
+func (c *Cell) learnShare(q *queue.Queue, asked, granted int) {
+	if q == nil || asked == 0 {
+		return
+	}
+	share := float64(granted) / float64(asked)
+	old, ok := c.granted[q.Name]
+	if !ok {
+		old = firstShare
+	}
+	c.granted[q.Name] = old + grantedWeight*(share-old)
+}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -30,6 +30,7 @@
 	dirty     []*job               // whose durable record is behind
 	stops     []Stop               // to be sent
 	now       time.Time            // of the newest call that brought the time
+	granted   map[string]float64   // by queue: moving mean of the share of executors granted
 	usual     float64              // moving mean of the fleet\'s run times to estimates
 	explained time.Time            // when waiting steps were last explained
 }
@@ -43,14 +44,15 @@
 // NewCell returns a cell without jobs and executors, led from now on.
 func NewCell(cfg Config, lookup func(work.ID) *work.Job, events *logrus.Entry, now time.Time) *Cell {
 	return &Cell{
-		cfg:    cfg,
-		events: events,
-		lookup: lookup,
-		table:  &queue.Table{},
-		began:  now,
-		vms:    make(map[string]*vm),
-		jobs:   make(map[work.ID]*job),
-		ended:  make(map[work.ID]struct{}),
+		cfg:     cfg,
+		events:  events,
+		lookup:  lookup,
+		table:   &queue.Table{},
+		began:   now,
+		vms:     make(map[string]*vm),
+		jobs:    make(map[work.ID]*job),
+		ended:   make(map[work.ID]struct{}),
+		granted: make(map[string]float64),
 	}
 }
 
@@ -314,6 +316,7 @@
 			v = newVM(*e)
 			c.vms[id] = v
 			c.sorted = append(c.sorted, v)
+			c.lookAgain()
 		}
 		v.Executor = *e
 		v.listed = true
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -55,17 +55,6 @@
 	}
 }
 
-// fitsBy reports whether the step, if a gang, can be placed whole at a time
-// to come, or else at least one of its tasks, by the expected ends of what
-// runs now.
-func (c *Cell) fitsBy(s *step, q *queue.Queue, at, now time.Time) bool {
-	need := 1
-	if s.spec.Gang {
-		need = len(s.tasks)
-	}
-	return c.roomAt(s, q, need, at, now) != nil
-}
-
 // roomAt returns executors that will have room for n tasks of the step at a
 // time to come, or nil. It takes those with the most room first.
 func (c *Cell) roomAt(s *step, q *queue.Queue, n int, at, now time.Time) []*vm {
