Promise room to steps whose calls for advice are under way; renew tickets one by one; a line on the cell's state

Cause: on the grown site 60 gangs waited with 40% of the processors free in pieces of nine. Steps that asked at the same moment named the same executors, those with most room; all but one found them full, and renewed tickets 50 times a second in all, which took every machine's turn at the advice service. Ruled out: room, reservations, the leader's processor. Change: a call promises its step room on what it names until the step starts, ends or its call fails; later calls see the rest. The leader logs every 5 s how full the cell is, what waits and which calls were made; that line showed it.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -11,13 +11,14 @@
 // advice is what is known of the executors that may run a step. Whether one
 // may never changes in its life; the permission itself lapses.
 type advice struct {
-	tickets map[string]ticket   // of executors that may
-	denied  map[string]struct{} // executors that may not
-	asking  bool                // a call is under way
-	again   time.Time           // no call before this, after one that failed
-	look    time.Time           // not before this is it worked out again whether a call is due
-	until   time.Time           // when the last ticket lapses
-	vms     []*vm               // those with tickets, in order; nil: to be made up
+	tickets  map[string]ticket   // of executors that may
+	denied   map[string]struct{} // executors that may not
+	asking   bool                // a call is under way
+	again    time.Time           // no call before this, after one that failed
+	look     time.Time           // not before this is it worked out again whether a call is due
+	until    time.Time           // when the last ticket lapses
+	promises []promise           // room that the newest call expects
+	vms      []*vm               // those with tickets, in order; nil: to be made up
 }
 
 // ticket is the permission to start a step's tasks on one executor.
@@ -82,15 +83,18 @@
 		if !askers.Free(q.Advice.Cost(c.advised(s))) {
 			continue
 		}
-		ids := c.toAsk(s, q, now)
-		if len(ids) == 0 {
+		named := c.toAsk(s, q, now)
+		if len(named) == 0 {
 			s.advice.look = now.Add(lookEvery)
 			continue
 		}
-		cost := q.Advice.Cost(len(ids))
+		cost := q.Advice.Cost(len(named))
 		if !askers.Take(cost) {
 			continue
 		}
+		ids := idsOf(named)
+		c.countAsk(s, ids)
+		c.promise(s, named, len(s.unplaced()))
 		s.advice.asking = true
 		asks = append(asks, Ask{Step: s.key(), Executors: ids, Cost: cost})
 	}
@@ -102,44 +106,39 @@
 // stays true. Later ones renew lapsed tickets when room for the step is near,
 // and ask about further executors where those that may run it are too full or
 // too few.
-func (c *Cell) toAsk(s *step, q *queue.Queue, now time.Time) []string {
+func (c *Cell) toAsk(s *step, q *queue.Queue, now time.Time) []candidate {
+	c.unpromise(s)
 	tasks := len(s.unplaced())
 	if tasks == 0 {
 		return nil
 	}
 	soon := now.Add(q.Advice.Cost(c.advised(s)) + askAhead)
-	granted, fresh := c.candidates(s, q, soon, now)
+	may := c.candidates(s, q, soon, now)
+	most := c.cfg.MostAdvised
 	if len(s.advice.tickets) == 0 {
-		return c.worthAsking(c.choose(fresh, s, q, tasks, c.cfg.MostAdvised), s, q, now)
+		return c.worthAsking(c.choose(may.fresh, s, q, tasks, most), s, q, now)
 	}
-	room := roomOf(granted)
-	enough := room >= 1
+	need := 1
 	if s.spec.Gang {
-		enough = room >= tasks
+		need = tasks
 	}
+	valid, lapsed := roomOf(may.valid), roomOf(may.lapsed)
 	switch {
-	case s.advice.anyValid(now) && enough:
+	case valid >= need:
 		return nil
-	case s.advice.anyValid(now):
-		return c.further(fresh, s, q, tasks-room, c.cfg.MostAdvised)
-	case enough:
-		return idsOf(granted[:min(len(granted), c.cfg.MostAdvised)])
+	case valid+lapsed >= need:
+		return withRoom(may.lapsed, most)
 	}
-	ids := c.further(fresh, s, q, tasks-room, c.cfg.MostAdvised)
+	ids := c.further(may.fresh, s, q, tasks-valid-lapsed, most)
 	if len(ids) == 0 {
 		return nil
 	}
-	for _, one := range granted {
-		if len(ids) < c.cfg.MostAdvised {
-			ids = append(ids, one.vm.Ref.ID)
-		}
-	}
-	return ids
+	return append(ids, withRoom(may.lapsed, most-len(ids))...)
 }
 
 // further returns executors that are not known yet and promise room for a
 // number of tasks; none if they have no room either.
-func (c *Cell) further(fresh []candidate, s *step, q *queue.Queue, tasks, limit int) []string {
+func (c *Cell) further(fresh []candidate, s *step, q *queue.Queue, tasks, limit int) []candidate {
 	if roomOf(fresh) == 0 {
 		return nil
 	}
@@ -149,7 +148,7 @@
 // worthAsking returns ids for a step's first call unless this leader has
 // heard of few executors yet: after a takeover the reports come in within
 // moments.
-func (c *Cell) worthAsking(ids []string, s *step, q *queue.Queue, now time.Time) []string {
+func (c *Cell) worthAsking(ids []candidate, s *step, q *queue.Queue, now time.Time) []candidate {
 	if now.Sub(c.began) > gatherFor {
 		return ids
 	}
@@ -194,6 +193,7 @@
 		return
 	}
 	s.advice.asking = false
+	c.unpromise(s)
 	s.advice.again = now.Add(adviceRetry)
 }
 
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -32,29 +32,40 @@
 	left  float64 // room beside one task, as place.go scores it
 }
 
-// candidates returns the executors that may run the step, and those of which
-// that isn't known yet, with their expected room.
-func (c *Cell) candidates(s *step, q *queue.Queue, at, now time.Time) (granted, fresh []candidate) {
+// candidates are the executors on which a step may run, with their expected
+// room.
+type candidates struct {
+	valid  []candidate // with a ticket that holds
+	lapsed []candidate // with a ticket that has lapsed
+	fresh  []candidate // of which it isn't known whether it may
+}
+
+// candidates returns the executors on which the step may run.
+func (c *Cell) candidates(s *step, q *queue.Queue, at, now time.Time) candidates {
+	var out candidates
 	for _, v := range c.sorted {
 		if _, denied := s.advice.denied[v.Ref.ID]; denied || !c.suits(s, q, v, now) {
 			continue
 		}
-		one := candidate{vm: v, slots: v.slotsAt(s, at)}
-		if _, ok := s.advice.tickets[v.Ref.ID]; ok {
-			granted = append(granted, one)
-			continue
+		one := candidate{vm: v, slots: v.slotsAt(s, at, v.free().Sub(v.promised))}
+		switch ticket, ok := s.advice.tickets[v.Ref.ID]; {
+		case !ok:
+			one.left = c.score(s, v, v.free().Sub(s.spec.Need))
+			out.fresh = append(out.fresh, one)
+		case at.Before(ticket.until):
+			out.valid = append(out.valid, one)
+		default:
+			out.lapsed = append(out.lapsed, one)
 		}
-		one.left = c.score(s, v, v.free().Sub(s.spec.Need))
-		fresh = append(fresh, one)
 	}
-	return granted, fresh
+	return out
 }
 
 // choose returns those of the candidates that a call should name so that a
 // number of tasks finds room: at least as many as cost little, at most limit.
 // A gang looks for the most room in few places, other work for places that it
 // fills, as it is placed.
-func (c *Cell) choose(from []candidate, s *step, q *queue.Queue, tasks, limit int) []string {
+func (c *Cell) choose(from []candidate, s *step, q *queue.Queue, tasks, limit int) []candidate {
 	sort.SliceStable(from, func(a, b int) bool {
 		x, y := from[a], from[b]
 		switch {
@@ -68,16 +79,14 @@
 	})
 	least := cheapToName(q.Advice)
 	wanted := roomMargin * float64(tasks) / c.shareOf(q)
-	var ids []string
 	room := 0
-	for _, one := range from {
-		if len(ids) >= limit || (len(ids) >= least && float64(room) >= wanted) {
-			break
+	for i, one := range from {
+		if i >= limit || (i >= least && float64(room) >= wanted) {
+			return from[:i]
 		}
-		ids = append(ids, one.vm.Ref.ID)
 		room += one.slots
 	}
-	return ids
+	return from
 }
 
 // cheapToName returns how many executors a call may name at little cost.
@@ -97,6 +106,12 @@
 	return room
 }
 
+// withRoom returns up to limit of the candidates, those with most room first.
+func withRoom(from []candidate, limit int) []candidate {
+	sort.SliceStable(from, func(a, b int) bool { return from[a].slots > from[b].slots })
+	return from[:min(len(from), limit)]
+}
+
 func idsOf(from []candidate) []string {
 	ids := make([]string, len(from))
 	for i, one := range from {
--- a/internal/plan/candidates_test.go
+++ b/internal/plan/candidates_test.go
@@ -64,6 +64,29 @@
 				So(w.cycle(), ShouldHaveLength, 20)
 			})
 		})
+		Convey("a gang of which half the tickets have lapsed renews just these", func() {
+			w.job(1, testAdvised, work.Step{Tasks: 20, Need: cpus(9), Estimate: time.Second, Gang: true})
+			w.cycle()
+			first := w.cell.Asks(w.now, anybody{})
+			w.cell.Granted(first[0], grants(first[0].Executors[:4]...), 2*time.Second, w.now)
+			w.pass(time.Second)
+			for id := range w.listed {
+				w.report(id, nil, nil)
+			}
+			w.fill(0, 100)
+			w.cycle()
+			more := w.cell.Asks(w.now, anybody{})
+			So(more, ShouldHaveLength, 1)
+			w.cell.Granted(more[0], grants(more[0].Executors[:4]...), 2*time.Second, w.now)
+			w.pass(time.Second)
+			for id := range w.listed {
+				w.report(id, nil, nil)
+			}
+			So(w.cycle(), ShouldBeEmpty)
+			renewal := w.cell.Asks(w.now, anybody{})
+			So(renewal, ShouldHaveLength, 1)
+			So(renewal[0].Executors, ShouldResemble, first[0].Executors[:4])
+		})
 		Convey("where none has room, none is asked about twice", func() {
 			w.fill(100, 150)
 			w.job(1, testAdvised, work.Step{Tasks: 20, Need: cpus(9), Estimate: time.Second, Gang: true})
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -32,6 +32,7 @@
 	now       time.Time            // of the newest call that brought the time
 	granted   map[string]float64   // by queue: moving mean of the share of executors granted
 	usual     float64              // moving mean of the fleet\'s run times to estimates
+	asked     asked                // calls for advice since the last summary
 	explained time.Time            // when waiting steps were last explained
 }
 
@@ -239,6 +240,7 @@
 // abandon lets go of a step whose job has ended.
 func (c *Cell) abandon(s *step) {
 	s.ready = false
+	c.unpromise(s)
 	for _, t := range s.tasks {
 		if t.claims > 0 {
 			c.unwant(t)
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -67,7 +67,7 @@
 		if !c.suits(s, q, v, now) {
 			continue
 		}
-		if slots := v.slotsAt(s, at); slots > 0 {
+		if slots := v.slotsAt(s, at, v.free()); slots > 0 {
 			offers = append(offers, offer{v, slots})
 		}
 	}
@@ -92,9 +92,9 @@
 	return granted
 }
 
-// slotsAt returns how many tasks of the step will fit at a time to come.
-func (v *vm) slotsAt(s *step, at time.Time) int {
-	room := v.free()
+// slotsAt returns how many tasks of the step will fit at a time to come, given
+// the room there is now.
+func (v *vm) slotsAt(s *step, at time.Time, room api.Resources) int {
 	for _, cl := range v.claims {
 		if !cl.ends.After(at) {
 			room = room.Add(cl.need)
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -40,6 +40,7 @@
 	fleet.Executor
 	listed   bool // in the registry
 	used     api.Resources
+	promised api.Resources // to steps whose calls for advice name it (promise.go)
 	claims   map[platform.Run]*claim
 	draining time.Time // when it was first read as leaving; zero: it isn't
 
