Let machines with more processors lead, and hand over from weak leaders

Cause: on the grown sites 27 of 35 machines have 0.19 of a processor. Ruled out: the strong machines' processors (0.43 of 0.8 at the most). Change: a machine that knows of a much better one, or knows of none and is weak, leaves it 0.7 s to claim (a read may be 0.6 s late); one that leads hands over after 1 s, at most every 15 s. Offers to the leader tell processors, 0 while the store is out of reach.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -42,7 +42,8 @@
 type Attachment struct {
 	_       struct{} `cbor:",toarray"`
 	Node    api.NodeID
-	Address string // of its peer service
+	Address string  // of its peer service
+	Fitness float64 // processors with which the machine could lead; 0: it couldn't now
 }
 
 // AttachAnswer tells which epoch the asked machine leads; 0: it leads none.
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -35,6 +35,7 @@
 type helper struct {
 	node    api.NodeID
 	address string    // empty: this machine
+	fitness float64   // to lead, by its last offer
 	seen    time.Time // last offer
 	long    int       // calls under way
 	short   int
@@ -57,9 +58,24 @@
 		h.machines[a.Node] = m
 	}
 	m.address = a.Address
+	m.fitness = a.Fitness
 	m.seen = now
 }
 
+// Fittest returns the highest fitness to lead among the other machines whose
+// offer holds; 0: none is known.
+func (h *Helpers) Fittest(now time.Time) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	highest := 0.0
+	for _, m := range h.present(now) {
+		if m.address != "" {
+			highest = max(highest, m.fitness)
+		}
+	}
+	return highest
+}
+
 // Know takes in machines that the leader delivers to. When this machine comes
 // to lead, it delivers to them until they are silent.
 func (h *Helpers) Know(machines []Attachment) {
@@ -78,7 +94,7 @@
 	var others []Attachment
 	for _, m := range h.present(now) {
 		if m.address != "" {
-			others = append(others, Attachment{Node: m.node, Address: m.address})
+			others = append(others, Attachment{Node: m.node, Address: m.address, Fitness: m.fitness})
 		}
 	}
 	return others
--- a/internal/leader/config.go
+++ b/internal/leader/config.go
@@ -24,15 +24,18 @@
 	AppendMost   time.Duration // up to this
 	Call         time.Duration // longest read beside its wait
 	Retry        time.Duration // pause after a call that failed
+	Modest       time.Duration // further silence for which a machine waits that others surpass
+	Settled      time.Duration // least time of leading before it is handed to a machine that surpasses this one
+	Cooling      time.Duration // least time between two such hand-overs by one process
 	LeaseRenewal time.Duration // after the last confirmed renewal, for which executors' leases are extended
 }
 
 // DefaultTiming returns the timing in use. A renewal takes about 5 ms at the
 // platform's store; two may be lost before the leader is given up. While the
 // store is slow, renewals come at longer gaps, and more silence is waited for.
-// The time
-// for which leases are extended covers, with a lease, an outage of the store
-// of 7 s; the longest that the users name is 6.2 s.
+// The time for which leases are extended covers, with a lease, an outage of the store
+// of 7 s; the longest that the users name is 6.2 s. A machine that others
+// surpass leaves these the time to read of the end of a leader (Fresh) and claim.
 func DefaultTiming() Timing {
 	return Timing{
 		Renew:        250 * time.Millisecond,
@@ -48,6 +51,9 @@
 		AppendMost:   600 * time.Millisecond,
 		Call:         700 * time.Millisecond,
 		Retry:        100 * time.Millisecond,
+		Modest:       700 * time.Millisecond,
+		Settled:      time.Second,
+		Cooling:      15 * time.Second,
 		LeaseRenewal: 3 * time.Second,
 	}
 }
@@ -59,6 +65,8 @@
 	Self      Leader // without an epoch
 	Timing    Timing
 	Events    *logrus.Entry
+	// Standing tells how this machine compares with others as a leader.
+	Standing func() Standing
 	// Gained is called when this process has become the leader, Lost when it
 	// no longer is. Neither may block.
 	Gained func(epoch api.Epoch)
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -22,8 +22,11 @@
 	state     *State // nil until the partition was read once
 	suspected bool   // the leader's process answers no call
 	stopping  bool
+	yielding  bool          // leadership is being handed to a machine with more processors
 	unread    bool          // the state is from other processes; the store was not read yet
 	blind     bool          // the last read failed
+	ledSince  time.Time     // of the newest claim of this process
+	yielded   time.Time     // when this process last handed leadership over; zero: never
 	usual     time.Duration // what the last append took
 	wake      chan struct{}
 	released  chan struct{} // closed when this process has stepped down
@@ -86,8 +89,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.stepDown(at, time.Now())
-	close(e.released)
+	now := time.Now()
+	e.state.stepDown(at, now)
+	if e.stopping {
+		close(e.released)
+		return nil
+	}
+	e.yielding = false
+	e.yielded = now
 	return nil
 }
 
@@ -107,11 +116,13 @@
 	e.mu.Lock()
 	state, stopping, unread := e.state, e.stopping, e.unread
 	leads := state != nil && state.Leads()
+	e.yielding = e.yielding && leads
+	gives := stopping || e.yielding
 	e.mu.Unlock()
 	switch {
 	case state == nil || unread:
 		return e.begin(ctx)
-	case stopping && leads:
+	case gives && leads:
 		return e.release(ctx)
 	case stopping:
 		pause.For(ctx, e.cfg.Timing.Renew)
@@ -167,10 +178,10 @@
 func (e *Elector) due() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	silence := e.state.Silence(time.Now())
+	silence := e.state.Silence(time.Now()) - e.reserve()
 	switch {
 	case e.state.Released():
-		return true
+		return silence >= 0
 	case e.suspected:
 		return silence > e.cfg.Timing.Suspected
 	default:
@@ -192,7 +203,9 @@
 		return e.settle(ctx, err)
 	}
 	e.mu.Lock()
-	e.state.claimed(at, time.Now())
+	now := time.Now()
+	e.state.claimed(at, now)
+	e.ledSince = now
 	e.suspected = false
 	epoch := e.state.self.Epoch
 	e.mu.Unlock()
@@ -204,12 +217,27 @@
 // renewOrRelease renews unless the process was asked to stop meanwhile.
 func (e *Elector) renewOrRelease(ctx context.Context) error {
 	e.mu.Lock()
-	stopping := e.stopping
+	stopping, yields := e.stopping, e.shouldYield(time.Now())
 	e.mu.Unlock()
-	if stopping {
+	switch {
+	case stopping:
 		return nil // the next step releases
+	case yields:
+		e.yield()
+		return nil
+	default:
+		return e.renew(ctx)
 	}
-	return e.renew(ctx)
+}
+
+// yield begins to hand leadership to a machine that could lead much better;
+// the next step makes the append.
+func (e *Elector) yield() {
+	e.cfg.Events.Info("this process hands leadership to a machine with more processors")
+	e.cfg.Lost()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.yielding = true
 }
 
 // renew appends a renewal.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 		Self:      n.self,
 		Timing:    leader.DefaultTiming(),
 		Events:    log,
+		Standing:  n.standing,
 		Gained:    n.gained,
 		Lost:      n.lost,
 	})
@@ -189,6 +190,19 @@
 	n.log.WithError(err).WithField("epoch", epoch).Info("this process no longer plans for the cell")
 }
 
+// standing compares this machine with those that are known, as a leader.
+func (n *Node) standing() leader.Standing {
+	return leader.Compare(n.settings.Processors, n.helpers.Fittest(time.Now()))
+}
+
+// fitness returns the processors with which this machine could lead now.
+func (n *Node) fitness() float64 {
+	if n.draining.Load() || n.store.Down() {
+		return 0
+	}
+	return n.settings.Processors
+}
+
 // heardOf ends leading when another machine has heard of a higher epoch.
 func (n *Node) heardOf(epoch api.Epoch) {
 	n.log.WithField("higher_epoch", epoch).Warn("another machine has heard of a later leader")
@@ -366,7 +380,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
-	offer := assist.Attachment{Node: n.settings.Node, Address: n.settings.Peer}
+	offer := assist.Attachment{Node: n.settings.Node, Address: n.settings.Peer, Fitness: n.fitness()}
 	epoch, err := assist.Attach(ctx, n.caller, current.Address, offer)
 	switch {
 	case err != nil:
