--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -13,9 +13,12 @@
 
 // Limits of the calls handed to machines.
 const (
-	// shortAtOnce is how many calls that aren't long a machine has under way:
-	// one is answered while the next is on its way.
+	// shortAtOnce is how many calls that aren't long a machine has under way
+	// at least: one is answered while the next is on its way.
 	shortAtOnce = 2
+	// queueAhead is the expected time of calls under way up to which a machine
+	// is given more: the leader may be busy for some 20 ms when one ends.
+	queueAhead = 60 * time.Millisecond
 	// attachedFor is how long an offer holds; machines repeat it every
 	// second (node.attachEvery).
 	attachedFor = 2500 * time.Millisecond
@@ -39,6 +42,7 @@
 	seen    time.Time // last offer
 	long    int       // calls under way
 	short   int
+	ahead   time.Duration // expected time of the short calls under way
 }
 
 // NewHelpers returns the helpers of a leader, at first only itself.
@@ -104,6 +108,7 @@
 type Slot struct {
 	helper *helper
 	long   bool
+	cost   time.Duration
 }
 
 // Take returns a slot for a call of an expected time, or nil if none is free.
@@ -119,7 +124,7 @@
 		return nil
 	}
 	h.demand.add(of, cost)
-	return m.take(of)
+	return m.take(of, cost)
 }
 
 // Free reports whether Take would return a slot.
@@ -152,7 +157,7 @@
 	if of == long {
 		return m.long == 0
 	}
-	return m.short < shortAtOnce && m.long == 0
+	return m.long == 0 && (m.short < shortAtOnce || m.ahead < queueAhead)
 }
 
 // Wait returns how long a new call of an expected time would wait for its
@@ -175,13 +180,14 @@
 }
 
 // take counts one more call of the machine.
-func (m *helper) take(of length) *Slot {
+func (m *helper) take(of length, cost time.Duration) *Slot {
 	if of == long {
 		m.long++
 		return &Slot{helper: m, long: true}
 	}
 	m.short++
-	return &Slot{helper: m}
+	m.ahead += cost
+	return &Slot{helper: m, cost: cost}
 }
 
 // present returns the machines whose offer holds, in a fixed order but with
@@ -226,4 +232,5 @@
 		return
 	}
 	s.helper.short--
+	s.helper.ahead -= s.cost
 }
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -27,6 +27,7 @@
 const (
 	cyclePace    = 10 * time.Millisecond  // least time between two cycles: what comes meanwhile shares an append
 	cycleIdle    = 100 * time.Millisecond // longest time between two cycles: tickets and leases end without an event
+	askPace      = 5 * time.Millisecond   // least time between two looks for calls for advice that are due
 	holdWait     = time.Second            // how long an executor's report waits for an end
 	holdTimeout  = 700 * time.Millisecond // for a report, beside its wait
 	holdPace     = 40 * time.Millisecond  // least time between two holds on an executor: ends close together share one
@@ -63,6 +64,8 @@
 	cfg    Config
 	writer *writer
 	wake   chan struct{}
+	// answered says that a call for advice has ended.
+	answered chan struct{}
 
 	mu    sync.Mutex // guards the fields below
 	cell  *plan.Cell
@@ -77,11 +80,12 @@
 // New returns a runner that has not begun.
 func New(cfg Config) *Runner {
 	return &Runner{
-		cfg:    cfg,
-		writer: &writer{log: cfg.Log, partition: cfg.Jobs, epoch: cfg.Self.Epoch, events: cfg.Events},
-		wake:   make(chan struct{}, 1),
-		cycle:  make(chan struct{}),
-		holds:  make(map[string]context.CancelFunc),
+		cfg:      cfg,
+		writer:   &writer{log: cfg.Log, partition: cfg.Jobs, epoch: cfg.Self.Epoch, events: cfg.Events},
+		wake:     make(chan struct{}, 1),
+		answered: make(chan struct{}, 1),
+		cycle:    make(chan struct{}),
+		holds:    make(map[string]context.CancelFunc),
 	}
 }
 
@@ -95,6 +99,7 @@
 	}
 	defer r.end()
 	r.spawn(func() { r.followRegistry(ctx) })
+	r.spawn(func() { r.keepAsking(ctx) })
 	return r.cycles(ctx)
 }
 
@@ -332,30 +337,34 @@
 	}
 }
 
-// askers hands calls for advice to the cell's machines.
-type askers struct {
-	helpers *assist.Helpers
-	now     time.Time
-	slots   []*assist.Slot
-}
-
-// Free implements plan.Askers.
-func (a *askers) Free(cost time.Duration) bool { return a.helpers.Free(cost, a.now) }
-
-// Take implements plan.Askers.
-func (a *askers) Take(cost time.Duration) bool {
-	slot := a.helpers.Take(cost, a.now)
-	if slot != nil {
-		a.slots = append(a.slots, slot)
+// keepAsking has calls for advice made while a cycle waits for the store,
+// which takes 0.2 s for an append when it is slow: machines whose calls were
+// answered meanwhile would have nothing to do.
+func (r *Runner) keepAsking(ctx context.Context) {
+	ticker := time.NewTicker(askPace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.answered:
+		}
+		r.mu.Lock()
+		r.askAdvice(ctx, time.Now())
+		r.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
 	}
-	return slot != nil
 }
 
 // askAdvice has the calls for advice made that are due; r.mu is held.
 func (r *Runner) askAdvice(ctx context.Context, now time.Time) {
-	a := &askers{helpers: r.cfg.Helpers, now: now}
-	for i, ask := range r.cell.Asks(now, a) {
-		r.spawn(func() { r.advise(ctx, ask, a.slots[i]) })
+	round := r.cfg.Helpers.Round(now)
+	for i, ask := range r.cell.Asks(now, round) {
+		r.spawn(func() { r.advise(ctx, ask, round.Slots()[i]) })
 	}
 }
 
@@ -373,5 +382,9 @@
 	if err != nil {
 		r.cfg.Events.WithError(err).WithField("step", a.Step).Debug("no advice")
 	}
+	select {
+	case r.answered <- struct{}{}:
+	default:
+	}
 	r.Wake()
 }
