Don't wait for room that doesn't come; a restarted process leaves the claim to others

Change: such a run is expected to take half as long again as it has; room that is expected where tickets hold is waited for once; a process that has not read the jobs claims only when nobody else does. A test each; promises end with a step that ends without a placement.

--- a/internal/leader/elector_test.go
+++ b/internal/leader/elector_test.go
@@ -174,6 +174,24 @@
 	})
 }
 
+// After a restart a process leaves it to others to claim, and claims if there
+// are none.
+func TestRestartedProcessWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := election(t, 0.8)
+		all[0].cfg.Standing = func() Standing { return Unread }
+		defer run(all[0])()
+		time.Sleep(DefaultTiming().Modest - 50*time.Millisecond)
+		if _, gained := all[0].state(); gained > 0 {
+			t.Error("it claimed at once")
+		}
+		time.Sleep(300 * time.Millisecond)
+		if leads, _ := all[0].state(); !leads {
+			t.Error("nobody leads")
+		}
+	})
+}
+
 func TestCompare(t *testing.T) {
 	for _, c := range []struct {
 		own, fittest float64
--- a/internal/leader/standing.go
+++ b/internal/leader/standing.go
@@ -14,6 +14,9 @@
 	// Weak: nothing is known of others, and this machine would be too weak to
 	// lead a large cell.
 	Weak
+	// Unread: this machine has not read the cell's jobs yet, as after a
+	// restart, and could plan nothing until then.
+	Unread
 )
 
 // Processors with which a machine can lead.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,12 +192,15 @@
 
 // standing compares this machine with those that are known, as a leader.
 func (n *Node) standing() leader.Standing {
+	if !n.replica.Synced() {
+		return leader.Unread
+	}
 	return leader.Compare(n.settings.Processors, n.helpers.Fittest(time.Now()))
 }
 
 // fitness returns the processors with which this machine could lead now.
 func (n *Node) fitness() float64 {
-	if n.draining.Load() || n.store.Down() {
+	if n.draining.Load() || n.store.Down() || !n.replica.Synced() {
 		return 0
 	}
 	return n.settings.Processors
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -16,6 +16,7 @@
 	asking   bool                // a call is under way
 	again    time.Time           // no call before this, after one that failed
 	look     time.Time           // not before this is it worked out again whether a call is due
+	expects  time.Time           // until when room is waited for where tickets hold; zero: it is not
 	until    time.Time           // when the last ticket lapses
 	promises []promise           // room that the newest call expects
 	vms      []*vm               // those with tickets, in order; nil: to be made up
@@ -95,6 +96,7 @@
 		ids := idsOf(named)
 		c.countAsk(s, ids)
 		c.promise(s, named, len(s.unplaced()))
+		s.advice.expects = time.Time{}
 		s.advice.asking = true
 		asks = append(asks, Ask{Step: s.key(), Executors: ids, Cost: cost})
 	}
@@ -123,19 +125,32 @@
 		need = tasks
 	}
 	valid, lapsed := roomOf(may.valid), roomOf(may.lapsed)
+	if valid < need {
+		s.advice.expects = time.Time{}
+	}
 	switch {
-	case valid >= need:
+	case valid >= need && c.patient(s, soon, now):
 		return nil
-	case valid+lapsed >= need:
+	case valid < need && valid+lapsed >= need:
 		return withRoom(may.lapsed, most)
 	}
-	ids := c.further(may.fresh, s, q, tasks-valid-lapsed, most)
+	ids := c.further(may.fresh, s, q, max(1, tasks-valid-lapsed), most)
 	if len(ids) == 0 {
 		return nil
 	}
 	return append(ids, withRoom(may.lapsed, most-len(ids))...)
 }
 
+// patient reports whether a step should go on waiting for room that is
+// expected soon where its tickets hold. Expectations can fail again and again,
+// so each counts only until its time has passed.
+func (c *Cell) patient(s *step, soon, now time.Time) bool {
+	if s.advice.expects.IsZero() {
+		s.advice.expects = soon
+	}
+	return now.Before(s.advice.expects)
+}
+
 // further returns executors that are not known yet and promise room for a
 // number of tasks; none if they have no room either.
 func (c *Cell) further(fresh []candidate, s *step, q *queue.Queue, tasks, limit int) []candidate {
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -47,7 +47,7 @@
 		if _, denied := s.advice.denied[v.Ref.ID]; denied || !c.suits(s, q, v, now) {
 			continue
 		}
-		one := candidate{vm: v, slots: v.slotsAt(s, at, v.free().Sub(v.promised))}
+		one := candidate{vm: v, slots: v.slotsAt(s, v.free().Sub(v.promised), at, now)}
 		switch ticket, ok := s.advice.tickets[v.Ref.ID]; {
 		case !ok:
 			one.left = c.score(s, v, v.free().Sub(s.spec.Need))
--- a/internal/plan/candidates_test.go
+++ b/internal/plan/candidates_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -19,6 +20,18 @@
 	}
 }
 
+// reportAll has every executor report that all runs which it was given are at
+// work.
+func (w *world) reportAll() {
+	for id, v := range w.cell.vms {
+		var runs []platform.Run
+		for run := range v.claims {
+			runs = append(runs, run)
+		}
+		w.report(id, running(runs...), nil)
+	}
+}
+
 func TestCandidates(t *testing.T) {
 	Convey("Given 150 executors of which 100 are full", t, func() {
 		w := newWorld(t, 150)
@@ -87,6 +100,37 @@
 			So(renewal, ShouldHaveLength, 1)
 			So(renewal[0].Executors, ShouldResemble, first[0].Executors[:4])
 		})
+		Convey("room that is expected and doesn't come is waited for once", func() {
+			w.job(1, testQueue, work.Step{Tasks: 12, Need: cpus(32), Estimate: time.Second})
+			w.startAll(w.cycle()) // on executors 100 to 111, which are the only ones with room
+			w.fill(112, 150)
+			w.job(2, testAdvised, work.Step{Tasks: 20, Need: cpus(9), Estimate: time.Second, Gang: true})
+			w.cycle()
+			asks := w.cell.Asks(w.now, anybody{})
+			So(asks, ShouldHaveLength, 1)
+			var granted []string
+			for i := 100; i < 112; i++ {
+				granted = append(granted, fmt.Sprintf("e%d", i))
+			}
+			w.pass(900 * time.Millisecond) // the runs are expected to end in 100 ms
+			w.reportAll()
+			asks[0].Executors = granted
+			w.cell.Granted(asks[0], grants(granted...), 2*time.Second, w.now)
+			w.fill(0, 100)
+			for i := 112; i < 150; i++ {
+				w.cell.vms[fmt.Sprintf("e%d", i)].used = cpus(0)
+			}
+			w.cycle()
+			So(w.cell.Asks(w.now, anybody{}), ShouldBeEmpty)
+			w.pass(400 * time.Millisecond) // they have not ended
+			w.reportAll()
+			w.fill(0, 100)
+			for i := 112; i < 150; i++ {
+				w.cell.vms[fmt.Sprintf("e%d", i)].used = cpus(0)
+			}
+			w.cycle()
+			So(w.cell.Asks(w.now, anybody{}), ShouldHaveLength, 1)
+		})
 		Convey("where none has room, none is asked about twice", func() {
 			w.fill(100, 150)
 			w.job(1, testAdvised, work.Step{Tasks: 20, Need: cpus(9), Estimate: time.Second, Gang: true})
--- a/internal/plan/explain.go
+++ b/internal/plan/explain.go
@@ -128,7 +128,7 @@
 			valid++
 		}
 		if s.mayRun(q, v) && c.suits(s, q, v, now) {
-			room += v.slotsAt(s, now, v.free())
+			room += v.slotsAt(s, v.free(), now, now)
 		}
 	}
 	c.events.WithFields(logrus.Fields{
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -36,6 +36,9 @@
 			continue
 		}
 		placed := c.placeStep(s, q, tasks, &held, now)
+		if len(placed) > 0 {
+			s.advice.expects = time.Time{}
+		}
 		if len(placed) == len(tasks) {
 			c.unpromise(s)
 		}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -345,6 +345,7 @@
 func (c *Cell) finishStep(s *step) {
 	o, j := s.occ, s.job
 	s.ready = false
+	c.unpromise(s)
 	o.left--
 	if o.left > 0 {
 		c.offer(o)
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -67,7 +67,7 @@
 		if !c.suits(s, q, v, now) {
 			continue
 		}
-		if slots := v.slotsAt(s, at, v.free()); slots > 0 {
+		if slots := v.slotsAt(s, v.free(), at, now); slots > 0 {
 			offers = append(offers, offer{v, slots})
 		}
 	}
@@ -94,9 +94,9 @@
 
 // slotsAt returns how many tasks of the step will fit at a time to come, given
 // the room there is now.
-func (v *vm) slotsAt(s *step, at time.Time, room api.Resources) int {
+func (v *vm) slotsAt(s *step, room api.Resources, at, now time.Time) int {
 	for _, cl := range v.claims {
-		if !cl.ends.After(at) {
+		if !cl.endsFrom(now).After(at) {
 			room = room.Add(cl.need)
 		}
 	}
@@ -107,6 +107,21 @@
 	return slots
 }
 
+// overdueShare is how much longer a run that is over its estimate is expected
+// to take, as a share of what it has taken. Run times vary by half and more;
+// a run that counted as over at any moment would have gangs wait for room that
+// doesn't come.
+const overdueShare = 0.5
+
+// endsFrom returns when the run is expected to end, as seen at now.
+func (cl *claim) endsFrom(now time.Time) time.Time {
+	if cl.since.IsZero() || cl.ends.After(now) {
+		return cl.ends
+	}
+	taken := now.Sub(cl.since)
+	return now.Add(time.Duration(overdueShare * float64(taken)))
+}
+
 // fits returns how many times need goes into room.
 func fits(room, need api.Resources) int {
 	n := int64(1 << 20)
