Make no appends beside a living leader's, and try a store whose queue is full less often

Ruled out: the leader's processor; the length of its timeouts (its append would have been answered after 0.2 s without the queue). Change: while the leader lives, what it couldn't store is retried through it, and what it has under way is looked for in the deliveries. Without a leader the pause between refused tries doubles from the sixth. The leader's patience follows what appends take, and its stuck state ends with a refusal. Tests: a living leader is not bypassed; refused appends become fewer.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -67,14 +67,16 @@
 	// answered says that a call for advice has ended.
 	answered chan struct{}
 
-	mu    sync.Mutex // guards the fields below
-	cell  *plan.Cell
-	cycle chan struct{} // closed when the next whole cycle has ended
-	inbox []*submission // to be stored with the next cycle
-	stuck time.Time     // since when the store takes nothing; zero: it does
-	holds map[string]context.CancelFunc
-	ended bool
-	tasks sync.WaitGroup
+	mu       sync.Mutex // guards the fields below
+	cell     *plan.Cell
+	cycle    chan struct{} // closed when the next whole cycle has ended
+	inbox    []*submission // to be stored with the next cycle
+	patience time.Duration // how long the store may take before submissions are refused
+	stuck    time.Time     // since when an append has had no answer; zero: none is under way
+	refused  time.Time     // when the store last refused an append
+	holds    map[string]context.CancelFunc
+	ended    bool
+	tasks    sync.WaitGroup
 }
 
 // New returns a runner that has not begun.
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -14,8 +14,12 @@
 )
 
 // stuckAfter is how long the store may give no answer before what is handed
-// in is refused at once, rather than kept waiting without hope.
-const stuckAfter = 500 * time.Millisecond
+// in is refused at once, rather than kept waiting without hope. A slow store
+// is given slowPatience times what its appends take.
+const (
+	stuckAfter   = 500 * time.Millisecond
+	slowPatience = 3
+)
 
 // submission is what a machine has handed in and waits for.
 type submission struct {
@@ -52,7 +56,7 @@
 	n := len(records)
 	s := &submission{records: records, results: make([]assist.StoreResult, n), done: make(chan []assist.StoreResult, 1)}
 	r.mu.Lock()
-	refuse := r.ended || r.cell == nil || (!r.stuck.IsZero() && time.Since(r.stuck) > stuckAfter)
+	refuse := r.ended || r.cell == nil || r.takesNothing(time.Now())
 	if !refuse {
 		r.inbox = append(r.inbox, s)
 	}
@@ -77,6 +81,19 @@
 	}
 }
 
+// refusedPause is for how long submissions are refused without a try after the
+// store has refused one: calls that it refuses are paid for too.
+const refusedPause = 100 * time.Millisecond
+
+// takesNothing reports whether the store has given no answer for so long, or
+// has refused so lately, that a submission need not be tried; r.mu is held.
+func (r *Runner) takesNothing(now time.Time) bool {
+	if now.Sub(r.refused) < refusedPause {
+		return true
+	}
+	return !r.stuck.IsZero() && now.Sub(r.stuck) > r.patience
+}
+
 // stuckLook is how often a submission that waits looks whether the store has
 // stopped answering.
 const stuckLook = 100 * time.Millisecond
@@ -87,7 +104,7 @@
 func (r *Runner) hopeless(s *submission) (assist.StoreOutcome, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stuck.IsZero() || time.Since(r.stuck) < stuckAfter {
+	if r.stuck.IsZero() || time.Since(r.stuck) < r.patience {
 		return assist.StoreUnknown, false
 	}
 	for i, waiting := range r.inbox {
@@ -211,16 +228,24 @@
 func (r *Runner) appendPart(ctx context.Context, part []platform.Record, giveUp bool) (platform.Offset, error) {
 	r.setStuck(time.Now())
 	first, err := r.writer.append(ctx, part, giveUp)
-	if err == nil {
-		r.setStuck(time.Time{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		r.stuck = time.Time{}
+		r.patience = max(stuckAfter, slowPatience*r.writer.usual)
+	case errors.Is(err, platform.ErrUnavailable):
+		r.stuck = time.Time{} // nothing is under way; the next submission tries again
+		r.refused = time.Now()
 	}
 	return first, err
 }
 
+// setStuck notes since when an append is under way; it keeps the first time.
 func (r *Runner) setStuck(since time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if since.IsZero() || r.stuck.IsZero() {
+	if r.stuck.IsZero() {
 		r.stuck = since
 	}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,9 +23,20 @@
 	ErrUnknown = errors.New("intake: may be stored")
 )
 
+// Outcomes of a Relay while the leader lives: an append made from here would
+// only queue behind the leader's.
+var (
+	// ErrRefused: the store takes nothing from the leader at the moment; the
+	// record is not stored.
+	ErrRefused = errors.New("intake: the store takes nothing from the leader")
+	// ErrUnderWay: the leader's append has no answer yet and will be repeated
+	// until it has.
+	ErrUnderWay = errors.New("intake: the leader's append is under way")
+)
+
 // Relay hands records to whoever leads the cell, which stores them with its
 // own. It returns what became of each: nil, ErrNotStored, ErrUnknown,
-// ErrNoLeader or a *BusyError.
+// ErrNoLeader, ErrRefused, ErrUnderWay or a *BusyError.
 type Relay func(ctx context.Context, records []platform.Record) []error
 
 // BusyError says that a job was not stored because it would end too late to be
@@ -46,6 +58,9 @@
 	Append     time.Duration // longest append; its answer may be lost
 	Retry      time.Duration // pause before an append is repeated
 	Again      time.Duration // pause before a store that took nothing is tried again
+	AgainMost  time.Duration // up to which that pause doubles each time the store refuses an append made from here
+	Look       time.Duration // between two looks whether a record that is under way was delivered
+	LookFor    time.Duration // for how long it is looked
 	AtOnce     int           // batches under way
 	Direct     int           // of these, appends made from here
 	BatchBytes int           // of one append
@@ -57,13 +72,17 @@
 // no answer is repeated: a second record of the same key changes nothing.
 // Appends made from here are few at a time, since all machines make them at
 // the same moment, when there is no leader, and a slow store takes no more
-// than 27 a second: what waits shares the next one.
+// than 20 a second: what waits shares the next one, and a store that refuses
+// since its queue is full is tried less and less often.
 func DefaultConfig() Config {
 	return Config{
 		Gather:     2 * time.Millisecond,
 		Append:     800 * time.Millisecond,
 		Retry:      30 * time.Millisecond,
 		Again:      80 * time.Millisecond,
+		AgainMost:  time.Second,
+		Look:       50 * time.Millisecond,
+		LookFor:    1500 * time.Millisecond,
 		AtOnce:     8,
 		Direct:     1,
 		BatchBytes: 512 << 10,
@@ -77,7 +96,8 @@
 	log       platform.PartitionLog
 	partition platform.Partition
 	relay     Relay
-	down      func() bool // the store has given no answer for a while
+	down      func() bool           // the store has given no answer for a while
+	delivered func(key string) bool // the record of that key is known to be stored
 	events    *logrus.Entry
 	slots     chan struct{}
 	direct    chan struct{}
@@ -85,6 +105,7 @@
 
 	mu      sync.Mutex
 	pending []*request
+	refused int // appends made from here that the store has refused in a row
 }
 
 // request is one record that waits to be stored.
@@ -96,13 +117,14 @@
 }
 
 // New returns an intake for a partition.
-func New(cfg Config, log platform.PartitionLog, p platform.Partition, relay Relay, down func() bool, events *logrus.Entry) *Intake {
+func New(cfg Config, log platform.PartitionLog, p platform.Partition, relay Relay, down func() bool, delivered func(string) bool, events *logrus.Entry) *Intake {
 	return &Intake{
 		cfg:       cfg,
 		log:       log,
 		partition: p,
 		relay:     relay,
 		down:      down,
+		delivered: delivered,
 		events:    events,
 		slots:     make(chan struct{}, cfg.AtOnce),
 		direct:    make(chan struct{}, cfg.Direct),
@@ -228,19 +250,48 @@
 func (in *Intake) viaLeader(batch []*request) (uncertain bool, left []*request) {
 	ctx, cancel := context.WithDeadline(context.Background(), lastDeadline(batch))
 	defer cancel()
+	var refused []*request
 	for i, err := range in.relay(ctx, recordsOf(batch)) {
 		var busy *BusyError
 		switch r := batch[i]; {
 		case err == nil, errors.As(err, &busy):
 			r.done <- err
+		case errors.Is(err, ErrRefused):
+			refused = append(refused, r)
+		case errors.Is(err, ErrUnderWay):
+			go in.awaitDelivery(r)
 		default:
 			uncertain = uncertain || errors.Is(err, ErrUnknown)
 			left = append(left, r)
 		}
 	}
+	if len(refused) > 0 {
+		in.giveUp(refused, ErrRefused, false)
+	}
 	return uncertain, left
 }
 
+// awaitDelivery answers a request whose record the leader is storing, as soon
+// as the record is known to be stored.
+func (in *Intake) awaitDelivery(r *request) {
+	look := time.NewTicker(in.cfg.Look)
+	defer look.Stop()
+	end := time.NewTimer(in.cfg.LookFor)
+	defer end.Stop()
+	for !in.delivered(r.record.Key) {
+		select {
+		case <-look.C:
+		case <-end.C:
+			r.done <- errors.Mark(ErrUnderWay, ErrUnknown)
+			return
+		case <-r.ctx.Done():
+			r.done <- errors.Mark(r.ctx.Err(), ErrUnknown)
+			return
+		}
+	}
+	r.done <- nil
+}
+
 // lastDeadline returns when the last of the batch's clients gives up.
 func lastDeadline(batch []*request) time.Time {
 	var last time.Time
@@ -263,6 +314,7 @@
 func (in *Intake) storeHere(batch []*request, uncertain bool) {
 	for len(batch) > 0 {
 		err := in.append(batch)
+		in.noteRefused(errors.Is(err, platform.ErrUnavailable))
 		if err == nil {
 			answer(batch, nil)
 			return
@@ -297,8 +349,47 @@
 		in.events.WithError(cause).WithField("requests", refused).Info("store takes nothing")
 	}
 	if len(again) > 0 {
-		time.AfterFunc(in.cfg.Again, func() { in.tryAgain(again) })
+		time.AfterFunc(min(in.pauseAgain(), time.Until(firstPatience(again))), func() { in.tryAgain(again) })
+	}
+}
+
+// firstPatience returns when the first of the requests is to be answered.
+func firstPatience(batch []*request) time.Time {
+	first := batch[0].patience
+	for _, r := range batch {
+		if r.patience.Before(first) {
+			first = r.patience
+		}
+	}
+	return first
+}
+
+// noteRefused counts the refusals in a row.
+func (in *Intake) noteRefused(refused bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !refused {
+		in.refused = 0
+		return
+	}
+	in.refused++
+}
+
+// steadyTries is after how many refusals the pause begins to grow: short
+// outages are over by then.
+const steadyTries = 5
+
+// pauseAgain returns the pause before a store that took nothing is tried
+// again; parts of it are left to chance, so that machines don't come together.
+func (in *Intake) pauseAgain() time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	d := in.cfg.Again
+	for i := steadyTries; i < in.refused && d < in.cfg.AgainMost; i++ {
+		d *= 2
 	}
+	d = min(d, in.cfg.AgainMost)
+	return d/2 + rand.N(d/2+1)
 }
 
 func (in *Intake) tryAgain(batch []*request) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -21,6 +21,8 @@
 	takes    time.Duration
 	down     bool
 	patience time.Duration // of the clients
+	arrives  time.Duration // from the start, when the records are delivered; 0: never
+	began    time.Time
 	appends  int
 	now      int
 	most     int
@@ -43,6 +45,10 @@
 	return 0, err
 }
 
+func (l *fakeLog) isDelivered(string) bool {
+	return l.arrives > 0 && time.Since(l.began) >= l.arrives
+}
+
 // always returns a relay with the same outcome for all records.
 func always(err error) Relay {
 	return func(_ context.Context, records []platform.Record) []error {
@@ -62,7 +68,8 @@
 	var got []error
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		in := New(DefaultConfig(), l, platform.Partition{}, relay, func() bool { return l.down }, logging.Silent())
+		l.began = time.Now()
+		in := New(DefaultConfig(), l, platform.Partition{}, relay, func() bool { return l.down }, l.isDelivered, logging.Silent())
 		go func() { _ = in.Run(ctx) }()
 		var mu sync.Mutex
 		var clients sync.WaitGroup
@@ -202,3 +209,39 @@
 		t.Fatalf("got %v after %d appends", got, l.appends)
 	}
 }
+
+// While the leader lives its appends are the only ones: those of forty machines
+// more would keep a slow store from taking any in time.
+func TestLivingLeaderIsNotBypassed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		relay   error
+		arrives time.Duration
+		want    error
+	}{
+		{"refused", ErrRefused, 0, ErrNotStored},
+		{"under way and delivered", ErrUnderWay, time.Second, nil},
+		{"under way for long", ErrUnderWay, 0, ErrUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := &fakeLog{arrives: c.arrives, patience: time.Second}
+			got := play(t, l, always(c.relay), 20)
+			if n := count(got, c.want); n != 20 || l.appends != 0 {
+				t.Errorf("%d of 20 are %v, %d appends from here", n, c.want, l.appends)
+			}
+		})
+	}
+}
+
+// A store whose queue is full is tried less and less often.
+func TestRefusedAppendsBecomeFewer(t *testing.T) {
+	var errs []error
+	for range 1000 {
+		errs = append(errs, platform.ErrUnavailable)
+	}
+	l := &fakeLog{errs: errs, patience: 2900 * time.Millisecond}
+	got := play(t, l, noLeader, 1)
+	if count(got, ErrNotStored) != 1 || l.appends > 12 {
+		t.Errorf("got %v after %d appends", got, l.appends)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 		Timing:    replica.DefaultTiming(),
 		Leads:     func() bool { return n.epoch.Load() != 0 },
 	}
-	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, n.relay, n.store.Down, log)
+	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, n.relay, n.store.Down, n.replica.Holds, log)
 	n.helpers = assist.NewHelpers(s.Node, n.adviser, n.caller)
 	n.self = leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.Peer}
 	n.elector = leader.New(leader.Config{
@@ -232,25 +232,33 @@
 		defer cancel()
 		results = assist.Store(ctx, n.caller, current.Address, records)
 	}
+	lives := n.storer() != nil || n.reader.IsFed(time.Now())
 	errs := make([]error, len(results))
 	for i, r := range results {
-		errs[i] = relayError(r)
+		errs[i] = relayError(r, lives)
 	}
 	return errs
 }
 
-// relayError returns what a result means to the intake.
-func relayError(r assist.StoreResult) error {
+// relayError returns what a result means to the intake, where the leader still
+// lives or not.
+func relayError(r assist.StoreResult, lives bool) error {
 	switch r.Outcome {
 	case assist.Stored:
 		return nil
 	case assist.NotStored:
+		if lives {
+			return intake.ErrRefused
+		}
 		return intake.ErrNotStored
 	case assist.NotLeader:
 		return intake.ErrNoLeader
 	case assist.TooBusy:
 		return &intake.BusyError{RetryAfter: r.RetryAfter}
 	default:
+		if lives {
+			return intake.ErrUnderWay
+		}
 		return intake.ErrUnknown
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -58,6 +58,20 @@
 	return *e, true
 }
 
+// Holds reports whether the record of a client's request, by its key, has been
+// applied.
+func (r *Replica) Holds(key string) bool {
+	kind, id, err := work.ParseKey(key)
+	if err != nil {
+		return false
+	}
+	e, known := r.Get(id)
+	if kind == work.KindCancel {
+		return known && e.Cancelled
+	}
+	return known && e.Job != nil
+}
+
 // Synced reports whether the store has been read to its end once.
 func (r *Replica) Synced() bool {
 	r.mu.Lock()
