A job is pending until a run of it is known; no pending number from an old state

A job was recorded as running when its start was planned; where a data centre is cut off the executor never answers and nothing has begun. Change: a job runs from the first run that is confirmed, listed or ended. A machine that has heard nothing for 1.5 s reads the store before it tells a number, or says 503. Tests: TestJobIsPendingUntilARunIsKnown, TestPendingIsNotTold.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -237,6 +237,7 @@
 	handedIn := r.takeInbox(now)
 	r.cell.BeginDue(now.UnixMilli(), now)
 	r.cell.DropSilent(now)
+	r.cell.RecordBegun(now)
 	starts := r.cell.Plan(now)
 	r.cell.ExplainWaits(now)
 	stops := r.cell.TakeStops(now)
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -162,8 +162,19 @@
 	return a.store(r, platform.Record{Key: work.Key(work.KindCancel, id), Value: work.CancelValue}, cancelPatience)
 }
 
-// pending tells how many jobs of the queue have not begun.
+// pendingAge is how old the number of pending jobs may be; clients allow 2 s.
+const pendingAge = 1500 * time.Millisecond
+
+// pending tells how many jobs of the queue have not begun. A machine that has
+// heard nothing for a while asks first, and tells nothing rather than a number
+// that may be wrong.
 func (a *API) pending(r *request) *reply {
+	if a.Replica.Age(time.Now()) > pendingAge {
+		if err := a.Sync(r.Context()); err != nil {
+			a.Events.WithError(err).WithField("queue", r.queue.Name).Info("number of pending jobs not known here")
+			return a.refuse(http.StatusServiceUnavailable, "the store gives no answer", busyRetryAfter)
+		}
+	}
 	body, err := a.Forms.EncodePending(a.Replica.Pending(r.queue.Name))
 	if err != nil {
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
--- /dev/null
+++ b/internal/jobapi/pending_test.go
@@ -0,0 +1,64 @@
+package jobapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarklock/skylarklock/internal/logging"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/platform"
+)
+
+// A machine that has heard nothing for a while doesn't tell an old number.
+func TestPendingIsNotTold(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent time.Duration
+		sync   error
+		status int
+		syncs  int
+	}{
+		{"heard of late", time.Second, nil, http.StatusOK, 0},
+		{"heard nothing, the store answers", 3 * time.Second, nil, http.StatusOK, 1},
+		{"heard nothing, the store is out of reach", 3 * time.Second, errors.New("no answer"), http.StatusServiceUnavailable, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := replica.New(time.Minute, logging.Silent())
+				r.Heard(time.Now())
+				time.Sleep(c.silent)
+				syncs := 0
+				api := &API{
+					Forms: Forms{
+						Remaining:     platform.Remaining,
+						EncodePending: platform.EncodePending,
+						EncodeError:   platform.EncodeError,
+					},
+					Table: func() *queue.Table {
+						return &queue.Table{Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/"}}}
+					},
+					Replica: r,
+					Sync: func(context.Context) error {
+						syncs++
+						return c.sync
+					},
+					Events: logging.Silent(),
+				}
+				request := httptest.NewRequest(http.MethodGet, "/q/", nil)
+				request.Host = "h"
+				w := httptest.NewRecorder()
+				api.ServeHTTP(w, request)
+				if w.Code != c.status || syncs != c.syncs {
+					t.Errorf("answered %d after %d reads of the store, want %d after %d", w.Code, syncs, c.status, c.syncs)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/plan/begun_test.go
@@ -0,0 +1,50 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+func TestJobIsPendingUntilARunIsKnown(t *testing.T) {
+	Convey("Given a job whose start has been sent", t, func() {
+		w := newWorld(t, 1)
+		j := w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(1), Estimate: time.Minute})
+		orders := w.cycle()
+		So(orders, ShouldHaveLength, 1)
+		state := func() work.State {
+			w.cell.RecordBegun(w.now)
+			w.save()
+			return w.saved[j.ID].State
+		}
+
+		Convey("it is queued as long as the executor gives no answer", func() {
+			w.pass(3 * time.Second)
+			So(state(), ShouldEqual, work.Queued)
+			Convey("also for the next leader, until the run is listed", func() {
+				w.takeOver()
+				So(state(), ShouldEqual, work.Queued)
+				w.report("e0", running(orders[0].Start.Run), nil)
+				w.pass(runningSoon)
+				So(state(), ShouldEqual, work.Running)
+			})
+		})
+		Convey("it is recorded as running a while after the start was confirmed", func() {
+			w.startAll(orders)
+			So(state(), ShouldEqual, work.Queued)
+			w.pass(runningSoon)
+			So(state(), ShouldEqual, work.Running)
+		})
+		Convey("it is not recorded again once that is known", func() {
+			w.startAll(orders)
+			w.pass(runningSoon)
+			So(state(), ShouldEqual, work.Running)
+			w.pass(runningSoon)
+			w.cell.RecordBegun(w.now)
+			So(w.cell.TakeDirty(), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -10,19 +10,20 @@
 
 // job is one job that has not ended, as the leader plans it.
 type job struct {
-	queue    *queue.Queue  // as configured in table; nil if it was removed
-	table    *queue.Table  // of which queue is
-	within   time.Duration // latency objective by that
-	spec     *work.Job
-	arrived  time.Time
-	state    work.State
-	next     int           // occurrence that is due next
-	finished int           // occurrences numbered below this have ended
-	ended    map[int]bool  // further occurrences that have ended
-	running  []*occurrence // that have begun and not ended, by number
-	dirty    bool          // the durable record is behind
-	advised  time.Time     // when executors were first granted
-	started  time.Time     // when an executor first confirmed a start
+	queue       *queue.Queue  // as configured in table; nil if it was removed
+	table       *queue.Table  // of which queue is
+	within      time.Duration // latency objective by that
+	spec        *work.Job
+	arrived     time.Time
+	state       work.State
+	next        int           // occurrence that is due next
+	finished    int           // occurrences numbered below this have ended
+	ended       map[int]bool  // further occurrences that have ended
+	running     []*occurrence // that have begun and not ended, by number
+	dirty       bool          // the durable record is behind
+	toldRunning bool          // the durable record says that the job runs
+	advised     time.Time     // when executors were first granted
+	started     time.Time     // when an executor first confirmed a start
 }
 
 // occurrence is one run of a job's steps.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -216,9 +216,6 @@
 		ends:    now.Add(time.Duration(float64(s.spec.Estimate) * p.vm.slow(now))),
 	}
 	p.vm.add(cl)
-	if s.job.state == work.Queued {
-		s.job.state = work.Running
-	}
 	c.mark(s.job)
 	start := Start{To: p.vm.Ref, Run: cl.run, Specification: s.job.spec.Specification, Checkpoint: t.checkpoint}
 	if q != nil && q.Advice != nil {
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -43,9 +43,7 @@
 	case err == nil:
 		cl.state = atWork
 		cl.since = now
-		if j := cl.task.step.job; j.started.IsZero() {
-			j.started = now
-		}
+		c.hasBegun(cl.task.step.job, now)
 	case errors.As(err, &refused):
 		c.refused(cl, refused.Reason, now)
 	case errors.Is(err, platform.ErrNotReached):
@@ -126,6 +124,9 @@
 			c.lateEnd(e)
 			continue
 		}
+		if cl.task != nil {
+			c.hasBegun(cl.task.step.job, c.now)
+		}
 		c.judge(cl, e.How)
 		c.over(cl, e.How, e.Checkpoint)
 	}
@@ -172,6 +173,9 @@
 			cl.state = atWork
 			cl.since = now
 		}
+		if cl.task != nil {
+			c.hasBegun(cl.task.step.job, now)
+		}
 		if cl.task != nil && row.Checkpoint != "" {
 			cl.task.checkpoint = row.Checkpoint
 		}
--- a/internal/plan/restore.go
+++ b/internal/plan/restore.go
@@ -13,6 +13,7 @@
 // its lease is certainly over.
 func (c *Cell) restore(j *job, p *work.Progress, now time.Time) {
 	j.state = p.State
+	j.toldRunning = p.State == work.Running
 	j.finished = p.Finished
 	j.next = p.Finished
 	for _, number := range p.Ended {
