Split the files of node, intake and plan that had grown

Ruled out: any change of behaviour; code moved only. Conclusion: leading, relay and attach stand by themselves in node, the leader's part and the pauses in intake, begun jobs and the cell's summary in plan.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,22 +22,6 @@
 	ErrUnknown = errors.New("intake: may be stored")
 )
 
-// Outcomes of a Relay while the leader lives: an append made from here would
-// only queue behind the leader's.
-var (
-	// ErrRefused: the store takes nothing from the leader at the moment; the
-	// record is not stored.
-	ErrRefused = errors.New("intake: the store takes nothing from the leader")
-	// ErrUnderWay: the leader's append has no answer yet and will be repeated
-	// until it has.
-	ErrUnderWay = errors.New("intake: the leader's append is under way")
-)
-
-// Relay hands records to whoever leads the cell, which stores them with its
-// own. It returns what became of each: nil, ErrNotStored, ErrUnknown,
-// ErrNoLeader, ErrRefused, ErrUnderWay or a *BusyError.
-type Relay func(ctx context.Context, records []platform.Record) []error
-
 // BusyError says that a job was not stored because it would end too late to be
 // of use to its client.
 type BusyError struct {
@@ -244,54 +227,6 @@
 	return false
 }
 
-// viaLeader hands a batch to the leader, waits as long as one of its clients
-// does, and answers the requests that it has settled. It returns the others,
-// and whether some of these may be stored.
-func (in *Intake) viaLeader(batch []*request) (uncertain bool, left []*request) {
-	ctx, cancel := context.WithDeadline(context.Background(), lastDeadline(batch))
-	defer cancel()
-	var refused []*request
-	for i, err := range in.relay(ctx, recordsOf(batch)) {
-		var busy *BusyError
-		switch r := batch[i]; {
-		case err == nil, errors.As(err, &busy):
-			r.done <- err
-		case errors.Is(err, ErrRefused):
-			refused = append(refused, r)
-		case errors.Is(err, ErrUnderWay):
-			go in.awaitDelivery(r)
-		default:
-			uncertain = uncertain || errors.Is(err, ErrUnknown)
-			left = append(left, r)
-		}
-	}
-	if len(refused) > 0 {
-		in.giveUp(refused, ErrRefused, false)
-	}
-	return uncertain, left
-}
-
-// awaitDelivery answers a request whose record the leader is storing, as soon
-// as the record is known to be stored.
-func (in *Intake) awaitDelivery(r *request) {
-	look := time.NewTicker(in.cfg.Look)
-	defer look.Stop()
-	end := time.NewTimer(in.cfg.LookFor)
-	defer end.Stop()
-	for !in.delivered(r.record.Key) {
-		select {
-		case <-look.C:
-		case <-end.C:
-			r.done <- errors.Mark(ErrUnderWay, ErrUnknown)
-			return
-		case <-r.ctx.Done():
-			r.done <- errors.Mark(r.ctx.Err(), ErrUnknown)
-			return
-		}
-	}
-	r.done <- nil
-}
-
 // lastDeadline returns when the last of the batch's clients gives up.
 func lastDeadline(batch []*request) time.Time {
 	var last time.Time
@@ -353,45 +288,6 @@
 	}
 }
 
-// firstPatience returns when the first of the requests is to be answered.
-func firstPatience(batch []*request) time.Time {
-	first := batch[0].patience
-	for _, r := range batch {
-		if r.patience.Before(first) {
-			first = r.patience
-		}
-	}
-	return first
-}
-
-// noteRefused counts the refusals in a row.
-func (in *Intake) noteRefused(refused bool) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if !refused {
-		in.refused = 0
-		return
-	}
-	in.refused++
-}
-
-// steadyTries is after how many refusals the pause begins to grow: short
-// outages are over by then.
-const steadyTries = 5
-
-// pauseAgain returns the pause before a store that took nothing is tried
-// again; parts of it are left to chance, so that machines don't come together.
-func (in *Intake) pauseAgain() time.Duration {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	d := in.cfg.Again
-	for i := steadyTries; i < in.refused && d < in.cfg.AgainMost; i++ {
-		d *= 2
-	}
-	d = min(d, in.cfg.AgainMost)
-	return d/2 + rand.N(d/2+1)
-}
-
 func (in *Intake) tryAgain(batch []*request) {
 	for _, r := range batch {
 		if !in.enqueue(r) {
--- /dev/null
+++ b/internal/node/attach.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/assist"
+)
+
+// Timing of the ties between a machine and the leader.
+const (
+	// attachEvery is the time between two offers of help to the leader.
+	attachEvery = time.Second
+	// tieLook is how often a machine looks whether the leader still delivers.
+	tieLook = 100 * time.Millisecond
+	// attachTimeout bounds an offer; it takes a few milliseconds.
+	attachTimeout = 300 * time.Millisecond
+)
+
+// attach offers this machine's help to the leader now and then, and at once
+// when nothing comes from it any more. A leader that doesn't answer then is
+// suspected.
+func (n *Node) attach(ctx context.Context) error {
+	ticker := time.NewTicker(tieLook)
+	defer ticker.Stop()
+	var offered time.Time
+	for {
+		now := time.Now()
+		if now.Sub(offered) >= attachEvery || !n.reader.IsFed(now) {
+			n.attachOnce(ctx)
+			offered = now
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) attachOnce(ctx context.Context) {
+	current := n.elector.Current()
+	if current.Epoch == 0 || current.Address == n.settings.Peer || n.draining.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
+	defer cancel()
+	offer := assist.Attachment{Node: n.settings.Node, Address: n.settings.Peer, Fitness: n.fitness()}
+	epoch, err := assist.Attach(ctx, n.caller, current.Address, offer)
+	switch {
+	case err != nil:
+		n.log.WithError(err).WithField("leader", current.Node).Debug("leader gives no answer")
+		n.elector.Suspect(current.Epoch)
+	case epoch != current.Epoch:
+		n.log.WithFields(logrus.Fields{"leader": current.Node, "epoch": current.Epoch, "answered_epoch": epoch}).Info("process at the leader's address doesn't lead")
+		n.elector.Abandoned(current.Epoch)
+	default:
+		n.elector.Trust()
+	}
+}
--- /dev/null
+++ b/internal/node/leading.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/dispatch"
+	"github.com/skylarklock/skylarklock/internal/leader"
+	"github.com/skylarklock/skylarklock/platform"
+)
+
+// gained begins to lead.
+func (n *Node) gained(epoch api.Epoch) {
+	n.lost()
+	n.epoch.Store(uint64(epoch))
+	select {
+	case <-n.leading: // a claim that was not taken up
+	default:
+	}
+	n.leading <- epoch
+}
+
+// lost ends leading.
+func (n *Node) lost() {
+	n.epoch.Store(0)
+	if cancel := n.stopLead.Swap(nil); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// lead runs the cell whenever this process is elected.
+func (n *Node) lead(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case epoch := <-n.leading:
+			n.leadAs(ctx, epoch)
+		}
+	}
+}
+
+func (n *Node) leadAs(ctx context.Context, epoch api.Epoch) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.stopLead.Store(&cancel)
+	if n.epoch.Load() != uint64(epoch) {
+		return
+	}
+	executors := platform.NewExecutors()
+	defer executors.Close()
+	self := n.self
+	self.Epoch = epoch
+	runner := dispatch.New(dispatch.Config{
+		Plan:      n.planConfig(),
+		Self:      self,
+		Log:       n.store,
+		Jobs:      n.reader.Partition,
+		Registry:  platform.ExecutorRecords,
+		Decode:    platform.DecodeExecutor,
+		Executors: executors,
+		Replica:   n.replica,
+		Reader:    n.reader,
+		Helpers:   n.helpers,
+		Caller:    n.caller,
+		Table:     n.table,
+		MayRenew:  n.elector.MayRenewLeases,
+		Replaced:  n.elector.Replaced,
+		Renewed:   n.elector.Confirmed,
+		HeardOf:   n.heardOf,
+		Events:    n.log.WithField("epoch", epoch),
+	})
+	n.runner.Store(runner)
+	err := runner.Run(ctx)
+	n.runner.Store(nil)
+	n.log.WithError(err).WithField("epoch", epoch).Info("this process no longer plans for the cell")
+}
+
+// standing compares this machine with those that are known, as a leader.
+func (n *Node) standing() leader.Standing {
+	if !n.replica.Synced() {
+		return leader.Unread
+	}
+	return leader.Compare(n.settings.Processors, n.helpers.Fittest(time.Now()))
+}
+
+// fitness returns the processors with which this machine could lead now.
+func (n *Node) fitness() float64 {
+	if n.draining.Load() || n.store.Down() || !n.replica.Synced() {
+		return 0
+	}
+	return n.settings.Processors
+}
+
+// heardOf ends leading when another machine has heard of a higher epoch.
+func (n *Node) heardOf(epoch api.Epoch) {
+	n.log.WithField("higher_epoch", epoch).Warn("another machine has heard of a later leader")
+	n.elector.Replaced()
+	n.lost()
+}
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/intake"
+	product "github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// storer returns who stores records as the leader; nil unless this process
+// leads.
+func (n *Node) storer() assist.Storer {
+	if r := n.runner.Load(); r != nil {
+		return r
+	}
+	return nil
+}
+
+// relay hands records to the leader.
+func (n *Node) relay(ctx context.Context, records []product.Record) []error {
+	results := assist.Same(assist.NotLeader, len(records))
+	if s := n.storer(); s != nil {
+		results = s.Store(ctx, records)
+	} else if current := n.elector.Current(); current.Epoch != 0 && current.Address != n.settings.Peer {
+		ctx, cancel := n.whileLeads(ctx, current.Epoch)
+		defer cancel()
+		results = assist.Store(ctx, n.caller, current.Address, records)
+	}
+	lives := n.storer() != nil || n.reader.IsFed(time.Now())
+	errs := make([]error, len(results))
+	for i, r := range results {
+		errs[i] = relayError(r, lives)
+	}
+	return errs
+}
+
+// relayError returns what a result means to the intake, where the leader still
+// lives or not.
+func relayError(r assist.StoreResult, lives bool) error {
+	switch r.Outcome {
+	case assist.Stored:
+		return nil
+	case assist.NotStored:
+		if lives {
+			return intake.ErrRefused
+		}
+		return intake.ErrNotStored
+	case assist.NotLeader:
+		return intake.ErrNoLeader
+	case assist.TooBusy:
+		return &intake.BusyError{RetryAfter: r.RetryAfter}
+	default:
+		if lives {
+			return intake.ErrUnderWay
+		}
+		return intake.ErrUnknown
+	}
+}
+
+// whileLeads returns a context that ends with ctx or when the leader of the
+// epoch was replaced or delivers nothing any more: a call to it is worth
+// waiting for until then.
+func (n *Node) whileLeads(ctx context.Context, epoch api.Epoch) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	var look func()
+	look = func() {
+		switch {
+		case ctx.Err() != nil:
+		case n.elector.Current().Epoch == epoch && n.reader.IsFed(time.Now()):
+			time.AfterFunc(tieLook, look)
+		default:
+			cancel()
+		}
+	}
+	time.AfterFunc(relayPatience, look)
+	return ctx, cancel
+}
+
+// relayPatience is how long the leader may take with records before it is
+// looked whether it still delivers.
+const relayPatience = 500 * time.Millisecond
+
+// syncLook is how often it is looked whether a delivery has come.
+const syncLook = 10 * time.Millisecond
+
+// sync returns when the replica holds everything that the store held when it
+// was called. Without a store the leader is asked, which delivers it.
+func (n *Node) sync(ctx context.Context) error {
+	if !n.store.Down() {
+		if err := n.reader.Sync(ctx); err == nil {
+			return nil
+		}
+	}
+	current := n.elector.Current()
+	if current.Epoch == 0 || current.Address == n.settings.Peer {
+		return product.ErrUnavailable
+	}
+	end, err := assist.Sync(ctx, n.caller, current.Address)
+	if err != nil {
+		return err
+	}
+	for n.replica.Position() < end {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(syncLook):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/plan/summary.go
@@ -0,0 +1,82 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// asked counts the calls for advice since the last summary.
+type asked struct {
+	first   int // about steps that had no grants
+	renewal int // naming only executors granted before
+	further int // naming others too, of a step that has grants
+	named   int // executors in all
+}
+
+// countAsk counts a call that is about to be made.
+func (c *Cell) countAsk(s *step, ids []string) {
+	c.asked.named += len(ids)
+	if len(s.advice.tickets) == 0 {
+		c.asked.first++
+		return
+	}
+	for _, id := range ids {
+		if _, granted := s.advice.tickets[id]; !granted {
+			c.asked.further++
+			return
+		}
+	}
+	c.asked.renewal++
+}
+
+// summarise logs how full the cell is and what waits in it.
+func (c *Cell) summarise(now time.Time) {
+	var usable, runs int
+	var capacity, used, whole int64
+	for _, v := range c.sorted {
+		runs += len(v.claims)
+		if !v.usable(now, &c.cfg) {
+			continue
+		}
+		usable++
+		capacity += v.Capacity.MilliCPU
+		used += v.used.MilliCPU
+		if free := v.free().MilliCPU; free > 0 {
+			whole += free / wideTask * wideTask
+		}
+	}
+	var asking, unadvised, gangs, tasks int
+	for _, s := range c.waiting {
+		n := len(s.unplaced())
+		tasks += n
+		if s.advice.asking {
+			asking++
+		}
+		if q := c.queue(s.job); n > 0 && q != nil && q.Advice != nil && len(s.advice.tickets) == 0 {
+			unadvised++
+		}
+		if n > 0 && s.spec.Gang {
+			gangs++
+		}
+	}
+	c.events.WithFields(logrus.Fields{
+		"executors": len(c.sorted), "usable": usable, "runs": runs,
+		"used_percent": percent(used, capacity), "free_for_wide_percent": percent(whole, capacity),
+		"jobs": len(c.jobs), "steps_waiting": len(c.waiting), "gangs_waiting": gangs, "tasks_waiting": tasks,
+		"advice_under_way": asking, "steps_without_advice": unadvised,
+		"first_calls": c.asked.first, "renewals": c.asked.renewal, "further_calls": c.asked.further, "executors_named": c.asked.named,
+	}).Info("state of the cell")
+	c.asked = asked{}
+}
+
+// wideTask is the size, in thousandths of a processor, of the tasks for which
+// free room in one piece is told: those of the users' widest queue.
+const wideTask = 9000
+
+func percent(part, whole int64) int64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * part / whole
+}
