Renew leases while ends wait for a store that is down

Cause: an executor's loop waited until its reported ends were durable before it called again. Ruled out: the bound on renewals after the last confirmed leadership (3 s and a lease outlast the outage). Change: the loop calls on after 1 s without telling the ends as seen. Test: TestLeasesAreRenewedWhileEndsAreNotDurable (one hold in 5.5 s before).

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -29,6 +29,7 @@
 func (r *Runner) holdExecutor(ctx context.Context, ref platform.ExecutorRef) {
 	defer r.endHold(ref.ID)
 	wait := time.Duration(0) // the first report is wanted at once
+	var ends unseen
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		asked := time.Now()
@@ -46,7 +47,7 @@
 			}
 			continue
 		}
-		r.takeReport(ctx, ref.ID, report, asked)
+		r.takeReport(ctx, ref.ID, report, asked, &ends)
 		pause.For(ctx, holdPace-time.Since(asked))
 		wait = holdWait
 	}
@@ -74,26 +75,40 @@
 	return false
 }
 
+// unseen are ends that were applied and that the executor may be told of as seen
+// once they are durable.
+type unseen struct {
+	upTo    uint64
+	durable <-chan struct{} // closed when they are; nil: there are none
+}
+
 // takeReport applies a report. Ends are told to the executor as seen only
-// after they are durable.
-func (r *Runner) takeReport(ctx context.Context, id string, report platform.ExecutorReport, asked time.Time) {
+// after they are durable. That is waited for, but no longer than a lease can
+// do without renewal: while the store is down nothing becomes durable.
+func (r *Runner) takeReport(ctx context.Context, id string, report platform.ExecutorReport, asked time.Time, ends *unseen) {
 	r.mu.Lock()
 	news := r.cell.Report(id, report, asked, time.Now())
-	taken := r.cell.Taken(id)
-	durable := r.cycle
+	if news {
+		*ends = unseen{upTo: r.cell.Taken(id), durable: r.cycle}
+	}
 	r.mu.Unlock()
-	if !news {
+	if news {
+		r.Wake()
+	}
+	if ends.durable == nil {
 		return
 	}
-	r.Wake()
+	renew := time.NewTimer(holdWait)
+	defer renew.Stop()
 	select {
-	case <-durable:
+	case <-ends.durable:
+		r.mu.Lock()
+		r.cell.Seen(id, ends.upTo)
+		r.mu.Unlock()
+		*ends = unseen{}
+	case <-renew.C:
 	case <-ctx.Done():
-		return
 	}
-	r.mu.Lock()
-	r.cell.Seen(id, taken)
-	r.mu.Unlock()
 }
 
 func (r *Runner) endHold(id string) {
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -61,11 +61,10 @@
 
 // Runner leads a cell.
 type Runner struct {
-	cfg    Config
-	writer *writer
-	wake   chan struct{}
-	// answered says that a call for advice has ended.
-	answered chan struct{}
+	cfg      Config
+	writer   *writer
+	wake     chan struct{} // a cycle should begin
+	answered chan struct{} // a call for advice has ended
 
 	mu       sync.Mutex // guards the fields below
 	cell     *plan.Cell
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -75,6 +76,58 @@
 	})
 }
 
+// endingExecutor lists the same end until it is told that it was seen.
+type endingExecutor struct {
+	platform.Executors
+	mu   sync.Mutex
+	seen []uint64 // of each hold
+}
+
+func (e *endingExecutor) Hold(_ context.Context, _ platform.ExecutorRef, order platform.HoldOrder) (platform.ExecutorReport, error) {
+	e.mu.Lock()
+	e.seen = append(e.seen, order.Seen)
+	e.mu.Unlock()
+	report := platform.ExecutorReport{Clock: platform.ExecutorClock(time.Now().UnixMilli())}
+	if order.Seen > 0 {
+		time.Sleep(order.Wait)
+		return report, nil
+	}
+	report.Ended = []platform.EndedRun{{Number: 1, How: platform.EndDone}}
+	return report, nil
+}
+
+func (e *endingExecutor) holds() (n int, newest uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.seen), e.seen[len(e.seen)-1]
+}
+
+// While the store is down an end can't be made durable, so it isn't told as
+// seen; the lease of what else runs there is renewed all the same.
+func TestLeasesAreRenewedWhileEndsAreNotDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		executor := &endingExecutor{}
+		r := New(Config{Executors: executor, MayRenew: func() bool { return true }, Events: logging.Silent()})
+		r.cell = waitingCell(0)
+		ctx, stop := context.WithCancel(context.Background())
+		r.spawn(func() { r.holdExecutor(ctx, platform.ExecutorRef{ID: "e", Address: "10.0.0.1:1"}) })
+		time.Sleep(5500 * time.Millisecond)
+		if n, newest := executor.holds(); n < 5 || n > 8 || newest != 0 {
+			t.Errorf("%d holds in 5.5 s, the newest saw ends up to %d", n, newest)
+		}
+		r.mu.Lock()
+		close(r.cycle) // the store is back
+		r.cycle = make(chan struct{})
+		r.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		if _, newest := executor.holds(); newest != 1 {
+			t.Errorf("after the store is back the newest hold saw ends up to %d", newest)
+		}
+		stop()
+		r.tasks.Wait()
+	})
+}
+
 // A short call is under way while others are, up to a bound on their time.
 func TestShortCallsQueueUpToABound(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -134,11 +134,11 @@
 	case valid < need && valid+lapsed >= need:
 		return withRoom(may.lapsed, most)
 	}
-	ids := c.further(may.fresh, s, q, max(1, tasks-valid-lapsed), most)
-	if len(ids) == 0 {
+	more := c.further(may.fresh, s, q, max(1, tasks-valid-lapsed), most)
+	if len(more) == 0 {
 		return nil
 	}
-	return append(ids, withRoom(may.lapsed, most-len(ids))...)
+	return append(more, withRoom(may.lapsed, most-len(more))...)
 }
 
 // patient reports whether a step should go on waiting for room that is
@@ -160,12 +160,12 @@
 	return c.choose(fresh, s, q, tasks, limit)
 }
 
-// worthAsking returns ids for a step's first call unless this leader has
+// worthAsking returns the executors for a step's first call unless this leader has
 // heard of few executors yet: after a takeover the reports come in within
 // moments.
-func (c *Cell) worthAsking(ids []candidate, s *step, q *queue.Queue, now time.Time) []candidate {
+func (c *Cell) worthAsking(named []candidate, s *step, q *queue.Queue, now time.Time) []candidate {
 	if now.Sub(c.began) > gatherFor {
-		return ids
+		return named
 	}
 	listed := 0
 	for _, v := range c.sorted {
@@ -173,10 +173,10 @@
 			listed++
 		}
 	}
-	if 2*len(ids) < min(listed, cheapToName(q.Advice)) {
+	if 2*len(named) < min(listed, cheapToName(q.Advice)) {
 		return nil
 	}
-	return ids
+	return named
 }
 
 // gatherFor is how long after a takeover first reports are waited for before
