--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -165,11 +165,11 @@
 // pendingAge is how old the number of pending jobs may be; clients allow 2 s.
 const pendingAge = 1500 * time.Millisecond
 
-// pending tells how many jobs of the queue have not begun. A machine that has
-// heard nothing for a while asks first, and tells nothing rather than a number
-// that may be wrong.
+// pending tells how many jobs of the queue have not begun. A machine that may
+// have missed something for a while asks first, and tells nothing rather than a
+// number that may be wrong.
 func (a *API) pending(r *request) *reply {
-	if a.Replica.Age(time.Now()) > pendingAge {
+	if a.Replica.Behind(time.Now()) > pendingAge {
 		if err := a.Sync(r.Context()); err != nil {
 			a.Events.WithError(err).WithField("queue", r.queue.Name).Info("number of pending jobs not known here")
 			return a.refuse(http.StatusServiceUnavailable, "the store gives no answer", busyRetryAfter)
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -160,6 +160,7 @@
 		}
 		f.Replica.apply(batch.Records, batch.Next, time.Now())
 		if batch.Next >= batch.End || len(batch.Records) == 0 {
+			f.Replica.Heard(time.Now())
 			return nil
 		}
 		wait = 0
@@ -184,6 +185,7 @@
 		return err
 	}
 	f.Replica.restored(next)
+	f.Replica.Heard(time.Now())
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,6 +26,7 @@
 	next     platform.Offset
 	synced   bool      // everything up to next has been applied
 	current  time.Time // when the store, or the leader, last told what it holds
+	complete time.Time // when nothing that it held was missing here
 	listener func([]Change)
 	publish  func([]platform.Record) // what was applied in order, on the machine that leads
 }
@@ -159,11 +160,21 @@
 	return r.Position()
 }
 
-// Heard notes that the leader has told that the store holds nothing more.
+// Heard notes that the store, or the leader, has told that it holds nothing more.
 func (r *Replica) Heard(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.current = now
+	r.complete = now
+}
+
+// Behind returns for how long the replica may have missed something. A machine
+// that takes in less than is written hears of the store all the time (Age) and
+// is behind all the same.
+func (r *Replica) Behind(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.complete)
 }
 
 // apply takes in records that were read in order; next is where to read on.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -72,3 +72,27 @@
 		})
 	})
 }
+
+// A machine that takes in less than is written hears of the store all the time
+// and is behind all the same.
+func TestBehind(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	r := New(time.Minute, logging.Silent())
+	r.restored(0)
+	r.Heard(start)
+	feed := &Reader{Replica: r, Timing: DefaultTiming()}
+	later := start.Add(3 * time.Second)
+	record := platform.Record{Key: work.Key(work.KindCancel, work.ID{1}), Value: work.CancelValue}
+	r.Offer(0, []platform.Record{record}, later)
+	if r.Age(later) != 0 || r.Behind(later) != 3*time.Second {
+		t.Errorf("with a record of several: heard %v ago, behind for %v", r.Age(later), r.Behind(later))
+	}
+	feed.Deliver(1, []platform.Record{record}, 3)
+	if r.Behind(later) != 3*time.Second {
+		t.Error("a delivery that leaves something out counts as complete")
+	}
+	feed.Deliver(2, []platform.Record{record}, 3)
+	if r.Behind(time.Now()) > time.Minute {
+		t.Error("a delivery up to the end doesn't count as complete")
+	}
+}
