Give a new leader's first append the usual patience

Ruled out: no other reader of the field; the refusals were true (nothing stored). Change: it begins with stuckAfter. Test: TestFirstAppendIsWaitedFor, failed before.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -86,6 +86,7 @@
 		wake:     make(chan struct{}, 1),
 		answered: make(chan struct{}, 1),
 		cycle:    make(chan struct{}),
+		patience: stuckAfter,
 		holds:    make(map[string]context.CancelFunc),
 	}
 }
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -151,3 +151,19 @@
 		})
 	}
 }
+
+// A leader whose first append is under way takes submissions as long as one
+// that has made appends before.
+func TestFirstAppendIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Config{Events: logging.Silent()})
+		now := time.Now()
+		r.setStuck(now)
+		if r.takesNothing(now.Add(stuckAfter / 2)) {
+			t.Error("submissions are refused while the first append has only just been sent")
+		}
+		if !r.takesNothing(now.Add(2 * stuckAfter)) {
+			t.Error("submissions are taken though the store has given no answer for long")
+		}
+	})
+}
