An answered delivery no longer overwrites a machine's fitness with an older one

Cause: found in reading the change: the publisher noted an answer by attaching the machine anew from the list it had begun with, up to 0.5 s old, which put back a fitness that the machine had meanwhile taken back (its store out of reach). Test: TestHeardKeepsTheNewestOffer.

--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -66,6 +66,16 @@
 	m.seen = now
 }
 
+// Heard notes that a machine has answered the leader, which is as good as an
+// offer. It says nothing of the machine's fitness.
+func (h *Helpers) Heard(node api.NodeID, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if m := h.machines[node]; m != nil {
+		m.seen = now
+	}
+}
+
 // Fittest returns the highest fitness to lead among the other machines whose
 // offer holds; 0: none is known.
 func (h *Helpers) Fittest(now time.Time) float64 {
--- /dev/null
+++ b/internal/assist/helpers_test.go
@@ -0,0 +1,24 @@
+package assist
+
+import (
+	"testing"
+	"time"
+)
+
+// An answer to a delivery keeps a machine attached; what it last offered of its
+// fitness to lead stays as it was.
+func TestHeardKeepsTheNewestOffer(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	h := NewHelpers("a", nil, nil)
+	h.Attached(Attachment{Node: "b", Address: "b:1", Fitness: 0.8}, now)
+	h.Attached(Attachment{Node: "b", Address: "b:1", Fitness: 0}, now) // its store is gone
+	h.Heard("b", now.Add(attachedFor))
+	h.Heard("c", now.Add(attachedFor))
+	later := now.Add(attachedFor + time.Second)
+	if others := h.Others(later); len(others) != 1 || others[0].Node != "b" {
+		t.Errorf("machines attached: %v", others)
+	}
+	if f := h.Fittest(later); f != 0 {
+		t.Errorf("fitness %v, want the newest offer's", f)
+	}
+}
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -148,5 +148,5 @@
 		return
 	}
 	t.position = answer.Position
-	p.helpers.Attached(m, time.Now())
+	p.helpers.Heard(m.Node, time.Now())
 }
