--- a/internal/plan/candidates_test.go
+++ b/internal/plan/candidates_test.go
@@ -8,7 +8,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -20,25 +19,11 @@
 	}
 }
 
-// reportAll has every executor report that all runs which it was given are at
-// work.
-func (w *world) reportAll() {
-	for id, v := range w.cell.vms {
-		var runs []platform.Run
-		for run := range v.claims {
-			runs = append(runs, run)
-		}
-		w.report(id, running(runs...), nil)
-	}
-}
-
 func TestCandidates(t *testing.T) {
 	Convey("Given 150 executors of which 100 are full", t, func() {
 		w := newWorld(t, 150)
 		w.pass(2 * time.Second)
-		for id := range w.listed {
-			w.report(id, nil, nil)
-		}
+		w.reportAll()
 		w.fill(0, 100)
 		// On the test's queue naming 5 executors takes half of a call's fixed time.
 
@@ -83,18 +68,14 @@
 			first := w.cell.Asks(w.now, anybody{})
 			w.cell.Granted(first[0], grants(first[0].Executors[:4]...), 2*time.Second, w.now)
 			w.pass(time.Second)
-			for id := range w.listed {
-				w.report(id, nil, nil)
-			}
+			w.reportAll()
 			w.fill(0, 100)
 			w.cycle()
 			more := w.cell.Asks(w.now, anybody{})
 			So(more, ShouldHaveLength, 1)
 			w.cell.Granted(more[0], grants(more[0].Executors[:4]...), 2*time.Second, w.now)
 			w.pass(time.Second)
-			for id := range w.listed {
-				w.report(id, nil, nil)
-			}
+			w.reportAll()
 			So(w.cycle(), ShouldBeEmpty)
 			renewal := w.cell.Asks(w.now, anybody{})
 			So(renewal, ShouldHaveLength, 1)
--- a/internal/plan/harness_test.go
+++ b/internal/plan/harness_test.go
@@ -90,6 +90,18 @@
 	w.cell.Report(id, r, w.now, w.now)
 }
 
+// reportAll has every executor report that all runs which it was given are at
+// work.
+func (w *world) reportAll() {
+	for id, v := range w.cell.vms {
+		var runs []platform.Run
+		for run := range v.claims {
+			runs = append(runs, run)
+		}
+		w.report(id, running(runs...), nil)
+	}
+}
+
 // pass lets time go by, on the executors' clocks too.
 func (w *world) pass(d time.Duration) {
 	w.now = w.now.Add(d)
--- a/internal/plan/promise_test.go
+++ b/internal/plan/promise_test.go
@@ -23,9 +23,7 @@
 	Convey("Given two gangs that ask for advice at the same moment", t, func() {
 		w := newWorld(t, 12)
 		w.pass(2 * time.Second)
-		for id := range w.listed {
-			w.report(id, nil, nil)
-		}
+		w.reportAll()
 		gang := work.Step{Tasks: 6, Need: cpus(16), Estimate: time.Second, Gang: true}
 		w.job(1, testAdvised, gang)
 		w.job(2, testAdvised, gang)
@@ -53,9 +51,7 @@
 	Convey("Given executors with unlike room and gangs that need few", t, func() {
 		w := newWorld(t, 12)
 		w.pass(2 * time.Second)
-		for id := range w.listed {
-			w.report(id, nil, nil)
-		}
+		w.reportAll()
 		gang := work.Step{Tasks: 1, Need: cpus(32), Estimate: time.Second, Gang: true}
 		w.job(1, testAdvised, gang)
 		w.job(2, testAdvised, gang)
