Tell in the lines how long reading the jobs takes, and when a leader begins to plan

Cause: no line says how much a process reads when it starts, how long that takes, whether it is begun anew, nor how long a new leader takes until it plans; the four hypotheses could be told apart by the outside's figures only.

Change: one line for each reading of the jobs (records, kilobytes, time, error) and one when a new leader begins to plan.

Ruled out: nothing by this change; no logic is touched.

Figures: go test ./internal/replica ./internal/dispatch ./internal/node: ok.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -107,6 +107,7 @@
 
 // begin fences the former leader and takes over what it knew.
 func (r *Runner) begin(ctx context.Context) error {
+	began := time.Now()
 	if err := r.writer.fence(ctx); err != nil {
 		return r.failed(err)
 	}
@@ -124,6 +125,7 @@
 	r.mu.Unlock()
 	r.cfg.Replica.Follow(r.changed)
 	r.publish(ctx)
+	r.cfg.Events.WithField("took_ms", time.Since(began).Milliseconds()).Info("this process begins to plan for the cell")
 	return ctx.Err()
 }
 
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -178,17 +179,34 @@
 func (f *Reader) Restore(ctx context.Context) error {
 	f.restoring.Lock()
 	defer f.restoring.Unlock()
+	began, read, size := time.Now(), 0, 0
 	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, f.Timing.Call, func(records []platform.Record) {
 		f.Replica.apply(records, 0, time.Now())
+		read += len(records)
+		size += sizeOf(records)
+	})
+	told := f.Replica.events.WithFields(logrus.Fields{
+		"records": read, "kilobytes": size / 1024, "took_ms": time.Since(began).Milliseconds(),
 	})
 	if err != nil {
+		told.WithError(err).Warn("newest record of each job not read to the end")
 		return err
 	}
+	told.Info("newest record of each job read")
 	f.Replica.restored(next)
 	f.Replica.Heard(time.Now())
 	return nil
 }
 
+// sizeOf returns the bytes of the records' keys and values.
+func sizeOf(records []platform.Record) int {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
 // restored notes that all records before end have been applied.
 func (r *Replica) restored(end platform.Offset) {
 	r.mu.Lock()
