The elector asks how its machine compares before it takes its lock

Cause: a cycle of three locks. The elector asked Standing, and through it the replica (Synced), under its own lock; the replica tells the planner of records under its lock; a planner's loop asks the elector under the planner's lock. Leaders with 350 executors stopped for good within seconds to minutes, with readiness, renewals and planning, and the next ones after them.

Change: the elector's lock is the last that anything takes; nothing is called under it. Looked for elsewhere: Gained, Lost and the lines of a replacement were called outside already.

--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -18,6 +18,8 @@
 type Elector struct {
 	cfg Config
 
+	// mu is the last lock that anything takes: those who hold locks of their
+	// own ask the elector who leads, so it calls nobody while it holds it.
 	mu        sync.Mutex
 	state     *State // nil until the partition was read once
 	suspected bool   // the leader's process answers no call
@@ -176,9 +178,10 @@
 
 // due reports whether this process should claim the cell.
 func (e *Elector) due() bool {
+	reserve := e.reserve()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	silence := e.state.Silence(time.Now()) - e.reserve()
+	silence := e.state.Silence(time.Now()) - reserve
 	switch {
 	case e.state.Released():
 		return silence >= 0
@@ -216,8 +219,9 @@
 
 // renewOrRelease renews unless the process was asked to stop meanwhile.
 func (e *Elector) renewOrRelease(ctx context.Context) error {
+	standing := e.cfg.Standing()
 	e.mu.Lock()
-	stopping, yields := e.stopping, e.shouldYield(time.Now())
+	stopping, yields := e.stopping, e.shouldYield(standing, time.Now())
 	e.mu.Unlock()
 	switch {
 	case stopping:
--- a/internal/leader/standing.go
+++ b/internal/leader/standing.go
@@ -55,8 +55,8 @@
 
 // shouldYield reports whether leadership should be handed to a machine that
 // could lead much better; e.mu is held.
-func (e *Elector) shouldYield(now time.Time) bool {
-	return e.cfg.Standing() == Surpassed &&
+func (e *Elector) shouldYield(standing Standing, now time.Time) bool {
+	return standing == Surpassed &&
 		now.Sub(e.ledSince) > e.cfg.Timing.Settled &&
 		(e.yielded.IsZero() || now.Sub(e.yielded) > e.cfg.Timing.Cooling)
 }
