A process that has read no jobs doesn't claim the cell

Cause: after a loss of power all processes are alike as candidates. One that had read nothing could claim, renewed its claim on and on, and planned nothing until it had read the jobs, which takes long on a slow link; nobody else claimed meanwhile, since the leader was alive.

Ruled out: handing over to one that has read them. It would have to be known to the leader first, and a claim that does nothing for anybody is not needed.

Change: Unread candidates don't claim; whoever has read the jobs first does, which is the one with the fastest link.

--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -178,7 +178,10 @@
 
 // due reports whether this process should claim the cell.
 func (e *Elector) due() bool {
-	reserve := e.reserve()
+	reserve, may := e.reserve()
+	if !may {
+		return false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	silence := e.state.Silence(time.Now()) - reserve
