Reading the jobs goes on where a page failed; requests share one reading

Cause: a process that starts read the newest record of each job page by page, with 1 s for a page of up to 1 MB, and began anew when one failed. On a link of 10 Mbit/s that other transfers share it never ended, and the link carried nothing else, so calls for advice and deliveries to that machine failed too. Each client's request for a job made a reading of its own, one after the other, beyond the client's time. The same with what a machine missed: 512 KB in 1 s, for each request anew.

Ruled out: smaller pages (the store's call knows no size); giving up after some tries (what was read would be lost again in an outage).

Change: a page is asked for again until the process ends, with twice the time when it was late, up to 4 s; a read likewise. Requests wait for the reading that is under way, no longer than their client; later ones share the next reading. Looked for elsewhere: the registry and the configuration use the same function.

Without the growing timeout TestCatchUpOnASlowLink fails, with it it passes.

--- a/internal/platform/newest.go
+++ b/internal/platform/newest.go
@@ -3,25 +3,43 @@
 import (
 	"context"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/pause"
 )
 
 // beyondKeys is above every key, so that a page after it holds no records.
 const beyondKeys = "\x7f"
 
+// Bounds of the repeats of one page.
+const (
+	// pageTimeoutMost is up to which a page's timeout doubles. A page holds up
+	// to 1 MB, which takes 1.1 s by itself on a link of 10 Mbit/s; three
+	// transfers that share the link take 3.3 s each.
+	pageTimeoutMost = 4 * time.Second
+	// pageRetry is the pause before a page is asked for again. The store
+	// answers in 4 ms; its outages last seconds.
+	pageRetry = 100 * time.Millisecond
+)
+
 // ReadNewest passes the newest record of every key of a keyed partition to
 // each, and returns from where to read on: what was written before that offset
 // has been passed. The offset is asked for before the first record, since a
-// page's records may be older than the end that it names. Each call may take
-// up to timeout.
+// page's records may be older than the end that it names.
+//
+// A page that fails is asked for again until ctx ends, and the pages before it
+// are kept: a reading that began anew whenever a page fails would not end on a
+// link that is slow for its size. Each try may take up to timeout, which doubles
+// after a try that took longer.
 func ReadNewest(ctx context.Context, log PartitionLog, p Partition, timeout time.Duration, each func([]Record)) (Offset, error) {
-	page, err := newestPage(ctx, log, p, beyondKeys, timeout)
+	pages := newestPages{log: log, partition: p, timeout: timeout}
+	page, err := pages.after(ctx, beyondKeys)
 	if err != nil {
 		return 0, err
 	}
 	end := page.End
 	after := ""
 	for {
-		page, err = newestPage(ctx, log, p, after, timeout)
+		page, err = pages.after(ctx, after)
 		if err != nil {
 			return 0, err
 		}
@@ -33,8 +51,34 @@
 	}
 }
 
-func newestPage(ctx context.Context, log PartitionLog, p Partition, after string, timeout time.Duration) (NewestPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// newestPages asks for the pages of one reading.
+type newestPages struct {
+	log       PartitionLog
+	partition Partition
+	timeout   time.Duration // of the next try
+}
+
+// after returns the page that follows a key. It fails only when ctx ends.
+func (n *newestPages) after(ctx context.Context, key string) (NewestPage, error) {
+	for {
+		page, late, err := n.try(ctx, key)
+		if err == nil {
+			return page, nil
+		}
+		if ctx.Err() != nil {
+			return NewestPage{}, err
+		}
+		if late {
+			n.timeout = min(2*n.timeout, max(n.timeout, pageTimeoutMost))
+		}
+		pause.For(ctx, pageRetry)
+	}
+}
+
+// try asks once and reports whether the answer came too late.
+func (n *newestPages) try(ctx context.Context, key string) (page NewestPage, late bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, n.timeout)
 	defer cancel()
-	return log.Newest(ctx, p, after)
+	page, err = n.log.Newest(ctx, n.partition, key)
+	return page, ctx.Err() != nil, err
 }
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -15,29 +15,32 @@
 
 // Timing holds the intervals of the reader.
 type Timing struct {
-	Wait    time.Duration // how long a read waits for a record
-	Pace    time.Duration // least time between two reads
-	Leading time.Duration // between two reads on the machine that leads
-	Fed     time.Duration // between two reads while the leader delivers
-	FedFor  time.Duration // how long a delivery counts
-	Call    time.Duration // longest read beside its wait
-	Retry   time.Duration // pause after a read that failed
+	Wait     time.Duration // how long a read waits for a record
+	Pace     time.Duration // least time between two reads
+	Leading  time.Duration // between two reads on the machine that leads
+	Fed      time.Duration // between two reads while the leader delivers
+	FedFor   time.Duration // how long a delivery counts
+	Call     time.Duration // longest read beside its wait
+	CallMost time.Duration // up to which that doubles after reads that took longer
+	Retry    time.Duration // pause after a read that failed
 }
 
 // DefaultTiming returns the timing in use. The leader writes nearly all
 // records itself and delivers them to the other machines, which read the store
 // now and then for what others wrote while the leader could not be reached.
 // Without a leader a machine reads every 100 ms: the tightest latency
-// objective leaves 0.6 s beside the work.
+// objective leaves 0.6 s beside the work. A read brings up to 512 KB, which takes
+// 0.5 s on a link of 10 Mbit/s that nothing else uses.
 func DefaultTiming() Timing {
 	return Timing{
-		Wait:    time.Second,
-		Pace:    100 * time.Millisecond,
-		Leading: 500 * time.Millisecond,
-		Fed:     5 * time.Second,
-		FedFor:  500 * time.Millisecond,
-		Call:    time.Second,
-		Retry:   100 * time.Millisecond,
+		Wait:     time.Second,
+		Pace:     100 * time.Millisecond,
+		Leading:  500 * time.Millisecond,
+		Fed:      5 * time.Second,
+		FedFor:   500 * time.Millisecond,
+		Call:     time.Second,
+		CallMost: 4 * time.Second,
+		Retry:    100 * time.Millisecond,
 	}
 }
 
@@ -51,6 +54,8 @@
 
 	restoring sync.Mutex                // one restore at a time
 	fed       atomic.Pointer[time.Time] // when the leader last delivered everything
+	timeout   atomic.Int64              // of a read beside its wait, in nanoseconds; 0: Timing.Call
+	syncs     syncs
 }
 
 // Deliver takes in records from the leader, the first of which has the given
@@ -138,11 +143,26 @@
 	return err
 }
 
-// Sync reads everything that the store held when it was called.
+// Sync returns when the replica holds everything that the store held when it
+// was called. Calls that come while one is reading share the next reading. A
+// replica that was never complete is waited for: Run makes it so.
 func (f *Reader) Sync(ctx context.Context) error {
-	if !f.Replica.Synced() {
-		return f.Restore(ctx)
+	select {
+	case <-f.Replica.complete():
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "replica: the jobs are still being read")
 	}
+	return f.syncs.join(ctx, f.catchUp)
+}
+
+// catchUpMost bounds a reading that several calls share. Their clients wait
+// for 3 s; what takes longer still serves those who ask again.
+const catchUpMost = 10 * time.Second
+
+// catchUp reads what the store holds.
+func (f *Reader) catchUp() error {
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpMost)
+	defer cancel()
 	err := f.read(ctx, 0)
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -169,9 +189,17 @@
 }
 
 func (f *Reader) readOnce(ctx context.Context, wait time.Duration) (platform.RecordBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.Timing.Call+wait)
+	timeout := max(f.Timing.Call, time.Duration(f.timeout.Load()))
+	ctx, cancel := context.WithTimeout(ctx, timeout+wait)
 	defer cancel()
-	return f.Log.Read(ctx, f.Partition, f.Replica.Position(), wait)
+	batch, err := f.Log.Read(ctx, f.Partition, f.Replica.Position(), wait)
+	switch {
+	case err == nil:
+		f.timeout.Store(0)
+	case ctx.Err() != nil:
+		f.timeout.Store(int64(min(2*timeout, f.Timing.CallMost)))
+	}
+	return batch, err
 }
 
 // Restore reads the newest record of every key. Records that are written
@@ -212,5 +240,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.next = max(r.next, end)
-	r.synced = true
+	if !r.Synced() {
+		close(r.synced)
+	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,9 +24,9 @@
 
 	mu       sync.Mutex // guards the fields below and orders changes
 	next     platform.Offset
-	synced   bool      // everything up to next has been applied
-	current  time.Time // when the store, or the leader, last told what it holds
-	complete time.Time // when nothing that it held was missing here
+	synced   chan struct{} // closed when everything up to next has been applied
+	current  time.Time     // when the store, or the leader, last told what it holds
+	whole    time.Time     // when nothing that it held was missing here
 	listener func([]Change)
 	publish  func([]platform.Record) // what was applied in order, on the machine that leads
 }
@@ -38,7 +38,7 @@
 
 // New returns an empty replica that forgets a job some time after its end.
 func New(kept time.Duration, events *logrus.Entry) *Replica {
-	r := &Replica{events: events, kept: kept}
+	r := &Replica{events: events, kept: kept, synced: make(chan struct{})}
 	for i := range r.shards {
 		r.shards[i].jobs = make(map[work.ID]*Entry)
 	}
@@ -75,11 +75,18 @@
 
 // Synced reports whether the store has been read to its end once.
 func (r *Replica) Synced() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.synced
+	select {
+	case <-r.synced:
+		return true
+	default:
+		return false
+	}
 }
 
+// complete returns a channel that is closed once the store has been read to
+// its end.
+func (r *Replica) complete() <-chan struct{} { return r.synced }
+
 // Age returns how long ago the store last answered.
 func (r *Replica) Age(now time.Time) time.Duration {
 	r.mu.Lock()
@@ -145,12 +152,9 @@
 // what is known. Those that are known already are passed over. It returns up
 // to where the replica is complete.
 func (r *Replica) Offer(first platform.Offset, records []platform.Record, now time.Time) platform.Offset {
-	r.mu.Lock()
-	next := r.next
-	synced := r.synced
-	r.mu.Unlock()
+	next := r.Position()
 	end := first + platform.Offset(len(records))
-	if !synced || first > next || end <= next {
+	if !r.Synced() || first > next || end <= next {
 		return next
 	}
 	for i := range records {
@@ -165,7 +169,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.current = now
-	r.complete = now
+	r.whole = now
 }
 
 // Behind returns for how long the replica may have missed something. A machine
@@ -174,7 +178,7 @@
 func (r *Replica) Behind(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Sub(r.complete)
+	return now.Sub(r.whole)
 }
 
 // apply takes in records that were read in order; next is where to read on.
--- a/internal/replica/restore_test.go
+++ b/internal/replica/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +23,7 @@
 type keyedStore struct {
 	platform.PartitionLog
 	perPage time.Duration // on the link, by itself
+	perRead time.Duration // the same for records since a place
 	fails   func(call int) bool
 
 	mu     sync.Mutex
@@ -71,8 +73,12 @@
 	return page, nil
 }
 
-func (s *keyedStore) Read(_ context.Context, _ platform.Partition, from platform.Offset, _ time.Duration) (platform.RecordBatch, error) {
-	time.Sleep(time.Millisecond)
+func (s *keyedStore) Read(ctx context.Context, _ platform.Partition, from platform.Offset, _ time.Duration) (platform.RecordBatch, error) {
+	select {
+	case <-time.After(max(time.Millisecond, s.perRead)):
+	case <-ctx.Done():
+		return platform.RecordBatch{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	}
 	return platform.RecordBatch{Next: from, End: from}, nil
 }
 
@@ -142,3 +148,103 @@
 		})
 	}
 }
+
+// Clients ask a process that has not read the jobs yet for a job: what they
+// make it read is what it reads anyway, once.
+func TestRequestsShareOneRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pages, requests = 10, 50
+		s := newKeyedStore(pages*pageKeys, 100*time.Millisecond)
+		f := newReader(s)
+		defer runReader(f)()
+		results := make(chan error, requests)
+		for range requests {
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				results <- f.Sync(ctx)
+			}()
+		}
+		for range requests {
+			if err := <-results; err != nil {
+				t.Error(fmt.Errorf("a request that could wait for it: %w", err))
+			}
+		}
+		if n := s.called(); n > pages+1 {
+			t.Errorf("%d calls for %d pages", n, pages)
+		}
+	})
+}
+
+// A request whose client doesn't wait that long is told so in its time.
+func TestRequestDoesNotWaitForARestoreBeyondItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newKeyedStore(10*pageKeys, 700*time.Millisecond)
+		f := newReader(s)
+		defer runReader(f)()
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := f.Sync(ctx); err == nil {
+			t.Error("it counts as read")
+		}
+		if took := time.Since(began); took > 1100*time.Millisecond {
+			t.Errorf("it took %v", took)
+		}
+	})
+}
+
+// A call relies on no reading that began before it: what it has to see may have
+// been written meanwhile.
+func TestSyncsShareOnlyReadingsThatBeginLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s syncs
+		var mu sync.Mutex
+		var began []time.Time
+		read := func() error {
+			mu.Lock()
+			began = append(began, time.Now())
+			mu.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			return nil
+		}
+		var calls sync.WaitGroup
+		for i := range 50 {
+			calls.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				called := time.Now()
+				if err := s.join(t.Context(), read); err != nil {
+					t.Error(err)
+				}
+				if took := time.Since(called); took > 200*time.Millisecond {
+					t.Errorf("call %d took %v", i, took)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if last := began[len(began)-1]; last.Before(called) {
+					t.Errorf("call %d came at %v and relied on a reading from %v", i, called, last)
+				}
+			})
+		}
+		calls.Wait()
+		if len(began) != 2 {
+			t.Errorf("%d readings for calls that came within half of one", len(began))
+		}
+	})
+}
+
+// A machine that is behind reads up to 512 KB at a time. On a slow link that
+// other transfers use too it gets there all the same.
+func TestCatchUpOnASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newKeyedStore(0, 0)
+		f := newReader(s)
+		s.perRead = 2500 * time.Millisecond
+		defer runReader(f)()
+		time.Sleep(20 * time.Second)
+		if age := f.Replica.Behind(time.Now()); age > 6*time.Second {
+			t.Errorf("nothing was read for %v", age)
+		}
+	})
+}
