--- a/internal/node/ended_test.go
+++ b/internal/node/ended_test.go
@@ -27,7 +27,7 @@
 	a.awaitReady(t)
 	const jobs = 20
 	id := func(i int) string { return fmt.Sprintf("00000000000001%02x", i) }
-	specification := "5ms" + strings.Repeat(" ", 2000)
+	specification := strings.Repeat("0", 2000) + "5ms"
 	for i := range jobs {
 		a.submit(t, id(i), specification, 2)
 	}
