Fewer calls to machines that are behind; a new leader counts on all its machines

Cause: a machine that had read nothing yet got an empty delivery at every tick (25 ms) instead of every 200 ms, which costs a leader of many restarted machines its processor. A delivery could bring more than a slow link carries within its timeout.

Ruled out: leaving restarted machines out of deliveries (these tell them who leads).

Change: the idle pace for machines that are behind; deliveries of at most 256 KB; without a demand seen so far, all machines that are present count.

--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -179,14 +179,19 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	of := lengthOf(cost)
-	machines := h.demand.divide(len(h.present(now)))[of]
+	present := len(h.present(now))
+	part := h.demand.divide(present)[of]
+	machines := part.to - part.from
+	if machines == 0 { // none was asked for yet: any may make these calls
+		machines = max(1, present)
+	}
 	total := time.Duration(0)
 	for _, w := range waiting {
 		if lengthOf(w) == of {
 			total += w
 		}
 	}
-	return total / time.Duration(max(1, machines.to-machines.from))
+	return total / time.Duration(machines)
 }
 
 // take counts one more call of the machine.
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -22,10 +22,13 @@
 	deliverIdle = 200 * time.Millisecond
 	// deliverTimeout bounds a delivery.
 	deliverTimeout = 500 * time.Millisecond
-	// keptRecords and sentRecords bound what is kept for machines that are
-	// behind, which otherwise read the store, and what one delivery brings.
+	// keptRecords bounds what is kept for machines that are behind, which
+	// otherwise read the store.
 	keptRecords = 2000
+	// sentRecords and sentBytes bound what one delivery brings: a link of 10
+	// Mbit/s takes 0.2 s for the latter, well within deliverTimeout.
 	sentRecords = 500
+	sentBytes   = 256 << 10
 )
 
 // Publisher delivers what the leader's replica applies to the machines that
@@ -117,19 +120,36 @@
 		p.targets[node] = t
 	}
 	end := p.first + platform.Offset(len(p.records))
-	if t.busy || (t.position >= end && now.Sub(t.sent) < deliverIdle) {
+	// A machine that knows less than is kept reads the store. Deliveries bring
+	// it nothing yet, and at the pace of those that do they would be 40 calls
+	// a second to each machine that was restarted.
+	news := t.position >= p.first && t.position < end
+	if t.busy || (!news && now.Sub(t.sent) < deliverIdle) {
 		return Delivery{}, false
 	}
 	t.busy = true
 	t.sent = now
 	d := Delivery{Leader: p.self, Renewed: p.renewed(), First: end, End: end}
-	if t.position >= p.first && t.position < end {
+	if news {
 		d.First = t.position
-		d.Records = pack(p.records[t.position-p.first:][:min(int(end-t.position), sentRecords)])
+		d.Records = pack(atMost(p.records[t.position-p.first:]))
 	}
 	return d, true
 }
 
+// atMost returns the first of the records that one delivery may bring, at least
+// one.
+func atMost(records []platform.Record) []platform.Record {
+	size := 0
+	for i, r := range records {
+		size += len(r.Key) + len(r.Value)
+		if i > 0 && (i == sentRecords || size > sentBytes) {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 func (p *Publisher) deliver(ctx context.Context, m Attachment, d Delivery) {
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
--- a/internal/assist/publisher_test.go
+++ b/internal/assist/publisher_test.go
@@ -76,6 +76,33 @@
 			So(deliver(), ShouldBeTrue)
 			So(m.keys, ShouldResemble, []string{"f"})
 		})
+		Convey("a machine that is behind what is kept is told so now and then, not all the time", func() {
+			m.position = 0 // it was restarted
+			now = now.Add(deliverIdle)
+			So(deliver(), ShouldBeTrue)
+			sent := 0
+			for range int(time.Second / time.Millisecond) {
+				if deliver() {
+					sent++
+				}
+			}
+			So(sent, ShouldBeBetweenOrEqual, 4, 5)
+		})
+		Convey("one delivery brings no more than a slow link carries in its time", func() {
+			value := make([]byte, 4000)
+			var records []platform.Record
+			for i := range sentRecords {
+				records = append(records, platform.Record{Offset: 10 + platform.Offset(i), Key: "k", Value: value})
+			}
+			p.Add(records)
+			d, due := p.next(at.Node, now.Add(time.Millisecond))
+			So(due, ShouldBeTrue)
+			size := 0
+			for _, r := range d.Records {
+				size += len(r.Key) + len(r.Value)
+			}
+			So(size, ShouldBeBetween, 0, sentBytes+1)
+		})
 		Convey("a machine that has heard of a later leader ends it", func() {
 			m.epoch = 4
 			now = now.Add(deliverIdle)
