--- /dev/null
+++ b/internal/leader/lock_test.go
@@ -0,0 +1,42 @@
+package leader
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Users saw nothing accepted, shown or stopped for half a minute: the machine
+// that led had frozen, at no processor time, with all connections open and
+// deaf to SIGTERM. Order of events: the elector asked, with its lock held, how
+// its machine compares, which takes the replica's lock; the replica, with that
+// held, was handing records to the leader's publisher and planner and waited
+// for theirs; these, with theirs held, asked the elector when leadership was
+// last renewed. Cause: a callback under a lock, which closed a cycle. The
+// evidence: the processor time of leaders fell from 40-80% to 0 within a second,
+// four times in one play, with memory and connections held and a few calls to
+// the store a second going on. That it was this cycle is read from the code; no
+// frozen process was looked into.
+func TestStandingIsAskedWithoutTheLock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := election(t, 1)[0]
+		ask := c.cfg.Standing
+		asked := map[bool]int{} // by whether the process leads
+		c.cfg.Standing = func() Standing {
+			leads, _ := c.state()
+			if c.Elector.mu.TryLock() { // nobody else takes it here
+				c.Elector.mu.Unlock()
+			} else {
+				t.Errorf("the elector's lock is held; it leads: %t", leads)
+			}
+			asked[leads]++
+			return ask()
+		}
+		end := run(c)
+		time.Sleep(2 * time.Second)
+		end()
+		if asked[false] == 0 || asked[true] == 0 {
+			t.Errorf("asked %d times before leading and %d times while leading", asked[false], asked[true])
+		}
+	})
+}
