The elector asks how its machine compares without holding its lock

Cause: renewOrRelease and due called Standing with the elector's lock held. Standing takes the replica's lock; the replica, with that held, hands records to the leader's publisher and planner; these, with their locks held, ask the elector (Confirmed, MayRenewLeases). On the machine that leads that is a cycle of three locks: it freezes, answers nobody, and doesn't obey SIGTERM. Ruled out for the frozen leaders: memory (66 to 154 MB of 536), connections (809 to 1244 of 8192 descriptors), the store (no call failed). Not seen: the stacks of a frozen process; the cycle is read from the code. Change: Standing is called before the lock is taken. Other callbacks of the elector (Gained, Lost) were called without it already. Conclusion: the cycle is open at its only place where the elector calls out.

--- a/internal/leader/config.go
+++ b/internal/leader/config.go
@@ -65,7 +65,9 @@
 	Self      Leader // without an epoch
 	Timing    Timing
 	Events    *logrus.Entry
-	// Standing tells how this machine compares with others as a leader.
+	// Standing tells how this machine compares with others as a leader. It is
+	// called without the elector's lock: it takes that of the replica, whose
+	// holder may wait for a lock under which the elector is asked something.
 	Standing func() Standing
 	// Gained is called when this process has become the leader, Lost when it
 	// no longer is. Neither may block.
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -176,9 +176,10 @@
 
 // due reports whether this process should claim the cell.
 func (e *Elector) due() bool {
+	reserve := e.reserve()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	silence := e.state.Silence(time.Now()) - e.reserve()
+	silence := e.state.Silence(time.Now()) - reserve
 	switch {
 	case e.state.Released():
 		return silence >= 0
@@ -216,8 +217,9 @@
 
 // renewOrRelease renews unless the process was asked to stop meanwhile.
 func (e *Elector) renewOrRelease(ctx context.Context) error {
+	standing := e.cfg.Standing()
 	e.mu.Lock()
-	stopping, yields := e.stopping, e.shouldYield(time.Now())
+	stopping, yields := e.stopping, e.shouldYield(standing, time.Now())
 	e.mu.Unlock()
 	switch {
 	case stopping:
--- a/internal/leader/standing.go
+++ b/internal/leader/standing.go
@@ -45,7 +45,7 @@
 }
 
 // reserve returns for how much longer this machine leaves it to others to
-// claim.
+// claim; e.mu is not held.
 func (e *Elector) reserve() time.Duration {
 	if e.cfg.Standing() == Fit {
 		return 0
@@ -53,10 +53,10 @@
 	return e.cfg.Timing.Modest
 }
 
-// shouldYield reports whether leadership should be handed to a machine that
-// could lead much better; e.mu is held.
-func (e *Elector) shouldYield(now time.Time) bool {
-	return e.cfg.Standing() == Surpassed &&
+// shouldYield reports whether a machine of the given standing should hand
+// leadership to one that could lead much better; e.mu is held.
+func (e *Elector) shouldYield(s Standing, now time.Time) bool {
+	return s == Surpassed &&
 		now.Sub(e.ledSince) > e.cfg.Timing.Settled &&
 		(e.yielded.IsZero() || now.Sub(e.yielded) > e.cfg.Timing.Cooling)
 }
