A look at a job leaves the reading of all jobs by its own time

Cause: a process that has not read the jobs yet reads them for each look at a job, one reading after the other under a mutex that is waited for without regard to the caller's time or the process's end. A look that stands there can't be answered before the end. Ruled out: that the looks keep the process's own reading from ending (it holds the lock first and ends in its time); a store that fails. Change: callers share one reading and wait for it by their own context; it goes on while anybody waits. What was written after it began is read by an ordinary read. Conclusion: looks end in time; that they still can't be answered until the jobs are read is left as it is.

--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -48,8 +48,10 @@
 	Timing    Timing
 	Leads     func() bool // this machine plans from the replica
 
-	restoring sync.Mutex                // one restore at a time
-	fed       atomic.Pointer[time.Time] // when the leader last delivered everything
+	fed atomic.Pointer[time.Time] // when the leader last delivered everything
+
+	mu        sync.Mutex // guards restoring and its callers
+	restoring *restore   // nil: none is under way
 }
 
 // Deliver takes in records from the leader, the first of which has the given
@@ -140,9 +142,11 @@
 // Sync reads everything that the store held when it was called.
 func (f *Reader) Sync(ctx context.Context) error {
 	if !f.Replica.Synced() {
-		return f.Restore(ctx)
+		if err := f.Restore(ctx); err != nil {
+			return err
+		}
 	}
-	err := f.read(ctx, 0)
+	err := f.read(ctx, 0) // also after a restore: it may have begun before this call
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		return f.Restore(ctx)
@@ -173,22 +177,6 @@
 	return f.Log.Read(ctx, f.Partition, f.Replica.Position(), wait)
 }
 
-// Restore reads the newest record of every key. Records that are written
-// meanwhile are read after that.
-func (f *Reader) Restore(ctx context.Context) error {
-	f.restoring.Lock()
-	defer f.restoring.Unlock()
-	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, f.Timing.Call, func(records []platform.Record) {
-		f.Replica.apply(records, 0, time.Now())
-	})
-	if err != nil {
-		return err
-	}
-	f.Replica.restored(next)
-	f.Replica.Heard(time.Now())
-	return nil
-}
-
 // restored notes that all records before end have been applied.
 func (r *Replica) restored(end platform.Offset) {
 	r.mu.Lock()
