A process that was asked to stop follows the election on

Cause: the elector of a stopping process only paused, so its machine, which serves for seconds more, took the former leader for the leader, or none, until the next one delivered to it. Ruled out: that it claims (it doesn't, before and after: claims are counted). Change: it reads on like any other process and doesn't claim. Conclusion: the last requests of a process reach the leader there is.

--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -124,15 +124,12 @@
 		return e.begin(ctx)
 	case gives && leads:
 		return e.release(ctx)
-	case stopping:
-		pause.For(ctx, e.cfg.Timing.Renew)
-		return nil
 	case leads:
 		e.sleep(ctx, e.cfg.Timing.Renew)
 		return e.renewOrRelease(ctx)
-	case e.due():
+	case !stopping && e.due():
 		return e.claim(ctx)
-	case e.quiet():
+	case e.quiet(): // a process that stops reads on too: its last requests need the leader
 		pause.For(ctx, e.cfg.Timing.Look)
 		return nil
 	default:
