A leader that ends while it begins lets go of what was handed in

Cause: Run returned from begin without end, so a Runner that was told to stop after it had made its cell went on to take records that no cycle would store, and the replica kept it as its listener. Ruled out: the end after begin, which refused the rest already. Change: end is deferred before begin. Conclusion: no queue of the Runner is left without a consumer that its producers know of.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -96,10 +96,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.tasks.Wait()
 	defer cancel()
+	defer r.end() // also of what was handed in while it began
 	if err := r.begin(ctx); err != nil {
 		return err
 	}
-	defer r.end()
 	r.spawn(func() { r.followRegistry(ctx) })
 	r.spawn(func() { r.keepAsking(ctx) })
 	return r.cycles(ctx)
