Play late starts of ended jobs against the planner

Cause: an executor may leave a start unanswered and carry it out seconds later, when its job has been cancelled, has failed, has completed or was forgotten, when the leader that sent it is gone, or when the executor drains or is missing from the registry. Nothing checked that such a run is stopped. Ruled out, as these cases hold already: a claim let go before the late start (the run is listed, found unknown and stopped); an executor missing from the registry (its hold loop goes on as long as it answers); a stop that was lost, refused or carried out late twice (repeated with the next report); a new leader to which the job is unknown since it was cancelled (the run is listed and stopped); an executor cut off for longer than its lease. An executor that a new leader has never been able to call, since the registry doesn't list it, ends its runs with their lease. Change: tests only, play_test.go runs a leader's loops against executors on the injected clock; the executor there ignores the end of a late order, which is stricter than the platform's.

--- /dev/null
+++ b/internal/plan/play_test.go
@@ -0,0 +1,285 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Timing of a play, which is that of a leader's loops (package dispatch).
+const (
+	playStep        = 10 * time.Millisecond
+	playCycle       = 100 * time.Millisecond // longest time between two cycles
+	playHoldWait    = time.Second            // a report waits that long for an end
+	playHoldTimeout = 700 * time.Millisecond // for a report, beside its wait
+	playHoldRetry   = 200 * time.Millisecond
+	playCallTimeout = 250 * time.Millisecond // of a start or stop
+)
+
+// fate is what becomes of an order.
+type fate struct {
+	lost    bool          // it isn't carried out, and has no answer
+	refused bool          // the executor is unhealthy and does nothing
+	late    time.Duration // it is carried out that much later, and has no answer
+}
+
+// playedExecutor carries out orders. It judges a late start by the lease of
+// the whole executor, so that an order which came without an answer may still
+// be carried out long after its own end.
+type playedExecutor struct {
+	running map[platform.Run]bool
+	ended   []platform.EndedRun
+	highest map[work.TaskKey]uint32
+	lease   platform.ExecutorClock
+	token   int
+	started int  // runs that have come to be at work
+	barred  int  // starts refused since the run was stopped before
+	cut     bool // no call gets through in either direction
+}
+
+func (e *playedExecutor) start(run platform.Run, lease platform.ExecutorClock) {
+	if run.Number <= e.highest[run.Task] {
+		e.barred++
+		return
+	}
+	e.lease = max(e.lease, lease)
+	e.running[run] = true
+	e.started++
+}
+
+func (e *playedExecutor) stop(run platform.Run, how platform.How) {
+	e.highest[run.Task] = max(e.highest[run.Task], run.Number)
+	if !e.running[run] {
+		return
+	}
+	delete(e.running, run)
+	e.ended = append(e.ended, platform.EndedRun{Number: uint64(len(e.ended) + 1), Run: run, How: how})
+}
+
+func (e *playedExecutor) report(seen uint64, clock platform.ExecutorClock) platform.ExecutorReport {
+	r := platform.ExecutorReport{Clock: clock}
+	for run := range e.running {
+		r.Running = append(r.Running, platform.RunningTask{Run: run, Percent: 100})
+	}
+	for _, end := range e.ended {
+		if end.Number > seen {
+			r.Ended = append(r.Ended, end)
+		}
+	}
+	return r
+}
+
+// call is a hold that is under way.
+type call struct {
+	asked time.Time // zero: none is, and the next is due at again
+	again time.Time
+	wait  time.Duration
+	seen  uint64
+}
+
+// event is something that happens at a time.
+type event struct {
+	at time.Time
+	do func()
+}
+
+// play has a leader's loops run against executors, on the world's clock.
+type play struct {
+	*world
+	executors map[string]*playedExecutor
+	holds     map[string]*call
+	events    []event
+	cycleAt   time.Time
+	token     int
+	stopFates []fate // of the next stops; later ones are carried out and answered
+	startFate fate   // of all starts
+	loseStops bool   // no stop is carried out or answered
+}
+
+func newPlay(t *testing.T, executors int) *play {
+	p := &play{world: newWorld(t, executors), executors: make(map[string]*playedExecutor), holds: make(map[string]*call), token: 1}
+	for id := range p.listed {
+		p.executors[id] = &playedExecutor{running: make(map[platform.Run]bool), highest: make(map[work.TaskKey]uint32)}
+	}
+	return p
+}
+
+// after has something happen at a time to come.
+func (p *play) after(d time.Duration, do func()) {
+	p.events = append(p.events, event{at: p.now.Add(d), do: do})
+}
+
+// lead has a new leader take over, with a higher token.
+func (p *play) lead() {
+	p.token++
+	p.takeOver()
+	p.holds = make(map[string]*call)
+}
+
+// cancel makes a cancel durable and tells the leader of it.
+func (p *play) cancel(id work.ID) {
+	p.cell.Cancel(id)
+	p.cell.TakeDirty()
+	p.saved[id] = &work.Progress{State: work.Cancelled}
+}
+
+// register has the registry list exactly these executors.
+func (p *play) register(ids ...string) {
+	listed := make(map[string]*fleet.Executor)
+	for _, id := range ids {
+		listed[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Capacity: cpus(32)}
+	}
+	p.listed = listed
+	p.cell.Executors(listed, p.now)
+}
+
+// atWork reports whether any run is at work anywhere.
+func (p *play) atWork() bool {
+	for _, e := range p.executors {
+		if len(e.running) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// until lets time go by until done holds, d at most, and returns how long that
+// took.
+func (p *play) until(d time.Duration, done func() bool) time.Duration {
+	began := p.now
+	for p.now.Sub(began) < d && !done() {
+		p.step()
+	}
+	return p.now.Sub(began)
+}
+
+func (p *play) run(d time.Duration) { p.until(d, func() bool { return false }) }
+
+func (p *play) step() {
+	p.pass(playStep)
+	events := p.events
+	p.events = nil
+	for _, e := range events {
+		if p.now.Before(e.at) {
+			p.events = append(p.events, e)
+			continue
+		}
+		e.do()
+	}
+	for id, e := range p.executors {
+		p.lapse(e)
+		if h := p.holds[id]; h != nil {
+			p.hold(id, e, h)
+		}
+	}
+	if !p.now.Before(p.cycleAt) {
+		p.cycleAt = p.now.Add(playCycle)
+		p.cycleOnce()
+	}
+}
+
+func (p *play) lapse(e *playedExecutor) {
+	if e.lease == 0 || p.clock < e.lease {
+		return
+	}
+	for run := range e.running {
+		e.stop(run, platform.EndLapsed)
+	}
+}
+
+// hold plays the loop that renews the lease of one executor.
+func (p *play) hold(id string, e *playedExecutor, h *call) {
+	switch {
+	case h.asked.IsZero():
+		if !p.now.Before(h.again) {
+			p.ask(id, e, h)
+		}
+	case e.cut:
+		if p.now.Sub(h.asked) >= h.wait+playHoldTimeout {
+			*h = call{again: p.now.Add(playHoldRetry), wait: h.wait}
+		}
+	case p.now.Sub(h.asked) >= h.wait || uint64(len(e.ended)) > h.seen:
+		if p.cell.Report(id, e.report(h.seen, p.clock), h.asked, p.now) {
+			p.save()
+			p.cell.Seen(id, p.cell.Taken(id))
+		}
+		*h = call{again: p.now, wait: playHoldWait}
+	}
+}
+
+func (p *play) ask(id string, e *playedExecutor, h *call) {
+	order, wanted := p.cell.Hold(id, true)
+	if !wanted {
+		delete(p.holds, id)
+		return
+	}
+	h.asked = p.now
+	h.seen = order.Seen
+	if !e.cut && p.token >= e.token {
+		e.token = p.token
+		e.lease = max(e.lease, order.LeaseUntil)
+	}
+}
+
+func (p *play) cycleOnce() {
+	orders := p.cycle()
+	for _, s := range p.cell.TakeStops(p.now) {
+		p.sendStop(s)
+	}
+	for _, ref := range p.cell.Refs() {
+		if p.holds[ref.ID] == nil {
+			p.holds[ref.ID] = &call{again: p.now}
+		}
+	}
+	for _, o := range orders {
+		p.sendStart(o)
+	}
+}
+
+func (p *play) sendStart(o Order) {
+	e, token, cell := p.executors[o.Start.To.ID], p.token, p.cell
+	do := func() {
+		if token >= e.token {
+			e.token = token
+			e.start(o.Start.Run, o.Order.LeaseUntil)
+		}
+	}
+	if p.startFate.late == 0 {
+		do()
+		cell.Started(o.Start, nil, p.now)
+		return
+	}
+	p.after(p.startFate.late, do)
+	p.after(playCallTimeout, func() { cell.Started(o.Start, platform.ErrNoAnswer, p.now) })
+}
+
+func (p *play) sendStop(s Stop) {
+	e, token, cell := p.executors[s.To.ID], p.token, p.cell
+	f := fate{lost: p.loseStops}
+	if len(p.stopFates) > 0 {
+		f, p.stopFates = p.stopFates[0], p.stopFates[1:]
+	}
+	do := func() {
+		if token >= e.token {
+			e.stop(s.Run, platform.EndStopped)
+		}
+	}
+	switch {
+	case s.To.Address == "":
+		cell.Stopped(s, platform.ErrNotReached, p.now)
+		return
+	case f.refused:
+		cell.Stopped(s, &platform.RefusedError{Reason: platform.RefusedSick}, p.now)
+		return
+	case f.late > 0:
+		p.after(f.late, do)
+	case !f.lost && !e.cut:
+		do()
+		cell.Stopped(s, nil, p.now)
+		return
+	}
+	p.after(playCallTimeout, func() { cell.Stopped(s, platform.ErrNoAnswer, p.now) })
+}
--- /dev/null
+++ b/internal/plan/unwanted_test.go
@@ -0,0 +1,216 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// stopWithin is how long after a job has ended, or after a run of it was
+// started late, nothing of it may be at work any more: what the platform allows
+// from the acknowledgement of a cancel (3 s) and for a stop (0.2 s).
+const stopWithin = 3200 * time.Millisecond
+
+// Ways in which a job ends.
+var endings = map[string]func(*play, work.ID){
+	"cancelled": func(p *play, id work.ID) { p.cell.Cancel(id) },
+	"failed":    func(p *play, id work.ID) { p.cell.end(p.cell.jobs[id], work.Failed) },
+	"completed": func(p *play, id work.ID) { p.cell.end(p.cell.jobs[id], work.Completed) },
+	"forgotten": func(p *play, id work.ID) {
+		p.cell.Cancel(id)
+		p.save()
+		delete(p.stored, id)
+		p.cell.Forget([]work.ID{id})
+	},
+}
+
+// What the registry says of the executor after it was given the start.
+var standings = map[string]func(*play){
+	"registered":   func(*play) {},
+	"unregistered": func(p *play) { p.register() },
+	"draining": func(p *play) {
+		p.listed["e0"].Draining = true
+		p.cell.Executors(p.listed, p.now)
+	},
+	"registered again after 2 s": func(p *play) {
+		p.register()
+		p.after(2*time.Second, func() { p.register("e0") })
+	},
+}
+
+// What becomes of the stops. The leader sends one when a start has no answer.
+var stopFates = map[string][]fate{
+	"stops carried out":             nil,
+	"two stops lost":                {{lost: true}, {lost: true}},
+	"two stops carried out late":    {{late: 6 * time.Second}, {late: 4 * time.Second}},
+	"two stops refused as unwell":   {{refused: true}, {refused: true}},
+	"a stop lost, the next refused": {{lost: true}, {refused: true}},
+}
+
+// endsWithin checks that whatever is at work, now or later, is over in time, and
+// that no room is held for it after that.
+func (p *play) endsWithin(t *testing.T, within time.Duration) {
+	t.Helper()
+	for end := p.now.Add(20 * time.Second); p.now.Before(end); {
+		p.until(time.Minute, func() bool { return p.atWork() || !p.now.Before(end) })
+		if took := p.until(time.Minute, func() bool { return !p.atWork() }); took > within {
+			t.Errorf("a run of a job that has ended was at work for %v, want at most %v", took, within)
+		}
+	}
+	for id, v := range p.cell.vms {
+		if len(v.claims) > 0 || v.used.MilliCPU != 0 {
+			t.Errorf("executor %s still holds room for %d runs", id, len(v.claims))
+		}
+	}
+}
+
+// A start without an answer that is carried out after its job has ended, or
+// before, doesn't run on.
+func TestLateStartOfAnEndedJobIsStopped(t *testing.T) {
+	for ending, end := range endings {
+		for standing, stand := range standings {
+			for stops, fates := range stopFates {
+				for _, order := range []struct{ started, ended time.Duration }{
+					{2 * time.Second, 500 * time.Millisecond},
+					{2 * time.Second, 3 * time.Second},
+					{12 * time.Second, 500 * time.Millisecond},
+					{12 * time.Second, 5 * time.Second},
+					{100 * time.Millisecond, 150 * time.Millisecond},
+					{100 * time.Millisecond, 5 * time.Second},
+				} {
+					name := fmt.Sprintf("%s/%s/%s/started after %v, ended after %v", ending, standing, stops, order.started, order.ended)
+					t.Run(name, func(t *testing.T) {
+						p := newPlay(t, 1)
+						p.startFate = fate{late: order.started}
+						job := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+						p.loseStops = true // those that follow a start without an answer
+						p.cycleOnce()
+						stand(p)
+						p.run(order.ended)
+						p.loseStops = false
+						p.stopFates = append([]fate(nil), fates...)
+						end(p, job.ID)
+						p.endsWithin(t, stopWithin)
+						if e := p.executors["e0"]; e.started+e.barred == 0 {
+							t.Error("the start was never carried out")
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// The same holds when the leader that sent the start is gone and another one,
+// which knows only what is durable, leads from some time on.
+func TestLateStartOfAFormerLeaderIsStopped(t *testing.T) {
+	for standing, stand := range standings {
+		for stops, fates := range stopFates {
+			for _, order := range []struct{ started, ended, led time.Duration }{
+				{2 * time.Second, 500 * time.Millisecond, time.Second},
+				{2 * time.Second, time.Second, 500 * time.Millisecond},
+				{2 * time.Second, 1500 * time.Millisecond, 2500 * time.Millisecond},
+				{2 * time.Second, 3 * time.Second, 2500 * time.Millisecond},
+				{2 * time.Second, 3 * time.Second, 4 * time.Second},
+				{12 * time.Second, 500 * time.Millisecond, time.Second},
+				{12 * time.Second, 11 * time.Second, 11500 * time.Millisecond},
+				{100 * time.Millisecond, 600 * time.Millisecond, 500 * time.Millisecond},
+				{100 * time.Millisecond, 500 * time.Millisecond, 600 * time.Millisecond},
+				{100 * time.Millisecond, 5 * time.Second, 500 * time.Millisecond},
+			} {
+				name := fmt.Sprintf("%s/%s/started after %v, ended after %v, led after %v", standing, stops, order.started, order.ended, order.led)
+				t.Run(name, func(t *testing.T) {
+					p := newPlay(t, 1)
+					p.startFate = fate{late: order.started}
+					job := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+					p.loseStops = true
+					p.cycleOnce()
+					p.startFate = fate{}
+					stand(p)
+					p.after(order.led, p.lead)
+					p.run(order.ended)
+					p.loseStops = false
+					p.stopFates = append([]fate(nil), fates...)
+					p.cancel(job.ID)
+					p.endsInTime(t, standing)
+				})
+			}
+		}
+	}
+}
+
+// endsInTime checks that whatever is at work is stopped in time. An executor
+// that isn't registered can't be called by a leader that has never known it:
+// there the lease, which nobody renews any more, ends what runs.
+func (p *play) endsInTime(t *testing.T, standing string) {
+	t.Helper()
+	if standing != "unregistered" {
+		p.endsWithin(t, stopWithin)
+		return
+	}
+	p.until(time.Minute, func() bool { return p.token > 1 })
+	p.endsWithin(t, p.cell.cfg.Lease)
+}
+
+// A run that was at work before its job was cancelled is stopped by a leader
+// that finds neither the job nor the run in what it takes over, and by one
+// that can reach the executor only later.
+func TestRunAtWorkIsStoppedByANewLeader(t *testing.T) {
+	for standing, stand := range standings {
+		for stops, fates := range stopFates {
+			for _, order := range []struct{ ended, led time.Duration }{
+				{0, 700 * time.Millisecond},
+				{500 * time.Millisecond, 500 * time.Millisecond},
+				{800 * time.Millisecond, 700 * time.Millisecond},
+				{3 * time.Second, 700 * time.Millisecond},
+			} {
+				t.Run(fmt.Sprintf("%s/%s/ended after %v, led after %v", standing, stops, order.ended, order.led), func(t *testing.T) {
+					p := newPlay(t, 1)
+					job := p.job(1, testQueue, work.Step{Tasks: 3, Need: cpus(4), Estimate: time.Minute})
+					p.cycleOnce()
+					p.run(3 * time.Second)
+					if n := len(p.executors["e0"].running); n != 3 {
+						t.Fatalf("%d runs are at work, want 3", n)
+					}
+					stand(p)
+					p.loseStops = true // of the former leader, which is about to end
+					p.after(order.led, p.lead)
+					p.run(order.ended)
+					p.loseStops = false
+					p.stopFates = append([]fate(nil), fates...)
+					p.cancel(job.ID)
+					p.endsInTime(t, standing)
+				})
+			}
+		}
+	}
+}
+
+// An executor that was out of reach for longer than its lease isn't forgotten:
+// what starts there late is stopped when it can be reached again.
+func TestLateStartAfterACutIsStopped(t *testing.T) {
+	for standing, stand := range standings {
+		for _, order := range []struct{ started, ended time.Duration }{
+			{2 * time.Second, 500 * time.Millisecond},
+			{8500 * time.Millisecond, 500 * time.Millisecond},
+			{12 * time.Second, 500 * time.Millisecond},
+			{12 * time.Second, 10 * time.Second},
+		} {
+			t.Run(fmt.Sprintf("%s/started after %v, ended after %v", standing, order.started, order.ended), func(t *testing.T) {
+				p := newPlay(t, 1)
+				p.run(2 * time.Second) // its lease runs
+				p.startFate = fate{late: order.started}
+				job := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+				p.cycleOnce()
+				stand(p)
+				p.executors["e0"].cut = true
+				p.after(8*time.Second, func() { p.executors["e0"].cut = false })
+				p.run(order.ended)
+				p.cancel(job.ID)
+				p.endsWithin(t, p.cell.cfg.Lease)
+			})
+		}
+	}
+}
