Failing test: a stop without effect is repeated only with the next report

Cause: a stop that was lost, carried out late or refused is sent again when a report lists the run, which comes once a second, and 1.9 s later still when a hold has had no answer.

--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -37,6 +37,7 @@
 	token   int
 	started int  // runs that have come to be at work
 	barred  int  // starts refused since the run was stopped before
+	mute    int  // so many of the next holds have no answer and no effect
 	cut     bool // no call gets through in either direction
 }
 
@@ -76,6 +77,7 @@
 type call struct {
 	asked time.Time // zero: none is, and the next is due at again
 	again time.Time
+	lost  bool
 	wait  time.Duration
 	seen  uint64
 }
@@ -97,6 +99,7 @@
 	stopFates []fate // of the next stops; later ones are carried out and answered
 	startFate fate   // of all starts
 	loseStops bool   // no stop is carried out or answered
+	stops     int    // that were sent
 }
 
 func newPlay(t *testing.T, executors int) *play {
@@ -197,7 +200,7 @@
 		if !p.now.Before(h.again) {
 			p.ask(id, e, h)
 		}
-	case e.cut:
+	case e.cut || h.lost:
 		if p.now.Sub(h.asked) >= h.wait+playHoldTimeout {
 			*h = call{again: p.now.Add(playHoldRetry), wait: h.wait}
 		}
@@ -218,6 +221,11 @@
 	}
 	h.asked = p.now
 	h.seen = order.Seen
+	if e.mute > 0 {
+		e.mute--
+		h.lost = true
+		return
+	}
 	if !e.cut && p.token >= e.token {
 		e.token = p.token
 		e.lease = max(e.lease, order.LeaseUntil)
@@ -257,6 +265,7 @@
 }
 
 func (p *play) sendStop(s Stop) {
+	p.stops++
 	e, token, cell := p.executors[s.To.ID], p.token, p.cell
 	f := fate{lost: p.loseStops}
 	if len(p.stopFates) > 0 {
--- a/internal/plan/unwanted_test.go
+++ b/internal/plan/unwanted_test.go
@@ -214,3 +214,49 @@
 		}
 	}
 }
+
+// A stop that may not have been carried out is sent again without waiting for
+// a report, which comes once a second and may itself be lost.
+func TestUnansweredStopIsRepeated(t *testing.T) {
+	for name, f := range map[string]fate{
+		"lost":              {lost: true},
+		"carried out late":  {late: 6 * time.Second},
+		"refused as unwell": {refused: true},
+	} {
+		for _, c := range []struct{ stops, holds int }{{1, 1}, {4, 0}, {4, 1}} {
+			t.Run(fmt.Sprintf("%s/%d stops and %d holds without effect", name, c.stops, c.holds), func(t *testing.T) {
+				p := newPlay(t, 1)
+				job := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+				p.cycleOnce()
+				p.run(3 * time.Second)
+				for range c.stops {
+					p.stopFates = append(p.stopFates, f)
+				}
+				e := p.executors["e0"]
+				e.mute = c.holds
+				p.until(2*time.Second, func() bool { return e.mute == 0 })
+				p.cancel(job.ID)
+				p.endsWithin(t, stopWithin)
+			})
+		}
+	}
+}
+
+// Stops are not repeated to an executor that gives no report either: it is
+// asked for one first.
+func TestStopsWaitForASilentExecutor(t *testing.T) {
+	p := newPlay(t, 1)
+	job := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+	p.cycleOnce()
+	p.run(3 * time.Second)
+	p.executors["e0"].cut = true
+	p.run(p.cell.cfg.SilentAfter)
+	sent := p.stops
+	p.cancel(job.ID)
+	p.run(2 * time.Second)
+	if n := p.stops - sent; n != 1 {
+		t.Errorf("%d stops were sent to an executor that can't be reached, want 1", n)
+	}
+	p.executors["e0"].cut = false
+	p.endsWithin(t, stopWithin)
+}
