Repeat a stop without effect before the next report

Cause: only a report that lists the run had its stop sent again. Ruled out: shorter waits of holds, which are paid for at all times and don't help when the hold is what is lost; repeating while the executor gives no reports, which calls executors that are cut off some ten times for each run before their lease is over. Change: a stop of an unwanted run that had no answer or was refused is sent again after StopRepeat (0.4 s), as long as the executor's last report is no older than SilentAfter (1.6 s) and the run's end isn't listed. An executor that can't be reached gets one stop, as before (TestStopsWaitForASilentExecutor).

--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -30,6 +30,7 @@
 	begun     []*job               // that began of late, in this order
 	dirty     []*job               // whose durable record is behind
 	stops     []Stop               // to be sent
+	unstopped []*claim             // whose newest stop may have had no effect
 	now       time.Time            // of the newest call that brought the time
 	granted   map[string]float64   // by queue: moving mean of the share of executors granted
 	usual     float64              // moving mean of the fleet\'s run times to estimates
@@ -272,8 +273,27 @@
 	c.stops = append(c.stops, Stop{To: cl.vm.Ref, Run: cl.run})
 }
 
+// repeatStops sends those stops again that may have had no effect. Reports
+// would have them sent again too, but one a second: four lost stops in a row
+// let a cancelled job run on for 4 s, and for 6 s if a report is lost as well.
+// An executor that gives no reports is asked for one first.
+func (c *Cell) repeatStops(now time.Time) {
+	var kept []*claim
+	for _, cl := range c.unstopped {
+		switch {
+		case cl.vm.claims[cl.run] != cl, now.Sub(cl.vm.clockAt) >= c.cfg.SilentAfter:
+		case now.Sub(cl.stopped) < c.cfg.StopRepeat:
+			kept = append(kept, cl)
+		default:
+			c.stop(cl)
+		}
+	}
+	c.unstopped = kept
+}
+
 // TakeStops returns the stops to send and counts them as sent.
 func (c *Cell) TakeStops(now time.Time) []Stop {
+	c.repeatStops(now)
 	stops := c.stops
 	c.stops = nil
 	for _, s := range stops {
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,6 +86,8 @@
 	case err == nil && cl != nil && cl.state == unsure:
 		cl.state = stopping
 		cl.since = now
+	case err != nil && cl != nil && cl.unwanted && !slices.Contains(c.unstopped, cl):
+		c.unstopped = append(c.unstopped, cl)
 	}
 }
 
