Failing test: a former leader's lease is forgotten with the first report

Cause: an executor's first report to a new leader ends the wait for inherited leases. Until this leader extends a lease itself it then counts as if there were none, so an executor that falls silent loses its runs after SilentAfter (1.6 s), while the lease that the former leader gave runs on for up to 4 s. It takes a leader that may not extend leases when the first report comes, as when the store has failed in between.

--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -99,3 +99,37 @@
 		})
 	})
 }
+
+// A new leader that may not extend leases yet, since its own is not confirmed,
+// counts on those that the former leader has extended: an executor's first
+// report doesn't say how long they are.
+func TestFormerLeasesCountFromTheFirstReport(t *testing.T) {
+	for name, known := range map[string]bool{"a run that it took over": true, "a run of a job that had ended": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			job := w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: 20 * time.Second})
+			orders := w.cycle()
+			w.startAll(orders)
+			run := orders[0].Start.Run
+			w.report("e0", running(run), nil)
+			if !known {
+				w.saved[job.ID] = &work.Progress{State: work.Cancelled}
+			}
+			w.takeOver()
+			w.report("e0", running(run), nil)
+			lease := DefaultConfig().Lease
+			for end := w.now.Add(lease); w.now.Before(end); w.pass(100 * time.Millisecond) {
+				w.cell.Hold("e0", false)
+				w.cycle()
+				if len(w.cell.vms["e0"].claims) == 0 {
+					t.Fatalf("the run is held to be over %v before its lease", end.Sub(w.now))
+				}
+			}
+			w.pass(200 * time.Millisecond)
+			w.cycle()
+			if len(w.cell.vms["e0"].claims) != 0 {
+				t.Error("the run holds room after its lease is certainly over")
+			}
+		})
+	}
+}
