Count a former leader's leases from an executor's first report

Ruled out: keeping the time until which inherited leases were waited for, which would hold runs 8 s after a takeover on executors whose first report has bounded their lease to 4 s. Change: the first report sets the lease to Lease after its clock; the token that came with the hold keeps the former leader from extending it further.

--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -99,7 +99,12 @@
 	if v == nil {
 		return false
 	}
-	v.known = true
+	if !v.known {
+		// A former leader may have extended the lease up to the moment of
+		// this report, which its fencing token ended.
+		v.known = true
+		v.lease = max(v.lease, r.Clock.Add(c.cfg.Lease))
+	}
 	v.clock = r.Clock
 	v.clockAt = now
 	v.lapses = time.Time{}
