Failing test: stops and first calls wait for a store that takes no appends

Cause: a cycle decides, stores and sends in turn. While its append has no answer no stop leaves the leader, though a stop needs no durable record, and no executor that has registered since is called. Figures: with appends without an answer and reads that work, a run is at work 3.2 s after its job's cancel was stored, and so is one that started late (both cases of TestStopsDoNotWaitForTheStore fail); nothing ends it but its lease, which the leader keeps extending as long as it leads. An executor isn't called 0.6 s after it has registered (TestExecutorsAreCalledWhileTheStoreTakesNothing fails).

--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -213,6 +213,13 @@
 	return uint64(len(e.ended)) <= seen
 }
 
+// faults sets how late starts are carried out and how many stops are lost.
+func (e *playedExecutor) faults(lateStart time.Duration, loseStops int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lateStart, e.loseStops = lateStart, loseStops
+}
+
 // atWork returns the number of runs at work and of holds answered.
 func (e *playedExecutor) atWork() (runs, holds int) {
 	e.mu.Lock()
--- a/internal/dispatch/unwanted_test.go
+++ b/internal/dispatch/unwanted_test.go
@@ -23,16 +23,13 @@
 						p := newCellPlay(t)
 						p.register("ready")
 						p.lead()
-						p.executor.lateStart = late
-						p.executor.loseStops = 100 // of starts without an answer
+						p.executor.faults(late, 100) // stops of starts without an answer
 						id := p.submit(1)
 						time.Sleep(500 * time.Millisecond)
 						p.register(state)
 						p.cancel(id)
 						time.Sleep(max(0, late-400*time.Millisecond))
-						p.executor.mu.Lock()
-						p.executor.loseStops = lost
-						p.executor.mu.Unlock()
+						p.executor.faults(0, lost)
 						p.mustRun()
 						p.idleWithin(stopWithin)
 						p.stop()
@@ -60,8 +57,7 @@
 				p := newCellPlay(t)
 				p.register("ready")
 				p.lead()
-				p.executor.lateStart = c.late
-				p.executor.loseStops = 1
+				p.executor.faults(c.late, 1)
 				id := p.submit(1)
 				time.Sleep(300 * time.Millisecond)
 				p.stop()
@@ -77,3 +73,49 @@
 		})
 	}
 }
+
+// While the store takes no appends, a cycle waits for it. What needs no durable
+// record is done all the same: runs of cancelled jobs are stopped, and
+// executors that register are called.
+func TestStopsDoNotWaitForTheStore(t *testing.T) {
+	for name, late := range map[string]time.Duration{
+		"cancelled while at work": 0,
+		"started late":            3 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newCellPlay(t)
+				p.register("ready")
+				p.lead()
+				p.executor.faults(late, 1) // the stop of a start without an answer
+				id := p.submit(1)
+				time.Sleep(400 * time.Millisecond)
+				p.executor.faults(0, 0)
+				p.store.stick(true)
+				p.submit(2) // its append isn't done
+				time.Sleep(100 * time.Millisecond)
+				p.cancel(id)
+				time.Sleep(max(0, late-400*time.Millisecond))
+				p.mustRun()
+				p.idleWithin(stopWithin)
+				p.stop()
+			})
+		})
+	}
+}
+
+func TestExecutorsAreCalledWhileTheStoreTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newCellPlay(t)
+		p.lead()
+		p.store.stick(true)
+		p.submit(1)
+		time.Sleep(100 * time.Millisecond)
+		p.register("ready")
+		time.Sleep(2 * registryPace)
+		if _, holds := p.executor.atWork(); holds == 0 {
+			t.Error("the executor wasn't called after it had registered")
+		}
+		p.stop()
+	})
+}
