Send stops and call executors while a cycle waits for the store

Ruled out: a cycle that stores in a goroutine of its own, which would have to order appends, answers and starts anew; sending stops from each place where one may become due, as the replica calls the leader under its own lock. Change: a loop of its own (keepAttending) sends stops and keeps the hold loops. It is woken with each cycle, paced like it (10 ms), and looks every 0.1 s by itself. Stops were sent before the cycle's append already, so nothing is sent earlier than it may.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -27,6 +27,8 @@
 const (
 	cyclePace    = 10 * time.Millisecond  // least time between two cycles: what comes meanwhile shares an append
 	cycleIdle    = 100 * time.Millisecond // longest time between two cycles: tickets and leases end without an event
+	attendPace   = 10 * time.Millisecond  // least time between two looks for stops to send and executors to call
+	attendIdle   = 100 * time.Millisecond // longest time between two of them: stops become due again without an event
 	askPace      = 5 * time.Millisecond   // least time between two looks for calls for advice that are due
 	holdWait     = time.Second            // how long an executor's report waits for an end
 	holdTimeout  = 700 * time.Millisecond // for a report, beside its wait
@@ -64,6 +66,7 @@
 	cfg      Config
 	writer   *writer
 	wake     chan struct{} // a cycle should begin
+	attend   chan struct{} // there may be stops to send and executors to call
 	answered chan struct{} // a call for advice has ended
 
 	mu       sync.Mutex // guards the fields below
@@ -84,6 +87,7 @@
 		cfg:      cfg,
 		writer:   &writer{log: cfg.Log, partition: cfg.Jobs, epoch: cfg.Self.Epoch, events: cfg.Events},
 		wake:     make(chan struct{}, 1),
+		attend:   make(chan struct{}, 1),
 		answered: make(chan struct{}, 1),
 		cycle:    make(chan struct{}),
 		patience: stuckAfter,
@@ -102,6 +106,7 @@
 	defer r.end()
 	r.spawn(func() { r.followRegistry(ctx) })
 	r.spawn(func() { r.keepAsking(ctx) })
+	r.spawn(func() { r.keepAttending(ctx) })
 	return r.cycles(ctx)
 }
 
@@ -175,10 +180,16 @@
 	}()
 }
 
-// Wake has a cycle begin soon.
+// Wake has a cycle begin soon and executors attended to at once.
 func (r *Runner) Wake() {
+	signal(r.wake)
+	signal(r.attend)
+}
+
+// signal has the reader of a channel of capacity one look again.
+func signal(c chan struct{}) {
 	select {
-	case r.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -240,16 +251,12 @@
 	r.cell.RecordBegun(now)
 	starts := r.cell.Plan(now)
 	r.cell.ExplainWaits(now)
-	stops := r.cell.TakeStops(now)
 	records := r.cell.TakeDirty()
 	done := r.cycle
 	r.cycle = make(chan struct{})
 	r.askAdvice(ctx, now)
-	r.keepHolds(ctx)
 	r.mu.Unlock()
-	for _, s := range stops {
-		r.spawn(func() { r.sendStop(ctx, s) })
-	}
+	signal(r.attend)
 	if err := r.store(ctx, handedIn, records); err != nil {
 		return err
 	}
@@ -340,6 +347,30 @@
 	}
 }
 
+// keepAttending sends stops and keeps a hold loop for each executor. Neither
+// needs anything durable, so both go on while a cycle waits for the store: a
+// run of a cancelled job would go on for as long as the store takes no appends.
+func (r *Runner) keepAttending(ctx context.Context) {
+	ticker := time.NewTicker(attendIdle)
+	defer ticker.Stop()
+	for {
+		r.mu.Lock()
+		stops := r.cell.TakeStops(time.Now())
+		r.keepHolds(ctx)
+		r.mu.Unlock()
+		for _, s := range stops {
+			r.spawn(func() { r.sendStop(ctx, s) })
+		}
+		pause.For(ctx, attendPace)
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.attend:
+		case <-ticker.C:
+		}
+	}
+}
+
 // keepAsking has calls for advice made while a cycle waits for the store,
 // which takes 0.2 s for an append when it is slow: machines whose calls were
 // answered meanwhile would have nothing to do.
@@ -385,9 +416,6 @@
 	if err != nil {
 		r.cfg.Events.WithError(err).WithField("step", a.Step).Debug("no advice")
 	}
-	select {
-	case r.answered <- struct{}{}:
-	default:
-	}
+	signal(r.answered)
 	r.Wake()
 }
