Failing test: a cancel that is read before its job's submission is passed over

Cause: the leader takes a cancel only of a job whose submission it has read, and a submission only if the job isn't cancelled. Where the newest records are read anew, since the store has dropped its history, they come by key and cancels come first. A job that the leader has planned from what was handed to it, and whose submission isn't in its replica yet, then runs on though it is shown as cancelled. Ruled out: the order in which records are written; a cancel is stored only after the submission was read. Figures: both cases of TestCancelReadBeforeItsSubmissionCounts fail, the job is at work 2 s later.

--- a/internal/dispatch/unwanted_test.go
+++ b/internal/dispatch/unwanted_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
 )
 
 // stopWithin is how long after a cancel was acknowledged nothing of its job may
@@ -119,3 +122,37 @@
 		p.stop()
 	})
 }
+
+// A cancel may be read before the submission of its job, as when the newest
+// records are read anew: they come ordered by key. The leader may have planned
+// the job by then, which was handed to it.
+func TestCancelReadBeforeItsSubmissionCounts(t *testing.T) {
+	for name, planned := range map[string]time.Duration{
+		"the job was planned before": 100 * time.Millisecond,
+		"the job is planned after":   0,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newCellPlay(t)
+				p.register("ready")
+				p.lead()
+				p.store.stick(true) // the submission isn't applied yet
+				id := p.submit(1)
+				time.Sleep(planned)
+				cancel := platform.Record{Key: work.Key(work.KindCancel, id), Value: work.CancelValue}
+				p.replica.Offer(p.replica.Position(), []platform.Record{cancel}, time.Now())
+				p.store.put(playJobs, cancel.Key, string(cancel.Value))
+				time.Sleep(100 * time.Millisecond)
+				p.store.stick(false)
+				time.Sleep(2 * time.Second)
+				if runs, _ := p.executor.atWork(); runs != 0 {
+					t.Error("a job that was cancelled before its submission was read is at work")
+				}
+				if e, _ := p.replica.Get(id); e.State() != work.Cancelled {
+					t.Errorf("the job is shown as %v", e.State())
+				}
+				p.stop()
+			})
+		})
+	}
+}
