Take a cancel in whether or not its job's submission was read

Ruled out: reading cancels last in package replica, which other machines' reads and the order of deliveries would have to follow. Change: a change of an entry that is cancelled ends the job in the plan, whatever record it came with; a submission whose cancel is known is stored and not planned.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -201,9 +201,10 @@
 	defer r.mu.Unlock()
 	for _, ch := range changes {
 		switch {
-		case ch.Entry.Job == nil || ch.Kind == work.KindProgress:
-		case ch.Kind == work.KindCancel:
+		case ch.Kind == work.KindProgress:
+		case ch.Entry.Cancelled: // the submission may be read later, or just now
 			r.cell.Cancel(ch.ID)
+		case ch.Entry.Job == nil:
 		case !ch.Entry.State().Final():
 			r.cell.AddJob(ch.Entry.Job, ch.Entry.Progress, now.UnixMilli(), now)
 		}
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -141,8 +141,8 @@
 	if err != nil || kind != work.KindJob {
 		return
 	}
-	if e, known := r.cfg.Replica.Get(id); (known && e.Job != nil) || r.cell.Knows(id) {
-		return // handed in again
+	if e, _ := r.cfg.Replica.Get(id); e.Job != nil || e.Cancelled || r.cell.Knows(id) {
+		return // handed in again, or cancelled already
 	}
 	job, err := work.DecodeJob(s.records[i].Value)
 	if err != nil {
