Ask for a report at once after a hold without an answer

Ruled out: shorter waits of all holds, which cost calls at all times; two holds on an executor at once, whose reports could overtake each other. Change: the hold after a failed one doesn't wait for an end, as the first one of a leader. The planner's tests play the same.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -45,6 +45,7 @@
 			if r.holdFailed(ctx, ref, err) {
 				return
 			}
+			wait = 0 // what runs there may have changed: the next report is wanted at once too
 			continue
 		}
 		r.takeReport(ctx, ref.ID, report, asked, &ends)
--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -202,7 +202,7 @@
 		}
 	case e.cut || h.lost:
 		if p.now.Sub(h.asked) >= h.wait+playHoldTimeout {
-			*h = call{again: p.now.Add(playHoldRetry), wait: h.wait}
+			*h = call{again: p.now.Add(playHoldRetry)}
 		}
 	case p.now.Sub(h.asked) >= h.wait || uint64(len(e.ended)) > h.seen:
 		if p.cell.Report(id, e.report(h.seen, p.clock), h.asked, p.now) {
