Test a cancel in each state that a run can be in

Cause: which state a run is in decides who sends its stop; only a run at work and one without an answer were tested. Ruled out, as these cases hold already: a planned start is dropped before it is sent; a start that is sent, confirmed, without an answer or inherited is stopped, with each report that lists it anew; one on an executor whose address a new leader doesn't know yet is stopped once the registry lists it. Change: a test only.

--- a/internal/plan/unwanted_test.go
+++ b/internal/plan/unwanted_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -260,3 +261,72 @@
 	p.executors["e0"].cut = false
 	p.endsWithin(t, stopWithin)
 }
+
+// Wherever a run stands when its job is cancelled, it isn't started after that
+// or it is stopped, and the stop is repeated as long as a report lists the run.
+func TestCancelInEachStateOfARun(t *testing.T) {
+	sent := 0 // orders in the newest case
+	nothing := func(*world, []Start) {}
+	send := func(w *world, s []Start) { sent += len(w.cell.Confirm(s, w.now)) }
+	answer := func(err error) func(*world, []Start) {
+		return func(w *world, s []Start) { w.cell.Started(s[0], err, w.now) }
+	}
+	sendAnd := func(then func(*world, []Start)) func(*world, []Start) {
+		return func(w *world, s []Start) {
+			send(w, s)
+			then(w, s)
+		}
+	}
+	for name, c := range map[string]struct {
+		before func(*world, []Start) // what happens before the cancel
+		after  func(*world, []Start) // and what after it
+		orders int                   // that are sent in all
+	}{
+		"planned":                      {before: nothing, after: send, orders: 0},
+		"sent, then confirmed":         {before: send, after: answer(nil), orders: 1},
+		"sent, then without an answer": {before: send, after: answer(platform.ErrNoAnswer), orders: 1},
+		"confirmed":                    {before: sendAnd(answer(nil)), after: nothing, orders: 1},
+		"without an answer":            {before: sendAnd(answer(platform.ErrNoAnswer)), after: nothing, orders: 1},
+		"inherited":                    {before: sendAnd(func(w *world, _ []Start) { w.takeOver() }), after: nothing, orders: 1},
+		"inherited, at an address that is not known yet": {
+			before: sendAnd(func(w *world, _ []Start) {
+				listed := w.listed
+				w.listed = nil
+				w.takeOver()
+				w.listed = listed
+			}),
+			after:  func(w *world, _ []Start) { w.cell.Executors(w.listed, w.now) },
+			orders: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			job := w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+			sent = 0
+			starts := w.cell.Plan(w.now)
+			w.save()
+			c.before(w, starts)
+			w.cell.Cancel(job.ID)
+			c.after(w, starts)
+			if sent != c.orders {
+				t.Fatalf("%d orders were sent, want %d", sent, c.orders)
+			}
+			if c.orders == 0 {
+				w.report("e0", nil, nil)
+			}
+			stops := len(w.cell.TakeStops(w.now))
+			for range 5 * c.orders {
+				w.pass(time.Second)
+				w.report("e0", running(starts[0].Run), nil)
+				stops += len(w.cell.TakeStops(w.now))
+			}
+			if stops < 5*c.orders {
+				t.Errorf("%d stops were sent over 5 reports that list the run", stops)
+			}
+			w.report("e0", nil, ended(1, starts[0].Run, platform.EndStopped))
+			if v := w.cell.vms["e0"]; len(v.claims) != 0 || v.used.MilliCPU != 0 {
+				t.Errorf("%d runs hold room after the end", len(v.claims))
+			}
+		})
+	}
+}
