Failing test: a gang's member that goes on after another's done end isn't stopped

Cause: found by a play with random troubles. One done end completes the whole gang, and an occurrence that has ended is out of the plan when its job is completed, so the claims of the other members are never marked as unwanted. The platform says that members end together; one that is listed as at work all the same runs on, its lease extended with the executor's.

--- a/internal/plan/unwanted_test.go
+++ b/internal/plan/unwanted_test.go
@@ -330,3 +330,24 @@
 		})
 	}
 }
+
+// The done end of one member of a gang counts for all. A member that is listed
+// as at work all the same is stopped.
+func TestGangMemberThatGoesOnIsStopped(t *testing.T) {
+	for name, steps := range map[string][]work.Step{
+		"the job has ended":  {{Tasks: 2, Need: cpus(20), Estimate: time.Second, Gang: true}},
+		"another step comes": {{Tasks: 2, Need: cpus(20), Estimate: time.Second, Gang: true}, {Tasks: 1, Need: cpus(40), After: []int{0}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlay(t, 2)
+			job := &work.Job{ID: work.ID{1}, Queue: testQueue, Service: testService, Accepted: p.now.UnixMilli(), Steps: steps}
+			p.add(job)
+			p.cycleOnce()
+			p.run(2 * time.Second)
+			for run := range p.executors["e0"].running {
+				p.executors["e0"].stop(run, platform.EndDone)
+			}
+			p.endsWithin(t, stopWithin)
+		})
+	}
+}
