Stop a run that is listed as at work though its task is done

Ruled out: marking the members' claims when the gang ends; their ends are about to be listed, and each gang would cost a stop for each member. Change: a report that lists a run of a task that is done has it stopped, as any run that is not wanted.

--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -188,6 +188,9 @@
 			cl.task.checkpoint = row.Checkpoint
 		}
 		c.learnFromRunning(cl, now)
+		if cl.task != nil && cl.task.phase == work.Done {
+			cl.unwanted = true // a member of a gang that another one has ended
+		}
 		if cl.unwanted && now.Sub(cl.stopped) > c.cfg.StopRepeat {
 			c.stop(cl)
 		}
