Play random troubles against the planner

Change: tests only. Jobs come, end and are cancelled while leaders change, the store is down, executors are cut off or drop out of the registry, starts come late and stops are lost; no task may run twice at once, and once the troubles are over nothing of an ended job may be at work for more than 3.2 s.

--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,9 +28,9 @@
 	late    time.Duration // it is carried out that much later, and has no answer
 }
 
-// playedExecutor carries out orders. It judges a late start by the lease of
-// the whole executor, so that an order which came without an answer may still
-// be carried out long after its own end.
+// playedExecutor carries out orders. Unless it is strict it judges a late start
+// by the lease of the whole executor, so that an order which came without an
+// answer may still be carried out long after its own end.
 type playedExecutor struct {
 	running map[platform.Run]bool
 	ended   []platform.EndedRun
@@ -39,6 +41,8 @@
 	barred  int  // starts refused since the run was stopped before
 	mute    int  // so many of the next holds have no answer and no effect
 	cut     bool // no call gets through in either direction
+	strict  bool // an order is void after its own end
+	clock   func() platform.ExecutorClock
 }
 
 func (e *playedExecutor) start(run platform.Run, lease platform.ExecutorClock) {
@@ -46,6 +50,9 @@
 		e.barred++
 		return
 	}
+	if e.strict && lease <= e.clock() {
+		return
+	}
 	e.lease = max(e.lease, lease)
 	e.running[run] = true
 	e.started++
@@ -100,12 +107,14 @@
 	startFate fate   // of all starts
 	loseStops bool   // no stop is carried out or answered
 	stops     int    // that were sent
+	paused    bool   // nobody leads
+	noStore   bool   // nothing becomes durable, and no lease is extended
 }
 
 func newPlay(t *testing.T, executors int) *play {
 	p := &play{world: newWorld(t, executors), executors: make(map[string]*playedExecutor), holds: make(map[string]*call), token: 1}
 	for id := range p.listed {
-		p.executors[id] = &playedExecutor{running: make(map[platform.Run]bool), highest: make(map[work.TaskKey]uint32)}
+		p.executors[id] = &playedExecutor{running: make(map[platform.Run]bool), highest: make(map[work.TaskKey]uint32), clock: func() platform.ExecutorClock { return p.clock }}
 	}
 	return p
 }
@@ -172,13 +181,14 @@
 		}
 		e.do()
 	}
-	for id, e := range p.executors {
+	for _, id := range slices.Sorted(maps.Keys(p.executors)) {
+		e := p.executors[id]
 		p.lapse(e)
-		if h := p.holds[id]; h != nil {
+		if h := p.holds[id]; h != nil && !p.paused {
 			p.hold(id, e, h)
 		}
 	}
-	if !p.now.Before(p.cycleAt) {
+	if !p.paused && !p.now.Before(p.cycleAt) {
 		p.cycleAt = p.now.Add(playCycle)
 		p.cycleOnce()
 	}
@@ -205,7 +215,8 @@
 			*h = call{again: p.now.Add(playHoldRetry)}
 		}
 	case p.now.Sub(h.asked) >= h.wait || uint64(len(e.ended)) > h.seen:
-		if p.cell.Report(id, e.report(h.seen, p.clock), h.asked, p.now) {
+		p.cell.Report(id, e.report(h.seen, p.clock), h.asked, p.now)
+		if !p.noStore {
 			p.save()
 			p.cell.Seen(id, p.cell.Taken(id))
 		}
@@ -214,7 +225,7 @@
 }
 
 func (p *play) ask(id string, e *playedExecutor, h *call) {
-	order, wanted := p.cell.Hold(id, true)
+	order, wanted := p.cell.Hold(id, !p.noStore)
 	if !wanted {
 		delete(p.holds, id)
 		return
@@ -233,7 +244,10 @@
 }
 
 func (p *play) cycleOnce() {
-	orders := p.cycle()
+	var orders []Order
+	if !p.noStore {
+		orders = p.cycle()
+	}
 	for _, s := range p.cell.TakeStops(p.now) {
 		p.sendStop(s)
 	}
@@ -255,12 +269,14 @@
 			e.start(o.Start.Run, o.Order.LeaseUntil)
 		}
 	}
-	if p.startFate.late == 0 {
+	switch {
+	case p.startFate.late > 0:
+		p.after(p.startFate.late, do)
+	case !e.cut:
 		do()
 		cell.Started(o.Start, nil, p.now)
 		return
 	}
-	p.after(p.startFate.late, do)
 	p.after(playCallTimeout, func() { cell.Started(o.Start, platform.ErrNoAnswer, p.now) })
 }
 
