An executor whose newest record can't be read isn't listed

Cause: registry.apply skipped an unreadable record and kept what the last readable one said, and compared only state, address and capacity. Ruled out: keeping the last readable record for a while, since a restore can't know it and two leaders would then list different executors. Change: the key is taken off the list, which lets the cell hold what runs there and start nothing more; two records are compared as a whole; an unreadable record is logged with topic, key and offset, once until a record of its key can be read (platform.UnreadableLog). Conclusion: the list is the same however it is read.

--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -28,12 +28,16 @@
 	log       platform.PartitionLog
 	partition platform.Partition
 	decode    DecodeExecutor
-	events    *logrus.Entry
+	faults    *platform.UnreadableLog
 	listed    map[string]*fleet.Executor
 	next      platform.Offset
 	read      bool // the newest records were read once
 }
 
+func newRegistry(log platform.PartitionLog, p platform.Partition, decode DecodeExecutor, events *logrus.Entry) *registry {
+	return &registry{log: log, partition: p, decode: decode, faults: &platform.UnreadableLog{Partition: p, Events: events}}
+}
+
 // refresh reads what was written since the last call and reports whether
 // something but heartbeats was.
 func (g *registry) refresh(ctx context.Context) (bool, error) {
@@ -60,7 +64,7 @@
 
 // restore reads the newest record of every executor.
 func (g *registry) restore(ctx context.Context) error {
-	fresh := &registry{decode: g.decode, events: g.events, listed: make(map[string]*fleet.Executor)}
+	fresh := &registry{decode: g.decode, faults: g.faults, listed: make(map[string]*fleet.Executor)}
 	next, err := platform.ReadNewest(ctx, g.log, g.partition, registryTimeout, func(records []platform.Record) {
 		for _, r := range records {
 			fresh.apply(r)
@@ -73,18 +77,31 @@
 	return nil
 }
 
-// apply takes in one record and reports whether it brought news.
+// apply takes in one record and reports whether it brought news. An executor
+// whose newest record can't be read isn't listed; what the cell knows to run there
+// is held all the same.
 func (g *registry) apply(r platform.Record) bool {
 	before := g.listed[r.Key]
-	if len(r.Value) == 0 {
+	e := g.executor(r)
+	if e == nil {
 		delete(g.listed, r.Key)
 		return before != nil
 	}
-	e, err := g.decode(r.Key, r.Value)
-	if err != nil {
-		g.events.WithError(err).Error("unreadable record of an executor is skipped")
-		return false
-	}
 	g.listed[r.Key] = e
-	return before == nil || before.Draining != e.Draining || before.Ref != e.Ref || before.Capacity != e.Capacity
+	return before == nil || !before.Equal(e)
+}
+
+// executor returns the executor that a record describes; nil if it is a deletion
+// or can't be read.
+func (g *registry) executor(r platform.Record) *fleet.Executor {
+	var e *fleet.Executor
+	if len(r.Value) > 0 {
+		var err error
+		if e, err = g.decode(r.Key, r.Value); err != nil {
+			g.faults.Unreadable(r, err)
+			return nil
+		}
+	}
+	g.faults.Readable(r.Key)
+	return e
 }
--- a/internal/dispatch/registry_test.go
+++ b/internal/dispatch/registry_test.go
@@ -59,12 +59,12 @@
 	return fmt.Sprintf(`{"service":%q,"address":"10.0.0.9:80","zone":"z","state":%q,"capacity":{"cpu":16000,"requested_memory_mb":32768},"labels":["a",%q]}`, service, state, rack)
 }
 
-// newRegistry returns a registry that reads the records, and what it logs.
-func newRegistry(log *records) (*registry, *bytes.Buffer) {
+// loggedRegistry returns a registry that reads the records, and what it logs.
+func loggedRegistry(log *records) (*registry, *bytes.Buffer) {
 	var logged bytes.Buffer
 	logger := logrus.New()
 	logger.SetOutput(&logged)
-	return &registry{log: log, decode: adapter.DecodeExecutor, events: logrus.NewEntry(logger)}, &logged
+	return newRegistry(log, platform.Partition{Topic: "servers", Keyed: true}, adapter.DecodeExecutor, logrus.NewEntry(logger)), &logged
 }
 
 func mustRefresh(t *testing.T, g *registry) (changed bool) {
@@ -81,7 +81,7 @@
 func TestExecutorWithUnreadableRecordIsNotListed(t *testing.T) {
 	log := &records{}
 	log.put("e", executorOf("svc", "ready", "r1"))
-	g, _ := newRegistry(log)
+	g, _ := loggedRegistry(log)
 	mustRefresh(t, g)
 	if g.listed["e"] == nil {
 		t.Fatal("executor isn't listed")
@@ -106,12 +106,12 @@
 		{"d", ""}, {"b", executorOf("svc", "ready", "r2")},
 	}
 	log := &records{}
-	follows, _ := newRegistry(log)
+	follows, _ := loggedRegistry(log)
 	mustRefresh(t, follows)
 	for i, r := range history {
 		log.put(r.key, r.value)
 		mustRefresh(t, follows)
-		restores, _ := newRegistry(log)
+		restores, _ := loggedRegistry(log)
 		mustRefresh(t, restores)
 		if !reflect.DeepEqual(follows.listed, restores.listed) {
 			t.Errorf("after record %d: read %v, restored %v", i, names(follows.listed), names(restores.listed))
@@ -125,7 +125,7 @@
 func TestEachDifferenceIsNews(t *testing.T) {
 	log := &records{}
 	log.put("e", executorOf("other", "ready", "r1"))
-	g, _ := newRegistry(log)
+	g, _ := loggedRegistry(log)
 	mustRefresh(t, g)
 	for _, c := range []struct {
 		what, record string
@@ -152,7 +152,7 @@
 	log := &records{}
 	log.put("good", executorOf("svc", "ready", "r1"))
 	log.put("bad", "{}")
-	g, logged := newRegistry(log)
+	g, logged := loggedRegistry(log)
 	mustRefresh(t, g)
 	for range 3 {
 		log.put("bad", "{}")
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -324,7 +324,7 @@
 
 // followRegistry keeps the cell's list of executors up to date.
 func (r *Runner) followRegistry(ctx context.Context) {
-	g := &registry{log: r.cfg.Log, partition: r.cfg.Registry, decode: r.cfg.Decode, events: r.cfg.Events}
+	g := newRegistry(r.cfg.Log, r.cfg.Registry, r.cfg.Decode, r.cfg.Events)
 	for ctx.Err() == nil {
 		changed, err := g.refresh(ctx)
 		if err != nil {
--- a/internal/fleet/executor.go
+++ b/internal/fleet/executor.go
@@ -2,6 +2,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
@@ -16,6 +18,12 @@
 	Draining bool // it leaves soon and may be given no new work
 }
 
+// Equal reports whether two records say the same of an executor.
+func (e *Executor) Equal(o *Executor) bool {
+	return e.Ref == o.Ref && e.Service == o.Service && e.Zone == o.Zone && slices.Equal(e.Labels, o.Labels) &&
+		e.Capacity == o.Capacity && e.Draining == o.Draining
+}
+
 // rackLabel is the place of the rack among the labels; the first is the kind.
 const rackLabel = 1
 
