A record that can't be read is passed over and logged once

Ruled out: leaving the malformed record out of the batch, since the leader's deliveries number records by their place among the others and all later ones would be told under wrong offsets. Conclusion: one record costs only itself.

--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -35,7 +35,7 @@
 }
 
 func newRegistry(log platform.PartitionLog, p platform.Partition, decode DecodeExecutor, events *logrus.Entry) *registry {
-	return &registry{log: log, partition: p, decode: decode, faults: &platform.UnreadableLog{Partition: p, Events: events}}
+	return &registry{log: log, partition: p, decode: decode, faults: &platform.UnreadableLog{Events: events.WithField("topic", p.Topic)}}
 }
 
 // refresh reads what was written since the last call and reports whether
@@ -95,12 +95,13 @@
 // or can't be read.
 func (g *registry) executor(r platform.Record) *fleet.Executor {
 	var e *fleet.Executor
+	err := r.Err
 	if len(r.Value) > 0 {
-		var err error
-		if e, err = g.decode(r.Key, r.Value); err != nil {
-			g.faults.Unreadable(r, err)
-			return nil
-		}
+		e, err = g.decode(r.Key, r.Value)
+	}
+	if err != nil {
+		g.faults.Unreadable(r, err)
+		return nil
 	}
 	g.faults.Readable(r.Key)
 	return e
--- a/internal/dispatch/registry_test.go
+++ b/internal/dispatch/registry_test.go
@@ -172,3 +172,30 @@
 		t.Errorf("a record that was readable meanwhile: logged %d times:\n%s", n, logged)
 	}
 }
+
+// A malformed record doesn't keep those after it from being read, and is logged
+// once with its place; one whose key is known names no executor.
+func TestMalformedRecordIsPassedOver(t *testing.T) {
+	log := &records{}
+	log.put("e", executorOf("svc", "ready", "r1"))
+	g, logged := loggedRegistry(log)
+	mustRefresh(t, g)
+	malformed := func(key string) {
+		log.put(key, "")
+		log.all[len(log.all)-1].Err = platform.ErrMalformed
+	}
+	malformed("")
+	malformed("e")
+	malformed("")
+	log.put("f", executorOf("svc", "ready", "r1"))
+	for range 2 {
+		mustRefresh(t, g)
+		g.next = 1 // the records are read once more
+	}
+	if listed := names(g.listed); !slices.Equal(listed, []string{"f"}) {
+		t.Errorf("listed: %v", listed)
+	}
+	if n := strings.Count(logged.String(), "level=error"); n != 3 || !strings.Contains(logged.String(), "topic=servers") {
+		t.Errorf("three records are logged %d times:\n%s", n, logged)
+	}
+}
--- a/internal/platform/newest.go
+++ b/internal/platform/newest.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 )
 
@@ -11,8 +13,8 @@
 // ReadNewest passes the newest record of every key of a keyed partition to
 // each, and returns from where to read on: what was written before that offset
 // has been passed. The offset is asked for before the first record, since a
-// page's records may be older than the end that it names. Each call may take
-// up to timeout.
+// page's records may be older than the end that it names. Malformed records are
+// passed as such, at times more than once. Each call may take up to timeout.
 func ReadNewest(ctx context.Context, log PartitionLog, p Partition, timeout time.Duration, each func([]Record)) (Offset, error) {
 	page, err := newestPage(ctx, log, p, beyondKeys, timeout)
 	if err != nil {
@@ -29,8 +31,23 @@
 		if !page.More || len(page.Records) == 0 {
 			return end, nil
 		}
-		after = page.Records[len(page.Records)-1].Key
+		last := lastKey(page.Records)
+		if last <= after {
+			return 0, fmt.Errorf("newest records of %s/%d: page of %d records names no key after %q", p.Topic, p.Number, len(page.Records), after)
+		}
+		after = last
+	}
+}
+
+// lastKey returns the key after which the next page begins: the last one that
+// could be read. Records after it come once more.
+func lastKey(records []Record) string {
+	for _, r := range slices.Backward(records) {
+		if r.Key != "" {
+			return r.Key
+		}
 	}
+	return ""
 }
 
 func newestPage(ctx context.Context, log PartitionLog, p Partition, after string, timeout time.Duration) (NewestPage, error) {
--- a/internal/platform/partition.go
+++ b/internal/platform/partition.go
@@ -20,8 +20,13 @@
 	Offset Offset // set by reads
 	Key    string // only in keyed partitions
 	Value  []byte
+	Err    error // set by reads: wraps ErrMalformed; there is no value, and a key only if it could be read
 }
 
+// ErrMalformed says that a record is stored in a form that can't be read. It
+// has its place in the partition all the same.
+var ErrMalformed = errors.New("partition: malformed record")
+
 // Append is one append. Its records are stored all or none, next to each
 // other.
 type Append struct {
--- a/internal/platform/unreadable.go
+++ b/internal/platform/unreadable.go
@@ -11,23 +11,23 @@
 // of it can be: writers repeat their records, and pages of the newest records
 // bring the same one again. It is for one partition and one goroutine.
 type UnreadableLog struct {
-	Partition Partition
-	Events    *logrus.Entry
-	logged    map[string]struct{}
+	Events *logrus.Entry
+	logged map[string]Offset // by key, where
 }
 
-// Unreadable notes that a record can't be read.
+// Unreadable notes that a record can't be read. Malformed records whose keys
+// aren't known are told apart by their places.
 func (u *UnreadableLog) Unreadable(r Record, err error) {
-	if _, known := u.logged[r.Key]; known {
+	at, known := u.logged[r.Key]
+	keyless := r.Err != nil && r.Key == ""
+	if known && (!keyless || r.Offset <= at) {
 		return
 	}
 	if u.logged == nil || len(u.logged) >= maxUnreadable {
-		u.logged = make(map[string]struct{})
+		u.logged = make(map[string]Offset)
 	}
-	u.logged[r.Key] = struct{}{}
-	u.Events.WithError(err).WithFields(logrus.Fields{
-		"topic": u.Partition.Topic, "partition": u.Partition.Number, "key": r.Key, "offset": r.Offset,
-	}).Error("unreadable record is skipped")
+	u.logged[r.Key] = r.Offset
+	u.Events.WithError(err).WithFields(logrus.Fields{"key": r.Key, "offset": r.Offset}).Error("unreadable record is skipped")
 }
 
 // Readable notes that the newest record of a key can be read, or is deleted.
--- a/internal/queue/watch.go
+++ b/internal/queue/watch.go
@@ -29,9 +29,10 @@
 	Decode    func([]byte) (*Table, error)
 	Events    *logrus.Entry
 
-	table atomic.Pointer[Table]
-	next  platform.Offset
-	read  bool // the newest record was read once
+	table  atomic.Pointer[Table]
+	next   platform.Offset
+	read   bool // the newest record was read once
+	faults platform.UnreadableLog
 }
 
 // Table returns the configuration in force; nil before the first.
@@ -39,6 +40,7 @@
 
 // Run follows the configuration until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
+	w.faults.Events = w.Events.WithField("topic", w.Partition.Topic)
 	for ctx.Err() == nil {
 		if err := w.step(ctx); err != nil {
 			w.Events.WithError(err).Debug("configuration not read")
@@ -85,15 +87,22 @@
 	return nil
 }
 
+// apply takes in one of the operator's records. One that can't be read leaves
+// the configuration in force as it is.
 func (w *Watch) apply(r platform.Record) {
+	if r.Err != nil {
+		w.faults.Unreadable(r, r.Err)
+		return
+	}
 	if r.Key != w.Key || len(r.Value) == 0 {
 		return
 	}
 	t, err := w.Decode(r.Value)
 	if err != nil {
-		w.Events.WithError(err).WithField("offset", r.Offset).Error("unreadable configuration is skipped")
+		w.faults.Unreadable(r, err)
 		return
 	}
+	w.faults.Readable(r.Key)
 	if old := w.table.Load(); old != nil && t.Version <= old.Version {
 		return
 	}
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -89,3 +89,24 @@
 		}
 	}
 }
+
+// A malformed record takes its place and changes nothing, also where its key is
+// that of a job; it is no deletion.
+func TestMalformedRecordOfAJob(t *testing.T) {
+	id := work.ID{1}
+	r, logged := loggedReplica(t, id)
+	var published []platform.Record
+	r.Publish(func(records []platform.Record) { published = append(published, records...) })
+	malformed := []platform.Record{
+		{Offset: 1, Err: platform.ErrMalformed},
+		{Offset: 2, Key: work.Key(work.KindJob, id), Err: platform.ErrMalformed},
+		{Offset: 3, Err: platform.ErrMalformed},
+	}
+	r.apply(malformed, 4, foreignStart)
+	if _, ok := r.Get(id); !ok || r.Position() != 4 || len(published) != len(malformed) {
+		t.Errorf("job known %v, position %d, %d records published", ok, r.Position(), len(published))
+	}
+	if n := strings.Count(logged.String(), "level=error"); n != len(malformed) {
+		t.Errorf("%d malformed records are logged %d times:\n%s", len(malformed), n, logged)
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,7 +24,8 @@
 
 	mu       sync.Mutex // guards the fields below and orders changes
 	next     platform.Offset
-	synced   bool      // everything up to next has been applied
+	synced   bool // everything up to next has been applied
+	faults   *platform.UnreadableLog
 	current  time.Time // when the store, or the leader, last told what it holds
 	complete time.Time // when nothing that it held was missing here
 	listener func([]Change)
@@ -38,7 +39,7 @@
 
 // New returns an empty replica that forgets a job some time after its end.
 func New(kept time.Duration, events *logrus.Entry) *Replica {
-	r := &Replica{events: events, kept: kept}
+	r := &Replica{events: events, kept: kept, faults: &platform.UnreadableLog{Events: events.WithField("records", "jobs")}}
 	for i := range r.shards {
 		r.shards[i].jobs = make(map[work.ID]*Entry)
 	}
@@ -211,50 +212,66 @@
 	return nil
 }
 
-// applyOne takes in one record; r.mu is held.
+// applyOne takes in one record; r.mu is held. One that can't be read changes
+// nothing.
 func (r *Replica) applyOne(rec platform.Record, now time.Time) (Change, bool) {
-	kind, id, err := work.ParseKey(rec.Key)
+	c, news, err := r.read(rec, now)
 	if err != nil {
-		r.events.WithError(err).WithField("offset", rec.Offset).Error("record with an unknown key is skipped")
+		r.faults.Unreadable(rec, err)
 		return Change{}, false
 	}
+	r.faults.Readable(rec.Key)
+	return c, news
+}
+
+func (r *Replica) read(rec platform.Record, now time.Time) (Change, bool, error) {
+	if rec.Err != nil {
+		return Change{}, false, rec.Err
+	}
+	kind, id, err := work.ParseKey(rec.Key)
+	if err != nil {
+		return Change{}, false, err
+	}
 	s := r.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(rec.Value) == 0 {
 		delete(s.jobs, id) // the leader deletes all of a job's keys together
-		return Change{}, false
+		return Change{}, false, nil
 	}
 	e := s.jobs[id]
 	if e == nil {
 		e = &Entry{}
-		s.jobs[id] = e
 	}
-	news, err := e.take(kind, rec)
-	if err != nil {
-		r.events.WithError(err).WithFields(logrus.Fields{"job": id, "offset": rec.Offset}).Error("unreadable record is skipped")
-	}
-	if !news {
-		return Change{}, false
+	news, err := e.take(kind, id, rec)
+	if err != nil || !news {
+		return Change{}, false, err
 	}
+	s.jobs[id] = e
 	if e.ended.IsZero() && e.State().Final() {
 		e.ended = now
 	}
-	return Change{ID: id, Kind: kind, Entry: *e}, true
+	return Change{ID: id, Kind: kind, Entry: *e}, true, nil
 }
 
 // take applies a record to the entry of its job and reports whether it says
 // anything new: a submission may be stored twice, and records are read again
 // when the store has dropped its history.
-func (e *Entry) take(kind work.Kind, rec platform.Record) (bool, error) {
+func (e *Entry) take(kind work.Kind, id work.ID, rec platform.Record) (bool, error) {
 	switch kind {
 	case work.KindJob:
 		if e.Job != nil {
 			return false, nil // the first submission of an ID counts
 		}
 		job, err := work.DecodeJob(rec.Value)
+		if err != nil {
+			return false, err
+		}
+		if job.ID != id {
+			return false, errors.Newf("replica: submission of job %s under the key of job %s", job.ID, id)
+		}
 		e.Job = job
-		return err == nil, err
+		return true, nil
 	case work.KindProgress:
 		if e.Progress != nil && rec.Offset <= e.progressAt {
 			return false, nil // a page of the newest records is older than what was read since
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -24,11 +24,17 @@
 	if key == "" {
 		return 0, ID{}, errors.New("work: empty record key")
 	}
+	kind := Kind(key[0])
+	switch kind {
+	case KindJob, KindProgress, KindCancel:
+	default:
+		return 0, ID{}, errors.Newf("record key %q is of no known kind", key)
+	}
 	id, err := ParseID(key[1:])
 	if err != nil {
 		return 0, id, errors.Wrapf(err, "record key %q", key)
 	}
-	return Kind(key[0]), id, nil
+	return kind, id, nil
 }
 
 // EncodeJob returns the value of a job's record.
