The planner judges executors by service and answer, not by their records alone

Cause: a record in the registry was enough for an executor to be called, for another to count as gone with its runs, and for starts to go to another address. Ruled out: leaving foreign services out of the list in the registry's reader, since a configuration that comes later must bring them in without a new record; believing a record's address as soon as it is written, since the refusal of the life that is there (421) ends all runs of the executor. Change: an executor is called if it may run something or is listed for a service that the configuration in force names (queue.Table.Serves); holds end when that ends; an executor off the list is replaced only by one that has answered at its address after it; one that has answered is called there until it is silent and its lease is over; a record that is no longer draining lets starts through again; what a call for advice would name is counted by service. The test of renewals calls holdExecutor with the id, which now asks the cell for the address each time; what it checks is as it was. Conclusion: no task is started twice, and no foreign executor called, by what somebody writes.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -20,20 +20,20 @@
 		}
 		holdCtx, cancel := context.WithCancel(ctx)
 		r.holds[ref.ID] = cancel
-		r.spawn(func() { r.holdExecutor(holdCtx, ref) })
+		r.spawn(func() { r.holdExecutor(holdCtx, ref.ID) })
 	}
 }
 
 // holdExecutor renews the lease of one executor and takes in its reports,
-// until the cell lets it go.
-func (r *Runner) holdExecutor(ctx context.Context, ref platform.ExecutorRef) {
-	defer r.endHold(ref.ID)
+// until the cell doesn't want it called any more.
+func (r *Runner) holdExecutor(ctx context.Context, id string) {
+	defer r.endHold(id)
 	wait := time.Duration(0) // the first report is wanted at once
 	var ends unseen
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		asked := time.Now()
-		order, wanted := r.cell.Hold(ref.ID, r.cfg.MayRenew())
+		ref, order, wanted := r.cell.Hold(id, r.cfg.MayRenew())
 		r.mu.Unlock()
 		if !wanted {
 			return
@@ -47,7 +47,7 @@
 			}
 			continue
 		}
-		r.takeReport(ctx, ref.ID, report, asked, &ends)
+		r.takeReport(ctx, id, report, asked, &ends)
 		pause.For(ctx, holdPace-time.Since(asked))
 		wait = holdWait
 	}
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -110,7 +110,7 @@
 		r := New(Config{Executors: executor, MayRenew: func() bool { return true }, Events: logging.Silent()})
 		r.cell = waitingCell(0)
 		ctx, stop := context.WithCancel(context.Background())
-		r.spawn(func() { r.holdExecutor(ctx, platform.ExecutorRef{ID: "e", Address: "10.0.0.1:1"}) })
+		r.spawn(func() { r.holdExecutor(ctx, "e") })
 		time.Sleep(5500 * time.Millisecond)
 		if n, newest := executor.holds(); n < 5 || n > 8 || newest != 0 {
 			t.Errorf("%d holds in 5.5 s, the newest saw ends up to %d", n, newest)
--- a/internal/plan/admit.go
+++ b/internal/plan/admit.go
@@ -80,7 +80,7 @@
 	if len(s.advice.tickets) > 0 {
 		return len(s.advice.tickets)
 	}
-	return min(len(c.sorted), c.cfg.MostAdvised)
+	return min(c.pools[c.service(s.job)], c.cfg.MostAdvised)
 }
 
 // capacity returns the processors of all executors that may be given work, in
@@ -88,7 +88,7 @@
 func (c *Cell) capacity() float64 {
 	total := 0.0
 	for _, v := range c.sorted {
-		if v.listed && v.known && !v.Draining {
+		if c.serves(v) && v.known && !v.Draining {
 			total += float64(v.Capacity.MilliCPU)
 		}
 	}
@@ -101,7 +101,7 @@
 	if q == nil || q.Advice == nil {
 		return 0
 	}
-	return q.Advice.Cost(min(len(c.sorted), c.cfg.MostAdvised))
+	return q.Advice.Cost(min(c.pools[q.Service], c.cfg.MostAdvised))
 }
 
 // LongestWait bounds the whole backlog that a job may be accepted with. Clients of a
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -167,13 +167,7 @@
 	if now.Sub(c.began) > gatherFor {
 		return named
 	}
-	listed := 0
-	for _, v := range c.sorted {
-		if v.listed && v.Service == c.service(s.job) {
-			listed++
-		}
-	}
-	if 2*len(named) < min(listed, cheapToName(q.Advice)) {
+	if 2*len(named) < min(c.pools[c.service(s.job)], cheapToName(q.Advice)) {
 		return nil
 	}
 	return named
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -19,7 +19,8 @@
 	events    *logrus.Entry
 	lookup    func(work.ID) *work.Job // any stored job, also one that has ended; nil if unknown
 	table     *queue.Table
-	began     time.Time // when this leader took over
+	pools     map[string]int // number of listed executors by service
+	began     time.Time      // when this leader took over
 	vms       map[string]*vm
 	sorted    []*vm // by id
 	jobs      map[work.ID]*job
@@ -314,6 +315,7 @@
 
 // Executors takes in who is registered now.
 func (c *Cell) Executors(listed map[string]*fleet.Executor, now time.Time) {
+	c.pools = make(map[string]int)
 	for id, e := range listed {
 		v := c.vms[id]
 		if v == nil {
@@ -322,11 +324,8 @@
 			c.sorted = append(c.sorted, v)
 			c.lookAgain()
 		}
-		v.Executor = *e
-		v.listed = true
-		if e.Draining && v.draining.IsZero() {
-			v.draining = now
-		}
+		v.register(*e, now)
+		c.pools[e.Service]++
 	}
 	for id, v := range c.vms {
 		if listed[id] == nil {
@@ -337,18 +336,18 @@
 	c.dropReplaced()
 }
 
-// dropReplaced lets go of executors whose address another life has taken.
+// dropReplaced lets go of executors whose address another life has taken. That
+// a record names the address is no proof, since it may be somebody else's: the
+// other life has to have answered there, and later.
 func (c *Cell) dropReplaced() {
-	lives := make(map[string]*vm, len(c.sorted))
+	var replaced []string
 	for _, v := range c.sorted {
-		if v.listed {
-			lives[v.Ref.Address] = v
+		if !v.listed && slices.ContainsFunc(c.sorted, v.isFollowedBy) {
+			replaced = append(replaced, v.Ref.ID)
 		}
 	}
-	for _, v := range append([]*vm(nil), c.sorted...) {
-		if now := lives[v.Ref.Address]; !v.listed && now != nil && now != v {
-			c.Gone(v.Ref.ID)
-		}
+	for _, id := range replaced {
+		c.Gone(id)
 	}
 }
 
@@ -387,18 +386,29 @@
 		}
 		if !v.listed {
 			c.Gone(v.Ref.ID)
+			continue
 		}
+		v.Ref.Address = v.address
 	}
 }
 
-// Refs returns the executors that should be called: the registered ones and
-// those that may run something.
+// Refs returns the executors that should be called.
 func (c *Cell) Refs() []platform.ExecutorRef {
 	refs := make([]platform.ExecutorRef, 0, len(c.sorted))
 	for _, v := range c.sorted {
-		if v.Ref.Address != "" && (v.listed || len(v.claims) > 0) {
+		if c.calls(v) {
 			refs = append(refs, v.Ref)
 		}
 	}
 	return refs
 }
+
+// calls reports whether an executor should be called: it may run something, or
+// it is registered for a service that the configuration in force names.
+func (c *Cell) calls(v *vm) bool {
+	return v.Ref.Address != "" && (len(v.claims) > 0 || c.serves(v))
+}
+
+// serves reports whether an executor is registered for a service that the
+// configuration in force names.
+func (c *Cell) serves(v *vm) bool { return v.listed && c.table.Serves(v.Service) }
--- a/internal/plan/foreign_test.go
+++ b/internal/plan/foreign_test.go
@@ -41,7 +41,7 @@
 
 // held reports whether an executor's holds go on.
 func (w *world) held(id string) bool {
-	_, wanted := w.cell.Hold(id, true)
+	_, _, wanted := w.cell.Hold(id, true)
 	return wanted
 }
 
@@ -133,6 +133,7 @@
 			other.Ref.ID = "n"
 			w.listed["n"] = &other
 			w.cell.Executors(w.listed, w.now)
+			w.pass(time.Millisecond)
 			w.report("n", nil, nil)
 			So(w.cell.vms[at], ShouldBeNil)
 			So(w.cycle(), ShouldHaveLength, 1)
@@ -144,6 +145,18 @@
 			So(w.held(at), ShouldBeTrue)
 		})
 	})
+	Convey("A former life that is still listed at an address doesn't end the runs of the newer one", t, func() {
+		w := newWorld(t, 1)
+		w.pass(time.Second)
+		w.list("n", "e0", testService)
+		w.report("n", nil, nil)
+		w.fill(0, 1)
+		w.job(1, testQueue, oneTask(4))
+		w.startAll(w.cycle())
+		So(w.cell.vms["n"].claims, ShouldHaveLength, 1)
+		w.unlist("n")
+		So(w.cell.vms["n"].claims, ShouldHaveLength, 1)
+	})
 	Convey("Of two entries with one address the one that is refused there goes alone", t, func() {
 		w := newWorld(t, 1)
 		w.job(1, testQueue, oneTask(4))
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -11,21 +11,22 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-// Hold returns the next renewal for an executor; without renew it only asks.
+// Hold returns the next renewal for an executor and where to send it; without
+// renew it only asks. It returns false once the executor is not to be called.
 // The lease counts from the executor's last report: were it counted from now,
 // each attempt to reach a silent executor would put off the time from which
 // its work is certainly over.
-func (c *Cell) Hold(id string, renew bool) (platform.HoldOrder, bool) {
+func (c *Cell) Hold(id string, renew bool) (to platform.ExecutorRef, order platform.HoldOrder, wanted bool) {
 	v := c.vms[id]
-	if v == nil {
-		return platform.HoldOrder{}, false
+	if v == nil || !c.calls(v) {
+		return to, order, false
 	}
-	order := platform.HoldOrder{Seen: v.seen}
+	order.Seen = v.seen
 	if renew && v.known {
 		order.LeaseUntil = v.clock.Add(c.cfg.Lease)
 		v.lease = max(v.lease, order.LeaseUntil)
 	}
-	return order, true
+	return v.Ref, order, true
 }
 
 // Started takes in the answer to a start order.
@@ -96,9 +97,13 @@
 	if v == nil {
 		return false
 	}
+	first := !v.known
 	v.known = true
 	v.clock = r.Clock
 	v.clockAt = now
+	if first {
+		c.dropReplaced()
+	}
 	v.lapses = time.Time{}
 	news := c.applyEnds(v, r)
 	listed := c.applyRunning(v, r, now)
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -38,7 +38,8 @@
 // vm is one life of an executor as the leader sees it.
 type vm struct {
 	fleet.Executor
-	listed   bool // in the registry
+	listed   bool   // in the registry
+	address  string // that the registry names; Ref has the one to call
 	used     api.Resources
 	promised api.Resources // to steps whose calls for advice name it (promise.go)
 	claims   map[platform.Run]*claim
@@ -64,6 +65,30 @@
 	return &vm{Executor: e, claims: make(map[platform.Run]*claim), failJobs: make(map[*job]struct{}), slowness: 1}
 }
 
+// register takes in the executor's record. One that has answered is called where
+// it did until it is silent and its lease is over: a life keeps its address, and
+// calls to another place would be taken for its end.
+func (v *vm) register(e fleet.Executor, now time.Time) {
+	v.address = e.Ref.Address
+	if v.known {
+		e.Ref.Address = v.Ref.Address
+	}
+	v.Executor = e
+	v.listed = true
+	switch {
+	case !e.Draining:
+		v.draining = time.Time{}
+	case v.draining.IsZero():
+		v.draining = now
+	}
+}
+
+// isFollowedBy reports whether another life has answered at the executor's
+// address after it.
+func (v *vm) isFollowedBy(o *vm) bool {
+	return o.listed && o.Ref.Address == v.Ref.Address && o.clockAt.After(v.clockAt)
+}
+
 // free returns the room that no claim holds.
 func (v *vm) free() api.Resources { return v.Capacity.Sub(v.used) }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -81,3 +81,17 @@
 	}
 	return nil
 }
+
+// Serves reports whether the configuration names the service, by itself or for a
+// queue.
+func (t *Table) Serves(service string) bool {
+	if _, named := t.Services[service]; named {
+		return true
+	}
+	for i := range t.Queues {
+		if t.Queues[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
