A planned start is sent only while its executor serves the job's service

Cause: Confirm looked at leaving and silence, not at whether the executor is still listed and for which service; suits compared services without asking whether the configuration names them. Ruled out: leaving it to the executor's refusal, since one of a service that guards nothing would start the task. Change: both ask Cell.serves; Confirm also compares the service. Conclusion: nothing is sent to an executor that the newest records don't name for the job.

--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -132,7 +132,7 @@
 	if q != nil {
 		service = q.Service
 	}
-	if v.Service != service || !v.usable(now, &c.cfg) {
+	if v.Service != service || !v.usable(now, &c.cfg) || !c.serves(v) {
 		return false
 	}
 	return s.spec.Label == "" || v.HasLabel(s.spec.Label)
@@ -308,7 +308,7 @@
 // stillRight reports whether a planned start may be sent.
 func (c *Cell) stillRight(cl *claim, now time.Time) bool {
 	v := cl.vm
-	if cl.unwanted {
+	if cl.unwanted || !c.serves(v) || v.Service != c.service(cl.task.step.job) {
 		return false
 	}
 	if !v.draining.IsZero() && now.Sub(v.draining) > c.cfg.DrainMargin {
