--- a/internal/platform/newest_test.go
+++ b/internal/platform/newest_test.go
@@ -44,3 +44,32 @@
 		}
 	}
 }
+
+// onePage is a partition whose pages are all alike and never the last.
+type onePage struct {
+	PartitionLog
+	records []Record
+	calls   int
+}
+
+func (o *onePage) Newest(context.Context, Partition, string) (NewestPage, error) {
+	o.calls++
+	return NewestPage{Records: o.records, More: true}, nil
+}
+
+// A page that names no key to go on after ends the reading with an error: what
+// follows can't be reached.
+func TestReadNewestEndsWithoutAKeyToGoOnAfter(t *testing.T) {
+	for name, records := range map[string][]Record{
+		"no keys":      {{Err: ErrMalformed}, {Err: ErrMalformed}},
+		"the same key": {{Key: "a", Value: []byte("x")}, {Err: ErrMalformed}},
+	} {
+		o := &onePage{records: records}
+		if _, err := ReadNewest(context.Background(), o, Partition{Topic: "x"}, time.Second, func([]Record) {}); err == nil {
+			t.Errorf("%s: read to the end", name)
+		}
+		if o.calls > 3 {
+			t.Errorf("%s: %d calls", name, o.calls)
+		}
+	}
+}
--- a/internal/queue/watch_test.go
+++ b/internal/queue/watch_test.go
@@ -29,7 +29,7 @@
 func (l *operatorLog) Newest(_ context.Context, _ platform.Partition, after string) (platform.NewestPage, error) {
 	page := platform.NewestPage{End: 100}
 	for _, r := range l.newest {
-		if r.Key > after {
+		if r.Key > after || r.Err != nil {
 			page.Records = append(page.Records, r)
 		}
 	}
@@ -108,3 +108,15 @@
 		t.Errorf("logged %d times:\n%s", n, logged)
 	}
 }
+
+// Malformed records are logged once each and change nothing.
+func TestMalformedRecordOfTheOperator(t *testing.T) {
+	malformed := platform.Record{Offset: 2, Err: platform.ErrMalformed}
+	table, logged := watched(t, &operatorLog{newest: []platform.Record{op(1, "config", `{"version":3}`), malformed}, gone: 3})
+	if table == nil || table.Version != 3 {
+		t.Errorf("%+v is in force", table)
+	}
+	if n := strings.Count(logged, "level=error"); n != 1 || !strings.Contains(logged, "offset=2") {
+		t.Errorf("logged %d times:\n%s", n, logged)
+	}
+}
