Test: holds follow an executor's newest record

Cause: that the loop which holds an executor asks for its address each time, and ends, was checked in the planner only. Conclusion: nothing of the code changes.

--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -167,3 +167,75 @@
 		}
 	})
 }
+
+// placedExecutor answers at one address only and notes where it was called.
+type placedExecutor struct {
+	platform.Executors
+	address string
+	mu      sync.Mutex
+	called  map[string]int
+}
+
+func (e *placedExecutor) Hold(_ context.Context, to platform.ExecutorRef, order platform.HoldOrder) (platform.ExecutorReport, error) {
+	e.mu.Lock()
+	e.called[to.Address]++
+	e.mu.Unlock()
+	if to.Address != e.address {
+		return platform.ExecutorReport{}, platform.ErrNotReached
+	}
+	time.Sleep(order.Wait)
+	return platform.ExecutorReport{Clock: platform.ExecutorClock(time.Now().UnixMilli())}, nil
+}
+
+func (e *placedExecutor) at(address string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.called[address]
+}
+
+// An executor is called where its newest record says until it answers there, and
+// no more once it isn't registered and nothing runs there.
+func TestHoldsFollowTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wrong, right = "10.0.0.1:1", "10.0.0.2:1"
+		e := &placedExecutor{address: right, called: make(map[string]int)}
+		r := New(Config{Executors: e, MayRenew: func() bool { return true }, Events: logging.Silent()})
+		cell := plan.NewCell(plan.DefaultConfig(), func(work.ID) *work.Job { return nil }, logging.Silent(), time.Now())
+		cell.Configure(&queue.Table{Services: map[string]queue.Service{"svc": {Name: "svc"}}})
+		r.cell = cell
+		ctx, stop := context.WithCancel(t.Context())
+		list := func(address string) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			listed := make(map[string]*fleet.Executor)
+			if address != "" {
+				listed["e"] = &fleet.Executor{Ref: platform.ExecutorRef{ID: "e", Address: address}, Service: "svc"}
+			}
+			cell.Executors(listed, time.Now())
+			r.keepHolds(ctx)
+		}
+		list(wrong)
+		time.Sleep(5 * time.Second)
+		list(right)
+		time.Sleep(5 * time.Second)
+		before := e.at(wrong)
+		if before == 0 || e.at(right) == 0 {
+			t.Errorf("calls: %v", e.called)
+		}
+		list(wrong) // it answers elsewhere
+		time.Sleep(5 * time.Second)
+		if n := e.at(wrong) - before; n > 0 {
+			t.Errorf("%d calls at an address where it doesn't answer", n)
+		}
+		list("")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		calls := e.at(right)
+		time.Sleep(5 * time.Second)
+		if n := e.at(right) - calls; n > 0 || len(r.holds) > 0 {
+			t.Errorf("%d calls, %d holds of an executor that isn't registered", n, len(r.holds))
+		}
+		stop()
+		r.tasks.Wait()
+	})
+}
