Merge: records that other writers put into the store name no executor

A queue of the configuration in force needs no second look whether its service is named: that look stood in the loop over all executors and steps.

--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -130,7 +130,9 @@
 func (c *Cell) suits(s *step, q *queue.Queue, v *vm, now time.Time) bool {
 	service := s.job.spec.Service
 	if q != nil {
-		service = q.Service
+		service = q.Service // which the configuration in force names
+	} else if !c.table.Serves(service) {
+		return false
 	}
 	if v.Service != service || !v.usable(now, &c.cfg) {
 		return false
@@ -308,7 +310,7 @@
 // stillRight reports whether a planned start may be sent.
 func (c *Cell) stillRight(cl *claim, now time.Time) bool {
 	v := cl.vm
-	if cl.unwanted {
+	if cl.unwanted || !c.serves(v) || v.Service != c.service(cl.task.step.job) {
 		return false
 	}
 	if !v.draining.IsZero() && now.Sub(v.draining) > c.cfg.DrainMargin {
--- a/internal/platform/newest.go
+++ b/internal/platform/newest.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/pause"
@@ -24,7 +26,8 @@
 // ReadNewest passes the newest record of every key of a keyed partition to
 // each, and returns from where to read on: what was written before that offset
 // has been passed. The offset is asked for before the first record, since a
-// page's records may be older than the end that it names.
+// page's records may be older than the end that it names. Malformed records are
+// passed as such, at times more than once.
 //
 // A page that fails is asked for again until ctx ends, and the pages before it
 // are kept: a reading that began anew whenever a page fails would not end on a
@@ -47,7 +50,11 @@
 		if !page.More || len(page.Records) == 0 {
 			return end, nil
 		}
-		after = page.Records[len(page.Records)-1].Key
+		last := lastKey(page.Records)
+		if last <= after {
+			return 0, fmt.Errorf("newest records of %s/%d: page of %d records names no key after %q", p.Topic, p.Number, len(page.Records), after)
+		}
+		after = last
 	}
 }
 
@@ -82,3 +89,14 @@
 	page, err = n.log.Newest(ctx, n.partition, key)
 	return page, ctx.Err() != nil, err
 }
+
+// lastKey returns the key after which the next page begins: the last one that
+// could be read. Records after it come once more.
+func lastKey(records []Record) string {
+	for _, r := range slices.Backward(records) {
+		if r.Key != "" {
+			return r.Key
+		}
+	}
+	return ""
+}
