The evidence of the frozen leader's cycle of locks, from a trial

Cause: the cycle stood in the test's comment as read from the code only. Ruled out: a freeze by anything else in the trial: with the elector's mend and the same sleeps there is none. Change: the comment names the trial. Conclusion: the cycle is real; how often it closes depends on when threads take turns.

--- a/internal/leader/lock_test.go
+++ b/internal/leader/lock_test.go
@@ -15,8 +15,9 @@
 // last renewed. Cause: a callback under a lock, which closed a cycle. The
 // evidence: the processor time of leaders fell from 40-80% to 0 within a second,
 // four times in one play, with memory and connections held and a few calls to
-// the store a second going on. That it was this cycle is read from the code; no
-// frozen process was looked into.
+// the store a second going on. In a trial in which three of these locks were held
+// 0.2 ms longer, and leadership was renewed each millisecond, the processes of a
+// cell froze within 15 s, two times of two, with the stacks of this cycle.
 func TestStandingIsAskedWithoutTheLock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := election(t, 1)[0]
