The count of refused appends doesn't depend on chance in its test

Ruled out: a higher limit, which would let the middle case grow unseen.

Change: the intake takes its chance from a function; the test plays the shortest, the middle and the longest pauses and asks for the exact number each. Besides, a leader that can't encode its progress tells those who handed records in that these aren't stored, before it ends.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -183,6 +183,7 @@
 func (r *Runner) store(ctx context.Context, handedIn []*submission, records []plan.Record) error {
 	parts, err := progress(records)
 	if err != nil {
+		answer(handedIn, assist.NotStored) // or those who handed in wait for their whole time
 		return err
 	}
 	parts = join(handedIn, parts)
--- a/internal/intake/again.go
+++ b/internal/intake/again.go
@@ -1,9 +1,6 @@
 package intake
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // firstPatience returns when the first of the requests is to be answered.
 func firstPatience(batch []*request) time.Time {
@@ -41,5 +38,5 @@
 		d *= 2
 	}
 	d = min(d, in.cfg.AgainMost)
-	return d/2 + rand.N(d/2+1)
+	return d/2 + in.chance(d/2+1)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -86,6 +87,7 @@
 	slots     chan struct{}
 	direct    chan struct{}
 	wake      chan struct{}
+	chance    func(below time.Duration) time.Duration // any time from zero up to below
 
 	mu      sync.Mutex
 	pending []*request
@@ -118,6 +120,7 @@
 		slots:     make(chan struct{}, cfg.AtOnce),
 		direct:    make(chan struct{}, cfg.Direct),
 		wake:      make(chan struct{}, 1),
+		chance:    rand.N[time.Duration],
 	}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -15,6 +15,7 @@
 
 // fakeLog answers appends as told and counts those under way.
 type fakeLog struct {
+	chance func(time.Duration) time.Duration // nil: as in use
 	platform.PartitionLog
 	mu       sync.Mutex
 	errs     []error // of the next appends; none left: success
@@ -70,6 +71,9 @@
 		ctx, stop := context.WithCancel(t.Context())
 		l.began = time.Now()
 		in := New(DefaultConfig(), l, platform.Partition{}, relay, func() bool { return l.down }, l.isDelivered, logging.Silent())
+		if l.chance != nil {
+			in.chance = l.chance
+		}
 		go func() { _ = in.Run(ctx) }()
 		var mu sync.Mutex
 		var clients sync.WaitGroup
@@ -233,15 +237,29 @@
 	}
 }
 
-// A store whose queue is full is tried less and less often.
+// A store whose queue is full is tried less and less often. How often depends on
+// chance; of the pauses that it can choose the shortest, the middle and the
+// longest are played.
 func TestRefusedAppendsBecomeFewer(t *testing.T) {
-	var errs []error
-	for range 1000 {
-		errs = append(errs, platform.ErrUnavailable)
-	}
-	l := &fakeLog{errs: errs, patience: 2900 * time.Millisecond}
-	got := play(t, l, noLeader, 1)
-	if count(got, ErrNotStored) != 1 || l.appends > 12 {
-		t.Errorf("got %v after %d appends", got, l.appends)
+	for _, c := range []struct {
+		name    string
+		chance  func(below time.Duration) time.Duration
+		appends int
+	}{
+		{"shortest pauses", func(time.Duration) time.Duration { return 0 }, 14},
+		{"middle", func(below time.Duration) time.Duration { return below / 2 }, 12},
+		{"longest", func(below time.Duration) time.Duration { return below - 1 }, 11},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var errs []error
+			for range 1000 {
+				errs = append(errs, platform.ErrUnavailable)
+			}
+			l := &fakeLog{errs: errs, patience: 2900 * time.Millisecond, chance: c.chance}
+			got := play(t, l, noLeader, 1)
+			if count(got, ErrNotStored) != 1 || l.appends != c.appends {
+				t.Errorf("got %v after %d appends, want %d", got, l.appends, c.appends)
+			}
+		})
 	}
 }
