One test of the elector's lock instead of two

Cause: the lock was traced twice, independently, and got the same test twice.

Change: TestStandingIsAskedWithoutTheLock stays, which asks for the same and also that both the candidate's and the leader's look are seen; TestStandingIsAskedOutsideTheLock goes.

--- a/internal/leader/elector_test.go
+++ b/internal/leader/elector_test.go
@@ -174,36 +174,6 @@
 	})
 }
 
-// Leaders stopped one after the other: their processes used no processor time
-// and answered no readiness check until they were killed, while others took
-// over and stopped the same way. The elector asked how its machine compares
-// while it held its lock, which asks the replica; the replica, under its own
-// lock, told the planner of new records, which waited for its lock; and a loop
-// that held that one asked the elector whether it may renew leases. The
-// evidence: no line of a stop or a hand-over, connections to all executors
-// open, no processor time, from the same moment on.
-func TestStandingIsAskedOutsideTheLock(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := election(t, 0.8)[0]
-		asked, under := 0, 0
-		c.cfg.Standing = func() Standing {
-			asked++
-			if !c.Elector.mu.TryLock() { // nobody else uses the elector in this test
-				under++
-				return Fit
-			}
-			c.Elector.mu.Unlock()
-			return Fit
-		}
-		stop := run(c)
-		time.Sleep(3 * time.Second)
-		stop()
-		if asked == 0 || under > 0 {
-			t.Errorf("asked %d times, %d of them while the elector held its lock", asked, under)
-		}
-	})
-}
-
 // After a loss of power of all machines nothing was planned for 15 s and
 // longer: a process that had read none of the jobs yet could claim, renewed its
 // claim, and kept those from claiming that had read them.
