Wire names of test records stand in the stand-ins

Cause: tests of internal/dispatch and internal/node spelled the registry's fields, a header and a configuration themselves.

Change: standin.Registration, PutExecutor, CalledExecutor and ConfigureServices; the checks are as they were.

--- a/internal/dispatch/registry_test.go
+++ b/internal/dispatch/registry_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"maps"
 	"reflect"
 	"slices"
@@ -16,6 +15,7 @@
 	"github.com/skylarklock/skylarklock/internal/fleet"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	adapter "github.com/skylarklock/skylarklock/platform"
+	"github.com/skylarklock/skylarklock/platform/standin"
 )
 
 // records is a keyed partition in memory. Below first its history is gone.
@@ -56,7 +56,7 @@
 
 // executorOf returns the record of an executor.
 func executorOf(service, state, rack string) string {
-	return fmt.Sprintf(`{"service":%q,"address":"10.0.0.9:80","zone":"z","state":%q,"capacity":{"cpu":16000,"requested_memory_mb":32768},"labels":["a",%q]}`, service, state, rack)
+	return string(standin.Registration{Service: service, Address: "10.0.0.9:80", State: state, Rack: rack, MilliCPU: 16000, MemoryMB: 32768}.Record())
 }
 
 // loggedRegistry returns a registry that reads the records, and what it logs.
--- a/internal/node/foreign_test.go
+++ b/internal/node/foreign_test.go
@@ -1,12 +1,13 @@
 package node
 
 import (
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/skylarklock/skylarklock/platform/standin"
 )
 
 // visited is a server that notes which executor's calls reach it.
@@ -18,7 +19,7 @@
 func (v *visited) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.ids[r.Header.Get("X-Skylarklock-Expected-Instance")]++
+	v.ids[standin.CalledExecutor(r)]++
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -37,13 +38,13 @@
 	server := httptest.NewServer(v)
 	t.Cleanup(server.Close)
 	there := strings.TrimPrefix(server.URL, "http://")
-	record := func(service, state, capacity string) []byte {
-		return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z1","state":%q,"capacity":%s,"labels":["a","r1-1"]}`, service, there, state, capacity)
+	record := func(service, state string, milliCPU any) []byte {
+		return standin.Registration{Service: service, Address: there, State: state, Rack: "r1-1", MilliCPU: milliCPU, MemoryMB: 131072}.Record()
 	}
-	const room = `{"cpu":64000,"requested_memory_mb":131072}`
+	const room = 64000
 	foreign := map[string][]byte{
 		"a-state":    record("svc", "parked", room),
-		"a-capacity": record("svc", "ready", `{"cpu":"64000","requested_memory_mb":131072}`),
+		"a-capacity": record("svc", "ready", "64000"),
 		"a-service":  record("later", "ready", room),
 		"a-bytes":    append(record("svc", "ready", room), 0xff),
 		"a-null":     []byte("null"),
@@ -53,17 +54,17 @@
 	}
 	o := newOutside(t, 2)
 	for key, value := range foreign {
-		o.store.Put("keyed.servers", key, value)
+		o.store.PutExecutor(key, value)
 	}
 	a := o.start(t, "a")
 	a.awaitReady(t)
 	a.submit(t, "00000000000000f1", "20ms", 5)
 	a.awaitState(t, "00000000000000f1", "completed")
 	for key, value := range foreign {
-		o.store.Put("keyed.servers", key, value) // read record by record this time
+		o.store.PutExecutor(key, value) // read record by record this time
 	}
 	e := o.executors[0]
-	o.store.Put("keyed.servers", e.ID, []byte("{}"))
+	o.store.PutExecutor(e.ID, []byte("{}"))
 	a.submit(t, "00000000000000f2", "20ms", 5)
 	a.awaitState(t, "00000000000000f2", "completed")
 	e.Register(o.store, "svc")
@@ -74,6 +75,6 @@
 			t.Errorf("executor %q was called %d times", key, n)
 		}
 	}
-	o.store.Put("keyed.op", "config", []byte(`{"version":2,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","service":"svc","attempts":2}],"services":[{"name":"svc"},{"name":"later"}]}`))
+	o.store.ConfigureServices(2, "/q/", "svc", "later")
 	eventually(t, "the executor of the service that was added is called", func() bool { return v.seen("a-service") > 0 })
 }
