--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -246,6 +246,7 @@
 type cellPlay struct {
 	t        *testing.T
 	store    *memoryStore
+	log      platform.PartitionLog // the store as leaders see it
 	executor *playedExecutor
 	replica  *replica.Replica
 	reader   *replica.Reader
@@ -262,6 +263,7 @@
 		replica:  replica.New(time.Hour, logging.Silent()),
 		stop:     func() {},
 	}
+	p.log = p.store
 	p.reader = &replica.Reader{
 		Replica: p.replica, Log: p.store, Partition: playJobs,
 		Timing: replica.DefaultTiming(), Leads: func() bool { return true },
@@ -289,7 +291,7 @@
 	p.runner = New(Config{
 		Plan:      plan.DefaultConfig(),
 		Self:      leader.Leader{Epoch: p.epoch, Node: "a"},
-		Log:       p.store,
+		Log:       p.log,
 		Jobs:      playJobs,
 		Registry:  playExecutors,
 		Decode:    decodePlayed,
--- /dev/null
+++ b/internal/leader/race_test.go
@@ -0,0 +1,38 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// slowLog takes a while for each append.
+type slowLog struct{ platform.PartitionLog }
+
+func (l slowLog) Append(ctx context.Context, a platform.Append) (platform.Offset, error) {
+	time.Sleep(100 * time.Millisecond)
+	return l.PartitionLog.Append(ctx, a)
+}
+
+// A process that is asked to stop while its claim is under way ends planning
+// when it steps down: Lost is called for each Gained.
+func TestStopDuringAClaimEndsLeading(t *testing.T) {
+	for after := time.Duration(0); after < 400*time.Millisecond; after += 10 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			c := election(t, 1)[0]
+			c.cfg.Log = slowLog{c.cfg.Log}
+			stop := run(c)
+			time.Sleep(after)
+			c.Release(context.Background())
+			time.Sleep(5 * time.Second)
+			leads, gained := c.state()
+			if c.Current().Epoch == 0 && leads {
+				t.Errorf("asked to stop after %v: stepped down and leads, after %d claims", after, gained)
+			}
+			stop()
+		})
+	}
+}
