A leader that can't plan gives the cell back; clearing up ends nothing and leaves nobody behind

Cause, the class of the unread leader: planning could end (a refused clearing, a claim that won after a stop) while the elector renewed the claim on and on, or while a planner ran on a claim that was handed back. And a burst of deletions, as after an outage of the store, was more than what is kept for deliveries, so that all machines had to read it from the store.

Ruled out: ending the process instead, which would also end its requests.

Change: whoever leads and no longer plans releases its claim; a release ends planning first; a clearing that the store refuses is tried again later, with a line; a refusal for good counts as an answer of the store; 10,000 records and 4 MB are kept for deliveries instead of 2,000 records.

--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -22,9 +22,12 @@
 	deliverIdle = 200 * time.Millisecond
 	// deliverTimeout bounds a delivery.
 	deliverTimeout = 500 * time.Millisecond
-	// keptRecords bounds what is kept for machines that are behind, which
-	// otherwise read the store.
-	keptRecords = 2000
+	// keptRecords and keptBytes bound what is kept for machines that are
+	// behind, which otherwise read the store: what the leader clears up in
+	// one append, up to 2,000 jobs with four records each, and some seconds
+	// of other records (130 jobs a second make 600 of 300 bytes on average).
+	keptRecords = 10_000
+	keptBytes   = 4 << 20
 	// sentRecords and sentBytes bound what one delivery brings: a link of 10
 	// Mbit/s takes 0.2 s for the latter, well within deliverTimeout.
 	sentRecords = 500
@@ -44,6 +47,7 @@
 	mu      sync.Mutex
 	first   platform.Offset // of the first kept record
 	records []platform.Record
+	bytes   int // of these
 	targets map[api.NodeID]*target
 }
 
@@ -78,14 +82,25 @@
 	if next := p.first + platform.Offset(len(p.records)); records[0].Offset != next {
 		p.first = records[0].Offset
 		p.records = nil
+		p.bytes = 0
 	}
 	p.records = append(p.records, records...)
-	if over := len(p.records) - keptRecords; over > 0 {
+	for _, r := range records {
+		p.bytes += sizeOf(r)
+	}
+	over := 0
+	for len(p.records)-over > keptRecords || p.bytes > keptBytes {
+		p.bytes -= sizeOf(p.records[over])
+		over++
+	}
+	if over > 0 {
 		p.records = append([]platform.Record(nil), p.records[over:]...)
 		p.first += platform.Offset(over)
 	}
 }
 
+func sizeOf(r platform.Record) int { return len(r.Key) + len(r.Value) }
+
 // Run delivers until ctx ends.
 func (p *Publisher) Run(ctx context.Context) {
 	ticker := time.NewTicker(deliverEvery)
@@ -142,7 +157,7 @@
 func atMost(records []platform.Record) []platform.Record {
 	size := 0
 	for i, r := range records {
-		size += len(r.Key) + len(r.Value)
+		size += sizeOf(r)
 		if i > 0 && (i == sentRecords || size > sentBytes) {
 			return records[:i]
 		}
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -238,6 +238,8 @@
 	case errors.Is(err, platform.ErrUnavailable):
 		r.stuck = time.Time{} // nothing is under way; the next submission tries again
 		r.refused = time.Now()
+	case errors.Is(err, platform.ErrTooLarge):
+		r.stuck = time.Time{} // the store has answered
 	}
 	return first, err
 }
--- a/internal/dispatch/tidy.go
+++ b/internal/dispatch/tidy.go
@@ -29,11 +29,13 @@
 	}
 	records = append(records, deletions(expired)...)
 	first, err := r.appendPart(ctx, records, true)
-	if errors.Is(err, platform.ErrUnavailable) {
-		return nil // the next look finds them again
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, platform.ErrFenced), ctx.Err() != nil:
 		return err
+	case err != nil:
+		// The cell is planned on without it; the next look finds the jobs again.
+		r.cfg.Events.WithError(err).WithField("records", len(records)).Warn("records of ended jobs not cleared up")
+		return nil
 	}
 	r.cfg.Replica.Offer(first, records, time.Now())
 	r.mu.Lock()
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -85,6 +85,7 @@
 
 // release appends that this process steps down.
 func (e *Elector) release(ctx context.Context) error {
+	e.cfg.Lost() // also of a claim that won after the process was asked to stop
 	at, err := e.append(ctx, releases)
 	if err != nil {
 		return e.settle(ctx, err)
@@ -113,6 +114,15 @@
 	return nil
 }
 
+// GiveUp hands leadership back, to whoever claims next: this process can't plan.
+// A leader that renews and doesn't plan would keep all others from claiming.
+func (e *Elector) GiveUp() {
+	e.mu.Lock()
+	e.yielding = true
+	e.mu.Unlock()
+	e.Replaced() // wakes the loop, whose next step makes the append
+}
+
 // step makes the next call: the first read, a renewal, a claim or a watch.
 func (e *Elector) step(ctx context.Context) error {
 	e.mu.Lock()
--- a/internal/leader/race_test.go
+++ b/internal/leader/race_test.go
@@ -36,3 +36,27 @@
 		})
 	}
 }
+
+// A leader that can't plan hands the cell back instead of renewing its claim;
+// somebody leads soon after.
+func TestLeaderThatGivesUpIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := election(t, 1, 1)
+		defer run(all[0])()
+		time.Sleep(time.Second)
+		before := all[0].Current().Epoch
+		if leads, _ := all[0].state(); !leads {
+			t.Fatal("the only process doesn't lead")
+		}
+		defer run(all[1])()
+		time.Sleep(time.Second)
+		all[0].GiveUp()
+		time.Sleep(time.Second)
+		now := all[1].Current()
+		first, _ := all[0].state()
+		second, _ := all[1].state()
+		if now.Epoch <= before || first == second {
+			t.Errorf("epoch %d after %d; the first leads: %t, the second: %t", now.Epoch, before, first, second)
+		}
+	})
+}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -75,6 +75,9 @@
 	err := runner.Run(ctx)
 	n.runner.Store(nil)
 	n.log.WithError(err).WithField("epoch", epoch).Info("this process no longer plans for the cell")
+	if ctx.Err() == nil && n.epoch.Load() == uint64(epoch) {
+		n.elector.GiveUp()
+	}
 }
 
 // standing compares this machine with those that are known, as a leader.
