--- /dev/null
+++ b/internal/node/standing_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/leader"
+	"github.com/skylarklock/skylarklock/internal/logging"
+	product "github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/replica"
+)
+
+// emptyLog holds no jobs.
+type emptyLog struct{ product.PartitionLog }
+
+func (emptyLog) Newest(context.Context, product.Partition, string) (product.NewestPage, error) {
+	return product.NewestPage{}, nil
+}
+
+// A process that read the jobs once and has missed what was written for half a
+// minute has as much to read before it can plan as one that has just started,
+// and its renewals keep others from claiming as well.
+func TestProcessThatIsFarBehindDoesNotClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Node{replica: replica.New(time.Minute, logging.Silent())}
+		r := &replica.Reader{Replica: n.replica, Log: emptyLog{}, Timing: replica.DefaultTiming()}
+		if err := r.Restore(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		if behind := n.replica.Behind(time.Now()); behind < 30*time.Second {
+			t.Fatalf("it is behind by %v", behind)
+		}
+		defer func() {
+			if recover() != nil {
+				t.Error("it went on to compare processors")
+			}
+		}()
+		if got := n.standing(); got != leader.Unread {
+			t.Errorf("standing %d, want that it doesn't claim", got)
+		}
+	})
+}
