--- a/internal/node/attach.go
+++ b/internal/node/attach.go
@@ -42,9 +42,11 @@
 
 func (n *Node) attachOnce(ctx context.Context) {
 	current := n.elector.Current()
-	if current.Epoch == 0 || current.Address == n.settings.Peer || n.draining.Load() {
+	if current.Epoch == 0 || current.Address == n.settings.Peer {
 		return
 	}
+	// A machine that stops tells so by its fitness: it answers deliveries up
+	// to its end, which would keep its last offer to lead valid.
 	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
 	offer := assist.Attachment{Node: n.settings.Node, Address: n.settings.Peer, Fitness: n.fitness()}
