--- /dev/null
+++ b/internal/replica/anew_test.go
@@ -0,0 +1,48 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// trimmedStore is a keyedStore that has dropped its history once.
+type trimmedStore struct {
+	*keyedStore
+	mu    sync.Mutex
+	first platform.Offset
+}
+
+func (s *trimmedStore) Read(ctx context.Context, p platform.Partition, from platform.Offset, wait time.Duration) (platform.RecordBatch, error) {
+	s.mu.Lock()
+	first := s.first
+	s.mu.Unlock()
+	if from < first {
+		return platform.RecordBatch{}, &platform.TrimmedError{From: from, First: first}
+	}
+	return s.keyedStore.Read(ctx, p, from, wait)
+}
+
+// Reading anew after the store has dropped its history ends on a slow link too,
+// whoever does it: what was read before its bound is over isn't read again.
+func TestDroppedHistoryIsReadAnewOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pages = 10 // 13 s, where catchUpMost is 10 s
+		s := &trimmedStore{keyedStore: newKeyedStore(pages*pageKeys, 1300*time.Millisecond)}
+		f := newReader(s.keyedStore)
+		f.Log = s
+		f.Timing.Call = 4 * time.Second // the growth of timeouts is not the matter here
+		f.Replica.restored(0)
+		s.first = platform.Offset(len(s.keys))
+		for range 3 {
+			_ = f.catchUp()
+		}
+		if f.Replica.Position() < s.first || s.called() > pages+6 {
+			t.Errorf("read up to %d of %d with %d pages asked for", f.Replica.Position(), s.first, s.called())
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/moving_test.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/logging"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// movingLog is written to as fast as its reader reads.
+type movingLog struct{ platform.PartitionLog }
+
+func (movingLog) Read(ctx context.Context, _ platform.Partition, from platform.Offset, _ time.Duration) (platform.RecordBatch, error) {
+	select {
+	case <-time.After(400 * time.Millisecond):
+	case <-ctx.Done():
+		return platform.RecordBatch{}, ctx.Err()
+	}
+	r := platform.Record{Offset: from, Key: work.Key(work.KindCancel, work.ID{byte(from)}), Value: work.CancelValue}
+	return platform.RecordBatch{Records: []platform.Record{r}, Next: from + 1, End: from + 3}, nil
+}
+
+// A look waits for what the store held when it came, not for what is written
+// while it waits: a machine with a slow link reaches the former only.
+func TestSyncEndsWhereThePartitionEndedAtTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &Reader{Replica: New(time.Minute, logging.Silent()), Log: movingLog{}, Timing: DefaultTiming()}
+		f.Replica.restored(0)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if err := f.Sync(ctx); err != nil {
+			t.Errorf("the 3 records that were there at the call take 1.2 s: %v; read up to %d", err, f.Replica.Position())
+		}
+		time.Sleep(2 * catchUpMost) // the reading ends
+	})
+}
