Readings end where the partition ended, go on to their end, and tell what they missed

Cause, the class of the transfer that begins anew: a look waited for an end that moves on, which a machine with a slow link never reaches; where the history was dropped, the reading that looks share was cut after 10 s and begun anew; and right after a long reading a replica counted as whole, though all that was written meanwhile was missing.

Ruled out: a longer bound (the reading of all jobs has none of its own).

Change: a reading ends at the first end that it is told; the reading of all jobs goes on until it is done, once for all that wait; a replica is behind since its reading began.

--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -55,6 +55,7 @@
 	Leads     func() bool // this machine plans from the replica
 
 	restoring sync.Mutex                // one restore at a time
+	restores  atomic.Uint64             // that have ended well
 	fed       atomic.Pointer[time.Time] // when the leader last delivered everything
 	timeout   atomic.Int64              // of a read beside its wait, in nanoseconds; 0: Timing.Call
 	syncs     syncs
@@ -157,33 +158,54 @@
 	return f.syncs.join(ctx, f.catchUp)
 }
 
-// catchUpMost bounds a reading that several calls share. Their clients wait
-// for 3 s; what takes longer still serves those who ask again.
-const catchUpMost = 10 * time.Second
+const (
+	// catchUpMost bounds the reading of what was missed for several calls.
+	// Their clients wait for 3 s; what takes longer still serves those who
+	// ask again.
+	catchUpMost = 10 * time.Second
+	// catchUpTries is how often that is begun when the store drops its
+	// history meanwhile.
+	catchUpTries = 3
+)
 
-// catchUp reads what the store holds.
+// catchUp reads what the store holds. Where its history is gone, all that it
+// keeps is read; that goes on to its end, or it would begin anew for each call.
 func (f *Reader) catchUp() error {
-	ctx, cancel := context.WithTimeout(context.Background(), catchUpMost)
-	defer cancel()
-	err := f.read(ctx, 0)
-	var trimmed *platform.TrimmedError
-	if errors.As(err, &trimmed) {
-		return f.Restore(ctx)
+	var err error
+	for range catchUpTries {
+		var trimmed *platform.TrimmedError
+		if err = f.readMissed(); !errors.As(err, &trimmed) {
+			return err
+		}
+		if err = f.Restore(context.Background()); err != nil {
+			return err
+		}
 	}
 	return err
 }
 
+func (f *Reader) readMissed() error {
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpMost)
+	defer cancel()
+	return f.read(ctx, 0)
+}
+
 // read applies what follows the replica's position, until the end that the
-// first answer names.
+// first answer names: on a slow link an end that moves on may never be reached.
 func (f *Reader) read(ctx context.Context, wait time.Duration) error {
+	var until platform.Offset
+	var told time.Time // when the store named it
 	for {
 		batch, err := f.readOnce(ctx, wait)
 		if err != nil {
 			return err
 		}
+		if told.IsZero() {
+			until, told = batch.End, time.Now()
+		}
 		f.Replica.apply(batch.Records, batch.Next, time.Now())
-		if batch.Next >= batch.End || len(batch.Records) == 0 {
-			f.Replica.Heard(time.Now())
+		if batch.Next >= until || len(batch.Records) == 0 {
+			f.Replica.Heard(told)
 			return nil
 		}
 		wait = 0
@@ -204,11 +226,16 @@
 	return batch, err
 }
 
-// Restore reads the newest record of every key. Records that are written
-// meanwhile are read after that.
+// Restore reads the newest record of every key, unless another call has done so
+// while this one waited for its turn. Records that are written meanwhile are
+// read after that.
 func (f *Reader) Restore(ctx context.Context) error {
+	before := f.restores.Load()
 	f.restoring.Lock()
 	defer f.restoring.Unlock()
+	if f.restores.Load() != before {
+		return nil
+	}
 	began, read, size := time.Now(), 0, 0
 	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, f.Timing.Call, func(records []platform.Record) {
 		f.Replica.apply(records, 0, time.Now())
@@ -224,7 +251,8 @@
 	}
 	told.Info("newest record of each job read")
 	f.Replica.restored(next)
-	f.Replica.Heard(time.Now())
+	f.Replica.Heard(began)
+	f.restores.Add(1)
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -162,12 +162,20 @@
 	return r.Position()
 }
 
-// Heard notes that the store, or the leader, has told that it holds nothing more.
+// Heard notes that the store, or the leader, has told at a time that it holds
+// nothing more than was applied since.
 func (r *Replica) Heard(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.current = now
-	r.whole = now
+	r.current = latest(r.current, now)
+	r.whole = latest(r.whole, now)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Behind returns for how long the replica may have missed something. A machine
