Jobs that are gone are dropped when all is read anew; slow reads keep their time

Cause: a job whose deletion fell into dropped history stayed known, and a new leader would have planned a queued one again, 4 min after its end. The timeout of reads went back after each read that got through, so that every other slow read failed after it had taken up the link.

Ruled out: dropping all that is not on the pages (what was written after the end that they tell is not on them either).

Change: a reading of the newest records drops jobs that were written before its end and of which it brought nothing; the timeout goes back by half after reads that took less than that.

--- a/internal/replica/entry.go
+++ b/internal/replica/entry.go
@@ -19,6 +19,8 @@
 	Outcome   *work.Outcome  // stands in place of the others some time after the job's end
 
 	progressAt platform.Offset // of the newest progress record
+	last       platform.Offset // of the newest record
+	round      uint64          // of readings of the newest records, when the last record came
 	ended      time.Time       // when the end was read; zero while the job is alive
 }
 
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -216,11 +216,12 @@
 	timeout := max(f.Timing.Call, time.Duration(f.timeout.Load()))
 	ctx, cancel := context.WithTimeout(ctx, timeout+wait)
 	defer cancel()
+	sent := time.Now()
 	batch, err := f.Log.Read(ctx, f.Partition, f.Replica.Position(), wait)
 	switch {
-	case err == nil:
-		f.timeout.Store(0)
-	case ctx.Err() != nil:
+	case err == nil && time.Since(sent) < timeout/2: // or the next slow read would fail again
+		f.timeout.Store(int64(timeout / 2))
+	case err != nil && ctx.Err() != nil:
 		f.timeout.Store(int64(min(2*timeout, f.Timing.CallMost)))
 	}
 	return batch, err
@@ -237,6 +238,7 @@
 		return nil
 	}
 	began, read, size := time.Now(), 0, 0
+	f.Replica.restoring()
 	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, f.Timing.Call, func(records []platform.Record) {
 		f.Replica.apply(records, 0, time.Now())
 		read += len(records)
@@ -265,10 +267,23 @@
 	return size
 }
 
-// restored notes that all records before end have been applied.
+// restoring notes that the newest record of every key is being read.
+func (r *Replica) restoring() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.round++
+}
+
+// restored notes that all records before end have been applied. Jobs that were
+// written before end and of which no record came since restoring are gone from
+// the store: their deletion is among what can't be read any more, and a new leader
+// would plan them again.
 func (r *Replica) restored(end platform.Offset) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for i := range r.shards {
+		r.shards[i].dropGone(r.round, end)
+	}
 	r.next = max(r.next, end)
 	if !r.Synced() {
 		close(r.synced)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,7 @@
 
 	mu       sync.Mutex // guards the fields below and orders changes
 	next     platform.Offset
+	round    uint64        // of readings of the newest records
 	synced   chan struct{} // closed when everything up to next has been applied
 	current  time.Time     // when the store, or the leader, last told what it holds
 	whole    time.Time     // when nothing that it held was missing here
@@ -256,6 +257,8 @@
 	if e == nil {
 		e = &Entry{}
 	}
+	e.round = r.round
+	e.last = max(e.last, rec.Offset)
 	news, err := e.take(kind, id, rec)
 	if err != nil || !news {
 		return Change{}, false, err
@@ -359,6 +362,18 @@
 	}
 }
 
+// dropGone drops the jobs that were written before end and of which no record came
+// in this round.
+func (s *shard) dropGone(round uint64, end platform.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.jobs {
+		if e.round < round && e.last < end {
+			delete(s.jobs, id)
+		}
+	}
+}
+
 func (s *shard) each(f func(work.ID, *Entry) bool) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
