--- a/internal/plan/foreign_test.go
+++ b/internal/plan/foreign_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/skylarklock/skylarklock/internal/fleet"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -175,7 +176,7 @@
 }
 
 func TestRecordThatIsPutRight(t *testing.T) {
-	Convey("An executor that was read as leaving and is ready gets work again", t, func() {
+	Convey("An executor that was read as leaving and has been ready for a while gets work again", t, func() {
 		w := newWorld(t, 1)
 		leaving := *w.listed["e0"]
 		leaving.Draining = true
@@ -187,8 +188,24 @@
 		w.cell.Executors(w.listed, w.now)
 		w.report("e0", nil, nil)
 		w.job(1, testQueue, oneTask(4))
+		So(w.cycle(), ShouldBeEmpty) // an old record, read late, says the same
+		w.pass(backAfter)
+		w.report("e0", nil, nil)
 		So(w.cycle(), ShouldHaveLength, 1)
 	})
+	Convey("An executor that leaves gets nothing more, though an old record is read in between", t, func() {
+		w := newWorld(t, 1)
+		ready, leaving := w.listed["e0"], *w.listed["e0"]
+		leaving.Draining = true
+		for _, e := range []*fleet.Executor{&leaving, ready, &leaving} {
+			w.listed["e0"] = e
+			w.cell.Executors(w.listed, w.now)
+		}
+		w.job(1, testQueue, oneTask(4))
+		w.pass(backAfter)
+		w.report("e0", nil, nil)
+		So(w.cycle(), ShouldBeEmpty)
+	})
 	Convey("An executor that answers is called where it answers, whatever address is written", t, func() {
 		w := newWorld(t, 1)
 		where := w.listed["e0"].Ref
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -142,3 +142,8 @@
 // onTrial reports whether the executor has failed so often that it gets one
 // task at a time.
 func (v *vm) onTrial(cfg *Config) bool { return len(v.failJobs) >= cfg.FailStreak }
+
+// backAfter is for how long the records of an executor that was read as leaving
+// have to say that it is ready before it is given work again: reads may be some
+// 3 s old, and executors write a record about every 1.5 s.
+const backAfter = 5 * time.Second
