An executor that leaves isn't given work on the word of one old record

Ruled out: never again in that life, as it was before: another writer's record could then take an executor out of use for good.

--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -313,7 +313,7 @@
 	if cl.unwanted || !c.serves(v) || v.Service != c.service(cl.task.step.job) {
 		return false
 	}
-	if !v.draining.IsZero() && now.Sub(v.draining) > c.cfg.DrainMargin {
+	if since, leaves := v.leaves(now); leaves && now.Sub(since) > c.cfg.DrainMargin {
 		return false
 	}
 	if now.Sub(v.clockAt) > c.cfg.SilentAfter {
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -43,7 +43,8 @@
 	used     api.Resources
 	promised api.Resources // to steps whose calls for advice name it (promise.go)
 	claims   map[platform.Run]*claim
-	draining time.Time // when it was first read as leaving; zero: it isn't
+	draining time.Time // when it was first read as leaving; zero: it wasn't
+	ready    time.Time // since when its records say that it is ready after all
 
 	known   bool                   // it has reported to this leader
 	clock   platform.ExecutorClock // at its newest report
@@ -76,13 +77,21 @@
 	v.Executor = e
 	v.listed = true
 	switch {
-	case !e.Draining:
-		v.draining = time.Time{}
-	case v.draining.IsZero():
+	case e.Draining && v.draining.IsZero():
 		v.draining = now
+	case e.Draining:
+		v.ready = time.Time{}
+	case !v.draining.IsZero() && v.ready.IsZero():
+		v.ready = now
 	}
 }
 
+// leaves reports whether the executor leaves, since when.
+func (v *vm) leaves(now time.Time) (since time.Time, leaves bool) {
+	back := !v.ready.IsZero() && now.Sub(v.ready) >= backAfter
+	return v.draining, !v.draining.IsZero() && !back
+}
+
 // isFollowedBy reports whether another life has answered at the executor's
 // address after it.
 func (v *vm) isFollowedBy(o *vm) bool {
@@ -132,7 +141,8 @@
 // usable reports whether the executor may be given new work. After an order
 // without an answer it has to report first.
 func (v *vm) usable(now time.Time, cfg *Config) bool {
-	return v.listed && v.known && !v.Draining &&
+	_, leaves := v.leaves(now)
+	return v.listed && v.known && !leaves &&
 		now.Sub(v.clockAt) < cfg.SilentAfter &&
 		!now.Before(v.avoidUntil) &&
 		v.clockAt.After(v.unanswered) &&
