--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -69,6 +69,8 @@
 		for _, r := range records {
 			fresh.apply(r)
 		}
+	}, func(err error) {
+		g.faults.Events.WithError(err).Debug("page of the newest records not read; it is asked for again")
 	})
 	if err != nil {
 		return err
--- a/internal/node/ended_test.go
+++ b/internal/node/ended_test.go
@@ -43,7 +43,7 @@
 			for _, r := range records {
 				size += len(r.Key) + len(r.Value)
 			}
-		})
+		}, nil)
 		return err == nil && size <= jobs*endedBytes
 	})
 	b := o.start(t, "b") // reads only what is left
--- a/internal/platform/newest.go
+++ b/internal/platform/newest.go
@@ -32,9 +32,10 @@
 // A page that fails is asked for again until ctx ends, and the pages before it
 // are kept: a reading that began anew whenever a page fails would not end on a
 // link that is slow for its size. Each try may take up to timeout, which doubles
-// after a try that took longer.
-func ReadNewest(ctx context.Context, log PartitionLog, p Partition, timeout time.Duration, each func([]Record)) (Offset, error) {
-	pages := newestPages{log: log, partition: p, timeout: timeout}
+// after a try that took longer. The error of each is passed to failed, unless that
+// is nil.
+func ReadNewest(ctx context.Context, log PartitionLog, p Partition, timeout time.Duration, each func([]Record), failed func(error)) (Offset, error) {
+	pages := newestPages{log: log, partition: p, timeout: timeout, failed: failed}
 	page, err := pages.after(ctx, beyondKeys)
 	if err != nil {
 		return 0, err
@@ -63,6 +64,7 @@
 	log       PartitionLog
 	partition Partition
 	timeout   time.Duration // of the next try
+	failed    func(error)   // may be nil
 }
 
 // after returns the page that follows a key. It fails only when ctx ends.
@@ -75,6 +77,9 @@
 		if ctx.Err() != nil {
 			return NewestPage{}, err
 		}
+		if n.failed != nil {
+			n.failed(err)
+		}
 		if late {
 			n.timeout = min(2*n.timeout, max(n.timeout, pageTimeoutMost))
 		}
--- a/internal/platform/newest_test.go
+++ b/internal/platform/newest_test.go
@@ -34,7 +34,7 @@
 		for _, r := range records {
 			got[r.Offset] = true
 		}
-	})
+	}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +65,7 @@
 		"the same key": {{Key: "a", Value: []byte("x")}, {Err: ErrMalformed}},
 	} {
 		o := &onePage{records: records}
-		if _, err := ReadNewest(context.Background(), o, Partition{Topic: "x"}, time.Second, func([]Record) {}); err == nil {
+		if _, err := ReadNewest(context.Background(), o, Partition{Topic: "x"}, time.Second, func([]Record) {}, nil); err == nil {
 			t.Errorf("%s: read to the end", name)
 		}
 		if o.calls > 3 {
--- a/internal/queue/watch.go
+++ b/internal/queue/watch.go
@@ -78,6 +78,8 @@
 		for _, r := range records {
 			w.apply(r)
 		}
+	}, func(err error) {
+		w.Events.WithError(err).Debug("page of the newest records not read; it is asked for again")
 	})
 	if err != nil {
 		return err
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -243,6 +243,8 @@
 		f.Replica.apply(records, 0, time.Now())
 		read += len(records)
 		size += sizeOf(records)
+	}, func(err error) {
+		f.Replica.events.WithError(err).Debug("page of the newest records not read; it is asked for again")
 	})
 	told := f.Replica.events.WithFields(logrus.Fields{
 		"records": read, "kilobytes": size / 1024, "took_ms": time.Since(began).Milliseconds(),
