--- a/internal/replica/restore_test.go
+++ b/internal/replica/restore_test.go
@@ -118,7 +118,7 @@
 // its link counted as failed, and the reading began anew from the first page.
 // The evidence: from its restart on each such machine took in what its link
 // carries, for 30 s and until the end, while those with links 20 times as fast
-// were done after 33 MB.
+// were done within 3 s.
 func TestRestoreEndsOnASlowLink(t *testing.T) {
 	for _, c := range []struct {
 		name    string
