A process without a configuration doesn't claim; jobs keep their attempts; small pages keep their time

Reading the configuration came after reading the jobs since each late page got twice the time, also where pages are small: calls that the silent store left unanswered were waited for that long.

Ruled out: waiting in the planner (whoever claims keeps others from claiming, which have the configuration).

--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -65,7 +65,7 @@
 // restore reads the newest record of every executor.
 func (g *registry) restore(ctx context.Context) error {
 	fresh := &registry{decode: g.decode, faults: g.faults, listed: make(map[string]*fleet.Executor)}
-	next, err := platform.ReadNewest(ctx, g.log, g.partition, registryTimeout, func(records []platform.Record) {
+	next, err := platform.ReadNewest(ctx, g.log, g.partition, platform.PageTimeout{Least: registryTimeout}, func(records []platform.Record) {
 		for _, r := range records {
 			fresh.apply(r)
 		}
--- a/internal/node/ended_test.go
+++ b/internal/node/ended_test.go
@@ -39,7 +39,7 @@
 	var size int
 	eventually(t, "ended jobs leave little", func() bool {
 		size = 0
-		_, err := product.ReadNewest(context.Background(), client, product.Partition{Topic: topicJobs, Keyed: true}, time.Second, func(records []product.Record) {
+		_, err := product.ReadNewest(context.Background(), client, product.Partition{Topic: topicJobs, Keyed: true}, product.PageTimeout{Least: time.Second}, func(records []product.Record) {
 			for _, r := range records {
 				size += len(r.Key) + len(r.Value)
 			}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -92,12 +92,15 @@
 	if !n.replica.Synced() || n.replica.Behind(time.Now()) > farBehind {
 		return leader.Unread
 	}
+	if n.watch.Table() == nil { // nothing is known of the queues: how often to try, where, how late
+		return leader.Unread
+	}
 	return leader.Compare(n.settings.Processors, n.helpers.Fittest(time.Now()))
 }
 
 // fitness returns the processors with which this machine could lead now.
 func (n *Node) fitness() float64 {
-	if n.draining.Load() || n.store.Down() || !n.replica.Synced() {
+	if n.draining.Load() || n.store.Down() || !n.replica.Synced() || n.watch.Table() == nil {
 		return 0
 	}
 	return n.settings.Processors
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -68,6 +68,9 @@
 	if j.table != c.table {
 		j.table = c.table
 		j.queue = c.table.Named(j.spec.Queue)
+		if j.queue != nil {
+			j.attempts = j.queue.Attempts
+		}
 		j.within = objectiveOf(j.spec, j.queue)
 	}
 	return j.queue
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -12,6 +12,7 @@
 type job struct {
 	queue       *queue.Queue  // as configured in table; nil if it was removed
 	table       *queue.Table  // of which queue is
+	attempts    int           // of each task, as last configured; 0: never known here
 	within      time.Duration // latency objective by that
 	spec        *work.Job
 	arrived     time.Time
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -333,11 +333,8 @@
 		}
 		t.failures = s.fails
 	}
-	attempts := 1
-	if q := c.queue(s.job); q != nil {
-		attempts = q.Attempts
-	}
-	if t.failures >= attempts && !s.spec.LongRunning {
+	c.queue(s.job) // brings the attempts up to date
+	if t.failures >= max(1, s.job.attempts) && !s.spec.LongRunning {
 		c.end(s.job, work.Failed)
 	}
 }
--- a/internal/platform/newest.go
+++ b/internal/platform/newest.go
@@ -14,15 +14,19 @@
 
 // Bounds of the repeats of one page.
 const (
-	// pageTimeoutMost is up to which a page's timeout doubles. A page holds up
-	// to 1 MB, which takes 1.1 s by itself on a link of 10 Mbit/s; three
-	// transfers that share the link take 3.3 s each.
-	pageTimeoutMost = 4 * time.Second
 	// pageRetry is the pause before a page is asked for again. The store
 	// answers in 4 ms; its outages last seconds.
 	pageRetry = 100 * time.Millisecond
 )
 
+// PageTimeout is how long a page may take: as long as pages take on a slow link,
+// and no longer, since a call that a silent store leaves unanswered is lost for all
+// of it.
+type PageTimeout struct {
+	Least time.Duration
+	Most  time.Duration // up to which it doubles; 0: not at all
+}
+
 // ReadNewest passes the newest record of every key of a keyed partition to
 // each, and returns from where to read on: what was written before that offset
 // has been passed. The offset is asked for before the first record, since a
@@ -31,11 +35,11 @@
 //
 // A page that fails is asked for again until ctx ends, and the pages before it
 // are kept: a reading that began anew whenever a page fails would not end on a
-// link that is slow for its size. Each try may take up to timeout, which doubles
-// after a try that took longer. The error of each is passed to failed, unless that
+// link that is slow for its size. Each try may take up to the least timeout, which
+// doubles after a try that took longer. The error of each is passed to failed, unless that
 // is nil.
-func ReadNewest(ctx context.Context, log PartitionLog, p Partition, timeout time.Duration, each func([]Record), failed func(error)) (Offset, error) {
-	pages := newestPages{log: log, partition: p, timeout: timeout, failed: failed}
+func ReadNewest(ctx context.Context, log PartitionLog, p Partition, timeout PageTimeout, each func([]Record), failed func(error)) (Offset, error) {
+	pages := newestPages{log: log, partition: p, timeout: timeout.Least, most: timeout.Most, failed: failed}
 	page, err := pages.after(ctx, beyondKeys)
 	if err != nil {
 		return 0, err
@@ -64,7 +68,8 @@
 	log       PartitionLog
 	partition Partition
 	timeout   time.Duration // of the next try
-	failed    func(error)   // may be nil
+	most      time.Duration
+	failed    func(error) // may be nil
 }
 
 // after returns the page that follows a key. It fails only when ctx ends.
@@ -81,7 +86,7 @@
 			n.failed(err)
 		}
 		if late {
-			n.timeout = min(2*n.timeout, max(n.timeout, pageTimeoutMost))
+			n.timeout = min(2*n.timeout, max(n.timeout, n.most))
 		}
 		pause.For(ctx, pageRetry)
 	}
--- a/internal/platform/newest_test.go
+++ b/internal/platform/newest_test.go
@@ -30,7 +30,7 @@
 func TestReadNewestMissesNothing(t *testing.T) {
 	l := &lateEnd{keys: []string{"a", "b"}}
 	got := make(map[Offset]bool)
-	next, err := ReadNewest(context.Background(), l, Partition{}, time.Second, func(records []Record) {
+	next, err := ReadNewest(context.Background(), l, Partition{}, PageTimeout{Least: time.Second}, func(records []Record) {
 		for _, r := range records {
 			got[r.Offset] = true
 		}
@@ -65,7 +65,7 @@
 		"the same key": {{Key: "a", Value: []byte("x")}, {Err: ErrMalformed}},
 	} {
 		o := &onePage{records: records}
-		if _, err := ReadNewest(context.Background(), o, Partition{Topic: "x"}, time.Second, func([]Record) {}, nil); err == nil {
+		if _, err := ReadNewest(context.Background(), o, Partition{Topic: "x"}, PageTimeout{Least: time.Second}, func([]Record) {}, nil); err == nil {
 			t.Errorf("%s: read to the end", name)
 		}
 		if o.calls > 3 {
--- a/internal/queue/watch.go
+++ b/internal/queue/watch.go
@@ -74,7 +74,7 @@
 
 // newest reads the newest configuration and where to go on.
 func (w *Watch) newest(ctx context.Context) error {
-	next, err := platform.ReadNewest(ctx, w.Log, w.Partition, watchTimeout, func(records []platform.Record) {
+	next, err := platform.ReadNewest(ctx, w.Log, w.Partition, platform.PageTimeout{Least: watchTimeout}, func(records []platform.Record) {
 		for _, r := range records {
 			w.apply(r)
 		}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -22,6 +22,7 @@
 	FedFor   time.Duration // how long a delivery counts
 	Call     time.Duration // longest read beside its wait
 	CallMost time.Duration // up to which that doubles after reads that took longer
+	PageMost time.Duration // the same for a page of the newest records
 	Retry    time.Duration // pause after a read that failed
 }
 
@@ -32,7 +33,8 @@
 // objective leaves 0.6 s beside the work. A read brings up to 512 KB, which takes
 // 0.5 s on a link of 10 Mbit/s that nothing else uses and 2 s where four transfers
 // share it. A longer CallMost would be lost on each call that a silent store
-// leaves unanswered.
+// leaves unanswered. A page of the newest records holds up to 1 MB: 1.1 s on that
+// link by itself, 3.3 s where three transfers share it.
 func DefaultTiming() Timing {
 	return Timing{
 		Wait:     time.Second,
@@ -42,6 +44,7 @@
 		FedFor:   500 * time.Millisecond,
 		Call:     time.Second,
 		CallMost: 2 * time.Second,
+		PageMost: 4 * time.Second,
 		Retry:    100 * time.Millisecond,
 	}
 }
@@ -239,7 +242,7 @@
 	}
 	began, read, size := time.Now(), 0, 0
 	f.Replica.restoring()
-	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, f.Timing.Call, func(records []platform.Record) {
+	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, platform.PageTimeout{Least: f.Timing.Call, Most: f.Timing.PageMost}, func(records []platform.Record) {
 		f.Replica.apply(records, 0, time.Now())
 		read += len(records)
 		size += sizeOf(records)
