One size of a record, one refusing store in tests, a comment that had become untrue

Cause: reading the whole change again: the size of a record was worked out in two packages, two tests had the same store but for its error, and the elector's hand-over names one of its two reasons only.

Ruled out: joining the two phases of the drain's tests, which differ in what they wait for.

Change: platform.Record.Size; one pickyStore with its error; comments. No behaviour changes, no check is altered.

--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -86,11 +86,11 @@
 	}
 	p.records = append(p.records, records...)
 	for _, r := range records {
-		p.bytes += sizeOf(r)
+		p.bytes += r.Size()
 	}
 	over := 0
 	for len(p.records)-over > keptRecords || p.bytes > keptBytes {
-		p.bytes -= sizeOf(p.records[over])
+		p.bytes -= p.records[over].Size()
 		over++
 	}
 	if over > 0 {
@@ -99,8 +99,6 @@
 	}
 }
 
-func sizeOf(r platform.Record) int { return len(r.Key) + len(r.Value) }
-
 // Run delivers until ctx ends.
 func (p *Publisher) Run(ctx context.Context) {
 	ticker := time.NewTicker(deliverEvery)
@@ -157,7 +155,7 @@
 func atMost(records []platform.Record) []platform.Record {
 	size := 0
 	for i, r := range records {
-		size += sizeOf(r)
+		size += r.Size()
 		if i > 0 && (i == sentRecords || size > sentBytes) {
 			return records[:i]
 		}
--- a/internal/dispatch/busy_test.go
+++ b/internal/dispatch/busy_test.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"context"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,23 +8,11 @@
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
-// busyStore refuses, for now, each append that tells of ended jobs.
-type busyStore struct{ *memoryStore }
-
-func (s busyStore) Append(ctx context.Context, a platform.Append) (platform.Offset, error) {
-	for _, r := range a.Records {
-		if strings.HasPrefix(r.Key, "e") {
-			return 0, platform.ErrUnavailable
-		}
-	}
-	return s.memoryStore.Append(ctx, a)
-}
-
 // A store that refuses what the leader clears up doesn't end the leader.
 func TestLeaderOutlivesABusyStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newCellPlay(t)
-		p.log = busyStore{p.store}
+		p.log = pickyStore{p.store, platform.ErrUnavailable} // for now
 		p.register("ready")
 		p.lead()
 		id := p.submit(1)
--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -10,13 +10,16 @@
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
-// pickyStore refuses for good each append that tells of ended jobs.
-type pickyStore struct{ *memoryStore }
+// pickyStore answers each append that tells of ended jobs with an error.
+type pickyStore struct {
+	*memoryStore
+	refusal error
+}
 
 func (s pickyStore) Append(ctx context.Context, a platform.Append) (platform.Offset, error) {
 	for _, r := range a.Records {
 		if strings.HasPrefix(r.Key, "e") {
-			return 0, platform.ErrTooLarge
+			return 0, s.refusal
 		}
 	}
 	return s.memoryStore.Append(ctx, a)
@@ -27,7 +30,7 @@
 func TestLeaderOutlivesARefusedClearing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newCellPlay(t)
-		p.log = pickyStore{p.store}
+		p.log = pickyStore{p.store, platform.ErrTooLarge} // for good
 		p.register("ready")
 		p.lead()
 		id := p.submit(1)
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -24,7 +24,7 @@
 	state     *State // nil until the partition was read once
 	suspected bool   // the leader's process answers no call
 	stopping  bool
-	yielding  bool          // leadership is being handed to a machine with more processors
+	yielding  bool          // leadership is being handed over: to a machine with more processors, or since this one can't plan
 	unread    bool          // the state is from other processes; the store was not read yet
 	blind     bool          // the last read failed
 	ledSince  time.Time     // of the newest claim of this process
--- a/internal/node/ended_test.go
+++ b/internal/node/ended_test.go
@@ -41,7 +41,7 @@
 		size = 0
 		_, err := product.ReadNewest(context.Background(), client, product.Partition{Topic: topicJobs, Keyed: true}, product.PageTimeout{Least: time.Second}, func(records []product.Record) {
 			for _, r := range records {
-				size += len(r.Key) + len(r.Value)
+				size += r.Size()
 			}
 		}, nil)
 		return err == nil && size <= jobs*endedBytes
--- a/internal/platform/newest.go
+++ b/internal/platform/newest.go
@@ -12,12 +12,9 @@
 // beyondKeys is above every key, so that a page after it holds no records.
 const beyondKeys = "\x7f"
 
-// Bounds of the repeats of one page.
-const (
-	// pageRetry is the pause before a page is asked for again. The store
-	// answers in 4 ms; its outages last seconds.
-	pageRetry = 100 * time.Millisecond
-)
+// pageRetry is the pause before a page is asked for again. The store answers in
+// 4 ms; its outages last seconds.
+const pageRetry = 100 * time.Millisecond
 
 // PageTimeout is how long a page may take: as long as pages take on a slow link,
 // and no longer, since a call that a silent store leaves unanswered is lost for all
--- a/internal/platform/partition.go
+++ b/internal/platform/partition.go
@@ -23,6 +23,9 @@
 	Err    error // set by reads: wraps ErrMalformed; there is no value, and a key only if it could be read
 }
 
+// Size returns the bytes of the record's key and value.
+func (r *Record) Size() int { return len(r.Key) + len(r.Value) }
+
 // ErrMalformed says that a record is stored in a form that can't be read. It
 // has its place in the partition all the same.
 var ErrMalformed = errors.New("partition: malformed record")
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -245,7 +245,9 @@
 	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, platform.PageTimeout{Least: f.Timing.Call, Most: f.Timing.PageMost}, func(records []platform.Record) {
 		f.Replica.apply(records, 0, time.Now())
 		read += len(records)
-		size += sizeOf(records)
+		for i := range records {
+			size += records[i].Size()
+		}
 	}, func(err error) {
 		f.Replica.events.WithError(err).Debug("page of the newest records not read; it is asked for again")
 	})
@@ -263,15 +265,6 @@
 	return nil
 }
 
-// sizeOf returns the bytes of the records' keys and values.
-func sizeOf(records []platform.Record) int {
-	size := 0
-	for _, r := range records {
-		size += len(r.Key) + len(r.Value)
-	}
-	return size
-}
-
 // restoring notes that the newest record of every key is being read.
 func (r *Replica) restoring() {
 	r.mu.Lock()
