--- a/cmd/skylarklock/platform.go
+++ b/cmd/skylarklock/platform.go
@@ -17,9 +17,9 @@
 	// collector works harder; the rest is for buffers of the kernel.
 	memoryShare = 0.6
 	// heapGrowth is the growth of the heap, in percent, between two
-	// collections. Live data is about 10 MB, and processor time costs more
+	// collections. Live data is about 10 MB, 30 on a machine that leads 540 executors, and processor time costs more
 	// than memory.
-	heapGrowth = 300
+	heapGrowth = 200
 )
 
 // runOnPlatform runs the process on the users' platform.
--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -18,6 +18,7 @@
 	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/peer"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/replica"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -30,6 +31,8 @@
 	methodAdvise  = ServiceName + ".Advise"
 	methodStore   = ServiceName + ".Store"
 	methodDeliver = ServiceName + ".Deliver"
+	methodContent = ServiceName + ".Content"
+	methodOrders  = ServiceName + ".Orders"
 	methodSync    = ServiceName + ".Sync"
 )
 
@@ -40,10 +43,12 @@
 
 // Attachment offers a machine's help to the leader.
 type Attachment struct {
-	_       struct{} `cbor:",toarray"`
-	Node    api.NodeID
-	Address string  // of its peer service
-	Fitness float64 // processors with which the machine could lead; 0: it couldn't now
+	_          struct{} `cbor:",toarray"`
+	Node       api.NodeID
+	Address    string // of its peer service
+	DataCentre api.DataCentre
+	Fitness    float64 // processors with which the machine could lead; 0: it couldn't now
+	Whole      bool    // it keeps the content of all records, without which it can't lead
 }
 
 // AttachAnswer tells which epoch the asked machine leads; 0: it leads none.
@@ -113,24 +118,58 @@
 	Results []StoreResult
 }
 
-// Delivery brings stored records to a machine, in the order of the partition,
-// and tells it who leads and which machines there are: one that can't reach
-// the store learns it only so.
+// Delivery brings the states of jobs to a machine, in the order of the partition,
+// and tells it who leads: one that can't reach the store learns it only so.
 type Delivery struct {
 	_        struct{} `cbor:",toarray"`
 	Leader   leader.Leader
 	Renewed  time.Duration   // how long ago the leader's last confirmed renewal was sent
-	First    platform.Offset // of the first record
-	Records  []Record
+	Span     replica.Span    // of the records whose news these are
+	Jobs     work.Summaries  // of all jobs that they changed
 	End      platform.Offset // of the partition as far as the leader knows
-	Machines []Attachment    // those that the leader delivers to; empty: as before
+	Role     Role            // what this machine should keep
+	Machines []Attachment    // for standbys: those that the leader delivers to; empty: as before
+}
+
+// ContentDelivery brings the content of records to a standby.
+type ContentDelivery struct {
+	_       struct{} `cbor:",toarray"`
+	Leader  leader.Leader
+	Span    replica.Span
+	Records []ContentRecord // the newest of each key that was written in the span
+}
+
+// ContentRecord is a record with its place.
+type ContentRecord struct {
+	_      struct{} `cbor:",toarray"`
+	Offset platform.Offset
+	Key    string
+	Value  []byte
+}
+
+func packContent(records []platform.Record) []ContentRecord {
+	out := make([]ContentRecord, len(records))
+	for i, r := range records {
+		out[i] = ContentRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}
+	}
+	return out
+}
+
+func unpackContent(records []ContentRecord) []platform.Record {
+	out := make([]platform.Record, len(records))
+	for i, r := range records {
+		out[i] = platform.Record{Offset: r.Offset, Key: r.Key, Value: r.Value}
+	}
+	return out
 }
 
 // DeliveryAnswer tells up to where the machine knows the partition, and the
 // highest epoch that it has heard of.
 type DeliveryAnswer struct {
-	_        struct{} `cbor:",toarray"`
-	Position platform.Offset
+	_        struct{}        `cbor:",toarray"`
+	Position platform.Offset // up to where it knows the states of jobs
+	Content  platform.Offset // up to where it keeps the content of records
+	Whole    bool            // it keeps the content at all
 	Epoch    api.Epoch
 }
 
@@ -153,7 +192,16 @@
 
 // Receiver takes in deliveries; *replica.Reader is one.
 type Receiver interface {
-	Deliver(first platform.Offset, records []platform.Record, end platform.Offset) platform.Offset
+	// Deliver takes in the news of a span of a partition that ends somewhere.
+	Deliver(span replica.Span, jobs []work.Summary, end platform.Offset) platform.Offset
+	// DeliverContent takes in the content of records of a span.
+	DeliverContent(span replica.Span, records []platform.Record)
+	// Content returns up to where the content of records is kept, and whether
+	// it is kept at all.
+	Content() (platform.Offset, bool)
+	// Keep has the content of records kept, Shed dropped.
+	Keep()
+	Shed()
 	Sync(ctx context.Context) error
 	Position() platform.Offset
 }
@@ -175,6 +223,7 @@
 	Electorate Electorate
 	Helpers    *Helpers
 	Adviser    platform.Adviser
+	Executors  platform.Executors
 	Longest    time.Duration // bound of a call to the advice service or the store
 }
 
@@ -199,7 +248,30 @@
 	}
 	h.Electorate.Assured(d.Leader.Epoch, d.Renewed)
 	h.Helpers.Know(d.Machines)
-	reply.Position = h.Receiver.Deliver(d.First, unpack(d.Records), d.End)
+	switch d.Role {
+	case Standby:
+		h.Receiver.Keep()
+	case Follower:
+		h.Receiver.Shed()
+	}
+	jobs, readable := d.Jobs.Unpack()
+	if !readable {
+		return errors.New("assist: news of another version")
+	}
+	reply.Position = h.Receiver.Deliver(d.Span, jobs, d.End)
+	reply.Content, reply.Whole = h.Receiver.Content()
+	return nil
+}
+
+// Content takes in the content of records from the leader.
+func (h *Handler) Content(c *ContentDelivery, reply *DeliveryAnswer) error {
+	reply.Epoch = h.Electorate.Learn(c.Leader)
+	if reply.Epoch != c.Leader.Epoch {
+		return nil // a former leader; what it brings may be behind
+	}
+	h.Receiver.DeliverContent(c.Span, unpackContent(c.Records))
+	reply.Position = h.Receiver.Position()
+	reply.Content, reply.Whole = h.Receiver.Content()
 	return nil
 }
 
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -37,12 +37,16 @@
 
 type helper struct {
 	node    api.NodeID
-	address string    // empty: this machine
+	address string // empty: this machine
+	centre  api.DataCentre
 	fitness float64   // to lead, by its last offer
+	whole   bool      // it keeps the content of all records
 	seen    time.Time // last offer
-	long    int       // calls under way
-	short   int
-	ahead   time.Duration // expected time of the short calls under way
+	// distrusted is until when it is no relay of orders.
+	distrusted time.Time
+	long       int // calls under way
+	short      int
+	ahead      time.Duration // expected time of the short calls under way
 }
 
 // NewHelpers returns the helpers of a leader, at first only itself.
@@ -62,28 +66,32 @@
 		h.machines[a.Node] = m
 	}
 	m.address = a.Address
+	m.centre = a.DataCentre
 	m.fitness = a.Fitness
+	m.whole = a.Whole
 	m.seen = now
 }
 
 // Heard notes that a machine has answered the leader, which is as good as an
-// offer. It says nothing of the machine's fitness.
-func (h *Helpers) Heard(node api.NodeID, now time.Time) {
+// offer, and whether it keeps the content of all records. It says nothing of the
+// machine's fitness.
+func (h *Helpers) Heard(node api.NodeID, whole bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if m := h.machines[node]; m != nil {
 		m.seen = now
+		m.whole = whole
 	}
 }
 
 // Fittest returns the highest fitness to lead among the other machines whose
-// offer holds; 0: none is known.
+// offer holds and that keep the content of all records; 0: none is known.
 func (h *Helpers) Fittest(now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	highest := 0.0
 	for _, m := range h.present(now) {
-		if m.address != "" {
+		if m.address != "" && m.whole {
 			highest = max(highest, m.fitness)
 		}
 	}
@@ -108,7 +116,7 @@
 	var others []Attachment
 	for _, m := range h.present(now) {
 		if m.address != "" {
-			others = append(others, Attachment{Node: m.node, Address: m.address, Fitness: m.fitness})
+			others = append(others, Attachment{Node: m.node, Address: m.address, DataCentre: m.centre, Fitness: m.fitness, Whole: m.whole})
 		}
 	}
 	return others
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -2,92 +2,156 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/internal/work"
 )
 
 // Bounds of deliveries.
 const (
-	// deliverEvery is the time between two deliveries to a machine. Clients
+	// deliverEvery is the least time between two deliveries to a machine. Clients
 	// see the end of their job with this delay.
 	deliverEvery = 25 * time.Millisecond
-	// deliverIdle is the time after which a delivery without records says
-	// that there are none (replica.Timing.FedFor is over twice that).
+	// deliverIdle is the time after which a delivery without news says
+	// that there is none (replica.Timing.FedFor is over twice that).
 	deliverIdle = 200 * time.Millisecond
+	// deliverMost is the longest time between two deliveries of news.
+	deliverMost = 150 * time.Millisecond
+	// deliverCost is the processor time of one delivery to one machine; no more
+	// of them are made than take up a tenth of the time.
+	deliverCost = 50 * time.Microsecond
+	// deliverShare is the share of the leader's link for the deliveries of news,
+	// of which each takes about deliverBytes. What orders and reports take comes first:
+	// on a link of 2 Mbit/s with 90 executors these are 0.7 of it.
+	deliverShare = 0.1
+	deliverBytes = 160
 	// deliverTimeout bounds a delivery.
 	deliverTimeout = 500 * time.Millisecond
-	// keptRecords and keptBytes bound what is kept for machines that are
+	// keptNews bounds the news kept for machines that are behind, which otherwise
+	// read the store: some 30 s of 130 jobs a second.
+	keptNews = 10_000
+	// sentNews bounds what one delivery brings: about 24 KB.
+	sentNews = 2000
+)
+
+// Bounds of deliveries of content to standbys.
+const (
+	// contentEvery is the time between two deliveries of content: what a job's
+	// records say is out of date several times a second, and only the newest is
+	// sent. A standby that comes to lead reads the rest from the store.
+	contentEvery = time.Second
+	// contentShare is the share of the leader's link for all content.
+	contentShare   = 0.08
+	contentTimeout = 2 * time.Second
+	// keptRecords and keptBytes bound what is kept for standbys that are
 	// behind, which otherwise read the store: what the leader clears up in
 	// one append, up to 2,000 jobs with four records each, and some seconds
 	// of other records (130 jobs a second make 600 of 300 bytes on average).
 	keptRecords = 10_000
 	keptBytes   = 4 << 20
 	// sentRecords and sentBytes bound what one delivery brings: a link of 10
-	// Mbit/s takes 0.2 s for the latter, well within deliverTimeout.
-	sentRecords = 500
+	// Mbit/s takes 0.2 s for the latter, well within contentTimeout.
+	sentRecords = 2000
 	sentBytes   = 256 << 10
+	// chooseEvery is the time between two choices of standbys.
+	chooseEvery = 250 * time.Millisecond
 )
 
+// PublisherConfig is what a Publisher works with.
+type PublisherConfig struct {
+	Self       leader.Leader
+	DataCentre api.DataCentre
+	Link       float64 // bytes a second that this machine's link carries; 0: not told
+	Helpers    *Helpers
+	Caller     Caller
+	Bulk       Caller                // on connections of its own, so that news never waits for content
+	Renewed    func() time.Duration  // how long ago the last confirmed renewal was sent
+	Replaced   func(epoch api.Epoch) // a machine has heard of a higher epoch
+	Events     *logrus.Entry
+}
+
 // Publisher delivers what the leader's replica applies to the machines that
-// are attached.
+// are attached: to all of them what clients may ask, to standbys also the content
+// of the records.
 type Publisher struct {
-	self     leader.Leader
-	helpers  *Helpers
-	caller   Caller
-	renewed  func() time.Duration // how long ago the last confirmed renewal was sent
-	replaced func(epoch api.Epoch)
-	events   *logrus.Entry
+	cfg    PublisherConfig
+	budget *rate.Limiter // of content, in bytes
 
-	mu      sync.Mutex
-	first   platform.Offset // of the first kept record
-	records []platform.Record
-	bytes   int // of these
-	targets map[api.NodeID]*target
+	mu       sync.Mutex
+	first    platform.Offset // of the first kept record
+	records  []platform.Record
+	bytes    int             // of these
+	newsFrom platform.Offset // from here on all news is kept
+	news     []replica.News
+	targets  map[api.NodeID]*target
+	standbys map[api.NodeID]bool
+	enough   bool // standbys keep the content, so that others need not
+	chosen   time.Time
 }
 
 // target is one machine that is delivered to.
 type target struct {
-	position platform.Offset // up to where it knows the partition
+	position platform.Offset // up to where it knows the states of jobs
 	sent     time.Time       // of the last delivery
 	busy     bool
+	listed   time.Time // of the last list of machines
+
+	content     platform.Offset // up to where it keeps the content of records
+	whole       bool            // it keeps it at all
+	contentSent time.Time
+	contentBusy bool
 }
 
-// NewPublisher returns a publisher of records from an offset on, for the leader
-// self. It calls replaced when a machine has heard of a higher epoch.
-func NewPublisher(self leader.Leader, from platform.Offset, h *Helpers, c Caller, renewed func() time.Duration, replaced func(api.Epoch), events *logrus.Entry) *Publisher {
-	return &Publisher{
-		self:     self,
-		helpers:  h,
-		caller:   c,
-		renewed:  renewed,
-		replaced: replaced,
-		events:   events,
+// NewPublisher returns a publisher of records from an offset on.
+func NewPublisher(cfg PublisherConfig, from platform.Offset) *Publisher {
+	p := &Publisher{
+		cfg:      cfg,
+		budget:   rate.NewLimiter(rate.Inf, 0),
 		first:    from,
+		newsFrom: from,
 		targets:  make(map[api.NodeID]*target),
 	}
+	if cfg.Link > 0 {
+		share := contentShare * cfg.Link
+		p.budget = rate.NewLimiter(rate.Limit(share), int(share)) // what one second allows, at once
+	}
+	return p
 }
 
-// Add takes in records, which have their offsets. If they don't follow on the
-// last ones, as when the replica was read anew, machines that miss those
-// between read them from the store.
-func (p *Publisher) Add(records []platform.Record) {
+// end returns the offset after the last record; p.mu is held.
+func (p *Publisher) end() platform.Offset { return p.first + platform.Offset(len(p.records)) }
+
+// Add takes in what was applied. If it doesn't follow on the
+// last, as when the replica was read anew, machines that miss what lies
+// between read it from the store.
+func (p *Publisher) Add(a replica.Applied) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if next := p.first + platform.Offset(len(p.records)); records[0].Offset != next {
-		p.first = records[0].Offset
-		p.records = nil
+	if a.Records[0].Offset != p.end() {
+		p.first = a.Records[0].Offset
+		p.newsFrom = p.first
+		p.records, p.news = nil, nil
 		p.bytes = 0
 	}
-	p.records = append(p.records, records...)
-	for _, r := range records {
+	p.records = append(p.records, a.Records...)
+	for _, r := range a.Records {
 		p.bytes += r.Size()
 	}
+	p.news = append(p.news, a.News...)
+	p.trim()
+}
+
+// trim drops what is over the bounds; p.mu is held.
+func (p *Publisher) trim() {
 	over := 0
 	for len(p.records)-over > keptRecords || p.bytes > keptBytes {
 		p.bytes -= p.records[over].Size()
@@ -97,6 +161,10 @@
 		p.records = append([]platform.Record(nil), p.records[over:]...)
 		p.first += platform.Offset(over)
 	}
+	if over := len(p.news) - keptNews; over > 0 {
+		p.newsFrom = p.news[over-1].Offset + 1
+		p.news = append([]replica.News(nil), p.news[over:]...)
+	}
 }
 
 // Run delivers until ctx ends.
@@ -110,76 +178,235 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			machines := p.helpers.Others(now)
+			machines := p.cfg.Helpers.Others(now)
+			p.choose(machines, now)
+			pace := p.pace(len(machines))
 			for _, m := range machines {
-				if d, due := p.next(m.Node, now); due {
-					if len(d.Records) == 0 {
+				if d, due := p.next(m.Node, pace, now); due {
+					if d.Role == Standby && p.lists(m.Node, now) {
 						d.Machines = machines
 					}
 					calls.Go(func() { p.deliver(ctx, m, d) })
 				}
+				if c, due := p.nextContent(m.Node, now); due {
+					calls.Go(func() { p.deliverContent(ctx, m, c) })
+				}
 			}
 		}
 	}
 }
 
-// next returns what a machine should be sent now, if anything.
-func (p *Publisher) next(node api.NodeID, now time.Time) (Delivery, bool) {
+// pace returns the time between two deliveries of news to a machine: the more
+// machines there are, and the thinner this one's link is, the longer.
+func (p *Publisher) pace(machines int) time.Duration {
+	processor := time.Duration(machines) * deliverCost * 10
+	link := time.Duration(0)
+	if p.cfg.Link > 0 {
+		link = time.Duration(float64(machines) * deliverBytes / (deliverShare * p.cfg.Link) * float64(time.Second))
+	}
+	return min(max(deliverEvery, processor, link), deliverMost)
+}
+
+// listEvery is the time between two lists of all machines to a standby: machines
+// make themselves known to a new leader within about a second.
+const listEvery = time.Second
+
+// lists reports whether a standby should be told of all machines, and counts it as
+// told.
+func (p *Publisher) lists(node api.NodeID, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	t := p.target(node)
+	if now.Sub(t.listed) < listEvery {
+		return false
+	}
+	t.listed = now
+	return true
+}
+
+// choose works out, now and then, who is a standby.
+func (p *Publisher) choose(machines []Attachment, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.chosen) < chooseEvery {
+		return
+	}
+	p.chosen = now
+	p.standbys = chooseStandbys(machines, p.cfg.DataCentre)
+	p.enough = enoughWhole(machines, p.standbys)
+}
+
+// role returns what a machine should keep; p.mu is held.
+func (p *Publisher) role(node api.NodeID) Role {
+	switch {
+	case p.standbys[node]:
+		return Standby
+	case p.enough:
+		return Follower
+	default:
+		return Unassigned
+	}
+}
+
+func (p *Publisher) target(node api.NodeID) *target {
 	t := p.targets[node]
 	if t == nil {
 		t = &target{}
 		p.targets[node] = t
 	}
-	end := p.first + platform.Offset(len(p.records))
+	return t
+}
+
+// next returns the news that a machine should be sent now, if any. Between two
+// deliveries of news there is a time of pace.
+func (p *Publisher) next(node api.NodeID, pace time.Duration, now time.Time) (Delivery, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(node)
+	end := p.end()
 	// A machine that knows less than is kept reads the store. Deliveries bring
 	// it nothing yet, and at the pace of those that do they would be 40 calls
 	// a second to each machine that was restarted.
-	news := t.position >= p.first && t.position < end
-	if t.busy || (!news && now.Sub(t.sent) < deliverIdle) {
+	follows := t.position >= p.newsFrom && t.position <= end
+	news := p.newsSince(t.position)
+	wait := deliverIdle
+	if follows && len(news) > 0 {
+		wait = min(pace, deliverIdle)
+	}
+	if t.busy || now.Sub(t.sent) < wait {
 		return Delivery{}, false
 	}
 	t.busy = true
 	t.sent = now
-	d := Delivery{Leader: p.self, Renewed: p.renewed(), First: end, End: end}
-	if news {
-		d.First = t.position
-		d.Records = pack(atMost(p.records[t.position-p.first:]))
+	d := Delivery{Leader: p.cfg.Self, Renewed: p.cfg.Renewed(), Span: replica.Span{From: end, To: end}, End: end, Role: p.role(node)}
+	if follows {
+		d.Span.From = t.position
+		if len(news) > sentNews {
+			news = news[:sentNews]
+			d.Span.To = news[sentNews-1].Offset + 1
+		}
+		d.Jobs = work.PackSummaries(newest(news))
 	}
 	return d, true
 }
 
-// atMost returns the first of the records that one delivery may bring, at least
-// one.
-func atMost(records []platform.Record) []platform.Record {
-	size := 0
+// newsSince returns the news from an offset on; p.mu is held.
+func (p *Publisher) newsSince(from platform.Offset) []replica.News {
+	i := sort.Search(len(p.news), func(i int) bool { return p.news[i].Offset >= from })
+	return p.news[i:]
+}
+
+// newest returns the newest summary of each job.
+func newest(news []replica.News) []work.Summary {
+	places := make(map[work.ID]int, len(news))
+	out := make([]work.Summary, 0, len(news))
+	for _, n := range news {
+		if i, again := places[n.Summary.ID]; again {
+			out[i] = n.Summary
+			continue
+		}
+		places[n.Summary.ID] = len(out)
+		out = append(out, n.Summary)
+	}
+	return out
+}
+
+// nextContent returns the content that a standby should be sent now, if any.
+func (p *Publisher) nextContent(node api.NodeID, now time.Time) (ContentDelivery, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(node)
+	end := p.end()
+	if !p.standbys[node] || !t.whole || t.contentBusy || now.Sub(t.contentSent) < contentEvery || t.content < p.first || t.content >= end {
+		return ContentDelivery{}, false
+	}
+	records := p.records[t.content-p.first:]
+	most := sentBytes
+	if p.cfg.Link > 0 {
+		most = min(most, p.budget.Burst())
+	}
+	n, size := fitting(records, most)
+	if !p.budget.AllowN(now, min(size, p.budget.Burst())) {
+		return ContentDelivery{}, false
+	}
+	t.contentBusy = true
+	t.contentSent = now
+	span := replica.Span{From: t.content, To: t.content + platform.Offset(n)}
+	return ContentDelivery{Leader: p.cfg.Self, Span: span, Records: packContent(newestOfKeys(records[:n]))}, true
+}
+
+// fitting returns how many of the first records fit into some bytes, at least one,
+// where only the newest of each key counts, and their size.
+func fitting(records []platform.Record, most int) (n, size int) {
+	sizes := make(map[string]int)
 	for i, r := range records {
-		size += r.Size()
-		if i > 0 && (i == sentRecords || size > sentBytes) {
-			return records[:i]
+		grown := size + r.Size() - sizes[r.Key]
+		if i > 0 && (len(sizes) == sentRecords || grown > most) {
+			return i, size
 		}
+		size = grown
+		sizes[r.Key] = r.Size()
 	}
-	return records
+	return len(records), size
+}
+
+// newestOfKeys returns the newest record of each key, in the order of offsets.
+func newestOfKeys(records []platform.Record) []platform.Record {
+	last := make(map[string]int, len(records))
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	out := make([]platform.Record, 0, len(last))
+	for i, r := range records {
+		if last[r.Key] == i {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 func (p *Publisher) deliver(ctx context.Context, m Attachment, d Delivery) {
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 	var answer DeliveryAnswer
-	err := p.caller.Call(ctx, m.Address, methodDeliver, &d, &answer)
+	err := p.cfg.Caller.Call(ctx, m.Address, methodDeliver, &d, &answer)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.targets[m.Node]
+	t := p.target(m.Node)
 	t.busy = false
 	if err != nil {
-		p.events.WithError(err).WithField("machine", m.Node).Debug("records not delivered")
+		p.cfg.Events.WithError(err).WithField("machine", m.Node).Debug("news not delivered")
 		return
 	}
-	if answer.Epoch > p.self.Epoch {
-		p.replaced(answer.Epoch)
+	if answer.Epoch > p.cfg.Self.Epoch {
+		p.cfg.Replaced(answer.Epoch)
 		return
 	}
 	t.position = answer.Position
-	p.helpers.Heard(m.Node, time.Now())
+	t.whole = answer.Whole
+	if !t.contentBusy {
+		t.content = answer.Content
+	}
+	p.cfg.Helpers.Heard(m.Node, answer.Whole, time.Now())
+}
+
+func (p *Publisher) deliverContent(ctx context.Context, m Attachment, c ContentDelivery) {
+	ctx, cancel := context.WithTimeout(ctx, contentTimeout)
+	defer cancel()
+	var answer DeliveryAnswer
+	err := p.cfg.Bulk.Call(ctx, m.Address, methodContent, &c, &answer)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(m.Node)
+	t.contentBusy = false
+	if err != nil {
+		p.cfg.Events.WithError(err).WithField("machine", m.Node).Debug("content not delivered")
+		return
+	}
+	if answer.Epoch > p.cfg.Self.Epoch {
+		p.cfg.Replaced(answer.Epoch)
+		return
+	}
+	t.content = answer.Content
+	t.whole = answer.Whole
 }
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -34,11 +34,10 @@
 	holdTimeout = 700 * time.Millisecond // for a report, beside its wait
 	holdPace    = 40 * time.Millisecond  // least time between two holds on an executor: ends close together share one
 	holdRetry   = 200 * time.Millisecond
-	callTimeout = 250 * time.Millisecond // of a start or stop; executors answer within a few milliseconds
-	askTimeout  = 3 * time.Second        // of a call for advice, which may wait behind others
-	tidyEvery   = time.Second            // between two looks for jobs that ended
-	tidyAtOnce  = 2000                   // such jobs at a look: 5,000 starts a second end fewer jobs, and their records fit one append
-	wholeFor    = 5 * time.Second        // after its end a job's submission is kept for runs that come to light late
+	askTimeout  = 3 * time.Second // of a call for advice, which may wait behind others
+	tidyEvery   = time.Second     // between two looks for jobs that ended
+	tidyAtOnce  = 2000            // such jobs at a look: 5,000 starts a second end fewer jobs, and their records fit one append
+	wholeFor    = 5 * time.Second // after its end a job's submission is kept for runs that come to light late
 )
 
 // Config is what a Runner works with.
@@ -54,6 +53,10 @@
 	Reader    *replica.Reader
 	Helpers   *assist.Helpers
 	Caller    assist.Caller
+	Bulk      assist.Caller  // on connections of its own, for content of records
+	Centre    api.DataCentre // of this machine
+	Link      float64        // bytes a second that its link carries; 0: not told
+	Full      func() bool    // little more can be sent by it without delay; nil: never
 	Table     func() *queue.Table
 	MayRenew  func() bool           // leases may be extended
 	Replaced  func()                // somebody refused this leader's epoch
@@ -129,21 +132,37 @@
 	r.cell = plan.NewCell(r.cfg.Plan, r.lookup, r.cfg.Events, time.Now())
 	r.cell.Configure(r.cfg.Table())
 	r.mu.Unlock()
-	r.cfg.Replica.Follow(r.changed)
+	if !r.cfg.Replica.Follow(r.changed) {
+		return errNotWhole
+	}
 	r.publish(ctx)
 	r.cfg.Events.WithField("took_ms", time.Since(began).Milliseconds()).Info("this process begins to plan for the cell")
 	return ctx.Err()
 }
 
+// errNotWhole: the content of records was dropped between this process's claim and
+// now, on the word of another leader.
+var errNotWhole = errors.New("dispatch: the jobs' records aren't kept here")
+
 // publish begins to deliver what the replica applies to the other machines.
 func (r *Runner) publish(ctx context.Context) {
 	var publisher *assist.Publisher
 	ready := make(chan struct{})
-	from := r.cfg.Replica.Publish(func(records []platform.Record) {
+	from := r.cfg.Replica.Publish(func(a replica.Applied) {
 		<-ready
-		publisher.Add(records)
+		publisher.Add(a)
 	})
-	publisher = assist.NewPublisher(r.cfg.Self, from, r.cfg.Helpers, r.cfg.Caller, r.cfg.Renewed, r.cfg.HeardOf, r.cfg.Events)
+	publisher = assist.NewPublisher(assist.PublisherConfig{
+		Self:       r.cfg.Self,
+		DataCentre: r.cfg.Centre,
+		Link:       r.cfg.Link,
+		Helpers:    r.cfg.Helpers,
+		Caller:     r.cfg.Caller,
+		Bulk:       r.cfg.Bulk,
+		Renewed:    r.cfg.Renewed,
+		Replaced:   r.cfg.HeardOf,
+		Events:     r.cfg.Events,
+	}, from)
 	close(ready)
 	r.spawn(func() { publisher.Run(ctx) })
 }
@@ -277,39 +296,12 @@
 	r.mu.Lock()
 	orders := r.cell.Confirm(starts, time.Now())
 	r.mu.Unlock()
-	for _, o := range orders {
-		r.spawn(func() { r.sendStart(ctx, o) })
-	}
+	r.sendOrders(ctx, orders, nil)
 	if len(orders) < len(starts) {
 		r.Wake()
 	}
 }
 
-func (r *Runner) sendStart(ctx context.Context, o plan.Order) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	o.Order.Token = uint64(r.cfg.Self.Epoch)
-	_, err := r.cfg.Executors.Start(ctx, o.Start.To, o.Order)
-	r.noticeFence(err)
-	r.mu.Lock()
-	r.cell.Started(o.Start, err, time.Now())
-	r.mu.Unlock()
-	if err != nil {
-		r.cfg.Events.WithError(err).WithFields(logrus.Fields{"executor": o.Start.To.ID, "task": o.Start.Run.Task, "run": o.Start.Run.Number}).Debug("start not confirmed")
-		r.Wake()
-	}
-}
-
-func (r *Runner) sendStop(ctx context.Context, s plan.Stop) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := r.cfg.Executors.Stop(ctx, s.To, s.Run, uint64(r.cfg.Self.Epoch))
-	r.noticeFence(err)
-	r.mu.Lock()
-	r.cell.Stopped(s, err, time.Now())
-	r.mu.Unlock()
-}
-
 // noticeFence tells the elector when an executor has seen a higher token.
 func (r *Runner) noticeFence(err error) {
 	var refused *platform.RefusedError
@@ -347,9 +339,7 @@
 		stops := r.cell.TakeStops(time.Now())
 		r.keepHolds(ctx)
 		r.mu.Unlock()
-		for _, s := range stops {
-			r.spawn(func() { r.sendStop(ctx, s) })
-		}
+		r.sendOrders(ctx, nil, stops)
 		pause.For(ctx, attendPace)
 		select {
 		case <-ctx.Done():
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -134,6 +134,10 @@
 	return handedIn
 }
 
+// fullRetry is after what time a client that was refused for a full link should
+// come back: the load is that of about the last second.
+const fullRetry = time.Second
+
 // takeRecord gives the job of a record to the cell, unless it could not be of
 // use in time. Other records are only to be stored. r.mu is held.
 func (r *Runner) takeRecord(s *submission, i int, backlog plan.Backlog, now time.Time) {
@@ -149,6 +153,11 @@
 		r.cfg.Events.WithError(err).WithField("job", id).Error("unreadable job was handed in")
 		return
 	}
+	if r.cfg.Full != nil && r.cfg.Full() {
+		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: fullRetry}
+		r.cfg.Events.WithField("job", job.ID).Info("job refused: this machine's link is full")
+		return
+	}
 	if excess, late := r.tooLate(job, backlog, now); late {
 		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: excess}
 		return
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -174,6 +174,7 @@
 	e.state = NewState(e.cfg.Self, from, time.Now())
 	e.unread = false
 	e.take(batch)
+	e.state.seized = nil // when that was is not known
 	if len(batch.Records) == 0 {
 		e.state.released = true // nobody leads and nobody is waited for
 	}
@@ -191,14 +192,16 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	silence := e.state.Silence(time.Now()) - reserve
+	now := time.Now()
+	silence := e.state.Silence(now) - reserve
 	switch {
 	case e.state.Released():
 		return silence >= 0
 	case e.suspected:
-		return silence > e.cfg.Timing.Suspected
+		return silence > e.state.Patience(now)*e.cfg.Timing.Suspected
 	default:
-		return silence > max(e.cfg.Timing.Takeover, time.Duration(e.cfg.Timing.Gaps)*e.state.Gap())
+		usual := max(e.cfg.Timing.Takeover, time.Duration(e.cfg.Timing.Gaps)*e.state.Gap())
+		return silence > e.state.Patience(now)*usual
 	}
 }
 
--- a/internal/leader/signals.go
+++ b/internal/leader/signals.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// Silence returns for how long nothing was heard of the leader.
+func (e *Elector) Silence(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == nil {
+		return 0 // the partition has not been read yet
+	}
+	return e.state.Silence(now)
+}
+
 // Confirmed returns how long ago the last confirmed renewal of this process,
 // as leader, was sent.
 func (e *Elector) Confirmed() time.Duration {
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -41,6 +41,7 @@
 	released  bool
 	highest   api.Epoch     // of all leaders heard of
 	gap       time.Duration // usual time between two records of a leader
+	seized    []time.Time   // when silent leaders were replaced of late
 }
 
 // NewState returns the state of a process that has read the partition up to
@@ -87,6 +88,7 @@
 	s.heard = now
 	switch r.Kind {
 	case claims:
+		s.noteSeized(now)
 		s.current = Leader{Epoch: api.Epoch(at + 1), Node: r.Node, Incarnation: r.Incarnation, Address: r.Address}
 		s.released = false
 	case renews:
@@ -104,6 +106,37 @@
 	}
 }
 
+const (
+	// unsettled is the time in which several seizures make claims slow down.
+	unsettled = 10 * time.Second
+	// mostPatience bounds how many times the usual silence is then waited for.
+	mostPatience = 4
+)
+
+// noteSeized notes that a leader is replaced that has not stepped down.
+func (s *State) noteSeized(now time.Time) {
+	if s.current.Epoch == 0 || s.released {
+		return
+	}
+	s.seized = append(s.recent(now), now)
+}
+
+// recent returns the seizures of the last while.
+func (s *State) recent(now time.Time) []time.Time {
+	i := 0
+	for i < len(s.seized) && now.Sub(s.seized[i]) >= unsettled {
+		i++
+	}
+	return s.seized[i:]
+}
+
+// Patience returns how many times the usual silence should be waited for. Each
+// new leader has to read and ask much at once, and its renewals may be late for
+// it: of several seizures in a row each made the next more likely.
+func (s *State) Patience(now time.Time) time.Duration {
+	return time.Duration(min(max(1, len(s.recent(now))), mostPatience))
+}
+
 // sending notes that an own append is about to be sent.
 func (s *State) sending(now Uptime) { s.sent = now }
 
@@ -115,6 +148,7 @@
 		return false
 	}
 	s.highest = l.Epoch
+	s.noteSeized(now)
 	s.current = l
 	s.heard = now
 	s.released = false
@@ -136,6 +170,7 @@
 
 // claimed takes in that the own claim was stored.
 func (s *State) claimed(at platform.Offset, now time.Time) {
+	s.noteSeized(now)
 	s.self.Epoch = api.Epoch(at + 1)
 	s.highest = s.self.Epoch
 	s.current = s.self
--- a/internal/node/attach.go
+++ b/internal/node/attach.go
@@ -26,8 +26,12 @@
 	ticker := time.NewTicker(tieLook)
 	defer ticker.Stop()
 	var offered time.Time
+	alone := succession{processors: n.settings.Processors}
 	for {
 		now := time.Now()
+		if alone.due(n.reader.IsFed(now), n.elector.Silence(now)) {
+			n.replica.Keep() // nobody has claimed the cell who could have at once
+		}
 		if now.Sub(offered) >= attachEvery || !n.reader.IsFed(now) {
 			n.attachOnce(ctx)
 			offered = now
@@ -49,7 +53,10 @@
 	// to its end, which would keep its last offer to lead valid.
 	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
-	offer := assist.Attachment{Node: n.settings.Node, Address: n.settings.Peer, Fitness: n.fitness()}
+	offer := assist.Attachment{
+		Node: n.settings.Node, Address: n.settings.Peer, DataCentre: n.settings.DataCentre,
+		Fitness: n.fitness(), Whole: n.replica.Whole(),
+	}
 	epoch, err := assist.Attach(ctx, n.caller, current.Address, offer)
 	switch {
 	case err != nil:
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -48,7 +48,7 @@
 	if n.epoch.Load() != uint64(epoch) {
 		return
 	}
-	executors := platform.NewExecutors()
+	executors := platform.NewExecutors(n.traffic)
 	defer executors.Close()
 	self := n.self
 	self.Epoch = epoch
@@ -64,6 +64,10 @@
 		Reader:    n.reader,
 		Helpers:   n.helpers,
 		Caller:    n.caller,
+		Bulk:      n.bulk,
+		Centre:    n.settings.DataCentre,
+		Link:      n.settings.LinkBytes,
+		Full:      n.linkFull.Load,
 		Table:     n.table,
 		MayRenew:  n.elector.MayRenewLeases,
 		Replaced:  n.elector.Replaced,
@@ -89,7 +93,7 @@
 
 // standing compares this machine with those that are known, as a leader.
 func (n *Node) standing() leader.Standing {
-	if !n.replica.Synced() || n.replica.Behind(time.Now()) > farBehind {
+	if !n.replica.Synced() || !n.replica.Whole() || n.replica.Behind(time.Now()) > farBehind {
 		return leader.Unread
 	}
 	if n.watch.Table() == nil { // nothing is known of the queues: how often to try, where, how late
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/replica"
 	"github.com/skylarklock/skylarklock/internal/storehealth"
+	"github.com/skylarklock/skylarklock/internal/traffic"
 	"github.com/skylarklock/skylarklock/platform"
 )
 
@@ -40,38 +41,48 @@
 
 // Node is one process.
 type Node struct {
-	settings *platform.Settings
-	self     leader.Leader // without an epoch
-	log      *logrus.Entry
-	store    *storehealth.Log
-	watch    *queue.Watch
-	replica  *replica.Replica
-	reader   *replica.Reader
-	intake   *intake.Intake
-	elector  *leader.Elector
-	helpers  *assist.Helpers
-	caller   *peer.Client
-	adviser  product.Adviser
-	leading  chan api.Epoch
-	epoch    atomic.Uint64 // that this process leads; 0: none
-	stopLead atomic.Pointer[context.CancelFunc]
-	runner   atomic.Pointer[dispatch.Runner] // while this process leads
-	draining atomic.Bool
-	shutdown shutdown
+	settings  *platform.Settings
+	self      leader.Leader // without an epoch
+	log       *logrus.Entry
+	traffic   *traffic.Account
+	store     *storehealth.Log
+	watch     *queue.Watch
+	replica   *replica.Replica
+	reader    *replica.Reader
+	intake    *intake.Intake
+	elector   *leader.Elector
+	helpers   *assist.Helpers
+	caller    *peer.Client
+	bulk      *peer.Client // content of records, on connections of its own
+	adviser   product.Adviser
+	executors *platform.Executors // for orders of the leader that go by this machine
+	leading   chan api.Epoch
+	epoch     atomic.Uint64 // that this process leads; 0: none
+	stopLead  atomic.Pointer[context.CancelFunc]
+	runner    atomic.Pointer[dispatch.Runner] // while this process leads
+	draining  atomic.Bool
+	linkFull  atomic.Bool // little more can be sent without delay
+	shutdown  shutdown
 }
 
 // New returns a process that has opened nothing yet.
 func New(s *platform.Settings, log *logrus.Entry) *Node {
+	account := &traffic.Account{}
 	n := &Node{
-		settings: s,
-		log:      log,
-		store:    storehealth.Watch(platform.NewStore(s.Store)),
-		caller:   peer.NewClient(peerLimits(), nil),
-		leading:  make(chan api.Epoch, 1),
-		shutdown: shutdown{grace: s.Grace},
+		settings:  s,
+		log:       log,
+		traffic:   account,
+		store:     storehealth.Watch(platform.NewStore(s.Store, account)),
+		caller:    peer.NewClient(peerLimits(), nil),
+		bulk:      peer.NewClient(peerLimits(), nil),
+		executors: platform.NewExecutors(account),
+		leading:   make(chan api.Epoch, 1),
+		shutdown:  shutdown{grace: s.Grace},
 	}
+	n.caller.Count(account)
+	n.bulk.Count(account)
 	if s.Advice != "" {
-		n.adviser = platform.NewAdvice(s.Advice)
+		n.adviser = platform.NewAdvice(s.Advice, account)
 	}
 	jobs := product.Partition{Topic: topicJobs, Number: cellNumber, Keyed: true}
 	n.watch = &queue.Watch{
@@ -93,7 +104,8 @@
 	n.helpers = assist.NewHelpers(s.Node, n.adviser, n.caller)
 	n.self = leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.Peer}
 	n.elector = leader.New(leader.Config{
-		Log:       n.store,
+		// On connections of its own: a renewal never waits for a read of jobs.
+		Log:       n.store.Also(platform.NewStore(s.Store, account)),
 		Partition: product.Partition{Topic: topicLeader, Number: cellNumber},
 		Self:      n.self,
 		Timing:    leader.DefaultTiming(),
@@ -115,7 +127,7 @@
 	var g run.Group
 	n.addServers(&g)
 	loops := []func(context.Context) error{
-		n.watch.Run, n.reader.Run, n.intake.Run, n.elector.Run, n.lead, n.attach,
+		n.watch.Run, n.reader.Run, n.intake.Run, n.elector.Run, n.lead, n.attach, n.reportTraffic, n.watchLoad,
 	}
 	for _, loop := range loops {
 		g.Add(func() error { return loop(work) }, func(error) { stop() })
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -14,6 +14,7 @@
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/drain"
 	"github.com/skylarklock/skylarklock/internal/peer"
+	"github.com/skylarklock/skylarklock/internal/traffic"
 	"github.com/skylarklock/skylarklock/platform"
 )
 
@@ -45,12 +46,24 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
 	})
-	g.Add(front.ListenAndServe, func(error) { n.endFront(front) })
+	g.Add(func() error { return n.listen(n.settings.Front, traffic.Clients, front.Serve) }, func(error) { n.endFront(front) })
 	n.addPeers(g)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, n.serveReadiness)
+	mux.HandleFunc("GET "+countersPath, n.serveCounters)
 	ready := &http.Server{Addr: n.settings.Ready, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	g.Add(func() error { return served(ready.ListenAndServe()) }, func(error) { n.endReady(ready) })
+	g.Add(func() error {
+		return served(n.listen(n.settings.Ready, traffic.Readiness, ready.Serve))
+	}, func(error) { n.endReady(ready) })
+}
+
+// listen serves on an address, all of whose bytes count as one kind.
+func (n *Node) listen(address string, kind traffic.Kind, serve func(net.Listener) error) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listener for %s", kind)
+	}
+	return serve(n.traffic.Listener(l, kind))
 }
 
 // served hides the error that a server's end brings.
@@ -63,6 +76,7 @@
 
 func (n *Node) addPeers(g *run.Group) {
 	server := peer.NewServer(peerLimits(), n.log)
+	server.Count(n.traffic)
 	handler := &assist.Handler{
 		Leads:      func() api.Epoch { return api.Epoch(n.epoch.Load()) },
 		Storer:     n.storer,
@@ -70,6 +84,7 @@
 		Electorate: n.elector,
 		Helpers:    n.helpers,
 		Adviser:    n.adviser,
+		Executors:  n.executors,
 		Longest:    adviceTimeout,
 	}
 	if err := server.Register(assist.ServiceName, handler); err != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/traffic"
 )
 
 // maxSilent is how many calls in a row may time out on a connection before
@@ -33,6 +35,8 @@
 	limits Limits
 	dial   Dialer
 	vars   *expvar.Map
+	// traffic counts calls' bytes by method; nil: nowhere. Set by Count.
+	traffic *traffic.Account
 
 	mu     sync.Mutex
 	conns  map[string]*clientConn
@@ -56,6 +60,9 @@
 	}
 }
 
+// Count has calls' bytes counted by method. It must not be called after Call.
+func (c *Client) Count(a *traffic.Account) { c.traffic = a }
+
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr)
@@ -147,7 +154,7 @@
 	if former := c.conns[addr]; former != nil {
 		c.retire(former)
 	}
-	conn := newClientConn(raw, addr, c.limits, c.vars)
+	conn := newClientConn(raw, addr, c.limits, c.vars, c.traffic)
 	c.conns[addr] = conn
 	conn.calls++
 	return conn, nil
@@ -188,8 +195,9 @@
 	retired bool
 }
 
-func newClientConn(raw net.Conn, addr string, limits Limits, vars *expvar.Map) *clientConn {
+func newClientConn(raw net.Conn, addr string, limits Limits, vars *expvar.Map, account *traffic.Account) *clientConn {
 	codec := newClientCodec(raw, limits, vars)
+	codec.traffic = account
 	return &clientConn{
 		addr:  addr,
 		rpc:   rpc.NewClientWithCodec(codec),
--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -9,6 +9,8 @@
 	"net/rpc"
 	"sync/atomic"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/traffic"
 )
 
 // outgoing is the argument that a call hands to the codec. It is read again
@@ -34,6 +36,8 @@
 	reader *bufio.Reader
 	body   []byte // of the answer whose header was read last
 
+	traffic *traffic.Account
+
 	broken atomic.Bool  // takes no further calls
 	silent atomic.Int32 // calls timed out since the last answer
 }
@@ -64,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	c.traffic.Add(traffic.Kind(r.ServiceMethod), int64(len(frame)), 0)
 	return c.write(out, frame)
 }
 
@@ -101,6 +106,7 @@
 	}
 	c.silent.Store(0)
 	c.vars.Add(varBytesIn, f.size)
+	c.traffic.AddAnswer(traffic.Kind(f.Method), 0, f.size)
 	r.Seq = f.Seq
 	r.ServiceMethod = f.Method
 	r.Error = f.Error
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,8 @@
 	"sync"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/traffic"
 )
 
 // Names of the counters in Server.Vars.
@@ -30,7 +32,9 @@
 	log    *logrus.Entry
 	rpc    *rpc.Server
 	vars   *expvar.Map
-	slots  map[string]chan struct{} // by service name; set before Serve
+	// traffic counts calls' bytes by method; nil: nowhere. Set by Count.
+	traffic *traffic.Account
+	slots   map[string]chan struct{} // by service name; set before Serve
 
 	mu       sync.Mutex
 	draining bool
@@ -63,6 +67,9 @@
 // caller's choice.
 func (s *Server) Vars() *expvar.Map { return s.vars }
 
+// Count has calls' bytes counted by method. It must not be called after Serve.
+func (s *Server) Count(a *traffic.Account) { s.traffic = a }
+
 // Register adds the exported methods of rcvr, in the form that net/rpc asks
 // for, as "name.Method". Each name has its own limit on calls running at
 // once. It must not be called after Serve.
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -9,6 +9,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/traffic"
 )
 
 // readBuffer is the read buffer of a connection, in bytes.
@@ -50,6 +52,7 @@
 	}
 	c.server.vars.Add(varCalls, 1)
 	c.server.vars.Add(varBytesIn, f.size)
+	c.server.traffic.Add(traffic.Kind(f.Method), 0, f.size)
 	r.Seq = f.Seq
 	r.ServiceMethod = f.Method
 	c.body = f.body
@@ -153,6 +156,7 @@
 	if err != nil {
 		return err
 	}
+	c.server.traffic.AddAnswer(traffic.Kind(r.ServiceMethod), int64(len(frame)), 0)
 	return c.write(frame)
 }
 
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -41,8 +41,9 @@
 
 // Stop is an order to stop a run.
 type Stop struct {
-	To  platform.ExecutorRef
-	Run platform.Run
+	To         platform.ExecutorRef
+	DataCentre string // of the executor
+	Run        platform.Run
 }
 
 // NewCell returns a cell without jobs and executors, led from now on.
@@ -274,7 +275,7 @@
 		return // it is dropped before it is sent
 	}
 	cl.stopped = c.now
-	c.stops = append(c.stops, Stop{To: cl.vm.Ref, Run: cl.run})
+	c.stops = append(c.stops, Stop{To: cl.vm.Ref, DataCentre: cl.vm.Zone, Run: cl.run})
 }
 
 // repeatStops sends those stops again that may have had no effect. A report
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -13,6 +13,7 @@
 // record is durable and Confirm has allowed it.
 type Start struct {
 	To            platform.ExecutorRef
+	DataCentre    string // of the executor
 	Run           platform.Run
 	Specification string
 	Checkpoint    string
@@ -219,7 +220,7 @@
 	}
 	p.vm.add(cl)
 	c.mark(s.job)
-	start := Start{To: p.vm.Ref, Run: cl.run, Specification: s.job.spec.Specification, Checkpoint: t.checkpoint}
+	start := Start{To: p.vm.Ref, DataCentre: p.vm.Zone, Run: cl.run, Specification: s.job.spec.Specification, Checkpoint: t.checkpoint}
 	if q != nil && q.Advice != nil {
 		start.Ticket = s.advice.tickets[p.vm.Ref.ID].text
 	}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
 )
 
 // Timing holds the intervals of the reader.
@@ -64,12 +65,12 @@
 	syncs     syncs
 }
 
-// Deliver takes in records from the leader, the first of which has the given
-// offset, and where the leader knows the partition to end. It returns up to
-// where the replica is complete.
-func (f *Reader) Deliver(first platform.Offset, records []platform.Record, end platform.Offset) platform.Offset {
+// Deliver takes in from the leader the summaries of all jobs that records of a
+// span have changed, and where the leader knows the partition to end. It returns
+// up to where the states of jobs are known.
+func (f *Reader) Deliver(span Span, jobs []work.Summary, end platform.Offset) platform.Offset {
 	now := time.Now()
-	position := f.Replica.Offer(first, records, now)
+	position := f.Replica.Summarise(span, jobs, now)
 	if position >= end {
 		f.Replica.Heard(now)
 		f.fed.Store(&now)
@@ -77,7 +78,23 @@
 	return position
 }
 
-// Position returns up to where the replica is complete.
+// DeliverContent takes in from the leader the newest record of each key that was
+// written in a span.
+func (f *Reader) DeliverContent(span Span, records []platform.Record) {
+	f.Replica.OfferContent(span, records, time.Now())
+}
+
+// Content returns up to where the content of records is kept, and whether it is
+// kept at all.
+func (f *Reader) Content() (platform.Offset, bool) { return f.Replica.Content() }
+
+// Keep has the content of records kept from now on.
+func (f *Reader) Keep() { f.Replica.Keep() }
+
+// Shed drops the content of records: this machine needn't be able to plan.
+func (f *Reader) Shed() { f.Replica.Shed() }
+
+// Position returns up to where the states of jobs are known.
 func (f *Reader) Position() platform.Offset { return f.Replica.Position() }
 
 // IsFed reports whether the leader has lately delivered everything.
@@ -137,7 +154,7 @@
 }
 
 func (f *Reader) step(ctx context.Context) error {
-	if !f.Replica.Synced() {
+	if !f.Replica.Synced() || f.Replica.Wants() {
 		return f.Restore(ctx)
 	}
 	err := f.read(ctx, f.wait(time.Now()))
@@ -220,7 +237,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout+wait)
 	defer cancel()
 	sent := time.Now()
-	batch, err := f.Log.Read(ctx, f.Partition, f.Replica.Position(), wait)
+	batch, err := f.Log.Read(ctx, f.Partition, f.Replica.readFrom(), wait)
 	switch {
 	case err == nil && time.Since(sent) < timeout/2: // or the next slow read would fail again
 		f.timeout.Store(int64(timeout / 2))
@@ -241,7 +258,7 @@
 		return nil
 	}
 	began, read, size := time.Now(), 0, 0
-	f.Replica.restoring()
+	kept := f.Replica.restoring()
 	next, err := platform.ReadNewest(ctx, f.Log, f.Partition, platform.PageTimeout{Least: f.Timing.Call, Most: f.Timing.PageMost}, func(records []platform.Record) {
 		f.Replica.apply(records, 0, time.Now())
 		read += len(records)
@@ -260,16 +277,31 @@
 	}
 	told.Info("newest record of each job read")
 	f.Replica.restored(next)
+	f.Replica.gathered(next, kept)
 	f.Replica.Heard(began)
 	f.restores.Add(1)
 	return nil
 }
 
-// restoring notes that the newest record of every key is being read.
-func (r *Replica) restoring() {
+// restoring notes that the newest record of every key is being read. It returns
+// whether their content is kept.
+func (r *Replica) restoring() content {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.round++
+	return r.content
+}
+
+// gathered notes that the newest record of every key was read up to an offset,
+// and that its content was kept if it was to be from the beginning on.
+func (r *Replica) gathered(end platform.Offset, began content) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !began.kept || !r.content.kept || began.epoch != r.content.epoch {
+		return
+	}
+	r.content.upTo = max(r.content.upTo, end)
+	r.content.whole = true
 }
 
 // restored notes that all records before end have been applied. Jobs that were
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,13 +24,26 @@
 
 	mu       sync.Mutex // guards the fields below and orders changes
 	next     platform.Offset
+	content  content
 	round    uint64        // of readings of the newest records
 	synced   chan struct{} // closed when everything up to next has been applied
 	current  time.Time     // when the store, or the leader, last told what it holds
 	whole    time.Time     // when nothing that it held was missing here
 	faults   *platform.UnreadableLog
 	listener func([]Change)
-	publish  func([]platform.Record) // what was applied in order, on the machine that leads
+	publish  func(Applied) // what was applied in order, on the machine that leads
+}
+
+// Applied is what was applied in order.
+type Applied struct {
+	Records []platform.Record
+	News    []News // what these say to clients
+}
+
+// News is a change of what clients may ask of a job.
+type News struct {
+	Offset  platform.Offset // of the record that brought it
+	Summary work.Summary
 }
 
 type shard struct {
@@ -41,10 +54,11 @@
 // New returns an empty replica that forgets a job some time after its end.
 func New(kept time.Duration, events *logrus.Entry) *Replica {
 	r := &Replica{
-		events: events,
-		kept:   kept,
-		synced: make(chan struct{}),
-		faults: &platform.UnreadableLog{Events: events.WithField("records", "jobs")},
+		events:  events,
+		kept:    kept,
+		synced:  make(chan struct{}),
+		content: content{kept: true, whole: true}, // of nothing so far
+		faults:  &platform.UnreadableLog{Events: events.WithField("records", "jobs")},
 	}
 	for i := range r.shards {
 		r.shards[i].jobs = make(map[work.ID]*Entry)
@@ -74,8 +88,8 @@
 		return false
 	}
 	e, known := r.Get(id)
-	if kind == work.KindCancel {
-		return known && (e.Cancelled || e.Outcome != nil)
+	if kind == work.KindCancel { // which changes nothing of a job that has ended
+		return known && (e.Cancelled || e.State().Final())
 	}
 	return known && e.Submitted()
 }
@@ -112,7 +126,7 @@
 func (r *Replica) Pending(queue string) int {
 	n := 0
 	r.each(func(_ work.ID, e *Entry) bool {
-		if e.Job != nil && e.Job.Queue == queue && e.State() == work.Queued {
+		if e.submitted && e.queue == queue && e.State() == work.Queued {
 			n++
 		}
 		return true
@@ -122,13 +136,17 @@
 
 // Follow calls listener with every job that is known and, from then on, with
 // each batch of changes, in order and one call at a time. It replaces the
-// former listener; nil ends it.
-func (r *Replica) Follow(listener func([]Change)) {
+// former listener; nil ends it. It returns false, and has nothing called, where
+// the content of records isn't complete.
+func (r *Replica) Follow(listener func([]Change)) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if listener != nil && !r.content.complete(r.next) {
+		return false
+	}
 	r.listener = listener
 	if listener == nil {
-		return
+		return true
 	}
 	var all []Change
 	r.each(func(id work.ID, e *Entry) bool {
@@ -136,11 +154,12 @@
 		return true
 	})
 	listener(all)
+	return true
 }
 
 // Publish has publish called with all records that are applied from now on, in
 // order, and returns from where. Nil ends it.
-func (r *Replica) Publish(publish func([]platform.Record)) platform.Offset {
+func (r *Replica) Publish(publish func(Applied)) platform.Offset {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.publish = publish
@@ -151,7 +170,7 @@
 // what is known. Those that are known already are passed over. It returns up
 // to where the replica is complete.
 func (r *Replica) Offer(first platform.Offset, records []platform.Record, now time.Time) platform.Offset {
-	next := r.Position()
+	next := r.readFrom()
 	end := first + platform.Offset(len(records))
 	if !r.Synced() || first > next || end <= next {
 		return next
@@ -160,7 +179,7 @@
 		records[i].Offset = first + platform.Offset(i)
 	}
 	r.apply(records[next-first:], end, now)
-	return r.Position()
+	return r.readFrom()
 }
 
 // Heard notes that the store, or the leader, has told at a time that it holds
@@ -194,18 +213,24 @@
 	defer r.mu.Unlock()
 	r.current = now
 	if next > 0 { // a page of the newest records has no place of its own
-		records = beyond(records, r.next)
+		records = beyond(records, r.from())
 	}
 	var changes []Change
+	var news []News
 	for _, rec := range records {
-		if c, ok := r.applyOne(rec, now); ok {
+		c, summary, changed := r.applyOne(rec, now)
+		if changed {
 			changes = append(changes, c)
 		}
+		if summary != nil {
+			news = append(news, News{Offset: rec.Offset, Summary: *summary})
+		}
 	}
 	if r.publish != nil && next > 0 && len(records) > 0 {
-		r.publish(records)
+		r.publish(Applied{Records: records, News: news})
 	}
 	r.next = max(r.next, next)
+	r.content.read(next)
 	if r.listener != nil && len(changes) > 0 {
 		r.listener(changes)
 	}
@@ -222,25 +247,26 @@
 	return nil
 }
 
-// applyOne takes in one record; r.mu is held. One that can't be read changes
-// nothing.
-func (r *Replica) applyOne(rec platform.Record, now time.Time) (Change, bool) {
-	c, news, err := r.read(rec, now)
+// applyOne takes in one record; r.mu is held. It returns the change, if the record
+// is one, and the job's summary if that has changed. A record that can't be read
+// changes nothing.
+func (r *Replica) applyOne(rec platform.Record, now time.Time) (Change, *work.Summary, bool) {
+	c, summary, changed, err := r.read(rec, now)
 	if err != nil {
 		r.faults.Unreadable(rec, err)
-		return Change{}, false
+		return Change{}, nil, false
 	}
 	r.faults.Readable(rec.Key)
-	return c, news
+	return c, summary, changed
 }
 
-func (r *Replica) read(rec platform.Record, now time.Time) (Change, bool, error) {
+func (r *Replica) read(rec platform.Record, now time.Time) (Change, *work.Summary, bool, error) {
 	if rec.Err != nil {
-		return Change{}, false, rec.Err
+		return Change{}, nil, false, rec.Err
 	}
 	kind, id, err := work.ParseKey(rec.Key)
 	if err != nil {
-		return Change{}, false, err
+		return Change{}, nil, false, err
 	}
 	s := r.shard(id)
 	s.mu.Lock()
@@ -251,29 +277,35 @@
 		// that its outcome stands for.
 		if e != nil && (e.Outcome == nil || kind == work.KindOutcome) {
 			delete(s.jobs, id)
+			return Change{}, &work.Summary{ID: id, Queue: e.Queue(), Gone: true}, false, nil
 		}
-		return Change{}, false, nil
+		return Change{}, nil, false, nil
 	}
 	if e == nil {
 		e = &Entry{}
 	}
+	before := e.summary(id)
 	e.round = r.round
 	e.last = max(e.last, rec.Offset)
-	news, err := e.take(kind, id, rec)
-	if err != nil || !news {
-		return Change{}, false, err
+	changed, err := e.take(kind, id, rec, r.content.kept)
+	if err != nil || !changed {
+		return Change{}, nil, false, err
 	}
 	s.jobs[id] = e
 	if e.ended.IsZero() && e.State().Final() {
 		e.ended = now
 	}
-	return Change{ID: id, Kind: kind, Entry: *e}, true, nil
+	var news *work.Summary
+	if after := e.summary(id); e.Submitted() && after != before {
+		news = &after
+	}
+	return Change{ID: id, Kind: kind, Entry: *e}, news, true, nil
 }
 
 // take applies a record to the entry of its job and reports whether it says
 // anything new: a submission may be stored twice, and records are read again
-// when the store has dropped its history.
-func (e *Entry) take(kind work.Kind, id work.ID, rec platform.Record) (bool, error) {
+// when the store has dropped its history. The record's content is kept or not.
+func (e *Entry) take(kind work.Kind, id work.ID, rec platform.Record, keep bool) (bool, error) {
 	if e.Outcome != nil {
 		return false, nil // such as a repeat of the submission that comes late
 	}
@@ -283,10 +315,11 @@
 		if err != nil {
 			return false, err
 		}
-		e.Outcome, e.Job, e.Progress = outcome, nil, nil
+		e.Outcome = outcome
+		e.shed()
 		return true, nil
 	case work.KindJob:
-		if e.Job != nil {
+		if e.Job != nil || (e.submitted && !keep) {
 			return false, nil // the first submission of an ID counts
 		}
 		job, err := work.DecodeJob(rec.Value)
@@ -296,18 +329,28 @@
 		if job.ID != id {
 			return false, errors.Newf("replica: submission of job %s under the key of job %s", job.ID, id)
 		}
-		e.Job = job
+		e.submitted, e.queue = true, job.Queue
+		if keep {
+			e.Job = job
+		}
 		return true, nil
 	case work.KindProgress:
-		if e.Progress != nil && rec.Offset <= e.progressAt {
-			return false, nil // a page of the newest records is older than what was read since
+		// A page of the newest records may be older than what was read since.
+		kept := keep && (e.Progress == nil || rec.Offset > e.progressAt)
+		news := !e.told || rec.Offset > e.toldAt
+		if !kept && !news {
+			return false, nil
 		}
 		progress, err := work.DecodeProgress(rec.Value)
 		if err != nil {
 			return false, err
 		}
-		e.Progress = progress
-		e.progressAt = rec.Offset
+		if kept {
+			e.Progress, e.progressAt = progress, rec.Offset
+		}
+		if news {
+			e.tell(progress.State, rec.Offset)
+		}
 		return true, nil
 	case work.KindCancel:
 		news := !e.Cancelled
--- a/internal/storehealth/health.go
+++ b/internal/storehealth/health.go
@@ -20,6 +20,11 @@
 // Log is a platform.PartitionLog that watches the one it calls.
 type Log struct {
 	platform.PartitionLog
+	*health
+}
+
+// health is what is known of one store, whichever connections lead to it.
+type health struct {
 	now func() time.Time
 
 	mu      sync.Mutex
@@ -29,11 +34,16 @@
 
 // Watch returns a log that passes all calls on to log.
 func Watch(log platform.PartitionLog) *Log {
-	return &Log{PartitionLog: log, now: time.Now}
+	return &Log{PartitionLog: log, health: &health{now: time.Now}}
+}
+
+// Also returns a log that passes all calls on to another client of the same store.
+func (l *Log) Also(log platform.PartitionLog) *Log {
+	return &Log{PartitionLog: log, health: l.health}
 }
 
 // Down reports whether the store has failed for a while.
-func (l *Log) Down() bool {
+func (l *health) Down() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return !l.failing.IsZero() && l.now().Sub(l.failing) > downAfter
@@ -65,7 +75,7 @@
 
 // note takes in how a call ended that began at a time. A failure counts from
 // when its call began, but not from before the last good answer.
-func (l *Log) note(began time.Time, err error) {
+func (l *health) note(began time.Time, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil || !failed(err) {
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -50,18 +50,6 @@
 	return j, nil
 }
 
-// EncodeProgress returns the value of a progress record.
-func EncodeProgress(p *Progress) ([]byte, error) { return cbor.Marshal(p) }
-
-// DecodeProgress reads the value of a progress record.
-func DecodeProgress(data []byte) (*Progress, error) {
-	p := &Progress{}
-	if err := cbor.Unmarshal(data, p); err != nil {
-		return nil, errors.Wrap(err, "work: progress record")
-	}
-	return p, nil
-}
-
 // EncodeOutcome returns the value of an outcome's record.
 func EncodeOutcome(o *Outcome) ([]byte, error) { return cbor.Marshal(o) }
 
--- /dev/null
+++ b/internal/work/packed.go
@@ -0,0 +1,135 @@
+package work
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// packedProgress is the stored form of Progress. A step's tasks are columns, of
+// which those that say nothing are left out: a step of 16 tasks on 8 executors
+// takes 152 bytes, and 233 with a list for each task. A record is written at each
+// start and each end of a job's tasks.
+type packedProgress struct {
+	_           struct{} `cbor:",toarray"`
+	State       State
+	VMs         []string
+	Occurrences []packedOccurrence
+	Finished    int
+	Ended       []int
+}
+
+type packedOccurrence struct {
+	_      struct{} `cbor:",toarray"`
+	Number int
+	Steps  []packedStep
+}
+
+// packedStep holds the tasks of a step, column by column.
+type packedStep struct {
+	_           struct{} `cbor:",toarray"`
+	Phases      []byte   // one for each task
+	Runs        []uint32 // one for each task; empty: 0 for all
+	VMs         []int    // one for each task; empty: 0 for all
+	Failures    []byte   // one for each task; empty: 0 for all
+	Checkpoints []string // one for each task; empty: none has one
+}
+
+// pack returns the stored form.
+func (p *Progress) pack() *packedProgress {
+	out := &packedProgress{State: p.State, VMs: p.VMs, Finished: p.Finished, Ended: p.Ended}
+	for _, o := range p.Occurrences {
+		po := packedOccurrence{Number: o.Number}
+		for _, tasks := range o.Steps {
+			po.Steps = append(po.Steps, packStep(tasks))
+		}
+		out.Occurrences = append(out.Occurrences, po)
+	}
+	return out
+}
+
+func packStep(tasks []TaskProgress) packedStep {
+	s := packedStep{
+		Phases:      make([]byte, len(tasks)),
+		Runs:        make([]uint32, len(tasks)),
+		VMs:         make([]int, len(tasks)),
+		Failures:    make([]byte, len(tasks)),
+		Checkpoints: make([]string, len(tasks)),
+	}
+	var runs, vms, failures, checkpoints bool
+	for i, t := range tasks {
+		s.Phases[i], s.Runs[i], s.VMs[i], s.Failures[i], s.Checkpoints[i] = byte(t.Phase), t.Run, t.VM, t.Failures, t.Checkpoint
+		runs = runs || t.Run != 0
+		vms = vms || t.VM != 0
+		failures = failures || t.Failures != 0
+		checkpoints = checkpoints || t.Checkpoint != ""
+	}
+	if !runs {
+		s.Runs = nil
+	}
+	if !vms {
+		s.VMs = nil
+	}
+	if !failures {
+		s.Failures = nil
+	}
+	if !checkpoints {
+		s.Checkpoints = nil
+	}
+	return s
+}
+
+// unpack returns the progress, or an error where columns don't fit together.
+func (p *packedProgress) unpack() (*Progress, error) {
+	out := &Progress{State: p.State, VMs: p.VMs, Finished: p.Finished, Ended: p.Ended}
+	for _, po := range p.Occurrences {
+		o := Occurrence{Number: po.Number}
+		for _, s := range po.Steps {
+			tasks, err := s.unpack()
+			if err != nil {
+				return nil, err
+			}
+			o.Steps = append(o.Steps, tasks)
+		}
+		out.Occurrences = append(out.Occurrences, o)
+	}
+	return out, nil
+}
+
+func (s *packedStep) unpack() ([]TaskProgress, error) {
+	n := len(s.Phases)
+	for _, column := range []int{len(s.Runs), len(s.VMs), len(s.Failures), len(s.Checkpoints)} {
+		if column != 0 && column != n {
+			return nil, errors.Newf("work: progress record with %d tasks in one column and %d in another", n, column)
+		}
+	}
+	tasks := make([]TaskProgress, n)
+	for i := range tasks {
+		t := &tasks[i]
+		t.Phase = Phase(s.Phases[i])
+		if len(s.Runs) > 0 {
+			t.Run = s.Runs[i]
+		}
+		if len(s.VMs) > 0 {
+			t.VM = s.VMs[i]
+		}
+		if len(s.Failures) > 0 {
+			t.Failures = s.Failures[i]
+		}
+		if len(s.Checkpoints) > 0 {
+			t.Checkpoint = s.Checkpoints[i]
+		}
+	}
+	return tasks, nil
+}
+
+// EncodeProgress returns the value of a progress record.
+func EncodeProgress(p *Progress) ([]byte, error) { return cbor.Marshal(p.pack()) }
+
+// DecodeProgress reads the value of a progress record.
+func DecodeProgress(data []byte) (*Progress, error) {
+	var packed packedProgress
+	if err := cbor.Unmarshal(data, &packed); err != nil {
+		return nil, errors.Wrap(err, "work: progress record")
+	}
+	return packed.unpack()
+}
