Advice is asked for jobs that stand in line; timeouts follow a slow store at once

An append that took longer than thought was also given up once more after the first had shown how slow the store is. Change: a job is given to the cell when it is handed in, so advice is there when its submission is stored, and the start shares that append; what is refused is told at once; an append's timeout is at least twice what the last took.

--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -253,6 +253,8 @@
 	runner   *Runner
 	stop     func() // ends the leader and waits for it
 	epoch    api.Epoch
+	helpers  *assist.Helpers // nil: the leader alone, without advice
+	advice   *queue.Advice   // that the queue takes
 }
 
 func newCellPlay(t *testing.T) *cellPlay {
@@ -287,7 +289,11 @@
 func (p *cellPlay) lead() {
 	p.stop()
 	p.epoch++
-	table := &queue.Table{Queues: []queue.Queue{{Name: "q", Service: "svc", Attempts: 1, Stretch: 2, TargetLatency: time.Second}}}
+	table := &queue.Table{Queues: []queue.Queue{{Name: "q", Service: "svc", Attempts: 1, Stretch: 2, TargetLatency: time.Second, Advice: p.advice}}}
+	helpers := p.helpers
+	if helpers == nil {
+		helpers = assist.NewHelpers("a", nil, nil)
+	}
 	p.runner = New(Config{
 		Plan:      plan.DefaultConfig(),
 		Self:      leader.Leader{Epoch: p.epoch, Node: "a"},
@@ -298,7 +304,7 @@
 		Executors: p.executor,
 		Replica:   p.replica,
 		Reader:    p.reader,
-		Helpers:   assist.NewHelpers("a", nil, nil),
+		Helpers:   helpers,
 		Table:     func() *queue.Table { return table },
 		MayRenew:  func() bool { return true },
 		Replaced:  func() {},
@@ -317,8 +323,9 @@
 	time.Sleep(100 * time.Millisecond)
 }
 
-// submit hands in a job of one long task and returns its ID.
-func (p *cellPlay) submit(n byte) work.ID {
+// record returns the submission of a job of one long task.
+func (p *cellPlay) record(n byte) platform.Record {
+	p.t.Helper()
 	job := &work.Job{
 		ID: work.ID{n}, Queue: "q", Service: "svc", Accepted: time.Now().UnixMilli(),
 		Steps: []work.Step{{Tasks: 1, Need: api.Resources{MilliCPU: 1000}, Estimate: time.Minute}},
@@ -327,9 +334,14 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	record := platform.Record{Key: work.Key(work.KindJob, job.ID), Value: data}
+	return platform.Record{Key: work.Key(work.KindJob, job.ID), Value: data}
+}
+
+// submit hands in a job of one long task and returns its ID.
+func (p *cellPlay) submit(n byte) work.ID {
+	record := p.record(n)
 	go p.runner.Store(p.t.Context(), []platform.Record{record})
-	return job.ID
+	return work.ID{n}
 }
 
 // cancel makes a cancel durable as a machine does that reaches no leader.
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -268,7 +268,7 @@
 	r.mu.Lock()
 	now := time.Now()
 	r.cell.Configure(r.cfg.Table())
-	handedIn := r.takeInbox(now)
+	handedIn := r.takeInbox()
 	r.cell.BeginDue(now.UnixMilli(), now)
 	r.cell.DropSilent(now)
 	r.cell.RecordBegun(now)
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -55,16 +55,15 @@
 func (r *Runner) Store(ctx context.Context, records []platform.Record) []assist.StoreResult {
 	n := len(records)
 	s := &submission{records: records, results: make([]assist.StoreResult, n), done: make(chan []assist.StoreResult, 1)}
-	r.mu.Lock()
-	refuse := r.ended || r.cell == nil || r.takesNothing(time.Now())
-	if !refuse {
-		r.inbox = append(r.inbox, s)
-	}
-	r.mu.Unlock()
-	if refuse {
+	taken, waits := r.enqueue(s)
+	switch {
+	case !taken:
 		return assist.Same(assist.NotStored, n)
+	case !waits:
+		return s.results
 	}
 	r.Wake()
+	signal(r.answered) // advice may be asked for what was taken
 	look := time.NewTicker(stuckLook)
 	defer look.Stop()
 	for {
@@ -81,6 +80,28 @@
 	}
 }
 
+// enqueue has a submission stored with the next cycle and gives its jobs to the
+// cell at once, so that advice is asked for them while an append is under way. It
+// returns whether anything is taken at the moment, and whether something of the
+// submission is: what was refused needs no append.
+func (r *Runner) enqueue(s *submission) (taken, waits bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.ended || r.cell == nil || r.takesNothing(now) {
+		return false, false
+	}
+	backlog := r.cell.Backlog(now)
+	for i := range s.records {
+		r.takeRecord(s, i, backlog, now)
+	}
+	waits = len(s.accepted()) > 0
+	if waits {
+		r.inbox = append(r.inbox, s)
+	}
+	return true, waits
+}
+
 // refusedPause is for how long submissions are refused without a try after the
 // store has refused one: calls that it refuses are paid for too.
 const refusedPause = 100 * time.Millisecond
@@ -110,30 +131,28 @@
 	for i, waiting := range r.inbox {
 		if waiting == s {
 			r.inbox = append(r.inbox[:i:i], r.inbox[i+1:]...)
+			r.withdraw(s)
 			return assist.NotStored, true
 		}
 	}
 	return assist.StoreUnknown, true
 }
 
-// takeInbox returns what was handed in and gives its jobs to the cell, so
-// that they are planned at once: their first starts and their submissions
-// become durable together. r.mu is held.
-func (r *Runner) takeInbox(now time.Time) []*submission {
+// takeInbox returns what was handed in. Its jobs are in the cell already, so their
+// first starts and their submissions become durable together. r.mu is held.
+func (r *Runner) takeInbox() []*submission {
 	handedIn := r.inbox
 	r.inbox = nil
-	if len(handedIn) == 0 {
-		return nil
-	}
-	backlog := r.cell.Backlog(now)
-	for _, s := range handedIn {
-		for i := range s.records {
-			r.takeRecord(s, i, backlog, now)
-		}
-	}
 	return handedIn
 }
 
+// withdraw takes the jobs of a submission back that was not stored; r.mu is held.
+func (r *Runner) withdraw(s *submission) {
+	for _, id := range s.jobs {
+		r.cell.Withdraw(id)
+	}
+}
+
 // fullRetry is after what time a client that was refused for a full link should
 // come back: the load is that of about the last second.
 const fullRetry = time.Second
@@ -270,8 +289,8 @@
 	for _, s := range handedIn {
 		for _, id := range s.jobs {
 			refused[id] = true
-			r.cell.Withdraw(id)
 		}
+		r.withdraw(s)
 	}
 	r.mu.Unlock()
 	answer(handedIn, assist.NotStored)
--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -121,7 +121,11 @@
 		Producer:  &platform.Producer{Name: producerName, Epoch: uint64(w.epoch), Sequence: w.sequence},
 	})
 	if err == nil {
-		w.usual += time.Duration(usualShare * float64(time.Since(sent)-w.usual))
+		took := time.Since(sent)
+		w.usual += time.Duration(usualShare * float64(took-w.usual))
+		// A store that has become slow would else be given too little time for
+		// the next append, which would be sent twice and take 0.2 s more.
+		w.usual = max(w.usual, took*2/appendPatience)
 		w.noteSpeed()
 	}
 	return first, err
--- a/internal/dispatch/writer_test.go
+++ b/internal/dispatch/writer_test.go
@@ -118,3 +118,43 @@
 		t.Errorf("sequences %v", s.sequences)
 	}
 }
+
+// heavyStore answers each append after a while, if that is waited for.
+type heavyStore struct {
+	platform.PartitionLog
+	takes time.Duration
+	calls int
+}
+
+func (s *heavyStore) Append(ctx context.Context, _ platform.Append) (platform.Offset, error) {
+	s.calls++
+	select {
+	case <-time.After(s.takes):
+		return 0, nil
+	case <-ctx.Done():
+		return 0, platform.ErrUncertain
+	}
+}
+
+// Once an append has shown how slow the store is, the next ones are waited for:
+// one that is given up shortly before its answer and sent again takes twice its
+// time, and the store makes it twice.
+func TestTimeoutFollowsASlowStoreAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &heavyStore{takes: 250 * time.Millisecond}
+		w := &writer{log: s, epoch: 3, events: logging.Silent()}
+		const appends = 10
+		first := 0
+		for i := range appends {
+			if _, err := w.append(t.Context(), one, false); err != nil {
+				t.Fatal(err)
+			}
+			if i == 0 {
+				first = s.calls
+			}
+		}
+		if further := s.calls - first; further > appends-1 {
+			t.Errorf("%d appends after the first took %d calls", appends-1, further)
+		}
+	})
+}
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -75,6 +75,9 @@
 // Asks returns the calls for advice that are due and that somebody takes, in
 // the order in which the steps are to start, and counts them as under way.
 func (c *Cell) Asks(now time.Time, askers Askers) []Ask {
+	if c.unordered {
+		c.order(now)
+	}
 	var asks []Ask
 	for _, s := range c.inTurn {
 		q := c.queue(s.job)
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -27,6 +27,7 @@
 	ended     map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
 	waiting   []*step              // with tasks to place
 	inTurn    []*step              // these, as the newest plan took their turns
+	unordered bool                 // jobs have come since
 	timed     []*job               // with occurrences to come
 	begun     []*job               // that began of late, in this order
 	dirty     []*job               // whose durable record is behind
@@ -129,6 +130,7 @@
 	if len(j.running) == 0 && j.finished == 0 {
 		c.begin(j, j.arrived)
 	}
+	c.unordered = true
 	return true
 }
 
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -46,6 +46,12 @@
 	return t
 }
 
+// order works out in which order steps are to start now.
+func (c *Cell) order(now time.Time) {
+	c.inTurn = c.ordered(now)
+	c.unordered = false
+}
+
 // ordered returns the steps with tasks to place, in the order in which they
 // are to start.
 func (c *Cell) ordered(now time.Time) []*step {
