A job that is cleared up while a machine reads the newest records stays known there

A machine that reads the newest record of each key, as a new standby, may find a job under none: its submission is replaced by its outcome between two pages. The leader told nothing of that, as the state stays the same, so the job was dropped as gone, and if the machine is no standby any more it doesn't read on from where its reading began. Ruled out: gaps in what the leader keeps (deliveries say what they span). Change: an outcome is news.

--- a/internal/replica/content_test.go
+++ b/internal/replica/content_test.go
@@ -148,6 +148,7 @@
 			{Offset: 0, Summary: work.Summary{ID: id, Queue: "q", State: work.Queued}},
 			{Offset: 2, Summary: work.Summary{ID: id, Queue: "q", State: work.Running}},
 			{Offset: 4, Summary: work.Summary{ID: id, Queue: "q", State: work.Completed}},
+			{Offset: 5, Summary: work.Summary{ID: id, Queue: "q", State: work.Completed}}, // an outcome
 			{Offset: 8, Summary: work.Summary{ID: id, Queue: "q", Gone: true}},
 		})
 	})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -295,8 +295,11 @@
 	if e.ended.IsZero() && e.State().Final() {
 		e.ended = now
 	}
+	// An outcome is news though the state stays: it takes the place of the job's
+	// other keys, so a machine that reads the newest of each key at that time may
+	// find the job under none, and would drop it as gone.
 	var news *work.Summary
-	if after := e.summary(id); e.Submitted() && after != before {
+	if after := e.summary(id); e.Submitted() && (after != before || kind == work.KindOutcome) {
 		news = &after
 	}
 	return Change{ID: id, Kind: kind, Entry: *e}, news, true, nil
