--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -102,8 +102,11 @@
 // Limits of calls between processes.
 const (
 	peerMessageBytes = 1 << 20
-	peerConns        = 256
-	peerCallTimeout  = 5 * time.Second
+	// peerConns is how many connections other machines may have to one, at most
+	// two each: three times the 300 machines that were played, and about half of the
+	// descriptors of the weakest machines.
+	peerConns       = 2048
+	peerCallTimeout = 5 * time.Second
 )
 
 func peerLimits() peer.Limits {
