Clients come back in a part of the job's objective when the store takes nothing

Cause: in an outage of 5 s clients that were told to come back after 1 s had used up their four tries before it ended, also for jobs of 10 s and more. Ruled out: holding requests until the store is back (not accepted). Change: Retry-After is a sixth of the job's objective, 1 to 3 s.

--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -49,6 +49,12 @@
 	// busyRetryAfter is named where the store took no job: its outages last
 	// seconds, and the balancer leads a retry to another machine.
 	busyRetryAfter = time.Second
+	// retryShare is the share of a job's latency objective after which its client is
+	// asked to come back while the store takes nothing, and retryMost the longest
+	// such time. Clients try about four times more; so their tries lie in two thirds of
+	// the objective.
+	retryShare = 1.0 / 6
+	retryMost  = 3 * time.Second
 	// storePatience is the share of a client's time for which a store that
 	// takes nothing is waited for, and objectivePatience the share of the
 	// job's latency objective. Outages last seconds; a client that is
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -46,13 +46,23 @@
 	if err != nil {
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
 	}
-	return a.store(r, platform.Record{Key: work.Key(work.KindJob, id), Value: value}, patience(r, job))
+	return a.store(r, platform.Record{Key: work.Key(work.KindJob, id), Value: value}, patience(r, job), retryAfter(r, job))
+}
+
+// objective returns within what time the job should end.
+func objective(r *request, j *work.Job) time.Duration {
+	return time.Duration(r.queue.Stretch*float64(j.Chain())) + r.queue.TargetLatency
+}
+
+// retryAfter returns when the client should come back with a job that the store
+// didn't take.
+func retryAfter(r *request, j *work.Job) time.Duration {
+	return min(max(busyRetryAfter, time.Duration(retryShare*float64(objective(r, j)))), retryMost)
 }
 
 // patience returns how long the store is waited for with a job.
 func patience(r *request, j *work.Job) time.Duration {
-	objective := time.Duration(r.queue.Stretch*float64(j.Chain())) + r.queue.TargetLatency
-	wait := time.Duration(objectivePatience * float64(objective))
+	wait := time.Duration(objectivePatience * float64(objective(r, j)))
 	if deadline, ok := r.Context().Deadline(); ok {
 		wait = min(wait, time.Duration(storePatience*float64(time.Until(deadline))))
 	}
@@ -89,13 +99,14 @@
 	return body, nil
 }
 
-// store makes a record durable and says so.
-func (a *API) store(r *request, record platform.Record, patience time.Duration) *reply {
+// store makes a record durable and says so. Where the store takes nothing, the
+// client should come back after some time.
+func (a *API) store(r *request, record platform.Record, patience, retryAfter time.Duration) *reply {
 	err := a.Store.Store(r.Context(), record, patience)
 	if err == nil {
 		return accepted()
 	}
-	answer := a.notConfirmed(err)
+	answer := a.notConfirmed(err, retryAfter)
 	a.Events.WithError(err).WithFields(logrus.Fields{
 		"job": r.rest, "queue": r.queue.Name, "method": r.Method, "answered": answer.status,
 	}).Info("request not confirmed")
@@ -104,13 +115,13 @@
 
 // notConfirmed returns the answer to a request whose record was not stored, or
 // of which that isn't known.
-func (a *API) notConfirmed(err error) *reply {
+func (a *API) notConfirmed(err error, retryAfter time.Duration) *reply {
 	var busy *intake.BusyError
 	switch {
 	case errors.As(err, &busy):
 		return a.refuse(http.StatusTooManyRequests, "too much waits before it for the job to end in time", busy.RetryAfter)
 	case errors.Is(err, intake.ErrNotStored):
-		return a.refuse(http.StatusServiceUnavailable, "the store takes nothing at the moment", busyRetryAfter)
+		return a.refuse(http.StatusServiceUnavailable, "the store takes nothing at the moment", retryAfter)
 	default:
 		return a.refuse(http.StatusGatewayTimeout, "it is not known whether the store took the request", 0)
 	}
@@ -159,7 +170,7 @@
 	if e.State().Final() {
 		return &reply{status: http.StatusOK, body: a.Forms.EncodeState(e.State())}
 	}
-	return a.store(r, platform.Record{Key: work.Key(work.KindCancel, id), Value: work.CancelValue}, cancelPatience)
+	return a.store(r, platform.Record{Key: work.Key(work.KindCancel, id), Value: work.CancelValue}, cancelPatience, busyRetryAfter)
 }
 
 // pendingAge is how old the number of pending jobs may be; clients allow 2 s.
--- /dev/null
+++ b/internal/jobapi/retry_test.go
@@ -0,0 +1,67 @@
+package jobapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/intake"
+	"github.com/skylarklock/skylarklock/internal/logging"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// refusingStore stores nothing.
+type refusingStore struct{}
+
+func (refusingStore) Store(context.Context, platform.Record, time.Duration) error {
+	return intake.ErrNotStored
+}
+
+// Clients try a few times. Told to come back each second, they had no try left when
+// an outage of 5 s ended, also for jobs that could wait for 10 s and longer. So
+// they come back after a part of the job's objective, in whole seconds.
+func TestClientsComeBackInTheJobsTime(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		work       time.Duration // estimated
+		retryAfter string
+	}{
+		{"a check of 1 s, due in 1.75 s", time.Second, "1"},
+		{"a trace of 4 s, due in 6.25 s", 4 * time.Second, "2"},
+		{"a sweep of 7 s, due in 10.75 s", 7 * time.Second, "2"},
+		{"work of a minute", time.Minute, "3"},
+	} {
+		api := &API{
+			Forms: Forms{
+				Remaining:   func(http.Header) (time.Duration, bool) { return 3 * time.Second, true },
+				EncodeError: func(string, time.Duration) ([]byte, error) { return []byte("{}"), nil },
+				DecodeJob: func([]byte) (*work.Job, error) {
+					return &work.Job{Steps: []work.Step{{Tasks: 1, Estimate: c.work}}}, nil
+				},
+			},
+			Table: func() *queue.Table {
+				return &queue.Table{
+					Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Stretch: 1.5, TargetLatency: 250 * time.Millisecond}},
+					Limits: queue.Limits{BodyBytes: 1 << 10},
+				}
+			},
+			Replica: replica.New(time.Minute, logging.Silent()),
+			Leaving: func() bool { return false },
+			Store:   refusingStore{},
+			Events:  logging.Silent(),
+		}
+		request := httptest.NewRequest(http.MethodPost, "/q/00000000000000ab", strings.NewReader("{}"))
+		request.Host = "h"
+		w := httptest.NewRecorder()
+		api.ServeHTTP(w, request)
+		if got := w.Header().Get("Retry-After"); w.Code != http.StatusServiceUnavailable || got != c.retryAfter {
+			t.Errorf("%s: answered %d, to come back after %s s, want %s", c.name, w.Code, got, c.retryAfter)
+		}
+	}
+}
