--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -131,38 +131,6 @@
 	Machines []Attachment    // for standbys: those that the leader delivers to; empty: as before
 }
 
-// ContentDelivery brings the content of records to a standby.
-type ContentDelivery struct {
-	_       struct{} `cbor:",toarray"`
-	Leader  leader.Leader
-	Span    replica.Span
-	Records []ContentRecord // the newest of each key that was written in the span
-}
-
-// ContentRecord is a record with its place.
-type ContentRecord struct {
-	_      struct{} `cbor:",toarray"`
-	Offset platform.Offset
-	Key    string
-	Value  []byte
-}
-
-func packContent(records []platform.Record) []ContentRecord {
-	out := make([]ContentRecord, len(records))
-	for i, r := range records {
-		out[i] = ContentRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}
-	}
-	return out
-}
-
-func unpackContent(records []ContentRecord) []platform.Record {
-	out := make([]platform.Record, len(records))
-	for i, r := range records {
-		out[i] = platform.Record{Offset: r.Offset, Key: r.Key, Value: r.Value}
-	}
-	return out
-}
-
 // DeliveryAnswer tells up to where the machine knows the partition, and the
 // highest epoch that it has heard of.
 type DeliveryAnswer struct {
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -41,27 +41,6 @@
 	keptNews = 10_000
 	// sentNews bounds what one delivery brings: about 24 KB.
 	sentNews = 2000
-)
-
-// Bounds of deliveries of content to standbys.
-const (
-	// contentEvery is the time between two deliveries of content: what a job's
-	// records say is out of date several times a second, and only the newest is
-	// sent. A standby that comes to lead reads the rest from the store.
-	contentEvery = time.Second
-	// contentShare is the share of the leader's link for all content.
-	contentShare   = 0.08
-	contentTimeout = 2 * time.Second
-	// keptRecords and keptBytes bound what is kept for standbys that are
-	// behind, which otherwise read the store: what the leader clears up in
-	// one append, up to 2,000 jobs with four records each, and some seconds
-	// of other records (130 jobs a second make 600 of 300 bytes on average).
-	keptRecords = 10_000
-	keptBytes   = 4 << 20
-	// sentRecords and sentBytes bound what one delivery brings: a link of 10
-	// Mbit/s takes 0.2 s for the latter, well within contentTimeout.
-	sentRecords = 2000
-	sentBytes   = 256 << 10
 	// chooseEvery is the time between two choices of standbys.
 	chooseEvery = 250 * time.Millisecond
 )
@@ -311,75 +290,30 @@
 	return out
 }
 
-// nextContent returns the content that a standby should be sent now, if any.
-func (p *Publisher) nextContent(node api.NodeID, now time.Time) (ContentDelivery, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t := p.target(node)
-	end := p.end()
-	if !p.standbys[node] || !t.whole || t.contentBusy || now.Sub(t.contentSent) < contentEvery || t.content < p.first || t.content >= end {
-		return ContentDelivery{}, false
-	}
-	records := p.records[t.content-p.first:]
-	most := sentBytes
-	if p.cfg.Link > 0 {
-		most = min(most, p.budget.Burst())
-	}
-	n, size := fitting(records, most)
-	if !p.budget.AllowN(now, min(size, p.budget.Burst())) {
-		return ContentDelivery{}, false
+// call makes a delivery and returns the machine's answer, or false if it gave none or
+// knows a later leader.
+func (p *Publisher) call(ctx context.Context, c Caller, m Attachment, method string, delivery any) (DeliveryAnswer, bool) {
+	var answer DeliveryAnswer
+	if err := c.Call(ctx, m.Address, method, delivery, &answer); err != nil {
+		p.cfg.Events.WithError(err).WithFields(logrus.Fields{"machine": m.Node, "method": method}).Debug("not delivered")
+		return answer, false
 	}
-	t.contentBusy = true
-	t.contentSent = now
-	span := replica.Span{From: t.content, To: t.content + platform.Offset(n)}
-	return ContentDelivery{Leader: p.cfg.Self, Span: span, Records: packContent(newestOfKeys(records[:n]))}, true
-}
-
-// fitting returns how many of the first records fit into some bytes, at least one,
-// where only the newest of each key counts, and their size.
-func fitting(records []platform.Record, most int) (n, size int) {
-	sizes := make(map[string]int)
-	for i, r := range records {
-		grown := size + r.Size() - sizes[r.Key]
-		if i > 0 && (len(sizes) == sentRecords || grown > most) {
-			return i, size
-		}
-		size = grown
-		sizes[r.Key] = r.Size()
+	if answer.Epoch > p.cfg.Self.Epoch {
+		p.cfg.Replaced(answer.Epoch)
+		return answer, false
 	}
-	return len(records), size
-}
-
-// newestOfKeys returns the newest record of each key, in the order of offsets.
-func newestOfKeys(records []platform.Record) []platform.Record {
-	last := make(map[string]int, len(records))
-	for i, r := range records {
-		last[r.Key] = i
-	}
-	out := make([]platform.Record, 0, len(last))
-	for i, r := range records {
-		if last[r.Key] == i {
-			out = append(out, r)
-		}
-	}
-	return out
+	return answer, true
 }
 
 func (p *Publisher) deliver(ctx context.Context, m Attachment, d Delivery) {
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
-	var answer DeliveryAnswer
-	err := p.cfg.Caller.Call(ctx, m.Address, methodDeliver, &d, &answer)
+	answer, known := p.call(ctx, p.cfg.Caller, m, methodDeliver, &d)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.target(m.Node)
 	t.busy = false
-	if err != nil {
-		p.cfg.Events.WithError(err).WithField("machine", m.Node).Debug("news not delivered")
-		return
-	}
-	if answer.Epoch > p.cfg.Self.Epoch {
-		p.cfg.Replaced(answer.Epoch)
+	if !known {
 		return
 	}
 	t.position = answer.Position
@@ -389,24 +323,3 @@
 	}
 	p.cfg.Helpers.Heard(m.Node, answer.Whole, time.Now())
 }
-
-func (p *Publisher) deliverContent(ctx context.Context, m Attachment, c ContentDelivery) {
-	ctx, cancel := context.WithTimeout(ctx, contentTimeout)
-	defer cancel()
-	var answer DeliveryAnswer
-	err := p.cfg.Bulk.Call(ctx, m.Address, methodContent, &c, &answer)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t := p.target(m.Node)
-	t.contentBusy = false
-	if err != nil {
-		p.cfg.Events.WithError(err).WithField("machine", m.Node).Debug("content not delivered")
-		return
-	}
-	if answer.Epoch > p.cfg.Self.Epoch {
-		p.cfg.Replaced(answer.Epoch)
-		return
-	}
-	t.content = answer.Content
-	t.whole = answer.Whole
-}
