--- a/internal/assist/demand.go
+++ b/internal/assist/demand.go
@@ -1,6 +1,10 @@
 package assist
 
-import "time"
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/queue"
+)
 
 // length sorts calls by how long they are expected to take.
 type length int
@@ -12,24 +16,33 @@
 	lengths // how many there are
 )
 
-// Bounds between the lengths. On the users' queues calls take about 15, 100
-// and 700 ms; a call may delay another of its own length, not a shorter one.
+// Bounds between the lengths, of the fixed part of a call. On the users' queues that
+// is 10 to 26, 73 to 182 and 510 to 637 ms; a call may delay another of its own
+// length, not a shorter one. How many executors a call names doesn't count, or the
+// calls of one queue would be of two lengths.
 const (
 	shortestUpTo = 40 * time.Millisecond
 	middlingUpTo = 200 * time.Millisecond
 )
 
-func lengthOf(cost time.Duration) length {
+func lengthOf(call queue.Call) length {
 	switch {
-	case cost <= shortestUpTo:
+	case call.Fixed <= shortestUpTo:
 		return shortest
-	case cost <= middlingUpTo:
+	case call.Fixed <= middlingUpTo:
 		return middling
 	default:
 		return long
 	}
 }
 
+// headroom is how many times the machines that its calls keep busy are dealt to a
+// length, where there are enough. Dealt by what each takes, all lengths wait alike
+// when calls are more than machines: checks whose calls take 50 ms waited 0.5 s for
+// their turn behind others of their length, since sweeps' calls of 1.5 s, of which
+// each that waits longer asks again, had most machines.
+var headroom = [lengths]float64{shortest: 2, middling: 1.5, long: 1}
+
 // demandHalf is the time after which the demand of the past counts half.
 const demandHalf = 2 * time.Second
 
@@ -70,7 +83,7 @@
 	for i := range d.taken {
 		if d.wanted(i) {
 			wanted++
-			total += d.taken[i]
+			total += headroom[i] * d.taken[i]
 		}
 	}
 	if n < wanted {
@@ -87,7 +100,7 @@
 			continue
 		}
 		before := int(given/total*float64(spare) + 0.5)
-		given += d.taken[i]
+		given += headroom[i] * d.taken[i]
 		share := int(given/total*float64(spare)+0.5) - before
 		out[i] = span{from, from + 1 + share}
 		from = out[i].to
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -129,27 +130,27 @@
 	cost   time.Duration
 }
 
-// Take returns a slot for a call of an expected time, or nil if none is free.
+// Take returns a slot for a call, or nil if none is free.
 // Calls of unlike length go to unlike machines, so that a short one never
 // waits behind a long one; the machines are divided by what the calls of each
 // length take in all.
-func (h *Helpers) Take(cost time.Duration, now time.Time) *Slot {
+func (h *Helpers) Take(call queue.Call, now time.Time) *Slot {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	of := lengthOf(cost)
+	of := lengthOf(call)
 	m := h.find(of, now)
 	if m == nil {
 		return nil
 	}
-	h.demand.add(of, cost)
-	return m.take(of, cost)
+	h.demand.add(of, call.Cost)
+	return m.take(of, call.Cost)
 }
 
 // Free reports whether Take would return a slot.
-func (h *Helpers) Free(cost time.Duration, now time.Time) bool {
+func (h *Helpers) Free(call queue.Call, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.find(lengthOf(cost), now) != nil
+	return h.find(lengthOf(call), now) != nil
 }
 
 // find returns a machine that has time for a call, or nil.
@@ -158,10 +159,8 @@
 	machines := h.present(now)
 	ranges := h.demand.divide(len(machines))
 	for try := of; try < lengths; try++ {
-		for _, m := range machines[ranges[try].from:ranges[try].to] {
-			if m.hasTime(of) {
-				return m
-			}
+		if m := idlest(machines[ranges[try].from:ranges[try].to], of); m != nil {
+			return m
 		}
 		if of != shortest || try > of {
 			break // only the shortest calls may slip in among the next longer ones
@@ -170,6 +169,19 @@
 	return nil
 }
 
+// idlest returns the machine that could make one more call soonest, or nil if none
+// has time. The first that has time would get a second call while others have none:
+// checks of 40 ms were answered after 73 to 120 ms.
+func idlest(machines []*helper, of length) *helper {
+	var best *helper
+	for _, m := range machines {
+		if m.hasTime(of) && (best == nil || m.ahead < best.ahead) {
+			best = m
+		}
+	}
+	return best
+}
+
 // hasTime reports whether the machine could make one more call.
 func (m *helper) hasTime(of length) bool {
 	if of == long {
@@ -178,15 +190,15 @@
 	return m.long == 0 && (m.short < shortAtOnce || m.ahead < queueAhead)
 }
 
-// Wait returns how long a new call of an expected time would wait for its
-// turn, given the expected times of those that wait already.
-func (h *Helpers) Wait(cost time.Duration, waiting []time.Duration, now time.Time) time.Duration {
-	if cost == 0 {
+// Wait returns how long a new call would wait for its turn, given those that wait
+// already.
+func (h *Helpers) Wait(call queue.Call, waiting []queue.Call, now time.Time) time.Duration {
+	if call.Cost == 0 {
 		return 0
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	of := lengthOf(cost)
+	of := lengthOf(call)
 	present := len(h.present(now))
 	part := h.demand.divide(present)[of]
 	machines := part.to - part.from
@@ -196,7 +208,7 @@
 	total := time.Duration(0)
 	for _, w := range waiting {
 		if lengthOf(w) == of {
-			total += w
+			total += w.Cost
 		}
 	}
 	return total / time.Duration(machines)
--- a/internal/assist/round.go
+++ b/internal/assist/round.go
@@ -1,6 +1,10 @@
 package assist
 
-import "time"
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/queue"
+)
 
 // Round hands out calls for one pass over the steps that wait. Once no machine
 // has time for a call of a length, none is looked for again in the same pass:
@@ -15,20 +19,20 @@
 // Round begins a pass.
 func (h *Helpers) Round(now time.Time) *Round { return &Round{helpers: h, now: now} }
 
-// Free reports whether a call of about this cost could be made now.
-func (r *Round) Free(cost time.Duration) bool {
-	of := lengthOf(cost)
+// Free reports whether about such a call could be made now.
+func (r *Round) Free(call queue.Call) bool {
+	of := lengthOf(call)
 	if !r.full[of] {
-		r.full[of] = !r.helpers.Free(cost, r.now)
+		r.full[of] = !r.helpers.Free(call, r.now)
 	}
 	return !r.full[of]
 }
 
-// Take gives a call of this cost to a machine, or returns false.
-func (r *Round) Take(cost time.Duration) bool {
-	slot := r.helpers.Take(cost, r.now)
+// Take gives a call to a machine, or returns false.
+func (r *Round) Take(call queue.Call) bool {
+	slot := r.helpers.Take(call, r.now)
 	if slot == nil {
-		r.full[lengthOf(cost)] = true
+		r.full[lengthOf(call)] = true
 		return false
 	}
 	r.slots = append(r.slots, slot)
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -191,7 +191,7 @@
 // have changed.
 func (r *Runner) tooLate(j *work.Job, backlog plan.Backlog, now time.Time) (time.Duration, bool) {
 	q := r.cfg.Table().Named(j.Queue)
-	ask := r.cell.AskCost(q)
+	ask := r.cell.FirstAsk(q)
 	before := backlog.Before(j, q, now)
 	wait := before.Room() + r.cfg.Helpers.Wait(ask, before.Advice(), now)
 	all := max(backlog.Room(), r.cfg.Helpers.Wait(ask, backlog.Advice(), now))
--- a/internal/plan/admit.go
+++ b/internal/plan/admit.go
@@ -10,8 +10,8 @@
 // waiting is a step that waits in a cell.
 type waiting struct {
 	turn   turn
-	advice time.Duration // expected time of the call for advice that it needs; 0: none
-	work   float64       // of its waiting tasks: thousandths of a processor, times seconds
+	advice queue.Call // that it needs; zero: none
+	work   float64    // of its waiting tasks: thousandths of a processor, times seconds
 }
 
 // Backlog is the work that waits in a cell.
@@ -33,7 +33,7 @@
 			work: float64(tasks) * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds(),
 		}
 		if q := c.queue(s.job); q != nil && q.Advice != nil && !s.advice.anyValid(now) {
-			w.advice = q.Advice.Cost(c.advised(s))
+			w.advice = q.Advice.Call(c.advised(s))
 		}
 		b.steps = append(b.steps, w)
 	}
@@ -52,11 +52,11 @@
 	return before
 }
 
-// Advice returns the expected times of the calls for advice that wait.
-func (b Backlog) Advice() []time.Duration {
-	var calls []time.Duration
+// Advice returns the calls for advice that wait.
+func (b Backlog) Advice() []queue.Call {
+	var calls []queue.Call
 	for _, w := range b.steps {
-		if w.advice > 0 {
+		if w.advice.Cost > 0 {
 			calls = append(calls, w.advice)
 		}
 	}
@@ -95,13 +95,13 @@
 	return total
 }
 
-// AskCost returns the expected time of a first call for advice for a job of
-// the queue; 0 if none is needed.
-func (c *Cell) AskCost(q *queue.Queue) time.Duration {
+// FirstAsk returns what a first call for advice for a job of the queue is expected
+// to take; zero if none is needed.
+func (c *Cell) FirstAsk(q *queue.Queue) queue.Call {
 	if q == nil || q.Advice == nil {
-		return 0
+		return queue.Call{}
 	}
-	return q.Advice.Cost(min(c.pools[q.Service], c.cfg.MostAdvised))
+	return q.Advice.Call(min(c.pools[q.Service], c.cfg.MostAdvised))
 }
 
 // LongestWait bounds the whole backlog that a job may be accepted with. Clients of a
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -66,10 +66,10 @@
 
 // Askers says who could make calls for advice.
 type Askers interface {
-	// Free reports whether a call of about this cost could be made now.
-	Free(cost time.Duration) bool
-	// Take gives a call of this cost to somebody, or returns false.
-	Take(cost time.Duration) bool
+	// Free reports whether about such a call could be made now.
+	Free(call queue.Call) bool
+	// Take gives a call to somebody, or returns false.
+	Take(call queue.Call) bool
 }
 
 // Asks returns the calls for advice that are due and that somebody takes, in
@@ -84,7 +84,7 @@
 		if q == nil || q.Advice == nil || s.advice.asking || now.Before(s.advice.again) || now.Before(s.advice.look) || !s.ready {
 			continue
 		}
-		if !askers.Free(q.Advice.Cost(c.advised(s))) {
+		if !askers.Free(q.Advice.Call(c.advised(s))) {
 			continue
 		}
 		named := c.toAsk(s, q, now)
@@ -92,8 +92,8 @@
 			s.advice.look = now.Add(lookEvery)
 			continue
 		}
-		cost := q.Advice.Cost(len(named))
-		if !askers.Take(cost) {
+		call := q.Advice.Call(len(named))
+		if !askers.Take(call) {
 			continue
 		}
 		ids := idsOf(named)
@@ -101,7 +101,7 @@
 		c.promise(s, named, len(s.unplaced()))
 		s.advice.expects = time.Time{}
 		s.advice.asking = true
-		asks = append(asks, Ask{Step: s.key(), Executors: ids, Cost: cost})
+		asks = append(asks, Ask{Step: s.key(), Executors: ids, Cost: call.Cost})
 	}
 	return asks
 }
@@ -117,7 +117,7 @@
 	if tasks == 0 {
 		return nil
 	}
-	soon := now.Add(q.Advice.Cost(c.advised(s)) + askAhead)
+	soon := now.Add(q.Advice.Call(c.advised(s)).Cost + askAhead)
 	may := c.candidates(s, q, soon, now)
 	most := c.cfg.MostAdvised
 	if len(s.advice.tickets) == 0 {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -28,9 +28,15 @@
 	Valid    time.Duration // of a ticket
 }
 
-// Cost returns how long one call about n executors takes.
-func (a *Advice) Cost(n int) time.Duration {
-	return a.Decision + time.Duration(n)*a.PerVM
+// Call is the expected time of one call to the advice service.
+type Call struct {
+	Fixed time.Duration // whatever it names
+	Cost  time.Duration // all of it
+}
+
+// Call returns what one call about n executors takes.
+func (a *Advice) Call(n int) Call {
+	return Call{Fixed: a.Decision, Cost: a.Decision + time.Duration(n)*a.PerVM}
 }
 
 // Service is a pool of executors.
