Lines: which half of the bound on what waits refuses a job, and what waits can still earn

Cause: `job refused` told one figure for two bounds, so room and calls for advice couldn't be told apart; `state of the cell` didn't tell whether what waits is of use to anybody. Ruled out: nothing yet; no change of logic. Change: both halves, useful wait and processors in `job refused`; room by what it can still earn in `state of the cell`.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -193,14 +193,18 @@
 	q := r.cfg.Table().Named(j.Queue)
 	ask := r.cell.FirstAsk(q)
 	before := backlog.Before(j, q, now)
-	wait := before.Room() + r.cfg.Helpers.Wait(ask, before.Advice(), now)
-	all := max(backlog.Room(), r.cfg.Helpers.Wait(ask, backlog.Advice(), now))
+	beforeRoom, beforeAdvice := before.Room(), r.cfg.Helpers.Wait(ask, before.Advice(), now)
+	allRoom, allAdvice := backlog.Room(), r.cfg.Helpers.Wait(ask, backlog.Advice(), now)
+	wait, all := beforeRoom+beforeAdvice, max(allRoom, allAdvice)
 	excess := max(wait-plan.UsefulWait(j, q), all-plan.LongestWait)
 	if excess <= 0 {
 		return 0, false
 	}
 	r.cfg.Events.WithFields(logrus.Fields{
-		"job": j.ID, "queue": j.Queue, "wait_ms": wait.Milliseconds(), "backlog_ms": all.Milliseconds(),
+		"job": j.ID, "queue": j.Queue, "wait_ms": wait.Milliseconds(), "wait_advice_ms": beforeAdvice.Milliseconds(),
+		"useful_ms": plan.UsefulWait(j, q).Milliseconds(), "backlog_ms": all.Milliseconds(),
+		"backlog_room_ms": allRoom.Milliseconds(), "backlog_advice_ms": allAdvice.Milliseconds(),
+		"processors": backlog.Processors(),
 	}).Info("job refused: it would end too late to be of use, or too much waits")
 	return excess, true
 }
--- a/internal/plan/admit.go
+++ b/internal/plan/admit.go
@@ -75,6 +75,28 @@
 	return time.Duration(total / b.capacity * float64(time.Second))
 }
 
+// Waiting is the room that a backlog needs, by what its steps can still earn.
+type Waiting struct {
+	InTime, Late, Overdue time.Duration
+}
+
+// Waiting returns the room that the backlog needs, by what its steps can still earn.
+func (b Backlog) Waiting() Waiting {
+	part := func(of standing) time.Duration {
+		only := Backlog{capacity: b.capacity}
+		for _, w := range b.steps {
+			if w.turn.stands == of {
+				only.steps = append(only.steps, w)
+			}
+		}
+		return only.Room()
+	}
+	return Waiting{InTime: part(inTime), Late: part(late), Overdue: part(overdue)}
+}
+
+// Processors returns those of the executors that the backlog waits for.
+func (b Backlog) Processors() int { return int(b.capacity / 1000) }
+
 // advised returns about how many executors a call for advice would name.
 func (c *Cell) advised(s *step) int {
 	if len(s.advice.tickets) > 0 {
--- a/internal/plan/summary.go
+++ b/internal/plan/summary.go
@@ -60,7 +60,11 @@
 			gangs++
 		}
 	}
+	backlog := c.Backlog(now)
+	room := backlog.Waiting()
 	c.events.WithFields(logrus.Fields{
+		"processors": backlog.Processors(), "room_in_time_ms": room.InTime.Milliseconds(),
+		"room_late_ms": room.Late.Milliseconds(), "room_overdue_ms": room.Overdue.Milliseconds(),
 		"executors": len(c.sorted), "usable": usable, "runs": runs,
 		"used_percent": percent(used, capacity), "free_for_wide_percent": percent(whole, capacity),
 		"jobs": len(c.jobs), "steps_waiting": len(c.waiting), "gangs_waiting": gangs, "tasks_waiting": tasks,
