Failing tests: a backlog of others refuses work that can begin at once

Cause: the bound on all that waits is asked of each job, whoever's the work is; and a new leader counts only executors that have reported to it.

--- a/internal/plan/admit_test.go
+++ b/internal/plan/admit_test.go
@@ -120,3 +120,23 @@
 		So(w.cycle(), ShouldHaveLength, 1)
 	})
 }
+
+// A new leader refused 149 jobs in its first second, of which 104 had next to nothing
+// before them: by the executors that had reported until then, of 48, what waited came
+// to 51 s of room and fell to 8 within the second.
+func TestNewLeaderCountsOnExecutorsThatAreYetToReport(t *testing.T) {
+	Convey("Given four executors and four seconds of work of a former leader", t, func() {
+		w := newWorld(t, 4)
+		w.job(1, testQueue, work.Step{Tasks: 16, Need: cpus(32), Estimate: time.Second})
+		w.takeOver()
+		w.report("e0", nil, nil)
+
+		Convey("a new leader that has heard of one counts on all at first", func() {
+			So(w.cell.Backlog(w.now).Room(), ShouldEqual, 4*time.Second)
+		})
+		Convey("and after a while on those that it has heard of", func() {
+			w.pass(gatherFor + time.Millisecond)
+			So(w.cell.Backlog(w.now).Room(), ShouldEqual, 16*time.Second)
+		})
+	})
+}
