What others have waiting narrows the door and doesn't shut it

Cause: the bound on all that waits (8 s) was asked of every job alike. After a loss of power with a full cell and a third of the executors gone, wide gangs that found no room stood for more than that, and for 6 s all jobs were refused, also those with nothing before them, while a quarter of the usable room was free. A new leader also counted only executors that had reported to it. Ruled out: calls for advice, the job's own wait, a cell that isn't back (docs/incidents/shut-door.md); a larger bound, a bound a queue, no bound at all (docs/design/platform.md). Change: internal/admission: a job is refused for its own wait; while more than 8 s waits for a resource, new jobs get half of it. Executors that are yet to report to a new leader count for its first second.

--- a/internal/assist/demand.go
+++ b/internal/assist/demand.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// Lane names the length of a call: calls of one length share machines.
+func Lane(call queue.Call) string {
+	return [lengths]string{"short calls", "middling calls", "long calls"}[lengthOf(call)]
+}
+
 // headroom is how many times the machines that its calls keep busy are dealt to a
 // length, where there are enough. Dealt by what each takes, all lengths wait alike
 // when calls are more than machines: checks whose calls take 50 ms waited 0.5 s for
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/admission"
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/pause"
@@ -76,6 +77,7 @@
 	mu       sync.Mutex // guards the fields below
 	cell     *plan.Cell
 	cycle    chan struct{} // closed when the next whole cycle has ended
+	gate     admission.Gate
 	inbox    []*submission // to be stored with the next cycle
 	patience time.Duration // how long the store may take before submissions are refused
 	stuck    time.Time     // since when an append has had no answer; zero: none is under way
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/admission"
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/plan"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -177,8 +180,8 @@
 		r.cfg.Events.WithField("job", job.ID).Info("job refused: this machine's link is full")
 		return
 	}
-	if excess, late := r.tooLate(job, backlog, now); late {
-		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: excess}
+	if verdict := r.admit(job, backlog, now); verdict.Reason != "" {
+		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: verdict.RetryAfter}
 		return
 	}
 	if r.cell.AddJob(job, nil, now.UnixMilli(), now) {
@@ -186,27 +189,45 @@
 	}
 }
 
-// tooLate reports whether a job would be of no use because of what waits
-// before it, or whether too much waits in all, and after what time that will
-// have changed.
-func (r *Runner) tooLate(j *work.Job, backlog plan.Backlog, now time.Time) (time.Duration, bool) {
+// admit decides whether a job is accepted, given what waits in the cell; r.mu is held.
+func (r *Runner) admit(j *work.Job, backlog plan.Backlog, now time.Time) admission.Verdict {
 	q := r.cfg.Table().Named(j.Queue)
 	ask := r.cell.FirstAsk(q)
 	before := backlog.Before(j, q, now)
-	beforeRoom, beforeAdvice := before.Room(), r.cfg.Helpers.Wait(ask, before.Advice(), now)
-	allRoom, allAdvice := backlog.Room(), r.cfg.Helpers.Wait(ask, backlog.Advice(), now)
-	wait, all := beforeRoom+beforeAdvice, max(allRoom, allAdvice)
-	excess := max(wait-plan.UsefulWait(j, q), all-plan.LongestWait)
-	if excess <= 0 {
-		return 0, false
-	}
-	r.cfg.Events.WithFields(logrus.Fields{
-		"job": j.ID, "queue": j.Queue, "wait_ms": wait.Milliseconds(), "wait_advice_ms": beforeAdvice.Milliseconds(),
-		"useful_ms": plan.UsefulWait(j, q).Milliseconds(), "backlog_ms": all.Milliseconds(),
-		"backlog_room_ms": allRoom.Milliseconds(), "backlog_advice_ms": allAdvice.Milliseconds(),
-		"processors": backlog.Processors(),
-	}).Info("job refused: it would end too late to be of use, or too much waits")
-	return excess, true
+	beforeAdvice := r.cfg.Helpers.Wait(ask, before.Advice(), now)
+	request := admission.Request{
+		Wait:   before.Room() + beforeAdvice,
+		Useful: plan.UsefulWait(j, q),
+		Needs: []admission.Need{{
+			Resource: "room",
+			Waiting:  backlog.Room(),
+			Added:    backlog.RoomFor(j),
+		}, {
+			Resource: assist.Lane(ask),
+			Waiting:  r.cfg.Helpers.Wait(ask, backlog.Advice(), now),
+			Added:    r.cfg.Helpers.Wait(ask, slices.Repeat([]queue.Call{ask}, len(j.Steps)), now),
+		}},
+	}
+	verdict := r.gate.Decide(request, now)
+	if verdict.Reason != "" {
+		r.logRefusal(j, request, verdict, beforeAdvice, backlog.Processors())
+	}
+	return verdict
+}
+
+func (r *Runner) logRefusal(j *work.Job, request admission.Request, verdict admission.Verdict, beforeAdvice time.Duration, processors int) {
+	fields := logrus.Fields{
+		"job": j.ID, "queue": j.Queue, "wait_ms": request.Wait.Milliseconds(), "wait_advice_ms": beforeAdvice.Milliseconds(),
+		"useful_ms": request.Useful.Milliseconds(), "processors": processors, "retry_ms": verdict.RetryAfter.Milliseconds(),
+	}
+	for i, name := range []string{"room", "advice"} {
+		fields["backlog_"+name+"_ms"] = request.Needs[i].Waiting.Milliseconds()
+		fields["adds_"+name+"_ms"] = request.Needs[i].Added.Milliseconds()
+	}
+	if verdict.Resource != "" {
+		fields["short_of"] = verdict.Resource
+	}
+	r.cfg.Events.WithFields(fields).Info("job refused: " + string(verdict.Reason))
 }
 
 // store makes what was handed in and the jobs' progress durable and answers
--- a/internal/plan/admit.go
+++ b/internal/plan/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/admission"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -22,7 +23,7 @@
 
 // Backlog returns the work that waits now.
 func (c *Cell) Backlog(now time.Time) Backlog {
-	b := Backlog{capacity: c.capacity()}
+	b := Backlog{capacity: c.capacity(now)}
 	for _, s := range c.waiting {
 		tasks := len(s.unplaced())
 		if tasks == 0 || !s.ready || s.complete() {
@@ -30,7 +31,7 @@
 		}
 		w := waiting{
 			turn: c.turnOf(s, now),
-			work: float64(tasks) * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds(),
+			work: workOf(s.spec, tasks),
 		}
 		if q := c.queue(s.job); q != nil && q.Advice != nil && !s.advice.anyValid(now) {
 			w.advice = q.Advice.Call(c.advised(s))
@@ -65,14 +66,35 @@
 
 // Room returns how long all executors together need for the tasks that wait.
 func (b Backlog) Room() time.Duration {
-	if b.capacity <= 0 {
-		return 0
-	}
 	total := 0.0
 	for _, w := range b.steps {
 		total += w.work
 	}
-	return time.Duration(total / b.capacity * float64(time.Second))
+	return b.room(total)
+}
+
+// RoomFor returns how long all executors together need for a job that is new.
+func (b Backlog) RoomFor(j *work.Job) time.Duration {
+	total := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		total += workOf(s, s.Tasks)
+	}
+	return b.room(total)
+}
+
+// workOf returns the work of so many tasks of a step, in thousandths of a processor
+// times seconds.
+func workOf(s *work.Step, tasks int) float64 {
+	return float64(tasks) * float64(s.Need.MilliCPU) * s.Estimate.Seconds()
+}
+
+// room returns how long all executors together need for some work; 0 if none is known.
+func (b Backlog) room(work float64) time.Duration {
+	if b.capacity <= 0 {
+		return 0
+	}
+	return time.Duration(work / b.capacity * float64(time.Second))
 }
 
 // Waiting is the room that a backlog needs, by what its steps can still earn.
@@ -106,11 +128,13 @@
 }
 
 // capacity returns the processors of all executors that may be given work, in
-// thousandths.
-func (c *Cell) capacity() float64 {
+// thousandths. A new leader counts on those that are yet to report: by the few that had
+// reported, what waited came to 51 s of room at first and to 8 s within the second.
+func (c *Cell) capacity(now time.Time) float64 {
+	gathering := now.Sub(c.began) <= gatherFor
 	total := 0.0
 	for _, v := range c.sorted {
-		if c.serves(v) && v.known && !v.Draining {
+		if c.serves(v) && (v.known || gathering) && !v.Draining {
 			total += float64(v.Capacity.MilliCPU)
 		}
 	}
@@ -126,16 +150,11 @@
 	return q.Advice.Call(min(c.pools[q.Service], c.cfg.MostAdvised))
 }
 
-// LongestWait bounds the whole backlog that a job may be accepted with. Clients of a
-// job that waits longer gain nothing by its acceptance, and what has been
-// accepted has to be started within some 10 s even when nothing new comes.
-const LongestWait = 8 * time.Second
-
 // UsefulWait returns for how long a job may wait for its first start and still
 // be of use.
 func UsefulWait(j *work.Job, q *queue.Queue) time.Duration {
 	if j.LongRunning() || j.Repetitions > 0 {
-		return LongestWait
+		return admission.LongestWait
 	}
-	return min(LongestWait, lateFactor*objectiveOf(j, q)-j.Chain())
+	return min(admission.LongestWait, lateFactor*objectiveOf(j, q)-j.Chain())
 }
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -182,7 +182,7 @@
 }
 
 // gatherFor is how long after a takeover first reports are waited for before
-// advice is asked about few executors.
+// advice is asked about few executors, and executors without one count as lost.
 const gatherFor = time.Second
 
 // askAhead is how much earlier than needed a ticket may be renewed: run times
