One copy of a job's objective, of an order's timeout and of a test's submission

Cause: reading the whole change: the objective stood in jobapi and plan, the timeout of an order in dispatch and assist, a submission twice in tests of dispatch; what waits by standing was worked out in three passes over copies. Ruled out: joining the ends of deliver and deliverContent, which set other fields; assist.Record and ContentRecord, which are forms between processes. Change: queue.Queue.Objective, assist.OrderTimeout, cellPlay.recordOf, one pass; doc comments of the forms of orders. Figures: none measured; the figures of the constants are the same.

--- a/cmd/skylarklock/platform.go
+++ b/cmd/skylarklock/platform.go
@@ -17,8 +17,8 @@
 	// collector works harder; the rest is for buffers of the kernel.
 	memoryShare = 0.6
 	// heapGrowth is the growth of the heap, in percent, between two
-	// collections. Live data is about 10 MB, 30 on a machine that leads 540 executors, and processor time costs more
-	// than memory.
+	// collections. Live data is about 10 MB, 30 on a machine that leads 540
+	// executors, and processor time costs more than memory.
 	heapGrowth = 200
 )
 
--- a/internal/assist/orders.go
+++ b/internal/assist/orders.go
@@ -22,8 +22,9 @@
 
 // Timing of relayed orders.
 const (
-	// orderTimeout bounds one order; executors answer within a few milliseconds.
-	orderTimeout = 250 * time.Millisecond
+	// OrderTimeout bounds one order, whoever sends it; executors answer within a few
+	// milliseconds.
+	OrderTimeout = 250 * time.Millisecond
 	// relayTimeout bounds a batch, which is answered with its last order.
 	relayTimeout = 350 * time.Millisecond
 	// distrustFor is for how long a machine is no relay that gave no answer. A
@@ -55,6 +56,7 @@
 	Stops          []PackedStop
 }
 
+// PackedStart is a start in an OrderBatch.
 type PackedStart struct {
 	_             struct{} `cbor:",toarray"`
 	Executor      string
@@ -66,6 +68,7 @@
 	Ticket        string
 }
 
+// PackedStop is a stop in an OrderBatch.
 type PackedStop struct {
 	_        struct{} `cbor:",toarray"`
 	Executor string
@@ -73,6 +76,7 @@
 	Task     PackedTask
 }
 
+// PackedTask names a run of a task.
 type PackedTask struct {
 	_          struct{} `cbor:",toarray"`
 	Job        work.ID
@@ -123,6 +127,7 @@
 	orderRefused
 )
 
+// OrderResult says what became of one order.
 type OrderResult struct {
 	_       struct{} `cbor:",toarray"`
 	Outcome OrderOutcome
@@ -164,7 +169,7 @@
 
 // Orders sends orders to executors for the leader.
 func (h *Handler) Orders(b *OrderBatch, reply *OrderAnswer) error {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), OrderTimeout)
 	defer cancel()
 	reply.Results = make([]OrderResult, len(b.Starts)+len(b.Stops))
 	var calls sync.WaitGroup
--- a/internal/dispatch/door_test.go
+++ b/internal/dispatch/door_test.go
@@ -11,17 +11,6 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-// handIn returns the submission of a job of one step.
-func handIn(t *testing.T, n byte, s work.Step) platform.Record {
-	t.Helper()
-	job := &work.Job{ID: work.ID{n, 1}, Queue: "q", Service: "svc", Accepted: time.Now().UnixMilli(), Steps: []work.Step{s}}
-	data, err := work.EncodeJob(job)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return platform.Record{Key: work.Key(work.KindJob, job.ID), Value: data}
-}
-
 // Users saw nearly all requests refused, 12 s after all machines had lost power: 14
 // of 175 were served. Order of events: the cell was full; all machines lost power and a
 // third of the executors fell silent; a new leader took over 209 steps, of which 53
@@ -39,7 +28,7 @@
 		p := newCellPlay(t)
 		gang := work.Step{Tasks: 2, Need: api.Resources{MilliCPU: 20_000}, Estimate: 4 * time.Second, Gang: true}
 		for n := range byte(2) {
-			r := handIn(t, n, gang)
+			r := p.recordOf(n, gang)
 			p.store.put(playJobs, r.Key, string(r.Value)) // accepted by a former leader
 		}
 		p.register("ready")
@@ -47,7 +36,7 @@
 		time.Sleep(20 * time.Second) // they are far beyond their objective
 		check := work.Step{Tasks: 1, Need: api.Resources{MilliCPU: 300}, Estimate: 500 * time.Millisecond}
 		handedIn := time.Now()
-		got := p.runner.Store(t.Context(), []platform.Record{handIn(t, 9, check)})
+		got := p.runner.Store(t.Context(), []platform.Record{p.recordOf(9, check)})
 		if got[0].Outcome != assist.Stored {
 			t.Errorf("outcome %v, to come back after %v, with an idle executor; want it stored", got[0].Outcome, got[0].RetryAfter)
 		} else {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -10,10 +10,6 @@
 	"github.com/skylarklock/skylarklock/internal/plan"
 )
 
-// callTimeout bounds an order that the leader sends itself; executors answer
-// within a few milliseconds.
-const callTimeout = 250 * time.Millisecond
-
 // batch holds the orders to the executors of one data centre.
 type batch struct {
 	starts []plan.Order
@@ -83,7 +79,7 @@
 }
 
 func (r *Runner) sendStart(ctx context.Context, o plan.Order) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, assist.OrderTimeout)
 	defer cancel()
 	o.Order.Token = uint64(r.cfg.Self.Epoch)
 	_, err := r.cfg.Executors.Start(ctx, o.Start.To, o.Order)
@@ -102,7 +98,7 @@
 }
 
 func (r *Runner) sendStop(ctx context.Context, s plan.Stop) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, assist.OrderTimeout)
 	defer cancel()
 	_, err := r.cfg.Executors.Stop(ctx, s.To, s.Run, uint64(r.cfg.Self.Epoch))
 	r.stopAnswered(s, err)
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -326,10 +326,13 @@
 // record returns the submission of a job of one long task.
 func (p *cellPlay) record(n byte) platform.Record {
 	p.t.Helper()
-	job := &work.Job{
-		ID: work.ID{n}, Queue: "q", Service: "svc", Accepted: time.Now().UnixMilli(),
-		Steps: []work.Step{{Tasks: 1, Need: api.Resources{MilliCPU: 1000}, Estimate: time.Minute}},
-	}
+	return p.recordOf(n, work.Step{Tasks: 1, Need: api.Resources{MilliCPU: 1000}, Estimate: time.Minute})
+}
+
+// recordOf returns the submission of a job of one step.
+func (p *cellPlay) recordOf(n byte, s work.Step) platform.Record {
+	p.t.Helper()
+	job := &work.Job{ID: work.ID{n}, Queue: "q", Service: "svc", Accepted: time.Now().UnixMilli(), Steps: []work.Step{s}}
 	data, err := work.EncodeJob(job)
 	if err != nil {
 		p.t.Fatal(err)
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -49,20 +49,15 @@
 	return a.store(r, platform.Record{Key: work.Key(work.KindJob, id), Value: value}, patience(r, job), retryAfter(r, job))
 }
 
-// objective returns within what time the job should end.
-func objective(r *request, j *work.Job) time.Duration {
-	return time.Duration(r.queue.Stretch*float64(j.Chain())) + r.queue.TargetLatency
-}
-
 // retryAfter returns when the client should come back with a job that the store
 // didn't take.
 func retryAfter(r *request, j *work.Job) time.Duration {
-	return min(max(busyRetryAfter, time.Duration(retryShare*float64(objective(r, j)))), retryMost)
+	return min(max(busyRetryAfter, time.Duration(retryShare*float64(r.queue.Objective(j.Chain())))), retryMost)
 }
 
 // patience returns how long the store is waited for with a job.
 func patience(r *request, j *work.Job) time.Duration {
-	wait := time.Duration(objectivePatience * float64(objective(r, j)))
+	wait := time.Duration(objectivePatience * float64(r.queue.Objective(j.Chain())))
 	if deadline, ok := r.Context().Deadline(); ok {
 		wait = min(wait, time.Duration(storePatience*float64(time.Until(deadline))))
 	}
--- a/internal/plan/admit.go
+++ b/internal/plan/admit.go
@@ -104,16 +104,11 @@
 
 // Waiting returns the room that the backlog needs, by what its steps can still earn.
 func (b Backlog) Waiting() Waiting {
-	part := func(of standing) time.Duration {
-		only := Backlog{capacity: b.capacity}
-		for _, w := range b.steps {
-			if w.turn.stands == of {
-				only.steps = append(only.steps, w)
-			}
-		}
-		return only.Room()
+	var work [overdue + 1]float64
+	for _, w := range b.steps {
+		work[w.turn.stands] += w.work
 	}
-	return Waiting{InTime: part(inTime), Late: part(late), Overdue: part(overdue)}
+	return Waiting{InTime: b.room(work[inTime]), Late: b.room(work[late]), Overdue: b.room(work[overdue])}
 }
 
 // Processors returns those of the executors that the backlog waits for.
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -122,7 +122,7 @@
 	if q == nil {
 		return j.Chain()
 	}
-	return time.Duration(q.Stretch*float64(j.Chain())) + q.TargetLatency
+	return q.Objective(j.Chain())
 }
 
 // from returns when the occurrence's time began to count.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -21,6 +21,12 @@
 	Advice        *Advice       // nil: any executor of the service may run its steps
 }
 
+// Objective returns within what time after its arrival a job should end whose longest
+// chain of estimated run times is given.
+func (q *Queue) Objective(chain time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(chain)) + q.TargetLatency
+}
+
 // Advice describes the service that knows which executors may run a step.
 type Advice struct {
 	Decision time.Duration // time that one call takes
