A machine that is cut off with its leader asks for no connections and refuses at once

The leader was cut off too. Its machines heard from it, so each took the store to be down for all: it stayed ready, had clients wait for a quarter of their objective and come back to machines that are cut off as well. A machine cut off from the leader asked for no connections after 2 s, and made its clients wait until then. Change: internal/reach judges by what a machine hears of store, leader and other data centres; the leader tells with its deliveries whether it is cut off. Such a machine isn't ready and answers 503 at once; nothing was sent. An outage for all cuts nobody off.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -129,6 +129,7 @@
 	End      platform.Offset // of the partition as far as the leader knows
 	Role     Role            // what this machine should keep
 	Machines []Attachment    // for standbys: those that the leader delivers to; empty: as before
+	CutOff   bool            // the leader reaches neither the store nor another data centre
 }
 
 // DeliveryAnswer tells up to where the machine knows the partition, and the
@@ -189,6 +190,7 @@
 	Storer     func() Storer    // nil: this machine doesn't lead
 	Receiver   Receiver
 	Electorate Electorate
+	LeaderCut  func(cut bool) // takes in whether the leader is cut off; nil: nobody asks
 	Helpers    *Helpers
 	Adviser    platform.Adviser
 	Executors  platform.Executors
@@ -215,6 +217,9 @@
 		return nil // a former leader; what it brings may be behind
 	}
 	h.Electorate.Assured(d.Leader.Epoch, d.Renewed)
+	if h.LeaderCut != nil {
+		h.LeaderCut(d.CutOff)
+	}
 	h.Helpers.Know(d.Machines)
 	switch d.Role {
 	case Standby:
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -33,6 +33,7 @@
 
 	mu       sync.Mutex
 	machines map[api.NodeID]*helper
+	heard    map[api.DataCentre]time.Time // when a machine there was last heard
 	demand   demand
 }
 
@@ -52,7 +53,7 @@
 
 // NewHelpers returns the helpers of a leader, at first only itself.
 func NewHelpers(self api.NodeID, own platform.Adviser, caller Caller) *Helpers {
-	h := &Helpers{self: self, caller: caller, own: own, machines: make(map[api.NodeID]*helper)}
+	h := &Helpers{self: self, caller: caller, own: own, machines: make(map[api.NodeID]*helper), heard: make(map[api.DataCentre]time.Time)}
 	h.machines[self] = &helper{node: self}
 	return h
 }
@@ -70,7 +71,27 @@
 	m.centre = a.DataCentre
 	m.fitness = a.Fitness
 	m.whole = a.Whole
+	h.note(m, now)
+}
+
+// note takes in a sign of life of a machine; h.mu is held.
+func (h *Helpers) note(m *helper, now time.Time) {
 	m.seen = now
+	h.heard[m.centre] = now
+}
+
+// Beyond returns how long ago a machine outside of a data centre was last heard, and
+// whether one ever was.
+func (h *Helpers) Beyond(centre api.DataCentre, now time.Time) (silence time.Duration, ever bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var last time.Time
+	for other, at := range h.heard {
+		if other != centre && at.After(last) {
+			last = at
+		}
+	}
+	return now.Sub(last), !last.IsZero()
 }
 
 // Heard notes that a machine has answered the leader, which is as good as an
@@ -80,7 +101,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if m := h.machines[node]; m != nil {
-		m.seen = now
+		h.note(m, now)
 		m.whole = whole
 	}
 }
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -54,6 +54,7 @@
 	Caller     Caller
 	Bulk       Caller                // on connections of its own, so that news never waits for content
 	Renewed    func() time.Duration  // how long ago the last confirmed renewal was sent
+	CutOff     func() bool           // this machine reaches neither the store nor another data centre; nil: never
 	Replaced   func(epoch api.Epoch) // a machine has heard of a higher epoch
 	Events     *logrus.Entry
 }
@@ -257,7 +258,10 @@
 	}
 	t.busy = true
 	t.sent = now
-	d := Delivery{Leader: p.cfg.Self, Renewed: p.cfg.Renewed(), Span: replica.Span{From: end, To: end}, End: end, Role: p.role(node)}
+	d := Delivery{
+		Leader: p.cfg.Self, Renewed: p.cfg.Renewed(), Span: replica.Span{From: end, To: end}, End: end, Role: p.role(node),
+		CutOff: p.cfg.CutOff != nil && p.cfg.CutOff(),
+	}
 	if follows {
 		d.Span.From = t.position
 		if len(news) > sentNews {
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -61,6 +61,7 @@
 	Table     func() *queue.Table
 	MayRenew  func() bool           // leases may be extended
 	Replaced  func()                // somebody refused this leader's epoch
+	CutOff    func() bool           // this machine reaches neither the store nor another data centre; nil: never
 	Renewed   func() time.Duration  // how long ago the last confirmed renewal of leadership was sent
 	HeardOf   func(epoch api.Epoch) // a machine has heard of a higher epoch
 	Append    time.Duration         // what an append took last; 0: not known
@@ -162,6 +163,7 @@
 		Helpers:    r.cfg.Helpers,
 		Caller:     r.cfg.Caller,
 		Bulk:       r.cfg.Bulk,
+		CutOff:     r.cfg.CutOff,
 		Renewed:    r.cfg.Renewed,
 		Replaced:   r.cfg.HeardOf,
 		Events:     r.cfg.Events,
--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -36,6 +36,7 @@
 	Replica *replica.Replica
 	Sync    func(ctx context.Context) error // reads what the store holds by now
 	Store   Store
+	CutOff  func() bool // this machine reaches nobody who could store anything; nil: never
 	Leaving func() bool // the process ends soon: clients should go elsewhere
 	Events  *logrus.Entry
 }
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -97,6 +97,11 @@
 // store makes a record durable and says so. Where the store takes nothing, the
 // client should come back after some time.
 func (a *API) store(r *request, record platform.Record, patience, retryAfter time.Duration) *reply {
+	if a.CutOff != nil && a.CutOff() {
+		// Nothing was sent, and the client's next try may reach a machine elsewhere.
+		a.Events.WithFields(logrus.Fields{"job": r.rest, "queue": r.queue.Name, "method": r.Method}).Info("request refused: this machine is cut off")
+		return a.refuse(http.StatusServiceUnavailable, "this machine reaches neither the store nor the leader", busyRetryAfter)
+	}
 	err := a.Store.Store(r.Context(), record, patience)
 	if err == nil {
 		return accepted()
--- a/internal/jobapi/retry_test.go
+++ b/internal/jobapi/retry_test.go
@@ -65,3 +65,52 @@
 		}
 	}
 }
+
+// A machine that reaches nobody refuses at once, without a try that could be carried
+// out later: the client's next try may reach a machine elsewhere.
+func TestMachineThatIsCutOffRefusesAtOnce(t *testing.T) {
+	store := &countingStore{}
+	cut := true
+	api := &API{
+		Forms: Forms{
+			Remaining:   func(http.Header) (time.Duration, bool) { return 3 * time.Second, true },
+			EncodeError: func(string, time.Duration) ([]byte, error) { return []byte("{}"), nil },
+			DecodeJob: func([]byte) (*work.Job, error) {
+				return &work.Job{Steps: []work.Step{{Tasks: 1, Estimate: time.Second}}}, nil
+			},
+		},
+		Table: func() *queue.Table {
+			return &queue.Table{
+				Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Stretch: 1.5}},
+				Limits: queue.Limits{BodyBytes: 1 << 10},
+			}
+		},
+		Replica: replica.New(time.Minute, logging.Silent()),
+		CutOff:  func() bool { return cut },
+		Leaving: func() bool { return false },
+		Store:   store,
+		Events:  logging.Silent(),
+	}
+	hand := func() *httptest.ResponseRecorder {
+		request := httptest.NewRequest(http.MethodPost, "/q/00000000000000ab", strings.NewReader("{}"))
+		request.Host = "h"
+		w := httptest.NewRecorder()
+		api.ServeHTTP(w, request)
+		return w
+	}
+	if w := hand(); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "1" || store.tries != 0 {
+		t.Errorf("answered %d, to come back after %q s, after %d tries to store", w.Code, w.Header().Get("Retry-After"), store.tries)
+	}
+	cut = false
+	if w := hand(); w.Code != http.StatusOK || store.tries != 1 {
+		t.Errorf("back again: answered %d after %d tries to store", w.Code, store.tries)
+	}
+}
+
+// countingStore stores everything.
+type countingStore struct{ tries int }
+
+func (s *countingStore) Store(context.Context, platform.Record, time.Duration) error {
+	s.tries++
+	return nil
+}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -71,6 +71,7 @@
 		Table:     n.table,
 		MayRenew:  n.elector.MayRenewLeases,
 		Replaced:  n.elector.Replaced,
+		CutOff:    n.cutOff,
 		Renewed:   n.elector.Confirmed,
 		HeardOf:   n.heardOf,
 		Append:    n.elector.Usual(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	runner    atomic.Pointer[dispatch.Runner] // while this process leads
 	draining  atomic.Bool
 	linkFull  atomic.Bool // little more can be sent without delay
+	leaderCut atomic.Bool // the leader's newest delivery said that it is cut off
 	shutdown  shutdown
 }
 
@@ -172,6 +173,7 @@
 		Replica: n.replica,
 		Sync:    n.sync,
 		Store:   n.intake,
+		CutOff:  n.cutOff,
 		Leaving: n.draining.Load,
 		Events:  n.log,
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -14,6 +14,7 @@
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/drain"
 	"github.com/skylarklock/skylarklock/internal/peer"
+	"github.com/skylarklock/skylarklock/internal/reach"
 	"github.com/skylarklock/skylarklock/internal/traffic"
 	"github.com/skylarklock/skylarklock/platform"
 )
@@ -82,6 +83,7 @@
 		Storer:     n.storer,
 		Receiver:   n.reader,
 		Electorate: n.elector,
+		LeaderCut:  n.leaderCut.Store,
 		Helpers:    n.helpers,
 		Adviser:    n.adviser,
 		Executors:  n.executors,
@@ -131,5 +133,20 @@
 	return !n.draining.Load() &&
 		n.watch.Table() != nil &&
 		n.replica.Synced() &&
-		n.replica.Age(time.Now()) < storeSilence
+		n.replica.Age(time.Now()) < storeSilence &&
+		!n.cutOff()
+}
+
+// cutOff reports whether this machine reaches nobody who could have a job stored.
+func (n *Node) cutOff() bool {
+	now := time.Now()
+	beyond, spread := n.helpers.Beyond(n.settings.DataCentre, now)
+	return reach.Signs{
+		Store:     n.store.Silence(now),
+		Leads:     n.epoch.Load() != 0,
+		Spread:    spread,
+		Beyond:    beyond,
+		Fed:       n.reader.IsFed(now),
+		LeaderCut: n.leaderCut.Load(),
+	}.CutOff()
 }
--- a/internal/storehealth/health.go
+++ b/internal/storehealth/health.go
@@ -49,6 +49,13 @@
 	return !l.failing.IsZero() && l.now().Sub(l.failing) > downAfter
 }
 
+// Silence returns for how long the store has answered no call of this machine.
+func (l *health) Silence(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.last)
+}
+
 // Append implements platform.PartitionLog.
 func (l *Log) Append(ctx context.Context, a platform.Append) (platform.Offset, error) {
 	began := l.now()
