Advice isn't waited for at a machine that has fallen silent

The machines counted as present for 2.5 s more and got further calls. Ruled out: a shorter timeout; calls of wide steps take over 1 s, and more where several wait at a machine. Change: a call ends when nothing was heard of its machine for 0.7 s, and such a machine is given none; the leader hears of each at least five times a second.

--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -23,6 +24,13 @@
 	// attachedFor is how long an offer holds; machines repeat it every
 	// second (node.attachEvery).
 	attachedFor = 2500 * time.Millisecond
+	// adviserSilence is the age of a machine's last sign of life above which calls
+	// for advice at it are given up, and it gets none: a data centre that is cut off
+	// would keep each call there for its whole timeout. The leader hears of a machine
+	// at least every 0.2 s.
+	adviserSilence = 700 * time.Millisecond
+	// adviserLook is how often that is looked at.
+	adviserLook = 100 * time.Millisecond
 )
 
 // Helpers are the machines that make calls for the leader, itself included.
@@ -177,7 +185,7 @@
 // find returns a machine that has time for a call, or nil.
 func (h *Helpers) find(of length, now time.Time) *helper {
 	h.demand.note(of, now)
-	machines := h.present(now)
+	machines := h.answering(now)
 	ranges := h.demand.divide(len(machines))
 	for try := of; try < lengths; try++ {
 		if m := idlest(machines[ranges[try].from:ranges[try].to], of); m != nil {
@@ -269,17 +277,51 @@
 	return machines
 }
 
-// Advise makes the slot's call and gives the slot back.
+// answering returns the machines present that have lately given a sign of life, in
+// the same order.
+func (h *Helpers) answering(now time.Time) []*helper {
+	return slices.DeleteFunc(h.present(now), func(m *helper) bool { return m.silent(now) })
+}
+
+// silent reports whether nothing was heard of another machine for a while.
+func (m *helper) silent(now time.Time) bool {
+	return m.address != "" && now.Sub(m.seen) > adviserSilence
+}
+
+// Advise makes the slot's call and gives the slot back. It fails early when the machine
+// that makes the call falls silent: another can be asked.
 func (h *Helpers) Advise(ctx context.Context, s *Slot, step work.StepKey, executors []string) ([]platform.Grant, time.Duration, error) {
 	defer h.giveBack(s)
 	if s.helper.address == "" {
 		return h.own.Advise(ctx, step, executors)
 	}
+	ctx, cancel := h.whileAnswering(ctx, s.helper)
+	defer cancel()
 	var answer AdviceAnswer
 	err := h.caller.Call(ctx, s.helper.address, methodAdvise, &AdviceRequest{Step: step, Executors: executors}, &answer)
 	return answer.Grants, answer.Valid, err
 }
 
+// whileAnswering returns a context that ends with ctx or when the machine falls silent.
+func (h *Helpers) whileAnswering(ctx context.Context, m *helper) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	var look func()
+	look = func() {
+		h.mu.Lock()
+		silent := m.silent(time.Now())
+		h.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+		case silent:
+			cancel()
+		default:
+			time.AfterFunc(adviserLook, look)
+		}
+	}
+	time.AfterFunc(adviserLook, look)
+	return ctx, cancel
+}
+
 func (h *Helpers) giveBack(s *Slot) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
