--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -123,7 +123,7 @@
 type Delivery struct {
 	_        struct{} `cbor:",toarray"`
 	Leader   leader.Leader
-	Renewed  time.Duration   // how long ago the leader's last confirmed renewal was sent
+	Renewed  leader.Renewal  // the leader's last that was confirmed
 	Span     replica.Span    // of the records whose news these are
 	Jobs     work.Summaries  // of all jobs that they changed
 	End      platform.Offset // of the partition as far as the leader knows
@@ -179,9 +179,8 @@
 type Electorate interface {
 	// Learn takes in who leads and returns the highest epoch known.
 	Learn(l leader.Leader) api.Epoch
-	// Assured takes in how long ago the leader's last confirmed renewal was
-	// sent.
-	Assured(epoch api.Epoch, age time.Duration)
+	// Assured takes in the leader's last confirmed renewal.
+	Assured(epoch api.Epoch, r leader.Renewal)
 }
 
 // Handler answers peers' calls.
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -21,9 +21,12 @@
 	// deliverEvery is the least time between two deliveries to a machine. Clients
 	// see the end of their job with this delay.
 	deliverEvery = 25 * time.Millisecond
-	// deliverIdle is the time after which a delivery without news says
-	// that there is none (replica.Timing.FedFor is over twice that).
+	// deliverIdle is the longest time after which a delivery without news says
+	// that there is none (replica.Timing.FedFor is over twice that), idlePaces how many
+	// times that between two with news it is, and idleLeast the shortest.
 	deliverIdle = 200 * time.Millisecond
+	idlePaces   = 4
+	idleLeast   = 100 * time.Millisecond
 	// deliverMost is the longest time between two deliveries of news.
 	deliverMost = 150 * time.Millisecond
 	// deliverAtMost bounds the deliveries of news a second to all machines: with as
@@ -53,7 +56,7 @@
 	Helpers    *Helpers
 	Caller     Caller
 	Bulk       Caller                // on connections of its own, so that news never waits for content
-	Renewed    func() time.Duration  // how long ago the last confirmed renewal was sent
+	Renewed    func() leader.Renewal // the last that was confirmed
 	CutOff     func() bool           // this machine reaches neither the store nor another data centre; nil: never
 	Replaced   func(epoch api.Epoch) // a machine has heard of a higher epoch
 	Events     *logrus.Entry
@@ -250,8 +253,11 @@
 	follows := t.position >= p.newsFrom && t.position <= end
 	news := p.newsSince(t.position)
 	wait := deliverIdle
-	if follows && len(news) > 0 {
+	switch {
+	case follows && len(news) > 0:
 		wait = min(pace, deliverIdle)
+	case follows:
+		wait = min(max(idlePaces*pace, idleLeast), deliverIdle)
 	}
 	if t.busy || now.Sub(t.sent) < wait {
 		return Delivery{}, false
--- a/internal/assist/publisher_test.go
+++ b/internal/assist/publisher_test.go
@@ -66,7 +66,7 @@
 		Helpers:  NewHelpers("self", nil, m),
 		Caller:   m,
 		Bulk:     m,
-		Renewed:  func() time.Duration { return 0 },
+		Renewed:  func() leader.Renewal { return leader.Renewal{} },
 		Replaced: func(e api.Epoch) { f.replaced = e },
 		Events:   logging.Silent(),
 	}, 10)
--- a/internal/assist/thinlink_test.go
+++ b/internal/assist/thinlink_test.go
@@ -98,7 +98,7 @@
 	c := &linkedCaller{link: l, machines: machines}
 	p := NewPublisher(PublisherConfig{
 		Self: leader.Leader{Epoch: 3, Node: "front-eagle-1", Incarnation: 1 << 60, Address: "10.1.0.13:7720"}, Link: thinLinkBytes, Helpers: h, Caller: c, Bulk: c,
-		Renewed: func() time.Duration { return 0 }, Replaced: func(api.Epoch) {}, Events: logging.Silent(),
+		Renewed: func() leader.Renewal { return leader.Renewal{} }, Replaced: func(api.Epoch) {}, Events: logging.Silent(),
 	}, 10)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer time.Sleep(10 * time.Second) // everything ends
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -308,7 +308,7 @@
 		Table:     func() *queue.Table { return table },
 		MayRenew:  func() bool { return true },
 		Replaced:  func() {},
-		Renewed:   func() time.Duration { return 0 },
+		Renewed:   func() leader.Renewal { return leader.Renewal{} },
 		HeardOf:   func(api.Epoch) {},
 		Events:    logging.Silent(),
 	})
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -62,7 +62,7 @@
 	MayRenew  func() bool           // leases may be extended
 	Replaced  func()                // somebody refused this leader's epoch
 	CutOff    func() bool           // this machine reaches neither the store nor another data centre; nil: never
-	Renewed   func() time.Duration  // how long ago the last confirmed renewal of leadership was sent
+	Renewed   func() leader.Renewal // the last of leadership that was confirmed
 	HeardOf   func(epoch api.Epoch) // a machine has heard of a higher epoch
 	Append    time.Duration         // what an append took last; 0: not known
 	Events    *logrus.Entry
--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/logging"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
@@ -55,7 +56,7 @@
 			Reader:  reader,
 			Helpers: assist.NewHelpers("a", nil, nil),
 			Table:   func() *queue.Table { return &queue.Table{} },
-			Renewed: func() time.Duration { return 0 },
+			Renewed: func() leader.Renewal { return leader.Renewal{} },
 			Events:  logging.Silent(),
 		})
 		if err := r.Run(ctx); err == nil || log.reads.Load() == 0 {
--- a/internal/leader/config.go
+++ b/internal/leader/config.go
@@ -41,7 +41,7 @@
 		Renew:        250 * time.Millisecond,
 		Takeover:     800 * time.Millisecond,
 		Gaps:         3,
-		Suspected:    450 * time.Millisecond,
+		Suspected:    400 * time.Millisecond,
 		Abandoned:    100 * time.Millisecond,
 		Spread:       60 * time.Millisecond,
 		Watch:        200 * time.Millisecond,
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -24,12 +24,13 @@
 	state     *State // nil until the partition was read once
 	suspected bool   // the leader's process answers no call
 	stopping  bool
-	yielding  bool          // leadership is being handed over: to a machine with more processors, or since this one can't plan
-	unread    bool          // the state is from other processes; the store was not read yet
-	blind     bool          // the last read failed
-	ledSince  time.Time     // of the newest claim of this process
-	yielded   time.Time     // when this process last handed leadership over; zero: never
-	usual     time.Duration // what the last append took
+	yielding  bool                    // leadership is being handed over: to a machine with more processors, or since this one can't plan
+	unread    bool                    // the state is from other processes; the store was not read yet
+	blind     bool                    // the last read failed
+	ledSince  time.Time               // of the newest claim of this process
+	yielded   time.Time               // when this process last handed leadership over; zero: never
+	usual     time.Duration           // what the last append took
+	waits     context.CancelCauseFunc // ends the read that waits for a record; nil: none does
 	wake      chan struct{}
 	released  chan struct{} // closed when this process has stepped down
 }
@@ -142,7 +143,7 @@
 	case !stopping && e.due():
 		return e.claim(ctx)
 	case e.quiet(): // a process that stops reads on too: its last requests need the leader
-		pause.For(ctx, e.cfg.Timing.Look)
+		e.sleep(ctx, e.cfg.Timing.Look)
 		return nil
 	default:
 		return e.watch(ctx)
@@ -186,9 +187,16 @@
 
 // due reports whether this process should claim the cell.
 func (e *Elector) due() bool {
+	left, may := e.untilDue()
+	return may && left <= 0
+}
+
+// untilDue returns how much longer the leader has to be silent before this process
+// should claim the cell, and whether it may claim at all.
+func (e *Elector) untilDue() (time.Duration, bool) {
 	reserve, may := e.reserve()
 	if !may {
-		return false
+		return 0, false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -196,12 +204,12 @@
 	silence := e.state.Silence(now) - reserve
 	switch {
 	case e.state.Released():
-		return silence >= 0
+		return -silence, true
 	case e.suspected:
-		return silence > e.state.Patience(now)*e.cfg.Timing.Suspected
+		return e.state.Patience(now)*e.cfg.Timing.Suspected - silence, true
 	default:
 		usual := max(e.cfg.Timing.Takeover, time.Duration(e.cfg.Timing.Gaps)*e.state.Gap())
-		return silence > e.state.Patience(now)*usual
+		return e.state.Patience(now)*usual - silence, true
 	}
 }
 
@@ -306,9 +314,25 @@
 	return e.watchOnce(ctx, 0)
 }
 
-// watch waits for the next record.
+// errSuspected ends a read that waits for a record of a leader that is suspected.
+var errSuspected = errors.New("leader: the leader's process answers no call")
+
+// watch waits for the next record, or until the leader is suspected.
 func (e *Elector) watch(ctx context.Context) error {
-	return e.watchOnce(ctx, e.cfg.Timing.Watch)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	e.mu.Lock()
+	e.waits = cancel
+	e.mu.Unlock()
+	wait := e.cfg.Timing.Watch
+	if left, may := e.untilDue(); may && left > 0 {
+		wait = min(wait, left.Truncate(time.Millisecond)+time.Millisecond)
+	}
+	err := e.watchOnce(ctx, wait)
+	e.mu.Lock()
+	e.waits = nil
+	e.mu.Unlock()
+	return err
 }
 
 // watchOnce reads on from the known end.
@@ -324,6 +348,9 @@
 		e.mu.Unlock()
 		return nil
 	}
+	if errors.Is(context.Cause(ctx), errSuspected) && err != nil {
+		return nil // the store was not given the time to answer
+	}
 	if err != nil {
 		e.mu.Lock()
 		e.blind = true
--- a/internal/leader/signals.go
+++ b/internal/leader/signals.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
 // Learn takes in from another process who leads: one that can't read the
@@ -30,13 +31,20 @@
 	return highest
 }
 
-// Assured takes in from the leader of an epoch how long ago its last confirmed
-// renewal was sent: while that is fresh the store need not be read.
-func (e *Elector) Assured(epoch api.Epoch, age time.Duration) {
+// Renewal tells of a leader's newest renewal that is known to be stored.
+type Renewal struct {
+	_    struct{}        `cbor:",toarray"`
+	Age  time.Duration   // since it was sent
+	UpTo platform.Offset // the partition's end after it
+}
+
+// Assured takes in from the leader of an epoch its last confirmed renewal: while
+// that is fresh the store need not be read.
+func (e *Elector) Assured(epoch api.Epoch, r Renewal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.state != nil {
-		e.state.assured(epoch, time.Now().Add(-age))
+		e.state.assured(epoch, time.Now().Add(-r.Age), r.UpTo)
 	}
 }
 
@@ -51,15 +59,14 @@
 	return e.state.Silence(now), e.state.Released()
 }
 
-// Confirmed returns how long ago the last confirmed renewal of this process,
-// as leader, was sent.
-func (e *Elector) Confirmed() time.Duration {
+// Confirmed returns the last confirmed renewal of this process as leader.
+func (e *Elector) Confirmed() Renewal {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.state == nil || !e.state.Leads() {
-		return time.Hour
+		return Renewal{Age: time.Hour}
 	}
-	return time.Duration(uptime() - e.state.confirmed)
+	return Renewal{Age: time.Duration(uptime() - e.state.confirmed), UpTo: e.state.lasts}
 }
 
 // Suspect notes that the process of the given leader answers no call, so that
@@ -67,9 +74,17 @@
 func (e *Elector) Suspect(epoch api.Epoch) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state != nil && e.state.Current().Epoch == epoch {
-		e.suspected = true
+	if e.state == nil || e.state.Current().Epoch != epoch {
+		return
+	}
+	if e.suspected {
+		return
+	}
+	e.suspected = true
+	if e.waits != nil {
+		e.waits(errSuspected)
 	}
+	e.Replaced() // wakes the loop
 }
 
 // Abandoned notes that the process at the address of the given leader says
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -34,10 +34,12 @@
 type State struct {
 	self      Leader // Epoch is zero unless this process leads
 	end       platform.Offset
-	current   Leader    // zero: none is known or the last one stepped down
-	heard     time.Time // when the newest record was read, or the watch began
-	sent      Uptime    // when the newest own append was sent
-	confirmed Uptime    // when the newest own record that was stored was sent
+	current   Leader          // zero: none is known or the last one stepped down
+	heard     time.Time       // when the newest record was read, or the watch began
+	sent      Uptime          // when the newest own append was sent
+	confirmed Uptime          // when the newest own record that was stored was sent
+	lasts     platform.Offset // up to there the partition ended when that was confirmed
+	assuredTo platform.Offset // records before it are no news of the current leader
 	released  bool
 	highest   api.Epoch     // of all leaders heard of
 	gap       time.Duration // usual time between two records of a leader
@@ -81,11 +83,15 @@
 
 // read takes in a record at an offset.
 func (s *State) read(at platform.Offset, r record, now time.Time) {
+	s.end = at + 1
+	if r.Kind == renews && r.Epoch == s.current.Epoch && at < s.assuredTo {
+		return // the leader has told when it was sent
+	}
 	if r.Kind == renews && r.Epoch == s.current.Epoch {
 		s.gap += time.Duration(gapShare * float64(now.Sub(s.heard)-s.gap))
 	}
-	s.end = at + 1
 	s.heard = now
+	s.assuredTo = 0
 	switch r.Kind {
 	case claims:
 		s.noteSeized(now)
@@ -102,7 +108,7 @@
 	if s.current.Epoch != s.self.Epoch {
 		s.self.Epoch = 0
 	} else if s.Leads() {
-		s.confirmed = s.sent // an own renewal whose answer was lost
+		s.confirmed, s.lasts = s.sent, s.end // an own renewal whose answer was lost
 	}
 }
 
@@ -151,15 +157,19 @@
 	s.noteSeized(now)
 	s.current = l
 	s.heard = now
+	s.assuredTo = 0
 	s.released = false
 	s.self.Epoch = 0
 	return true
 }
 
-// assured takes in from the leader when its last confirmed renewal was sent.
-func (s *State) assured(epoch api.Epoch, sent time.Time) {
+// assured takes in from the leader when its last confirmed renewal was sent and where
+// that ends in the partition. A process that was assured reads the record much later,
+// when it is no sign of life: as such it put a claim off by the whole silence, 0.5 s.
+func (s *State) assured(epoch api.Epoch, sent time.Time, upTo platform.Offset) {
 	if epoch == s.current.Epoch && sent.After(s.heard) {
 		s.heard = sent
+		s.assuredTo = max(s.assuredTo, upTo)
 	}
 }
 
@@ -176,7 +186,7 @@
 	s.current = s.self
 	s.end = at + 1
 	s.heard = now
-	s.confirmed = s.sent
+	s.confirmed, s.lasts = s.sent, s.end
 	s.released = false
 }
 
@@ -184,7 +194,7 @@
 func (s *State) renewed(at platform.Offset, now time.Time) {
 	s.end = at + 1
 	s.heard = now
-	s.confirmed = s.sent
+	s.confirmed, s.lasts = s.sent, s.end
 }
 
 // stepDown takes in that the own release was stored.
--- a/internal/node/attach.go
+++ b/internal/node/attach.go
@@ -14,9 +14,11 @@
 	// attachEvery is the time between two offers of help to the leader.
 	attachEvery = time.Second
 	// tieLook is how often a machine looks whether the leader still delivers.
-	tieLook = 100 * time.Millisecond
-	// attachTimeout bounds an offer; it takes a few milliseconds.
+	tieLook = 50 * time.Millisecond
+	// attachTimeout bounds an offer, which takes a few milliseconds, and attachLeast
+	// that to a leader that was quick so far.
 	attachTimeout = 300 * time.Millisecond
+	attachLeast   = 150 * time.Millisecond
 )
 
 // attach offers this machine's help to the leader now and then, and at once
@@ -32,7 +34,7 @@
 		if silence, released := n.elector.Silence(now); alone.due(n.reader.IsFed(now), silence, released) {
 			n.replica.Keep() // nobody has claimed the cell who could have at once
 		}
-		if now.Sub(offered) >= attachEvery || !n.reader.IsFed(now) {
+		if now.Sub(offered) >= attachEvery || (n.epoch.Load() == 0 && n.reader.Overdue(now)) {
 			n.attachOnce(ctx)
 			offered = now
 		}
@@ -51,7 +53,7 @@
 	}
 	// A machine that stops tells so by its fitness: it answers deliveries up
 	// to its end, which would keep its last offer to lead valid.
-	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(max(attachLeast, n.reader.Patience()/2), attachTimeout))
 	defer cancel()
 	offer := assist.Attachment{
 		Node: n.settings.Node, Address: n.settings.Peer, DataCentre: n.settings.DataCentre,
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -61,6 +61,7 @@
 	restoring sync.Mutex                // one restore at a time
 	restores  atomic.Uint64             // that have ended well
 	fed       atomic.Pointer[time.Time] // when the leader last delivered everything
+	pulse     pulse                     // of the leader's deliveries
 	timeout   atomic.Int64              // of a read beside its wait, in nanoseconds; 0: Timing.Call
 	syncs     syncs
 }
@@ -70,6 +71,7 @@
 // up to where the states of jobs are known.
 func (f *Reader) Deliver(span Span, jobs []work.Summary, end platform.Offset) platform.Offset {
 	now := time.Now()
+	f.pulse.beat(now)
 	position := f.Replica.Summarise(span, jobs, now)
 	if position >= end {
 		f.Replica.Heard(now)
@@ -103,6 +105,13 @@
 	return last != nil && now.Sub(*last) < f.Timing.FedFor
 }
 
+// Overdue reports whether no delivery has come for longer than the leader's gaps of
+// late explain.
+func (f *Reader) Overdue(now time.Time) bool { return f.pulse.silence(now) > f.Patience() }
+
+// Patience returns the silence of the leader after which a delivery is overdue.
+func (f *Reader) Patience() time.Duration { return f.pulse.patience(f.Timing.FedFor) }
+
 // Run reads until ctx ends.
 func (f *Reader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
