A leader asked to stop leads on until that it steps down is stored

Change: Lost is told when the release is stored, not when it is asked for. Figures: test: the leader led no more during the outage before, leads until it ends now.

--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -66,7 +66,9 @@
 }
 
 // Release makes this process step down and claim no more. It returns when
-// that is stored, or nothing was to be released, or ctx has ended.
+// that is stored, or nothing was to be released, or ctx has ended. Until it is stored
+// nobody else could lead, so this process goes on: in an outage of the store for as long
+// as that and the process last.
 func (e *Elector) Release(ctx context.Context) {
 	e.mu.Lock()
 	e.stopping = true
@@ -75,7 +77,6 @@
 	if !leads {
 		return
 	}
-	e.cfg.Lost()
 	e.Replaced() // the loop makes the append, after the one that may be under way
 	select {
 	case <-e.released:
@@ -86,11 +87,11 @@
 
 // release appends that this process steps down.
 func (e *Elector) release(ctx context.Context) error {
-	e.cfg.Lost() // also of a claim that won after the process was asked to stop
 	at, err := e.append(ctx, releases)
 	if err != nil {
 		return e.settle(ctx, err)
 	}
+	e.cfg.Lost()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -288,7 +289,6 @@
 // the next step makes the append.
 func (e *Elector) yield() {
 	e.cfg.Events.Info("this process hands leadership to a machine with more processors")
-	e.cfg.Lost()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.yielding = true
--- a/internal/leader/stop_test.go
+++ b/internal/leader/stop_test.go
@@ -41,3 +41,32 @@
 		}
 	})
 }
+
+// A leader that is asked to stop while the store is down can't be followed by anybody.
+// It goes on as long as it may; it ended at once, and nothing ran on from then on.
+func TestLeaderStoppedInAnOutageLeadsUntilItIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := election(t, 1, 1)
+		log := &mortalLog{PartitionLog: all[0].cfg.Log}
+		all[0].cfg.Log = log
+		defer run(all[0])()
+		time.Sleep(time.Second)
+		log.gone.Store(true)
+		stopping, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+		defer cancel()
+		all[0].Release(stopping)
+		if leads, _ := all[0].state(); !leads {
+			t.Error("it doesn't lead any more, and nobody else could")
+		}
+		log.gone.Store(false)
+		time.Sleep(time.Second)
+		if leads, _ := all[0].state(); leads {
+			t.Error("it still leads, with a store that takes that it steps down")
+		}
+		defer run(all[1])()
+		time.Sleep(time.Second)
+		if leads, _ := all[1].state(); !leads {
+			t.Error("it isn't followed")
+		}
+	})
+}
