Runs that save their progress yield to gangs; gangs name enough executors at first

Lines of trials: a gang of 15 named 34 executors that were to hold 68 tasks, 11 were granted and 8 tasks found room when the answer came 0.66 s later; it asked again and again, up to four calls of 0.7 to 1.1 s in turn, whose tickets hold 1.5 s. Executors it may use: 40% wage runs, 10% confirmations, 18% rosters that save their progress, 22% free in pieces. Change: priority is used: for a gang that finds no room, runs of less urgent queues yield that save their progress, have 2 s to spare and have yielded less than twice, if that makes room for all of it where its tickets hold; the room is kept for it for 0.6 s. Calls count that room; how much of the room counted on is still there at the answer is learned by queue; what one call can't name goes to up to three at once; an answer is used before more is asked. Lines: what calls are spent on, runs that yielded.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -13,7 +14,9 @@
 type advice struct {
 	tickets  map[*vm]ticket   // of executors that may
 	denied   map[*vm]struct{} // executors that may not
-	asking   bool             // a call is under way
+	asking   int              // calls under way
+	unused   bool             // an answer has come since the step was last planned
+	expected float64          // tasks that were to find room on each executor that these name
 	again    time.Time        // no call before this, after one that failed
 	look     time.Time        // not before this is it worked out again whether a call is due
 	expects  time.Time        // until when room is waited for where tickets hold; zero: it is not
@@ -86,7 +89,7 @@
 	var asks []Ask
 	for _, s := range c.inTurn {
 		q := c.queue(s.job)
-		if q == nil || q.Advice == nil || s.advice.asking || now.Before(s.advice.again) || now.Before(s.advice.look) || !s.ready {
+		if q == nil || q.Advice == nil || s.advice.unused || s.advice.asking > 0 || now.Before(s.advice.again) || now.Before(s.advice.look) || !s.ready {
 			continue
 		}
 		if !askers.Free(q.Advice.Call(c.advised(s))) {
@@ -97,16 +100,32 @@
 			s.advice.look = now.Add(s.lookPause())
 			continue
 		}
-		call := q.Advice.Call(len(named))
+		asks = append(asks, c.askAbout(s, q, named, askers)...)
+	}
+	return asks
+}
+
+// askAbout returns the calls about a step that name the candidates and that somebody
+// takes, and counts them as under way. What one call can't name goes to others at the
+// same time.
+func (c *Cell) askAbout(s *step, q *queue.Queue, named []candidate, askers Askers) []Ask {
+	var asks []Ask
+	var taken []candidate
+	calls := (len(named) + c.cfg.MostAdvised - 1) / c.cfg.MostAdvised
+	for part := range slices.Chunk(named, (len(named)+calls-1)/calls) {
+		call := q.Advice.Call(len(part))
 		if !askers.Take(call) {
-			continue
+			break
 		}
-		ids := idsOf(named)
-		c.countAsk(s, named)
-		c.promise(s, named, len(s.unplaced()))
+		c.countAsk(s, part, call.Cost)
+		taken = append(taken, part...)
+		asks = append(asks, Ask{Step: s.key(), Executors: idsOf(part), Cost: call.Cost})
+	}
+	if len(asks) > 0 {
+		c.promise(s, taken, len(s.unplaced()))
 		s.advice.expects = time.Time{}
-		s.advice.asking = true
-		asks = append(asks, Ask{Step: s.key(), Executors: ids, Cost: call.Cost})
+		s.advice.asking = len(asks)
+		s.advice.expected = float64(roomOf(taken)) / float64(len(taken))
 	}
 	return asks
 }
@@ -122,9 +141,15 @@
 	if tasks == 0 {
 		return nil
 	}
+	if c.gathers(s, now) {
+		return nil // it starts as soon as what is in its way has stopped
+	}
 	soon := now.Add(q.Advice.Call(c.advised(s)).Cost + askAhead)
 	may := view.candidates(s, q, soon)
 	most := c.cfg.MostAdvised
+	if s.spec.Gang && s.stands == inTime {
+		most *= gangCalls
+	}
 	if len(s.advice.tickets) == 0 {
 		return c.worthAsking(c.choose(may.fresh, s, q, tasks, most), s, q, now)
 	}
@@ -185,6 +210,10 @@
 // advice is asked about few executors, and executors without one count as lost.
 const gatherFor = time.Second
 
+// gangCalls is how many calls may be made at a time about a gang that can be in time: it
+// starts whole or not at all, and calls in turn would take all the time that it has.
+const gangCalls = 3
+
 // askAhead is how much earlier than needed a ticket may be renewed: run times
 // are only estimated.
 const askAhead = 150 * time.Millisecond
@@ -195,12 +224,15 @@
 	if s == nil {
 		return
 	}
-	s.advice.asking = false
+	s.advice.asking--
+	s.advice.unused = true
 	if s.job.advised.IsZero() {
 		s.job.advised = now
 	}
-	c.learnShare(c.queue(s.job), len(a.Executors), len(grants))
+	q := c.queue(s.job)
+	c.learnShare(q, len(a.Executors), len(grants))
 	s.advice.grant(c.vms, a.Executors, grants, now.Add(valid-c.cfg.TicketMargin))
+	c.learnKept(s, q, grants, now)
 }
 
 // NoAdvice takes in that a call for advice failed.
@@ -209,7 +241,7 @@
 	if s == nil {
 		return
 	}
-	s.advice.asking = false
+	s.advice.asking--
 	c.unpromise(s)
 	s.advice.again = now.Add(adviceRetry)
 }
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 )
 
@@ -50,6 +51,7 @@
 	now  time.Time
 	vms  []*vm                         // that may be given work
 	room map[time.Time][]api.Resources // of these at a time, in the same order
+	give map[int][]api.Resources       // of runs that would yield, by the priority of the queue
 }
 
 // roomSteps is the accuracy with which room is foreseen: run times are estimates.
@@ -57,7 +59,7 @@
 
 // outlook returns how executors stand now.
 func (c *Cell) outlook(now time.Time) *outlook {
-	o := &outlook{cell: c, now: now, room: make(map[time.Time][]api.Resources)}
+	o := &outlook{cell: c, now: now, room: make(map[time.Time][]api.Resources), give: make(map[int][]api.Resources)}
 	for _, v := range c.sorted {
 		if c.serves(v) && v.usable(now, &c.cfg) {
 			o.vms = append(o.vms, v)
@@ -81,10 +83,28 @@
 	return room
 }
 
+// yieldable returns the room on each executor of runs that would yield to a gang of the
+// queue.
+func (o *outlook) yieldable(q *queue.Queue) []api.Resources {
+	room, known := o.give[q.Priority]
+	if !known {
+		room = make([]api.Resources, len(o.vms))
+		for i, v := range o.vms {
+			room[i] = o.cell.yieldable(v, q, o.now)
+		}
+		o.give[q.Priority] = room
+	}
+	return room
+}
+
 // candidates returns the executors on which the step may run.
 func (o *outlook) candidates(s *step, q *queue.Queue, at time.Time) candidates {
 	var out candidates
 	room := o.roomAt(at)
+	var yields []api.Resources
+	if s.spec.Gang && s.stands == inTime {
+		yields = o.yieldable(q)
+	}
 	for i, v := range o.vms {
 		if v.Service != q.Service || (s.spec.Label != "" && !v.HasLabel(s.spec.Label)) {
 			continue
@@ -92,7 +112,11 @@
 		if _, denied := s.advice.denied[v]; denied {
 			continue
 		}
-		one := candidate{vm: v, slots: v.slotsIn(s, room[i].Sub(v.promised))}
+		there := room[i].Sub(v.promised).Sub(v.kept).Add(s.gathered.kept[v])
+		if yields != nil {
+			there = there.Add(yields[i])
+		}
+		one := candidate{vm: v, slots: v.slotsIn(s, there)}
 		switch ticket, ok := s.advice.tickets[v]; {
 		case !ok:
 			out.fresh = append(out.fresh, one)
@@ -124,10 +148,10 @@
 		}
 	})
 	least := cheapToName(q.Advice)
-	wanted := roomMargin * float64(tasks) / c.shareOf(q)
+	wanted := roomMargin * float64(tasks) / (c.shareOf(q) * c.keptOf(q))
 	room := 0
 	for i, one := range from {
-		if i >= limit || (i >= least && float64(room) >= wanted) {
+		if i >= limit || (i >= least && float64(room) >= wanted) || (i >= c.cfg.MostAdvised && one.slots == 0) {
 			return from[:i]
 		}
 		room += one.slots
@@ -175,6 +199,39 @@
 	return firstShare
 }
 
+// keptOf returns which part of the room that a queue's calls count on is still there
+// when they are answered.
+func (c *Cell) keptOf(q *queue.Queue) float64 {
+	if part, ok := c.kept[q.Name]; ok {
+		return max(part, leastKept)
+	}
+	return 1
+}
+
+// leastKept bounds what crowded moments do to that.
+const leastKept = 0.25
+
+// learnKept takes in how much of the room that was counted on the executors granted to a
+// gang have. What others have taken meanwhile has a gang ask again, for the whole time
+// that it has.
+func (c *Cell) learnKept(s *step, q *queue.Queue, grants []platform.Grant, now time.Time) {
+	if q == nil || !s.spec.Gang || len(grants) == 0 || s.advice.expected == 0 {
+		return
+	}
+	slots := 0
+	for _, g := range grants {
+		if v := c.vms[g.Executor]; v != nil && c.suits(s, q, v, now) {
+			slots += v.slotsIn(s, v.freeFor(s).Add(c.yieldable(v, q, now)))
+		}
+	}
+	part := min(1, float64(slots)/(float64(len(grants))*s.advice.expected))
+	old, ok := c.kept[q.Name]
+	if !ok {
+		old = 1
+	}
+	c.kept[q.Name] = old + grantedWeight*(part-old)
+}
+
 // leastShare bounds what a run of refusals does to the expected share.
 const leastShare = 0.05
 
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -35,9 +35,11 @@
 	unstopped []*claim             // whose newest stop may have had no effect
 	now       time.Time            // of the newest call that brought the time
 	granted   map[string]float64   // by queue: moving mean of the share of executors granted
+	kept      map[string]float64   // by queue: moving mean of the part of the room counted on that gangs find
 	usual     float64              // moving mean of the fleet\'s run times to estimates
 	asked     asked                // calls for advice since the last summary
 	explained time.Time            // when waiting steps were last explained
+	yielded   int                  // runs stopped for others since the last summary
 }
 
 // Stop is an order to stop a run.
@@ -59,6 +61,7 @@
 		jobs:    make(map[work.ID]*job),
 		ended:   make(map[work.ID]struct{}),
 		granted: make(map[string]float64),
+		kept:    make(map[string]float64),
 	}
 }
 
@@ -250,6 +253,7 @@
 func (c *Cell) abandon(s *step) {
 	s.ready = false
 	c.unpromise(s)
+	c.release(s)
 	for _, t := range s.tasks {
 		if t.claims > 0 {
 			c.unwant(t)
--- a/internal/plan/explain.go
+++ b/internal/plan/explain.go
@@ -59,6 +59,6 @@
 	c.events.WithFields(logrus.Fields{
 		"step": s.key(), "age_ms": now.Sub(s.job.from(s.occ)).Milliseconds(),
 		"pending": pending, "started": started, "done": s.done, "claims": claims, "gang": s.spec.Gang,
-		"asking": s.advice.asking, "granted": len(s.advice.tickets), "valid": valid, "slots": room, "queue_known": q != nil,
+		"asking": s.advice.asking > 0, "granted": len(s.advice.tickets), "valid": valid, "slots": room, "queue_known": q != nil,
 	}).Info("step waits")
 }
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -37,19 +37,20 @@
 
 // step is one step of an occurrence.
 type step struct {
-	job     *job
-	occ     *occurrence
-	index   int
-	spec    *work.Step
-	tasks   []*task
-	done    int
-	fails   int    // runs of the gang that failed
-	failed  uint32 // newest of them
-	ready   bool
-	advice  advice
-	left    time.Duration // longest chain of estimated run times from this step on
-	waiting bool          // is in the cell's list of steps with tasks to place
-	stands  standing      // as of the newest order
+	job      *job
+	occ      *occurrence
+	index    int
+	spec     *work.Step
+	tasks    []*task
+	done     int
+	fails    int    // runs of the gang that failed
+	failed   uint32 // newest of them
+	ready    bool
+	advice   advice
+	left     time.Duration // longest chain of estimated run times from this step on
+	waiting  bool          // is in the cell's list of steps with tasks to place
+	stands   standing      // as of the newest order
+	gathered gathering
 }
 
 // task is one task of a step.
@@ -63,6 +64,7 @@
 	claims     int    // runs that may exist
 	vm         string // of the newest run
 	failedAt   *vm    // where the newest failed run was
+	yields     int    // how often a run was stopped for others
 }
 
 func (s *step) key() work.StepKey {
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -27,6 +28,7 @@
 	var starts []Start
 	held := reservations{until: make(map[*vm]time.Time)}
 	for _, s := range c.inTurn {
+		s.advice.unused = false
 		q := c.queue(s.job)
 		advised := q != nil && q.Advice != nil
 		if advised && len(s.advice.tickets) == 0 {
@@ -36,17 +38,22 @@
 		if len(tasks) == 0 {
 			continue
 		}
+		gathers := c.gathers(s, now)
 		placed := c.placeStep(s, q, tasks, &held, now)
 		if len(placed) > 0 {
 			s.advice.expects = time.Time{}
 		}
 		if len(placed) == len(tasks) {
 			c.unpromise(s)
+			c.release(s)
 		}
 		for _, p := range placed {
 			starts = append(starts, c.take(p, q, now))
 		}
-		if len(placed) < len(tasks) && s.spec.Gang && held.gangs < c.cfg.ReservedGangs {
+		if len(placed) == len(tasks) || !s.spec.Gang || gathers || c.gather(s, q, len(tasks), &held, now) {
+			continue
+		}
+		if held.gangs < c.cfg.ReservedGangs {
 			c.reserve(s, q, tasks, &held, now)
 		}
 	}
@@ -62,7 +69,7 @@
 // placeStep chooses an executor for each task; for a gang, for all or none.
 func (c *Cell) placeStep(s *step, q *queue.Queue, tasks []*task, held *reservations, now time.Time) []placement {
 	if q != nil && q.Advice != nil && !s.advice.anyValid(now) {
-		return nil
+		return nil // spares the look at each executor
 	}
 	room := &roomView{taken: make(map[*vm]api.Resources), count: make(map[*vm]int)}
 	vms := c.eligible(s, q, held, now)
@@ -95,9 +102,15 @@
 // eligible returns the executors on which a task of the step may start now
 // and has room.
 func (c *Cell) eligible(s *step, q *queue.Queue, held *reservations, now time.Time) []*vm {
+	return slices.DeleteFunc(c.eligibleButForRoom(s, q, held, now), func(v *vm) bool { return !s.spec.Need.Fits(v.freeFor(s)) })
+}
+
+// eligibleButForRoom returns the executors on which a task of the step may start now if
+// there is room.
+func (c *Cell) eligibleButForRoom(s *step, q *queue.Queue, held *reservations, now time.Time) []*vm {
 	var vms []*vm
 	for _, v := range c.mayRunOn(s, q) {
-		if !s.spec.Need.Fits(v.free()) || !c.suits(s, q, v, now) || !held.admits(v, s, now) {
+		if !c.suits(s, q, v, now) || !held.admits(v, s, now) {
 			continue
 		}
 		if q != nil && q.Advice != nil {
@@ -149,7 +162,7 @@
 	var best *vm
 	var bestScore float64
 	for _, v := range vms {
-		left := v.free().Sub(room.taken[v]).Sub(s.spec.Need)
+		left := v.freeFor(s).Sub(room.taken[v]).Sub(s.spec.Need)
 		if left.MilliCPU < 0 || left.MemoryMB < 0 || left.Accelerators < 0 {
 			continue
 		}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -363,6 +363,7 @@
 	o, j := s.occ, s.job
 	s.ready = false
 	c.unpromise(s)
+	c.release(s)
 	o.left--
 	if o.left > 0 {
 		c.offer(o)
--- a/internal/plan/summary.go
+++ b/internal/plan/summary.go
@@ -8,15 +8,21 @@
 
 // asked counts the calls for advice since the last summary.
 type asked struct {
-	first   int // about steps that had no grants
-	renewal int // naming only executors granted before
-	further int // naming others too, of a step that has grants
-	named   int // executors in all
+	first   int                        // about steps that had no grants
+	renewal int                        // naming only executors granted before
+	further int                        // naming others too, of a step that has grants
+	named   int                        // executors in all
+	cost    [overdue + 1]time.Duration // expected time of the calls, by what their steps could still earn
+	gangs   time.Duration              // of these, of calls for gangs
 }
 
 // countAsk counts a call that is about to be made.
-func (c *Cell) countAsk(s *step, named []candidate) {
+func (c *Cell) countAsk(s *step, named []candidate, cost time.Duration) {
 	c.asked.named += len(named)
+	c.asked.cost[s.stands] += cost
+	if s.spec.Gang {
+		c.asked.gangs += cost
+	}
 	if len(s.advice.tickets) == 0 {
 		c.asked.first++
 		return
@@ -50,7 +56,7 @@
 	for _, s := range c.waiting {
 		n := len(s.unplaced())
 		tasks += n
-		if s.advice.asking {
+		if s.advice.asking > 0 {
 			asking++
 		}
 		if q := c.queue(s.job); n > 0 && q != nil && q.Advice != nil && len(s.advice.tickets) == 0 {
@@ -68,10 +74,13 @@
 		"executors": len(c.sorted), "usable": usable, "runs": runs,
 		"used_percent": percent(used, capacity), "free_for_wide_percent": percent(whole, capacity),
 		"jobs": len(c.jobs), "steps_waiting": len(c.waiting), "gangs_waiting": gangs, "tasks_waiting": tasks,
-		"advice_under_way": asking, "steps_without_advice": unadvised,
+		"runs_yielded": c.yielded, "advice_under_way": asking, "steps_without_advice": unadvised,
 		"first_calls": c.asked.first, "renewals": c.asked.renewal, "further_calls": c.asked.further, "executors_named": c.asked.named,
+		"asked_in_time_ms": c.asked.cost[inTime].Milliseconds(), "asked_late_ms": c.asked.cost[late].Milliseconds(),
+		"asked_overdue_ms": c.asked.cost[overdue].Milliseconds(), "asked_for_gangs_ms": c.asked.gangs.Milliseconds(),
 	}).Info("state of the cell")
 	c.asked = asked{}
+	c.yielded = 0
 }
 
 // wideTask is the size, in thousandths of a processor, of the tasks for which
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -41,6 +41,7 @@
 	listed   bool   // in the registry
 	address  string // that the registry names; Ref has the one to call
 	used     api.Resources
+	kept     api.Resources // for gangs that gather room (yield.go)
 	promised api.Resources // to steps whose calls for advice name it (promise.go)
 	claims   map[platform.Run]*claim
 	draining time.Time // when it was first read as leaving; zero: it wasn't
