No calls for advice about gangs that couldn't start

A gang that can't start whatever is granted was asked about all the same, about what the calls of others left; so none had tickets for all of its tasks at one time. Ruled out: that executors were full (34 to 45% in use then). Change: no call about a gang if tickets, lapsed ones and the share of others that is granted come to less room than it needs. Executors without room aren't looked up; gangs pause 50 ms after they looked for runs to stop in vain.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -158,6 +158,12 @@
 		need = tasks
 	}
 	valid, lapsed := roomOf(may.valid), roomOf(may.lapsed)
+	if float64(valid+lapsed)+c.shareOf(q)*float64(roomOf(may.fresh)) < float64(need) {
+		// It couldn't start, whatever is granted. Gangs that ask about the scraps which
+		// the calls of others leave never have tickets for all of their tasks at once,
+		// and take the machines' time from those that could start.
+		return nil
+	}
 	if valid < need {
 		s.advice.expects = time.Time{}
 	}
@@ -226,6 +232,7 @@
 	}
 	s.advice.asking--
 	s.advice.unused = true
+	s.gathered.look = time.Time{}
 	if s.job.advised.IsZero() {
 		s.job.advised = now
 	}
--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -14,18 +14,21 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-// benchTable has one queue, with the advice of one of the users' queues.
+// benchTable has a queue with the advice of one of the users' queues, and one whose runs
+// yield to its gangs.
 func benchTable() *queue.Table {
 	return &queue.Table{
 		Queues: []queue.Queue{{Name: testAdvised, Service: testService, Attempts: 2, Stretch: 2, TargetLatency: time.Second,
-			Advice: &queue.Advice{Decision: 182 * time.Millisecond, PerVM: 2600 * time.Microsecond, Valid: 2 * time.Second}}},
+			Advice: &queue.Advice{Decision: 182 * time.Millisecond, PerVM: 2600 * time.Microsecond, Valid: 2 * time.Second}},
+			{Name: testQueue, Service: testService, Priority: 1, Attempts: 2, Stretch: 40, TargetLatency: time.Second}},
 		Services: map[string]queue.Service{testService: {Name: testService}},
 	}
 }
 
 // fullCell returns a cell of which five sixths of the processors are in use, by
 // tasks of 5.5 processors that end over the next 3 s, and as many waiting steps of
-// 16 such tasks as it has executors, with some grants each.
+// 16 such tasks as it has executors, with some grants each. A third of the tasks at work
+// would yield to a gang.
 func fullCell(executors int) (*Cell, time.Time) {
 	random := rand.New(rand.NewPCG(1, 2))
 	now := testStart
@@ -40,11 +43,20 @@
 		}
 	}
 	c.Executors(listed, now)
+	c.AddJob(&work.Job{ID: work.ID{3}, Queue: testQueue, Service: testService, Steps: []work.Step{{
+		Tasks: 6 * executors, Need: api.Resources{MilliCPU: 5500, MemoryMB: 7900}, Estimate: 3 * time.Second, Checkpoints: true,
+	}}}, nil, now.UnixMilli(), now)
+	rosters := c.jobs[work.ID{3}].running[0].steps[0]
+	c.waiting = nil // all of it is at work
 	for i, v := range c.sorted {
 		c.Report(v.Ref.ID, platform.ExecutorReport{Clock: 1}, now, now)
 		for k := range 4 + random.IntN(2) {
 			run := platform.Run{Task: work.TaskKey{StepKey: work.StepKey{Job: work.ID{1, byte(i), byte(i >> 8)}}, Index: k}, Number: 1}
-			v.add(&claim{run: run, need: api.Resources{MilliCPU: 5500, MemoryMB: 7900}, state: atWork, since: now, ends: now.Add(time.Duration(random.IntN(3000)) * time.Millisecond)})
+			cl := &claim{run: run, need: api.Resources{MilliCPU: 5500, MemoryMB: 7900}, state: atWork, since: now.Add(-time.Second), ends: now.Add(time.Duration(random.IntN(3000)) * time.Millisecond)}
+			if k < 2 {
+				cl.task = rosters.tasks[6*i+k]
+			}
+			v.add(cl)
 		}
 	}
 	for i := range executors {
@@ -76,11 +88,13 @@
 // One look at all steps that wait, whether a call for advice is due. With 540
 // executors and steps it took 52 ms when each step worked out anew what room is
 // expected where, and looked its grants up by name, and 14 when that is shared by
-// all steps (one machine, 20 rounds).
+// all steps (one machine, 20 rounds). With 350, executors without room are passed over
+// before what is known of them is looked up: 7.9 ms before, 5.0 now.
 func BenchmarkAsks(b *testing.B) {
 	for _, executors := range []int{48, 350, 540} {
 		b.Run(fmt.Sprint(executors), func(b *testing.B) {
 			c, now := fullCell(executors)
+			c.Plan(now) // uses the answers
 			for b.Loop() {
 				now = now.Add(time.Microsecond)
 				c.lookAgain()
@@ -90,7 +104,9 @@
 	}
 }
 
-// One round of placing all steps that wait, of which none finds room.
+// One round of placing all steps that wait, of which none finds room. Gangs look for runs
+// that would yield: with 350 executors each time 0.78 ms, with a pause after each that was
+// in vain 0.19.
 func BenchmarkPlan(b *testing.B) {
 	for _, executors := range []int{48, 350, 540} {
 		b.Run(fmt.Sprint(executors), func(b *testing.B) {
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -101,6 +101,7 @@
 func (o *outlook) candidates(s *step, q *queue.Queue, at time.Time) candidates {
 	var out candidates
 	room := o.roomAt(at)
+	first := len(s.advice.tickets) == 0
 	var yields []api.Resources
 	if s.spec.Gang && s.stands == inTime {
 		yields = o.yieldable(q)
@@ -109,14 +110,17 @@
 		if v.Service != q.Service || (s.spec.Label != "" && !v.HasLabel(s.spec.Label)) {
 			continue
 		}
-		if _, denied := s.advice.denied[v]; denied {
-			continue
-		}
-		there := room[i].Sub(v.promised).Sub(v.kept).Add(s.gathered.kept[v])
+		there := room[i].Sub(v.promised).Sub(v.kept)
 		if yields != nil {
 			there = there.Add(yields[i])
 		}
 		one := candidate{vm: v, slots: v.slotsIn(s, there)}
+		if one.slots == 0 && !first {
+			continue // what is known of it is of no use now
+		}
+		if _, denied := s.advice.denied[v]; denied {
+			continue
+		}
 		switch ticket, ok := s.advice.tickets[v]; {
 		case !ok:
 			out.fresh = append(out.fresh, one)
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"slices"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -102,15 +101,9 @@
 // eligible returns the executors on which a task of the step may start now
 // and has room.
 func (c *Cell) eligible(s *step, q *queue.Queue, held *reservations, now time.Time) []*vm {
-	return slices.DeleteFunc(c.eligibleButForRoom(s, q, held, now), func(v *vm) bool { return !s.spec.Need.Fits(v.freeFor(s)) })
-}
-
-// eligibleButForRoom returns the executors on which a task of the step may start now if
-// there is room.
-func (c *Cell) eligibleButForRoom(s *step, q *queue.Queue, held *reservations, now time.Time) []*vm {
 	var vms []*vm
 	for _, v := range c.mayRunOn(s, q) {
-		if !c.suits(s, q, v, now) || !held.admits(v, s, now) {
+		if !s.spec.Need.Fits(v.freeFor(s)) || !c.suits(s, q, v, now) || !held.admits(v, s, now) {
 			continue
 		}
 		if q != nil && q.Advice != nil {
--- a/internal/plan/promise_test.go
+++ b/internal/plan/promise_test.go
@@ -63,3 +63,34 @@
 		})
 	})
 }
+
+// Two gangs wait and there is room for one of them. When the other asked about what the
+// call of the first left, and so on with dozens of gangs, none had tickets for all of its
+// tasks at one time: accepted jobs stood still for 14 s beside executors of which most
+// was free.
+func TestGangThatCouldNotStartIsNotAskedAbout(t *testing.T) {
+	w := newWorld(t, 10)
+	w.pass(2 * time.Second)
+	w.reportAll()
+	known := []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7"}
+	for n := byte(1); n <= 2; n++ {
+		j := w.job(n, testAdvised, work.Step{Tasks: 8, Need: cpus(18), Estimate: time.Second, Gang: true})
+		w.cell.Granted(Ask{Step: work.StepKey{Job: j.ID}, Executors: known}, grants(known...), time.Millisecond, w.now)
+	}
+	for _, s := range w.cell.waiting {
+		s.advice.asking = 0
+	}
+	w.pass(time.Second) // the tickets have lapsed
+	w.reportAll()
+	if starts := w.cycle(); len(starts) > 0 {
+		t.Fatalf("%d tasks started without a ticket", len(starts))
+	}
+	asks := w.cell.Asks(w.now, anybody{})
+	if len(asks) != 1 || asks[0].Step.Job != (work.ID{1}) {
+		t.Fatalf("asked: %v", asks)
+	}
+	w.cell.Granted(asks[0], grants(asks[0].Executors...), 2*time.Second, w.now)
+	if starts := w.cycle(); len(starts) != 8 {
+		t.Errorf("%d tasks of the first gang started", len(starts))
+	}
+}
--- a/internal/plan/yield.go
+++ b/internal/plan/yield.go
@@ -31,13 +31,16 @@
 	stopTakes = 600 * time.Millisecond
 	// mostGathers is how often room may be gathered for one gang.
 	mostGathers = 3
+	// gatherAgain is the pause after room for a gang was looked for in vain.
+	gatherAgain = 50 * time.Millisecond
 )
 
 // gathering is room that is kept for a gang while runs that are in its way are stopped.
 type gathering struct {
 	until time.Time
 	kept  map[*vm]api.Resources
-	times int // that room was gathered for the step
+	times int       // that room was gathered for the step
+	look  time.Time // not before this is room looked for again
 }
 
 // yieldsTo reports whether a run may be stopped for a step of a queue.
@@ -113,9 +116,10 @@
 // gather has runs stopped that are in the way of a gang, if that makes room for all of
 // it, and keeps the room until it starts. It reports whether room is being gathered.
 func (c *Cell) gather(s *step, q *queue.Queue, tasks int, held *reservations, now time.Time) bool {
-	if q == nil || s.stands == overdue || s.gathered.times >= mostGathers {
+	if q == nil || s.stands == overdue || s.gathered.times >= mostGathers || now.Before(s.gathered.look) {
 		return false
 	}
+	s.gathered.look = now.Add(gatherAgain)
 	var sources []source
 	slots := 0
 	for _, v := range c.mayRunOn(s, q) {
@@ -200,5 +204,8 @@
 
 // freeFor returns the room on the executor that a step may use.
 func (v *vm) freeFor(s *step) api.Resources {
+	if v.kept == (api.Resources{}) {
+		return v.free()
+	}
 	return v.free().Sub(v.kept).Add(s.gathered.kept[v])
 }
