Runs move away from executors that have become slow

Ruled out: estimates as the measure; they are off by up to nine tenths, and an executor is known as slow only after several runs. Change: progress tells a run's usual pace and that of late, on the executor's own clock. A run of which the pace has fallen to a third and that would end 1.5 times sooner elsewhere is stopped and starts again there, once; its executor counts as slow.

--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -65,6 +65,7 @@
 	vm         string // of the newest run
 	failedAt   *vm    // where the newest failed run was
 	yields     int    // how often a run was stopped for others
+	moves      int    // how often a run was stopped since its executor was slow
 }
 
 func (s *step) key() work.StepKey {
--- a/internal/plan/progress_test.go
+++ b/internal/plan/progress_test.go
@@ -46,11 +46,11 @@
 func TestProgressOfARunThatWentOn(t *testing.T) {
 	var p progress
 	now := testStart
-	p.note(60, now.Add(-time.Millisecond), true, now)
+	p.note(60, 1000, now.Add(-time.Millisecond), true, now)
 	if _, told := p.end(); told {
 		t.Error("foretold by what was done before")
 	}
-	p.note(80, now.Add(-time.Millisecond), true, now.Add(time.Second))
+	p.note(80, 2000, now.Add(-time.Millisecond), true, now.Add(time.Second))
 	if end, told := p.end(); !told || end.Sub(now) != 2*time.Second {
 		t.Errorf("foretold for %v (%t)", end.Sub(now), told)
 	}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -192,8 +192,9 @@
 		if cl.task != nil && row.Checkpoint != "" {
 			cl.task.checkpoint = row.Checkpoint
 		}
-		cl.progress.note(row.Percent, cl.since, cl.resumed, now)
+		cl.progress.note(row.Percent, r.Clock, cl.since, cl.resumed, now)
 		c.learnFromRunning(cl, now)
+		c.noticePace(cl, now)
 		if cl.task != nil && cl.task.phase == work.Done {
 			cl.unwanted = true // a member of a gang that another one has ended
 		}
--- a/internal/platform/executor.go
+++ b/internal/platform/executor.go
@@ -17,6 +17,11 @@
 	return c + ExecutorClock(d.Milliseconds())
 }
 
+// Sub returns the time from an earlier reading of the same clock to this one.
+func (c ExecutorClock) Sub(earlier ExecutorClock) time.Duration {
+	return time.Duration(c-earlier) * time.Millisecond
+}
+
 // ExecutorRef names one life of an executor and where to reach it.
 type ExecutorRef struct {
 	ID      string // new with each life
