Records go to the next leader when one takes the cell before they are answered

Nothing was stored: a leader that was replaced is fenced at the store. Ruled out: the direct append after 0.5 s of silence, which serves those to whom no next leader is known by then. Change: the hand-over to a leader ends when another is known, and the records go there.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,8 +52,8 @@
 	intake    *intake.Intake
 	elector   *leader.Elector
 	helpers   *assist.Helpers
-	caller    *peer.Client
-	bulk      *peer.Client // content of records, on connections of its own
+	caller    assist.Caller
+	bulk      assist.Caller // content of records, on connections of its own
 	adviser   product.Adviser
 	executors *platform.Executors // for orders of the leader that go by this machine
 	leading   chan api.Epoch
@@ -74,14 +74,12 @@
 		log:       log,
 		traffic:   account,
 		store:     storehealth.Watch(platform.NewStore(s.Store, account)),
-		caller:    peer.NewClient(peerLimits(), nil),
-		bulk:      peer.NewClient(peerLimits(), nil),
+		caller:    newCaller(account),
+		bulk:      newCaller(account),
 		executors: platform.NewExecutors(account),
 		leading:   make(chan api.Epoch, 1),
 		shutdown:  shutdown{grace: s.Grace},
 	}
-	n.caller.Count(account)
-	n.bulk.Count(account)
 	if s.Advice != "" {
 		n.adviser = platform.NewAdvice(s.Advice, account)
 	}
@@ -118,6 +116,13 @@
 	return n
 }
 
+// newCaller returns a client of other machines whose bytes count in account.
+func newCaller(account *traffic.Account) *peer.Client {
+	c := peer.NewClient(peerLimits(), nil)
+	c.Count(account)
+	return c
+}
+
 // Run serves until ctx ends and then shuts down gracefully. The group's actors
 // are interrupted in the order in which they were added, the servers first: a
 // request that was read is answered by what the loops do.
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -19,15 +20,19 @@
 	return nil
 }
 
-// relay hands records to the leader.
+// mostLeaders is to how many leaders, one after the other, records are handed.
+const mostLeaders = 3
+
+// relay hands records to the leader. If another one takes the cell before it has
+// answered, they are handed to that one: a record that is stored twice counts once, and a
+// leader that was replaced stores nothing more.
 func (n *Node) relay(ctx context.Context, records []product.Record) []error {
-	results := assist.Same(assist.NotLeader, len(records))
-	if s := n.storer(); s != nil {
-		results = s.Store(ctx, records)
-	} else if current := n.elector.Current(); current.Epoch != 0 && current.Address != n.settings.Peer {
-		ctx, cancel := n.whileLeads(ctx, current.Epoch)
-		defer cancel()
-		results = assist.Store(ctx, n.caller, current.Address, records)
+	results, epoch := n.handOver(ctx, records)
+	for range mostLeaders - 1 {
+		if ctx.Err() != nil || !n.replaced(epoch) || !unanswered(results) {
+			break
+		}
+		results, epoch = n.handOver(ctx, records)
 	}
 	lives := n.storer() != nil || n.reader.IsFed(time.Now())
 	errs := make([]error, len(results))
@@ -37,6 +42,31 @@
 	return errs
 }
 
+// handOver hands records to the leader that is known now, and returns what became of them
+// and the leader's epoch; 0: there is none.
+func (n *Node) handOver(ctx context.Context, records []product.Record) ([]assist.StoreResult, api.Epoch) {
+	if s := n.storer(); s != nil {
+		return s.Store(ctx, records), api.Epoch(n.epoch.Load())
+	}
+	current := n.elector.Current()
+	if current.Epoch == 0 || current.Address == n.settings.Peer {
+		return assist.Same(assist.NotLeader, len(records)), 0
+	}
+	ctx, cancel := n.whileLeads(ctx, current.Epoch)
+	defer cancel()
+	return assist.Store(ctx, n.caller, current.Address, records), current.Epoch
+}
+
+// replaced reports whether a leader is known that came after that of an epoch.
+func (n *Node) replaced(epoch api.Epoch) bool {
+	return epoch != 0 && n.elector.Current().Epoch > epoch
+}
+
+// unanswered reports whether it isn't known what became of the records.
+func unanswered(results []assist.StoreResult) bool {
+	return slices.ContainsFunc(results, func(r assist.StoreResult) bool { return r.Outcome == assist.StoreUnknown })
+}
+
 // relayError returns what a result means to the intake, where the leader still
 // lives or not.
 func relayError(r assist.StoreResult, lives bool) error {
@@ -65,17 +95,19 @@
 // waiting for until then.
 func (n *Node) whileLeads(ctx context.Context, epoch api.Epoch) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
+	patient := time.Now().Add(relayPatience)
 	var look func()
 	look = func() {
+		now := time.Now()
 		switch {
 		case ctx.Err() != nil:
-		case n.elector.Current().Epoch == epoch && n.reader.IsFed(time.Now()):
+		case n.elector.Current().Epoch == epoch && (now.Before(patient) || n.reader.IsFed(now)):
 			time.AfterFunc(tieLook, look)
 		default:
 			cancel()
 		}
 	}
-	time.AfterFunc(relayPatience, look)
+	time.AfterFunc(tieLook, look)
 	return ctx, cancel
 }
 
