Lines name the runs that are lost with an executor, and count starts without effect

Cause: the incident's lines say that an executor is gone with so many runs, not which, nor how that is known; starts that reach nobody leave no line at all. Change: one line a lost executor with the evidence and its runs, the youngest first, with their ages; three counters in the state of the cell. No decision is touched.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/internal/pause"
+	"github.com/skylarklock/skylarklock/internal/plan"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -66,11 +67,14 @@
 	var refused *platform.RefusedError
 	if errors.As(err, &refused) && refused.Reason == platform.RefusedGone {
 		r.mu.Lock()
-		r.cell.Gone(ref.ID)
+		r.cell.Gone(ref.ID, plan.OtherLife, time.Now())
 		r.mu.Unlock()
 		r.Wake()
 		return true
 	}
+	r.mu.Lock()
+	r.cell.NoReport(ref.ID, time.Now())
+	r.mu.Unlock()
 	r.cfg.Events.WithError(err).WithField("executor", ref.ID).Debug("no report")
 	pause.For(ctx, holdRetry)
 	return false
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -40,6 +40,7 @@
 	asked     asked                // calls for advice since the last summary
 	explained time.Time            // when waiting steps were last explained
 	yielded   int                  // runs stopped for others since the last summary
+	failures  startFailures        // since the last summary
 }
 
 // Stop is an order to stop a run.
@@ -366,13 +367,13 @@
 		}
 	}
 	sort.Slice(c.sorted, func(a, b int) bool { return c.sorted[a].Ref.ID < c.sorted[b].Ref.ID })
-	c.dropReplaced()
+	c.dropReplaced(now)
 }
 
 // dropReplaced lets go of executors whose address another life has taken. That
 // a record names the address is no proof, since it may be somebody else's: the
 // other life has to have answered there, and later.
-func (c *Cell) dropReplaced() {
+func (c *Cell) dropReplaced(now time.Time) {
 	var replaced []string
 	for _, v := range c.sorted {
 		if !v.listed && slices.ContainsFunc(c.sorted, v.isFollowedBy) {
@@ -380,20 +381,18 @@
 		}
 	}
 	for _, id := range replaced {
-		c.Gone(id)
+		c.Gone(id, AddressTaken, now)
 	}
 }
 
-// Gone takes in that a life of an executor is certainly over, and with it
-// everything that ran on it.
-func (c *Cell) Gone(id string) {
+// Gone takes in that a life of an executor is over, and with it everything that ran
+// on it.
+func (c *Cell) Gone(id string, e Evidence, now time.Time) {
 	v := c.vms[id]
 	if v == nil {
 		return
 	}
-	if len(v.claims) > 0 {
-		c.events.WithFields(logrus.Fields{"executor": id, "runs": len(v.claims)}).Info("executor is gone with its runs")
-	}
+	c.logLost(v, e, now)
 	for _, cl := range v.claims {
 		c.over(cl, platform.EndLapsed, "")
 	}
@@ -413,14 +412,14 @@
 		if now.Sub(v.clockAt) < c.cfg.SilentAfter || !v.leaseOver(now, c.cfg.ClockDrift) {
 			continue
 		}
+		if !v.listed {
+			c.Gone(v.Ref.ID, Unregistered, now)
+			continue
+		}
 		for _, cl := range v.claims {
 			c.events.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Info("lease is over without a report")
 			c.over(cl, platform.EndLapsed, "")
 		}
-		if !v.listed {
-			c.Gone(v.Ref.ID)
-			continue
-		}
 		v.Ref.Address = v.address
 	}
 }
--- a/internal/plan/foreign_test.go
+++ b/internal/plan/foreign_test.go
@@ -169,7 +169,7 @@
 		w.job(1, testQueue, oneTask(4))
 		w.startAll(w.cycle())
 		w.list("n", "e0", testService)
-		w.cell.Gone("n")
+		w.cell.Gone("n", OtherLife, w.now)
 		So(w.cycle(), ShouldBeEmpty)
 		So(w.cell.vms["e0"].claims, ShouldHaveLength, 1)
 	})
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -303,6 +303,7 @@
 func (c *Cell) orderOf(cl *claim, st Start, now time.Time) platform.StartOrder {
 	v := cl.vm
 	cl.state = sent
+	cl.ordered = now
 	cl.voidAt = v.clockNow(now, 0).Add(c.cfg.StartValid)
 	v.lease = max(v.lease, cl.voidAt)
 	return platform.StartOrder{
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -40,6 +40,7 @@
 	if cl == nil || cl.state != sent {
 		return
 	}
+	c.failures.count(err)
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
@@ -66,7 +67,7 @@
 	case platform.RefusedTicket:
 		delete(cl.task.step.advice.tickets, cl.vm)
 	case platform.RefusedGone:
-		c.Gone(cl.vm.Ref.ID)
+		c.Gone(cl.vm.Ref.ID, OtherLife, now)
 		return
 	}
 	c.over(cl, platform.EndStopped, "")
@@ -83,7 +84,7 @@
 	var refused *platform.RefusedError
 	switch {
 	case errors.As(err, &refused) && refused.Reason == platform.RefusedGone:
-		c.Gone(s.To.ID)
+		c.Gone(s.To.ID, OtherLife, now)
 	case err == nil && cl != nil && cl.state == unsure:
 		cl.state = stopping
 		cl.since = now
@@ -110,7 +111,7 @@
 	v.clock = r.Clock
 	v.clockAt = now
 	if first {
-		c.dropReplaced()
+		c.dropReplaced(now)
 	}
 	v.lapses = time.Time{}
 	news := c.applyEnds(v, r)
--- a/internal/plan/summary.go
+++ b/internal/plan/summary.go
@@ -74,6 +74,7 @@
 		"executors": len(c.sorted), "usable": usable, "runs": runs,
 		"used_percent": percent(used, capacity), "free_for_wide_percent": percent(whole, capacity),
 		"jobs": len(c.jobs), "steps_waiting": len(c.waiting), "gangs_waiting": gangs, "tasks_waiting": tasks,
+		"starts_not_reached": c.failures.notReached, "starts_unanswered": c.failures.unanswered, "starts_refused": c.failures.refused,
 		"runs_yielded": c.yielded, "advice_under_way": asking, "steps_without_advice": unadvised,
 		"first_calls": c.asked.first, "renewals": c.asked.renewal, "further_calls": c.asked.further, "executors_named": c.asked.named,
 		"asked_in_time_ms": c.asked.cost[inTime].Milliseconds(), "asked_late_ms": c.asked.cost[late].Milliseconds(),
@@ -81,6 +82,7 @@
 	}).Info("state of the cell")
 	c.asked = asked{}
 	c.yielded = 0
+	c.failures = startFailures{}
 }
 
 // wideTask is the size, in thousandths of a processor, of the tasks for which
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -28,6 +28,7 @@
 	need     api.Resources
 	state    claimState
 	voidAt   platform.ExecutorClock // of the order that is sent or unsure
+	ordered  time.Time              // when its order was sent; zero: by a former leader, or not yet
 	since    time.Time              // when it was confirmed to be at work
 	ends     time.Time              // expected
 	unwanted bool                   // to be stopped
@@ -48,13 +49,14 @@
 	draining time.Time // when it was first read as leaving; zero: it wasn't
 	ready    time.Time // since when its records say that it is ready after all
 
-	known   bool                   // it has reported to this leader
-	clock   platform.ExecutorClock // at its newest report
-	clockAt time.Time              // when that report arrived; zero: never
-	lease   platform.ExecutorClock // latest end of lease that was sent
-	seen    uint64                 // ends up to here are durable
-	taken   uint64                 // ends up to here were applied
-	lapses  time.Time              // when an inherited lease is certainly over
+	known      bool                   // it has reported to this leader
+	clock      platform.ExecutorClock // at its newest report
+	clockAt    time.Time              // when that report arrived; zero: never
+	silentFrom time.Time              // when a hold first had no answer since that report
+	lease      platform.ExecutorClock // latest end of lease that was sent
+	seen       uint64                 // ends up to here are durable
+	taken      uint64                 // ends up to here were applied
+	lapses     time.Time              // when an inherited lease is certainly over
 
 	failJobs   map[*job]struct{} // whose tasks failed in a row
 	avoidUntil time.Time
