Executors that gave no answer get no starts until they report

What callers saw: run numbers that rise by up to 41 between two starts of a task, and jobs that wait meanwhile; each such start is stored and sent for nothing. Cause: an executor that crashes keeps its newest report for 1.6 s, within which it counted as usable; a start that certainly didn't reach it gave its room back, and the next plan chose the same executor, since nothing fits as well as where it fitted before. Class: a retry without a bound at a place that has just failed. Why it works: a hold is open on each executor nearly always and ends as it crashes; from then on, or from a start that reached nobody, it has to report first, as after an order without an answer.

--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -50,6 +50,7 @@
 	case errors.As(err, &refused):
 		c.refused(cl, refused.Reason, now)
 	case errors.Is(err, platform.ErrNotReached):
+		v.unanswered = now
 		c.over(cl, platform.EndStopped, "")
 	default:
 		cl.state = unsure
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -142,14 +142,14 @@
 	return v.clockNow(now, drift) > v.lease
 }
 
-// usable reports whether the executor may be given new work. After an order
-// without an answer it has to report first.
+// usable reports whether the executor may be given new work. After a call that had no
+// answer, or didn't reach it, it has to report first.
 func (v *vm) usable(now time.Time, cfg *Config) bool {
 	_, leaves := v.leaves(now)
 	return v.listed && v.known && !leaves &&
 		now.Sub(v.clockAt) < cfg.SilentAfter &&
 		!now.Before(v.avoidUntil) &&
-		v.clockAt.After(v.unanswered) &&
+		v.clockAt.After(v.unanswered) && !v.silentFrom.After(v.clockAt) &&
 		(!v.onTrial(cfg) || len(v.claims) == 0)
 }
 
