Tasks that crash their executors are counted, told from others, and given up

Cause: a run that is lost with its executor ended as lapsed and put its task back among those to place; only ends 'failed' are bounded. Class: a retry without a bound, of something that harms others. Change: crashes and unproved losses of each task are counted and stored with the job's progress; tasks lost together start apart; one with two crashes starts alone; a crash while nothing of another job was there ends the job, and so do five losses. Why it works: what crashes its executors reaches the limit by itself, whoever leads, as the count is durable before the next start is sent; what ran beside it leaves it after its first crash. Crashes of a third of the executors three times and a new leader each 20 s: no healthy job fails.

--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -107,7 +107,7 @@
 		yields = o.yieldable(q)
 	}
 	for i, v := range o.vms {
-		if v.Service != q.Service || (s.spec.Label != "" && !v.HasLabel(s.spec.Label)) {
+		if v.closedTo(s, o.now) || v.Service != q.Service || (s.spec.Label != "" && !v.HasLabel(s.spec.Label)) {
 			continue
 		}
 		there := room[i].Sub(v.promised).Sub(v.kept)
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -41,6 +41,7 @@
 	explained time.Time            // when waiting steps were last explained
 	yielded   int                  // runs stopped for others since the last summary
 	failures  startFailures        // since the last summary
+	silences  []time.Time          // when executors fell silent that were lost of late
 }
 
 // Stop is an order to stop a run.
@@ -255,6 +256,7 @@
 	s.ready = false
 	c.unpromise(s)
 	c.release(s)
+	s.endClearing()
 	for _, t := range s.tasks {
 		if t.claims > 0 {
 			c.unwant(t)
@@ -393,8 +395,15 @@
 		return
 	}
 	c.logLost(v, e, now)
-	for _, cl := range v.claims {
-		c.over(cl, platform.EndLapsed, "")
+	l := c.lossOf(v, e, now)
+	for _, cl := range v.youngestFirst() {
+		c.lose(cl, l)
+	}
+	for _, cl := range v.lapsed {
+		c.countLoss(cl, l)
+	}
+	if v.clearedFor != nil {
+		v.clearedFor.endClearing()
 	}
 	delete(c.vms, id)
 	for i, o := range c.sorted {
@@ -416,9 +425,10 @@
 			c.Gone(v.Ref.ID, Unregistered, now)
 			continue
 		}
-		for _, cl := range v.claims {
+		for _, cl := range v.youngestFirst() {
 			c.events.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Info("lease is over without a report")
 			c.over(cl, platform.EndLapsed, "")
+			v.lapsed = append(v.lapsed, cl)
 		}
 		v.Ref.Address = v.address
 	}
--- a/internal/plan/crash_play_test.go
+++ b/internal/plan/crash_play_test.go
@@ -90,6 +90,9 @@
 		p.crashes[run.Task] = append(p.crashes[run.Task], p.now)
 	}
 	delete(p.executors, id)
+	for run := range e.running {
+		p.breakGang(run)
+	}
 	if h := p.holds[id]; h != nil {
 		*h = call{again: p.now}
 	}
@@ -98,6 +101,20 @@
 	p.after(recordLapses, func() { p.unlist(id) })
 }
 
+// breakGang has the other members of a gang's run end, as executors do by themselves.
+func (p *crashPlay) breakGang(lost platform.Run) {
+	if !p.stored[lost.Task.Job].Steps[lost.Task.Step].Gang {
+		return
+	}
+	for _, e := range p.executors {
+		for run := range e.running {
+			if run.Task.StepKey == lost.Task.StepKey {
+				e.stop(run, platform.EndBroken)
+			}
+		}
+	}
+}
+
 func (p *crashPlay) revive(record fleet.Executor) {
 	p.lives++
 	record.Ref.ID = fmt.Sprintf("life%d", p.lives)
--- a/internal/plan/crash_test.go
+++ b/internal/plan/crash_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -70,3 +71,119 @@
 		t.Errorf("%d starts were sent to an executor that is not there", p.cell.failures.notReached)
 	}
 }
+
+func TestCrashesOfAThirdOfTheExecutorsFailNoHealthyJob(t *testing.T) {
+	p := newCrashPlay(t, 12, crashers(1, 2, 3, 4, 5, 6))
+	p.crowd(10, 58)
+	gang := p.job(7, testQueue, work.Step{Tasks: 24, Need: cpus(9), Estimate: time.Second, Gang: true})
+	for n := byte(1); n <= 6; n++ {
+		p.after(time.Duration(n)*3*time.Second, func() {
+			p.job(n, testQueue, work.Step{Tasks: 4, Need: cpus(2), Estimate: time.Second})
+		})
+	}
+	for i := range 3 {
+		p.after(time.Duration(10+5*i)*time.Second, func() {
+			for k, id := range p.ids() {
+				if k%3 == i {
+					p.crash(id)
+				}
+			}
+		})
+	}
+	for i := range 4 {
+		p.after(time.Duration(20+20*i)*time.Second, p.lead)
+	}
+	p.runFor(120 * time.Second)
+	p.checkBudget()
+	if state := p.state(gang.ID); state != work.Completed {
+		t.Errorf("the gang is %v", state)
+	}
+	for n := byte(1); n <= 6; n++ {
+		if state := p.state(work.ID{n}); state != work.Failed {
+			t.Errorf("job %d, whose first task crashes its executors, is %v", n, state)
+		}
+	}
+}
+
+func TestLeadersInTurnKeepTheCountOfCrashes(t *testing.T) {
+	p := newCrashPlay(t, 12, crashers(1))
+	p.crowd(10, 20)
+	bad := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(2), Estimate: time.Second})
+	for range 12 {
+		p.runFor(3300 * time.Millisecond)
+		p.lead()
+	}
+	p.runFor(60 * time.Second)
+	p.checkBudget()
+	if state := p.state(bad.ID); state != work.Failed {
+		t.Errorf("the job is %v", state)
+	}
+}
+
+func TestExecutorsThatAreCutOffOrLeaveAccuseNobody(t *testing.T) {
+	p := newCrashPlay(t, 4, func(work.TaskKey) behaviour { return behaviour{takes: 40 * time.Second} })
+	j := p.job(1, testQueue, work.Step{Tasks: 8, Need: cpus(4), Estimate: 40 * time.Second})
+	p.runFor(time.Second)
+	for range 3 {
+		for _, id := range p.ids() {
+			p.executors[id].cut = true
+		}
+		p.runFor(6 * time.Second)
+		for _, id := range p.ids() {
+			p.executors[id].cut = false
+		}
+		p.runFor(time.Second)
+	}
+	for _, id := range p.ids()[:2] {
+		leaving := *p.listed[id]
+		leaving.Draining = true
+		listed := maps.Clone(p.listed)
+		listed[id] = &leaving
+		p.list(listed)
+		p.runFor(time.Second)
+		p.crash(id)
+	}
+	p.runFor(10 * time.Second)
+	for _, s := range p.cell.jobs[j.ID].running[0].steps {
+		for _, task := range s.tasks {
+			if task.losses.crashes > 0 {
+				t.Errorf("task %v is held to have crashed %d executors", task.key(), task.losses.crashes)
+			}
+		}
+	}
+}
+
+func TestServiceThatRunsWellIsNotBlamedForLaterCrashes(t *testing.T) {
+	p := newCrashPlay(t, 4, func(work.TaskKey) behaviour { return behaviour{takes: time.Hour} })
+	j := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(2), Estimate: time.Second, LongRunning: true})
+	for range 8 {
+		p.runFor(provenAfter + 2*time.Second)
+		p.crash(p.cell.jobs[j.ID].running[0].steps[0].tasks[0].vm)
+		p.runFor(5 * time.Second)
+	}
+	if state := p.state(j.ID); state.Final() {
+		t.Errorf("the service is %v", state)
+	}
+}
+
+func TestServiceThatCrashesItsExecutorsIsNotStartedForEver(t *testing.T) {
+	p := newCrashPlay(t, 6, crashers(1))
+	p.crowd(10, 30)
+	j := p.job(1, testQueue, work.Step{Tasks: 3, Need: cpus(2), Estimate: time.Second, LongRunning: true})
+	p.runFor(60 * time.Second)
+	p.checkBudget()
+	if state := p.state(j.ID); state != work.Failed {
+		t.Errorf("the service is %v", state)
+	}
+}
+
+func TestGangWithATaskThatCrashesItsExecutorsIsNotStartedForEver(t *testing.T) {
+	p := newCrashPlay(t, 12, crashers(1))
+	p.crowd(10, 50)
+	j := p.job(1, testQueue, work.Step{Tasks: 10, Need: cpus(9), Estimate: time.Second, Gang: true})
+	p.runFor(90 * time.Second)
+	p.checkBudget()
+	if state := p.state(j.ID); state != work.Failed {
+		t.Errorf("the gang is %v", state)
+	}
+}
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -51,6 +51,7 @@
 	waiting  bool          // is in the cell's list of steps with tasks to place
 	stands   standing      // as of the newest order
 	gathered gathering
+	clearing clearing
 }
 
 // task is one task of a step.
@@ -60,6 +61,8 @@
 	phase      work.Phase
 	run        uint32 // newest
 	failures   int
+	losses     losses
+	lostOn     string // executor with which the newest lost run went
 	checkpoint string
 	claims     int    // runs that may exist
 	vm         string // of the newest run
@@ -172,6 +175,7 @@
 		row := make([]work.TaskProgress, len(s.tasks))
 		for i, t := range s.tasks {
 			row[i] = work.TaskProgress{Phase: t.phase, Run: t.run, Failures: uint8(min(t.failures, 255)), Checkpoint: t.checkpoint}
+			row[i].Crashes, row[i].Losses = t.losses.record()
 			if t.phase == work.Started || (t.phase == work.Pending && t.claims > 0) {
 				row[i].Phase = work.Started
 				row[i].VM = place(p, places, t.vm)
--- a/internal/plan/lost.go
+++ b/internal/plan/lost.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -51,13 +52,7 @@
 // counts from the order to the executor's first sign of silence, in milliseconds; -1: not
 // known.
 func (v *vm) describeRuns() string {
-	claims := make([]*claim, 0, len(v.claims))
-	for _, cl := range v.claims {
-		claims = append(claims, cl)
-	}
-	slices.SortFunc(claims, func(a, b *claim) int {
-		return cmp.Or(b.ordered.Compare(a.ordered), strings.Compare(a.run.Task.String(), b.run.Task.String()))
-	})
+	claims := v.youngestFirst()
 	var text []string
 	for _, cl := range claims[:min(len(claims), mostRunsLogged)] {
 		age := int64(-1)
@@ -69,6 +64,13 @@
 	return strings.Join(text, " ")
 }
 
+// youngestFirst returns the executor's claims in the order of their orders, the newest first.
+func (v *vm) youngestFirst() []*claim {
+	return slices.SortedFunc(maps.Values(v.claims), func(a, b *claim) int {
+		return cmp.Or(b.ordered.Compare(a.ordered), strings.Compare(a.run.Task.String(), b.run.Task.String()), cmp.Compare(a.run.Number, b.run.Number))
+	})
+}
+
 // lastSign returns when the executor was first found silent since its newest report, or
 // when that report came.
 func (v *vm) lastSign() time.Time {
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -37,6 +37,11 @@
 		if len(tasks) == 0 {
 			continue
 		}
+		if suspectOf(tasks) != nil {
+			c.clearFor(s, q, now)
+		} else {
+			s.endClearing()
+		}
 		gathers := c.gathers(s, now)
 		placed := c.placeStep(s, q, tasks, &held, now)
 		if len(placed) > 0 {
@@ -45,6 +50,7 @@
 		if len(placed) == len(tasks) {
 			c.unpromise(s)
 			c.release(s)
+			s.endClearing()
 		}
 		for _, p := range placed {
 			starts = append(starts, c.take(p, q, now))
@@ -70,15 +76,18 @@
 	if q != nil && q.Advice != nil && !s.advice.anyValid(now) {
 		return nil // spares the look at each executor
 	}
-	room := &roomView{taken: make(map[*vm]api.Resources), count: make(map[*vm]int)}
+	room := &roomView{taken: make(map[*vm]api.Resources), count: make(map[*vm]int), closed: make(map[*vm]bool)}
 	vms := c.eligible(s, q, held, now)
 	var placed []placement
-	for _, t := range tasks {
+	for _, t := range suspectsFirst(tasks) {
 		v := c.best(t, vms, room)
+		if v == nil && t.suspected() && !s.spec.Gang {
+			continue // the others needn't wait for an executor of its own
+		}
 		if v == nil {
 			break
 		}
-		room.take(v, s.spec.Need)
+		room.take(v, t)
 		placed = append(placed, placement{task: t, vm: v})
 	}
 	if s.spec.Gang && len(placed) < len(tasks) {
@@ -89,13 +98,17 @@
 
 // roomView is the room that a step's own choices have taken so far.
 type roomView struct {
-	taken map[*vm]api.Resources
-	count map[*vm]int
+	taken  map[*vm]api.Resources
+	count  map[*vm]int
+	closed map[*vm]bool // a suspected task has been placed there
 }
 
-func (r *roomView) take(v *vm, need api.Resources) {
-	r.taken[v] = r.taken[v].Add(need)
+func (r *roomView) take(v *vm, t *task) {
+	r.taken[v] = r.taken[v].Add(t.step.spec.Need)
 	r.count[v]++
+	if t.suspected() {
+		r.closed[v] = true
+	}
 }
 
 // eligible returns the executors on which a task of the step may start now
@@ -141,7 +154,7 @@
 	} else if !c.table.Serves(service) {
 		return false
 	}
-	if v.Service != service || !v.usable(now, &c.cfg) {
+	if v.Service != service || !v.usable(now, &c.cfg) || v.closedTo(s, now) {
 		return false
 	}
 	return s.spec.Label == "" || v.HasLabel(s.spec.Label)
@@ -162,6 +175,9 @@
 		if v.onTrial(&c.cfg) && room.count[v] > 0 {
 			continue
 		}
+		if room.closed[v] || t.suspected() && !s.alone(v, room, c.now) {
+			continue
+		}
 		if s.spec.MaxPerVM > 0 && v.countOf(s)+room.count[v] >= s.spec.MaxPerVM {
 			continue
 		}
@@ -169,6 +185,10 @@
 		if v == t.failedAt {
 			score += failedWeight
 		}
+		score += companionWeight * float64(v.companions(t))
+		if t.suspected() {
+			score += companionWeight * float64(len(v.claims)+room.count[v])
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = v, score
 		}
@@ -178,8 +198,9 @@
 
 // Weights of the score: a share of the executor left over counts 1.
 const (
-	failedWeight = 4.0 // where the task has just failed; any other executor is tried first
-	slowWeight   = 1.0 // for each time that the executor is slower than the fleet
+	failedWeight    = 4.0 // where the task has just failed; any other executor is tried first
+	companionWeight = 4.0 // for each run there that may crash the executor, or that the task may take with it
+	slowWeight      = 1.0 // for each time that the executor is slower than the fleet
 )
 
 // score says how badly the executor fits; left is the room that would remain.
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -115,6 +115,7 @@
 		c.dropReplaced(now)
 	}
 	v.lapses = time.Time{}
+	v.lapsed = nil
 	news := c.applyEnds(v, r)
 	listed := c.applyRunning(v, r, now)
 	for _, cl := range v.claims {
@@ -194,6 +195,9 @@
 		if cl.task != nil && row.Checkpoint != "" {
 			cl.task.checkpoint = row.Checkpoint
 		}
+		if cl.task != nil {
+			c.prove(cl, now)
+		}
 		cl.progress.note(row.Percent, r.Clock, cl.since, cl.resumed, now)
 		c.learnFromRunning(cl, now)
 		c.noticePace(cl, now)
@@ -368,6 +372,7 @@
 	s.ready = false
 	c.unpromise(s)
 	c.release(s)
+	s.endClearing()
 	o.left--
 	if o.left > 0 {
 		c.offer(o)
--- a/internal/plan/restore.go
+++ b/internal/plan/restore.go
@@ -48,6 +48,7 @@
 		t := s.tasks[i]
 		t.run = row.Run
 		t.failures = int(row.Failures)
+		t.losses = losses{crashes: int(row.Crashes), unproved: int(row.Losses)}
 		t.checkpoint = row.Checkpoint
 		t.phase = row.Phase
 		s.fails = max(s.fails, t.failures)
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -57,6 +57,9 @@
 	seen       uint64                 // ends up to here are durable
 	taken      uint64                 // ends up to here were applied
 	lapses     time.Time              // when an inherited lease is certainly over
+	suspect    *claim                 // a suspected task's, which should be alone
+	clearedFor *step                  // kept from other work until a suspected task of it starts here
+	lapsed     []*claim               // runs that were over with the lease, while it isn't known whether its life is
 
 	failJobs   map[*job]struct{} // whose tasks failed in a row
 	avoidUntil time.Time
@@ -112,6 +115,9 @@
 	v.used = v.used.Add(c.need)
 	if c.task != nil {
 		c.task.claims++
+		if c.task.suspected() {
+			v.suspect = c
+		}
 	}
 }
 
@@ -119,6 +125,9 @@
 func (v *vm) remove(c *claim) {
 	delete(v.claims, c.run)
 	v.used = v.used.Sub(c.need)
+	if v.suspect == c {
+		v.suspect = nil
+	}
 	if c.task != nil {
 		c.task.claims--
 	}
--- a/internal/work/packed.go
+++ b/internal/work/packed.go
@@ -30,7 +30,7 @@
 	Phases      []byte   // one for each task
 	Runs        []uint32 // one for each task; empty: 0 for all
 	VMs         []int    // one for each task; empty: 0 for all
-	Failures    []byte   // one for each task; empty: 0 for all
+	Failures    []byte   // one for each task, then as many crashes and losses if there are any; empty: 0 for all
 	Checkpoints []string // one for each task; empty: none has one
 }
 
@@ -52,15 +52,18 @@
 		Phases:      make([]byte, len(tasks)),
 		Runs:        make([]uint32, len(tasks)),
 		VMs:         make([]int, len(tasks)),
-		Failures:    make([]byte, len(tasks)),
+		Failures:    make([]byte, 3*len(tasks)),
 		Checkpoints: make([]string, len(tasks)),
 	}
-	var runs, vms, failures, checkpoints bool
+	var runs, vms, failures, lost, checkpoints bool
+	crashes, losses := s.Failures[len(tasks):2*len(tasks)], s.Failures[2*len(tasks):]
 	for i, t := range tasks {
 		s.Phases[i], s.Runs[i], s.VMs[i], s.Failures[i], s.Checkpoints[i] = byte(t.Phase), t.Run, t.VM, t.Failures, t.Checkpoint
+		crashes[i], losses[i] = t.Crashes, t.Losses
 		runs = runs || t.Run != 0
 		vms = vms || t.VM != 0
 		failures = failures || t.Failures != 0
+		lost = lost || t.Crashes != 0 || t.Losses != 0
 		checkpoints = checkpoints || t.Checkpoint != ""
 	}
 	if !runs {
@@ -69,7 +72,11 @@
 	if !vms {
 		s.VMs = nil
 	}
-	if !failures {
+	switch {
+	case lost:
+	case failures:
+		s.Failures = s.Failures[:len(tasks)]
+	default:
 		s.Failures = nil
 	}
 	if !checkpoints {
@@ -97,7 +104,11 @@
 
 func (s *packedStep) unpack() ([]TaskProgress, error) {
 	n := len(s.Phases)
-	for _, column := range []int{len(s.Runs), len(s.VMs), len(s.Failures), len(s.Checkpoints)} {
+	failures, crashes, losses := s.Failures, []byte(nil), []byte(nil)
+	if n > 0 && len(s.Failures) == 3*n {
+		failures, crashes, losses = s.Failures[:n], s.Failures[n:2*n], s.Failures[2*n:]
+	}
+	for _, column := range []int{len(s.Runs), len(s.VMs), len(failures), len(s.Checkpoints)} {
 		if column != 0 && column != n {
 			return nil, errors.Newf("work: progress record with %d tasks in one column and %d in another", n, column)
 		}
@@ -112,8 +123,11 @@
 		if len(s.VMs) > 0 {
 			t.VM = s.VMs[i]
 		}
-		if len(s.Failures) > 0 {
-			t.Failures = s.Failures[i]
+		if len(failures) > 0 {
+			t.Failures = failures[i]
+		}
+		if len(crashes) > 0 {
+			t.Crashes, t.Losses = crashes[i], losses[i]
 		}
 		if len(s.Checkpoints) > 0 {
 			t.Checkpoint = s.Checkpoints[i]
--- a/internal/work/packed_test.go
+++ b/internal/work/packed_test.go
@@ -33,9 +33,24 @@
 	return p
 }
 
+// anyLosses adds what tasks have lost with their executors.
+func anyLosses(t *rapid.T, p *Progress) {
+	for _, o := range p.Occurrences {
+		for _, tasks := range o.Steps {
+			for i := range tasks {
+				tasks[i].Crashes = uint8(rapid.IntRange(0, 4).Draw(t, "crashes"))
+				tasks[i].Losses = uint8(rapid.IntRange(0, 4).Draw(t, "losses"))
+			}
+		}
+	}
+}
+
 func TestProgressIsReadAsItWasWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := anyProgress(t)
+		if rapid.Bool().Draw(t, "lost") {
+			anyLosses(t, p)
+		}
 		data, err := EncodeProgress(p)
 		if err != nil {
 			t.Fatal(err)
@@ -52,7 +67,7 @@
 func TestProgressOfTheVersionBeforeIsRead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := anyProgress(t)
-		data, err := cbor.Marshal(p) // a list for each task
+		data, err := cbor.Marshal(p) // a list for each task, which tells of no losses
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -66,4 +66,6 @@
 	VM         int      // index into Progress.VMs of the newest start
 	Failures   uint8    // runs that ended as failed
 	Checkpoint string   // newest known when the record was written
+	Crashes    uint8    `cbor:"-"` // executors whose lives are known to have ended under the task
+	Losses     uint8    `cbor:"-"` // runs lost with an executor of which that isn't known
 }
