Steps under which several executors were lost start one task at a time

Cause: losses are counted for each task, and all tasks of a step start within a second: each of them takes executors down until it has lost three itself. Class: a bound for each part that bounds nothing of the whole. Change: after three executors lost under it a step is on trial, also a new one of an image that had a job given up. Ruled out: a first task alone for every step, which costs healthy jobs a run's time. Why it works: one run alone tells whether the program is to blame, and takes one executor at most.

--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -42,6 +42,7 @@
 	yielded   int                  // runs stopped for others since the last summary
 	failures  startFailures        // since the last summary
 	silences  []time.Time          // when executors fell silent that were lost of late
+	images    map[string]time.Time // whose tasks had a job given up, and when
 }
 
 // Stop is an order to stop a run.
@@ -64,6 +65,7 @@
 		ended:   make(map[work.ID]struct{}),
 		granted: make(map[string]float64),
 		kept:    make(map[string]float64),
+		images:  make(map[string]time.Time),
 	}
 }
 
@@ -125,6 +127,7 @@
 	age := time.Duration(max(0, wall-spec.Accepted)) * time.Millisecond
 	j := &job{spec: spec, arrived: now.Add(-min(age, longestAge))}
 	c.jobs[spec.ID] = j
+	c.tryImages(j, now)
 	if p != nil {
 		c.restore(j, p, now)
 	}
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -17,14 +17,15 @@
 	spec        *work.Job
 	arrived     time.Time
 	state       work.State
-	next        int           // occurrence that is due next
-	finished    int           // occurrences numbered below this have ended
-	ended       map[int]bool  // further occurrences that have ended
-	running     []*occurrence // that have begun and not ended, by number
-	dirty       bool          // the durable record is behind
-	toldRunning bool          // the durable record says that the job runs
-	advised     time.Time     // when executors were first granted
-	started     time.Time     // when an executor first confirmed a start
+	next        int            // occurrence that is due next
+	finished    int            // occurrences numbered below this have ended
+	ended       map[int]bool   // further occurrences that have ended
+	running     []*occurrence  // that have begun and not ended, by number
+	dirty       bool           // the durable record is behind
+	toldRunning bool           // the durable record says that the job runs
+	advised     time.Time      // when executors were first granted
+	started     time.Time      // when an executor first confirmed a start
+	trials      map[int]*trial // by step; what was lost under its tasks
 }
 
 // occurrence is one run of a job's steps.
@@ -95,6 +96,9 @@
 			return nil
 		}
 	}
+	if s.onTrial() {
+		return s.tried(waiting)
+	}
 	return waiting
 }
 
--- a/internal/plan/losses.go
+++ b/internal/plan/losses.go
@@ -68,6 +68,7 @@
 	}
 	t.lostOn = l.executor
 	c.mark(t.step.job)
+	c.tryStep(cl, l)
 	if t.losses.all() >= mostLosses || t.convicts(l) {
 		c.giveUp(cl, l)
 	}
@@ -80,6 +81,9 @@
 		"job": t.step.job.spec.ID, "task": t.key(), "run": cl.run.Number, "executor": l.executor,
 		"crashes": t.losses.crashes, "unproved": t.losses.unproved, "alone": l.only != nil, "together": l.together,
 	}).Warn("job is given up: executors were lost under one of its tasks again and again")
+	if image := t.step.spec.Image; image != "" {
+		c.images[image] = c.now
+	}
 	c.end(t.step.job, work.Failed)
 }
 
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -144,6 +144,7 @@
 			c.hasBegun(cl.task.step.job, c.now)
 		}
 		c.judge(cl, e.How)
+		c.judgeStep(cl, e.How)
 		c.over(cl, e.How, e.Checkpoint)
 	}
 	return news
@@ -197,6 +198,7 @@
 		}
 		if cl.task != nil {
 			c.prove(cl, now)
+			c.acquitRunning(cl, now)
 		}
 		cl.progress.note(row.Percent, r.Clock, cl.since, cl.resumed, now)
 		c.learnFromRunning(cl, now)
--- a/internal/plan/suspect.go
+++ b/internal/plan/suspect.go
@@ -19,8 +19,10 @@
 	suspectCrashes = 2
 	suspectLosses  = 3
 	// convictCrashes is how many executors have to have crashed under a task for a crash
-	// while nothing but its job was there to end the job.
+	// while nothing but its job was there to end the job; convictOnTrial is that while the
+	// step is on trial.
 	convictCrashes = 3
+	convictOnTrial = 2
 	// togetherWithin is the time within which so many other executors have to fall silent
 	// (togetherOthers) for one cause to be assumed that is no task: a rack, a data
 	// centre, an operator.
@@ -38,12 +40,16 @@
 
 // suspected reports whether a task may be what crashes its executors.
 func (t *task) suspected() bool {
-	return t.losses.crashes >= suspectCrashes || t.losses.all() >= suspectLosses
+	return t.losses.crashes >= suspectCrashes || t.losses.all() >= suspectLosses || t.step.onTrial()
 }
 
 // convicts reports whether the crash of an executor shows that a task is to blame for it.
 func (t *task) convicts(l loss) bool {
-	return l.evidence != Unregistered && l.only == t.step.job && !l.together && t.losses.crashes >= convictCrashes
+	need := convictCrashes
+	if t.step.onTrial() {
+		need = convictOnTrial
+	}
+	return l.evidence != Unregistered && l.only == t.step.job && !l.together && t.losses.crashes >= need
 }
 
 // lossOf returns what is known of the end of an executor's life.
