--- a/internal/plan/shrink_test.go
+++ b/internal/plan/shrink_test.go
@@ -12,6 +12,9 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
+// roomOfCPUs is the room of an executor with so many processors.
+func roomOfCPUs(n int64) api.Resources { return api.Resources{MilliCPU: n * 1000, MemoryMB: 64000} }
+
 // resize has the registry say that an executor has another capacity.
 func (w *world) resize(id string, room api.Resources) {
 	e := *w.listed[id]
@@ -30,7 +33,7 @@
 		t.Fatalf("%d starts planned, want 3", len(starts))
 	}
 	w.save()
-	w.resize("e0", cpus(17))
+	w.resize("e0", roomOfCPUs(17))
 	if orders := w.cell.Confirm(starts, w.now); len(orders) != 2 {
 		t.Errorf("%d starts are sent to an executor that has room for 2", len(orders))
 	}
@@ -41,7 +44,7 @@
 	w.job(1, testQueue, work.Step{Tasks: 3, Need: cpus(8), Estimate: time.Second, Gang: true})
 	starts := w.cell.Plan(w.now)
 	w.save()
-	w.resize("e0", cpus(17))
+	w.resize("e0", roomOfCPUs(17))
 	if orders := w.cell.Confirm(starts, w.now); len(orders) != 0 {
 		t.Errorf("%d members of a gang of 3 are sent", len(orders))
 	}
@@ -50,7 +53,7 @@
 func TestRoomThatGrowsWakesStepsThatWaitForAdvice(t *testing.T) {
 	w := newWorld(t, 2)
 	for _, id := range []string{"e0", "e1"} {
-		w.resize(id, cpus(1))
+		w.resize(id, roomOfCPUs(1))
 	}
 	w.job(1, testAdvised, work.Step{Tasks: 2, Need: cpus(8), Estimate: time.Second})
 	w.cycle()
@@ -61,7 +64,7 @@
 	}
 	w.cycle()
 	w.cell.Asks(w.now, askers)
-	w.resize("e0", cpus(32))
+	w.resize("e0", roomOfCPUs(32))
 	w.cycle()
 	for _, s := range w.cell.waiting {
 		if w.now.Before(s.advice.look) {
@@ -73,14 +76,14 @@
 func TestJobThatNoExecutorHasRoomForWaitsUntilOneHas(t *testing.T) {
 	p := newCrashPlay(t, 2, crashers())
 	for _, id := range p.ids() {
-		p.resize(id, cpus(4))
+		p.resize(id, roomOfCPUs(4))
 	}
 	j := p.job(1, testQueue, work.Step{Tasks: 2, Need: cpus(9), Estimate: time.Second})
 	p.runFor(20 * time.Second)
 	if state := p.state(j.ID); state.Final() {
 		t.Fatalf("the job is %v while no executor has room for it", state)
 	}
-	p.resize("e0", cpus(32))
+	p.resize("e0", roomOfCPUs(32))
 	p.runFor(3 * time.Second)
 	if state := p.state(j.ID); state != work.Completed {
 		t.Errorf("the job is %v", state)
@@ -110,7 +113,7 @@
 
 // change gives an executor another room, of which the leader reads later.
 func (r *resizing) change(id string) {
-	room := cpus(4 + r.rand.Int64N(29))
+	room := roomOfCPUs(4 + r.rand.Int64N(29))
 	r.rooms[id] = append(r.rooms[id], roomSince{r.now, room})
 	made := r.now
 	r.after(time.Duration(r.rand.Int64N(int64(slowestRead))), func() {
