Refused starts are not repeated at full pace

What callers saw: nothing yet; found by listing what is tried again without a bound, the incident's class of fault. Cause: a start that an executor refused for want of room, as late, as unreadable or as of an old run was planned again in the next cycle, 50 times a second, each time with an append and an order. Change: after a refusal for room or lateness the executor has to report first, since what is known of its room or clock is wrong; after one for what the order says the step pauses, from 50 ms to 1 s, but for the first. Ruled out: pausing the step for want of room, since other executors may have some.

--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -53,6 +53,8 @@
 	stands   standing      // as of the newest order
 	gathered gathering
 	clearing clearing
+	refusals int       // of starts in a row, for what the order says
+	retryAt  time.Time // not before this is a start tried again
 }
 
 // task is one task of a step.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -33,6 +33,9 @@
 		if advised && len(s.advice.tickets) == 0 {
 			continue // it isn't known where it may run
 		}
+		if now.Before(s.retryAt) {
+			continue
+		}
 		tasks := s.unplaced()
 		if len(tasks) == 0 {
 			continue
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -46,6 +46,7 @@
 	case err == nil:
 		cl.state = atWork
 		cl.since = now
+		cl.task.step.refusals = 0
 		c.hasBegun(cl.task.step.job, now)
 	case errors.As(err, &refused):
 		c.refused(cl, refused.Reason, now)
@@ -67,6 +68,10 @@
 		cl.vm.avoidUntil = now.Add(c.cfg.SickAvoid)
 	case platform.RefusedTicket:
 		delete(cl.task.step.advice.tickets, cl.vm)
+	case platform.RefusedRoom, platform.RefusedLate:
+		cl.vm.unanswered = now // what is known of its room or clock is wrong
+	case platform.RefusedBad, platform.RefusedOld:
+		cl.task.step.backOff(now)
 	case platform.RefusedGone:
 		c.Gone(cl.vm.Ref.ID, OtherLife, now)
 		return
@@ -74,6 +79,21 @@
 	c.over(cl, platform.EndStopped, "")
 }
 
+// Pauses after a start that no executor would take either.
+const (
+	firstBackOff = 50 * time.Millisecond
+	mostBackOff  = time.Second
+)
+
+// backOff has a step pause after a start that was refused for what the order says: twice as
+// long each time, but not the first time.
+func (s *step) backOff(now time.Time) {
+	if s.refusals > 0 {
+		s.retryAt = now.Add(min(mostBackOff, firstBackOff<<min(s.refusals-1, 10)))
+	}
+	s.refusals++
+}
+
 // Stopped takes in the answer to a stop order: once an executor has taken it,
 // the run doesn't start there any more.
 func (c *Cell) Stopped(s Stop, err error, now time.Time) {
