A new leader finds executors that were lost before it in the registry's history

Cause: progress records name executors by id, and the record of one that crashed is gone from the registry: the successor couldn't call it, nor see another life at its address, and waited for its lease to be over for certain. Change: where such executors were is read from the registry's history once, 8,000 records at most. Ruled out: addresses in the progress records (17 bytes for each executor of each record). Conclusion: fixed where the history goes back far enough; else as before.

--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -79,6 +79,50 @@
 	return nil
 }
 
+// mostRecalled bounds how many records former reads, 300 bytes each: some 20 s of the
+// heartbeats of 500 executors.
+const mostRecalled = 8000
+
+// former returns what the registry last said of executors that it doesn't list any more,
+// as far as its history goes back.
+func (g *registry) former(ctx context.Context, ids []string) (map[string]*fleet.Executor, error) {
+	wanted := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		wanted[id] = true
+	}
+	found := make(map[string]*fleet.Executor)
+	for from := g.next - min(g.next, mostRecalled); from < g.next; {
+		batch, err := g.readHistory(ctx, from)
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.First > from {
+			from = trimmed.First
+			continue
+		}
+		if err != nil {
+			return found, err
+		}
+		for _, r := range batch.Records {
+			if !wanted[r.Key] || len(r.Value) == 0 || r.Err != nil {
+				continue
+			}
+			if e, err := g.decode(r.Key, r.Value); err == nil { // others are told of where they are read first
+				found[r.Key] = e
+			}
+		}
+		if batch.Next <= from {
+			break
+		}
+		from = batch.Next
+	}
+	return found, nil
+}
+
+func (g *registry) readHistory(ctx context.Context, from platform.Offset) (platform.RecordBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	return g.log.Read(ctx, g.partition, from, 0)
+}
+
 // apply takes in one record and reports whether it brought news. An executor
 // whose newest record can't be read isn't listed; what the cell knows to run there
 // is held all the same.
--- a/internal/dispatch/registry_test.go
+++ b/internal/dispatch/registry_test.go
@@ -199,3 +199,24 @@
 		t.Errorf("three records are logged %d times:\n%s", n, logged)
 	}
 }
+
+func TestFormerExecutorsAreFoundInTheHistory(t *testing.T) {
+	log := &records{}
+	log.put("a", executorOf("svc", "ready", "r1"))
+	log.put("b", executorOf("svc", "ready", "r1"))
+	log.put("a", executorOf("svc", "draining", "r1"))
+	log.put("a", "")
+	log.put("b", "")
+	log.put("c", executorOf("svc", "ready", "r1"))
+	g, _ := loggedRegistry(log)
+	mustRefresh(t, g)
+	found, err := g.former(t.Context(), []string{"a", "b", "x"})
+	if err != nil || len(found) != 2 || !found["a"].Draining || found["b"].Draining {
+		t.Errorf("found %v, %v; want the last records of a and b", names(found), err)
+	}
+	log.first = 2
+	found, err = g.former(t.Context(), []string{"a", "b"})
+	if err != nil || len(found) != 1 || found["a"] == nil {
+		t.Errorf("found %v, %v in what is left of the history; want a", names(found), err)
+	}
+}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -326,13 +326,33 @@
 		if err == nil && changed {
 			r.mu.Lock()
 			r.cell.Executors(g.listed, time.Now())
+			unaddressed := r.cell.Unaddressed()
 			r.mu.Unlock()
 			r.Wake()
+			r.recall(ctx, g, unaddressed)
 		}
 		pause.For(ctx, registryPace)
 	}
 }
 
+// recall tells the cell where executors were that run something by a former leader's word
+// and aren't registered any more.
+func (r *Runner) recall(ctx context.Context, g *registry, ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	found, err := g.former(ctx, ids)
+	if err != nil {
+		r.cfg.Events.WithError(err).Info("history of the registry not read: executors that are gone are waited for until their leases are over")
+	}
+	r.mu.Lock()
+	for _, e := range found {
+		r.cell.Recall(*e, time.Now())
+	}
+	r.mu.Unlock()
+	r.Wake()
+}
+
 // keepAttending sends stops and keeps a hold loop for each executor. Neither
 // needs anything durable, so both go on while a cycle waits for the store: a
 // run of a cancelled job would go on for as long as the store takes no appends.
--- a/internal/plan/restore.go
+++ b/internal/plan/restore.go
@@ -79,3 +79,28 @@
 	}
 	return v
 }
+
+// Unaddressed returns the executors that may run something by a former leader's word and
+// that can't be called, since nothing is known of them but their ids.
+func (c *Cell) Unaddressed() []string {
+	var ids []string
+	for _, v := range c.sorted {
+		if v.Ref.Address == "" && len(v.claims) > 0 && !v.recalled {
+			v.recalled = true
+			ids = append(ids, v.Ref.ID)
+		}
+	}
+	return ids
+}
+
+// Recall takes in the last record of an executor that isn't registered any more. A call to
+// where it was tells whether another life has followed it there.
+func (c *Cell) Recall(e fleet.Executor, now time.Time) {
+	v := c.vms[e.Ref.ID]
+	if v == nil || v.listed || v.Ref.Address != "" {
+		return
+	}
+	v.register(e, now)
+	v.listed = false
+	c.dropReplaced(now)
+}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -41,6 +41,7 @@
 type vm struct {
 	fleet.Executor
 	listed   bool   // in the registry
+	recalled bool   // the registry's history was asked for its address
 	address  string // that the registry names; Ref has the one to call
 	used     api.Resources
 	kept     api.Resources // for gangs that gather room (yield.go)
