A run's pace counts from the first progress that was reported, not from its start

What callers saw: runs whose first report names half of their work and the next ones the same could be stopped and moved, though their executor isn't slow. Cause: the usual pace was measured from the start, at 0 percent, to a report that may say anything; a figure that never changes looks like a fast run that stands still since. Evidence: the new case of TestRunsMoveAwayFromExecutorsThatHaveBecomeSlow fails without the change ('a figure that says nothing: stopped is true'). Change: the usual pace is that between two reports; a clock reading guessed from the start's wall time is gone with it. Ruled out: a longer span before a run is judged, which finds slow executors later. Conclusion: fixed in the test.

--- a/internal/plan/move_test.go
+++ b/internal/plan/move_test.go
@@ -32,6 +32,7 @@
 		{"stands still", work.Step{}, []int{10, 20, 30, 30, 30}, true},
 		{"nearly done", work.Step{}, []int{30, 60, 90, 92, 93}, false},
 		{"nothing is known of its usual pace", work.Step{}, []int{1, 2, 3, 4}, false},
+		{"a figure that says nothing", work.Step{}, []int{50, 50, 50, 50, 50, 50}, false},
 		{"a member of a gang", work.Step{Gang: true}, []int{10, 20, 30, 30, 30}, false},
 		{"it lasts", work.Step{LongRunning: true}, []int{10, 20, 30, 30, 30}, false},
 	} {
--- a/internal/plan/progress.go
+++ b/internal/plan/progress.go
@@ -22,9 +22,10 @@
 // to nine tenths either way; what is done by now tells the end to a few percent.
 type progress struct {
 	from, last point // the first and the newest that are known
-	// before and mark are points between them, each at least paceSpan before the next:
-	// the newest pace is that since before, the usual one that up to it.
-	before, mark point
+	// reported is the first that was reported, before and mark are later ones, each at
+	// least paceSpan before the next: the newest pace is that since before, the usual one
+	// that from reported up to it.
+	reported, before, mark point
 }
 
 // point is a share of a run's work that was done at a time.
@@ -43,9 +44,9 @@
 	if p.from.at.IsZero() {
 		p.from = here // it may have gone on from there
 		if !resumed {
-			p.from = point{at: since, clock: clock.Add(-now.Sub(since))}
+			p.from = point{at: since}
 		}
-		p.before, p.mark = p.from, p.from
+		p.reported, p.before, p.mark = here, here, here
 	}
 	if clock.Sub(p.mark.clock) >= paceSpan {
 		p.before, p.mark = p.mark, here
@@ -66,9 +67,10 @@
 // paces returns how much of its work the run does in a second, in percent: usually, and
 // of late. It is false while one of them isn't known.
 func (p *progress) paces() (usual, late float64, known bool) {
-	first, second := p.before.clock.Sub(p.from.clock), p.last.clock.Sub(p.before.clock)
-	if first < paceSpan || second < paceSpan || p.before.percent-p.from.percent < toldEnough {
+	first, second := p.before.clock.Sub(p.reported.clock), p.last.clock.Sub(p.before.clock)
+	done := p.before.percent - p.reported.percent
+	if first < paceSpan || second < paceSpan || done < toldEnough {
 		return 0, 0, false
 	}
-	return float64(p.before.percent-p.from.percent) / first.Seconds(), float64(p.last.percent-p.before.percent) / second.Seconds(), true
+	return float64(done) / first.Seconds(), float64(p.last.percent-p.before.percent) / second.Seconds(), true
 }
