A leader that steps down invites the fittest standby

Cause: after a leader had stepped down, its successor found out by reading, read once more before its claim, and claimed: three calls in turn. Change: the leader tells the fittest machine that keeps all content that it has stepped down and where the partition ends; that machine claims at once, on the condition that the partition still ends there. Others find out by reading, as before. The elector's lock isn't held while it tells. Ruled out: handing the epoch itself over, which would be a second way of becoming leader. Evidence: TestInvitedProcessClaimsAtOnce (failed first: three calls), and TestLateInvitationClaimsNothing. Figures: followed within one call of 150 ms and 50 ms in the test. Conclusion: two calls less where a leader is stopped; nothing changes where one is lost.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -34,6 +34,7 @@
 	methodContent = ServiceName + ".Content"
 	methodOrders  = ServiceName + ".Orders"
 	methodSync    = ServiceName + ".Sync"
+	methodInvite  = ServiceName + ".Invite"
 )
 
 // Caller calls a peer once; *peer.Client is one.
@@ -181,6 +182,8 @@
 	Learn(l leader.Leader) api.Epoch
 	// Assured takes in the leader's last confirmed renewal.
 	Assured(epoch api.Epoch, r leader.Renewal)
+	// Invite has this process claim the cell after a leader that has stepped down.
+	Invite(i leader.Invitation)
 }
 
 // Handler answers peers' calls.
@@ -196,6 +199,17 @@
 	Longest    time.Duration // bound of a call to the advice service or the store
 }
 
+// InviteAnswer says nothing.
+type InviteAnswer struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// Invite takes in that the leader has stepped down and that this machine should follow it.
+func (h *Handler) Invite(i *leader.Invitation, _ *InviteAnswer) error {
+	h.Electorate.Invite(*i)
+	return nil
+}
+
 // Store stores records for another machine.
 func (h *Handler) Store(request *StoreRequest, reply *StoreAnswer) error {
 	storer := h.Storer()
@@ -320,6 +334,11 @@
 	}
 }
 
+// Invite asks the machine at an address to follow a leader that has stepped down.
+func Invite(ctx context.Context, c Caller, address string, i leader.Invitation) error {
+	return c.Call(ctx, address, methodInvite, &i, &InviteAnswer{})
+}
+
 // Sync asks the leader at an address where the cell's partition ends.
 func Sync(ctx context.Context, c Caller, leader string) (platform.Offset, error) {
 	var answer SyncAnswer
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -128,6 +128,20 @@
 	return highest
 }
 
+// Successor returns the machine that should follow this one as leader: the fittest that
+// keeps the content of all records and gives signs of life; an empty address: there is none.
+func (h *Helpers) Successor(now time.Time) Attachment {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var best Attachment
+	for _, m := range h.answering(now) {
+		if m.address != "" && m.whole && m.fitness > best.Fitness {
+			best = Attachment{Node: m.node, Address: m.address, DataCentre: m.centre, Fitness: m.fitness, Whole: true}
+		}
+	}
+	return best
+}
+
 // Know takes in machines that the leader delivers to. When this machine comes
 // to lead, it delivers to them until they are silent.
 func (h *Helpers) Know(machines []Attachment) {
--- a/internal/leader/config.go
+++ b/internal/leader/config.go
@@ -73,4 +73,7 @@
 	// no longer is. Neither may block.
 	Gained func(epoch api.Epoch)
 	Lost   func()
+	// Released is called when this process has stepped down, so that another can be
+	// invited; nil: nobody is. It may not block.
+	Released func(Invitation)
 }
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -30,6 +30,7 @@
 	ledSince  time.Time               // of the newest claim of this process
 	yielded   time.Time               // when this process last handed leadership over; zero: never
 	usual     time.Duration           // what the last append took
+	invited   bool                    // the leader has told that it stepped down, and where the partition ends
 	waits     context.CancelCauseFunc // ends the read that waits for a record; nil: none does
 	wake      chan struct{}
 	released  chan struct{} // closed when this process has stepped down
@@ -92,17 +93,28 @@
 		return e.settle(ctx, err)
 	}
 	e.cfg.Lost()
+	invitation := e.steppedDown(at)
+	if e.cfg.Released != nil {
+		e.cfg.Released(invitation)
+	}
+	return nil
+}
+
+// steppedDown takes in that the own release was stored, and returns the invitation for
+// the next leader.
+func (e *Elector) steppedDown(at platform.Offset) Invitation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	invitation := Invitation{Epoch: e.state.self.Epoch, End: at + 1, Took: e.usual}
 	now := time.Now()
 	e.state.stepDown(at, now)
 	if e.stopping {
 		close(e.released)
-		return nil
+		return invitation
 	}
 	e.yielding = false
 	e.yielded = now
-	return nil
+	return invitation
 }
 
 // Run takes part until ctx ends.
@@ -216,14 +228,14 @@
 
 // claim appends a claim.
 func (e *Elector) claim(ctx context.Context) error {
-	pause.For(ctx, rand.N(e.cfg.Timing.Spread))
-	sent := time.Now()
-	if err := e.watchOnce(ctx, 0); err != nil { // somebody may have been faster
-		return err
-	}
-	e.expect(time.Since(sent))
-	if !e.due() {
-		return nil
+	e.mu.Lock()
+	invited := e.invited
+	e.invited = false
+	e.mu.Unlock()
+	if !invited {
+		if mayStill, err := e.lookBeforeClaim(ctx); err != nil || !mayStill {
+			return err
+		}
 	}
 	at, err := e.append(ctx, claims)
 	if err != nil {
@@ -236,6 +248,18 @@
 	return nil
 }
 
+// lookBeforeClaim reads on, since somebody may have been faster, and reports whether a
+// claim is still due.
+func (e *Elector) lookBeforeClaim(ctx context.Context) (bool, error) {
+	pause.For(ctx, rand.N(e.cfg.Timing.Spread))
+	sent := time.Now()
+	if err := e.watchOnce(ctx, 0); err != nil {
+		return false, err
+	}
+	e.expect(time.Since(sent))
+	return e.due(), nil
+}
+
 // lead begins to lead, after a claim of this process that is known to be stored.
 func (e *Elector) lead() {
 	e.mu.Lock()
@@ -314,8 +338,11 @@
 	return e.watchOnce(ctx, 0)
 }
 
-// errSuspected ends a read that waits for a record of a leader that is suspected.
-var errSuspected = errors.New("leader: the leader's process answers no call")
+// What ends a read that waits for the leader's next record.
+var (
+	errSuspected = errors.New("leader: the leader's process answers no call")
+	errInvited   = errors.New("leader: the leader has stepped down and invites this process")
+)
 
 // watch waits for the next record, or until the leader is suspected.
 func (e *Elector) watch(ctx context.Context) error {
@@ -348,7 +375,7 @@
 		e.mu.Unlock()
 		return nil
 	}
-	if errors.Is(context.Cause(ctx), errSuspected) && err != nil {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errSuspected) || errors.Is(cause, errInvited)) {
 		return nil // the store was not given the time to answer
 	}
 	if err != nil {
--- a/internal/leader/late_answer_test.go
+++ b/internal/leader/late_answer_test.go
@@ -130,3 +130,59 @@
 		}
 	})
 }
+
+// A leader that is stopped while the store takes 150 ms a call was followed after reading
+// that it has stepped down, reading once more and claiming. One that is told claims.
+func TestInvitedProcessClaimsAtOnce(t *testing.T) {
+	const call = 150 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		all := election(t, 0.8, 0.8)
+		log := &lateLog{memoryLog: &memoryLog{}}
+		log.late.Store(int64(call))
+		all[0].cfg.Log, all[1].cfg.Log = log, log
+		all[0].cfg.Released = func(i Invitation) {
+			all[0].Current() // what is told may ask the elector
+			go all[1].Invite(i)
+		}
+		defer run(all[0])()
+		time.Sleep(2 * time.Second)
+		defer run(all[1])()
+		time.Sleep(2 * time.Second)
+		all[0].Release(context.Background())
+		stopped := time.Now()
+		for {
+			if leads, _ := all[1].state(); leads {
+				break
+			}
+			if time.Since(stopped) > 10*time.Second {
+				t.Fatal("nobody leads")
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(stopped); took > call+50*time.Millisecond {
+			t.Errorf("it is followed %v after it has stepped down, want one call", took)
+		}
+	})
+}
+
+// An invitation says where the partition ended. A claim elsewhere that came since wins.
+func TestLateInvitationClaimsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := election(t, 0.8, 0.8, 0.8)
+		var late Invitation
+		all[0].cfg.Released = func(i Invitation) { late = i }
+		for _, c := range all {
+			defer run(c)()
+			time.Sleep(time.Second)
+		}
+		all[0].Release(context.Background())
+		time.Sleep(2 * time.Second)
+		before := all[1].Current()
+		all[2].Invite(late)
+		all[1].Invite(late)
+		time.Sleep(2 * time.Second)
+		if now := all[1].Current(); now != before || now.Epoch == 0 {
+			t.Errorf("leader %+v, was %+v", now, before)
+		}
+	})
+}
--- a/internal/leader/signals.go
+++ b/internal/leader/signals.go
@@ -69,6 +69,31 @@
 	return Renewal{Age: time.Duration(uptime() - e.state.confirmed), UpTo: e.state.lasts}
 }
 
+// Invitation asks a process to claim the cell after a leader that has stepped down.
+type Invitation struct {
+	_     struct{}        `cbor:",toarray"`
+	Epoch api.Epoch       // of that leader
+	End   platform.Offset // of the partition after its last record
+	Took  time.Duration   // what its last append took
+}
+
+// Invite has this process claim the cell at once, at the end of the partition that it is
+// told: the claim fails if that has gone on. Others read first that the leader has
+// stepped down, and once more before they claim, each of which takes as long as an append.
+func (e *Elector) Invite(i Invitation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == nil || e.unread || e.stopping || !e.state.invite(i.Epoch, i.End, time.Now()) {
+		return
+	}
+	e.invited = true
+	e.usual = max(e.usual, i.Took)
+	if e.waits != nil {
+		e.waits(errInvited)
+	}
+	e.Replaced() // wakes the loop
+}
+
 // Suspect notes that the process of the given leader answers no call, so that
 // less silence is waited for.
 func (e *Elector) Suspect(epoch api.Epoch) {
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -197,6 +197,20 @@
 	s.confirmed, s.lasts = s.sent, s.end
 }
 
+// invite takes in from the leader of an epoch that it has stepped down and where the
+// partition ends since. It returns false if more is known already.
+func (s *State) invite(epoch api.Epoch, end platform.Offset, now time.Time) bool {
+	if epoch != s.highest || end < s.end || s.Leads() {
+		return false
+	}
+	s.end = end
+	s.heard = now
+	s.current = Leader{}
+	s.assuredTo = 0
+	s.released = true
+	return true
+}
+
 // stepDown takes in that the own release was stored.
 func (s *State) stepDown(at platform.Offset, now time.Time) {
 	s.end = at + 1
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/dispatch"
 	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/platform"
@@ -119,6 +120,24 @@
 // say that the machine couldn't lead, and no machine would be a standby.
 const processorsNotTold = 1
 
+// inviteTimeout bounds an invitation: others find out by reading within about as long.
+const inviteTimeout = 300 * time.Millisecond
+
+// invite asks the fittest standby to follow this process, which has stepped down.
+func (n *Node) invite(i leader.Invitation) {
+	to := n.helpers.Successor(time.Now())
+	if to.Address == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), inviteTimeout)
+		defer cancel()
+		if err := assist.Invite(ctx, n.caller, to.Address, i); err != nil {
+			n.log.WithError(err).WithField("machine", to.Node).Info("successor not invited; it reads that this process has stepped down")
+		}
+	}()
+}
+
 // heardOf ends leading when another machine has heard of a higher epoch.
 func (n *Node) heardOf(epoch api.Epoch) {
 	n.log.WithField("higher_epoch", epoch).Warn("another machine has heard of a later leader")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,7 @@
 		Standing:  n.standing,
 		Gained:    n.gained,
 		Lost:      n.lost,
+		Released:  n.invite,
 	})
 	return n
 }
