Comments without figures of measurements; plan's cell and reports split by what they do

Change: comments of admission, assist, dispatch, leader, node, plan, replica, storehealth, traffic and work; what becomes of executors and of answers to orders moved to files of their own. No code changed but by moving. Conclusion: behaviour as it was, tests pass.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,9 +5,7 @@
 // has been accepted is protected as well: while more than LongestWait of it waits for a
 // resource, new jobs get half of that resource. They aren't all refused, since what waits
 // may be work that finds no room (gangs wider than the executors that are left) or that
-// earns nothing any more. When they were, 5 of 118 requests that were sent in two seconds
-// after a loss of power were served in time and 110 refused, while a quarter of the
-// executors' room stood free; 108 to 112 are served in time so (single plays).
+// earns nothing any more, while there is room for jobs that would begin at once.
 package admission
 
 import "time"
--- a/internal/assist/content.go
+++ b/internal/assist/content.go
@@ -21,12 +21,12 @@
 	contentTimeout = 2 * time.Second
 	// keptRecords and keptBytes bound what is kept for standbys that are
 	// behind, which otherwise read the store: what the leader clears up in
-	// one append, up to 2,000 jobs with four records each, and some seconds
-	// of other records (130 jobs a second make 600 of 300 bytes on average).
+	// one append, up to 2,000 jobs with four records each, and some seconds of
+	// other records.
 	keptRecords = 10_000
 	keptBytes   = 4 << 20
-	// sentRecords and sentBytes bound what one delivery brings: a link of 10
-	// Mbit/s takes 0.2 s for the latter, well within contentTimeout.
+	// sentRecords and sentBytes bound what one delivery brings, so that it arrives
+	// within contentTimeout on a thin link.
 	sentRecords = 2000
 	sentBytes   = 256 << 10
 )
--- a/internal/assist/demand.go
+++ b/internal/assist/demand.go
@@ -16,10 +16,9 @@
 	lengths // how many there are
 )
 
-// Bounds between the lengths, of the fixed part of a call. On the users' queues that
-// is 10 to 26, 73 to 182 and 510 to 637 ms; a call may delay another of its own
-// length, not a shorter one. How many executors a call names doesn't count, or the
-// calls of one queue would be of two lengths.
+// Bounds between the lengths, of the fixed part of a call: a call may delay another of
+// its own length, not a shorter one. How many executors a call names doesn't count, or
+// the calls of one queue would be of two lengths.
 const (
 	shortestUpTo = 40 * time.Millisecond
 	middlingUpTo = 200 * time.Millisecond
@@ -43,9 +42,7 @@
 
 // headroom is how many times the machines that its calls keep busy are dealt to a
 // length, where there are enough. Dealt by what each takes, all lengths wait alike
-// when calls are more than machines: checks whose calls take 50 ms waited 0.5 s for
-// their turn behind others of their length, since sweeps' calls of 1.5 s, of which
-// each that waits longer asks again, had most machines.
+// when calls are more than machines, which short work can't afford.
 var headroom = [lengths]float64{shortest: 2, middling: 1.5, long: 1}
 
 // demandHalf is the time after which the demand of the past counts half.
--- a/internal/assist/helpers.go
+++ b/internal/assist/helpers.go
@@ -19,7 +19,7 @@
 	// at least: one is answered while the next is on its way.
 	shortAtOnce = 2
 	// queueAhead is the expected time of calls under way up to which a machine
-	// is given more: the leader may be busy for some 20 ms when one ends.
+	// is given more, since the leader may be busy when one ends.
 	queueAhead = 60 * time.Millisecond
 	// attachedFor is how long an offer holds; machines repeat it every
 	// second (node.attachEvery).
@@ -213,8 +213,7 @@
 }
 
 // idlest returns the machine that could make one more call soonest, or nil if none
-// has time. The first that has time would get a second call while others have none:
-// checks of 40 ms were answered after 73 to 120 ms.
+// has time. The first that has time would get a second call while others have none.
 func idlest(machines []*helper, of length) *helper {
 	var best *helper
 	for _, m := range machines {
--- a/internal/assist/orders.go
+++ b/internal/assist/orders.go
@@ -16,9 +16,7 @@
 )
 
 // Orders to executors go by a machine of their data centre, the relay: starts of
-// one job share its specification on the leader's link. Of 90 executors in six data
-// centres, 110 starts a second took 70 KB a second of that link when the leader sent
-// each by itself, and take 29.
+// one job share its specification on the leader's link.
 
 // Timing of relayed orders.
 const (
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -33,16 +33,15 @@
 	// many, a leader of 97 machines and 540 executors used 0.42 of a core, of 0.8.
 	deliverAtMost = 2000
 	// deliverShare is the share of the leader's link for the deliveries of news,
-	// of which each takes about deliverBytes. What orders and reports take comes first:
-	// on a link of 2 Mbit/s with 90 executors these and appends are 0.5 of it.
+	// of which each takes about deliverBytes. What orders and reports take comes first.
 	deliverShare = 0.1
 	deliverBytes = 160
 	// deliverTimeout bounds a delivery.
 	deliverTimeout = 500 * time.Millisecond
 	// keptNews bounds the news kept for machines that are behind, which otherwise
-	// read the store: some 20 s of 130 jobs a second, each with four changes.
+	// read the store.
 	keptNews = 10_000
-	// sentNews bounds what one delivery brings: about 24 KB.
+	// sentNews bounds what one delivery brings.
 	sentNews = 2000
 	// chooseEvery is the time between two choices of standbys.
 	chooseEvery = 250 * time.Millisecond
--- a/internal/assist/standby.go
+++ b/internal/assist/standby.go
@@ -19,9 +19,7 @@
 
 const (
 	// standbys is how many machines, beside the leader, keep the content of all
-	// records. Of machines of which a sixth is lost at once, leader and all three
-	// are lost in one case of 1,300; then others read the store before they can
-	// lead, which took 0.4 to 2 s.
+	// records. Where all of them are lost, others read the store before they can lead.
 	standbys = 3
 	// steadiness is how many times as fit another machine must be to take the
 	// place of a standby that keeps the content already.
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -402,9 +402,8 @@
 	}
 }
 
-// keepAsking has calls for advice made while a cycle waits for the store,
-// which takes 0.2 s for an append when it is slow: machines whose calls were
-// answered meanwhile would have nothing to do.
+// keepAsking has calls for advice made while a cycle waits for the store: machines whose
+// calls were answered meanwhile would have nothing to do.
 func (r *Runner) keepAsking(ctx context.Context) {
 	ticker := time.NewTicker(askPace)
 	defer ticker.Stop()
--- a/internal/dispatch/tidy.go
+++ b/internal/dispatch/tidy.go
@@ -12,10 +12,7 @@
 )
 
 // tidy keeps small what a process reads when it starts: of jobs that ended it
-// leaves only the outcome, and of jobs that ended long ago nothing. After 110 s of
-// 130 jobs a second a process read 8.9 MB of whole records in 13 s on a link of
-// 10 Mbit/s; with outcomes it reads 1.2 MB in 2.2 s (35 machines after a loss of
-// power).
+// leaves only the outcome, and of jobs that ended long ago nothing.
 func (r *Runner) tidy(ctx context.Context) error {
 	now := time.Now()
 	ended := r.cfg.Replica.Ended(now, wholeFor, tidyAtOnce)
--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -18,9 +18,8 @@
 // epochs fence former ones.
 const producerName = "leader"
 
-// Bounds of one append's repeats. An append takes about 5 ms; its answer may
-// be lost, which only a timeout shows. While the store is slow, answers take
-// up to 60 times as long, so the timeout follows what the last ones took.
+// Bounds of one append's repeats. An answer may be lost, which only a timeout shows.
+// While the store is slow the timeout follows what the last answers took.
 const (
 	appendTimeout    = 120 * time.Millisecond // least
 	appendTimeoutMax = 600 * time.Millisecond // but for appendPatience: an outage may end at any moment
@@ -42,8 +41,7 @@
 }
 
 // newWriter returns the writer of a new leader. What its claim took tells what its first
-// append may take: without that it was given 120, 240 and 480 ms in turn at a store that
-// takes 355, and planning began 0.4 s later (TestFirstAppendOfALeaderAtASlowStore).
+// append may take, which at a slow store would else be given too little time at first.
 func newWriter(cfg Config) *writer {
 	w := &writer{log: cfg.Log, partition: cfg.Jobs, epoch: cfg.Self.Epoch, events: cfg.Events}
 	w.expect(cfg.Append)
@@ -136,15 +134,14 @@
 		took := time.Since(sent)
 		w.usual += time.Duration(usualShare * float64(took-w.usual))
 		// A store that has become slow would else be given too little time for
-		// the next append, which would be sent twice and take 0.2 s more.
+		// the next append, which would be sent twice.
 		w.expect(took)
 		w.noteSpeed()
 	}
 	return first, err
 }
 
-// slowAppend is the usual time of an append above which the store is logged
-// as slow; it is about 5 ms in calm times.
+// slowAppend is the usual time of an append above which the store is logged as slow.
 const slowAppend = 60 * time.Millisecond
 
 // noteSpeed logs when the store becomes slow and when it no longer is.
--- a/internal/leader/config.go
+++ b/internal/leader/config.go
@@ -30,12 +30,11 @@
 	LeaseRenewal time.Duration // after the last confirmed renewal, for which executors' leases are extended
 }
 
-// DefaultTiming returns the timing in use. A renewal takes about 5 ms at the
-// platform's store; two may be lost before the leader is given up. While the
-// store is slow, renewals come at longer gaps, and more silence is waited for.
-// The time for which leases are extended covers, with a lease, an outage of the store
-// of 7 s; the longest that the users name is 6.2 s. A machine that others
-// surpass leaves these the time to read of the end of a leader (Fresh) and claim.
+// DefaultTiming returns the timing in use. Two renewals may be lost before the leader is
+// given up. While the store is slow, renewals come at longer gaps, and more silence is
+// waited for. The time for which leases are extended covers, with a lease, an outage of
+// the store of 7 s. A machine that others surpass leaves these the time to read of the
+// end of a leader (Fresh) and claim.
 func DefaultTiming() Timing {
 	return Timing{
 		Renew:        250 * time.Millisecond,
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -271,10 +271,8 @@
 	e.cfg.Gained(epoch)
 }
 
-// found takes up an own claim that had no answer and that was read now. Thrown away,
-// as it was before, it cost another claim: 1.9 s until somebody led at a store that
-// takes 290 ms, for 1.1 s now (TestClaimAtAStoreThatHasBecomeSlow). A process that
-// could plan nothing by now gives it back.
+// found takes up an own claim that had no answer and that was read now; thrown away, it
+// would cost another one. A process that could plan nothing by now gives it back.
 func (e *Elector) found() {
 	standing := e.cfg.Standing()
 	e.mu.Lock()
--- a/internal/leader/standing.go
+++ b/internal/leader/standing.go
@@ -21,8 +21,7 @@
 
 // Processors with which a machine can lead.
 const (
-	// enoughProcessors leads a cell of 350 executors: that was measured to
-	// take 0.36 to 0.43 of a processor, and 0.08 at 48 executors.
+	// enoughProcessors leads a cell of some hundred executors.
 	enoughProcessors = 0.4
 	// muchBetter is how many times the processors another machine must have
 	// for leadership to wait for it, which costs part of a second.
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -165,7 +165,7 @@
 
 // assured takes in from the leader when its last confirmed renewal was sent and where
 // that ends in the partition. A process that was assured reads the record much later,
-// when it is no sign of life: as such it put a claim off by the whole silence, 0.5 s.
+// when it is no sign of life and mustn't put a claim off.
 func (s *State) assured(epoch api.Epoch, sent time.Time, upTo platform.Offset) {
 	if epoch == s.current.Epoch && sent.After(s.heard) {
 		s.heard = sent
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -88,10 +88,8 @@
 }
 
 // farBehind is for how long a machine may have missed what was written before it
-// counts as one that has read nothing: machines of a cell of 130 jobs a second took
-// in 180 to 380 KB a second, so it has up to 3.8 MB to read then, 3 s on a link of
-// 10 Mbit/s. A machine that follows the store or the
-// leader is behind for 1 s at most.
+// counts as one that has read nothing. A machine that follows the store or the leader
+// is behind for 1 s at most.
 const farBehind = 10 * time.Second
 
 // standing compares this machine with those that are known, as a leader.
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -118,9 +118,8 @@
 // syncLook is how often it is looked whether a delivery has come.
 const syncLook = 10 * time.Millisecond
 
-// unreadPatience is for how long a request waits at a process that still reads
-// the jobs, before its client is told to come back: the reading takes 0.4 s on a
-// fast link and 2 s on one of 10 Mbit/s, and retries reach other machines.
+// unreadPatience is for how long a request waits at a process that still reads the
+// jobs, before its client is told to come back: retries reach other machines.
 const unreadPatience = time.Second
 
 // sync returns when the replica holds everything that the store held when it
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -24,8 +24,7 @@
 	// time: with a grace of 6 s, also the 3 s that clients wait after the last
 	// connection was accepted.
 	lastAnswers = 500 * time.Millisecond
-	// lastSteps is kept of lastAnswers for the end of the loops, which took
-	// under 1 ms in 18 processes that ended under load.
+	// lastSteps is kept of lastAnswers for the end of the loops.
 	lastSteps = 150 * time.Millisecond
 	// The same as shares of the grace, where it is short.
 	serveOnShare     = 0.5
--- a/internal/plan/admit.go
+++ b/internal/plan/admit.go
@@ -123,8 +123,8 @@
 }
 
 // capacity returns the processors of all executors that may be given work, in
-// thousandths. A new leader counts on those that are yet to report: by the few that had
-// reported, what waited came to 51 s of room at first and to 8 s within the second.
+// thousandths. A new leader counts on those that are yet to report, or what waits would
+// seem to need many times the room that there is.
 func (c *Cell) capacity(now time.Time) float64 {
 	gathering := now.Sub(c.began) <= gatherFor
 	total := 0.0
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -257,9 +257,8 @@
 // executors.
 const (
 	lookEvery = 40 * time.Millisecond
-	// lookLate is that of steps that can't be in time any more. When more comes
-	// than there is room for, hundreds of them wait, and each takes 26 us a look at
-	// 540 executors.
+	// lookLate is that of steps that can't be in time any more: when more comes than
+	// there is room for, hundreds of them wait.
 	lookLate = 320 * time.Millisecond
 )
 
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -13,16 +13,15 @@
 // Bounds of how many executors a call for advice names.
 const (
 	// namingShare is the part of a call's fixed time that naming executors
-	// may take before it matters how many are named: on the users' queues
-	// that is 34 executors, for 1.5 times the fixed time.
+	// may take before it matters how many are named.
 	namingShare = 0.5
 	// roomMargin is how many times the room that a step needs the executors
 	// named should hold, by the share granted so far: others take some of it
 	// while the call is under way.
 	roomMargin = 1.5
-	// firstShare is the share granted that is expected of a queue that was
-	// not asked about yet. The users' queues grant 0.3 to 0.7; the least
-	// makes the first calls a little too long rather than useless.
+	// firstShare is the share granted that is expected of a queue that was not asked
+	// about yet. Too small a share makes the first calls a little too long, too large
+	// a one useless.
 	firstShare = 0.3
 	// grantedWeight is the weight of a new call in the moving mean of shares.
 	grantedWeight = 0.1
@@ -44,8 +43,7 @@
 }
 
 // outlook is how executors stand in one pass over the steps that wait: hundreds of
-// steps look at hundreds of executors. With 540 of each a pass took 52 ms, 95 us a
-// step, and all steps look 25 times a second.
+// steps look at hundreds of executors, 25 times a second.
 type outlook struct {
 	cell *Cell
 	now  time.Time
--- a/internal/plan/config.go
+++ b/internal/plan/config.go
@@ -39,8 +39,8 @@
 	// FailStreak is how many different jobs' tasks must fail in a row on an
 	// executor before it is avoided. It then gets one task at a time, after
 	// Avoid at first and after twice as long with each further failure, up
-	// to AvoidMost, until a task ends there as done. One task in thirty
-	// fails by itself on the users' queues, so two in a row are rare.
+	// to AvoidMost, until a task ends there as done. Few tasks fail by themselves,
+	// so two jobs' in a row are rare.
 	FailStreak int
 	Avoid      time.Duration
 	AvoidMost  time.Duration
--- /dev/null
+++ b/internal/plan/executors.go
@@ -0,0 +1,124 @@
+package plan
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+)
+
+// Executors takes in who is registered now.
+func (c *Cell) Executors(listed map[string]*fleet.Executor, now time.Time) {
+	c.pools = make(map[string]int)
+	for id, e := range listed {
+		v := c.vms[id]
+		if v == nil {
+			v = newVM(*e)
+			c.vms[id] = v
+			c.sorted = append(c.sorted, v)
+			c.lookAgain()
+		}
+		if !e.Capacity.Fits(v.Capacity) {
+			c.lookAgain()
+		}
+		v.register(*e, now)
+		c.pools[e.Service]++
+	}
+	for id, v := range c.vms {
+		if listed[id] == nil {
+			v.listed = false
+		}
+	}
+	sort.Slice(c.sorted, func(a, b int) bool { return c.sorted[a].Ref.ID < c.sorted[b].Ref.ID })
+	c.dropReplaced(now)
+}
+
+// dropReplaced lets go of executors whose address another life has taken. That
+// a record names the address is no proof, since it may be somebody else's: the
+// other life has to have answered there, and later.
+func (c *Cell) dropReplaced(now time.Time) {
+	var replaced []string
+	for _, v := range c.sorted {
+		if !v.listed && slices.ContainsFunc(c.sorted, v.isFollowedBy) {
+			replaced = append(replaced, v.Ref.ID)
+		}
+	}
+	for _, id := range replaced {
+		c.Gone(id, AddressTaken, now)
+	}
+}
+
+// Gone takes in that a life of an executor is over, and with it everything that ran
+// on it.
+func (c *Cell) Gone(id string, e Evidence, now time.Time) {
+	v := c.vms[id]
+	if v == nil {
+		return
+	}
+	c.logLost(v, e, now)
+	l := c.lossOf(v, e, now)
+	for _, cl := range v.youngestFirst() {
+		c.lose(cl, l)
+	}
+	for _, cl := range v.lapsed {
+		c.countLoss(cl, l)
+	}
+	if v.clearedFor != nil {
+		v.clearedFor.endClearing()
+	}
+	delete(c.vms, id)
+	for i, o := range c.sorted {
+		if o == v {
+			c.sorted = append(c.sorted[:i], c.sorted[i+1:]...)
+			break
+		}
+	}
+}
+
+// DropSilent lets go of the runs on executors whose lease is certainly over,
+// and of executors that are not registered and hold nothing.
+func (c *Cell) DropSilent(now time.Time) {
+	for _, v := range append([]*vm(nil), c.sorted...) {
+		if now.Sub(v.clockAt) < c.cfg.SilentAfter || !v.leaseOver(now, c.cfg.ClockDrift) {
+			continue
+		}
+		if !v.listed {
+			c.Gone(v.Ref.ID, Unregistered, now)
+			continue
+		}
+		for _, cl := range v.youngestFirst() {
+			c.events.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Info("lease is over without a report")
+			c.over(cl, platform.EndLapsed, "")
+			v.lapsed = append(v.lapsed, cl)
+		}
+		v.Ref.Address = v.address
+	}
+}
+
+// Refs returns the executors that should be called.
+func (c *Cell) Refs() []platform.ExecutorRef {
+	refs := make([]platform.ExecutorRef, 0, len(c.sorted))
+	for _, v := range c.sorted {
+		if c.calls(v) {
+			refs = append(refs, v.Ref)
+		}
+	}
+	return refs
+}
+
+// calls reports whether an executor should be called: it may run something, or
+// it is registered for a service that the configuration in force names. One that
+// has answered and isn't registered any more is called until it is silent, since
+// an order without an answer may be carried out there seconds later.
+func (c *Cell) calls(v *vm) bool {
+	late := v.known && !v.listed
+	return v.Ref.Address != "" && (len(v.claims) > 0 || late || c.serves(v))
+}
+
+// serves reports whether an executor is registered for a service that the
+// configuration in force names.
+func (c *Cell) serves(v *vm) bool { return v.listed && c.table.Serves(v.Service) }
--- a/internal/replica/entry.go
+++ b/internal/replica/entry.go
@@ -5,8 +5,7 @@
 //
 // A machine that may have to plan keeps the records' content. The others keep
 // what clients ask for, and are told no more (work.Summary): the content of all
-// records, sent by one leader to 96 machines, was 13 MB a second at 110 jobs a
-// second.
+// records would fill the leader's link where there are many machines.
 package replica
 
 import (
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -30,12 +30,10 @@
 // DefaultTiming returns the timing in use. The leader writes nearly all
 // records itself and delivers them to the other machines, which read the store
 // now and then for what others wrote while the leader could not be reached.
-// Without a leader a machine reads every 100 ms: the tightest latency
-// objective leaves 0.6 s beside the work. A read brings up to 512 KB, which takes
-// 0.5 s on a link of 10 Mbit/s that nothing else uses and 2 s where four transfers
-// share it. A longer CallMost would be lost on each call that a silent store
-// leaves unanswered. A page of the newest records holds up to 1 MB: 1.1 s on that
-// link by itself, 3.3 s where three transfers share it.
+// Without a leader a machine reads every 100 ms, since tight latency objectives leave
+// little time beside the work. A call may take as long as a read of 512 KB, or a page of
+// 1 MB, takes on a link of 10 Mbit/s that others share; a longer CallMost would be lost
+// on each call that a silent store leaves unanswered.
 func DefaultTiming() Timing {
 	return Timing{
 		Wait:     time.Second,
--- a/internal/storehealth/health.go
+++ b/internal/storehealth/health.go
@@ -13,8 +13,7 @@
 )
 
 // downAfter is how long the store may give no answer, while it is called,
-// before it counts as down. A store that is 60 times as slow as usual answers
-// within about 300 ms.
+// before it counts as down rather than slow.
 const downAfter = 700 * time.Millisecond
 
 // Log is a platform.PartitionLog that watches the one it calls.
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -41,10 +41,9 @@
 // Times of answers that are long for the link.
 const (
 	// StalledAfter is the silence after which an answer that is past its time is
-	// given up. While its bytes come it is read on: a configuration of 250 KB takes
-	// 1 s of a link of 2 Mbit/s, and longer where others share it. Given up at a fixed
-	// time and asked for again, it came into force after 30 s on one machine and
-	// on others never.
+	// given up. While its bytes come it is read on: given up at a fixed time and asked
+	// for again, an answer that is long for the link might never arrive, and would fill
+	// the link meanwhile.
 	StalledAfter = 400 * time.Millisecond
 	// ArrivingMost bounds for how long an answer is read on past its time.
 	ArrivingMost = 10 * time.Second
--- a/internal/work/packed.go
+++ b/internal/work/packed.go
@@ -6,9 +6,8 @@
 )
 
 // packedProgress is the stored form of Progress. A step's tasks are columns, of
-// which those that say nothing are left out: a step of 16 tasks on 8 executors
-// takes 159 bytes, and 202 with a list for each task. A record is written at each
-// start and each end of a job's tasks.
+// which those that say nothing are left out: a record is written at each start and
+// each end of a job's tasks.
 type packedProgress struct {
 	_           struct{} `cbor:",toarray"`
 	State       State
