Executors are kept for suspected tasks for a bounded time only

Cause: an executor that is kept for a step stayed kept if the step never starts (its queue removed, its tickets denied), and one that runs a suspected task of a former leader stayed closed for as long as that runs, since when it was ordered isn't known. Change: what is kept is kept for 2 s beyond the time in which it should have been cleared; a run that a former leader ordered counts from its first report. Ruled out: counting it from the takeover, which says nothing of the run. Conclusion: fixed.

--- a/internal/plan/suspect.go
+++ b/internal/plan/suspect.go
@@ -113,10 +113,21 @@
 // closedTo reports whether an executor is kept for a suspected task of another step, or has
 // one that should be alone.
 func (v *vm) closedTo(s *step, now time.Time) bool {
-	if v.suspect != nil && (v.suspect.ordered.IsZero() || now.Sub(v.suspect.ordered) < aloneFor) {
+	if v.suspect != nil && v.suspect.keepsAlone(now) {
 		return true
 	}
-	return v.clearedFor != nil && v.clearedFor != s
+	// The step may never start, as when its queue is removed.
+	return v.clearedFor != nil && v.clearedFor != s && now.Before(v.clearedFor.clearing.until.Add(clearsWithin))
+}
+
+// keepsAlone reports whether a suspected run, or one that is about to begin, keeps others
+// off its executor.
+func (cl *claim) keepsAlone(now time.Time) bool {
+	began := cl.ordered
+	if began.IsZero() {
+		began = cl.since // a former leader ordered it
+	}
+	return began.IsZero() || now.Sub(began) < aloneFor
 }
 
 // suspectOf returns a suspected task among those of a step that wait; nil: there is none.
