--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -152,3 +153,41 @@
 	g.faults.Readable(r.Key)
 	return e
 }
+
+// followRegistry keeps the cell's list of executors up to date.
+func (r *Runner) followRegistry(ctx context.Context) {
+	g := newRegistry(r.cfg.Log, r.cfg.Registry, r.cfg.Decode, r.cfg.Events)
+	for ctx.Err() == nil {
+		changed, err := g.refresh(ctx)
+		if err != nil {
+			r.cfg.Events.WithError(err).Debug("executors not read")
+		}
+		if err == nil && changed {
+			r.mu.Lock()
+			r.cell.Executors(g.listed, time.Now())
+			unaddressed := r.cell.Unaddressed()
+			r.mu.Unlock()
+			r.Wake()
+			r.recall(ctx, g, unaddressed)
+		}
+		pause.For(ctx, registryPace)
+	}
+}
+
+// recall tells the cell where executors were that run something by a former leader's word
+// and aren't registered any more.
+func (r *Runner) recall(ctx context.Context, g *registry, ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	found, err := g.former(ctx, ids)
+	if err != nil {
+		r.cfg.Events.WithError(err).Info("history of the registry not read: executors that are gone are waited for until their leases are over")
+	}
+	r.mu.Lock()
+	for _, e := range found {
+		r.cell.Recall(*e, time.Now())
+	}
+	r.mu.Unlock()
+	r.Wake()
+}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -118,87 +118,6 @@
 	return r.cycles(ctx)
 }
 
-// begin fences the former leader and takes over what it knew.
-func (r *Runner) begin(ctx context.Context) error {
-	began := time.Now()
-	if err := r.readFenced(ctx); err != nil {
-		return r.failed(err)
-	}
-	r.mu.Lock()
-	r.cell = plan.NewCell(r.cfg.Plan, r.lookup, r.cfg.Events, time.Now())
-	r.cell.Configure(r.cfg.Table())
-	r.mu.Unlock()
-	if !r.cfg.Replica.Follow(r.changed) {
-		return errNotWhole
-	}
-	r.publish(ctx)
-	r.cfg.Events.WithField("took_ms", time.Since(began).Milliseconds()).Info("this process begins to plan for the cell")
-	return ctx.Err()
-}
-
-// readFenced returns when former leaders are fenced and all that they wrote is read. It is
-// read while the fence is under way, which takes as long at a slow store, and again only
-// where something was written meanwhile.
-func (r *Runner) readFenced(ctx context.Context) error {
-	reading, cancel := context.WithCancel(ctx)
-	defer cancel()
-	read := make(chan struct{})
-	r.spawn(func() {
-		defer close(read)
-		r.readAll(reading)
-	})
-	end, err := r.writer.fence(ctx)
-	if err != nil {
-		return err
-	}
-	<-read
-	if r.cfg.Replica.Position() < end {
-		r.readAll(ctx)
-	}
-	return nil
-}
-
-// readAll returns when everything is read that the store held at the call, or ctx has
-// ended.
-func (r *Runner) readAll(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := r.cfg.Reader.Sync(ctx)
-		if err == nil {
-			return
-		}
-		r.cfg.Events.WithError(err).Debug("jobs not read yet")
-		pause.For(ctx, appendRetry)
-	}
-}
-
-// errNotWhole: the content of records was dropped between this process's claim and
-// now, on the word of another leader.
-var errNotWhole = errors.New("dispatch: the jobs' records aren't kept here")
-
-// publish begins to deliver what the replica applies to the other machines.
-func (r *Runner) publish(ctx context.Context) {
-	var publisher *assist.Publisher
-	ready := make(chan struct{})
-	from := r.cfg.Replica.Publish(func(a replica.Applied) {
-		<-ready
-		publisher.Add(a)
-	})
-	publisher = assist.NewPublisher(assist.PublisherConfig{
-		Self:       r.cfg.Self,
-		DataCentre: r.cfg.Centre,
-		Link:       r.cfg.Link,
-		Helpers:    r.cfg.Helpers,
-		Caller:     r.cfg.Caller,
-		Bulk:       r.cfg.Bulk,
-		CutOff:     r.cfg.CutOff,
-		Renewed:    r.cfg.Renewed,
-		Replaced:   r.cfg.HeardOf,
-		Events:     r.cfg.Events,
-	}, from)
-	close(ready)
-	r.spawn(func() { publisher.Run(ctx) })
-}
-
 // end lets go of the replica and of what was handed in.
 func (r *Runner) end() {
 	r.cfg.Replica.Publish(nil)
@@ -342,44 +261,6 @@
 	}
 }
 
-// followRegistry keeps the cell's list of executors up to date.
-func (r *Runner) followRegistry(ctx context.Context) {
-	g := newRegistry(r.cfg.Log, r.cfg.Registry, r.cfg.Decode, r.cfg.Events)
-	for ctx.Err() == nil {
-		changed, err := g.refresh(ctx)
-		if err != nil {
-			r.cfg.Events.WithError(err).Debug("executors not read")
-		}
-		if err == nil && changed {
-			r.mu.Lock()
-			r.cell.Executors(g.listed, time.Now())
-			unaddressed := r.cell.Unaddressed()
-			r.mu.Unlock()
-			r.Wake()
-			r.recall(ctx, g, unaddressed)
-		}
-		pause.For(ctx, registryPace)
-	}
-}
-
-// recall tells the cell where executors were that run something by a former leader's word
-// and aren't registered any more.
-func (r *Runner) recall(ctx context.Context, g *registry, ids []string) {
-	if len(ids) == 0 {
-		return
-	}
-	found, err := g.former(ctx, ids)
-	if err != nil {
-		r.cfg.Events.WithError(err).Info("history of the registry not read: executors that are gone are waited for until their leases are over")
-	}
-	r.mu.Lock()
-	for _, e := range found {
-		r.cell.Recall(*e, time.Now())
-	}
-	r.mu.Unlock()
-	r.Wake()
-}
-
 // keepAttending sends stops and keeps a hold loop for each executor. Neither
 // needs anything durable, so both go on while a cycle waits for the store: a
 // run of a cancelled job would go on for as long as the store takes no appends.
