Suspects, isolation and canaries by the field's names; a crash with which canaries begin blames nobody

Cause: the third executor lost under a step put it on trial and, in the same breath, the lower bound of trials was asked of the task that lost it. Names (trial, convict, acquit) were metaphors of our own. Evidence: TestCrashWithWhichCanariesBeginBlamesNobody. Ruled out: counting canaries by takeovers; nothing else was touched. Conclusion: a healthy job loses nothing by chance crashes of executors that it has alone.

--- a/internal/plan/trial_test.go
+++ b/internal/plan/canary_test.go
@@ -68,9 +68,27 @@
 	for ; took < 30*time.Second && p.state(j.ID) != work.Completed; took += time.Second {
 		p.runFor(time.Second)
 	}
-	// The lost runs are known to be lost after some 3 s; the trial and the other tasks take
+	// The lost runs are known to be lost after some 3 s; the canary and the other tasks take
 	// a run's time each.
 	if most := 7 * time.Second; took > most {
 		t.Errorf("the job has ended after %v, want %v at most", took, most)
 	}
 }
+
+// Under a job that has its executors for itself three crash by chance, the third under a
+// task that has lost one before.
+func TestCrashWithWhichCanariesBeginBlamesNobody(t *testing.T) {
+	w := newWorld(t, 3)
+	j := w.job(1, testQueue, work.Step{Tasks: 3, Need: cpus(30), Estimate: time.Minute})
+	w.startAll(w.cycle())
+	tasks := w.cell.jobs[j.ID].running[0].steps[0].tasks
+	tasks[2].losses.crashes = 1
+	for _, task := range tasks {
+		w.pass(time.Second)
+		w.reportAll()
+		w.cell.Gone(task.vm, OtherLife, w.now)
+	}
+	if state := w.cell.jobs[j.ID]; state == nil {
+		t.Error("the job is given up")
+	}
+}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -125,7 +125,7 @@
 	age := time.Duration(max(0, wall-spec.Accepted)) * time.Millisecond
 	j := &job{spec: spec, arrived: now.Add(-min(age, longestAge))}
 	c.jobs[spec.ID] = j
-	c.tryImages(j, now)
+	c.useCanaries(j, now)
 	if p != nil {
 		c.restore(j, p, now)
 	}
@@ -257,7 +257,7 @@
 	s.ready = false
 	c.unpromise(s)
 	c.release(s)
-	s.endClearing()
+	s.endIsolation()
 	for _, t := range s.tasks {
 		if t.claims > 0 {
 			c.unwant(t)
--- a/internal/plan/crash_test.go
+++ b/internal/plan/crash_test.go
@@ -157,7 +157,7 @@
 	p := newCrashPlay(t, 4, func(work.TaskKey) behaviour { return behaviour{takes: time.Hour} })
 	j := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(2), Estimate: time.Second, LongRunning: true})
 	for range 8 {
-		p.runFor(provenAfter + 2*time.Second)
+		p.runFor(forgetAfter + 2*time.Second)
 		p.crash(p.cell.jobs[j.ID].running[0].steps[0].tasks[0].vm)
 		p.runFor(5 * time.Second)
 	}
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -61,14 +61,18 @@
 	}
 	c.logLost(v, e, now)
 	l := c.lossOf(v, e, now)
-	for _, cl := range v.youngestFirst() {
+	runs := v.youngestFirst()
+	for _, cl := range runs {
 		c.lose(cl, l)
 	}
 	for _, cl := range v.lapsed {
 		c.countLoss(cl, l)
 	}
-	if v.clearedFor != nil {
-		v.clearedFor.endClearing()
+	for _, cl := range slices.Concat(runs, v.lapsed) { // canaries begin after a crash, not with it
+		c.countForStep(cl, l)
+	}
+	if v.isolatedFor != nil {
+		v.isolatedFor.endIsolation()
 	}
 	delete(c.vms, id)
 	for i, o := range c.sorted {
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -17,15 +17,15 @@
 	spec        *work.Job
 	arrived     time.Time
 	state       work.State
-	next        int            // occurrence that is due next
-	finished    int            // occurrences numbered below this have ended
-	ended       map[int]bool   // further occurrences that have ended
-	running     []*occurrence  // that have begun and not ended, by number
-	dirty       bool           // the durable record is behind
-	toldRunning bool           // the durable record says that the job runs
-	advised     time.Time      // when executors were first granted
-	started     time.Time      // when an executor first confirmed a start
-	trials      map[int]*trial // by step; what was lost under its tasks
+	next        int             // occurrence that is due next
+	finished    int             // occurrences numbered below this have ended
+	ended       map[int]bool    // further occurrences that have ended
+	running     []*occurrence   // that have begun and not ended, by number
+	dirty       bool            // the durable record is behind
+	toldRunning bool            // the durable record says that the job runs
+	advised     time.Time       // when executors were first granted
+	started     time.Time       // when an executor first confirmed a start
+	canaries    map[int]*canary // by step; what was lost under its tasks
 }
 
 // occurrence is one run of a job's steps.
@@ -38,23 +38,23 @@
 
 // step is one step of an occurrence.
 type step struct {
-	job      *job
-	occ      *occurrence
-	index    int
-	spec     *work.Step
-	tasks    []*task
-	done     int
-	fails    int    // runs of the gang that failed
-	failed   uint32 // newest of them
-	ready    bool
-	advice   advice
-	left     time.Duration // longest chain of estimated run times from this step on
-	waiting  bool          // is in the cell's list of steps with tasks to place
-	stands   standing      // as of the newest order
-	gathered gathering
-	clearing clearing
-	refusals int       // of starts in a row, for what the order says
-	retryAt  time.Time // not before this is a start tried again
+	job       *job
+	occ       *occurrence
+	index     int
+	spec      *work.Step
+	tasks     []*task
+	done      int
+	fails     int    // runs of the gang that failed
+	failed    uint32 // newest of them
+	ready     bool
+	advice    advice
+	left      time.Duration // longest chain of estimated run times from this step on
+	waiting   bool          // is in the cell's list of steps with tasks to place
+	stands    standing      // as of the newest order
+	gathered  gathering
+	isolation isolation
+	refusals  int       // of starts in a row, for what the order says
+	retryAt   time.Time // not before this is a start tried again
 }
 
 // task is one task of a step.
@@ -98,8 +98,8 @@
 			return nil
 		}
 	}
-	if s.onTrial() {
-		return s.tried(waiting)
+	if s.inCanary() {
+		return s.nextCanary(waiting)
 	}
 	return waiting
 }
--- a/internal/plan/losses.go
+++ b/internal/plan/losses.go
@@ -18,10 +18,10 @@
 	// mostLosses is how many runs of a task may be lost with their executors. The
 	// platform allows two more starts after three executors have crashed under a task.
 	mostLosses = 5
-	// provenAfter is for how long a run of a task that lasts has to have been at work for
+	// forgetAfter is for how long a run of a task that lasts has to have been at work for
 	// earlier losses to be forgotten: in its life a service sees executors crash that
 	// it hasn't harmed.
-	provenAfter = time.Minute
+	forgetAfter = time.Minute
 )
 
 // losses counts the runs of a task that were lost with their executors.
@@ -39,12 +39,12 @@
 
 // loss is what is known of the end of an executor's life.
 type loss struct {
-	executor string
-	since    time.Time // of its first sign of silence
-	evidence Evidence
-	left     bool // the executor had said that it leaves
-	only     *job // to which all runs there belonged; nil: there were several, or that isn't known
-	together bool // another executor fell silent at about the same time
+	executor   string
+	since      time.Time // of its first sign of silence
+	evidence   Evidence
+	left       bool // the executor had said that it leaves
+	only       *job // to which all runs there belonged; nil: there were several, or that isn't known
+	correlated bool // another executor fell silent at about the same time
 }
 
 // lose ends a run that was lost with its executor, and the job if its task has lost too
@@ -54,13 +54,13 @@
 	c.countLoss(cl, l)
 }
 
-// countLoss counts a lost run for its task. A run that certainly hasn't begun, or whose
-// executor has left as it said, doesn't count.
+// countLoss counts a lost run for its task, unless that certainly hasn't begun or its
+// executor has left as it said.
 func (c *Cell) countLoss(cl *claim, l loss) {
-	t := cl.task
-	if t == nil || l.left || cl.state == planned || t.phase == work.Done || t.step.job.state.Final() {
+	if !l.counts(cl) {
 		return
 	}
+	t := cl.task
 	if l.evidence != Unregistered && (cl.state == atWork || cl.state == stopping) {
 		t.losses.crashes++
 	} else {
@@ -68,18 +68,23 @@
 	}
 	t.lostOn = l.executor
 	c.mark(t.step.job)
-	c.tryStep(cl, l)
-	if t.losses.all() >= mostLosses || t.convicts(l) {
-		c.giveUp(cl, l)
+	if t.losses.all() >= mostLosses || t.blames(l) {
+		c.failCrashing(cl, l)
 	}
 }
 
-// giveUp ends the job of a task under which too many executors were lost.
-func (c *Cell) giveUp(cl *claim, l loss) {
+// counts reports whether a run that was lost counts for its task.
+func (l loss) counts(cl *claim) bool {
+	t := cl.task
+	return t != nil && !l.left && cl.state != planned && t.phase != work.Done && !t.step.job.state.Final()
+}
+
+// failCrashing ends the job of a task under which too many executors were lost.
+func (c *Cell) failCrashing(cl *claim, l loss) {
 	t := cl.task
 	c.events.WithFields(logrus.Fields{
 		"job": t.step.job.spec.ID, "task": t.key(), "run": cl.run.Number, "executor": l.executor,
-		"crashes": t.losses.crashes, "unproved": t.losses.unproved, "alone": l.only != nil, "together": l.together,
+		"crashes": t.losses.crashes, "unproved": t.losses.unproved, "alone": l.only != nil, "correlated": l.correlated,
 	}).Warn("job is given up: executors were lost under one of its tasks again and again")
 	if image := t.step.spec.Image; image != "" {
 		c.images[image] = c.now
@@ -87,10 +92,10 @@
 	c.end(t.step.job, work.Failed)
 }
 
-// prove forgets the losses of a task that lasts once a run of it has been at work for long.
-func (c *Cell) prove(cl *claim, now time.Time) {
+// forgetLosses forgets the losses of a task that lasts once a run of it has been at work for long.
+func (c *Cell) forgetLosses(cl *claim, now time.Time) {
 	t := cl.task
-	if t.losses == (losses{}) || !t.step.spec.LongRunning || now.Sub(cl.since) < provenAfter {
+	if t.losses == (losses{}) || !t.step.spec.LongRunning || now.Sub(cl.since) < forgetAfter {
 		return
 	}
 	t.losses = losses{}
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -41,9 +41,9 @@
 			continue
 		}
 		if suspectOf(tasks) != nil {
-			c.clearFor(s, q, now)
+			c.isolate(s, q, now)
 		} else {
-			s.endClearing()
+			s.endIsolation()
 		}
 		gathers := c.gathers(s, now)
 		placed := c.placeStep(s, q, tasks, &held, now)
@@ -53,7 +53,7 @@
 		if len(placed) == len(tasks) {
 			c.unpromise(s)
 			c.release(s)
-			s.endClearing()
+			s.endIsolation()
 		}
 		for _, p := range placed {
 			starts = append(starts, c.take(p, q, now))
@@ -188,9 +188,9 @@
 		if v == t.failedAt {
 			score += failedWeight
 		}
-		score += companionWeight * float64(v.companions(t))
+		score += lostWithWeight * float64(v.lostWith(t))
 		if t.suspected() {
-			score += companionWeight * float64(len(v.claims)+room.count[v])
+			score += lostWithWeight * float64(len(v.claims)+room.count[v])
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = v, score
@@ -201,9 +201,9 @@
 
 // Weights of the score: a share of the executor left over counts 1.
 const (
-	failedWeight    = 4.0 // where the task has just failed; any other executor is tried first
-	companionWeight = 4.0 // for each run there that may crash the executor, or that the task may take with it
-	slowWeight      = 1.0 // for each time that the executor is slower than the fleet
+	failedWeight   = 4.0 // where the task has just failed; any other executor is tried first
+	lostWithWeight = 4.0 // for each run there that may crash the executor, or that the task may take with it
+	slowWeight     = 1.0 // for each time that the executor is slower than the fleet
 )
 
 // score says how badly the executor fits; left is the room that would remain.
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -78,7 +78,7 @@
 			c.hasBegun(cl.task.step.job, c.now)
 		}
 		c.judge(cl, e.How)
-		c.judgeStep(cl, e.How)
+		c.judgeEndedCanary(cl, e.How)
 		c.over(cl, e.How, e.Checkpoint)
 	}
 	return news
@@ -131,8 +131,8 @@
 			cl.task.checkpoint = row.Checkpoint
 		}
 		if cl.task != nil {
-			c.prove(cl, now)
-			c.acquitRunning(cl, now)
+			c.forgetLosses(cl, now)
+			c.judgeRunningCanary(cl, now)
 		}
 		cl.progress.note(row.Percent, r.Clock, cl.since, cl.resumed, now)
 		c.learnFromRunning(cl, now)
@@ -308,7 +308,7 @@
 	s.ready = false
 	c.unpromise(s)
 	c.release(s)
-	s.endClearing()
+	s.endIsolation()
 	o.left--
 	if o.left > 0 {
 		c.offer(o)
--- a/internal/plan/suspect.go
+++ b/internal/plan/suspect.go
@@ -18,54 +18,54 @@
 	// and how many of its runs have to be lost in all, for it to be suspected.
 	suspectCrashes = 2
 	suspectLosses  = 3
-	// convictCrashes is how many executors have to have crashed under a task for a crash
-	// while nothing but its job was there to end the job; convictOnTrial is that while the
-	// step is on trial.
-	convictCrashes = 3
-	convictOnTrial = 2
-	// togetherWithin is the time within which so many other executors have to fall silent
-	// (togetherOthers) for one cause to be assumed that is no task: a rack, a data
+	// crashesToBlame is how many executors have to have crashed under a task for a crash
+	// while nothing but its job was there to end the job; crashesToBlameCanary is that
+	// of a step that starts one task at a time.
+	crashesToBlame       = 3
+	crashesToBlameCanary = 2
+	// correlatedWithin is the time within which so many other executors have to fall silent
+	// (correlatedOthers) for one cause to be assumed that is no task: a rack, a data
 	// centre, an operator.
-	togetherWithin = 500 * time.Millisecond
-	togetherOthers = 2
-	// clearsWithin is for how long an executor is kept from other work until a suspected
+	correlatedWithin = 500 * time.Millisecond
+	correlatedOthers = 2
+	// isolateWithin is for how long an executor is kept from other work until a suspected
 	// task can start alone there. After that it starts with what is left beside it.
-	clearsWithin = 2 * time.Second
-	// aloneFor is for how long a suspected run keeps others off its executor.
-	aloneFor = 10 * time.Second
-	// clearedShare bounds the executors that are kept for suspected tasks at a time: one
+	isolateWithin = 2 * time.Second
+	// isolatedTime is for how long a suspected run keeps others off its executor.
+	isolatedTime = 10 * time.Second
+	// isolatedShare bounds the executors that are kept for suspected tasks at a time: one
 	// in so many.
-	clearedShare = 8
+	isolatedShare = 8
 )
 
 // suspected reports whether a task may be what crashes its executors.
 func (t *task) suspected() bool {
-	return t.losses.crashes >= suspectCrashes || t.losses.all() >= suspectLosses || t.step.onTrial()
+	return t.losses.crashes >= suspectCrashes || t.losses.all() >= suspectLosses || t.step.inCanary()
 }
 
-// convicts reports whether the crash of an executor shows that a task is to blame for it.
-func (t *task) convicts(l loss) bool {
-	need := convictCrashes
-	if t.step.onTrial() {
-		need = convictOnTrial
+// blames reports whether the crash of an executor shows that a task is to blame for it.
+func (t *task) blames(l loss) bool {
+	need := crashesToBlame
+	if t.step.inCanary() {
+		need = crashesToBlameCanary
 	}
-	return l.evidence != Unregistered && l.only == t.step.job && !l.together && t.losses.crashes >= need
+	return l.evidence != Unregistered && l.only == t.step.job && !l.correlated && t.losses.crashes >= need
 }
 
 // lossOf returns what is known of the end of an executor's life.
 func (c *Cell) lossOf(v *vm, e Evidence, now time.Time) loss {
 	_, left := v.leaves(now)
-	l := loss{executor: v.Ref.ID, since: v.lastSign(), evidence: e, left: left, together: c.fellTogether(v)}
+	l := loss{executor: v.Ref.ID, since: v.lastSign(), evidence: e, left: left, correlated: c.silentTogether(v)}
 	if !v.clockAt.IsZero() { // else it isn't known what ran there
-		l.only = v.onlyJob()
+		l.only = v.soleJob()
 	}
 	c.noteSilence(v.lastSign())
 	return l
 }
 
-// onlyJob returns the job to which all runs on the executor belong that may have begun;
+// soleJob returns the job to which all runs on the executor belong that may have begun;
 // nil: there are several, or none.
-func (v *vm) onlyJob() *job {
+func (v *vm) soleJob() *job {
 	var only *job
 	for _, cl := range v.claims {
 		switch {
@@ -85,11 +85,11 @@
 	c.silences = append(c.silences, at)
 }
 
-// fellTogether reports whether other executors fell silent at about the same time.
-func (c *Cell) fellTogether(v *vm) bool {
+// silentTogether reports whether other executors fell silent at about the same time.
+func (c *Cell) silentTogether(v *vm) bool {
 	at, others := v.lastSign(), 0
 	count := func(o time.Time) {
-		if at.Sub(o).Abs() <= togetherWithin {
+		if at.Sub(o).Abs() <= correlatedWithin {
 			others++
 		}
 	}
@@ -101,11 +101,11 @@
 			count(o.silentFrom)
 		}
 	}
-	return others >= togetherOthers
+	return others >= correlatedOthers
 }
 
-// clearing is an executor that is kept from other work for a suspected task.
-type clearing struct {
+// isolation is an executor that is kept from other work for a suspected task.
+type isolation struct {
 	vm    *vm
 	until time.Time
 }
@@ -113,21 +113,21 @@
 // closedTo reports whether an executor is kept for a suspected task of another step, or has
 // one that should be alone.
 func (v *vm) closedTo(s *step, now time.Time) bool {
-	if v.suspect != nil && v.suspect.keepsAlone(now) {
+	if v.suspect != nil && v.suspect.isolates(now) {
 		return true
 	}
 	// The step may never start, as when its queue is removed.
-	return v.clearedFor != nil && v.clearedFor != s && now.Before(v.clearedFor.clearing.until.Add(clearsWithin))
+	return v.isolatedFor != nil && v.isolatedFor != s && now.Before(v.isolatedFor.isolation.until.Add(isolateWithin))
 }
 
-// keepsAlone reports whether a suspected run, or one that is about to begin, keeps others
+// isolates reports whether a suspected run, or one that is about to begin, keeps others
 // off its executor.
-func (cl *claim) keepsAlone(now time.Time) bool {
+func (cl *claim) isolates(now time.Time) bool {
 	began := cl.ordered
 	if began.IsZero() {
 		began = cl.since // a former leader ordered it
 	}
-	return began.IsZero() || now.Sub(began) < aloneFor
+	return began.IsZero() || now.Sub(began) < isolatedTime
 }
 
 // suspectOf returns a suspected task among those of a step that wait; nil: there is none.
@@ -140,63 +140,63 @@
 	return nil
 }
 
-// clearFor keeps an executor for a suspected task of a step that waits: of those that may
+// isolate keeps an executor for a suspected task of a step that waits: of those that may
 // run it, the one on which least will be left when it starts.
-func (c *Cell) clearFor(s *step, q *queue.Queue, now time.Time) {
-	if s.clearing.vm != nil || !s.clearing.until.IsZero() {
+func (c *Cell) isolate(s *step, q *queue.Queue, now time.Time) {
+	if s.isolation.vm != nil || !s.isolation.until.IsZero() {
 		return
 	}
-	s.clearing.until = now.Add(clearsWithin)
+	s.isolation.until = now.Add(isolateWithin)
 	kept, usable := 0, 0
 	for _, v := range c.sorted {
-		if v.clearedFor != nil || v.suspect != nil {
+		if v.isolatedFor != nil || v.suspect != nil {
 			kept++
 		}
 		if v.usable(now, &c.cfg) {
 			usable++
 		}
 	}
-	if kept >= max(1, usable/clearedShare) {
+	if kept >= max(1, usable/isolatedShare) {
 		return
 	}
 	least := 0
 	for _, v := range c.mayRunOn(s, q) {
-		if v.clearedFor != nil || !c.suits(s, q, v, now) || fits(v.Capacity, s.spec.Need) == 0 {
+		if v.isolatedFor != nil || !c.suits(s, q, v, now) || fits(v.Capacity, s.spec.Need) == 0 {
 			continue
 		}
 		left := 0
 		for _, cl := range v.claims {
-			if cl.endsFrom(now).After(s.clearing.until) {
+			if cl.endsFrom(now).After(s.isolation.until) {
 				left++
 			}
 		}
-		if s.clearing.vm == nil || left < least {
-			s.clearing.vm, least = v, left
+		if s.isolation.vm == nil || left < least {
+			s.isolation.vm, least = v, left
 		}
 	}
-	if v := s.clearing.vm; v != nil {
-		v.clearedFor = s
+	if v := s.isolation.vm; v != nil {
+		v.isolatedFor = s
 		c.events.WithFields(logrus.Fields{"step": s.key(), "executor": v.Ref.ID, "runs": len(v.claims), "stay": least}).Info("executor is kept for a task that may crash it")
 	}
 }
 
-// endClearing gives up the executor that is kept for a step.
-func (s *step) endClearing() {
-	if v := s.clearing.vm; v != nil {
-		v.clearedFor = nil
+// endIsolation gives up the executor that is kept for a step.
+func (s *step) endIsolation() {
+	if v := s.isolation.vm; v != nil {
+		v.isolatedFor = nil
 	}
-	s.clearing = clearing{}
+	s.isolation = isolation{}
 }
 
 // alone reports whether an executor runs nothing, or a suspected task has waited for that
 // for long enough.
 func (s *step) alone(v *vm, room *roomView, now time.Time) bool {
-	return len(v.claims) == 0 && room.count[v] == 0 || !now.Before(s.clearing.until)
+	return len(v.claims) == 0 && room.count[v] == 0 || !now.Before(s.isolation.until)
 }
 
-// companions returns how many runs on an executor belong to tasks that were lost together
+// lostWith returns how many runs on an executor belong to tasks that were lost together
 // with a task.
-func (v *vm) companions(t *task) int {
+func (v *vm) lostWith(t *task) int {
 	if t.lostOn == "" {
 		return 0
 	}
--- a/internal/plan/suspect_test.go
+++ b/internal/plan/suspect_test.go
@@ -50,7 +50,7 @@
 		w.reportAll()
 	}
 	if orders := w.cycle(); len(orders) != 1 {
-		t.Errorf("%d starts beside a suspected run that has been at work for %v", len(orders), aloneFor)
+		t.Errorf("%d starts beside a suspected run that has been at work for %v", len(orders), isolatedTime)
 	}
 }
 
@@ -62,7 +62,7 @@
 	w.job(2, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Second})
 	s := w.suspect(work.ID{2})
 	w.cycle()
-	kept := s.clearing.vm
+	kept := s.isolation.vm
 	if kept == nil {
 		t.Fatal("no executor is kept")
 	}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -50,17 +50,17 @@
 	draining time.Time // when it was first read as leaving; zero: it wasn't
 	ready    time.Time // since when its records say that it is ready after all
 
-	known      bool                   // it has reported to this leader
-	clock      platform.ExecutorClock // at its newest report
-	clockAt    time.Time              // when that report arrived; zero: never
-	silentFrom time.Time              // when a hold first had no answer since that report
-	lease      platform.ExecutorClock // latest end of lease that was sent
-	seen       uint64                 // ends up to here are durable
-	taken      uint64                 // ends up to here were applied
-	lapses     time.Time              // when an inherited lease is certainly over
-	suspect    *claim                 // a suspected task's, which should be alone
-	clearedFor *step                  // kept from other work until a suspected task of it starts here
-	lapsed     []*claim               // runs that were over with the lease, while it isn't known whether its life is
+	known       bool                   // it has reported to this leader
+	clock       platform.ExecutorClock // at its newest report
+	clockAt     time.Time              // when that report arrived; zero: never
+	silentFrom  time.Time              // when a hold first had no answer since that report
+	lease       platform.ExecutorClock // latest end of lease that was sent
+	seen        uint64                 // ends up to here are durable
+	taken       uint64                 // ends up to here were applied
+	lapses      time.Time              // when an inherited lease is certainly over
+	suspect     *claim                 // a suspected task's, which should be alone
+	isolatedFor *step                  // kept from other work until a suspected task of it starts here
+	lapsed      []*claim               // runs that were over with the lease, while it isn't known whether its life is
 
 	failJobs   map[*job]struct{} // whose tasks failed in a row
 	avoidUntil time.Time
