skylarkctl story and tally: from the lines of all machines to a job's cause

Change: internal/logread reads lines, puts those of several machines in an order that contradicts no cause they tell (clocks differ and jump), tells one job's story with the line that decided it, and counts all jobs by outcome and cause; two subcommands. Ruled out: sorting by time of day alone; leaders' epochs tell which line came first.

--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -23,6 +23,8 @@
 		ctl.Standin(os.Stdout),
 		ctl.Load(os.Stdout),
 		ctl.Capacity(os.Stdout),
+		ctl.Story(os.Stdin, os.Stdout),
+		ctl.Tally(os.Stdin, os.Stdout),
 		experiment.Command(os.Stdout, ctl.EnvPrefix),
 	)
 	return ctl.Run(ctx, root, os.Args[1:], os.Stderr)
--- /dev/null
+++ b/internal/ctl/lines.go
@@ -0,0 +1,109 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/skylarklock/skylarklock/internal/logread"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// Story returns the subcommand that tells from the lines of all machines what became of a
+// job, and which line decided it.
+func Story(stdin io.Reader, stdout io.Writer) *ffcli.Command {
+	return overLines("story", "story [-lines FILE] JOB", "tells from the lines of all machines what became of a job", stdin,
+		func(lines *logread.Lines, args []string) error {
+			if len(args) != 1 {
+				return badInput("story: want the ID of one job, got %q", args)
+			}
+			if _, err := work.ParseID(args[0]); err != nil {
+				return badInput("story: %w", err)
+			}
+			return writeStory(stdout, logread.Tell(lines.Ordered(), args[0]))
+		})
+}
+
+// Tally returns the subcommand that counts, from the lines of all machines, the outcomes of
+// all jobs by their causes.
+func Tally(stdin io.Reader, stdout io.Writer) *ffcli.Command {
+	return overLines("tally", "tally [-lines FILE]", "counts from the lines of all machines what became of jobs, by cause", stdin,
+		func(lines *logread.Lines, args []string) error {
+			if len(args) != 0 {
+				return badInput("tally: takes no arguments, got %q", args)
+			}
+			out := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(out, "JOBS\tQUEUE\tOUTCOME\tCAUSE")
+			for _, c := range logread.Tally(lines.Ordered()) {
+				fmt.Fprintf(out, "%d\t%s\t%s\t%s\n", c.Jobs, c.Queue, c.Outcome, c.Cause)
+			}
+			if lines.Skipped > 0 {
+				fmt.Fprintf(out, "%d lines hold no event and were skipped\n", lines.Skipped)
+			}
+			return out.Flush()
+		})
+}
+
+// overLines makes a subcommand that reads lines from a file, or from stdin.
+func overLines(name, usage, help string, stdin io.Reader, exec func(*logread.Lines, []string) error) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	path := fs.String("lines", "-", "`file` with the lines of all machines; -: standard input")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "skylarkctl " + usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(EnvPrefix)},
+		Exec: func(_ context.Context, args []string) error {
+			in := stdin
+			if *path != "-" {
+				file, err := os.Open(*path)
+				if err != nil {
+					return badInput("%s: %w", name, err)
+				}
+				defer file.Close()
+				in = file
+			}
+			lines, err := logread.Read(in)
+			if err != nil {
+				return err
+			}
+			return exec(lines, args)
+		},
+	}
+}
+
+// writeStory prints a story: its events, and what they come to.
+func writeStory(out io.Writer, s logread.Story) error {
+	for _, e := range s.Events {
+		mark := " "
+		if s.Decided != nil && e.Number == s.Decided.Number {
+			mark = "*"
+		}
+		if _, err := fmt.Fprintf(out, "%s line %-7d %s  %s  %s\n", mark, e.Number, e.Time.Format("15:04:05.000"), e.Node, e.Describe()); err != nil {
+			return err
+		}
+	}
+	if s.Ended >= 0 {
+		if _, err := fmt.Fprintf(out, "advised after %s, started after %s, ended after %s\n", elapsed(s.Advised), elapsed(s.Started), elapsed(s.Ended)); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(out, "%s %s: %s\n", s.Job, s.Outcome, s.Cause)
+	return err
+}
+
+// elapsed formats a time that may not have been reached.
+func elapsed(d time.Duration) string {
+	if d < 0 {
+		return "(not reached)"
+	}
+	return d.String()
+}
--- /dev/null
+++ b/internal/ctl/lines_test.go
@@ -0,0 +1,49 @@
+package ctl
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const storyLines = `time="2026-09-06T15:00:01Z" level=info msg="request not confirmed" answered=503 data_centre=z1 error="the store has been silent for a while" job=00000000000000a1 node=n1 queue=q
+no event
+time="2026-09-06T15:00:02Z" level=info msg="job ended" advised_ms=20 data_centre=z1 ended_ms=900 epoch=3 job=00000000000000b2 node=n2 queue=q started_ms=40 state=completed
+`
+
+func TestStoryAndTally(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "lines")
+	if err := os.WriteFile(file, []byte(storyLines), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name   string
+		args   []string
+		stdin  string
+		code   int
+		output string
+	}{
+		{"refused", []string{"story", "-lines", file, "00000000000000a1"}, "", ExitOK, "00000000000000a1 refused: the store took nothing\n"},
+		{"in time", []string{"story", "00000000000000b2"}, storyLines, ExitOK, "advised after 20ms, started after 40ms, ended after 900ms\n"},
+		{"nothing said of it", []string{"story", "00000000000000c3"}, storyLines, ExitOK, "00000000000000c3 not seen: the lines don't tell\n"},
+		{"no ID", []string{"story", "a1"}, storyLines, ExitBadInput, "16 hexadecimal"},
+		{"no job", []string{"story"}, storyLines, ExitBadInput, "one job"},
+		{"no such file", []string{"tally", "-lines", file + "x"}, "", ExitBadInput, "no such file"},
+		{"tally", []string{"tally"}, storyLines, ExitOK, "1     q      refused    the store took nothing\n"},
+		{"skipped lines", []string{"tally"}, storyLines, ExitOK, "1 lines hold no event"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out bytes.Buffer
+			stdin := strings.NewReader(c.stdin)
+			root := New(&out, &out, Story(stdin, &out), Tally(stdin, &out))
+			if code := Run(t.Context(), root, c.args, &out); code != c.code {
+				t.Errorf("exit code %d, want %d", code, c.code)
+			}
+			if !strings.Contains(out.String(), c.output) {
+				t.Errorf("printed %q, want %q in it", out.String(), c.output)
+			}
+		})
+	}
+}
