Starts of suspected tasks are bounded also where runs end without a result

Cause: the bound counted lost runs, the platform counts starts. (1) A start that ended in another way, mostly as broken with its gang, used none of the bound. (2) A run whose executor was silent and still registered counted only when that was known to be gone, up to 4 s later, while the task started again. Change: from three losses on each run counts that ends without a result; a run on an executor that has fallen silent counts until the executor reports again. Suspected runs don't yield and aren't moved. Why it works: every start of a task with three losses now ends as done, or uses one of the two that are left.

--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -66,6 +66,7 @@
 		c.lose(cl, l)
 	}
 	for _, cl := range v.lapsed {
+		c.takeBackLapse(cl)
 		c.countLoss(cl, l)
 	}
 	for _, cl := range slices.Concat(runs, v.lapsed) { // canaries begin after a crash, not with it
@@ -96,8 +97,7 @@
 		}
 		for _, cl := range v.youngestFirst() {
 			c.events.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Info("lease is over without a report")
-			c.over(cl, platform.EndLapsed, "")
-			v.lapsed = append(v.lapsed, cl)
+			c.lapse(cl)
 		}
 		v.Ref.Address = v.address
 	}
--- a/internal/plan/losses.go
+++ b/internal/plan/losses.go
@@ -16,8 +16,10 @@
 
 const (
 	// mostLosses is how many runs of a task may be lost with their executors. The
-	// platform allows two more starts after three executors have crashed under a task.
-	mostLosses = 5
+	// platform allows two more starts after three executors have crashed under a task,
+	// so from boundedFrom losses on each run counts that ends without a result.
+	mostLosses  = 5
+	boundedFrom = 3
 	// forgetAfter is for how long a run of a task that lasts has to have been at work for
 	// earlier losses to be forgotten: in its life a service sees executors crash that
 	// it hasn't harmed.
@@ -54,6 +56,21 @@
 	c.countLoss(cl, l)
 }
 
+// lapse ends a run whose executor is silent and may be alive, which counts as a loss until
+// that is known.
+func (c *Cell) lapse(cl *claim) {
+	c.lose(cl, loss{executor: cl.vm.Ref.ID, since: cl.vm.lastSign(), evidence: Unregistered})
+	cl.vm.lapsed = append(cl.vm.lapsed, cl)
+}
+
+// takeBackLapse takes back that a run counted as lost with a silent executor.
+func (c *Cell) takeBackLapse(cl *claim) {
+	if t := cl.task; t != nil && t.losses.unproved > 0 && cl.state != planned && !t.step.job.state.Final() {
+		t.losses.unproved--
+		c.mark(t.step.job)
+	}
+}
+
 // countLoss counts a lost run for its task, unless that certainly hasn't begun or its
 // executor has left as it said.
 func (c *Cell) countLoss(cl *claim, l loss) {
@@ -73,6 +90,20 @@
 	}
 }
 
+// countRestart counts a run that has ended without a result for a task that has lost so
+// many that its starts are bounded.
+func (c *Cell) countRestart(cl *claim, how platform.How) {
+	t := cl.task
+	if t == nil || how == platform.EndDone || t.losses.all() < boundedFrom || t.phase == work.Done || t.step.job.state.Final() {
+		return
+	}
+	t.losses.unproved++
+	c.mark(t.step.job)
+	if t.losses.all() >= mostLosses {
+		c.failCrashing(cl, loss{executor: cl.vm.Ref.ID})
+	}
+}
+
 // counts reports whether a run that was lost counts for its task.
 func (l loss) counts(cl *claim) bool {
 	t := cl.task
--- a/internal/plan/lost.go
+++ b/internal/plan/lost.go
@@ -23,8 +23,8 @@
 	OtherLife Evidence = iota
 	// AddressTaken: another life has answered at its address.
 	AddressTaken
-	// Unregistered: it isn't registered any more, gives no answer, and its lease is
-	// over. It may still be alive, cut off from the store and from the leader.
+	// Unregistered: it gives no answer and its lease is over. It may still be alive, cut
+	// off from the leader, and from the store where it isn't registered any more.
 	Unregistered
 )
 
--- a/internal/plan/move.go
+++ b/internal/plan/move.go
@@ -42,7 +42,7 @@
 	}
 	here := seconds((100 - float64(cl.progress.last.percent)) * slowness / usual)
 	elsewhere := moveTakes + seconds(work/usual)
-	if cl.task.moves >= mostMoves || float64(here) < moveGain*float64(elsewhere) || c.turnOf(s, now).stands == overdue {
+	if cl.task.moves >= mostMoves || cl.task.suspected() || float64(here) < moveGain*float64(elsewhere) || c.turnOf(s, now).stands == overdue {
 		return
 	}
 	cl.unwanted = true
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -49,6 +49,9 @@
 		c.dropReplaced(now)
 	}
 	v.lapses = time.Time{}
+	for _, cl := range v.lapsed { // it was out of reach and is alive
+		c.takeBackLapse(cl)
+	}
 	v.lapsed = nil
 	news := c.applyEnds(v, r)
 	listed := c.applyRunning(v, r, now)
@@ -80,6 +83,7 @@
 		c.judge(cl, e.How)
 		c.judgeEndedCanary(cl, e.How)
 		c.over(cl, e.How, e.Checkpoint)
+		c.countRestart(cl, e.How)
 	}
 	return news
 }
--- a/internal/plan/yield.go
+++ b/internal/plan/yield.go
@@ -45,7 +45,7 @@
 
 // yieldsTo reports whether a run may be stopped for a step of a queue.
 func (c *Cell) yieldsTo(cl *claim, q *queue.Queue, now time.Time) bool {
-	if cl.task == nil || cl.state != atWork || cl.unwanted || now.Sub(cl.since) < settledRun || cl.task.yields >= mostYields {
+	if cl.task == nil || cl.state != atWork || cl.unwanted || now.Sub(cl.since) < settledRun || cl.task.yields >= mostYields || cl.task.suspected() {
 		return false
 	}
 	s := cl.task.step
