A new leader compares the fence with the content that it has, not with jobs' states

A new leader that was told of states beyond the content that it had read would have begun to plan, found its content incomplete, and given the cell back. Cause: whether anything was written while the fence was under way was asked of the position up to which states are known, which deliveries bring further than content. Evidence: TestNewLeaderReadsContentOfWhichItKnowsTheStateAlone: nothing starts within a second, the job starts now. Change: the content's own position is asked for. Ruled out: planning from incomplete content; the replica refuses that (TestStatesWithoutContent). Conclusion: fixed.

--- a/internal/dispatch/begin.go
+++ b/internal/dispatch/begin.go
@@ -46,7 +46,8 @@
 		return err
 	}
 	<-read
-	if r.cfg.Replica.Position() < end {
+	// States of jobs may be known further than the content that planning needs.
+	if upTo, kept := r.cfg.Replica.Content(); !kept || upTo < end {
 		r.readAll(ctx)
 	}
 	return nil
--- a/internal/dispatch/begin_test.go
+++ b/internal/dispatch/begin_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/replica"
+	"github.com/skylarklock/skylarklock/internal/work"
 )
 
 // slowCalls is a store whose reads take as long as its appends.
@@ -50,3 +52,40 @@
 		}
 	})
 }
+
+// quickReads is a store whose appends take long.
+type quickReads struct {
+	slowStore
+	during func() // called in the midst of the first append
+}
+
+func (s *quickReads) Append(ctx context.Context, a platform.Append) (platform.Offset, error) {
+	if during := s.during; during != nil {
+		s.during = nil
+		time.AfterFunc(s.takes/2, during)
+	}
+	return s.slowStore.Append(ctx, a)
+}
+
+// While the fence is under way the former leader writes and tells of the job's state, whose
+// content isn't read yet.
+func TestNewLeaderReadsContentOfWhichItKnowsTheStateAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newCellPlay(t)
+		defer func() { p.stop() }()
+		record := p.record(1)
+		slow := &quickReads{slowStore: slowStore{p.store, 100 * time.Millisecond}}
+		slow.during = func() {
+			from := p.replica.Position()
+			p.store.put(playJobs, record.Key, string(record.Value))
+			p.replica.Summarise(replica.Span{From: from, To: from + 1}, []work.Summary{{ID: work.ID{1}, Queue: "q", State: work.Queued}}, time.Now())
+		}
+		p.register("ready")
+		p.log, p.reader.Log = slow, p.store
+		p.lead()
+		time.Sleep(time.Second)
+		if runs, _ := p.executor.atWork(); runs != 1 {
+			t.Errorf("%d runs are at work a second after the leader began, want 1", runs)
+		}
+	})
+}
