Whether a lost executor leaves is worked out once; two tests share their play

Cause: read the whole change once more. The line about a lost executor and the count of its runs each asked whether it had said that it leaves; two tests differed in their step only; two comments read as if they told of attempts. Figures: none; plan and dispatch pass with -race. Conclusion: less said twice.

--- a/internal/plan/crash_test.go
+++ b/internal/plan/crash_test.go
@@ -166,24 +166,24 @@
 	}
 }
 
-func TestServiceThatCrashesItsExecutorsIsNotStartedForEver(t *testing.T) {
-	p := newCrashPlay(t, 6, crashers(1))
-	p.crowd(10, 30)
-	j := p.job(1, testQueue, work.Step{Tasks: 3, Need: cpus(2), Estimate: time.Second, LongRunning: true})
-	p.runFor(60 * time.Second)
+// checkFails plays a job whose first task crashes its executors, beside healthy ones.
+func (p *crashPlay) checkFails(healthy int, step work.Step, d time.Duration) {
+	p.t.Helper()
+	p.crowd(10, healthy)
+	j := p.job(1, testQueue, step)
+	p.runFor(d)
 	p.checkBudget()
 	if state := p.state(j.ID); state != work.Failed {
-		t.Errorf("the service is %v", state)
+		p.t.Errorf("the job is %v", state)
 	}
 }
 
+func TestServiceThatCrashesItsExecutorsIsNotStartedForEver(t *testing.T) {
+	p := newCrashPlay(t, 6, crashers(1))
+	p.checkFails(30, work.Step{Tasks: 3, Need: cpus(2), Estimate: time.Second, LongRunning: true}, 60*time.Second)
+}
+
 func TestGangWithATaskThatCrashesItsExecutorsIsNotStartedForEver(t *testing.T) {
 	p := newCrashPlay(t, 12, crashers(1))
-	p.crowd(10, 50)
-	j := p.job(1, testQueue, work.Step{Tasks: 10, Need: cpus(9), Estimate: time.Second, Gang: true})
-	p.runFor(90 * time.Second)
-	p.checkBudget()
-	if state := p.state(j.ID); state != work.Failed {
-		t.Errorf("the gang is %v", state)
-	}
+	p.checkFails(50, work.Step{Tasks: 10, Need: cpus(9), Estimate: time.Second, Gang: true}, 90*time.Second)
 }
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -59,8 +59,8 @@
 	if v == nil {
 		return
 	}
-	c.logLost(v, e, now)
 	l := c.lossOf(v, e, now)
+	c.logLost(v, l, now)
 	runs := v.youngestFirst()
 	for _, cl := range runs {
 		c.lose(cl, l)
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -54,7 +54,7 @@
 	gathered  gathering
 	isolation isolation
 	refusals  int       // of starts in a row, for what the order says
-	retryAt   time.Time // not before this is a start tried again
+	retryAt   time.Time // no start is sent before this
 }
 
 // task is one task of a step.
--- a/internal/plan/lost.go
+++ b/internal/plan/lost.go
@@ -37,13 +37,12 @@
 const mostRunsLogged = 32
 
 // logLost logs which runs an executor had when it was lost.
-func (c *Cell) logLost(v *vm, e Evidence, now time.Time) {
+func (c *Cell) logLost(v *vm, l loss, now time.Time) {
 	if len(v.claims) == 0 {
 		return
 	}
-	_, left := v.leaves(now)
 	c.events.WithFields(logrus.Fields{
-		"executor": v.Ref.ID, "address": v.Ref.Address, "evidence": e.String(), "left": left,
+		"executor": v.Ref.ID, "address": v.Ref.Address, "evidence": l.evidence.String(), "left": l.left,
 		"silent_ms": now.Sub(v.clockAt).Milliseconds(), "runs": len(v.claims), "lost": v.describeRuns(),
 	}).Info("executor is lost with its runs")
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -201,7 +201,7 @@
 
 // Weights of the score: a share of the executor left over counts 1.
 const (
-	failedWeight   = 4.0 // where the task has just failed; any other executor is tried first
+	failedWeight   = 4.0 // where the task has just failed; any other executor comes first
 	lostWithWeight = 4.0 // for each run there that may crash the executor, or that the task may take with it
 	slowWeight     = 1.0 // for each time that the executor is slower than the fleet
 )
