Lines tell an executor's life, the numbers of its ends and the states of claims

A run that vanished named neither the executor's clock nor which of its ends had been applied and acknowledged; a step that waits counted its claims without their states, and one whose tasks all had claims that never became runs was not explained at all.

Change: `born` is read, in records and answers (missing: an executor of the older kind; null, a fraction, a text: an error with its place, and the report is used all the same). One line says that a report comes from another life than the one before it. Nothing decides on it yet. Ruled out: telling lives apart by silence, since these executors were away for less than a report's age counts.

--- a/internal/plan/explain.go
+++ b/internal/plan/explain.go
@@ -1,6 +1,10 @@
 package plan
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,23 +26,57 @@
 	}
 	c.explained = now
 	c.summarise(now)
+	claims := c.claimsByStep()
 	lines := 0
 	for _, s := range c.inTurn {
 		if lines == explainMost {
 			return
 		}
-		if now.Sub(s.job.from(s.occ)) > explainAfter && len(s.unplaced()) > 0 {
-			c.explain(s, now)
+		if now.Sub(s.job.from(s.occ)) > explainAfter && s.idle(claims[s]) > 0 {
+			c.explain(s, claims[s], now)
 			lines++
 		}
 	}
 }
 
+// claimCounts are numbers of claims by their state.
+type claimCounts map[claimState]int
+
+// claimsByStep counts the claims of each step's tasks.
+func (c *Cell) claimsByStep() map[*step]claimCounts {
+	all := make(map[*step]claimCounts)
+	for _, v := range c.sorted {
+		for _, cl := range v.claims {
+			if cl.task == nil {
+				continue
+			}
+			counts := all[cl.task.step]
+			if counts == nil {
+				counts = make(claimCounts)
+				all[cl.task.step] = counts
+			}
+			counts[cl.state]++
+		}
+	}
+	return all
+}
+
+// idle returns how many tasks of a step have not ended and aren't known to be at work.
+func (s *step) idle(claims claimCounts) int { return len(s.tasks) - s.done - claims[atWork] }
+
+// String returns the counts as state:number.
+func (n claimCounts) String() string {
+	var text []string
+	for _, state := range slices.Sorted(maps.Keys(n)) {
+		text = append(text, fmt.Sprintf("%v:%d", state, n[state]))
+	}
+	return strings.Join(text, " ")
+}
+
 // explain logs what a step waits for.
-func (c *Cell) explain(s *step, now time.Time) {
-	pending, started, claims := 0, 0, 0
+func (c *Cell) explain(s *step, claims claimCounts, now time.Time) {
+	pending, started := 0, 0
 	for _, t := range s.tasks {
-		claims += t.claims
 		switch t.phase {
 		case work.Pending:
 			pending++
@@ -58,7 +96,7 @@
 	}
 	c.events.WithFields(logrus.Fields{
 		"step": s.key(), "age_ms": now.Sub(s.job.from(s.occ)).Milliseconds(),
-		"pending": pending, "started": started, "done": s.done, "claims": claims, "gang": s.spec.Gang,
+		"pending": pending, "started": started, "done": s.done, "claims": claims.String(), "gang": s.spec.Gang,
 		"asking": s.advice.asking > 0, "granted": len(s.advice.tickets), "valid": valid, "slots": room, "queue_known": q != nil,
 	}).Info("step waits")
 }
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -43,6 +43,8 @@
 		v.known = true
 		v.lease = max(v.lease, r.Clock.Add(c.cfg.Lease))
 	}
+	c.logOtherLife(v, r)
+	v.born = r.Born
 	v.clock = r.Clock
 	v.clockAt = now
 	if first {
@@ -188,7 +190,10 @@
 		}
 	case atWork:
 		if asked.After(cl.since) {
-			c.events.WithFields(logrus.Fields{"executor": cl.vm.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Warn("run vanished without an end")
+			c.events.WithFields(logrus.Fields{
+				"executor": cl.vm.Ref.ID, "task": cl.run.Task, "run": cl.run.Number, "clock_ms": int64(clock),
+				"ends_applied": cl.vm.taken, "ends_acknowledged": cl.vm.seen,
+			}).Warn("run vanished without an end")
 			c.over(cl, platform.EndLapsed, "")
 		}
 	}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -20,6 +20,11 @@
 	stopping                    // the executor has taken a stop of it
 )
 
+// String returns the state's name in logs.
+func (s claimState) String() string {
+	return [...]string{"planned", "sent", "unsure", "at_work", "inherited", "stopping"}[s]
+}
+
 // claim holds the room of one run on an executor.
 type claim struct {
 	run      platform.Run
@@ -51,6 +56,7 @@
 	ready    time.Time // since when its records say that it is ready after all
 
 	known       bool                   // it has reported to this leader
+	born        int64                  // that its newest report told
 	clock       platform.ExecutorClock // at its newest report
 	clockAt     time.Time              // when that report arrived; zero: never
 	silentFrom  time.Time              // when a hold first had no answer since that report
--- a/internal/platform/executor.go
+++ b/internal/platform/executor.go
@@ -24,7 +24,8 @@
 
 // ExecutorRef names one life of an executor and where to reach it.
 type ExecutorRef struct {
-	ID      string // new with each life
+	ID      string // a later life may have it again
+	Born    int64  // when the life began, by its own clock: Unix milliseconds; 0: not told
 	Address string // IP:port
 }
 
@@ -90,6 +91,8 @@
 
 // ExecutorReport is an executor's answer to a hold.
 type ExecutorReport struct {
+	Born    int64 // of the life that reports: Unix milliseconds; 0: not told
+	Fault   error // why it can't be read which life reports; nil: it can, or isn't told
 	Clock   ExecutorClock
 	Running []RunningTask
 	Ended   []EndedRun
