Failing tests of executors that start again under their ids, and of one that is gone

The tests are plays of the planner alone and fail on the code as it is:

- found while reading for the second: a step's list of executors that may run it keeps those whose life is over.
A task placed there holds a claim that nothing ever ends, so it is never started again.

Played executors now have clocks of their own, forget what is acknowledged, and may start again under their ids. No decision is changed.

--- a/internal/plan/crash_play_test.go
+++ b/internal/plan/crash_play_test.go
@@ -61,22 +61,40 @@
 // crashPlay has tasks take their executors down.
 type crashPlay struct {
 	*play
-	behaves func(t work.TaskKey) behaviour
-	began   map[platform.Run]time.Time
-	starts  map[work.TaskKey][]time.Time
-	crashes map[work.TaskKey][]time.Time // of executors, under each task
-	lives   int
-	lost    int // executors
+	behaves   func(t work.TaskKey) behaviour
+	began     map[platform.Run]time.Time
+	starts    map[work.TaskKey][]time.Time
+	crashes   map[work.TaskKey][]time.Time // of executors, under each task
+	lives     int
+	lost      int // executors
+	everyLife []*playedExecutor
+	away      time.Duration // of an executor between two lives
+	sameID    bool          // the next life has the id of the one before
 }
 
 func newCrashPlay(t *testing.T, executors int, behaves func(work.TaskKey) behaviour) *crashPlay {
-	return &crashPlay{
+	p := &crashPlay{
 		play:    newPlay(t, executors),
+		away:    crashedFor,
 		behaves: behaves,
 		began:   make(map[platform.Run]time.Time),
 		starts:  make(map[work.TaskKey][]time.Time),
 		crashes: make(map[work.TaskKey][]time.Time),
 	}
+	for _, id := range p.ids() {
+		p.everyLife = append(p.everyLife, p.executors[id])
+	}
+	return p
+}
+
+// reuseIDs has executors that crash start again under their ids, after a time.
+func (p *crashPlay) reuseIDs(away time.Duration) {
+	p.sameID, p.away = true, away
+	for i, id := range p.ids() {
+		p.executors[id].born = p.now.UnixMilli() - int64(i)
+		p.listed[id].Ref.Born = p.executors[id].born
+	}
+	p.list(p.listed)
 }
 
 // crash ends the life of an executor; the next one follows at its address.
@@ -97,8 +115,10 @@
 		*h = call{again: p.now}
 	}
 	record := *p.listed[id]
-	p.after(crashedFor, func() { p.revive(record) })
-	p.after(recordLapses, func() { p.unlist(id) })
+	p.after(p.away, func() { p.revive(record) })
+	if !p.sameID {
+		p.after(recordLapses, func() { p.unlist(id) })
+	}
 }
 
 // breakGang has the other members of a gang's run end, as executors do by themselves.
@@ -117,12 +137,24 @@
 
 func (p *crashPlay) revive(record fleet.Executor) {
 	p.lives++
-	record.Ref.ID = fmt.Sprintf("life%d", p.lives)
-	p.executors[record.Ref.ID] = &playedExecutor{
-		running: make(map[platform.Run]bool),
-		highest: make(map[work.TaskKey]uint32),
-		clock:   func() platform.ExecutorClock { return p.clock },
+	if p.sameID {
+		p.startAgain(record)
+		return
 	}
+	record.Ref.ID = fmt.Sprintf("life%d", p.lives)
+	p.executors[record.Ref.ID] = p.newPlayedExecutor(0)
+	listed := maps.Clone(p.listed)
+	listed[record.Ref.ID] = &record
+	p.list(listed)
+}
+
+// startAgain has an executor begin its next life under its id, with a clock of its own.
+func (p *crashPlay) startAgain(record fleet.Executor) {
+	e := p.newPlayedExecutor(p.clock)
+	e.born = p.now.UnixMilli()
+	record.Ref.Born = e.born
+	p.executors[record.Ref.ID] = e
+	p.everyLife = append(p.everyLife, e)
 	listed := maps.Clone(p.listed)
 	listed[record.Ref.ID] = &record
 	p.list(listed)
--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -32,17 +32,38 @@
 // by the lease of the whole executor, so that an order which came without an
 // answer may still be carried out long after its own end.
 type playedExecutor struct {
-	running map[platform.Run]bool
-	ended   []platform.EndedRun
-	highest map[work.TaskKey]uint32
-	lease   platform.ExecutorClock
-	token   int
-	started int  // runs that have come to be at work
-	barred  int  // starts refused since the run was stopped before
-	mute    int  // so many of the next holds have no answer and no effect
-	cut     bool // no call gets through in either direction
-	strict  bool // an order is void after its own end
-	clock   func() platform.ExecutorClock
+	born      int64 // 0: it doesn't tell
+	running   map[platform.Run]bool
+	ended     []platform.EndedRun
+	forgotten uint64 // ends up to here were acknowledged
+	highest   map[work.TaskKey]uint32
+	lease     platform.ExecutorClock
+	token     int
+	started   int  // runs that have come to be at work
+	barred    int  // starts refused since the run was stopped before
+	mute      int  // so many of the next holds have no answer and no effect
+	cut       bool // no call gets through in either direction
+	strict    bool // an order is void after its own end
+	clock     func() platform.ExecutorClock
+	lapsed    platform.ExecutorClock // when its lease was last over
+	dones     []*doneEnd
+}
+
+// doneEnd is a run that ended as done.
+type doneEnd struct {
+	end     platform.EndedRun
+	clock   platform.ExecutorClock
+	acked   bool // while the lease hadn't lapsed in between
+	excused bool // the lease lapsed before it was acknowledged
+}
+
+// newPlayedExecutor returns an executor whose clock is at 0 where the play's is at origin.
+func (p *play) newPlayedExecutor(origin platform.ExecutorClock) *playedExecutor {
+	return &playedExecutor{
+		running: make(map[platform.Run]bool),
+		highest: make(map[work.TaskKey]uint32),
+		clock:   func() platform.ExecutorClock { return p.clock - origin },
+	}
 }
 
 func (e *playedExecutor) start(run platform.Run, lease platform.ExecutorClock) {
@@ -64,16 +85,38 @@
 		return
 	}
 	delete(e.running, run)
-	e.ended = append(e.ended, platform.EndedRun{Number: uint64(len(e.ended) + 1), Run: run, How: how})
+	end := platform.EndedRun{Number: uint64(len(e.ended) + 1), Run: run, How: how}
+	e.ended = append(e.ended, end)
+	if how == platform.EndDone {
+		e.dones = append(e.dones, &doneEnd{end: end, clock: e.clock()})
+	}
 }
 
-func (e *playedExecutor) report(seen uint64, clock platform.ExecutorClock) platform.ExecutorReport {
-	r := platform.ExecutorReport{Clock: clock}
+// renew takes in what a hold brings.
+func (e *playedExecutor) renew(lease platform.ExecutorClock, seen uint64) {
+	e.lease = max(e.lease, lease)
+	e.forgotten = max(e.forgotten, seen)
+	for _, d := range e.dones {
+		switch {
+		case d.acked || d.excused || d.end.Number > seen:
+		case e.lapsed > d.clock:
+			d.excused = true
+		default:
+			d.acked = true
+		}
+	}
+}
+
+// news reports whether there are ends that a hold would bring.
+func (e *playedExecutor) news() bool { return uint64(len(e.ended)) > e.forgotten }
+
+func (e *playedExecutor) report() platform.ExecutorReport {
+	r := platform.ExecutorReport{Born: e.born, Clock: e.clock()}
 	for run := range e.running {
 		r.Running = append(r.Running, platform.RunningTask{Run: run, Percent: 100})
 	}
 	for _, end := range e.ended {
-		if end.Number > seen {
+		if end.Number > e.forgotten {
 			r.Ended = append(r.Ended, end)
 		}
 	}
@@ -84,9 +127,9 @@
 type call struct {
 	asked time.Time // zero: none is, and the next is due at again
 	again time.Time
+	to    *playedExecutor // that it reached
 	lost  bool
 	wait  time.Duration
-	seen  uint64
 }
 
 // event is something that happens at a time.
@@ -114,7 +157,7 @@
 func newPlay(t *testing.T, executors int) *play {
 	p := &play{world: newWorld(t, executors), executors: make(map[string]*playedExecutor), holds: make(map[string]*call), token: 1}
 	for id := range p.listed {
-		p.executors[id] = &playedExecutor{running: make(map[platform.Run]bool), highest: make(map[work.TaskKey]uint32), clock: func() platform.ExecutorClock { return p.clock }}
+		p.executors[id] = p.newPlayedExecutor(0)
 	}
 	return p
 }
@@ -196,9 +239,10 @@
 }
 
 func (p *play) lapse(e *playedExecutor) {
-	if e.lease == 0 || p.clock < e.lease {
+	if e.lease == 0 || e.clock() < e.lease {
 		return
 	}
+	e.lapsed = e.clock()
 	for run := range e.running {
 		e.stop(run, platform.EndLapsed)
 	}
@@ -211,12 +255,12 @@
 		if !p.now.Before(h.again) {
 			p.ask(id, e, h)
 		}
-	case e.cut || h.lost:
+	case e.cut || h.lost || h.to != e:
 		if p.now.Sub(h.asked) >= h.wait+playHoldTimeout {
 			*h = call{again: p.now.Add(playHoldRetry)}
 		}
-	case p.now.Sub(h.asked) >= h.wait || uint64(len(e.ended)) > h.seen:
-		p.cell.Report(id, e.report(h.seen, p.clock), h.asked, p.now)
+	case p.now.Sub(h.asked) >= h.wait || e.news():
+		p.cell.Report(id, e.report(), h.asked, p.now)
 		if !p.noStore {
 			p.save()
 			p.cell.Seen(id, p.cell.Taken(id))
@@ -232,7 +276,7 @@
 		return
 	}
 	h.asked = p.now
-	h.seen = order.Seen
+	h.to = e
 	if e.mute > 0 {
 		e.mute--
 		h.lost = true
@@ -240,7 +284,7 @@
 	}
 	if !e.cut && p.token >= e.token {
 		e.token = p.token
-		e.lease = max(e.lease, order.LeaseUntil)
+		e.renew(order.LeaseUntil, order.Seen)
 	}
 }
 
