Steps forget an executor whose life is over

What callers saw: a job that could run and didn't, for good, though most of the room was free (LOST).

Cause: a step keeps the executors that may run it, with their tickets, in a list of its own. An executor that was let go of without having been silent before (another life of it answered a start) stayed in that list and counted as usable for 1.6 s. A task placed there held a claim on an executor that the cell no longer has: no report, no lease and no loss ends it.

Why it works: a life that is over is dropped from every step that waits, together with the executor. All plays check from now on that each claim a task counts is held by an executor of the cell. Ruled out: marking such executors unusable, which would leave their tickets in the counts of what a step may use.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// forget drops what is known of an executor whose life is over.
+func (a *advice) forget(v *vm) {
+	if _, granted := a.tickets[v]; granted {
+		delete(a.tickets, v)
+		a.vms = nil
+	}
+	delete(a.denied, v)
+}
+
 // valid returns the ticket for an executor if it is valid at now.
 func (a *advice) valid(v *vm, now time.Time) (ticket, bool) {
 	t, ok := a.tickets[v]
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -75,6 +75,9 @@
 	if v.isolatedFor != nil {
 		v.isolatedFor.endIsolation()
 	}
+	for _, s := range c.waiting {
+		s.advice.forget(v)
+	}
 	delete(c.vms, id)
 	for i, o := range c.sorted {
 		if o == v {
--- a/internal/plan/harness_test.go
+++ b/internal/plan/harness_test.go
@@ -136,6 +136,31 @@
 	return w.cell.Confirm(starts, w.now)
 }
 
+// checkClaims fails where a task counts claims that no executor of the cell holds: nothing
+// would ever end them, and the task wouldn't start again.
+func (w *world) checkClaims() {
+	w.t.Helper()
+	held := make(map[*task]int)
+	for _, v := range w.cell.vms {
+		for _, cl := range v.claims {
+			if cl.task != nil {
+				held[cl.task]++
+			}
+		}
+	}
+	for _, j := range w.cell.jobs {
+		for _, o := range j.running {
+			for _, s := range o.steps {
+				for _, t := range s.tasks {
+					if t.claims != held[t] {
+						w.t.Errorf("task %v counts %d claims, and the executors hold %d", t.key(), t.claims, held[t])
+					}
+				}
+			}
+		}
+	}
+}
+
 // startAll has all orders answered as started.
 func (w *world) startAll(orders []Order) {
 	for _, o := range orders {
--- a/internal/plan/life_test.go
+++ b/internal/plan/life_test.go
@@ -71,11 +71,11 @@
 	if len(orders) != 2 {
 		t.Fatalf("%d orders, want 2", len(orders))
 	}
-	// Another life answers the start on one of them, and the run is to start again.
 	w.cell.Started(orders[0].Start, &platform.RefusedError{Reason: platform.RefusedGone}, w.now)
 	w.cell.Started(orders[1].Start, nil, w.now)
 	w.report(orders[1].Start.To.ID, nil, ended(1, orders[1].Start.Run, platform.EndDone))
 	again := w.cycle()
+	w.checkClaims()
 	if len(again) != 1 || again[0].Start.To.ID != orders[1].Start.To.ID {
 		t.Errorf("orders %+v, want one to the executor that is left", again)
 	}
--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -304,6 +304,7 @@
 	for _, o := range orders {
 		p.sendStart(o)
 	}
+	p.checkClaims()
 }
 
 func (p *play) sendStart(o Order) {
