An executor's life is named by its id and its start, and taken over anew when it changes

Cause: an executor's life was its id. When one started again under its id, the leader went on with what it knew of the former life: it passed over the new life's ends up to the number that it had applied of the old one's, and acknowledged them by that number, so they were forgotten; the runs vanished and were started again. A start without an answer waited for a reading of the former life's clock, which the new one reaches minutes later or never. Class: state kept under a name that is reused.

Change: an answer with another `born`, or with a clock that went back, is a new life. It takes the place of the old one: numbers of ends, clock, lease, tickets, suspicion and record of its own. Its calls carry a higher fencing token, and only an answer to one of these settles what became of the former life's runs: those that it lists go on, the others are over and count as lost by a crash. A record of another life than the one that answers describes nothing. Nothing waits for leases.

Ruled out: telling lives by the registry (its records come late), by the greater `born` (clocks are stepped back), by silence (0.5 s is too short); concluding from the first answer of the new life, since orders to the former one may still arrive before the token has risen.

Orders between machines carry a token each: 16 starts stay within 80 bytes each beside their specification.

Why it works: everything that was keyed by the id alone and belongs to a life is part of the life now; the end of a life is taken in by one piece of code, whichever way it is known.

--- a/internal/assist/orders.go
+++ b/internal/assist/orders.go
@@ -36,19 +36,19 @@
 // StartItem is a start in a batch.
 type StartItem struct {
 	To    platform.ExecutorRef
-	Order platform.StartOrder // without its token
+	Order platform.StartOrder
 }
 
 // StopItem is a stop in a batch.
 type StopItem struct {
-	To  platform.ExecutorRef
-	Run platform.Run
+	To    platform.ExecutorRef
+	Run   platform.Run
+	Token uint64 // fencing token
 }
 
 // OrderBatch is the form of orders between processes.
 type OrderBatch struct {
 	_              struct{} `cbor:",toarray"`
-	Token          uint64
 	Specifications []string
 	Starts         []PackedStart
 	Stops          []PackedStop
@@ -63,6 +63,7 @@
 	Specification int // index into the batch's
 	Checkpoint    string
 	LeaseUntil    int64
+	Token         uint64
 	Ticket        string
 }
 
@@ -72,6 +73,7 @@
 	Executor string
 	Address  string
 	Task     PackedTask
+	Token    uint64
 }
 
 // PackedTask names a run of a task.
@@ -94,8 +96,8 @@
 	return platform.Run{Task: work.TaskKey{StepKey: step, Index: p.Index}, Number: p.Run}
 }
 
-func packOrders(token uint64, starts []StartItem, stops []StopItem) *OrderBatch {
-	b := &OrderBatch{Token: token}
+func packOrders(starts []StartItem, stops []StopItem) *OrderBatch {
+	b := &OrderBatch{}
 	places := make(map[string]int)
 	for _, s := range starts {
 		place, known := places[s.Order.Specification]
@@ -106,11 +108,11 @@
 		}
 		b.Starts = append(b.Starts, PackedStart{
 			Executor: s.To.ID, Address: s.To.Address, Task: packTask(s.Order.Run), Specification: place,
-			Checkpoint: s.Order.Checkpoint, LeaseUntil: int64(s.Order.LeaseUntil), Ticket: s.Order.Ticket,
+			Checkpoint: s.Order.Checkpoint, LeaseUntil: int64(s.Order.LeaseUntil), Token: s.Order.Token, Ticket: s.Order.Ticket,
 		})
 	}
 	for _, s := range stops {
-		b.Stops = append(b.Stops, PackedStop{Executor: s.To.ID, Address: s.To.Address, Task: packTask(s.Run)})
+		b.Stops = append(b.Stops, PackedStop{Executor: s.To.ID, Address: s.To.Address, Task: packTask(s.Run), Token: s.Token})
 	}
 	return b
 }
@@ -177,7 +179,7 @@
 		}
 		order := platform.StartOrder{
 			Run: s.Task.run(), Specification: b.Specifications[s.Specification], Checkpoint: s.Checkpoint,
-			LeaseUntil: platform.ExecutorClock(s.LeaseUntil), Token: b.Token, Ticket: s.Ticket,
+			LeaseUntil: platform.ExecutorClock(s.LeaseUntil), Token: s.Token, Ticket: s.Ticket,
 		}
 		calls.Go(func() {
 			_, err := h.Executors.Start(ctx, platform.ExecutorRef{ID: s.Executor, Address: s.Address}, order)
@@ -186,7 +188,7 @@
 	}
 	for i, s := range b.Stops {
 		calls.Go(func() {
-			_, err := h.Executors.Stop(ctx, platform.ExecutorRef{ID: s.Executor, Address: s.Address}, s.Task.run(), b.Token)
+			_, err := h.Executors.Stop(ctx, platform.ExecutorRef{ID: s.Executor, Address: s.Address}, s.Task.run(), s.Token)
 			reply.Results[len(b.Starts)+i] = resultOf(err)
 		})
 	}
@@ -197,7 +199,7 @@
 // Relay sends orders of one data centre by a machine there, and returns what
 // became of each start and then of each stop. It returns false, and nothing was
 // sent, if there is no such machine or it didn't get them.
-func (h *Helpers) Relay(ctx context.Context, centre string, token uint64, starts []StartItem, stops []StopItem, now time.Time) ([]error, bool) {
+func (h *Helpers) Relay(ctx context.Context, centre string, starts []StartItem, stops []StopItem, now time.Time) ([]error, bool) {
 	m := h.relayIn(api.DataCentre(centre), now)
 	if m.Address == "" {
 		return nil, false
@@ -205,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var answer OrderAnswer
-	err := h.caller.Call(ctx, m.Address, methodOrders, packOrders(token, starts, stops), &answer)
+	err := h.caller.Call(ctx, m.Address, methodOrders, packOrders(starts, stops), &answer)
 	n := len(starts) + len(stops)
 	if err != nil {
 		h.distrust(m.Node, now)
--- a/internal/assist/orders_test.go
+++ b/internal/assist/orders_test.go
@@ -91,20 +91,18 @@
 			To: platform.ExecutorRef{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.1.0.%d:80", i)},
 			Order: platform.StartOrder{
 				Run: orderedRun(1, i), Specification: "the work", Checkpoint: fmt.Sprint("c", i),
-				LeaseUntil: platform.ExecutorClock(1000 + i), Ticket: fmt.Sprint("t", i),
+				LeaseUntil: platform.ExecutorClock(1000 + i), Token: uint64(12 + i), Ticket: fmt.Sprint("t", i),
 			},
 		})
 	}
 	stops := []StopItem{{To: platform.ExecutorRef{ID: "i-1", Address: "10.1.0.1:80"}, Run: orderedRun(0, 9)}}
-	errs, sent := h.Relay(t.Context(), "z1", 12, starts, stops, now)
+	errs, sent := h.Relay(t.Context(), "z1", starts, stops, now)
 	if !sent || len(errs) != 5 || len(c.calls) != 1 || c.calls[0] != "fit:1" {
 		t.Fatalf("sent %v by %v, %d results", sent, c.calls, len(errs))
 	}
 	for _, s := range starts {
-		want := s.Order
-		want.Token = 12
-		if got := executors.starts[s.To.ID+"@"+s.To.Address]; got != want {
-			t.Errorf("%s got %+v, want %+v", s.To.ID, got, want)
+		if got := executors.starts[s.To.ID+"@"+s.To.Address]; got != s.Order {
+			t.Errorf("%s got %+v, want %+v", s.To.ID, got, s.Order)
 		}
 	}
 	if got := executors.stops["i-1@10.1.0.1:80"]; got != orderedRun(0, 9) {
@@ -130,7 +128,7 @@
 			Order: platform.StartOrder{Run: orderedRun(0, i), Specification: string(make([]byte, specification)), LeaseUntil: 486000, Ticket: "0123456789abcdef"},
 		})
 	}
-	if _, sent := h.Relay(t.Context(), "z1", 12, starts, nil, time.Now()); !sent {
+	if _, sent := h.Relay(t.Context(), "z1", starts, nil, time.Now()); !sent {
 		t.Fatal("not sent")
 	}
 	if most := specification + n*80; c.bytes > most {
@@ -157,14 +155,14 @@
 		h.Attached(Attachment{Node: "a", Address: "a:1", DataCentre: "z1", Fitness: 0.8}, now)
 		h.Attached(Attachment{Node: "b", Address: "b:1", DataCentre: "z1", Fitness: 0.2}, now)
 		starts := []StartItem{{To: platform.ExecutorRef{ID: "i"}, Order: platform.StartOrder{Run: orderedRun(0, 0)}}}
-		errs, sent := h.Relay(t.Context(), "z1", 1, starts, nil, now)
+		errs, sent := h.Relay(t.Context(), "z1", starts, nil, now)
 		if sent != c.sent {
 			t.Errorf("%s: sent %v", name, sent)
 		}
 		if sent && (len(errs) != 1 || !errors.Is(errs[0], platform.ErrNoAnswer)) {
 			t.Errorf("%s: results %v", name, errs)
 		}
-		h.Relay(t.Context(), "z1", 1, starts, nil, now)
+		h.Relay(t.Context(), "z1", starts, nil, now)
 		if len(caller.calls) != 2 || caller.calls[1] != "b:1" {
 			t.Errorf("%s: asked %v", name, caller.calls)
 		}
--- a/internal/dispatch/begin.go
+++ b/internal/dispatch/begin.go
@@ -19,7 +19,9 @@
 		return r.failed(err)
 	}
 	r.mu.Lock()
-	r.cell = plan.NewCell(r.cfg.Plan, r.lookup, r.cfg.Events, time.Now())
+	cfg := r.cfg.Plan
+	cfg.Epoch = r.cfg.Self.Epoch
+	r.cell = plan.NewCell(cfg, r.lookup, r.cfg.Events, time.Now())
 	r.cell.Configure(r.cfg.Table())
 	r.mu.Unlock()
 	if !r.cfg.Replica.Follow(r.changed) {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -31,25 +31,28 @@
 	defer r.endHold(id)
 	wait := time.Duration(0) // the first report is wanted at once
 	var ends unseen
+	faulty := false
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		asked := time.Now()
-		ref, order, wanted := r.cell.Hold(id, r.cfg.MayRenew())
+		ref, order, wanted := r.cell.Hold(id, r.cfg.MayRenew(), wait)
 		r.mu.Unlock()
 		if !wanted {
 			return
 		}
-		order.Token = uint64(r.cfg.Self.Epoch)
-		order.Wait = wait
 		report, err := r.hold(ctx, ref, order)
 		if err != nil {
-			if r.holdFailed(ctx, ref, err) {
+			if r.holdFailed(ctx, ref, order.Token, err) {
 				return
 			}
 			wait = 0 // what runs there may have changed: the next report is wanted at once too
 			continue
 		}
-		r.takeReport(ctx, id, report, asked, &ends)
+		if report.Fault != nil && !faulty {
+			r.cfg.Events.WithError(report.Fault).Warn("executor's answer doesn't tell which life of it answers; it is held all the same")
+		}
+		faulty = report.Fault != nil
+		r.takeReport(ctx, ref, report, asked, &ends)
 		pause.For(ctx, holdPace-time.Since(asked))
 		wait = holdWait
 	}
@@ -62,18 +65,18 @@
 }
 
 // holdFailed reports whether the executor's life is over.
-func (r *Runner) holdFailed(ctx context.Context, ref platform.ExecutorRef, err error) bool {
-	r.noticeFence(err)
+func (r *Runner) holdFailed(ctx context.Context, ref platform.ExecutorRef, token uint64, err error) bool {
+	r.noticeFence(ref, token, err)
 	var refused *platform.RefusedError
 	if errors.As(err, &refused) && refused.Reason == platform.RefusedGone {
 		r.mu.Lock()
-		r.cell.Gone(ref.ID, plan.OtherLife, time.Now())
+		r.cell.Gone(ref, plan.OtherLife, time.Now())
 		r.mu.Unlock()
 		r.Wake()
 		return true
 	}
 	r.mu.Lock()
-	r.cell.NoReport(ref.ID, time.Now())
+	r.cell.NoReport(ref, time.Now())
 	r.mu.Unlock()
 	r.cfg.Events.WithError(err).WithField("executor", ref.ID).Debug("no report")
 	pause.For(ctx, holdRetry)
@@ -83,6 +86,7 @@
 // unseen are ends that were applied and that the executor may be told of as seen
 // once they are durable.
 type unseen struct {
+	of      platform.ExecutorRef // the life that counts them
 	upTo    uint64
 	durable <-chan struct{} // closed when they are; nil: there are none
 }
@@ -90,11 +94,11 @@
 // takeReport applies a report. Ends are told to the executor as seen only
 // after they are durable. That is waited for, but no longer than a lease can
 // do without renewal: while the store is down nothing becomes durable.
-func (r *Runner) takeReport(ctx context.Context, id string, report platform.ExecutorReport, asked time.Time, ends *unseen) {
+func (r *Runner) takeReport(ctx context.Context, from platform.ExecutorRef, report platform.ExecutorReport, asked time.Time, ends *unseen) {
 	r.mu.Lock()
-	news := r.cell.Report(id, report, asked, time.Now())
+	news := r.cell.Report(from, report, asked, time.Now())
 	if news {
-		*ends = unseen{upTo: r.cell.Taken(id), durable: r.cycle}
+		*ends = unseen{of: from, upTo: r.cell.Taken(from), durable: r.cycle}
 	}
 	r.mu.Unlock()
 	if news {
@@ -108,7 +112,7 @@
 	select {
 	case <-ends.durable:
 		r.mu.Lock()
-		r.cell.Seen(id, ends.upTo)
+		r.cell.Seen(ends.of, ends.upTo)
 		r.mu.Unlock()
 		*ends = unseen{}
 	case <-renew.C:
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -53,15 +53,15 @@
 	}
 	stops := make([]assist.StopItem, len(b.stops))
 	for i, s := range b.stops {
-		stops[i] = assist.StopItem{To: s.To, Run: s.Run}
+		stops[i] = assist.StopItem{To: s.To, Run: s.Run, Token: s.Token}
 	}
-	errs, relayed := r.cfg.Helpers.Relay(ctx, centre, uint64(r.cfg.Self.Epoch), items, stops, time.Now())
+	errs, relayed := r.cfg.Helpers.Relay(ctx, centre, items, stops, time.Now())
 	if !relayed {
 		r.sendThemselves(ctx, b)
 		return
 	}
 	for i, o := range b.starts {
-		r.startAnswered(o.Start, errs[i])
+		r.startAnswered(o, errs[i])
 	}
 	for i, s := range b.stops {
 		r.stopAnswered(s, errs[len(b.starts)+i])
@@ -81,13 +81,13 @@
 func (r *Runner) sendStart(ctx context.Context, o plan.Order) {
 	ctx, cancel := context.WithTimeout(ctx, assist.OrderTimeout)
 	defer cancel()
-	o.Order.Token = uint64(r.cfg.Self.Epoch)
 	_, err := r.cfg.Executors.Start(ctx, o.Start.To, o.Order)
-	r.startAnswered(o.Start, err)
+	r.startAnswered(o, err)
 }
 
-func (r *Runner) startAnswered(s plan.Start, err error) {
-	r.noticeFence(err)
+func (r *Runner) startAnswered(o plan.Order, err error) {
+	s := o.Start
+	r.noticeFence(s.To, o.Order.Token, err)
 	r.mu.Lock()
 	r.cell.Started(s, err, time.Now())
 	r.mu.Unlock()
@@ -100,12 +100,12 @@
 func (r *Runner) sendStop(ctx context.Context, s plan.Stop) {
 	ctx, cancel := context.WithTimeout(ctx, assist.OrderTimeout)
 	defer cancel()
-	_, err := r.cfg.Executors.Stop(ctx, s.To, s.Run, uint64(r.cfg.Self.Epoch))
+	_, err := r.cfg.Executors.Stop(ctx, s.To, s.Run, s.Token)
 	r.stopAnswered(s, err)
 }
 
 func (r *Runner) stopAnswered(s plan.Stop, err error) {
-	r.noticeFence(err)
+	r.noticeFence(s.To, s.Token, err)
 	r.mu.Lock()
 	r.cell.Stopped(s, err, time.Now())
 	r.mu.Unlock()
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -253,10 +253,16 @@
 	}
 }
 
-// noticeFence tells the elector when an executor has seen a higher token.
-func (r *Runner) noticeFence(err error) {
+// noticeFence tells the elector when an executor has seen the token of another leader.
+func (r *Runner) noticeFence(to platform.ExecutorRef, token uint64, err error) {
 	var refused *platform.RefusedError
-	if errors.As(err, &refused) && refused.Reason == platform.RefusedFence {
+	if !errors.As(err, &refused) || refused.Reason != platform.RefusedFence {
+		return
+	}
+	r.mu.Lock()
+	own := r.cell.Outdated(to.ID, token)
+	r.mu.Unlock()
+	if !own {
 		r.cfg.Replaced()
 	}
 }
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -12,17 +12,18 @@
 // advice is what is known of the executors that may run a step. Whether one
 // may never changes in its life; the permission itself lapses.
 type advice struct {
-	tickets  map[*vm]ticket   // of executors that may
-	denied   map[*vm]struct{} // executors that may not
-	asking   int              // calls under way
-	unused   bool             // an answer has come since the step was last planned
-	expected float64          // tasks that were to find room on each executor that these name
-	again    time.Time        // no call before this, after one that failed
-	look     time.Time        // not before this is it worked out again whether a call is due
-	expects  time.Time        // until when room is waited for where tickets hold; zero: it is not
-	until    time.Time        // when the last ticket lapses
-	promises []promise        // room that the newest call expects
-	vms      []*vm            // those with tickets, in order; nil: to be made up
+	tickets  map[*vm]ticket      // of executors that may
+	denied   map[*vm]struct{}    // executors that may not
+	asking   int                 // calls under way
+	over     map[string]struct{} // ids of executors whose lives have ended since those were made
+	unused   bool                // an answer has come since the step was last planned
+	expected float64             // tasks that were to find room on each executor that these name
+	again    time.Time           // no call before this, after one that failed
+	look     time.Time           // not before this is it worked out again whether a call is due
+	expects  time.Time           // until when room is waited for where tickets hold; zero: it is not
+	until    time.Time           // when the last ticket lapses
+	promises []promise           // room that the newest call expects
+	vms      []*vm               // those with tickets, in order; nil: to be made up
 }
 
 // ticket is the permission to start a step's tasks on one executor.
@@ -39,7 +40,7 @@
 }
 
 // grant takes in the answer to a call about the named executors, of which those
-// that are gone are passed over.
+// whose lives are over are passed over: a ticket is of use during one life only.
 func (a *advice) grant(vms map[string]*vm, asked []string, grants []platform.Grant, until time.Time) {
 	if a.tickets == nil {
 		a.tickets = make(map[*vm]ticket)
@@ -49,14 +50,18 @@
 	if len(grants) > 0 {
 		a.until = until
 	}
+	texts := make(map[string]string, len(grants))
 	for _, g := range grants {
-		if v := vms[g.Executor]; v != nil {
-			a.tickets[v] = ticket{text: g.Ticket, until: until}
-		}
+		texts[g.Executor] = g.Ticket
 	}
 	for _, id := range asked {
 		v := vms[id]
-		if _, granted := a.tickets[v]; !granted && v != nil {
+		if _, over := a.over[id]; over || v == nil {
+			continue
+		}
+		if text, granted := texts[id]; granted {
+			a.tickets[v] = ticket{text: text, until: until}
+		} else if _, before := a.tickets[v]; !before {
 			a.denied[v] = struct{}{}
 		}
 	}
@@ -69,6 +74,21 @@
 		a.vms = nil
 	}
 	delete(a.denied, v)
+	if a.asking == 0 {
+		return
+	}
+	if a.over == nil {
+		a.over = make(map[string]struct{})
+	}
+	a.over[v.Ref.ID] = struct{}{}
+}
+
+// answered takes in that a call has ended.
+func (a *advice) answered() {
+	a.asking--
+	if a.asking == 0 {
+		a.over = nil
+	}
 }
 
 // valid returns the ticket for an executor if it is valid at now.
@@ -239,7 +259,6 @@
 	if s == nil {
 		return
 	}
-	s.advice.asking--
 	s.advice.unused = true
 	s.gathered.look = time.Time{}
 	if s.job.advised.IsZero() {
@@ -248,6 +267,7 @@
 	q := c.queue(s.job)
 	c.learnShare(q, len(a.Executors), len(grants))
 	s.advice.grant(c.vms, a.Executors, grants, now.Add(valid-c.cfg.TicketMargin))
+	s.advice.answered()
 	c.learnKept(s, q, grants, now)
 }
 
@@ -257,7 +277,7 @@
 	if s == nil {
 		return
 	}
-	s.advice.asking--
+	s.advice.answered()
 	c.unpromise(s)
 	s.advice.again = now.Add(adviceRetry)
 }
--- a/internal/plan/answers.go
+++ b/internal/plan/answers.go
@@ -12,9 +12,9 @@
 
 // Started takes in the answer to a start order.
 func (c *Cell) Started(st Start, err error, now time.Time) {
-	v := c.vms[st.To.ID]
+	v := c.life(st.To)
 	if v == nil {
-		return
+		return // its next life settles what became of the start
 	}
 	cl := v.claims[st.Run]
 	if cl == nil || cl.state != sent {
@@ -53,7 +53,7 @@
 	case platform.RefusedBad, platform.RefusedOld:
 		cl.task.step.backOff(now)
 	case platform.RefusedGone:
-		c.Gone(cl.vm.Ref.ID, OtherLife, now)
+		c.Gone(cl.vm.Ref, OtherLife, now)
 		return
 	}
 	c.over(cl, platform.EndStopped, "")
@@ -77,7 +77,7 @@
 // Stopped takes in the answer to a stop order: once an executor has taken it,
 // the run doesn't start there any more.
 func (c *Cell) Stopped(s Stop, err error, now time.Time) {
-	v := c.vms[s.To.ID]
+	v := c.life(s.To)
 	if v == nil {
 		return
 	}
@@ -85,7 +85,7 @@
 	var refused *platform.RefusedError
 	switch {
 	case errors.As(err, &refused) && refused.Reason == platform.RefusedGone:
-		c.Gone(s.To.ID, OtherLife, now)
+		c.Gone(s.To, OtherLife, now)
 	case err == nil && cl != nil && cl.state == unsure:
 		cl.state = stopping
 		cl.since = now
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -17,10 +17,11 @@
 	events    *logrus.Entry
 	lookup    func(work.ID) *work.Job // any stored job, also one that has ended; nil if unknown
 	table     *queue.Table
-	pools     map[string]int // number of listed executors by service
-	began     time.Time      // when this leader took over
-	vms       map[string]*vm
-	sorted    []*vm // by id
+	pools     map[string]int    // number of listed executors by service
+	began     time.Time         // when this leader took over
+	vms       map[string]*vm    // by id
+	lives     map[string]uint64 // by id: former lives of executors that were let go of
+	sorted    []*vm             // by id
 	jobs      map[work.ID]*job
 	ended     map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
 	waiting   []*step              // with tasks to place
@@ -48,6 +49,7 @@
 	To         platform.ExecutorRef
 	DataCentre string // of the executor
 	Run        platform.Run
+	Token      uint64 // fencing token
 }
 
 // NewCell returns a cell without jobs and executors, led from now on.
@@ -59,6 +61,7 @@
 		table:   &queue.Table{},
 		began:   now,
 		vms:     make(map[string]*vm),
+		lives:   make(map[string]uint64),
 		jobs:    make(map[work.ID]*job),
 		ended:   make(map[work.ID]struct{}),
 		granted: make(map[string]float64),
@@ -285,7 +288,7 @@
 		return // it is dropped before it is sent
 	}
 	cl.stopped = c.now
-	c.stops = append(c.stops, Stop{To: cl.vm.Ref, DataCentre: cl.vm.Zone, Run: cl.run})
+	c.stops = append(c.stops, Stop{To: cl.vm.Ref, DataCentre: cl.vm.Zone, Run: cl.run, Token: c.token(cl.vm)})
 }
 
 // repeatStops sends those stops again that may have had no effect. A report that lists
@@ -314,7 +317,7 @@
 	stops := c.stops
 	c.stops = nil
 	for _, s := range stops {
-		if v := c.vms[s.To.ID]; v != nil {
+		if v := c.life(s.To); v != nil {
 			if cl := v.claims[s.Run]; cl != nil {
 				cl.stopped = now
 			}
--- a/internal/plan/config.go
+++ b/internal/plan/config.go
@@ -8,10 +8,16 @@
 // its executor until the run certainly is over.
 package plan
 
-import "time"
+import (
+	"time"
+
+	"github.com/skylarklock/skylarklock/api"
+)
 
 // Config holds the limits and intervals of planning.
 type Config struct {
+	// Epoch is the leader's; its fencing tokens follow from it.
+	Epoch api.Epoch
 	// Lease is how long everything on an executor runs on after the last
 	// renewal that reached it. A longer one saves work when a data centre is
 	// cut off, a shorter one lets work that is lost start again earlier.
@@ -56,6 +62,12 @@
 	ReservedGangs int
 }
 
+// orderLasts returns for how long an order may keep something at work on an executor that
+// can't be reached.
+func (c *Config) orderLasts() time.Duration {
+	return time.Duration(float64(c.Lease+c.StartValid) / (1 - c.ClockDrift))
+}
+
 // DefaultConfig returns the configuration in use, before what the platform's
 // settings say.
 func DefaultConfig() Config {
--- a/internal/plan/crash_play_test.go
+++ b/internal/plan/crash_play_test.go
@@ -37,17 +37,17 @@
 		if p.executors[id] != nil || p.paused || p.now.Before(h.again) {
 			continue
 		}
-		ref, _, wanted := p.cell.Hold(id, !p.noStore)
+		ref, _, wanted := p.cell.Hold(id, !p.noStore, playHoldWait)
 		if !wanted {
 			delete(p.holds, id)
 			continue
 		}
 		if p.answerOfCrashed(ref) == platform.ErrNotReached {
-			p.cell.NoReport(id, p.now)
+			p.cell.NoReport(ref, p.now)
 			*h = call{again: p.now.Add(playHoldRetry)}
 			continue
 		}
-		p.cell.Gone(id, OtherLife, p.now)
+		p.cell.Gone(ref, OtherLife, p.now)
 		delete(p.holds, id)
 	}
 }
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -17,15 +17,13 @@
 	for id, e := range listed {
 		v := c.vms[id]
 		if v == nil {
-			v = newVM(*e)
-			c.vms[id] = v
-			c.sorted = append(c.sorted, v)
+			v = c.addVM(e.Ref)
 			c.lookAgain()
 		}
 		if !e.Capacity.Fits(v.Capacity) {
 			c.lookAgain()
 		}
-		v.register(*e, now)
+		v.register(e, now)
 		c.pools[e.Service]++
 	}
 	for id, v := range c.vms {
@@ -41,50 +39,42 @@
 // a record names the address is no proof, since it may be somebody else's: the
 // other life has to have answered there, and later.
 func (c *Cell) dropReplaced(now time.Time) {
-	var replaced []string
+	var replaced []platform.ExecutorRef
 	for _, v := range c.sorted {
 		if !v.listed && slices.ContainsFunc(c.sorted, v.isFollowedBy) {
-			replaced = append(replaced, v.Ref.ID)
+			replaced = append(replaced, v.Ref)
 		}
 	}
-	for _, id := range replaced {
-		c.Gone(id, AddressTaken, now)
+	for _, ref := range replaced {
+		c.Gone(ref, AddressTaken, now)
 	}
 }
 
+// addVM adds an executor of which nothing is known but how it is called.
+func (c *Cell) addVM(ref platform.ExecutorRef) *vm {
+	v := newVM(ref)
+	v.lives = c.lives[ref.ID]
+	c.vms[ref.ID] = v
+	c.sorted = append(c.sorted, v)
+	return v
+}
+
 // Gone takes in that a life of an executor is over, and with it everything that ran
 // on it.
-func (c *Cell) Gone(id string, e Evidence, now time.Time) {
-	v := c.vms[id]
+func (c *Cell) Gone(ref platform.ExecutorRef, e Evidence, now time.Time) {
+	v := c.life(ref)
 	if v == nil {
 		return
 	}
 	l := c.lossOf(v, e, now)
 	c.logLost(v, l, now)
-	runs := v.youngestFirst()
-	for _, cl := range runs {
-		c.lose(cl, l)
-	}
-	for _, cl := range v.lapsed {
-		c.takeBackLapse(cl)
-		c.countLoss(cl, l)
-	}
-	for _, cl := range slices.Concat(runs, v.lapsed) { // canaries begin after a crash, not with it
-		c.countForStep(cl, l)
-	}
-	if v.isolatedFor != nil {
-		v.isolatedFor.endIsolation()
-	}
-	for _, s := range c.waiting {
-		s.advice.forget(v)
-	}
-	delete(c.vms, id)
-	for i, o := range c.sorted {
-		if o == v {
-			c.sorted = append(c.sorted[:i], c.sorted[i+1:]...)
-			break
-		}
-	}
+	c.settleFormer(v, v.formerRuns())
+	c.endLife(v.youngestFirst(), v.lapsed, l)
+	c.leaveSteps(v)
+	c.lives[ref.ID] = v.lives + 1
+	delete(c.vms, ref.ID)
+	i := slices.Index(c.sorted, v)
+	c.sorted = slices.Delete(c.sorted, i, i+1)
 }
 
 // DropSilent lets go of the runs on executors whose lease is certainly over,
@@ -95,9 +85,10 @@
 			continue
 		}
 		if !v.listed {
-			c.Gone(v.Ref.ID, Unregistered, now)
+			c.Gone(v.Ref, Unregistered, now)
 			continue
 		}
+		c.settleFormer(v, v.formerRuns())
 		for _, cl := range v.youngestFirst() {
 			c.events.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": cl.run.Task, "run": cl.run.Number}).Info("lease is over without a report")
 			c.lapse(cl)
--- a/internal/plan/foreign_test.go
+++ b/internal/plan/foreign_test.go
@@ -42,7 +42,7 @@
 
 // held reports whether an executor's holds go on.
 func (w *world) held(id string) bool {
-	_, _, wanted := w.cell.Hold(id, true)
+	_, _, wanted := w.cell.Hold(id, true, 0)
 	return wanted
 }
 
@@ -169,7 +169,7 @@
 		w.job(1, testQueue, oneTask(4))
 		w.startAll(w.cycle())
 		w.list("n", "e0", testService)
-		w.cell.Gone("n", OtherLife, w.now)
+		w.cell.Gone(w.ref("n"), OtherLife, w.now)
 		So(w.cycle(), ShouldBeEmpty)
 		So(w.cell.vms["e0"].claims, ShouldHaveLength, 1)
 	})
--- a/internal/plan/harness_test.go
+++ b/internal/plan/harness_test.go
@@ -22,6 +22,7 @@
 	saved  map[work.ID]*work.Progress // durable
 	listed map[string]*fleet.Executor
 	clock  platform.ExecutorClock
+	epoch  api.Epoch
 }
 
 const (
@@ -63,7 +64,10 @@
 // is durable.
 func (w *world) takeOver() {
 	lookup := func(id work.ID) *work.Job { return w.stored[id] }
-	w.cell = NewCell(DefaultConfig(), lookup, logging.Silent(), w.now)
+	w.epoch++
+	cfg := DefaultConfig()
+	cfg.Epoch = w.epoch
+	w.cell = NewCell(cfg, lookup, logging.Silent(), w.now)
 	w.cell.Configure(testTable())
 	for id, j := range w.stored {
 		if p := w.saved[id]; p == nil || !p.State.Final() {
@@ -87,7 +91,15 @@
 
 func (w *world) report(id string, running []platform.RunningTask, ended []platform.EndedRun) {
 	r := platform.ExecutorReport{Clock: w.clock, Running: running, Ended: ended}
-	w.cell.Report(id, r, w.now, w.now)
+	w.cell.Report(w.ref(id), r, w.now, w.now)
+}
+
+// ref returns how the cell calls an executor.
+func (w *world) ref(id string) platform.ExecutorRef {
+	if v := w.cell.vms[id]; v != nil {
+		return v.Ref
+	}
+	return platform.ExecutorRef{ID: id}
 }
 
 // reportAll has every executor report that all runs which it was given are at
--- a/internal/plan/lost.go
+++ b/internal/plan/lost.go
@@ -47,18 +47,6 @@
 	}).Info("executor is lost with its runs")
 }
 
-// logOtherLife logs that a report comes from another life than the one before it.
-func (c *Cell) logOtherLife(v *vm, r platform.ExecutorReport) {
-	if v.clockAt.IsZero() || r.Born == v.born && r.Clock >= v.clock {
-		return
-	}
-	c.events.WithFields(logrus.Fields{
-		"executor": v.Ref.ID, "address": v.Ref.Address, "born_ms": r.Born, "former_born_ms": v.born,
-		"clock_ms": int64(r.Clock), "former_clock_ms": int64(v.clock), "ends_listed": len(r.Ended),
-		"ends_applied": v.taken, "ends_acknowledged": v.seen, "runs": len(v.claims), "lost": v.describeRuns(),
-	}).Info("executor has started again under its id")
-}
-
 // describeRuns returns the runs on an executor as task/run:age, the youngest first. The age
 // counts from the order to the executor's first sign of silence, in milliseconds; -1: not
 // known.
@@ -92,8 +80,8 @@
 }
 
 // NoReport takes in that a hold had no answer.
-func (c *Cell) NoReport(id string, now time.Time) {
-	if v := c.vms[id]; v != nil && !v.silentFrom.After(v.clockAt) {
+func (c *Cell) NoReport(ref platform.ExecutorRef, now time.Time) {
+	if v := c.life(ref); v != nil && !v.silentFrom.After(v.clockAt) {
 		v.silentFrom = now
 	}
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -280,7 +280,7 @@
 // Order is a start that may be sent now.
 type Order struct {
 	Start Start
-	Order platform.StartOrder // without its token
+	Order platform.StartOrder
 }
 
 // Confirm checks planned starts again right before they are sent, after their
@@ -290,7 +290,7 @@
 func (c *Cell) Confirm(starts []Start, now time.Time) []Order {
 	wrong := make(map[*step]bool)
 	for _, st := range starts {
-		if cl := c.planned(st); cl != nil && !c.stillRight(cl, now) {
+		if cl := c.planned(st); cl != nil && !c.stillRight(st, cl, now) {
 			wrong[cl.task.step] = true
 		}
 	}
@@ -301,7 +301,7 @@
 			continue
 		}
 		s := cl.task.step
-		if !c.stillRight(cl, now) || (s.spec.Gang && wrong[s]) {
+		if !c.stillRight(st, cl, now) || (s.spec.Gang && wrong[s]) {
 			c.over(cl, platform.EndStopped, "")
 			continue
 		}
@@ -335,14 +335,15 @@
 		Specification: st.Specification,
 		Checkpoint:    st.Checkpoint,
 		LeaseUntil:    cl.voidAt,
+		Token:         c.token(v),
 		Ticket:        st.Ticket,
 	}
 }
 
 // stillRight reports whether a planned start may be sent.
-func (c *Cell) stillRight(cl *claim, now time.Time) bool {
+func (c *Cell) stillRight(st Start, cl *claim, now time.Time) bool {
 	v := cl.vm
-	if cl.unwanted || !c.serves(v) || v.Service != c.service(cl.task.step.job) {
+	if cl.unwanted || c.life(st.To) != v || !v.known || !c.serves(v) || v.Service != c.service(cl.task.step.job) {
 		return false
 	}
 	if since, leaves := v.leaves(now); leaves && now.Sub(since) > c.cfg.DrainMargin {
--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -38,7 +38,7 @@
 	forgotten uint64 // ends up to here were acknowledged
 	highest   map[work.TaskKey]uint32
 	lease     platform.ExecutorClock
-	token     int
+	token     uint64
 	started   int  // runs that have come to be at work
 	barred    int  // starts refused since the run was stopped before
 	mute      int  // so many of the next holds have no answer and no effect
@@ -95,7 +95,7 @@
 // renew takes in what a hold brings.
 func (e *playedExecutor) renew(lease platform.ExecutorClock, seen uint64) {
 	e.lease = max(e.lease, lease)
-	e.forgotten = max(e.forgotten, seen)
+	e.forgotten = max(e.forgotten, min(seen, uint64(len(e.ended))))
 	for _, d := range e.dones {
 		switch {
 		case d.acked || d.excused || d.end.Number > seen:
@@ -128,6 +128,7 @@
 	asked time.Time // zero: none is, and the next is due at again
 	again time.Time
 	to    *playedExecutor // that it reached
+	ref   platform.ExecutorRef
 	lost  bool
 	wait  time.Duration
 }
@@ -145,7 +146,6 @@
 	holds     map[string]*call
 	events    []event
 	cycleAt   time.Time
-	token     int
 	stopFates []fate // of the next stops; later ones are carried out and answered
 	startFate fate   // of all starts
 	loseStops bool   // no stop is carried out or answered
@@ -155,7 +155,7 @@
 }
 
 func newPlay(t *testing.T, executors int) *play {
-	p := &play{world: newWorld(t, executors), executors: make(map[string]*playedExecutor), holds: make(map[string]*call), token: 1}
+	p := &play{world: newWorld(t, executors), executors: make(map[string]*playedExecutor), holds: make(map[string]*call)}
 	for id := range p.listed {
 		p.executors[id] = p.newPlayedExecutor(0)
 	}
@@ -169,7 +169,6 @@
 
 // lead has a new leader take over, with a higher token.
 func (p *play) lead() {
-	p.token++
 	p.takeOver()
 	p.holds = make(map[string]*call)
 }
@@ -260,32 +259,36 @@
 			*h = call{again: p.now.Add(playHoldRetry)}
 		}
 	case p.now.Sub(h.asked) >= h.wait || e.news():
-		p.cell.Report(id, e.report(), h.asked, p.now)
+		p.cell.Report(h.ref, e.report(), h.asked, p.now)
 		if !p.noStore {
 			p.save()
-			p.cell.Seen(id, p.cell.Taken(id))
+			p.cell.Seen(h.ref, p.cell.Taken(h.ref))
 		}
 		*h = call{again: p.now, wait: playHoldWait}
 	}
 }
 
 func (p *play) ask(id string, e *playedExecutor, h *call) {
-	_, order, wanted := p.cell.Hold(id, !p.noStore)
+	ref, order, wanted := p.cell.Hold(id, !p.noStore, h.wait)
 	if !wanted {
 		delete(p.holds, id)
 		return
 	}
-	h.asked = p.now
-	h.to = e
+	h.asked, h.to, h.ref, h.wait = p.now, e, ref, order.Wait
 	if e.mute > 0 {
 		e.mute--
 		h.lost = true
 		return
 	}
-	if !e.cut && p.token >= e.token {
-		e.token = p.token
-		e.renew(order.LeaseUntil, order.Seen)
+	if e.cut {
+		return
+	}
+	if order.Token < e.token {
+		h.lost = true
+		return
 	}
+	e.token = order.Token
+	e.renew(order.LeaseUntil, order.Seen)
 }
 
 func (p *play) cycleOnce() {
@@ -308,7 +311,7 @@
 }
 
 func (p *play) sendStart(o Order) {
-	e, token, cell := p.executors[o.Start.To.ID], p.token, p.cell
+	e, token, cell := p.executors[o.Start.To.ID], o.Order.Token, p.cell
 	if e == nil {
 		cell.Started(o.Start, p.answerOfCrashed(o.Start.To), p.now)
 		return
@@ -332,7 +335,7 @@
 
 func (p *play) sendStop(s Stop) {
 	p.stops++
-	e, token, cell := p.executors[s.To.ID], p.token, p.cell
+	e, token, cell := p.executors[s.To.ID], s.Token, p.cell
 	if e == nil {
 		cell.Stopped(s, p.answerOfCrashed(s.To), p.now)
 		return
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -10,41 +10,50 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-// Hold returns the next renewal for an executor and where to send it; without
-// renew it only asks. It returns false once the executor is not to be called.
+// Hold returns the next renewal for an executor and where to send it; without renew it
+// only asks. The answer waits for an end as long as it may if the life has answered
+// before. It returns false once the executor is not to be called.
 // The lease counts from the executor's last report: were it counted from now,
 // each attempt to reach a silent executor would put off the time from which
 // its work is certainly over.
-func (c *Cell) Hold(id string, renew bool) (to platform.ExecutorRef, order platform.HoldOrder, wanted bool) {
+func (c *Cell) Hold(id string, renew bool, wait time.Duration) (to platform.ExecutorRef, order platform.HoldOrder, wanted bool) {
 	v := c.vms[id]
 	if v == nil || !c.calls(v) {
 		return to, order, false
 	}
+	order.Token = c.token(v)
 	order.Seen = v.seen
-	if renew && v.known {
+	if !v.known {
+		return v.Ref, order, true
+	}
+	order.Wait = wait
+	if renew {
 		order.LeaseUntil = v.clock.Add(c.cfg.Lease)
 		v.lease = max(v.lease, order.LeaseUntil)
 	}
 	return v.Ref, order, true
 }
 
-// Report takes in an executor's report on a hold that was sent at a given
+// Report takes in an executor's report on a hold that was sent to a life of it at a given
 // time. It returns whether ends were applied that are to be made durable.
-func (c *Cell) Report(id string, r platform.ExecutorReport, asked, now time.Time) bool {
+func (c *Cell) Report(from platform.ExecutorRef, r platform.ExecutorReport, asked, now time.Time) bool {
 	c.now = now
-	v := c.vms[id]
+	v := c.life(from)
 	if v == nil {
 		return false
 	}
+	if v.startedAgain(r) {
+		c.nextLife(v, r, now)
+		return false
+	}
 	first := !v.known
 	if first {
+		v.isLife(r.Born)
 		// A former leader may have extended the lease up to the moment of
 		// this report, which its fencing token ended.
 		v.known = true
 		v.lease = max(v.lease, r.Clock.Add(c.cfg.Lease))
 	}
-	c.logOtherLife(v, r)
-	v.born = r.Born
 	v.clock = r.Clock
 	v.clockAt = now
 	if first {
@@ -62,6 +71,7 @@
 			c.missing(cl, r.Clock, asked)
 		}
 	}
+	c.settleFormer(v, v.formerRuns())
 	return news
 }
 
@@ -90,16 +100,16 @@
 	return news
 }
 
-// Seen notes that the ends applied up to now are durable.
-func (c *Cell) Seen(id string, upTo uint64) {
-	if v := c.vms[id]; v != nil {
+// Seen notes that the ends of an executor are durable up to a number.
+func (c *Cell) Seen(of platform.ExecutorRef, upTo uint64) {
+	if v := c.life(of); v != nil {
 		v.seen = max(v.seen, upTo)
 	}
 }
 
 // Taken returns up to which number an executor's ends have been applied.
-func (c *Cell) Taken(id string) uint64 {
-	if v := c.vms[id]; v != nil {
+func (c *Cell) Taken(of platform.ExecutorRef) uint64 {
+	if v := c.life(of); v != nil {
 		return v.taken
 	}
 	return 0
--- a/internal/plan/restore.go
+++ b/internal/plan/restore.go
@@ -69,13 +69,10 @@
 func (c *Cell) inherit(id string, now time.Time) *vm {
 	v := c.vms[id]
 	if v == nil {
-		v = newVM(fleet.Executor{Ref: platform.ExecutorRef{ID: id}})
-		c.vms[id] = v
-		c.sorted = append(c.sorted, v)
+		v = c.addVM(platform.ExecutorRef{ID: id})
 	}
 	if v.lapses.IsZero() && !v.known {
-		longest := time.Duration(float64(c.cfg.Lease+c.cfg.StartValid) / (1 - c.cfg.ClockDrift))
-		v.lapses = now.Add(c.cfg.Inherited + longest)
+		v.lapses = now.Add(c.cfg.Inherited + c.cfg.orderLasts())
 	}
 	return v
 }
@@ -100,7 +97,7 @@
 	if v == nil || v.listed || v.Ref.Address != "" {
 		return
 	}
-	v.register(e, now)
+	v.register(&e, now)
 	v.listed = false
 	c.dropReplaced(now)
 }
--- a/internal/plan/unwanted_test.go
+++ b/internal/plan/unwanted_test.go
@@ -151,7 +151,7 @@
 		p.endsWithin(t, stopWithin)
 		return
 	}
-	p.until(time.Minute, func() bool { return p.token > 1 })
+	p.until(time.Minute, func() bool { return p.epoch > 1 })
 	p.endsWithin(t, p.cell.cfg.Lease)
 }
 
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -18,11 +18,12 @@
 	atWork                      // the executor has confirmed or listed it
 	inherited                   // a former leader ordered it
 	stopping                    // the executor has taken a stop of it
+	former                      // it was ordered to a life of the executor that is over
 )
 
 // String returns the state's name in logs.
 func (s claimState) String() string {
-	return [...]string{"planned", "sent", "unsure", "at_work", "inherited", "stopping"}[s]
+	return [...]string{"planned", "sent", "unsure", "at_work", "inherited", "stopping", "former"}[s]
 }
 
 // claim holds the room of one run on an executor.
@@ -32,6 +33,7 @@
 	vm       *vm
 	need     api.Resources
 	state    claimState
+	was      claimState             // while it is former: its state at the life that is over
 	voidAt   platform.ExecutorClock // of the order that is sent or unsure
 	ordered  time.Time              // when its order was sent; zero: by a former leader, or not yet
 	since    time.Time              // when it was confirmed to be at work
@@ -45,18 +47,21 @@
 // vm is one life of an executor as the leader sees it.
 type vm struct {
 	fleet.Executor
-	listed   bool   // in the registry
-	recalled bool   // the registry's history was asked for its address
-	address  string // that the registry names; Ref has the one to call
-	used     api.Resources
-	kept     api.Resources // for gangs that gather room (yield.go)
-	promised api.Resources // to steps whose calls for advice name it (promise.go)
-	claims   map[platform.Run]*claim
-	draining time.Time // when it was first read as leaving; zero: it wasn't
-	ready    time.Time // since when its records say that it is ready after all
+	listed    bool            // in the registry, under its id
+	record    *fleet.Executor // the newest there under its id, which may be of another life; nil: none was read
+	described bool            // its own record was read: room, kind and service are known
+	lives     uint64          // of the executor that this leader knew before
+	former    *formerLife     // the end of the life before, until it is settled what became of its runs
+	recalled  bool            // the registry's history was asked for its address
+	address   string          // that the registry names; Ref has the one to call
+	used      api.Resources
+	kept      api.Resources // for gangs that gather room (yield.go)
+	promised  api.Resources // to steps whose calls for advice name it (promise.go)
+	claims    map[platform.Run]*claim
+	draining  time.Time // when it was first read as leaving; zero: it wasn't
+	ready     time.Time // since when its records say that it is ready after all
 
 	known       bool                   // it has reported to this leader
-	born        int64                  // that its newest report told
 	clock       platform.ExecutorClock // at its newest report
 	clockAt     time.Time              // when that report arrived; zero: never
 	silentFrom  time.Time              // when a hold first had no answer since that report
@@ -76,20 +81,35 @@
 	slowAt     time.Time // latest sign of that
 }
 
-func newVM(e fleet.Executor) *vm {
-	return &vm{Executor: e, claims: make(map[platform.Run]*claim), failJobs: make(map[*job]struct{}), slowness: 1}
+// newVM returns an executor of which nothing is known but how it is called.
+func newVM(ref platform.ExecutorRef) *vm {
+	v := &vm{claims: make(map[platform.Run]*claim), failJobs: make(map[*job]struct{}), slowness: 1}
+	v.Ref = ref
+	return v
 }
 
-// register takes in the executor's record. One that has answered is called where
-// it did until it is silent and its lease is over: a life keeps its address, and
-// calls to another place would be taken for its end.
-func (v *vm) register(e fleet.Executor, now time.Time) {
+// register takes in the newest record under the executor's id. Which life is there is
+// known from answers alone: records may come late, and of a life that is over.
+func (v *vm) register(e *fleet.Executor, now time.Time) {
 	v.address = e.Ref.Address
+	v.listed = true
+	v.record = e
+	if !v.known || v.Ref.Life().Same(e.Ref.Life()) {
+		v.describe(e, now)
+	}
+}
+
+// describe takes in the record of this life. One that has answered is called where it did
+// until it is silent and its lease is over: a life keeps its address, and calls to another
+// place would be taken for its end.
+func (v *vm) describe(e *fleet.Executor, now time.Time) {
+	ref := e.Ref
 	if v.known {
-		e.Ref.Address = v.Ref.Address
+		ref = v.Ref
 	}
-	v.Executor = e
-	v.listed = true
+	v.Executor = *e
+	v.Ref = ref
+	v.described = true
 	switch {
 	case e.Draining && v.draining.IsZero():
 		v.draining = now
@@ -162,7 +182,7 @@
 // answer, or didn't reach it, it has to report first.
 func (v *vm) usable(now time.Time, cfg *Config) bool {
 	_, leaves := v.leaves(now)
-	return v.listed && v.known && !leaves &&
+	return v.listed && v.described && v.known && !leaves &&
 		now.Sub(v.clockAt) < cfg.SilentAfter &&
 		!now.Before(v.avoidUntil) &&
 		v.clockAt.After(v.unanswered) && !v.silentFrom.After(v.clockAt) &&
--- a/internal/platform/executor.go
+++ b/internal/platform/executor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -29,6 +30,19 @@
 	Address string // IP:port
 }
 
+// Life returns the name of the life.
+func (r ExecutorRef) Life() work.Life { return work.Life{ID: r.ID, Born: r.Born} }
+
+// livesOfEpoch is how many lives of one executor a leader's fencing tokens tell apart.
+const livesOfEpoch = 1 << 20
+
+// FencingToken returns the token of a leader's calls to an executor. It rises with the
+// leader's epoch, and within that with each further life of the executor that the leader
+// gets to know: a call that was meant for a former life has no effect from then on.
+func FencingToken(epoch api.Epoch, life uint64) uint64 {
+	return uint64(epoch)*livesOfEpoch + min(life, livesOfEpoch-1)
+}
+
 // Run is one start of a task.
 type Run struct {
 	Task   work.TaskKey
