Holds acknowledge and renew only by a connection on which the executor has answered

A hold that a leader sends after an executor has started again, and before it knows, would acknowledge ends of the new life that nobody has read, and extend leases there by the former life's clock. It can't be told from the answer.

Cause: a call opened a connection where none was left, and so reached whoever was there.

The first hold on it acknowledges and renews nothing, and tells which life answers; later ones go by that connection or not at all (ErrNotConnected, nothing was sent, the next one opens it).

Why it works: a connection ends with the process that accepted it, so what was learned of its life by one answer holds for the connection. Ruled out: acknowledging seldom or only some time after an error, which makes the window smaller and doesn't close it. Price: one hold more after each connection that broke; none in quiet times.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -29,23 +29,26 @@
 // until the cell doesn't want it called any more.
 func (r *Runner) holdExecutor(ctx context.Context, id string) {
 	defer r.endHold(id)
-	wait := time.Duration(0) // the first report is wanted at once
+	connected := false
 	var ends unseen
 	faulty := false
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		asked := time.Now()
-		ref, order, wanted := r.cell.Hold(id, r.cfg.MayRenew(), wait)
+		ref, order, wanted := r.cell.Hold(id, plan.HoldTerms{Connected: connected, Renew: r.cfg.MayRenew(), Wait: holdWait})
 		r.mu.Unlock()
 		if !wanted {
 			return
 		}
 		report, err := r.hold(ctx, ref, order)
+		connected = err == nil
+		if errors.Is(err, platform.ErrNotConnected) {
+			continue // the next one opens a connection
+		}
 		if err != nil {
 			if r.holdFailed(ctx, ref, order.Token, err) {
 				return
 			}
-			wait = 0 // what runs there may have changed: the next report is wanted at once too
 			continue
 		}
 		if report.Fault != nil && !faulty {
@@ -53,8 +56,9 @@
 		}
 		faulty = report.Fault != nil
 		r.takeReport(ctx, ref, report, asked, &ends)
-		pause.For(ctx, holdPace-time.Since(asked))
-		wait = holdWait
+		if order.Connected { // else leases are to be renewed at once
+			pause.For(ctx, holdPace-time.Since(asked))
+		}
 	}
 }
 
--- a/internal/plan/crash_play_test.go
+++ b/internal/plan/crash_play_test.go
@@ -37,7 +37,11 @@
 		if p.executors[id] != nil || p.paused || p.now.Before(h.again) {
 			continue
 		}
-		ref, _, wanted := p.cell.Hold(id, !p.noStore, playHoldWait)
+		if !h.asked.IsZero() {
+			p.awaitNoReport(h)
+			continue
+		}
+		ref, _, wanted := p.cell.Hold(id, HoldTerms{Renew: !p.noStore})
 		if !wanted {
 			delete(p.holds, id)
 			continue
@@ -55,7 +59,8 @@
 // behaviour is what becomes of a task's runs.
 type behaviour struct {
 	crashes time.Duration // it takes its executor down after that; 0: never
-	takes   time.Duration // it ends as done after that
+	takes   time.Duration // it ends after that
+	fails   bool          // and then it has failed
 }
 
 // crashPlay has tasks take their executors down.
@@ -201,7 +206,11 @@
 			case b.crashes > 0 && age >= b.crashes:
 				p.crash(id)
 			case age >= b.takes:
-				e.stop(run, platform.EndDone)
+				how := platform.EndDone
+				if b.fails {
+					how = platform.EndFailed
+				}
+				e.stop(run, how)
 			}
 			if p.executors[id] == nil {
 				break
--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -25,7 +25,7 @@
 		// silence lets d pass while the silent executor is called every 200 ms.
 		silence := func(d time.Duration) []Order {
 			for end := w.now.Add(d); w.now.Before(end); w.pass(200 * time.Millisecond) {
-				w.cell.Hold(at, true, 0)
+				w.cell.Hold(at, HoldTerms{Connected: true, Renew: true})
 				w.report(other, nil, nil)
 				if orders := w.cycle(); len(orders) > 0 {
 					return orders
@@ -119,7 +119,7 @@
 			w.report("e0", running(run), nil)
 			lease := DefaultConfig().Lease
 			for end := w.now.Add(lease); w.now.Before(end); w.pass(100 * time.Millisecond) {
-				w.cell.Hold("e0", false, 0)
+				w.cell.Hold("e0", HoldTerms{Connected: true})
 				w.cycle()
 				if len(w.cell.vms["e0"].claims) == 0 {
 					t.Fatalf("the run is held to be over %v before its lease", end.Sub(w.now))
--- a/internal/plan/life_test.go
+++ b/internal/plan/life_test.go
@@ -20,8 +20,8 @@
 		last[run.Task] = max(last[run.Task], run.Number)
 	}
 	for _, e := range p.everyLife {
-		for _, d := range e.dones {
-			if run := d.end.Run; d.acked && last[run.Task] > run.Number {
+		for _, end := range e.listed {
+			if run := end.Run; end.How == platform.EndDone && end.acked && last[run.Task] > run.Number {
 				p.t.Errorf("task %v: run %d had ended as done, which was acknowledged, and run %d was started", run.Task, run.Number, last[run.Task])
 			}
 		}
@@ -80,3 +80,21 @@
 		t.Errorf("orders %+v, want one to the executor that is left", again)
 	}
 }
+
+func TestHoldThatOpensAConnectionAcknowledgesAndRenewsNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(2), Estimate: time.Second})
+	orders := w.cycle()
+	w.startAll(orders)
+	w.report("e0", nil, ended(3, orders[0].Start.Run, platform.EndDone))
+	w.save()
+	w.cell.Seen(w.ref("e0"), w.cell.Taken(w.ref("e0")))
+	_, renewal, _ := w.cell.Hold("e0", HoldTerms{Connected: true, Renew: true})
+	if renewal.Seen != 3 || renewal.LeaseUntil == 0 || !renewal.Connected {
+		t.Errorf("renewal %+v", renewal)
+	}
+	_, first, _ := w.cell.Hold("e0", HoldTerms{Renew: true, Wait: time.Second})
+	if first.Seen != 0 || first.LeaseUntil != 0 || first.Wait != 0 || first.Connected {
+		t.Errorf("first hold on a connection %+v", first)
+	}
+}
--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -19,6 +19,7 @@
 	playHoldTimeout = 700 * time.Millisecond // for a report, beside its wait
 	playHoldRetry   = 200 * time.Millisecond
 	playCallTimeout = 250 * time.Millisecond // of a start or stop
+	playMaxHold     = 10 * time.Second       // longest lease that an executor takes
 )
 
 // fate is what becomes of an order.
@@ -46,12 +47,12 @@
 	strict    bool // an order is void after its own end
 	clock     func() platform.ExecutorClock
 	lapsed    platform.ExecutorClock // when its lease was last over
-	dones     []*doneEnd
+	listed    []*listedEnd
 }
 
-// doneEnd is a run that ended as done.
-type doneEnd struct {
-	end     platform.EndedRun
+// listedEnd is an end that an executor lists.
+type listedEnd struct {
+	platform.EndedRun
 	clock   platform.ExecutorClock
 	acked   bool // while the lease hadn't lapsed in between
 	excused bool // the lease lapsed before it was acknowledged
@@ -74,11 +75,16 @@
 	if e.strict && lease <= e.clock() {
 		return
 	}
-	e.lease = max(e.lease, lease)
+	e.extend(lease)
 	e.running[run] = true
 	e.started++
 }
 
+// extend takes in the end of a lease.
+func (e *playedExecutor) extend(lease platform.ExecutorClock) {
+	e.lease = max(e.lease, min(lease, e.clock().Add(playMaxHold)))
+}
+
 func (e *playedExecutor) stop(run platform.Run, how platform.How) {
 	e.highest[run.Task] = max(e.highest[run.Task], run.Number)
 	if !e.running[run] {
@@ -87,22 +93,20 @@
 	delete(e.running, run)
 	end := platform.EndedRun{Number: uint64(len(e.ended) + 1), Run: run, How: how}
 	e.ended = append(e.ended, end)
-	if how == platform.EndDone {
-		e.dones = append(e.dones, &doneEnd{end: end, clock: e.clock()})
-	}
+	e.listed = append(e.listed, &listedEnd{EndedRun: end, clock: e.clock()})
 }
 
 // renew takes in what a hold brings.
 func (e *playedExecutor) renew(lease platform.ExecutorClock, seen uint64) {
-	e.lease = max(e.lease, lease)
+	e.extend(lease)
 	e.forgotten = max(e.forgotten, min(seen, uint64(len(e.ended))))
-	for _, d := range e.dones {
+	for _, end := range e.listed {
 		switch {
-		case d.acked || d.excused || d.end.Number > seen:
-		case e.lapsed > d.clock:
-			d.excused = true
+		case end.acked || end.excused || end.Number > seen:
+		case e.lapsed > end.clock:
+			end.excused = true
 		default:
-			d.acked = true
+			end.acked = true
 		}
 	}
 }
@@ -128,6 +132,7 @@
 	asked time.Time // zero: none is, and the next is due at again
 	again time.Time
 	to    *playedExecutor // that it reached
+	by    *playedExecutor // that has answered on the open connection; nil: none is open
 	ref   platform.ExecutorRef
 	lost  bool
 	wait  time.Duration
@@ -146,12 +151,14 @@
 	holds     map[string]*call
 	events    []event
 	cycleAt   time.Time
-	stopFates []fate // of the next stops; later ones are carried out and answered
-	startFate fate   // of all starts
-	loseStops bool   // no stop is carried out or answered
-	stops     int    // that were sent
-	paused    bool   // nobody leads
-	noStore   bool   // nothing becomes durable, and no lease is extended
+	stopFates []fate      // of the next stops; later ones are carried out and answered
+	startFate fate        // of all starts
+	loseStops bool        // no stop is carried out or answered
+	drawFate  func() fate // of each start and hold; nil: startFate, and holds are carried out
+	anyLife   bool        // what is carried out late is by whichever life is there then
+	stops     int         // that were sent
+	paused    bool        // nobody leads
+	noStore   bool        // nothing becomes durable, and no lease is extended
 }
 
 func newPlay(t *testing.T, executors int) *play {
@@ -255,25 +262,56 @@
 			p.ask(id, e, h)
 		}
 	case e.cut || h.lost || h.to != e:
-		if p.now.Sub(h.asked) >= h.wait+playHoldTimeout {
-			*h = call{again: p.now.Add(playHoldRetry)}
-		}
+		p.awaitNoReport(h)
 	case p.now.Sub(h.asked) >= h.wait || e.news():
 		p.cell.Report(h.ref, e.report(), h.asked, p.now)
 		if !p.noStore {
 			p.save()
 			p.cell.Seen(h.ref, p.cell.Taken(h.ref))
 		}
-		*h = call{again: p.now, wait: playHoldWait}
+		*h = call{again: p.now, by: e}
+	}
+}
+
+// awaitNoReport ends a hold whose answer hasn't come in time.
+func (p *play) awaitNoReport(h *call) {
+	if p.now.Sub(h.asked) >= h.wait+playHoldTimeout {
+		p.cell.NoReport(h.ref, p.now)
+		*h = call{again: p.now.Add(playHoldRetry)}
+	}
+}
+
+// carryOut has an executor carry out an order, late ones as their fate says.
+func (p *play) carryOut(id string, e *playedExecutor, token uint64, f fate, do func(*playedExecutor)) {
+	order := func() {
+		there := e
+		if p.anyLife {
+			there = p.executors[id]
+		}
+		if there != nil && token >= there.token {
+			there.token = token
+			do(there)
+		}
+	}
+	switch {
+	case f.lost:
+	case f.late > 0:
+		p.after(f.late, order)
+	default:
+		order()
 	}
 }
 
 func (p *play) ask(id string, e *playedExecutor, h *call) {
-	ref, order, wanted := p.cell.Hold(id, !p.noStore, h.wait)
+	ref, order, wanted := p.cell.Hold(id, HoldTerms{Connected: h.by != nil, Renew: !p.noStore, Wait: playHoldWait})
 	if !wanted {
 		delete(p.holds, id)
 		return
 	}
+	if order.Connected && h.by != e {
+		h.by = nil
+		return
+	}
 	h.asked, h.to, h.ref, h.wait = p.now, e, ref, order.Wait
 	if e.mute > 0 {
 		e.mute--
@@ -283,12 +321,12 @@
 	if e.cut {
 		return
 	}
-	if order.Token < e.token {
-		h.lost = true
-		return
+	var f fate
+	if p.drawFate != nil {
+		f = p.drawFate()
 	}
-	e.token = order.Token
-	e.renew(order.LeaseUntil, order.Seen)
+	h.lost = f != fate{} || order.Token < e.token
+	p.carryOut(id, e, order.Token, f, func(e *playedExecutor) { e.renew(order.LeaseUntil, order.Seen) })
 }
 
 func (p *play) cycleOnce() {
@@ -316,17 +354,14 @@
 		cell.Started(o.Start, p.answerOfCrashed(o.Start.To), p.now)
 		return
 	}
-	do := func() {
-		if token >= e.token {
-			e.token = token
-			e.start(o.Start.Run, o.Order.LeaseUntil)
-		}
+	f := p.startFate
+	if p.drawFate != nil {
+		f = p.drawFate()
 	}
-	switch {
-	case p.startFate.late > 0:
-		p.after(p.startFate.late, do)
-	case !e.cut:
-		do()
+	if !e.cut || f.late > 0 {
+		p.carryOut(o.Start.To.ID, e, token, f, func(e *playedExecutor) { e.start(o.Start.Run, o.Order.LeaseUntil) })
+	}
+	if !e.cut && f == (fate{}) {
 		cell.Started(o.Start, nil, p.now)
 		return
 	}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -10,24 +10,36 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-// Hold returns the next renewal for an executor and where to send it; without renew it
-// only asks. The answer waits for an end as long as it may if the life has answered
-// before. It returns false once the executor is not to be called.
+// HoldTerms are what the sender of a hold knows.
+type HoldTerms struct {
+	Connected bool          // the newest hold on the executor was answered
+	Renew     bool          // leases may be extended
+	Wait      time.Duration // for which the answer may wait for an end
+}
+
+// Hold returns the next renewal for an executor and where to send it. It returns false once
+// the executor is not to be called.
+//
+// A hold that opens a connection may reach another life than the one that is known, under
+// the same id. It acknowledges and renews nothing: the other life would forget ends that
+// nobody has read.
+//
 // The lease counts from the executor's last report: were it counted from now,
 // each attempt to reach a silent executor would put off the time from which
 // its work is certainly over.
-func (c *Cell) Hold(id string, renew bool, wait time.Duration) (to platform.ExecutorRef, order platform.HoldOrder, wanted bool) {
+func (c *Cell) Hold(id string, terms HoldTerms) (to platform.ExecutorRef, order platform.HoldOrder, wanted bool) {
 	v := c.vms[id]
 	if v == nil || !c.calls(v) {
 		return to, order, false
 	}
 	order.Token = c.token(v)
-	order.Seen = v.seen
-	if !v.known {
+	if !v.known || !terms.Connected {
 		return v.Ref, order, true
 	}
-	order.Wait = wait
-	if renew {
+	order.Connected = true
+	order.Seen = v.seen
+	order.Wait = terms.Wait
+	if terms.Renew {
 		order.LeaseUntil = v.clock.Add(c.cfg.Lease)
 		v.lease = max(v.lease, order.LeaseUntil)
 	}
--- a/internal/platform/executor.go
+++ b/internal/platform/executor.go
@@ -66,6 +66,7 @@
 	Token      uint64        // fencing token
 	Seen       uint64        // ends up to this number may be forgotten
 	Wait       time.Duration // how long the answer may wait for an end
+	Connected  bool          // only by a connection on which the executor has answered before
 }
 
 // How says how a run ended.
@@ -141,8 +142,12 @@
 // ErrNoAnswer: the order may have been carried out, or may be later.
 var ErrNoAnswer = errors.New("executor gave no answer")
 
-// Executors sends orders to executors. Calls fail with *RefusedError,
-// ErrNotReached or ErrNoAnswer.
+// ErrNotConnected: no connection is open on which the executor has answered, and the call
+// was to open none. It did not reach the executor.
+var ErrNotConnected = errors.New("no connection to the executor")
+
+// Executors sends orders to executors. Calls fail with *RefusedError, ErrNotReached,
+// ErrNoAnswer, or, where they open no connection, with ErrNotConnected.
 type Executors interface {
 	Start(ctx context.Context, to ExecutorRef, order StartOrder) (ExecutorClock, error)
 	Stop(ctx context.Context, to ExecutorRef, run Run, token uint64) (ExecutorClock, error)
