A gang of suspected tasks starts also where executors are fewer than its tasks

What callers saw: a gang that could run and didn't, for good, with the room free (LOST).

Cause: a suspected task closed its executor to all further tasks of the same plan. Once all members of a gang are suspected, as after three executors were lost with its runs, it needed as many executors as it has members; with fewer it waited for ever, and no time ended the wait.

Evidence: TestGangOfSuspectedTasksStartsWhereExecutorsAreFewerThanTasks: the gang was still queued after 20 s on three free executors, completed now.

Why it works: members of a gang may share an executor; they still prefer others, and an executor that crashes under several members of one job accuses that job alone. Ruled out: a bound on the wait, which would have the gang start the same way, 2 s later.

--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -103,13 +103,15 @@
 type roomView struct {
 	taken  map[*vm]api.Resources
 	count  map[*vm]int
-	closed map[*vm]bool // a suspected task has been placed there
+	closed map[*vm]bool // a suspected task has been placed there that should be alone
 }
 
 func (r *roomView) take(v *vm, t *task) {
 	r.taken[v] = r.taken[v].Add(t.step.spec.Need)
 	r.count[v]++
-	if t.suspected() {
+	// The members of a gang start together, and there may be fewer executors than those that
+	// are suspected. A crash under several of them accuses their one job all the same.
+	if t.suspected() && !t.step.spec.Gang {
 		r.closed[v] = true
 	}
 }
--- a/internal/plan/suspect_test.go
+++ b/internal/plan/suspect_test.go
@@ -85,3 +85,18 @@
 		t.Error("the suspected task hasn't started on an empty executor")
 	}
 }
+
+func TestGangOfSuspectedTasksStartsWhereExecutorsAreFewerThanTasks(t *testing.T) {
+	p := newCrashPlay(t, 3, crashers())
+	p.runFor(time.Second)
+	gang := p.job(1, testQueue, work.Step{Tasks: 8, Need: cpus(4), Estimate: time.Second, Gang: true})
+	for _, s := range p.cell.jobs[gang.ID].running[0].steps {
+		for _, task := range s.tasks {
+			task.losses.unproved = suspectLosses
+		}
+	}
+	p.runFor(20 * time.Second)
+	if state := p.state(gang.ID); state != work.Completed {
+		t.Errorf("the gang is %v", state)
+	}
+}
