Gangs are asked about room that would do only if all of it were granted

What callers saw: a gang that could run and didn't, for good, beside free executors (LOST).

Cause: a gang that has a ticket somewhere is asked about further executors only if these would do by the share that its queue was granted so far. Where few are left to be asked about, that expectation stays under what it needs, however long they are free: no further call comes, so the expectation never changes either.

Evidence: TestGangIsNotLeftWaitingBesideRoomThatItWasNotAskedAbout: a gang of four with a ticket on a full executor, four free ones not asked about: no call in 10 s before, all four tasks start now.

Why it works: two seconds after its newest call a gang hopes for all. It is still not asked about room that wouldn't do even then, which is what the expectation was for (calls of gangs that can't start took the time of those that could).

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -18,6 +18,7 @@
 	over     map[string]struct{} // ids of executors whose lives have ended since those were made
 	unused   bool                // an answer has come since the step was last planned
 	expected float64             // tasks that were to find room on each executor that these name
+	asked    time.Time           // when the newest call was made
 	again    time.Time           // no call before this, after one that failed
 	look     time.Time           // not before this is it worked out again whether a call is due
 	expects  time.Time           // until when room is waited for where tickets hold; zero: it is not
@@ -129,7 +130,7 @@
 			s.advice.look = now.Add(s.lookPause())
 			continue
 		}
-		asks = append(asks, c.askAbout(s, q, named, askers)...)
+		asks = append(asks, c.askAbout(s, q, named, askers, now)...)
 	}
 	return asks
 }
@@ -137,7 +138,7 @@
 // askAbout returns the calls about a step that name the candidates and that somebody
 // takes, and counts them as under way. What one call can't name goes to others at the
 // same time.
-func (c *Cell) askAbout(s *step, q *queue.Queue, named []candidate, askers Askers) []Ask {
+func (c *Cell) askAbout(s *step, q *queue.Queue, named []candidate, askers Askers, now time.Time) []Ask {
 	var asks []Ask
 	var taken []candidate
 	calls := (len(named) + c.cfg.MostAdvised - 1) / c.cfg.MostAdvised
@@ -154,6 +155,7 @@
 		c.promise(s, taken, len(s.unplaced()))
 		s.advice.expects = time.Time{}
 		s.advice.asking = len(asks)
+		s.advice.asked = now
 		s.advice.expected = float64(roomOf(taken)) / float64(len(taken))
 	}
 	return asks
@@ -187,7 +189,11 @@
 		need = tasks
 	}
 	valid, lapsed := roomOf(may.valid), roomOf(may.lapsed)
-	if float64(valid+lapsed)+c.shareOf(q)*float64(roomOf(may.fresh)) < float64(need) {
+	share := c.shareOf(q)
+	if now.Sub(s.advice.asked) > hopeAfter {
+		share = 1 // each of a few executors may be granted after all
+	}
+	if float64(valid+lapsed)+share*float64(roomOf(may.fresh)) < float64(need) {
 		// It couldn't start, whatever is granted. Gangs that ask about the scraps which
 		// the calls of others leave never have tickets for all of their tasks at once,
 		// and take the machines' time from those that could start.
@@ -249,6 +255,10 @@
 // starts whole or not at all, and calls in turn would take all the time that it has.
 const gangCalls = 3
 
+// hopeAfter is the time after a gang's newest call from which it is asked about room that would
+// do only if all of it were granted.
+const hopeAfter = 2 * time.Second
+
 // askAhead is how much earlier than needed a ticket may be renewed: run times
 // are only estimated.
 const askAhead = 150 * time.Millisecond
--- a/internal/plan/promise_test.go
+++ b/internal/plan/promise_test.go
@@ -94,3 +94,26 @@
 		t.Errorf("%d tasks of the first gang started", len(starts))
 	}
 }
+
+func TestGangIsNotLeftWaitingBesideRoomThatItWasNotAskedAbout(t *testing.T) {
+	w := newWorld(t, 5)
+	w.pass(2 * time.Second)
+	w.reportAll()
+	gang := w.job(1, testAdvised, work.Step{Tasks: 4, Need: cpus(16), Estimate: time.Second, Gang: true})
+	w.cell.Granted(Ask{Step: work.StepKey{Job: gang.ID}, Executors: []string{"e0"}}, grants("e0"), time.Second, w.now)
+	w.cell.waiting[0].advice.asking = 0
+	w.cell.vms["e0"].used = cpus(32) // by others, for as long as they last
+	for range 100 {
+		w.pass(100 * time.Millisecond)
+		w.reportAll()
+		w.cycle()
+		if asks := w.cell.Asks(w.now, anybody{}); len(asks) > 0 {
+			w.cell.Granted(asks[0], grants(asks[0].Executors...), 2*time.Second, w.now)
+			if starts := w.cycle(); len(starts) != 4 {
+				t.Errorf("%d tasks of the gang started on four free executors", len(starts))
+			}
+			return
+		}
+	}
+	t.Error("nothing is asked about the free executors")
+}
