An executor on which nothing has failed for long is no longer on trial

What callers saw: a gang that could run and didn't, for good (LOST).

Cause: an executor on which tasks of several jobs failed in a row gets one task at a time until one ends there as done. A gang that needs two places there never gives it one; where no other work comes, nothing ends the trial and the gang waits for ever.

Evidence: TestTrialOfAnExecutorThatNothingTriesEnds: no start in 20 s before, one within 16.5 s now.

Why it works: the trial ends with time as well, twice the longest pause between two tries, so an executor that still fails what it gets while work comes stays on trial. Ruled out: trying an executor with work that isn't wanted.

--- a/internal/plan/avoid_test.go
+++ b/internal/plan/avoid_test.go
@@ -61,3 +61,29 @@
 		So(again[0].Start.To.ID, ShouldNotEqual, at)
 	})
 }
+
+func TestTrialOfAnExecutorThatNothingTriesEnds(t *testing.T) {
+	w := newWorld(t, 1)
+	var failed []platform.EndedRun
+	for n := byte(1); n <= 2; n++ {
+		w.job(n, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Second})
+	}
+	orders := w.cycle()
+	w.startAll(orders)
+	for i, o := range orders {
+		failed = append(failed, platform.EndedRun{Number: uint64(i + 1), Run: o.Start.Run, How: platform.EndFailed})
+	}
+	w.report("e0", nil, failed)
+	for n := byte(1); n <= 2; n++ {
+		w.cell.Cancel(work.ID{n})
+	}
+	w.job(3, testQueue, work.Step{Tasks: 2, Need: cpus(4), Estimate: time.Second, Gang: true})
+	for range 40 {
+		w.pass(500 * time.Millisecond)
+		w.report("e0", nil, nil)
+		if len(w.cycle()) > 0 {
+			return
+		}
+	}
+	t.Error("a gang of two tasks waits for an executor that gets one task at a time, and nobody else")
+}
--- a/internal/plan/config.go
+++ b/internal/plan/config.go
@@ -50,6 +50,9 @@
 	FailStreak int
 	Avoid      time.Duration
 	AvoidMost  time.Duration
+	// TrialMost is the time without a failure after which such an executor is no
+	// longer on trial: no task may be there to try it.
+	TrialMost time.Duration
 	// SickAvoid is how long an executor is left alone that refused a start
 	// since it isn't well.
 	SickAvoid time.Duration
@@ -83,6 +86,7 @@
 		FailStreak:    2,
 		Avoid:         time.Second,
 		AvoidMost:     8 * time.Second,
+		TrialMost:     16 * time.Second,
 		SickAvoid:     time.Second,
 		RemoteFactor:  2,
 		MostAdvised:   100,
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -23,6 +23,7 @@
 // Plan starts what can be started now and takes the room for it.
 func (c *Cell) Plan(now time.Time) []Start {
 	c.now = now
+	c.endTrials(now)
 	c.order(now)
 	var starts []Start
 	held := reservations{until: make(map[*vm]time.Time)}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -234,12 +234,23 @@
 		}
 		cl.task.failedAt = v
 		v.failJobs[cl.task.step.job] = struct{}{}
+		v.failedLast = c.now
 		if v.onTrial(&c.cfg) {
 			c.avoid(v, len(v.failJobs)-c.cfg.FailStreak)
 		}
 	}
 }
 
+// endTrials has executors count as sound on which nothing has failed for long: what waits may
+// need more of them than a trial gives.
+func (c *Cell) endTrials(now time.Time) {
+	for _, v := range c.sorted {
+		if len(v.failJobs) > 0 && now.Sub(v.failedLast) > c.cfg.TrialMost {
+			clear(v.failJobs)
+		}
+	}
+}
+
 // avoid keeps work from an executor on which everything fails.
 func (c *Cell) avoid(v *vm, further int) {
 	d := c.cfg.Avoid
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -74,6 +74,7 @@
 	lapsed      []*claim               // runs that were over with the lease, while it isn't known whether its life is
 
 	failJobs   map[*job]struct{} // whose tasks failed in a row
+	failedLast time.Time // when a task last failed there
 	avoidUntil time.Time
 	unanswered time.Time // when an order last got no answer
 	ratio      float64   // moving mean of run times to estimates; 0: none was seen
