A new leader tells runs lost with a former life from orders never carried out

What callers saw: nothing yet; part of the same cause.

Cause: a leader that took over knew of a run's executor the id alone. Where another life answered that lists nothing, the run counted as never begun, so no loss was counted. And where another executor answered at the address of a record that names an earlier life, the runs of all lives under that id counted as over.

Change: what answers is compared with the life that the job's record names. The end of a life ends the runs of that life only; the others wait for an answer or their leases.

Why it works: an answer that was asked for after the record was written comes from the life that the record names or from a later one, never from an earlier one.

--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -69,6 +69,9 @@
 	l := c.lossOf(v, e, now)
 	c.logLost(v, l, now)
 	c.settleFormer(v, v.formerRuns(), l.silent)
+	if c.keepOthers(v, l) {
+		return
+	}
 	c.endLife(v.youngestFirst(), v.lapsed, l)
 	c.leaveSteps(v)
 	c.lives[ref.ID] = v.lives + 1
@@ -77,6 +80,25 @@
 	c.sorted = slices.Delete(c.sorted, i, i+1)
 }
 
+// keepOthers ends the runs of the life that a record names, whose place another executor
+// has taken, and keeps an executor for those of other lives: nothing was heard of these, and
+// the record may be of an earlier one.
+func (c *Cell) keepOthers(v *vm, l loss) bool {
+	var over []*claim
+	for _, cl := range v.youngestFirst() {
+		if cl.task == nil || cl.task.vm.Same(v.Ref.Life()) {
+			over = append(over, cl)
+		}
+	}
+	if v.known || l.silent || len(over) == len(v.claims) {
+		return false
+	}
+	c.endLife(over, nil, l)
+	v.Ref.Address = ""
+	v.listed = false
+	return true
+}
+
 // DropSilent lets go of the runs on executors whose lease is certainly over,
 // and of executors that are not registered and hold nothing.
 func (c *Cell) DropSilent(now time.Time) {
--- a/internal/plan/life_test.go
+++ b/internal/plan/life_test.go
@@ -326,3 +326,46 @@
 		t.Errorf("it starts elsewhere after %v, while it may be at work for %v", took, cfg.LongestLease)
 	}
 }
+
+// startedByFormerLeader has a task started on a life of an executor, and another leader take
+// over.
+func (w *world) startedByFormerLeader() (*task, string) {
+	job := w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+	orders := w.cycle()
+	w.startAll(orders)
+	w.takeOver()
+	return w.cell.jobs[job.ID].running[0].steps[0].tasks[0], orders[0].Start.To.ID
+}
+
+func TestRunLostWithAFormerLifeBeforeATakeoverCounts(t *testing.T) {
+	for answers, want := range map[int64]int{bornNext: 1, bornFirst: 0} {
+		w := newWorldOfLives(t, 1)
+		task, id := w.startedByFormerLeader()
+		w.answer(id, platform.ExecutorReport{Born: answers, Clock: w.clock})
+		if got := task.losses.all(); got != want {
+			t.Errorf("%d losses are counted where the life %d answers, want %d", got, answers, want)
+		}
+	}
+}
+
+func TestEndOfTheLifeThatALateRecordNamesEndsNoRunOfAnotherOne(t *testing.T) {
+	w := newWorldOfLives(t, 2)
+	for id := range w.listed {
+		w.tell(id, bornNext)
+		w.answer(id, platform.ExecutorReport{Born: bornNext, Clock: w.clock})
+		w.answer(id, platform.ExecutorReport{Born: bornNext, Clock: w.clock})
+	}
+	job := w.job(1, testAdvised, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Minute})
+	orders := w.advisedCycle()
+	w.startAll(orders)
+	id := orders[0].Start.To.ID
+	other := map[string]string{"e0": "e1", "e1": "e0"}[id]
+	w.tell(id, bornFirst) // the new leader's read is behind
+	w.takeOver()
+	w.answer(other, platform.ExecutorReport{Born: bornNext, Clock: w.clock})
+	w.cell.Gone(w.ref(id), OtherLife, w.now) // somebody else is where the former life was
+	w.pass(10 * time.Millisecond)
+	if orders := w.advisedCycle(); len(orders) > 0 {
+		t.Errorf("job %v, which runs on a later life, starts again", job.ID)
+	}
+}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -218,6 +218,10 @@
 func (c *Cell) missing(cl *claim, clock platform.ExecutorClock, asked time.Time) {
 	switch cl.state {
 	case inherited:
+		if l := cl.vm.Ref.Life(); cl.task != nil && !cl.task.vm.Same(l) {
+			c.endLife([]*claim{cl}, nil, loss{executor: cl.task.vm, since: cl.vm.lastSign(), evidence: OtherLife})
+			return
+		}
 		// The executor has seen this leader's token: an order of the former
 		// leader that is still on its way will be refused.
 		c.noStart(cl)
