A task whose run was lost with an executor starts on another one next

What callers saw: nothing yet. A task that crashes its executors was given up after three crashes of one and the same executor, each of another life. The platform lets a task be given up under which two executors have crashed; whether an executor that starts again under its id counts once or with each life isn't said.

Cause: with a new life came a new id, and where it was nobody asked. Under one id the executor that is back first, and empty, is often the best choice again.

Change and evidence: the executor on which a task's newest run was lost weighs like one on which it has just failed. TestTaskLostWithAnExecutorStartsOnAnotherOne: three crashes of one executor before, crashes of both now.

Why it works: of three crashes in a row two are of different executors wherever the task may run on two, so the job is given up rightly by both readings. Losses go on to count by life, which keeps the bound on starts by both. Left: a task that only one executor may run.

--- a/internal/plan/crash_play_test.go
+++ b/internal/plan/crash_play_test.go
@@ -71,7 +71,8 @@
 	starts    map[work.TaskKey][]time.Time
 	crashes   map[work.TaskKey][]time.Time // of executors, under each task
 	lives     int
-	lost      int // executors
+	lost      int            // executors
+	lostOf    map[string]int // executors, by id
 	everyLife []*playedExecutor
 	away      time.Duration // of an executor between two lives
 	sameID    bool          // the next life has the id of the one before
@@ -85,6 +86,7 @@
 		began:   make(map[platform.Run]time.Time),
 		starts:  make(map[work.TaskKey][]time.Time),
 		crashes: make(map[work.TaskKey][]time.Time),
+		lostOf:  make(map[string]int),
 	}
 	for _, id := range p.ids() {
 		p.everyLife = append(p.everyLife, p.executors[id])
@@ -109,6 +111,7 @@
 		return
 	}
 	p.lost++
+	p.lostOf[id]++
 	for run := range e.running {
 		p.crashes[run.Task] = append(p.crashes[run.Task], p.now)
 	}
--- a/internal/plan/life_test.go
+++ b/internal/plan/life_test.go
@@ -369,3 +369,17 @@
 		t.Errorf("job %v, which runs on a later life, starts again", job.ID)
 	}
 }
+
+func TestTaskLostWithAnExecutorStartsOnAnotherOne(t *testing.T) {
+	p := newCrashPlay(t, 2, crashers(1))
+	p.reuseIDs(shortlyAway)
+	p.runFor(time.Second)
+	j := p.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(2), Estimate: time.Second})
+	p.runFor(20 * time.Second)
+	if state := p.state(j.ID); state != work.Failed {
+		t.Fatalf("the job, whose task crashes its executors, is %v", state)
+	}
+	if p.lost != crashesToBlame || p.lostOf["e0"] == 0 || p.lostOf["e1"] == 0 {
+		t.Errorf("it was given up after %v were lost, want %d crashes of both executors", p.lostOf, crashesToBlame)
+	}
+}
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -169,7 +169,7 @@
 }
 
 // best returns the executor on which a task should start: near its data, not
-// slow, not where it has just failed, and with the least room left over, which keeps
+// slow, not where it has just failed or was lost, and with the least room left over, which keeps
 // whole executors free for large tasks.
 func (c *Cell) best(t *task, vms []*vm, room *roomView) *vm {
 	s := t.step
@@ -190,7 +190,7 @@
 			continue
 		}
 		score := c.score(s, v, left)
-		if v == t.failedAt {
+		if v == t.failedAt || v.Ref.ID == t.lostOn.ID {
 			score += failedWeight
 		}
 		score += lostWithWeight * float64(v.lostWith(t))
@@ -206,7 +206,7 @@
 
 // Weights of the score: a share of the executor left over counts 1.
 const (
-	failedWeight   = 4.0 // where the task has just failed; any other executor comes first
+	failedWeight   = 4.0 // where the task has just failed or was lost; any other executor comes first
 	lostWithWeight = 4.0 // for each run there that may crash the executor, or that the task may take with it
 	slowWeight     = 1.0 // for each time that the executor is slower than the fleet
 )
