A failed end that is listed again after a takeover counts once

Cause: introduced with the tasks that are held back. An end of a run that holds no claim was counted as a failed attempt. After a change of leader the executor lists an end again that the former leader had counted, and whose acknowledgement it never got.

Evidence: TestFailedEndThatIsListedAgainAfterATakeoverCountsOnce: failed before, running now.

Why it works: only an end of a task that is held back is counted here; its record says that the run may exist, so nobody has counted it before.

--- a/internal/plan/life_test.go
+++ b/internal/plan/life_test.go
@@ -383,3 +383,19 @@
 		t.Errorf("it was given up after %v were lost, want %d crashes of both executors", p.lostOf, crashesToBlame)
 	}
 }
+
+func TestFailedEndThatIsListedAgainAfterATakeoverCountsOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	job := w.job(1, testQueue, work.Step{Tasks: 1, Need: cpus(4), Estimate: time.Second})
+	orders := w.cycle()
+	w.startAll(orders)
+	failed := ended(1, orders[0].Start.Run, platform.EndFailed)
+	w.report("e0", nil, failed)
+	w.save()
+	w.takeOver() // before the end was acknowledged
+	w.report("e0", nil, failed)
+	w.save()
+	if state := w.saved[job.ID].State; state.Final() {
+		t.Errorf("the job is %v after one failed run of %d", state, testAttempts)
+	}
+}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -143,11 +143,12 @@
 	if t == nil || t.run != e.Run.Number || t.phase != work.Pending {
 		return
 	}
+	held := t.held != nil
 	t.held = nil
-	switch e.How {
-	case platform.EndDone:
+	switch {
+	case e.How == platform.EndDone:
 		c.finishTask(t)
-	case platform.EndFailed:
+	case e.How == platform.EndFailed && held: // else a former leader may have counted it
 		c.mark(t.step.job)
 		c.failTask(t, e.Run.Number)
 	}
