Renewals don't wait for a connection; the next life is looked for where its record says

Cause: three things that the change to lives made worse than they need be. A connection that doesn't survive an answer would have kept an executor from being renewed at all, and holds from pausing. An executor that starts again at another address was found only when the former life's lease was over. Where another executor had taken the place of a life, its tasks were held back though nothing that was sent there can be carried out.

Change: holds that open a connection renew, and only don't acknowledge: a lease that is too long is counted with the first report of a life anyway. They go by turns to where a record of another life says. A refusal by somebody else ends a life only at the address where it answered. Holds always keep their pace.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -56,9 +56,7 @@
 		}
 		faulty = report.Fault != nil
 		r.takeReport(ctx, h, report, asked, &ends)
-		if h.Order.Connected { // else leases are to be renewed at once
-			pause.For(ctx, holdPace-time.Since(asked))
-		}
+		pause.For(ctx, holdPace-time.Since(asked))
 	}
 }
 
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -63,10 +63,11 @@
 // on it.
 func (c *Cell) Gone(ref platform.ExecutorRef, e Evidence, now time.Time) {
 	v := c.vms[ref.ID]
-	if v == nil || !v.Ref.Life().Same(ref.Life()) {
+	if v == nil || !v.Ref.Life().Same(ref.Life()) || ref.Address != v.Ref.Address {
 		return
 	}
 	l := c.lossOf(v, e, now)
+	l.replaced = !l.silent
 	c.logLost(v, l, now)
 	c.settleFormer(v, v.formerRuns(), l.silent)
 	if c.keepOthers(v, l) {
@@ -84,13 +85,16 @@
 // has taken, and keeps an executor for those of other lives: nothing was heard of these, and
 // the record may be of an earlier one.
 func (c *Cell) keepOthers(v *vm, l loss) bool {
+	if v.known || l.silent {
+		return false
+	}
 	var over []*claim
 	for _, cl := range v.youngestFirst() {
 		if cl.task == nil || cl.task.vm.Same(v.Ref.Life()) {
 			over = append(over, cl)
 		}
 	}
-	if v.known || l.silent || len(over) == len(v.claims) {
+	if len(over) == len(v.claims) {
 		return false
 	}
 	c.endLife(over, nil, l)
--- a/internal/plan/life.go
+++ b/internal/plan/life.go
@@ -25,6 +25,19 @@
 	return !v.Ref.Life().Same(work.Life{ID: v.Ref.ID, Born: r.Born}) || r.Clock < v.clock
 }
 
+// callAt returns where a hold that opens a connection should go: by turns to where a record
+// of another life says, which may have begun elsewhere.
+func (v *vm) callAt() string {
+	if v.record == nil || v.record.Ref.Life().Same(v.Ref.Life()) {
+		return v.Ref.Address
+	}
+	v.elsewhere = !v.elsewhere
+	if v.elsewhere {
+		return v.address
+	}
+	return v.Ref.Address
+}
+
 // isLife notes which life has answered, once that is told.
 func (v *vm) isLife(born int64) {
 	if born == 0 || born == v.Ref.Born {
@@ -36,10 +49,9 @@
 
 // nextLife replaces an executor by its next life, which has just answered. The runs of
 // the former life keep their room until that has answered once more.
-func (c *Cell) nextLife(v *vm, r platform.ExecutorReport, now time.Time) {
+func (c *Cell) nextLife(v *vm, ref platform.ExecutorRef, r platform.ExecutorReport, now time.Time) {
 	l := c.lossOf(v, OtherLife, now)
 	c.logNextLife(v, r)
-	ref := v.Ref
 	ref.Born = r.Born
 	n := newVM(ref)
 	n.Executor = v.Executor // until its own record is read
--- a/internal/plan/losses.go
+++ b/internal/plan/losses.go
@@ -48,13 +48,16 @@
 	only       *job // to which all runs there belonged; nil: there were several, or that isn't known
 	correlated bool // another executor fell silent at about the same time
 	silent     bool // nothing answers under its id
+	replaced   bool // another executor is where it was: no order that was sent there is carried out
 }
 
 // lose ends a run that was lost with its executor, and the job if its task has lost too
 // many.
 func (c *Cell) lose(cl *claim, l loss) {
 	c.over(cl, platform.EndLapsed, "")
-	c.holdBack(cl, l.silent)
+	if !l.replaced {
+		c.holdBack(cl, l.silent)
+	}
 	c.countLoss(cl, l)
 }
 
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -27,8 +27,8 @@
 // to be called.
 //
 // A hold that opens a connection may reach another life than the one that is known, under
-// the same id. It acknowledges and renews nothing: the other life would forget ends that
-// nobody has read.
+// the same id. It acknowledges nothing: the other life would forget ends that nobody has
+// read.
 //
 // The lease counts from the executor's last report: were it counted from now,
 // each attempt to reach a silent executor would put off the time from which
@@ -40,16 +40,20 @@
 	}
 	h.To = v.Ref
 	h.Order.Token = c.token(v)
-	if !v.known || !terms.Connected {
+	if !v.known {
 		return h, true
 	}
-	h.Order.Connected = true
-	h.Order.Seen = v.seen
-	h.Order.Wait = terms.Wait
 	if terms.Renew {
 		h.Order.LeaseUntil = v.clock.Add(c.cfg.Lease)
 		v.lease = max(v.lease, h.Order.LeaseUntil)
 	}
+	if !terms.Connected {
+		h.To.Address = v.callAt()
+		return h, true
+	}
+	h.Order.Connected = true
+	h.Order.Seen = v.seen
+	h.Order.Wait = terms.Wait
 	return h, true
 }
 
@@ -61,7 +65,7 @@
 		return false
 	}
 	if v.startedAgain(r) {
-		c.nextLife(v, r, now)
+		c.nextLife(v, h.To, r, now)
 		return false
 	}
 	first := !v.known
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -52,6 +52,7 @@
 	listed    bool            // in the registry, under its id
 	record    *fleet.Executor // the newest there under its id, which may be of another life; nil: none was read
 	described bool            // its own record was read: room, kind and service are known
+	elsewhere bool            // the newest hold that opened a connection went where record says
 	lives     uint64          // of the executor that this leader knew before
 	former    *formerLife     // the end of the life before, until it is settled what became of its runs
 	recalled  bool            // the registry's history was asked for its address
