Random plays share how trouble is made and what is checked

Cuts, leaders that are replaced, a store that is away and the check for tasks at work twice were written out in both. No other change; the tests of the package pass.

--- a/internal/plan/crash_play_test.go
+++ b/internal/plan/crash_play_test.go
@@ -181,9 +181,6 @@
 	}
 }
 
-// ids returns the executors that are there.
-func (p *crashPlay) ids() []string { return slices.Sorted(maps.Keys(p.executors)) }
-
 // runFor lets time go by.
 func (p *crashPlay) runFor(d time.Duration) {
 	for until := p.now.Add(d); p.now.Before(until); {
--- a/internal/plan/crash_random_test.go
+++ b/internal/plan/crash_random_test.go
@@ -62,36 +62,12 @@
 			r.crash(id)
 		}
 	case 2:
-		e.cut = true
-		r.after(lasts, func() { e.cut = false })
+		r.cutOff(e, lasts)
 	case 3:
-		if !r.paused {
-			r.paused = true
-			r.after(lasts/3, func() {
-				r.paused = false
-				r.lead()
-			})
-		}
+		r.replaceLeader(lasts / 3)
 	case 4:
-		if !r.noStore {
-			r.noStore = true
-			r.after(lasts, func() { r.noStore = false })
-		}
-	}
-}
-
-// twice returns a task that is at work on two executors, if any.
-func (r *randomCrashes) twice() string {
-	at := make(map[work.TaskKey]string)
-	for _, id := range r.ids() {
-		for run := range r.executors[id].running {
-			if other := at[run.Task]; other != "" {
-				return fmt.Sprintf("task %v is at work on %s and %s", run.Task, other, id)
-			}
-			at[run.Task] = id
-		}
+		r.failStore(lasts)
 	}
-	return ""
 }
 
 // checkEnds fails where a job hasn't ended, or is shown as failed without a cause.
--- a/internal/plan/play_test.go
+++ b/internal/plan/play_test.go
@@ -188,6 +188,50 @@
 	p.holds = make(map[string]*call)
 }
 
+// cutOff keeps calls from an executor for a time.
+func (p *play) cutOff(e *playedExecutor, d time.Duration) {
+	e.cut = true
+	p.after(d, func() { e.cut = false })
+}
+
+// replaceLeader has a new leader take over after a time in which nobody leads.
+func (p *play) replaceLeader(d time.Duration) {
+	if p.paused {
+		return
+	}
+	p.paused = true
+	p.after(d, func() {
+		p.paused = false
+		p.lead()
+	})
+}
+
+// ids returns the executors that are there.
+func (p *play) ids() []string { return slices.Sorted(maps.Keys(p.executors)) }
+
+// twice returns a task that is at work on two executors, if any.
+func (p *play) twice() string {
+	at := make(map[work.TaskKey]string)
+	for _, id := range p.ids() {
+		for run := range p.executors[id].running {
+			if other := at[run.Task]; other != "" {
+				return fmt.Sprintf("task %v is at work on %s and %s", run.Task, other, id)
+			}
+			at[run.Task] = id
+		}
+	}
+	return ""
+}
+
+// failStore keeps the store away for a time.
+func (p *play) failStore(d time.Duration) {
+	if p.noStore {
+		return
+	}
+	p.noStore = true
+	p.after(d, func() { p.noStore = false })
+}
+
 // cancel makes a cancel durable and tells the leader of it.
 func (p *play) cancel(id work.ID) {
 	p.cell.Cancel(id)
--- a/internal/plan/restart_random_test.go
+++ b/internal/plan/restart_random_test.go
@@ -137,32 +137,21 @@
 		}
 	case 4:
 		e := r.executors[id]
-		e.cut = true
-		r.after(lasts, func() { e.cut = false })
+		r.cutOff(e, lasts)
 		if r.rand.IntN(2) == 0 { // it starts again behind the cut
 			r.after(lasts/4, func() {
 				r.restart(id)
 				r.after(3*time.Second, func() {
 					if n := r.executors[id]; n != nil {
-						n.cut = true
-						r.after(lasts, func() { n.cut = false })
+						r.cutOff(n, lasts)
 					}
 				})
 			})
 		}
 	case 5:
-		if !r.paused {
-			r.paused = true
-			r.after(lasts/3, func() {
-				r.paused = false
-				r.lead()
-			})
-		}
+		r.replaceLeader(lasts / 3)
 	case 6:
-		if !r.noStore {
-			r.noStore = true
-			r.after(lasts, func() { r.noStore = false })
-		}
+		r.failStore(lasts)
 	}
 }
 
@@ -198,20 +187,6 @@
 	}
 }
 
-// twice returns a task that is at work on two executors, if any.
-func (r *randomRestarts) twice() string {
-	at := make(map[work.TaskKey]string)
-	for _, id := range r.ids() {
-		for run := range r.executors[id].running {
-			if other := at[run.Task]; other != "" {
-				return fmt.Sprintf("task %v is at work on %s and %s", run.Task, other, id)
-			}
-			at[run.Task] = id
-		}
-	}
-	return ""
-}
-
 // unfinished returns the jobs that have not ended.
 func (r *randomRestarts) unfinished() []work.ID {
 	var open []work.ID
