internal/node: a refusal by the next leader doesn't settle what the former may have stored

Cause: when a leader is replaced before it has answered, its records are sent to the next one, and the next one's results replaced the former's. Ruled out: the leader's own append (a lost answer forbids giving up), withdrawal of what waits (never in flight), direct appends (they keep the uncertainty of their batch). Change: unknown stays unknown unless the next leader has stored the record, or refuses it for want of capacity, which it does only after reading all that is stored. Before: TestRefusalByTheNextLeaderLeavesOutcomeUnknown fails. After: it passes.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -32,7 +32,9 @@
 		if ctx.Err() != nil || !n.hasNewerLeader(epoch) || !hasUnknownOutcome(results) {
 			break
 		}
-		results, epoch = n.sendToLeader(ctx, records)
+		var later []assist.StoreResult
+		later, epoch = n.sendToLeader(ctx, records)
+		results = combineResults(results, later)
 	}
 	leaderActive := n.storer() != nil || n.reader.ReceivesDeliveries(time.Now())
 	errs := make([]error, len(results))
@@ -42,6 +44,22 @@
 	return errs
 }
 
+// combineResults returns the results of records that were sent to one leader and then to the next.
+// What the former leader may have stored isn't certain to be missing because the next one stores
+// nothing. Only a refusal for want of capacity shows that: a leader first reads all that is stored.
+func combineResults(former, next []assist.StoreResult) []assist.StoreResult {
+	combined := slices.Clone(next)
+	for i, f := range former {
+		switch {
+		case f.Outcome == assist.Stored:
+			combined[i] = f
+		case f.Outcome == assist.StoreUnknown && next[i].Outcome != assist.Stored && next[i].Outcome != assist.TooBusy:
+			combined[i] = f
+		}
+	}
+	return combined
+}
+
 // sendToLeader sends records to the current leader. It returns their outcomes and the
 // leader's epoch, which is 0 if no leader is known.
 func (n *Node) sendToLeader(ctx context.Context, records []platformapi.Record) ([]assist.StoreResult, api.Epoch) {
