Workspaces: clients are identified by keys, and jobs belong to a workspace

Cause: keys weren't read at all. Change: a stage of jobapi finds the workspace of a request's key in a table made once a configuration, of digests only. 401 without a key that is in force, unless the queue is public; a job's calls need a key of its workspace, to others it is unknown. Bad entries are findings with their place and without a key. The workspace of a job is part of its record, its outcome and its summary, as a CBOR tag, which builds without workspaces skip. A machine that the store turns away asks another one for the configuration, and with strict revocation takes no key for valid once its knowledge is too old. Ruled out: a further field in the records (encoded by place, former builds refuse it); a record of its own (unknown kinds are logged as unreadable by former builds); pushing versions with deliveries (their form is fixed too).

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -18,6 +18,7 @@
 	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/peer"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/replica"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -35,6 +36,8 @@
 	methodOrders  = ServiceName + ".Orders"
 	methodSync    = ServiceName + ".Sync"
 	methodInvite  = ServiceName + ".Invite"
+
+	methodConfiguration = ServiceName + ".Configuration"
 )
 
 // Caller makes calls to peers, without retries; *peer.Client implements it.
@@ -199,6 +202,8 @@
 	Adviser         platform.Adviser
 	Executors       platform.Executors
 	CallTimeout     time.Duration // limit of a call to the advice service or the store
+
+	NewestConfiguration func(newerThan uint64) queue.Reading // what this machine knows of the configuration
 }
 
 // InviteAnswer is the empty answer to an invitation.
--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -23,6 +23,7 @@
 	EncodeState   func(work.State) []byte
 	EncodePending func(int) ([]byte, error)
 	EncodeError   func(reason string, retryAfter time.Duration) ([]byte, error)
+	WorkspaceKey  func(http.Header) (queue.KeyDigest, bool) // the client's key, if it sent one
 }
 
 // Store makes records durable. *intake.Intake implements it. maxWait bounds the wait
@@ -35,6 +36,8 @@
 type API struct {
 	Codec         Codec
 	CurrentConfig func() *queue.Configuration // nil before the first configuration
+	RequireKeys   bool                        // clients need a key even if the configuration lists no workspaces
+	KeysOutdated  func() bool                 // the configuration is too old to tell which keys are valid; nil: never
 	Replica       *replica.Replica
 	Sync          func(ctx context.Context) error // reads everything that the store holds at the time of the call
 	Store         Store
@@ -80,9 +83,10 @@
 // request is a client's request with what the stages have determined about it.
 type request struct {
 	*http.Request
-	config  *queue.Configuration
-	queue   *queue.Queue
-	subpath string // the path after the queue's prefix
+	config    *queue.Configuration
+	queue     *queue.Queue
+	subpath   string           // the path after the queue's prefix
+	workspace *queue.Workspace // nil if the client needs no key and sent none that is known
 }
 
 // stage handles one step of a request. It returns nil to pass the request to the next
@@ -94,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(hr.Context(), a.responseTimeout(hr.Header))
 	defer cancel()
 	r := &request{Request: hr.WithContext(ctx)}
-	for _, next := range []stage{a.requireConfig, a.findQueue, a.handle} {
+	for _, next := range []stage{a.requireConfig, a.findQueue, a.identify, a.handle} {
 		if resp := next(r); resp != nil {
 			a.writeResponse(w, resp)
 			return
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -24,7 +24,10 @@
 	if refusal != nil {
 		return refusal
 	}
-	if _, known := a.Replica.Get(id); known {
+	if e, known := a.Replica.Get(id); known {
+		if !a.mayAccess(r, e) {
+			return a.refuse(http.StatusForbidden, "the job's id can't be used", 0)
+		}
 		return accepted()
 	}
 	job, err := a.Codec.DecodeJob(body)
@@ -34,12 +37,16 @@
 	job.ID = id
 	job.Queue = r.queue.Name
 	job.Service = r.queue.Service
+	job.Workspace = r.workspaceID()
 	job.AcceptedMs = time.Now().UnixMilli()
 	findings := &finding.List{}
 	job.Validate(findings)
 	if err := findings.Err(); err != nil {
 		return a.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
+	if r.workspace != nil && !r.workspace.CanRun(job) {
+		return a.refuse(http.StatusServiceUnavailable, "a step needs more at once than the workspace's cap allows", 0)
+	}
 	if feature := unsupportedFeature(job); feature != "" {
 		return a.refuse(http.StatusServiceUnavailable, feature+" is not supported", 0)
 	}
@@ -135,7 +142,8 @@
 func accepted() *response { return &response{status: http.StatusOK, body: []byte("{}")} }
 
 // findJob returns the replica's entry of a job, or a refusal. A job that is unknown here
-// may just have been accepted elsewhere, so the replica is first synchronised.
+// may just have been accepted elsewhere, so the replica is first synchronised. To clients of
+// another workspace a job is unknown.
 func (a *API) findJob(r *request, id work.ID) (replica.Entry, *response) {
 	e, known := a.Replica.Get(id)
 	if !known || !e.Submitted() {
@@ -145,7 +153,7 @@
 		}
 		e, known = a.Replica.Get(id)
 	}
-	if !known || !e.Submitted() || e.Queue() != r.queue.Name {
+	if !known || !e.Submitted() || e.Queue() != r.queue.Name || !a.mayAccess(r, e) {
 		a.Logger.WithFields(logrus.Fields{
 			"job": id, "queue": r.queue.Name, "has_records": known, "has_submission": e.Submitted(), "read_up_to": a.Replica.Position(),
 		}).Info("no such job")
--- a/internal/jobapi/pending_test.go
+++ b/internal/jobapi/pending_test.go
@@ -41,6 +41,7 @@
 						Remaining:     platform.RemainingTime,
 						EncodePending: platform.EncodePending,
 						EncodeError:   platform.EncodeError,
+						WorkspaceKey:  platform.WorkspaceKey,
 					},
 					CurrentConfig: func() *queue.Configuration {
 						return &queue.Configuration{Queues: []queue.Queue{{Name: "q", Host: "h", PathPrefix: "/q/"}}}
--- a/internal/jobapi/retry_test.go
+++ b/internal/jobapi/retry_test.go
@@ -41,8 +41,9 @@
 	} {
 		api := &API{
 			Codec: Codec{
-				Remaining:   func(http.Header) (time.Duration, bool) { return 3 * time.Second, true },
-				EncodeError: func(string, time.Duration) ([]byte, error) { return []byte("{}"), nil },
+				Remaining:    func(http.Header) (time.Duration, bool) { return 3 * time.Second, true },
+				EncodeError:  func(string, time.Duration) ([]byte, error) { return []byte("{}"), nil },
+				WorkspaceKey: func(http.Header) (queue.KeyDigest, bool) { return queue.KeyDigest{}, false },
 				DecodeJob: func([]byte) (*work.Job, error) {
 					return &work.Job{Steps: []work.Step{{TaskCount: 1, Estimate: c.estimate}}}, nil
 				},
@@ -75,8 +76,9 @@
 	cutOff := true
 	api := &API{
 		Codec: Codec{
-			Remaining:   func(http.Header) (time.Duration, bool) { return 3 * time.Second, true },
-			EncodeError: func(string, time.Duration) ([]byte, error) { return []byte("{}"), nil },
+			Remaining:    func(http.Header) (time.Duration, bool) { return 3 * time.Second, true },
+			EncodeError:  func(string, time.Duration) ([]byte, error) { return []byte("{}"), nil },
+			WorkspaceKey: func(http.Header) (queue.KeyDigest, bool) { return queue.KeyDigest{}, false },
 			DecodeJob: func([]byte) (*work.Job, error) {
 				return &work.Job{Steps: []work.Step{{TaskCount: 1, Estimate: time.Second}}}, nil
 			},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 		Partition: platform.OperatorPartition,
 		Key:       platform.ConfigurationKey,
 		Decode:    platform.DecodeConfiguration,
+		AskPeers:  n.askForConfiguration,
 		Logger:    log,
 	}
 	n.replica = replica.New(2*s.JobStateRetention, log)
@@ -178,7 +179,10 @@
 			EncodeState:   platform.EncodeState,
 			EncodePending: platform.EncodePending,
 			EncodeError:   platform.EncodeError,
+			WorkspaceKey:  platform.WorkspaceKey,
 		},
+		RequireKeys:   n.settings.RequireKeys,
+		KeysOutdated:  n.keysOutdated,
 		CurrentConfig: n.configWatcher.Configuration,
 		Replica:       n.replica,
 		Sync:          n.sync,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -90,6 +90,8 @@
 		Adviser:         n.adviser,
 		Executors:       n.relayExecutors,
 		CallTimeout:     adviceTimeout,
+
+		NewestConfiguration: n.configWatcher.Newest,
 	}
 	if err := server.Register(assist.ServiceName, handler); err != nil {
 		n.log.WithError(err).Error("peer service not registered")
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -5,6 +5,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/finding"
 )
 
 // Queue accepts jobs that share a service, a priority and a latency objective.
@@ -19,6 +21,7 @@
 	TargetLatency  time.Duration // constant part of the latency objective
 	RequestTimeout time.Duration // timeout of one request
 	Advice         *Advice       // nil if any executor of the service may run the steps
+	Public         bool          // clients need no key
 }
 
 // LatencyObjective returns the time from arrival to completion that a job should
@@ -66,6 +69,10 @@
 	Queues   []Queue
 	Services map[string]Service
 	Limits   Limits
+
+	HasWorkspaces bool // it lists workspaces, so queues that aren't public need keys
+	Workspaces    Workspaces
+	Findings      []finding.Finding // entries that were left out, without any key
 }
 
 // Match returns the queue for a request: of the queues with this host whose path
--- a/internal/replica/content.go
+++ b/internal/replica/content.go
@@ -135,6 +135,7 @@
 		return
 	}
 	e.submitted, e.queue = true, s.Queue
+	e.setWorkspace(s.Workspace)
 	e.setState(s.State, at)
 	e.Cancelled = s.Cancelled
 	if e.endedAt.IsZero() && e.State().Final() {
--- a/internal/replica/entry.go
+++ b/internal/replica/entry.go
@@ -22,15 +22,16 @@
 	Cancelled bool           // a client has cancelled it
 	Outcome   *work.Outcome  // replaces the other records some time after the job's end
 
-	submitted      bool            // the submission is known
-	queue          string          // queue that accepted the job
-	state          work.State      // from the newest progress record or summary
-	stateKnown     bool            // state is set
-	stateOffset    platform.Offset // of the progress record or summary that set state
-	progressOffset platform.Offset // of Progress
-	lastOffset     platform.Offset // of the newest record
-	restoreRound   uint64          // Replica.restoreRound when the last record was applied
-	endedAt        time.Time       // when the end was applied; zero while the job has not ended
+	submitted      bool             // the submission is known
+	queue          string           // queue that accepted the job
+	workspace      work.WorkspaceID // workspace that the job belongs to
+	state          work.State       // from the newest progress record or summary
+	stateKnown     bool             // state is set
+	stateOffset    platform.Offset  // of the progress record or summary that set state
+	progressOffset platform.Offset  // of Progress
+	lastOffset     platform.Offset  // of the newest record
+	restoreRound   uint64           // Replica.restoreRound when the last record was applied
+	endedAt        time.Time        // when the end was applied; zero while the job has not ended
 }
 
 // State returns the state of the job.
@@ -61,9 +62,21 @@
 	}
 }
 
+// Workspace returns the workspace that the job belongs to, or 0 if it belongs to none or its
+// submission isn't known.
+func (e *Entry) Workspace() work.WorkspaceID { return e.workspace }
+
+// setWorkspace records the workspace that the job belongs to. Processes that know no workspaces
+// write outcomes and send summaries without one, which take nothing back.
+func (e *Entry) setWorkspace(w work.WorkspaceID) {
+	if w != 0 {
+		e.workspace = w
+	}
+}
+
 // summary returns what clients may query about the job.
 func (e *Entry) summary(id work.ID) work.Summary {
-	return work.Summary{ID: id, Queue: e.Queue(), State: e.State(), Cancelled: e.Cancelled}
+	return work.Summary{ID: id, Queue: e.Queue(), Workspace: e.workspace, State: e.State(), Cancelled: e.Cancelled}
 }
 
 // setState sets the job's state as of an offset.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -263,7 +263,7 @@
 	var ended []EndedJob
 	r.each(func(id work.ID, e *Entry) bool {
 		if e.Job != nil && !e.endedAt.IsZero() && now.Sub(e.endedAt) > ago {
-			outcome := work.Outcome{State: e.State(), Queue: e.Job.Queue}
+			outcome := work.Outcome{State: e.State(), Queue: e.Job.Queue, Workspace: e.workspace}
 			ended = append(ended, EndedJob{ID: id, Outcome: outcome, Cancelled: e.Cancelled})
 		}
 		return len(ended) < limit
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 )
 
 // Kind is the type of a record in the cell's partition.
@@ -39,24 +38,24 @@
 }
 
 // EncodeJob encodes a job as the value of its record.
-func EncodeJob(j *Job) ([]byte, error) { return cbor.Marshal(j) }
+func EncodeJob(j *Job) ([]byte, error) { return marshalInWorkspace(j.Workspace, j) }
 
 // DecodeJob decodes the value of a job record.
 func DecodeJob(data []byte) (*Job, error) {
 	j := &Job{}
-	if err := cbor.Unmarshal(data, j); err != nil {
+	if err := unmarshalInWorkspace(data, j, &j.Workspace); err != nil {
 		return nil, errors.Wrap(err, "work: decode job record")
 	}
 	return j, nil
 }
 
 // EncodeOutcome encodes an outcome as the value of its record.
-func EncodeOutcome(o *Outcome) ([]byte, error) { return cbor.Marshal(o) }
+func EncodeOutcome(o *Outcome) ([]byte, error) { return marshalInWorkspace(o.Workspace, o) }
 
 // DecodeOutcome decodes the value of an outcome record.
 func DecodeOutcome(data []byte) (*Outcome, error) {
 	o := &Outcome{}
-	if err := cbor.Unmarshal(data, o); err != nil {
+	if err := unmarshalInWorkspace(data, o, &o.Workspace); err != nil {
 		return nil, errors.Wrap(err, "work: decode outcome record")
 	}
 	if !o.State.Final() || o.State > Cancelled {
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -14,6 +14,7 @@
 	_             struct{}      `cbor:",toarray"`
 	ID            ID            // chosen by the client
 	Queue         string        // name of the queue
+	Workspace     WorkspaceID   `cbor:"-"` // to which the caller's key belongs; encoded as a tag
 	Service       string        // service whose executors ran the queue's tasks when the job was accepted
 	Specification string        // passed unchanged to each start
 	Steps         []Step        // in the client's numbering
--- a/internal/work/packed_test.go
+++ b/internal/work/packed_test.go
@@ -161,9 +161,9 @@
 
 func TestUnpackInvalidSummaries(t *testing.T) {
 	for name, s := range map[string]Summaries{
-		"a queue index out of range": {Queues: []string{"q"}, Jobs: []packedSummary{{Queue: 1}}},
-		"a negative queue index":     {Queues: []string{"q"}, Jobs: []packedSummary{{Queue: -1}}},
-		"an unknown state":           {Queues: []string{"q"}, Jobs: []packedSummary{{Flags: 7}}},
+		"a queue index out of range": {Queues: []queueInWorkspace{{queue: "q"}}, Jobs: []packedSummary{{Queue: 1}}},
+		"a negative queue index":     {Queues: []queueInWorkspace{{queue: "q"}}, Jobs: []packedSummary{{Queue: -1}}},
+		"an unknown state":           {Queues: []queueInWorkspace{{queue: "q"}}, Jobs: []packedSummary{{Flags: 7}}},
 	} {
 		if got, ok := s.Unpack(); ok {
 			t.Errorf("%s: decoded as %+v", name, got)
--- a/internal/work/summary.go
+++ b/internal/work/summary.go
@@ -5,6 +5,7 @@
 type Summary struct {
 	ID        ID
 	Queue     string // name of the queue that accepted it
+	Workspace WorkspaceID
 	State     State
 	Cancelled bool // a client has cancelled it, whatever its state
 	Deleted   bool // its records were deleted
@@ -18,14 +19,31 @@
 )
 
 // Summaries is the encoding of summaries between processes. Each queue is named
-// once, so a summary takes about 12 bytes; the records that it replaces take about
+// once for each workspace, so a summary takes about 12 bytes; the records that it replaces take about
 // 200 bytes each.
 type Summaries struct {
 	_      struct{} `cbor:",toarray"`
-	Queues []string
+	Queues []queueInWorkspace
 	Jobs   []packedSummary
 }
 
+// queueInWorkspace names the queue and the workspace that some of the jobs have in common. It is
+// encoded as the queue's name, tagged with the workspace if there is one.
+type queueInWorkspace struct {
+	queue     string
+	workspace WorkspaceID
+}
+
+// MarshalCBOR implements cbor.Marshaler.
+func (q queueInWorkspace) MarshalCBOR() ([]byte, error) {
+	return marshalInWorkspace(q.workspace, q.queue)
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (q *queueInWorkspace) UnmarshalCBOR(data []byte) error {
+	return unmarshalInWorkspace(data, &q.queue, &q.workspace)
+}
+
 type packedSummary struct {
 	_     struct{} `cbor:",toarray"`
 	ID    ID
@@ -36,13 +54,14 @@
 // PackSummaries encodes summaries for other processes.
 func PackSummaries(summaries []Summary) Summaries {
 	var out Summaries
-	indexes := make(map[string]int)
+	indexes := make(map[queueInWorkspace]int)
 	for _, s := range summaries {
-		queue, known := indexes[s.Queue]
+		key := queueInWorkspace{queue: s.Queue, workspace: s.Workspace}
+		queue, known := indexes[key]
 		if !known {
 			queue = len(out.Queues)
-			indexes[s.Queue] = queue
-			out.Queues = append(out.Queues, s.Queue)
+			indexes[key] = queue
+			out.Queues = append(out.Queues, key)
 		}
 		flags := uint8(s.State) & summaryStateMask
 		if s.Cancelled {
@@ -67,7 +86,8 @@
 		}
 		out = append(out, Summary{
 			ID:        j.ID,
-			Queue:     p.Queues[j.Queue],
+			Queue:     p.Queues[j.Queue].queue,
+			Workspace: p.Queues[j.Queue].workspace,
 			State:     state,
 			Cancelled: j.Flags&summaryCancelled != 0,
 			Deleted:   j.Flags&summaryDeleted != 0,
