Workspaces: no start takes a workspace above its cap; shares and excess order what waits

Cause: caps weren't read. Change: the planner counts for each workspace all that may be running: planned and unanswered starts, stops under way, runs of ended jobs, what a former leader ordered, orders that may be carried out late. A start is planned only within the cap, and checked again when it is confirmed. A step that its cap keeps back makes no advice calls (but ahead of a run's expected end), reserves nothing and is not ahead of others in admission; its own job is refused by what waits under its cap. A gang wider than the cap is refused at once with that reason. Steps of workspaces that use more than their weight's share of the capacity come after others of the same lateness; jobs beyond weight a second come last. Ruled out: counting only confirmed runs (a leader may be lost while the cap is full).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -49,6 +49,7 @@
 const (
 	TooLate    Reason = "it would end too late to be of use"
 	Overloaded Reason = "too much waits"
+	ExceedsCap Reason = "it needs more at once than its workspace's cap allows"
 )
 
 // Decision is the outcome of a request. The job is accepted if Reason is empty.
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -4,7 +4,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -172,6 +174,8 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// A new leader is told of all jobs at once. What a workspace submits in excess depends on the order.
+	slices.SortStableFunc(changes, func(a, b replica.Change) int { return cmp.Compare(acceptedMs(a), acceptedMs(b)) })
 	for _, ch := range changes {
 		switch {
 		case ch.Kind == work.KindProgress:
@@ -185,6 +189,14 @@
 	r.Wake()
 }
 
+// acceptedMs returns when the job of a change was accepted, or 0 if that isn't known.
+func acceptedMs(c replica.Change) int64 {
+	if c.Entry.Job == nil {
+		return 0
+	}
+	return c.Entry.Job.AcceptedMs
+}
+
 // runCycles plans, stores and sends until ctx ends or the leader is replaced.
 func (r *Runner) runCycles(ctx context.Context) error {
 	cleanedUpAt := time.Now()
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -191,21 +191,34 @@
 
 // admit decides whether a job is accepted, given the work that waits in the cell. The caller holds r.mu.
 func (r *Runner) admit(j *work.Job, backlog plan.Backlog, now time.Time) admission.Decision {
-	q := r.cfg.Configuration().QueueNamed(j.Queue)
+	config := r.cfg.Configuration()
+	q := config.QueueNamed(j.Queue)
+	workspace := config.Workspaces.WithID(j.Workspace)
+	if workspace == nil {
+		workspace = &queue.Workspace{}
+	}
+	if !workspace.CanRun(j) {
+		return admission.Decision{Reason: admission.ExceedsCap}
+	}
 	firstCall := r.cell.FirstAdviceCall(q)
-	before := backlog.AheadOf(j, q, now)
+	shared, underCap := backlog.Shared(), backlog.UnderCap(j, workspace.Cap)
+	before := shared.AheadOf(j, q, now)
 	beforeAdvice := r.cfg.Peers.EstimateWait(firstCall, before.AdviceCalls(), now)
 	request := admission.Request{
-		ExpectedWait:  before.ProcessingTime() + beforeAdvice,
+		ExpectedWait:  max(before.ProcessingTime()+beforeAdvice, underCap.AheadOf(j, q, now).ProcessingTime()),
 		MaxUsefulWait: plan.MaxUsefulWait(j, q),
 		Demands: []admission.Demand{{
 			Resource: "room",
-			Backlog:  backlog.ProcessingTime(),
+			Backlog:  shared.ProcessingTime(),
 			Added:    backlog.JobProcessingTime(j),
 		}, {
 			Resource: assist.ClassName(firstCall),
-			Backlog:  r.cfg.Peers.EstimateWait(firstCall, backlog.AdviceCalls(), now),
+			Backlog:  r.cfg.Peers.EstimateWait(firstCall, shared.AdviceCalls(), now),
 			Added:    r.cfg.Peers.EstimateWait(firstCall, slices.Repeat([]queue.CallTime{firstCall}, len(j.Steps)), now),
+		}, {
+			Resource: "cap of workspace " + workspace.Name,
+			Backlog:  underCap.ProcessingTime(),
+			Added:    underCap.JobProcessingTime(j),
 		}},
 	}
 	decision := r.admissionController.Decide(request, now)
@@ -217,10 +230,10 @@
 
 func (r *Runner) logRefusal(j *work.Job, request admission.Request, decision admission.Decision, beforeAdvice time.Duration, processors int) {
 	fields := logrus.Fields{
-		"job": j.ID, "queue": j.Queue, "wait_ms": request.ExpectedWait.Milliseconds(), "wait_advice_ms": beforeAdvice.Milliseconds(),
+		"job": j.ID, "queue": j.Queue, "workspace": j.Workspace, "wait_ms": request.ExpectedWait.Milliseconds(), "wait_advice_ms": beforeAdvice.Milliseconds(),
 		"useful_ms": request.MaxUsefulWait.Milliseconds(), "processors": processors, "retry_ms": decision.RetryAfter.Milliseconds(),
 	}
-	for i, name := range []string{"room", "advice"} {
+	for i, name := range []string{"room", "advice", "cap"} {
 		fields["backlog_"+name+"_ms"] = request.Demands[i].Backlog.Milliseconds()
 		fields["adds_"+name+"_ms"] = request.Demands[i].Added.Milliseconds()
 	}
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -119,10 +120,11 @@
 		c.orderSteps(now)
 	}
 	fleet := c.snapshot(now)
+	caps := capForecast{now: now, free: make(map[*workspace]api.Resources)}
 	var calls []AdviceCall
 	for _, s := range c.orderedSteps {
 		q := c.queueOf(s.job)
-		if q == nil || q.Advice == nil || s.advice.hasNewAnswer || s.advice.callsInFlight > 0 || now.Before(s.advice.retryAfter) || now.Before(s.advice.nextCheck) || !s.ready {
+		if q == nil || q.Advice == nil || !c.mayStartUnderCap(s, q, &caps, now) || s.advice.hasNewAnswer || s.advice.callsInFlight > 0 || now.Before(s.advice.retryAfter) || now.Before(s.advice.nextCheck) || !s.ready {
 			continue
 		}
 		if !dispatcher.Free(q.Advice.CallTime(c.expectedCallSize(s))) {
@@ -138,6 +140,15 @@
 	return calls
 }
 
+// mayStartUnderCap reports whether the step's workspace should have room for it when a call made now
+// is answered.
+func (c *Cell) mayStartUnderCap(s *step, q *queue.Queue, caps *capForecast, now time.Time) bool {
+	if s.job.workspace == nil || !s.ready {
+		return true
+	}
+	return caps.admits(s, len(s.tasksToPlace()), now.Add(q.Advice.CallTime(c.expectedCallSize(s)).Total+renewAhead))
+}
+
 // issueCalls returns the advice calls for a step that name the candidates, as far as the
 // dispatcher accepts them, and counts them as in flight. Candidates beyond the limit of one
 // call are named by other calls at the same time.
--- a/internal/plan/backlog.go
+++ b/internal/plan/backlog.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/admission"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -11,6 +12,8 @@
 // waitingStep is a step with tasks that wait for a start, as admission sees it.
 type waitingStep struct {
 	rank            rank
+	workspace       *workspace
+	heldByCap       bool           // its workspace's cap keeps it back, so it takes nothing from others
 	call            queue.CallTime // advice call that the step needs before it can start; zero if none
 	milliCPUSeconds float64        // work of the tasks to place, in thousandths of a processor times seconds
 }
@@ -30,6 +33,8 @@
 			continue
 		}
 		w := waitingStep{
+			workspace:       s.job.workspace,
+			heldByCap:       s.heldByCap(tasks),
 			rank:            c.rankOf(s, now),
 			milliCPUSeconds: milliCPUSecondsOf(s.spec, tasks),
 		}
@@ -41,13 +46,40 @@
 	return b
 }
 
+// Shared returns the part of the backlog that competes for the executors. Steps that their
+// workspaces' caps keep back don't.
+func (b Backlog) Shared() Backlog {
+	shared := Backlog{milliCPU: b.milliCPU}
+	for _, w := range b.steps {
+		if !w.heldByCap {
+			shared.steps = append(shared.steps, w)
+		}
+	}
+	return shared
+}
+
+// UnderCap returns the part of the backlog that shares the cap of a job's workspace, with the cap as
+// its capacity. It is empty if the workspace has no cap on processors.
+func (b Backlog) UnderCap(j *work.Job, cap api.Resources) Backlog {
+	own := Backlog{milliCPU: float64(cap.MilliCPU)}
+	if cap.MilliCPU == 0 || j.Workspace == 0 {
+		return own
+	}
+	for _, w := range b.steps {
+		if w.workspace != nil && w.workspace.id == j.Workspace {
+			own.steps = append(own.steps, w)
+		}
+	}
+	return own
+}
+
 // AheadOf returns the part of the backlog that would start before a new job: steps that can
 // be in time and whose latest start is not after that of the job.
 func (b Backlog) AheadOf(j *work.Job, q *queue.Queue, now time.Time) Backlog {
 	latestStart := now.Add(objectiveFor(j, q) - j.CriticalPath())
 	ahead := Backlog{milliCPU: b.milliCPU}
 	for _, w := range b.steps {
-		if w.rank.lateness == inTime && !w.rank.latestStart.After(latestStart) {
+		if !w.rank.excess && w.rank.lateness == inTime && !w.rank.latestStart.After(latestStart) {
 			ahead.steps = append(ahead.steps, w)
 		}
 	}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -23,6 +23,7 @@
 	formerIncarnations  map[string]uint64 // by ID: number of earlier incarnations of executors that were removed
 	sortedVMs           []*vm             // sorted by ID
 	jobs                map[work.ID]*job
+	workspaces          map[work.WorkspaceID]*workspace
 	endedJobs           map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
 	waitingSteps        []*step              // steps with tasks to place
 	orderedSteps        []*step              // the waiting steps in the start order of the newest plan
@@ -65,6 +66,7 @@
 		vms:                make(map[string]*vm),
 		formerIncarnations: make(map[string]uint64),
 		jobs:               make(map[work.ID]*job),
+		workspaces:         make(map[work.WorkspaceID]*workspace),
 		endedJobs:          make(map[work.ID]struct{}),
 		grantShares:        make(map[string]float64),
 		availableShares:    make(map[string]float64),
@@ -73,7 +75,13 @@
 }
 
 // Configure replaces the configuration of queues and services.
-func (c *Cell) Configure(config *queue.Configuration) { c.queueConfig = config }
+func (c *Cell) Configure(config *queue.Configuration) {
+	if c.queueConfig == config {
+		return
+	}
+	c.queueConfig = config
+	c.configureWorkspaces()
+}
 
 // queueOf returns the queue of a job as configured now, or nil if the queue was removed.
 func (c *Cell) queueOf(j *job) *queue.Queue {
@@ -127,7 +135,8 @@
 		return false
 	}
 	age := time.Duration(max(0, wallMillis-spec.AcceptedMs)) * time.Millisecond
-	j := &job{spec: spec, arrivedAt: now.Add(-min(age, maxAge))}
+	j := &job{spec: spec, arrivedAt: now.Add(-min(age, maxAge)), workspace: c.workspaceOf(spec.Workspace)}
+	j.excess = !j.workspace.takeJobToken(j.arrivedAt)
 	c.jobs[spec.ID] = j
 	c.enableCanaries(j, now)
 	if p != nil {
@@ -150,6 +159,9 @@
 	if j == nil {
 		return
 	}
+	if !j.excess {
+		j.workspace.returnJobToken()
+	}
 	c.endJob(j, work.Cancelled)
 	delete(c.endedJobs, id)
 	for _, v := range c.vms {
--- a/internal/plan/deferral.go
+++ b/internal/plan/deferral.go
@@ -36,8 +36,9 @@
 
 // startDeferral says when a deferred task may start again.
 type startDeferral struct {
-	reportAfter time.Time // a report that arrives after this time settles the order
-	expires     time.Time // from this time on the order and its run are certainly over
+	order       *allocation // whose run may yet start; it counts in the usage of its workspace
+	reportAfter time.Time   // a report that arrives after this time settles the order
+	expires     time.Time   // from this time on the order and its run are certainly over
 }
 
 // deferTask defers the task of a run that has ended until it is certain that no incarnation
@@ -53,7 +54,7 @@
 	if !reusesID || alloc.orderExpiry.IsZero() || alloc.ticketBound && !unresponsive {
 		return
 	}
-	d := &startDeferral{reportAfter: alloc.orderExpiry, expires: alloc.orderExpiry.Add(c.cfg.maxLeaseDuration())}
+	d := &startDeferral{order: alloc, reportAfter: alloc.orderExpiry, expires: alloc.orderExpiry.Add(c.cfg.maxLeaseDuration())}
 	if alloc.ticketBound {
 		d.reportAfter = c.now
 	}
@@ -61,14 +62,23 @@
 		return
 	}
 	t.deferral = d
+	d.order.workspace.add(d.order)
 	c.deferredTasks = append(c.deferredTasks, t)
 	c.markDirty(t.step.job)
 }
 
+// endDeferral ends the deferral of a task.
+func (t *task) endDeferral() {
+	if d := t.deferral; d != nil {
+		t.deferral = nil
+		d.order.workspace.remove(d.order)
+	}
+}
+
 // releaseDeferred lets deferred tasks start again whose orders are settled.
 func (c *Cell) releaseDeferred(now time.Time) {
 	c.deferredTasks = slices.DeleteFunc(c.deferredTasks, func(t *task) bool {
-		if t.deferral == nil || t.step.job.state.Final() {
+		if t.deferral == nil {
 			return true
 		}
 		v := c.vms[t.incarnation.ID]
@@ -76,9 +86,11 @@
 		if !reported && now.Before(t.deferral.expires) {
 			return false
 		}
-		t.deferral = nil
-		c.markDirty(t.step.job)
-		c.requeue(t.step)
+		t.endDeferral()
+		if !t.step.job.state.Final() {
+			c.markDirty(t.step.job)
+			c.requeue(t.step)
+		}
 		return true
 	})
 }
@@ -90,10 +102,10 @@
 	if t == nil || t.deferral == nil || t.lastRun != run.Number || t.step.spec.Gang {
 		return nil
 	}
-	t.deferral = nil
+	t.endDeferral()
 	t.phase = work.Started
 	t.incarnation = v.Ref.Incarnation()
-	alloc := &allocation{run: run, task: t, resources: t.step.spec.TaskResources, expectedEnd: c.now.Add(t.step.spec.Estimate)}
+	alloc := &allocation{run: run, task: t, resources: t.step.spec.TaskResources, workspace: t.step.job.workspace, expectedEnd: c.now.Add(t.step.spec.Estimate)}
 	v.addAllocation(alloc)
 	c.markDirty(t.step.job)
 	return alloc
--- a/internal/plan/harness_test.go
+++ b/internal/plan/harness_test.go
@@ -23,6 +23,7 @@
 	registry      map[string]*fleet.Executor
 	executorClock platform.ExecutorClock
 	epoch         api.Epoch
+	configure     func() *queue.Configuration // returns the configuration in force
 }
 
 const (
@@ -43,6 +44,7 @@
 		savedProgress: make(map[work.ID]*work.Progress),
 		registry:      make(map[string]*fleet.Executor),
 		executorClock: 1000,
+		configure:     testQueueConfig,
 	}
 	env.takeOver()
 	for i := range executors {
@@ -69,7 +71,7 @@
 	cfg := DefaultConfig()
 	cfg.Epoch = env.epoch
 	env.cell = NewCell(cfg, lookup, logging.Nop(), env.now)
-	env.cell.Configure(testQueueConfig())
+	env.cell.Configure(env.configure())
 	for id, j := range env.submittedJobs {
 		if p := env.savedProgress[id]; p == nil || !p.State.Final() {
 			env.cell.AddJob(j, p, env.now.UnixMilli(), env.now)
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -15,6 +15,8 @@
 	maxAttempts       int                  // attempts for each task, as last configured; 0 if never known here
 	latencyObjective  time.Duration        // latency objective of an occurrence, according to queue
 	spec              *work.Job
+	workspace         *workspace // nil if it belongs to none
+	excess            bool       // it arrived in excess of what its workspace may submit ahead of others' work
 	arrivedAt         time.Time
 	state             work.State
 	nextOccurrence    int             // number of the occurrence that is due next
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -1,7 +1,8 @@
 package plan
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -21,20 +22,27 @@
 // rank is the position of a step in the start order.
 type rank struct {
 	step        *step
+	excess      bool // of a workspace that submits more than its weight
 	lateness    latenessClass
+	overShare   bool      // of a workspace that uses more than its share of the capacity
 	latestStart time.Time // latest start with which the job can meet its objective
 }
 
 // rankOf returns the position of a step. Steps that can be in time come first, by the
 // latest start that meets the objective: short work with a tight objective thereby passes
 // long work that can wait, and each job moves up as it waits. Late jobs come after those
-// that can be in time.
+// that can be in time. Among either, those of workspaces that use more than their share of the
+// capacity come last, and what a workspace submits in excess of its weight comes after everything
+// else: both start only in what the others leave.
 func (c *Cell) rankOf(s *step, now time.Time) rank {
 	c.queueOf(s.job) // refreshes the job's latency objective
 	start := s.job.latencyStart(s.occ)
 	remaining := s.remainingTime
 	objective := s.job.latencyObjective
-	r := rank{step: s, latestStart: start.Add(objective - remaining)}
+	r := rank{step: s, excess: s.job.excess, latestStart: start.Add(objective - remaining)}
+	if w := s.job.workspace; w != nil {
+		r.overShare = w.overShare
+	}
 	switch {
 	case now.Before(r.latestStart) || s.spec.LongRunning:
 		r.lateness = inTime
@@ -46,8 +54,31 @@
 	return r
 }
 
+// compare returns a negative number if r comes before o in the start order.
+func (r rank) compare(o rank) int {
+	return cmp.Or(
+		compareBools(r.excess, o.excess),
+		cmp.Compare(r.lateness, o.lateness),
+		compareBools(r.overShare, o.overShare),
+		r.latestStart.Compare(o.latestStart),
+	)
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // orderSteps updates the start order of the waiting steps.
 func (c *Cell) orderSteps(now time.Time) {
+	c.updateShares(now)
 	c.orderedSteps = c.stepsInOrder(now)
 	c.orderStale = false
 }
@@ -67,12 +98,7 @@
 	}
 	clear(c.waitingSteps[len(remaining):])
 	c.waitingSteps = remaining
-	sort.SliceStable(ranks, func(a, b int) bool {
-		if ranks[a].lateness != ranks[b].lateness {
-			return ranks[a].lateness < ranks[b].lateness
-		}
-		return ranks[a].latestStart.Before(ranks[b].latestStart)
-	})
+	slices.SortStableFunc(ranks, rank.compare)
 	steps := make([]*step, len(ranks))
 	for i := range ranks {
 		steps[i] = ranks[i].step
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -39,7 +39,7 @@
 		if now.Before(s.retryAt) {
 			continue
 		}
-		tasks := s.tasksToPlace()
+		tasks := s.withinCap(s.tasksToPlace())
 		if len(tasks) == 0 {
 			continue
 		}
@@ -251,6 +251,7 @@
 		run:         platform.Run{Task: t.key(), Number: t.lastRun},
 		task:        t,
 		resources:   s.spec.TaskResources,
+		workspace:   s.job.workspace,
 		state:       statePlanned,
 		resumed:     t.checkpoint != "",
 		expectedEnd: now.Add(time.Duration(float64(s.spec.Estimate) * placed.vm.slowdown(now))),
@@ -294,8 +295,9 @@
 // capacity of the others. A gang is sent whole or not at all.
 func (c *Cell) Confirm(starts []Start, now time.Time) []ConfirmedStart {
 	invalid := make(map[*step]bool)
+	overCap := c.startsOverCap(starts)
 	for _, st := range starts {
-		if alloc := c.plannedAllocation(st); alloc != nil && !c.stillValid(st, alloc, now) {
+		if alloc := c.plannedAllocation(st); alloc != nil && (overCap[alloc] || !c.stillValid(st, alloc, now)) {
 			invalid[alloc.task.step] = true
 		}
 	}
@@ -306,7 +308,7 @@
 			continue
 		}
 		s := alloc.task.step
-		if !c.stillValid(st, alloc, now) || (s.spec.Gang && invalid[s]) {
+		if overCap[alloc] || !c.stillValid(st, alloc, now) || (s.spec.Gang && invalid[s]) {
 			c.endRun(alloc, platform.EndStopped, "")
 			continue
 		}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -151,7 +151,7 @@
 		return
 	}
 	deferred := t.deferral != nil
-	t.deferral = nil
+	t.endDeferral()
 	switch {
 	case e.Reason == platform.EndDone:
 		c.finishTask(t)
@@ -208,6 +208,7 @@
 func (c *Cell) allocateUnknownRun(v *vm, run platform.Run) *allocation {
 	alloc := &allocation{run: run, state: stateRunning, stopRequested: true}
 	alloc.resources = c.resourcesOf(run.Task, v)
+	alloc.workspace = c.workspaceOfRun(run)
 	v.addAllocation(alloc)
 	c.logger.WithFields(logrus.Fields{"executor": v.Ref.ID, "task": run.Task, "run": run.Number}).Info("unknown run is stopped")
 	return alloc
--- a/internal/plan/restore.go
+++ b/internal/plan/restore.go
@@ -59,7 +59,7 @@
 			t.incarnation = vms[row.ExecutorIndex]
 			v := c.inheritVM(t.incarnation, now)
 			run := platform.Run{Task: t.key(), Number: t.lastRun}
-			alloc := &allocation{run: run, task: t, resources: s.spec.TaskResources, state: stateInherited, expectedEnd: now.Add(s.spec.Estimate)}
+			alloc := &allocation{run: run, task: t, resources: s.spec.TaskResources, workspace: s.job.workspace, state: stateInherited, expectedEnd: now.Add(s.spec.Estimate)}
 			c.setInheritedOrderExpiry(alloc, now)
 			v.addAllocation(alloc)
 		}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -32,6 +32,7 @@
 	task          *task // nil if its job is not planned any more
 	vm            *vm
 	resources     api.Resources
+	workspace     *workspace // whose usage it counts in; nil for none
 	state         allocationState
 	formerState   allocationState        // state at the former incarnation, while state is stateFormer
 	orderVoidAt   platform.ExecutorClock // when a sent or unconfirmed order becomes void
@@ -144,6 +145,7 @@
 	alloc.vm = v
 	v.allocations[alloc.run] = alloc
 	v.used = v.used.Add(alloc.resources)
+	alloc.workspace.add(alloc)
 	if alloc.task != nil {
 		alloc.task.allocations++
 		if alloc.task.suspected() {
@@ -156,6 +158,7 @@
 func (v *vm) removeAllocation(alloc *allocation) {
 	delete(v.allocations, alloc.run)
 	v.used = v.used.Sub(alloc.resources)
+	alloc.workspace.remove(alloc)
 	if v.suspectedRun == alloc {
 		v.suspectedRun = nil
 	}
