--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -27,6 +27,7 @@
 	endedJobs           map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
 	waitingSteps        []*step              // steps with tasks to place
 	orderedSteps        []*step              // the waiting steps in the start order of the newest plan
+	largestGang         *step                // gang that goes first in the start order; nil if none waits
 	orderStale          bool                 // jobs were added since that order was computed
 	recurringJobs       []*job               // jobs with occurrences to come
 	recentlyStarted     []*job               // jobs that started recently, by start time
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -104,5 +104,45 @@
 		steps[i] = ranks[i].step
 		steps[i].lateness = ranks[i].lateness
 	}
+	return c.withLargestGangFirst(steps)
+}
+
+// withLargestGangFirst moves the largest waiting gang to the front of the start order and keeps it
+// there until it has started or can't be of use any more. Capacity that becomes free in small parts
+// would otherwise go to narrower steps for as long as these keep coming.
+func (c *Cell) withLargestGangFirst(steps []*step) []*step {
+	var largest *step
+	for _, s := range steps {
+		if !s.mayGoFirst() {
+			continue
+		}
+		if s == c.largestGang {
+			largest = s
+			break
+		}
+		if largest == nil || s.requestedMilliCPU() > largest.requestedMilliCPU() {
+			largest = s
+		}
+	}
+	c.largestGang = largest
+	if largest == nil {
+		return steps
+	}
+	i := slices.Index(steps, largest)
+	copy(steps[1:i+1], steps[:i])
+	steps[0] = largest
 	return steps
 }
+
+// mayGoFirst reports whether the step is a gang that would be of use and that nothing but missing
+// capacity keeps back.
+func (s *step) mayGoFirst() bool {
+	tasks := len(s.tasksToPlace())
+	return s.spec.Gang && s.lateness != overdue && !s.job.excess && tasks > 0 && !s.heldByCap(tasks)
+}
+
+// requestedMilliCPU returns what all tasks of the step request together, in thousandths of a
+// processor.
+func (s *step) requestedMilliCPU() int64 {
+	return int64(s.spec.TaskCount) * s.spec.TaskResources.MilliCPU
+}
