--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -14,7 +14,7 @@
 // start expires.
 type advice struct {
 	tickets              map[*vm]ticket        // executors that may run the step
-	denied               map[*vm]struct{}      // executors that may not run the step
+	permissions          []permission          // what is known of each executor, by vm.index
 	callsInFlight        int                   // advice calls without an answer so far
 	endedExecutors       map[string]struct{}   // IDs of executors whose incarnation ended while these calls were in flight
 	hasNewAnswer         bool                  // an answer has arrived since the step was last planned
@@ -28,6 +28,30 @@
 	ticketVMs            []*vm                 // executors with tickets, sorted by ID; nil until computed
 }
 
+// permission says whether a step may run on an executor, as far as is known.
+type permission uint8
+
+const (
+	permissionUnknown permission = iota
+	permissionGranted
+	permissionDenied
+)
+
+// permissionOn returns whether the step may run on an executor.
+func (a *advice) permissionOn(v *vm) permission {
+	if v.index >= len(a.permissions) {
+		return permissionUnknown
+	}
+	return a.permissions[v.index]
+}
+
+func (a *advice) setPermission(v *vm, p permission) {
+	if v.index >= len(a.permissions) {
+		a.permissions = append(a.permissions, make([]permission, v.index+1-len(a.permissions))...)
+	}
+	a.permissions[v.index] = p
+}
+
 // ticket is the permission to start tasks of a step on one executor.
 type ticket struct {
 	text       string
@@ -47,7 +71,6 @@
 func (a *advice) applyGrants(vms map[string]*vm, named []string, grants []platform.Grant, validUntil time.Time) {
 	if a.tickets == nil {
 		a.tickets = make(map[*vm]ticket)
-		a.denied = make(map[*vm]struct{})
 	}
 	a.ticketVMs = nil
 	if len(grants) > 0 {
@@ -64,19 +87,16 @@
 		}
 		if text, granted := texts[id]; granted {
 			a.tickets[v] = ticket{text: text, validUntil: validUntil}
-		} else if _, hadTicket := a.tickets[v]; !hadTicket {
-			a.denied[v] = struct{}{}
+			a.setPermission(v, permissionGranted)
+		} else if a.permissionOn(v) != permissionGranted {
+			a.setPermission(v, permissionDenied)
 		}
 	}
 }
 
 // forgetVM drops what is known of an executor whose incarnation has ended.
 func (a *advice) forgetVM(v *vm) {
-	if _, granted := a.tickets[v]; granted {
-		delete(a.tickets, v)
-		a.ticketVMs = nil
-	}
-	delete(a.denied, v)
+	a.dropTicket(v)
 	if a.callsInFlight == 0 {
 		return
 	}
@@ -86,6 +106,15 @@
 	a.endedExecutors[v.Ref.ID] = struct{}{}
 }
 
+// dropTicket drops the ticket for an executor, and what is known of it.
+func (a *advice) dropTicket(v *vm) {
+	if _, granted := a.tickets[v]; granted {
+		delete(a.tickets, v)
+		a.ticketVMs = nil
+	}
+	a.setPermission(v, permissionUnknown)
+}
+
 // endCall counts a call as ended. Once no call is in flight, the list of ended executors is
 // cleared.
 func (a *advice) endCall() {
--- a/internal/plan/answers.go
+++ b/internal/plan/answers.go
@@ -48,7 +48,7 @@
 	case platform.RefusedUnhealthy:
 		alloc.vm.avoidUntil = now.Add(c.cfg.UnhealthyAvoidTime)
 	case platform.RefusedTicket:
-		delete(alloc.task.step.advice.tickets, alloc.vm)
+		alloc.task.step.advice.dropTicket(alloc.vm)
 	case platform.RefusedNoCapacity, platform.RefusedLeaseExpired:
 		alloc.vm.lastUnanswered = now // the leader's view of its capacity or clock is wrong until it reports again
 	case platform.RefusedInvalidOrder, platform.RefusedOldRun:
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -47,6 +47,7 @@
 type fleetSnapshot struct {
 	cell                  *Cell
 	now                   time.Time
+	candidates            candidates                    // reused from step to step
 	vms                   []*vm                         // executors that may be given work, or some of them in a large fleet
 	included              map[*vm]struct{}              // the vms; nil: all that may be given work
 	freeByTime            map[time.Time][]api.Resources // expected free capacity of each of the vms at a time
@@ -135,9 +136,11 @@
 	return resources
 }
 
-// candidatesFor returns the executors on which the step may run at a time.
+// candidatesFor returns the executors on which the step may run at a time. The result is valid until the
+// next call.
 func (f *fleetSnapshot) candidatesFor(s *step, q *queue.Queue, at time.Time) candidates {
-	var out candidates
+	out := &f.candidates
+	out.valid, out.expired, out.unknown = out.valid[:0], out.expired[:0], out.unknown[:0]
 	free := f.freeAt(at)
 	var freedByPreemption []api.Resources
 	if s.spec.Gang && s.lateness == inTime {
@@ -157,25 +160,23 @@
 		}
 		out.add(v, s, q, available, at, f.now)
 	}
-	return out
+	return *out
 }
 
 // add adds an executor with some free capacity at a time, if the step may run there as far as is known.
 func (out *candidates) add(v *vm, s *step, q *queue.Queue, free api.Resources, at, now time.Time) {
-	if v.closedTo(s, now) || v.Service != q.Service || (s.spec.RequiredLabel != "" && !v.HasLabel(s.spec.RequiredLabel)) {
+	permitted := s.advice.permissionOn(v)
+	if permitted == permissionDenied || v.closedTo(s, now) || v.Service != q.Service || (s.spec.RequiredLabel != "" && !v.HasLabel(s.spec.RequiredLabel)) {
 		return
 	}
 	cand := candidate{vm: v, slots: v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated))}
 	if cand.slots == 0 && len(s.advice.tickets) > 0 {
 		return // later calls gain nothing from a full executor
 	}
-	if _, denied := s.advice.denied[v]; denied {
-		return
-	}
-	switch ticket, ok := s.advice.tickets[v]; {
-	case !ok:
+	switch {
+	case permitted == permissionUnknown:
 		out.unknown = append(out.unknown, cand)
-	case at.Before(ticket.validUntil):
+	case at.Before(s.advice.tickets[v].validUntil):
 		out.valid = append(out.valid, cand)
 	default:
 		out.expired = append(out.expired, cand)
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -22,6 +22,7 @@
 	vms                 map[string]*vm    // by ID
 	formerIncarnations  map[string]uint64 // by ID: number of earlier incarnations of executors that were removed
 	sortedVMs           []*vm             // sorted by ID
+	vmsCreated          int               // number of vms that were created so far
 	nextSnapshotVM      int               // index of the executor with which the next snapshot of a large fleet begins
 	jobs                map[work.ID]*job
 	workspaces          map[work.WorkspaceID]*workspace
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -52,7 +52,7 @@
 
 // addVM adds an executor of which only its reference is known.
 func (c *Cell) addVM(ref platform.ExecutorRef) *vm {
-	v := newVM(ref)
+	v := c.newVM(ref)
 	v.formerIncarnations = c.formerIncarnations[ref.ID]
 	c.vms[ref.ID] = v
 	c.sortedVMs = append(c.sortedVMs, v)
--- a/internal/plan/incarnation.go
+++ b/internal/plan/incarnation.go
@@ -58,7 +58,7 @@
 	l := c.describeLoss(v, OtherIncarnation, now)
 	c.logRestart(v, r)
 	ref.StartTimeMs = r.StartTimeMs
-	next := newVM(ref)
+	next := c.newVM(ref)
 	next.Executor = v.Executor // until its own record is read
 	next.Ref = ref
 	next.registered, next.registeredAddress, next.registryRecord, next.formerIncarnations = v.registered, v.registeredAddress, v.registryRecord, v.formerIncarnations+1
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -139,6 +139,9 @@
 
 // fitCount returns how many times need fits into free.
 func fitCount(free, need api.Resources) int {
+	if free.MilliCPU < need.MilliCPU || free.MemoryMB < need.MemoryMB || free.Accelerators < need.Accelerators {
+		return 0
+	}
 	n := int64(1 << 20)
 	if need.MilliCPU > 0 {
 		n = min(n, free.MilliCPU/need.MilliCPU)
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -50,6 +50,7 @@
 // vm is one incarnation of an executor as the leader sees it.
 type vm struct {
 	fleet.Executor
+	index                 int                // unique in the cell, and small
 	registered            bool               // in the registry, under its ID
 	registryRecord        *fleet.Executor    // newest record under its ID, which may be of another incarnation; nil if none was read
 	hasOwnRecord          bool               // the record of this incarnation was read: capacity, kind and service are known
@@ -88,9 +89,10 @@
 }
 
 // newVM returns an executor of which only its reference is known.
-func newVM(ref platform.ExecutorRef) *vm {
-	v := &vm{allocations: make(map[platform.Run]*allocation), failedJobs: make(map[*job]struct{}), slowness: 1}
+func (c *Cell) newVM(ref platform.ExecutorRef) *vm {
+	v := &vm{index: c.vmsCreated, allocations: make(map[platform.Run]*allocation), failedJobs: make(map[*job]struct{}), slowness: 1}
 	v.Ref = ref
+	c.vmsCreated++
 	return v
 }
 
