Executors that run nothing in a large fleet are called each N/400 s

Change: an executor that runs nothing is called again after N/400 s, 8 s at most, and at once when a start is sent to it; up to 400 executors nothing changes. Ruled out: no calls at all (the clock has to be known to some 100 ms for the validity of starts).

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -81,11 +81,11 @@
 	cell                *plan.Cell
 	cycleDone           chan struct{} // closed when the next complete cycle has ended
 	admissionController admission.Controller
-	pendingSubmissions  []*submission // to be stored by the next cycle
-	appendWaitLimit     time.Duration // how long an append may go unanswered before submissions are refused
-	appendPendingSince  time.Time     // start of the unanswered append; zero if none is in flight
-	storeRefusedAt      time.Time     // when the store last refused an append
-	holdLoops           map[string]context.CancelFunc
+	pendingSubmissions  []*submission        // to be stored by the next cycle
+	appendWaitLimit     time.Duration        // how long an append may go unanswered before submissions are refused
+	appendPendingSince  time.Time            // start of the unanswered append; zero if none is in flight
+	storeRefusedAt      time.Time            // when the store last refused an append
+	holdLoops           map[string]*holdLoop // by executor ID
 	stopped             bool
 	goroutines          sync.WaitGroup
 }
@@ -100,7 +100,7 @@
 		adviceWake:      make(chan struct{}, 1),
 		cycleDone:       make(chan struct{}),
 		appendWaitLimit: minAppendWaitLimit,
-		holdLoops:       make(map[string]context.CancelFunc),
+		holdLoops:       make(map[string]*holdLoop),
 	}
 }
 
@@ -258,6 +258,7 @@
 	}
 	r.mu.Lock()
 	orders := r.cell.Confirm(starts, time.Now())
+	r.wakeHoldLoops(orders)
 	r.mu.Unlock()
 	r.sendOrders(ctx, orders, nil)
 	if len(orders) < len(starts) {
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -53,28 +53,34 @@
 	}
 	h.Order.ReuseConnection = true
 	h.Order.Acknowledged = v.durableEnds
-	h.Order.MaxWait = c.holdWait(v, terms.Wait)
-	v.extraReportAge = h.Order.MaxWait - terms.Wait
+	h.Order.MaxWait = terms.Wait
 	return h, true
 }
 
 // Bounds of the reports of executors that run nothing.
 const (
-	// idleReportsPerSecond bounds the reports of a fleet that runs nothing. Reports of a fleet of
-	// thousands once a second take the leader more processor time than planning does.
-	idleReportsPerSecond = 1500
-	// maxHoldWait is the longest wait for an end that executors accept.
-	maxHoldWait = 2 * time.Second
+	// idleReportsPerSecond is how many reports a second a fleet that runs nothing makes at most. Reports
+	// of thousands of executors once a second take the leader more processor time than planning does.
+	idleReportsPerSecond = 400
+	// maxIdlePause bounds the time between two reports. The executor's clock is extrapolated meanwhile,
+	// and start orders are valid by it.
+	maxIdlePause = 8 * time.Second
 )
 
-// holdWait returns how long the answer to a hold may wait for a run to end: the given time, or longer if
-// the executor runs nothing and the fleet is large.
-func (c *Cell) holdWait(v *vm, usual time.Duration) time.Duration {
-	if len(v.allocations) > 0 || usual == 0 {
-		return usual
-	}
-	idle := time.Duration(len(c.sortedVMs)) * time.Second / idleReportsPerSecond
-	return max(usual, min(idle, maxHoldWait))
+// IdlePause returns how long an executor need not be called, which is 0 unless it runs nothing in a fleet
+// so large that a report of each once in a hold's wait would be too many. It has to be called as soon as
+// a start is sent to it: the start's lease is short.
+func (c *Cell) IdlePause(id string, holdWait time.Duration) time.Duration {
+	v := c.vms[id]
+	if v == nil || len(v.allocations) > 0 || !v.hasReported || v.former != nil {
+		return 0
+	}
+	pause := min(time.Duration(len(c.sortedVMs))*time.Second/idleReportsPerSecond, maxIdlePause)
+	if pause <= holdWait {
+		return 0
+	}
+	v.extraReportAge = pause
+	return pause
 }
 
 // HandleReport applies an executor's report on a hold that was sent at sentAt. It returns
@@ -104,6 +110,7 @@
 	}
 	v.clock = r.Clock
 	v.reportedAt = now
+	v.extraReportAge = 0
 	if firstReport {
 		c.dropReplaced(now)
 	}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -66,7 +66,7 @@
 	drainingSince         time.Time // when it was first read as leaving; zero if it wasn't
 	readySince            time.Time // since when its records say that it is ready after all
 
-	extraReportAge       time.Duration          // how much older than usual its newest report may be, since its hold waits for longer
+	extraReportAge       time.Duration          // how much older than usual its newest report may be, since it runs nothing and is called less often
 	hasReported          bool                   // it has reported to this leader
 	clock                platform.ExecutorClock // executor's clock at its newest report
 	reportedAt           time.Time              // when that report arrived; zero if never
