--- a/internal/logread/logread_test.go
+++ b/internal/logread/logread_test.go
@@ -161,3 +161,31 @@
 		TraceJob(events, jobA)
 	})
 }
+
+// An end decides the outcome also if its line lacks the time, so that a later answer to the client doesn't.
+func TestEndWithoutTimeDecidesOutcome(t *testing.T) {
+	lines, err := Read(strings.NewReader(`time="2026-09-06T15:00:02Z" level=info msg="job ended" epoch=3 job=00000000000000b2 node=n2 queue=q state=completed
+time="2026-09-06T15:00:03Z" level=info msg="request not confirmed" answered=503 error="e" job=00000000000000b2 node=n1 queue=q
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if trace := TraceJob(lines.Ordered(), "00000000000000b2"); trace.Outcome != Completed {
+		t.Errorf("the outcome is %q, want %q", trace.Outcome, Completed)
+	}
+}
+
+// The usage of a workspace is that of its newest line.
+func TestWorkspaceUsage(t *testing.T) {
+	lines, err := Read(strings.NewReader(`time="2026-09-06T15:00:02Z" level=info msg="usage of a workspace" cap_cpu=0 cap_memory_mb=64 epoch=3 held_by_cap=0 in_excess=0 node=n2 over_share=false runs=1 tasks_waiting=9 used_cpu=500 used_memory_mb=32 workspace=b
+time="2026-09-06T15:00:07Z" level=info msg="usage of a workspace" cap_cpu=4000 cap_memory_mb=64 epoch=3 held_by_cap=5 in_excess=2 node=n2 over_share=true runs=8 tasks_waiting=7 used_cpu=4000 used_memory_mb=32 workspace=a
+time="2026-09-06T15:00:07Z" level=info msg="usage of a workspace" cap_cpu=0 cap_memory_mb=64 epoch=3 held_by_cap=0 in_excess=0 node=n2 over_share=false runs=2 tasks_waiting=1 used_cpu=900 used_memory_mb=40 workspace=b
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	usage := WorkspaceUsage(lines.Ordered())
+	if len(usage) != 2 || usage[0].Workspace != "a" || usage[0].HeldByCap != 5 || usage[0].InExcess != 2 || !usage[0].OverShare || usage[1].UsedMilliCPU != 900 || usage[1].Runs != 2 {
+		t.Errorf("usage %+v", usage)
+	}
+}
--- a/internal/logread/trace.go
+++ b/internal/logread/trace.go
@@ -73,6 +73,7 @@
 	Cause         Cause
 	DecisiveEvent *Event // the line that shows outcome and cause; nil: no line does
 	Queue         string
+	ended         bool
 	// Times from the arrival of a job that has ended; -1: not reached or not logged.
 	TimeToAdvice, TimeToStart, TimeToEnd time.Duration
 }
@@ -117,7 +118,7 @@
 		switch {
 		case e.Message == msgJobEnded:
 			t.recordEnd(e)
-		case t.TimeToEnd >= 0: // answers after the job's end don't change its outcome
+		case t.ended: // answers after the job's end don't change its outcome
 		case e.Message == msgNoSuchJob && t.Outcome == Undetermined:
 			t.Outcome, t.DecisiveEvent = NotFound, e
 		case strings.HasPrefix(e.Message, msgJobRefusedPrefix), e.Message == msgCutOff:
@@ -144,6 +145,7 @@
 		return
 	}
 	t.DecisiveEvent = e
+	t.ended = true
 	t.TimeToAdvice, t.TimeToStart, t.TimeToEnd = millisecondsField(e, "advised_ms"), millisecondsField(e, "started_ms"), millisecondsField(e, "ended_ms")
 }
 
