Checks for advice take a third of the leader's time at most

Change: after a check the loop pauses for twice the time that it took; steps are checked against their cap only where more than half of it is in use.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -32,6 +32,7 @@
 	minExecutorInterval = 10 * time.Millisecond  // minimum time between two checks for stops to send and executors to call
 	maxExecutorInterval = 100 * time.Millisecond // maximum time between two such checks; stops become due again without an event
 	minAdviceInterval   = 5 * time.Millisecond   // minimum time between two checks for due advice calls
+	advicePauseFactor   = 2                      // pause between two such checks, as a multiple of the time that one took
 	holdWait            = time.Second            // how long an executor's report waits for the end of a run
 	holdTimeout         = 700 * time.Millisecond // for a report, in addition to holdWait
 	minHoldInterval     = 40 * time.Millisecond  // minimum time between two holds on an executor; ends close together share one
@@ -81,11 +82,11 @@
 	cell                *plan.Cell
 	cycleDone           chan struct{} // closed when the next complete cycle has ended
 	admissionController admission.Controller
-	pendingSubmissions  []*submission        // to be stored by the next cycle
-	appendWaitLimit     time.Duration        // how long an append may go unanswered before submissions are refused
-	appendPendingSince  time.Time            // start of the unanswered append; zero if none is in flight
-	storeRefusedAt      time.Time            // when the store last refused an append
-	holdLoops           map[string]*holdLoop // by executor ID
+	pendingSubmissions  []*submission // to be stored by the next cycle
+	appendWaitLimit     time.Duration // how long an append may go unanswered before submissions are refused
+	appendPendingSince  time.Time     // start of the unanswered append; zero if none is in flight
+	storeRefusedAt      time.Time     // when the store last refused an append
+	holdLoops           map[string]context.CancelFunc
 	stopped             bool
 	goroutines          sync.WaitGroup
 }
@@ -100,7 +101,7 @@
 		adviceWake:      make(chan struct{}, 1),
 		cycleDone:       make(chan struct{}),
 		appendWaitLimit: minAppendWaitLimit,
-		holdLoops:       make(map[string]*holdLoop),
+		holdLoops:       make(map[string]context.CancelFunc),
 	}
 }
 
@@ -258,7 +259,6 @@
 	}
 	r.mu.Lock()
 	orders := r.cell.Confirm(starts, time.Now())
-	r.wakeHoldLoops(orders)
 	r.mu.Unlock()
 	r.sendOrders(ctx, orders, nil)
 	if len(orders) < len(starts) {
@@ -306,8 +306,6 @@
 // runAdviceLoop makes advice calls also while a cycle waits for the store. Otherwise machines
 // whose calls have been answered in the meantime would be idle.
 func (r *Runner) runAdviceLoop(ctx context.Context) {
-	ticker := time.NewTicker(minAdviceInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -315,13 +313,11 @@
 		case <-r.adviceWake:
 		}
 		r.mu.Lock()
-		r.requestAdvice(ctx, time.Now())
+		started := time.Now()
+		r.requestAdvice(ctx, started)
+		took := time.Since(started)
 		r.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+		pause.For(ctx, max(minAdviceInterval, advicePauseFactor*took))
 	}
 }
 
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -171,10 +171,11 @@
 // mayStartUnderCap reports whether the step's workspace should have room for it when a call made now
 // is answered.
 func (c *Cell) mayStartUnderCap(s *step, q *queue.Queue, caps *capForecast, now time.Time) bool {
-	if s.job.workspace == nil || !s.ready {
+	if !s.ready || !s.job.workspace.nearCap() {
 		return true
 	}
-	return caps.admits(s, s.countToPlace(), now.Add(q.Advice.CallTime(c.expectedCallSize(s)).Total+renewAhead))
+	tasks := s.countToPlace()
+	return tasks == 0 || caps.admits(s, tasks, now.Add(q.Advice.CallTime(c.expectedCallSize(s)).Total+renewAhead))
 }
 
 // issueCalls returns the advice calls for a step that name the candidates, as far as the
--- a/internal/plan/workspace.go
+++ b/internal/plan/workspace.go
@@ -213,14 +213,20 @@
 	includesEnds bool // what present runs free until the calls are answered is included
 }
 
+// nearCapShare is the share of a cap in use above which steps are checked against it before advice calls
+// for them are made.
+const nearCapShare = 0.5
+
+// nearCap reports whether so much of the cap is in use that waiting steps may not fit under it.
+func (w *workspace) nearCap() bool {
+	return w != nil && max(fraction(w.used.MilliCPU, w.cap.MilliCPU), fraction(w.used.MemoryMB, w.cap.MemoryMB), fraction(w.used.Accelerators, w.cap.Accelerators)) > nearCapShare
+}
+
 // admits reports whether a task of the step, or the whole gang, should fit under the cap by the time
 // that a call made now is answered, after the steps that were admitted before it. An advice call for
 // a step that its cap keeps back would take the time of the calling machines from others.
 func (f *capForecast) admits(s *step, tasks int, answerBy time.Time) bool {
 	w := s.job.workspace
-	if w == nil || tasks == 0 || w.cap == (api.Resources{}) {
-		return true
-	}
 	h := f.byWorkspace[w]
 	if h == nil {
 		h = &forecastHeadroom{free: w.headroom(w.used)}
