--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -11,11 +11,6 @@
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
-// holdLoop is the loop that calls one executor.
-type holdLoop struct {
-	wake chan struct{} // signals that the executor is about to get a start
-}
-
 // startHoldLoops starts a hold loop for each executor of the cell that has none. The caller
 // holds r.mu.
 func (r *Runner) startHoldLoops(ctx context.Context) {
@@ -24,15 +19,15 @@
 		if r.holdLoops[ref.ID] != nil {
 			continue
 		}
-		loop := &holdLoop{wake: make(chan struct{}, 1)}
-		r.holdLoops[ref.ID] = loop
-		r.spawn(func() { r.runHoldLoop(ctx, ref.ID, loop) })
+		holdCtx, cancel := context.WithCancel(ctx)
+		r.holdLoops[ref.ID] = cancel
+		r.spawn(func() { r.runHoldLoop(holdCtx, ref.ID) })
 	}
 }
 
 // runHoldLoop renews the lease of one executor and handles its reports until the cell no
 // longer wants the executor to be called.
-func (r *Runner) runHoldLoop(ctx context.Context, id string, loop *holdLoop) {
+func (r *Runner) runHoldLoop(ctx context.Context, id string) {
 	defer r.removeHoldLoop(id)
 	connected := false
 	var pending unacknowledgedEnds
@@ -62,37 +57,6 @@
 		malformed = report.StartTimeErr != nil
 		r.handleReport(ctx, h, report, sentAt, &pending)
 		pause.For(ctx, minHoldInterval-time.Since(sentAt))
-		r.pauseWhileIdle(ctx, id, loop)
-	}
-}
-
-// pauseWhileIdle waits until an executor that runs nothing has to be called again.
-func (r *Runner) pauseWhileIdle(ctx context.Context, id string, loop *holdLoop) {
-	select { // a start that was sent before counts among the executor's allocations
-	case <-loop.wake:
-	default:
-	}
-	r.mu.Lock()
-	idle := r.cell.IdlePause(id, holdWait)
-	r.mu.Unlock()
-	if idle == 0 {
-		return
-	}
-	timer := time.NewTimer(idle)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-loop.wake:
-	case <-ctx.Done():
-	}
-}
-
-// wakeHoldLoops has the executors that starts are about to be sent to called at once. The caller holds r.mu.
-func (r *Runner) wakeHoldLoops(orders []plan.ConfirmedStart) {
-	for _, o := range orders {
-		if loop := r.holdLoops[o.Start.To.ID]; loop != nil {
-			notify(loop.wake)
-		}
 	}
 }
 
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -110,7 +110,7 @@
 		r := New(Config{Executors: executor, CanRenewLeases: func() bool { return true }, Logger: logging.Nop()})
 		r.cell = newWaitingCell(0)
 		ctx, stop := context.WithCancel(context.Background())
-		r.spawn(func() { r.runHoldLoop(ctx, "e", &holdLoop{wake: make(chan struct{}, 1)}) })
+		r.spawn(func() { r.runHoldLoop(ctx, "e") })
 		time.Sleep(5500 * time.Millisecond)
 		if n, latest := executor.holds(); n < 5 || n > 8 || latest != 0 {
 			t.Errorf("%d holds in 5.5 s, the latest acknowledged ends up to %d", n, latest)
--- /dev/null
+++ b/internal/plan/activation_test.go
@@ -0,0 +1,120 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/skylarklock/skylarklock/internal/fleet"
+	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+// A leader of a large fleet calls as many executors as the work needs, and more as soon as work waits.
+func TestActivationFollowsWork(t *testing.T) {
+	const executors = 3000
+	env := newTestEnv(t, 0)
+	for i := range executors {
+		id := fmt.Sprintf("e%d", i)
+		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Labels: []string{"a"}, Capacity: cpus(16)}
+	}
+	env.cell.UpdateExecutors(env.registry, env.now)
+	called := len(env.cell.CallableExecutors())
+	if called < minActiveVMs*9/10 || called > minActiveVMs*11/10 {
+		t.Fatalf("%d executors are called at first, want about %d", called, minActiveVMs)
+	}
+	answer := func() {
+		for _, ref := range env.cell.CallableExecutors() {
+			if v := env.cell.vms[ref.ID]; !v.hasReported {
+				env.report(ref.ID, nil, nil)
+			}
+		}
+	}
+	answer()
+	env.submitJob(1, testQueue, work.Step{TaskCount: 300, TaskResources: cpus(8), Estimate: time.Minute})
+	env.runCycle()
+	for range 10 {
+		env.advance(activationInterval)
+		answer()
+		env.runCycle()
+	}
+	if n := len(env.cell.CallableExecutors()); n != called {
+		t.Errorf("%d executors are called for work that a fifth of them does", n)
+	}
+	env.submitJob(2, testQueue, work.Step{TaskCount: 4000, TaskResources: cpus(8), Estimate: time.Minute})
+	for range 20 {
+		env.advance(activationInterval)
+		answer()
+		env.runCycle()
+	}
+	if n := len(env.cell.CallableExecutors()); n != executors {
+		t.Errorf("%d of %d executors are called while work for most of them waits", n, executors)
+	}
+}
+
+// A step that waits for a label which few executors have gets them, however little is in use.
+func TestActivationForRareLabel(t *testing.T) {
+	const executors = 2000
+	env := newTestEnv(t, 0)
+	rare := ""
+	for i := range executors {
+		id := fmt.Sprintf("e%d", i)
+		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Capacity: cpus(16)}
+		if rare == "" && activationRank(id) > 0.95 {
+			rare = id
+			env.registry[id].Labels = []string{"rare"}
+		}
+	}
+	env.cell.UpdateExecutors(env.registry, env.now)
+	env.submitJob(1, testQueue, work.Step{TaskCount: 1, TaskResources: cpus(1), RequiredLabel: "rare", Estimate: time.Minute})
+	for range 30 {
+		for _, ref := range env.cell.CallableExecutors() {
+			if v := env.cell.vms[ref.ID]; !v.hasReported {
+				env.report(ref.ID, nil, nil)
+			}
+		}
+		env.advance(activationInterval)
+		env.reportAll()
+		if starts := env.runCycle(); len(starts) == 1 {
+			return
+		}
+	}
+	t.Errorf("a task that only %s can run has not started after 3s", rare)
+}
+
+// A pass over a large fleet looks at a part of it, and the next one at another part.
+func TestSnapshotsOfLargeFleetRotate(t *testing.T) {
+	cell, now := newBusyCell(2 * maxSnapshotVMs)
+	seen := make(map[*vm]bool)
+	for range 2 {
+		snapshot := cell.snapshot(now)
+		if len(snapshot.vms) != maxSnapshotVMs {
+			t.Fatalf("a pass looks at %d executors", len(snapshot.vms))
+		}
+		for _, v := range snapshot.vms {
+			seen[v] = true
+		}
+	}
+	if len(seen) != 2*maxSnapshotVMs {
+		t.Errorf("two passes looked at %d of %d executors", len(seen), 2*maxSnapshotVMs)
+	}
+}
+
+// Executors that a step is known to be permitted on are candidates in each pass.
+func TestPermittedExecutorsAreCandidatesInEachPass(t *testing.T) {
+	cell, now := newBusyCell(3 * maxSnapshotVMs)
+	s := cell.findStep(work.StepKey{Job: work.ID{2, 1}})
+	q := cell.queueOf(s.job)
+	for range 3 {
+		c := cell.snapshot(now).candidatesFor(s, q, now)
+		permitted := 0
+		for _, v := range cell.permittedVMs(s, q) {
+			if v.slotsAt(s, now, now) > 0 {
+				permitted++
+			}
+		}
+		if got := len(c.valid) + len(c.expired); got != permitted {
+			t.Errorf("%d of %d permitted executors with free capacity are candidates", got, permitted)
+		}
+	}
+}
--- a/internal/plan/backlog.go
+++ b/internal/plan/backlog.go
@@ -169,7 +169,7 @@
 	awaitingReports := now.Sub(c.ledSince) <= takeoverReportWait
 	total := 0.0
 	for _, v := range c.sortedVMs {
-		if c.inService(v) && (v.hasReported || awaitingReports) && !v.Draining {
+		if c.inService(v) && (v.hasReported || awaitingReports || !c.isActive(v)) && !v.Draining {
 			total += float64(v.Capacity.MilliCPU)
 		}
 	}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -22,6 +22,8 @@
 	vms                 map[string]*vm    // by ID
 	formerIncarnations  map[string]uint64 // by ID: number of earlier incarnations of executors that were removed
 	sortedVMs           []*vm             // sorted by ID
+	activeVMs           float64           // about how many executors are called also while they run nothing
+	activatedAt         time.Time         // when the share last grew
 	vmsCreated          int               // number of vms that were created so far
 	nextSnapshotVM      int               // index of the executor with which the next snapshot of a large fleet begins
 	jobs                map[work.ID]*job
@@ -208,6 +210,7 @@
 func (c *Cell) enqueue(s *step) {
 	if !s.waiting && s.ready && !s.complete() {
 		s.waiting = true
+		s.waitingSince = c.now
 		c.waitingSteps = append(c.waitingSteps, s)
 	}
 }
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -14,6 +14,7 @@
 // UpdateExecutors applies the executors that are registered now.
 func (c *Cell) UpdateExecutors(registered map[string]*fleet.Executor, now time.Time) {
 	c.registeredByService = make(map[string]int)
+	defer c.updateActivation(now)
 	for id, e := range registered {
 		v := c.vms[id]
 		if v == nil {
@@ -142,7 +143,7 @@
 // unconfirmed order may be carried out there seconds later.
 func (c *Cell) shouldCall(v *vm) bool {
 	unregistered := v.hasReported && !v.registered
-	return v.Ref.Address != "" && (len(v.allocations) > 0 || unregistered || c.inService(v))
+	return v.Ref.Address != "" && (len(v.allocations) > 0 || unregistered || c.inService(v) && c.isActive(v))
 }
 
 // inService reports whether an executor is registered for a service of the current
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -26,6 +26,7 @@
 	c.now = now
 	c.endTrials(now)
 	c.releaseDeferred(now)
+	c.updateActivation(now)
 	c.orderSteps(now)
 	var starts []Start
 	reserved := reservations{until: make(map[*vm]time.Time)}
@@ -358,7 +359,7 @@
 	if since, leaving := v.isLeaving(now); leaving && now.Sub(since) > c.cfg.DrainMargin {
 		return false
 	}
-	if now.Sub(v.reportedAt) > v.maxReportAge(&c.cfg) || v.free().HasNegative() {
+	if now.Sub(v.reportedAt) > c.cfg.MaxReportAge || v.free().HasNegative() {
 		return false
 	}
 	s := alloc.task.step
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -57,32 +57,6 @@
 	return h, true
 }
 
-// Bounds of the reports of executors that run nothing.
-const (
-	// idleReportsPerSecond is how many reports a second a fleet that runs nothing makes at most. Reports
-	// of thousands of executors once a second take the leader more processor time than planning does.
-	idleReportsPerSecond = 400
-	// maxIdlePause bounds the time between two reports. The executor's clock is extrapolated meanwhile,
-	// and start orders are valid by it.
-	maxIdlePause = 8 * time.Second
-)
-
-// IdlePause returns how long an executor need not be called, which is 0 unless it runs nothing in a fleet
-// so large that a report of each once in a hold's wait would be too many. It has to be called as soon as
-// a start is sent to it: the start's lease is short.
-func (c *Cell) IdlePause(id string, holdWait time.Duration) time.Duration {
-	v := c.vms[id]
-	if v == nil || len(v.allocations) > 0 || !v.hasReported || v.former != nil {
-		return 0
-	}
-	pause := min(time.Duration(len(c.sortedVMs))*time.Second/idleReportsPerSecond, maxIdlePause)
-	if pause <= holdWait {
-		return 0
-	}
-	v.extraReportAge = pause
-	return pause
-}
-
 // HandleReport applies an executor's report on a hold that was sent at sentAt. It returns
 // whether ends were applied that have to be made durable.
 func (c *Cell) HandleReport(h Hold, r platform.ExecutorReport, sentAt, now time.Time) bool {
@@ -110,7 +84,6 @@
 	}
 	v.clock = r.Clock
 	v.reportedAt = now
-	v.extraReportAge = 0
 	if firstReport {
 		c.dropReplaced(now)
 	}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -51,6 +51,7 @@
 type vm struct {
 	fleet.Executor
 	index                 int                // unique in the cell, and small
+	activationRank        float64            // see isActive
 	registered            bool               // in the registry, under its ID
 	registryRecord        *fleet.Executor    // newest record under its ID, which may be of another incarnation; nil if none was read
 	hasOwnRecord          bool               // the record of this incarnation was read: capacity, kind and service are known
@@ -66,7 +67,6 @@
 	drainingSince         time.Time // when it was first read as leaving; zero if it wasn't
 	readySince            time.Time // since when its records say that it is ready after all
 
-	extraReportAge       time.Duration          // how much older than usual its newest report may be, since it runs nothing and is called less often
 	hasReported          bool                   // it has reported to this leader
 	clock                platform.ExecutorClock // executor's clock at its newest report
 	reportedAt           time.Time              // when that report arrived; zero if never
@@ -90,7 +90,7 @@
 
 // newVM returns an executor of which only its reference is known.
 func (c *Cell) newVM(ref platform.ExecutorRef) *vm {
-	v := &vm{index: c.vmsCreated, allocations: make(map[platform.Run]*allocation), failedJobs: make(map[*job]struct{}), slowness: 1}
+	v := &vm{index: c.vmsCreated, activationRank: activationRank(ref.ID), allocations: make(map[platform.Run]*allocation), failedJobs: make(map[*job]struct{}), slowness: 1}
 	v.Ref = ref
 	c.vmsCreated++
 	return v
@@ -193,15 +193,12 @@
 func (v *vm) usable(now time.Time, cfg *Config) bool {
 	_, leaving := v.isLeaving(now)
 	return v.registered && v.hasOwnRecord && v.hasReported && !leaving &&
-		now.Sub(v.reportedAt) < v.maxReportAge(cfg) &&
+		now.Sub(v.reportedAt) < cfg.MaxReportAge &&
 		!now.Before(v.avoidUntil) &&
 		v.reportedAt.After(v.lastUnanswered) && !v.unresponsiveSince.After(v.reportedAt) &&
 		(!v.onTrial(cfg) || len(v.allocations) == 0)
 }
 
-// maxReportAge returns the age of the newest report above which the executor is given no new work.
-func (v *vm) maxReportAge(cfg *Config) time.Duration { return cfg.MaxReportAge + v.extraReportAge }
-
 // onTrial reports whether the executor has failed so often that it gets one task at a time.
 func (v *vm) onTrial(cfg *Config) bool { return len(v.failedJobs) >= cfg.FailureStreak }
 
