--- a/internal/plan/activation.go
+++ b/internal/plan/activation.go
@@ -21,9 +21,11 @@
 	// between two such changes: an executor reports within moments of its first call.
 	activationGrowth   = 1.25
 	activationInterval = 100 * time.Millisecond
-	// maxUnplacedTime is how long a step may wait for executors before more are called, whatever is in use:
-	// it may need a label or a permission that few executors have.
-	maxUnplacedTime = 500 * time.Millisecond
+	// maxUnplacedTime is how long a step without an advice call in flight may wait before more executors are
+	// called, whatever is in use: it may need permissions that few have. A step that needs a label waits
+	// for maxUnlabelledTime only.
+	maxUnplacedTime   = 3 * time.Second
+	maxUnlabelledTime = 500 * time.Millisecond
 )
 
 // activationRank returns a number in [0, 1) by which executors are drawn, evenly over racks and data
@@ -52,6 +54,13 @@
 	c.logger.WithFields(logrus.Fields{"called": int(c.activeVMs), "executors": len(c.sortedVMs)}).Info("more executors are called")
 }
 
+// needsOtherVMs reports whether the step has waited for so long that it may fit on none of the called
+// executors.
+func (s *step) needsOtherVMs(now time.Time) bool {
+	waited := now.Sub(s.waitingSince)
+	return s.spec.RequiredLabel != "" && waited > maxUnlabelledTime || s.advice.callsInFlight == 0 && waited > maxUnplacedTime
+}
+
 // needsMoreVMs reports whether the called executors are too few for the work.
 func (c *Cell) needsMoreVMs(now time.Time) bool {
 	var capacity, used, waiting int64
@@ -70,7 +79,7 @@
 			continue
 		}
 		waiting += int64(tasks) * s.spec.TaskResources.MilliCPU
-		if now.Sub(s.waitingSince) > maxUnplacedTime {
+		if s.needsOtherVMs(now) {
 			return true
 		}
 	}
