internal/plan: a step counts as unplaced from when it has tasks to place

A step whose tasks run keeps its place among the waiting ones; a task of it that failed after 3 s counted as unplaced for all that time, and all executors of a large fleet were called at once.

--- a/internal/plan/activation.go
+++ b/internal/plan/activation.go
@@ -57,7 +57,7 @@
 // needsOtherVMs reports whether the step has waited for so long that it may fit on none of the called
 // executors.
 func (s *step) needsOtherVMs(now time.Time) bool {
-	waited := now.Sub(s.waitingSince)
+	waited := now.Sub(s.unplacedSince)
 	return s.spec.RequiredLabel != "" && waited > maxUnlabelledTime || s.advice.callsInFlight == 0 && waited > maxUnplacedTime
 }
 
@@ -76,8 +76,12 @@
 	for _, s := range c.waitingSteps {
 		tasks := s.countToPlace()
 		if tasks == 0 || s.heldByCap(tasks) {
+			s.unplacedSince = time.Time{}
 			continue
 		}
+		if s.unplacedSince.IsZero() {
+			s.unplacedSince = now
+		}
 		waiting += int64(tasks) * s.spec.TaskResources.MilliCPU
 		if s.needsOtherVMs(now) {
 			return true
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -210,7 +210,6 @@
 func (c *Cell) enqueue(s *step) {
 	if !s.waiting && s.ready && !s.complete() {
 		s.waiting = true
-		s.waitingSince = c.now
 		c.waitingSteps = append(c.waitingSteps, s)
 	}
 }
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -52,7 +52,7 @@
 	advice              advice
 	remainingTime       time.Duration // longest chain of estimated run times from this step on
 	waiting             bool          // the step is in Cell.waitingSteps
-	waitingSince        time.Time
+	unplacedSince       time.Time     // since when it was seen with tasks to place, in a fleet of which not all executors are called
 	lateness            latenessClass // as of the newest start order
 	preemption          gangPreemption
 	isolation           isolation
