--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -14,8 +14,7 @@
 // startHoldLoops starts a hold loop for each executor of the cell that has none. The caller
 // holds r.mu.
 func (r *Runner) startHoldLoops(ctx context.Context) {
-	refs := r.cell.CallableExecutors()
-	for _, ref := range refs {
+	for ref := range r.cell.CallableExecutors() {
 		if r.holdLoops[ref.ID] != nil {
 			continue
 		}
--- a/internal/plan/activation_test.go
+++ b/internal/plan/activation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,12 +20,12 @@
 		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Labels: []string{"a"}, Capacity: cpus(16)}
 	}
 	env.cell.UpdateExecutors(env.registry, env.now)
-	called := len(env.cell.CallableExecutors())
+	called := len(slices.Collect(env.cell.CallableExecutors()))
 	if called < minActiveVMs*9/10 || called > minActiveVMs*11/10 {
 		t.Fatalf("%d executors are called at first, want about %d", called, minActiveVMs)
 	}
 	answer := func() {
-		for _, ref := range env.cell.CallableExecutors() {
+		for ref := range env.cell.CallableExecutors() {
 			if v := env.cell.vms[ref.ID]; !v.hasReported {
 				env.report(ref.ID, nil, nil)
 			}
@@ -38,7 +39,7 @@
 		answer()
 		env.runCycle()
 	}
-	if n := len(env.cell.CallableExecutors()); n != called {
+	if n := len(slices.Collect(env.cell.CallableExecutors())); n != called {
 		t.Errorf("%d executors are called for work that a fifth of them does", n)
 	}
 	env.submitJob(2, testQueue, work.Step{TaskCount: 4000, TaskResources: cpus(8), Estimate: time.Minute})
@@ -47,7 +48,7 @@
 		answer()
 		env.runCycle()
 	}
-	if n := len(env.cell.CallableExecutors()); n != executors {
+	if n := len(slices.Collect(env.cell.CallableExecutors())); n != executors {
 		t.Errorf("%d of %d executors are called while work for most of them waits", n, executors)
 	}
 }
@@ -68,7 +69,7 @@
 	env.cell.UpdateExecutors(env.registry, env.now)
 	env.submitJob(1, testQueue, work.Step{TaskCount: 1, TaskResources: cpus(1), RequiredLabel: "rare", Estimate: time.Minute})
 	for range 30 {
-		for _, ref := range env.cell.CallableExecutors() {
+		for ref := range env.cell.CallableExecutors() {
 			if v := env.cell.vms[ref.ID]; !v.hasReported {
 				env.report(ref.ID, nil, nil)
 			}
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"iter"
 	"slices"
 	"sort"
 	"time"
@@ -109,10 +110,13 @@
 // DropExpired ends the runs on executors whose lease has certainly expired, and removes
 // those executors that are not registered.
 func (c *Cell) DropExpired(now time.Time) {
-	for _, v := range append([]*vm(nil), c.sortedVMs...) {
-		if now.Sub(v.reportedAt) < c.cfg.MaxReportAge || !v.leaseExpired(now, c.cfg.ClockDrift) {
-			continue
+	var expired []*vm
+	for _, v := range c.sortedVMs {
+		if now.Sub(v.reportedAt) >= c.cfg.MaxReportAge && v.leaseExpired(now, c.cfg.ClockDrift) {
+			expired = append(expired, v)
 		}
+	}
+	for _, v := range expired {
 		if !v.registered {
 			c.HandleExecutorLoss(v.Ref, Unregistered, now)
 			continue
@@ -126,15 +130,15 @@
 	}
 }
 
-// CallableExecutors returns the executors that should be called.
-func (c *Cell) CallableExecutors() []platform.ExecutorRef {
-	refs := make([]platform.ExecutorRef, 0, len(c.sortedVMs))
-	for _, v := range c.sortedVMs {
-		if c.shouldCall(v) {
-			refs = append(refs, v.Ref)
+// CallableExecutors yields the executors that should be called.
+func (c *Cell) CallableExecutors() iter.Seq[platform.ExecutorRef] {
+	return func(yield func(platform.ExecutorRef) bool) {
+		for _, v := range c.sortedVMs {
+			if c.shouldCall(v) && !yield(v.Ref) {
+				return
+			}
 		}
 	}
-	return refs
 }
 
 // shouldCall reports whether an executor should be called: it may run something, or it is
--- a/internal/plan/registration_test.go
+++ b/internal/plan/registration_test.go
@@ -34,7 +34,7 @@
 // callableIDs returns the IDs of the executors that the cell says should be called.
 func (env *testEnv) callableIDs() []string {
 	var ids []string
-	for _, ref := range env.cell.CallableExecutors() {
+	for ref := range env.cell.CallableExecutors() {
 		ids = append(ids, ref.ID)
 	}
 	return ids
@@ -214,7 +214,7 @@
 		moved.Ref.Address = "10.9.9.9:9"
 		env.registry["e0"] = &moved
 		env.cell.UpdateExecutors(env.registry, env.now)
-		So(env.cell.CallableExecutors(), ShouldResemble, []platform.ExecutorRef{where})
+		So(slices.Collect(env.cell.CallableExecutors()), ShouldResemble, []platform.ExecutorRef{where})
 		env.submitJob(1, testQueue, oneTaskStep(4))
 		orders := env.runCycle()
 		So(orders, ShouldHaveLength, 1)
@@ -224,7 +224,7 @@
 			env.confirmStarts(orders)
 			env.advance(2 * DefaultConfig().Lease)
 			env.runCycle()
-			So(env.cell.CallableExecutors(), ShouldResemble, []platform.ExecutorRef{moved.Ref})
+			So(slices.Collect(env.cell.CallableExecutors()), ShouldResemble, []platform.ExecutorRef{moved.Ref})
 		})
 	})
 	Convey("An executor that has never answered is called at the address of its newest record", t, func() {
@@ -234,6 +234,6 @@
 		right.Ref.Address = "10.9.9.9:9"
 		env.registry["f"] = &right
 		env.cell.UpdateExecutors(env.registry, env.now)
-		So(env.cell.CallableExecutors()[1], ShouldResemble, right.Ref)
+		So(slices.Collect(env.cell.CallableExecutors())[1], ShouldResemble, right.Ref)
 	})
 }
--- a/internal/plan/simulation_test.go
+++ b/internal/plan/simulation_test.go
@@ -396,7 +396,7 @@
 	for _, s := range sim.cell.TakeStops(sim.now) {
 		sim.sendStop(s)
 	}
-	for _, ref := range sim.cell.CallableExecutors() {
+	for ref := range sim.cell.CallableExecutors() {
 		if sim.holds[ref.ID] == nil {
 			sim.holds[ref.ID] = &holdCall{nextAt: sim.now}
 		}
