internal/plan: more executors are called only once those called have reported

Cause: after a takeover only the first few reports counted as capacity, so that the leader of a large fleet called all 3,000 executors within a second, just as it had most to do. Change: nine in ten of the called executors have to have reported, or 2 s to have passed. Test: TestActivationWaitsForReportsAfterTakeover, which fails without.

--- a/internal/plan/activation.go
+++ b/internal/plan/activation.go
@@ -21,6 +21,11 @@
 	// between two such changes: an executor reports within moments of its first call.
 	activationGrowth   = 1.25
 	activationInterval = 100 * time.Millisecond
+	// settledShare is the share of the called executors that must have reported before more are called, unless
+	// maxSettlingTime has passed. After a takeover the first reports would otherwise seem to be the whole
+	// capacity.
+	settledShare    = 0.9
+	maxSettlingTime = 2 * time.Second
 	// maxUnplacedTime is how long a step without an advice call in flight may wait before more executors are
 	// called, whatever is in use: it may need permissions that few have. A step that needs a label waits
 	// for maxUnlabelledTime only.
@@ -64,14 +69,22 @@
 // needsMoreVMs reports whether the called executors are too few for the work.
 func (c *Cell) needsMoreVMs(now time.Time) bool {
 	var capacity, used, waiting int64
+	called, reported := 0, 0
 	for _, v := range c.sortedVMs {
+		if c.isActive(v) && c.inService(v) {
+			called++
+			if v.hasReported {
+				reported++
+			}
+		}
 		if v.usable(now, &c.cfg) {
 			capacity += v.Capacity.MilliCPU
 			used += v.used.MilliCPU
 		}
 	}
-	if capacity == 0 {
-		return false // none has reported yet
+	settled := reported >= int(settledShare*float64(called)) || now.Sub(c.ledSince) > maxSettlingTime && now.Sub(c.activatedAt) > maxSettlingTime
+	if capacity == 0 || !settled {
+		return false
 	}
 	for _, s := range c.waitingSteps {
 		tasks := s.countToPlace()
--- a/internal/plan/activation_test.go
+++ b/internal/plan/activation_test.go
@@ -119,3 +119,30 @@
 		}
 	}
 }
+
+// A new leader doesn't take the few executors that have reported for all of the capacity.
+func TestActivationWaitsForReportsAfterTakeover(t *testing.T) {
+	const executors = 3000
+	env := newTestEnv(t, 0)
+	for i := range executors {
+		id := fmt.Sprintf("e%d", i)
+		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Capacity: cpus(16)}
+	}
+	env.takeOver()
+	called := len(slices.Collect(env.cell.CallableExecutors()))
+	env.submitJob(1, testQueue, work.Step{TaskCount: 100, TaskResources: cpus(8), Estimate: time.Minute})
+	answered := 0
+	for ref := range env.cell.CallableExecutors() {
+		if answered++; answered > 20 {
+			break
+		}
+		env.report(ref.ID, nil, nil)
+	}
+	for range 5 {
+		env.advance(activationInterval)
+		env.runCycle()
+	}
+	if n := len(slices.Collect(env.cell.CallableExecutors())); n != called {
+		t.Errorf("%d executors are called instead of %d before these have reported", n, called)
+	}
+}
