--- a/internal/queue/workspace.go
+++ b/internal/queue/workspace.go
@@ -82,10 +82,3 @@
 
 // Len returns the number of workspaces.
 func (w *Workspaces) Len() int { return len(w.byID) }
-
-// All calls f for each workspace, in no particular order.
-func (w *Workspaces) All(f func(*Workspace)) {
-	for _, workspace := range w.byID {
-		f(workspace)
-	}
-}
