--- a/internal/queue/peers_test.go
+++ b/internal/queue/peers_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,18 +20,47 @@
 type switchableLog struct {
 	platform.PartitionLog
 	version int
-	away    bool
+	away    atomic.Bool
+}
+
+// fakePeers are the other machines, which all know the same.
+type fakePeers struct {
+	mu        sync.Mutex
+	reading   queue.Reading
+	err       error
+	questions int
+}
+
+func (p *fakePeers) ask(context.Context, uint64) (queue.Reading, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.questions++
+	return p.reading, p.err
+}
+
+// set changes what the machines know.
+func (p *fakePeers) set(version int, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reading = queue.Reading{Record: []byte(versionRecord(version)), Age: 200 * time.Millisecond}
+	p.err = err
+}
+
+func (p *fakePeers) asked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.questions
 }
 
 func (l *switchableLog) Newest(context.Context, platform.Partition, string) (platform.NewestPage, error) {
-	if l.away {
+	if l.away.Load() {
 		return platform.NewestPage{}, platform.ErrUnavailable
 	}
 	return platform.NewestPage{End: 1, Records: []platform.Record{newRecord(0, "config", versionRecord(l.version))}}, nil
 }
 
 func (l *switchableLog) Read(ctx context.Context, _ platform.Partition, from platform.Offset, wait time.Duration) (platform.RecordBatch, error) {
-	if l.away {
+	if l.away.Load() {
 		return platform.RecordBatch{}, platform.ErrUnavailable
 	}
 	select {
@@ -50,16 +81,10 @@
 	const inForceWithin = 2 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		store := &switchableLog{version: 4}
-		peer := queue.Reading{Age: 200 * time.Millisecond}
-		var peerErr error
-		questions := 0
+		peers := &fakePeers{}
 		w := &queue.Watcher{
 			Log: store, Partition: adapter.OperatorPartition, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
-			AskPeers: func(_ context.Context, newerThan uint64) (queue.Reading, error) {
-				questions++
-				return peer, peerErr
-			},
-			Logger: logging.Nop(),
+			AskPeers: peers.ask, Logger: logging.Nop(),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = w.Run(ctx) }() // returns when ctx ends
@@ -69,11 +94,11 @@
 			return w.Configuration().Workspaces.OfKey(queue.NewKeyDigest(fmt.Sprintf("key-%d", version))) != nil
 		}
 		time.Sleep(time.Second)
-		if !hasKey(4) || questions != 0 {
-			t.Fatalf("%d questions to peers while the store answers", questions)
+		if n := peers.asked(); !hasKey(4) || n != 0 {
+			t.Fatalf("%d questions to peers while the store answers", n)
 		}
-		store.away = true
-		peer.Record = []byte(versionRecord(5))
+		peers.set(5, nil)
+		store.away.Store(true)
 		time.Sleep(inForceWithin)
 		if hasKey(4) || !hasKey(5) {
 			t.Error("a withdrawn key is still in force")
@@ -81,12 +106,12 @@
 		if age := w.Age(); age > inForceWithin {
 			t.Errorf("the configuration counts as %v old", age)
 		}
-		peer.Record = []byte(versionRecord(3))
+		peers.set(3, nil)
 		time.Sleep(inForceWithin)
 		if !hasKey(5) {
 			t.Error("an older version has come into force again")
 		}
-		peerErr = errors.New("cut off")
+		peers.set(3, errors.New("cut off"))
 		time.Sleep(10 * time.Second)
 		if age := w.Age(); age < 8*time.Second {
 			t.Errorf("without any news the configuration counts as %v old", age)
