internal/plan: a workspace with a weight below 1 has jobs within it; tests of excess and shares

Cause: found by reading. The bucket of a weight of 0.5 never held a whole job, so that all jobs of such a workspace were in excess. It holds one job at least now (TestJobsInExcessComeLast failed first: 0 of 2).

--- a/internal/plan/backlog.go
+++ b/internal/plan/backlog.go
@@ -64,9 +64,9 @@
 
 // UnderCap returns the part of the backlog that shares the cap of a job's workspace, with the cap as
 // its capacity. It is empty if the workspace has no cap on processors.
-func (b Backlog) UnderCap(j *work.Job, cap api.Resources) Backlog {
-	own := Backlog{milliCPU: float64(cap.MilliCPU)}
-	if cap.MilliCPU == 0 || j.Workspace == 0 {
+func (b Backlog) UnderCap(j *work.Job, limit api.Resources) Backlog {
+	own := Backlog{milliCPU: float64(limit.MilliCPU)}
+	if limit.MilliCPU == 0 || j.Workspace == 0 {
 		return own
 	}
 	for _, w := range b.steps {
--- a/internal/plan/cap_test.go
+++ b/internal/plan/cap_test.go
@@ -226,3 +226,52 @@
 		t.Errorf("%d starts once the order is settled", n)
 	}
 }
+
+// What a workspace submits within its weight in jobs a second keeps its place; what is in excess comes after
+// the work of others, and starts in what they leave.
+func TestJobsInExcessComeLast(t *testing.T) {
+	for _, c := range []struct {
+		weight     float64
+		jobs, want int // jobs that arrive at once, and those of them within the weight
+	}{{3, 5, 3}, {0.5, 2, 1}, {0, 5, 5}} {
+		env := newTestEnv(t, 1)
+		env.setWorkspaces(1000, c.weight)
+		within := 0
+		for n := range c.jobs {
+			env.submitIn(otherWorkspace, byte(n+1), work.Step{TaskCount: 1, TaskResources: cpus(4), Estimate: time.Minute})
+			if !env.cell.jobs[work.ID{byte(n + 1)}].excess {
+				within++
+			}
+		}
+		if within != c.want {
+			t.Errorf("weight %v: %d of %d jobs are within it, want %d", c.weight, within, c.jobs, c.want)
+		}
+	}
+	env := newTestEnv(t, 1)
+	env.setWorkspaces(1000, 2)
+	for n := range byte(6) {
+		env.submitIn(otherWorkspace, n+1, work.Step{TaskCount: 1, TaskResources: cpus(8), Estimate: time.Minute})
+	}
+	env.submitIn(cappedWorkspace, 9, work.Step{TaskCount: 2, TaskResources: cpus(8), Estimate: time.Minute})
+	started := make(map[byte]int)
+	for _, o := range env.runCycle() {
+		started[o.Start.Run.Task.Job[0]]++
+	}
+	if started[1] != 1 || started[2] != 1 || started[9] != 2 || len(started) != 3 {
+		t.Errorf("the tasks started by job are %v, want those within the weights", started)
+	}
+}
+
+// While capacity is short, a workspace that uses more than its share comes after the others.
+func TestWorkspaceOverItsShareComesLast(t *testing.T) {
+	env := newTestEnv(t, 1)
+	env.setWorkspaces(1000, 50)
+	env.submitIn(otherWorkspace, 1, work.Step{TaskCount: 3, TaskResources: cpus(8), Estimate: time.Minute})
+	env.countStarts()
+	env.submitIn(otherWorkspace, 2, work.Step{TaskCount: 1, TaskResources: cpus(8), Estimate: time.Minute})
+	env.submitIn(cappedWorkspace, 3, work.Step{TaskCount: 1, TaskResources: cpus(8), Estimate: 2 * time.Minute})
+	orders := env.runCycle()
+	if len(orders) != 1 || orders[0].Start.Run.Task.Job != (work.ID{3}) {
+		t.Errorf("started %d, want the task of the workspace below its share", len(orders))
+	}
+}
--- a/internal/plan/workspace.go
+++ b/internal/plan/workspace.go
@@ -38,7 +38,7 @@
 	if w == nil {
 		w = &workspace{id: id, running: make(map[*allocation]struct{})}
 		w.configure(c.queueConfig.Workspaces.WithID(id))
-		w.jobTokens = w.weight
+		w.jobTokens = w.jobBurst()
 		c.workspaces[id] = w
 	}
 	return w
@@ -64,7 +64,7 @@
 		return true
 	}
 	if elapsed := at.Sub(w.refilledAt); elapsed > 0 {
-		w.jobTokens = min(w.weight, w.jobTokens+w.weight*elapsed.Seconds())
+		w.jobTokens = min(w.jobBurst(), w.jobTokens+w.weight*elapsed.Seconds())
 		w.refilledAt = at
 	}
 	if w.jobTokens < 1 {
@@ -74,10 +74,14 @@
 	return true
 }
 
+// jobBurst returns how many jobs may arrive at once without being in excess: those of a second, and at least
+// one, or all jobs of a workspace with a weight below 1 would be.
+func (w *workspace) jobBurst() float64 { return max(1, w.weight) }
+
 // returnJobToken takes back the count of a job that was not accepted after all.
 func (w *workspace) returnJobToken() {
 	if w != nil && w.weight > 0 {
-		w.jobTokens = min(w.weight, w.jobTokens+1)
+		w.jobTokens = min(w.jobBurst(), w.jobTokens+1)
 	}
 }
 
