internal/plan: an executor is called until its ends are acknowledged

Cause: found by reading. Where a leader calls only a part of a large fleet, an executor that it calls because something runs there was left as soon as the run had ended, before the end was acknowledged. Change: executors with applied ends that no answered call has acknowledged are called. Test: TestEndIsAcknowledgedBeforeExecutorIsLeft, which failed first.

--- a/internal/plan/activation_test.go
+++ b/internal/plan/activation_test.go
@@ -146,3 +146,39 @@
 		t.Errorf("%d executors are called instead of %d before these have reported", n, called)
 	}
 }
+
+// An executor that is called only because something ran there is called until the end has been acknowledged:
+// it lists the end until then.
+func TestEndIsAcknowledgedBeforeExecutorIsLeft(t *testing.T) {
+	env := newTestEnv(t, 0)
+	const executors = 3000
+	id := ""
+	for i := range executors {
+		other := fmt.Sprintf("e%d", i)
+		env.registry[other] = &fleet.Executor{Ref: platform.ExecutorRef{ID: other, Address: "10.0.0.1:" + other}, Service: testService, Capacity: cpus(16)}
+		if activationRank(other) > 0.9 {
+			id = other
+		}
+	}
+	env.cell.UpdateExecutors(env.registry, env.now)
+	v := env.cell.vms[id]
+	run := platform.Run{Task: work.TaskKey{StepKey: work.StepKey{Job: work.ID{7}}}, Number: 1}
+	v.addAllocation(&allocation{run: run, state: stateInherited})
+	env.report(id, running(run), nil)
+	env.report(id, nil, ended(1, run, platform.EndStopped))
+	if len(v.allocations) != 0 {
+		t.Fatal("the run has not ended")
+	}
+	h, callable := env.cell.NextHold(id, HoldTerms{Connected: true})
+	if !callable {
+		t.Fatal("the executor is left before its end is acknowledged")
+	}
+	env.cell.MarkEndsDurable(h, env.cell.AppliedEnds(h))
+	if h, callable = env.cell.NextHold(id, HoldTerms{Connected: true}); !callable || h.Order.Acknowledged != 1 {
+		t.Fatalf("the end isn't acknowledged: called %v, up to %d", callable, h.Order.Acknowledged)
+	}
+	env.cell.HandleReport(h, platform.ExecutorReport{Clock: env.executorClock}, env.now, env.now)
+	if _, callable = env.cell.NextHold(id, HoldTerms{Connected: true}); callable {
+		t.Error("an executor that runs nothing and isn't needed is still called")
+	}
+}
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -141,13 +141,14 @@
 	}
 }
 
-// shouldCall reports whether an executor should be called: it may run something, or it is
-// registered for a service of the current configuration. An executor that has answered and
-// is no longer registered is called until it is removed as unresponsive, since an
-// unconfirmed order may be carried out there seconds later.
+// shouldCall reports whether an executor should be called: it may run something, it lists ends
+// until they are acknowledged, or it is active and registered for a service of the current
+// configuration. An executor that has answered and is no longer registered is called until it is
+// removed as unresponsive, since an unconfirmed order may be carried out there seconds later.
 func (c *Cell) shouldCall(v *vm) bool {
 	unregistered := v.hasReported && !v.registered
-	return v.Ref.Address != "" && (len(v.allocations) > 0 || unregistered || c.inService(v) && c.isActive(v))
+	hasListedEnds := v.appliedEnds > v.acknowledgedEnds
+	return v.Ref.Address != "" && (len(v.allocations) > 0 || hasListedEnds || unregistered || c.inService(v) && c.isActive(v))
 }
 
 // inService reports whether an executor is registered for a service of the current
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -84,6 +84,7 @@
 	}
 	v.clock = r.Clock
 	v.reportedAt = now
+	v.acknowledgedEnds = max(v.acknowledgedEnds, h.Order.Acknowledged)
 	if firstReport {
 		c.dropReplaced(now)
 	}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -74,6 +74,7 @@
 	leaseEnd             platform.ExecutorClock // latest end of a lease that was sent
 	durableEnds          uint64                 // ends up to this number are durable
 	appliedEnds          uint64                 // ends up to this number were applied
+	acknowledgedEnds     uint64                 // ends up to this number were acknowledged to the executor, which has answered
 	inheritedLeaseExpiry time.Time              // when a lease from a former leader or incarnation has certainly expired
 	suspectedRun         *allocation            // run of a suspected task, which should be alone
 	isolatedFor          *step                  // step for which it is kept from other work until a suspected task of it starts here
