quarantine: a dropped task loses its place in the order

Cause: records of failures were deleted without their place in failureOrder, so a task that succeeded and failed again was listed twice; the older place dropped the newer record (found by reading). Ruled out: dropping the order and searching for the oldest; it needs a time for each task. Change: dropTaskFailures removes both. Before: the test loses the record of a task that has just failed, and tracks it twice; after: passes.

--- a/internal/quarantine/failing_task.go
+++ b/internal/quarantine/failing_task.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// dropTaskFailures removes the recorded failures of a task. Its place in the order goes too: otherwise
+// a task that fails again would be listed twice, and dropped before older ones.
+func (t *Tracker) dropTaskFailures(task api.TaskID) {
+	if _, known := t.taskFailures[task]; !known {
+		return
+	}
+	delete(t.taskFailures, task)
+	t.failureOrder = slices.DeleteFunc(t.failureOrder, func(other api.TaskID) bool { return other == task })
+}
+
 // detectFailingTask returns a FailingTask once the task has failed on enough
 // healthy VMs, and then removes its failures from the counts of those VMs.
 func (t *Tracker) detectFailingTask(task api.TaskID) (FailingTask, bool) {
@@ -35,7 +45,7 @@
 		t.vms[vm].outcomes.removeFailure()
 		t.fleetOutcomes.removeFailure()
 	}
-	delete(t.taskFailures, task)
+	t.dropTaskFailures(task)
 	return FailingTask{
 		Task:   task,
 		Reason: api.ReasonFailsEverywhere,
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -56,7 +56,7 @@
 	suspects      map[api.VMID]bool // VMs with a failure since the last Decide, or waiting for a place in quarantine
 	released      []Change
 	taskFailures  map[api.TaskID][]api.VMID // VMs on which each task failed, without duplicates
-	failureOrder  []api.TaskID              // keys of taskFailures, oldest first; may include deleted keys
+	failureOrder  []api.TaskID              // keys of taskFailures, oldest first
 }
 
 // New returns a Tracker. Zero fields of cfg take their defaults.
@@ -78,7 +78,7 @@
 // RecordSuccess records a task that succeeded on a VM. On a quarantined VM it
 // counts as a successful probe.
 func (t *Tracker) RecordSuccess(vm api.VMID, task api.TaskID, now time.Time) {
-	delete(t.taskFailures, task)
+	t.dropTaskFailures(task)
 	v := t.addOutcome(vm, false, now)
 	if !v.quarantined {
 		return
@@ -106,7 +106,7 @@
 
 // ForgetTask removes the recorded failures of a task that will not run again.
 func (t *Tracker) ForgetTask(task api.TaskID) {
-	delete(t.taskFailures, task)
+	t.dropTaskFailures(task)
 }
 
 // RemoveVM removes all records of a VM that left the fleet.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -102,6 +102,17 @@
 		So(len(tr.taskFailures), ShouldBeLessThanOrEqualTo, 10)
 		So(len(tr.failureOrder), ShouldBeLessThanOrEqualTo, 10)
 	})
+	Convey("A task that failed, succeeded and fails again is tracked once, and dropped after older ones", t, func() {
+		tr := New(Config{MaxTrackedTasks: 2})
+		tr.RecordFailure(vm(0), task(1), now)
+		tr.RecordSuccess(vm(0), task(1), now)
+		tr.RecordFailure(vm(0), task(2), now)
+		tr.RecordFailure(vm(1), task(1), now)
+		So(tr.failureOrder, ShouldResemble, []api.TaskID{task(2), task(1)})
+		tr.RecordFailure(vm(0), task(3), now)
+		So(tr.taskFailures[task(1)], ShouldResemble, []api.VMID{vm(1)})
+		So(tr.taskFailures, ShouldNotContainKey, task(2))
+	})
 	Convey("Validate names every invalid field", t, func() {
 		err := Config{MinFailureRate: 2, RateFactor: 0.5}.Validate()
 		So(err.Error(), ShouldContainSubstring, "least_rate")
