scheduler: a hold is displaced only once its replacement is certain

Cause: createHold dropped the hold of a lower band before it knew whether the job could get one in its place (found by reading). Ruled out: planning without the held VMs first; a job that needs just those would never displace anybody. Change: the VMs are released for the plan and held again if it fails. Before: the test sees the hold of g2 gone and none for h1; after: both holds stay.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -63,31 +63,55 @@
 
 // createHold creates or renews the hold of j for a number of tasks. At most
 // MaxHolds jobs have a hold at once; a job of a higher band displaces one of a
-// lower band.
+// lower band, which keeps its hold if j can't get one in its place.
 func (c *cycle) createHold(j *jobState, tasks int64) {
 	st := c.state
 	if j.hold != nil && j.hold.isValid(c.now) {
 		return
 	}
 	st.dropHold(j)
-	if len(st.holds) >= c.cfg.MaxHolds && !st.displaceHold(j) {
-		st.holdWaiters = append(st.holdWaiters, j)
-		return
+	var displaced *hold
+	if len(st.holds) >= c.cfg.MaxHolds {
+		if displaced = st.displaceableHold(j); displaced == nil {
+			st.holdWaiters = append(st.holdWaiters, j)
+			return
+		}
+		st.releaseVMs(displaced)
 	}
 	placements, expectedStart := c.planHold(j, tasks)
-	if placements == nil || !c.withinHoldShare(len(placements)) {
+	if placements == nil || !c.withinHoldShare(len(placements), displaced) {
+		if displaced != nil {
+			st.holdVMs(displaced)
+		}
 		return
 	}
+	if displaced != nil {
+		st.forgetHold(displaced)
+	}
 	h := &hold{job: j, placements: placements, expectedStart: expectedStart}
 	j.hold = h
 	st.holds = append(st.holds, h)
-	for _, p := range placements {
+	st.holdVMs(h)
+}
+
+// holdVMs keeps the VMs of h from other work.
+func (st *State) holdVMs(h *hold) {
+	for _, p := range h.placements {
 		p.vm.hold = h
 		p.vm.holdTasks = p.tasks
 		st.unindex(p.vm)
 	}
 }
 
+// releaseVMs reverts holdVMs.
+func (st *State) releaseVMs(h *hold) {
+	for _, p := range h.placements {
+		p.vm.hold = nil
+		p.vm.holdTasks = 0
+		st.index(p.vm)
+	}
+}
+
 // isValid reports whether all VMs of h accept work and its expected start is ahead.
 func (h *hold) isValid(now time.Time) bool {
 	for _, p := range h.placements {
@@ -100,43 +124,42 @@
 
 // withinHoldShare reports whether vmCount more VMs may be held. The total is
 // bounded by HoldShare, except that the first hold may cover any number of VMs, so
-// that no gang is too large to ever get one.
-func (c *cycle) withinHoldShare(vmCount int) bool {
+// that no gang is too large to ever get one. A displaced hold doesn't count.
+func (c *cycle) withinHoldShare(vmCount int, displaced *hold) bool {
 	held := 0
 	for _, h := range c.state.holds {
-		held += len(h.placements)
+		if h != displaced {
+			held += len(h.placements)
+		}
 	}
 	return held == 0 || float64(held+vmCount) <= c.cfg.HoldShare*float64(c.state.fleet.vmCount)
 }
 
-// displaceHold drops the newest hold of the lowest band below that of j. It
-// reports whether there was one.
-func (st *State) displaceHold(j *jobState) bool {
+// displaceableHold returns the newest hold of the lowest band below that of j, or
+// nil if there is none.
+func (st *State) displaceableHold(j *jobState) *hold {
 	var lowest *hold
 	for _, h := range st.holds {
 		if h.job.band < j.band && (lowest == nil || h.job.band <= lowest.job.band) {
 			lowest = h
 		}
 	}
-	if lowest == nil {
-		return false
-	}
-	st.dropHold(lowest.job)
-	return true
+	return lowest
 }
 
 // dropHold releases the VMs held for j.
 func (st *State) dropHold(j *jobState) {
-	h := j.hold
-	if h == nil {
-		return
+	if h := j.hold; h != nil {
+		st.releaseVMs(h)
+		st.forgetHold(h)
 	}
-	j.hold = nil
+}
+
+// forgetHold removes a hold whose VMs have been released.
+func (st *State) forgetHold(h *hold) {
+	h.job.hold = nil
 	st.holds = slices.DeleteFunc(st.holds, func(o *hold) bool { return o == h })
 	for _, p := range h.placements {
-		p.vm.hold = nil
-		p.vm.holdTasks = 0
-		st.index(p.vm)
 		st.markFreed(p.vm)
 		st.dropIfEmpty(p.vm)
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -379,3 +379,37 @@
 		})
 	})
 }
+
+func TestHoldIsKeptUntilItsReplacementIsCertain(t *testing.T) {
+	Convey("A job that can't get a hold displaces none", t, func() {
+		h := newHarness(4, small, Config{MaxHolds: 2, HoldShare: 1})
+		h.submit(job("a1", api.ClassBatch, 4, 4000))
+		h.cycle()
+		for _, id := range []string{"g1", "g2"} {
+			h.submit(job(id, api.ClassGang, 2, 4000))
+			h.cycle()
+		}
+		first, second := h.jobs["g1"].hold, h.jobs["g2"].hold
+		So(first, ShouldNotBeNil)
+		So(second, ShouldNotBeNil)
+		wide := job("h1", api.ClassGang, 3, 4000) // the VMs of one hold are too few for it
+		wide.Priority = api.PriorityUrgent - 1
+		h.submit(wide)
+		h.cycle()
+		So(h.jobs["h1"].hold, ShouldBeNil)
+		So(h.holds, ShouldResemble, []*hold{first, second})
+		for _, p := range second.placements {
+			So(p.vm.hold, ShouldEqual, second)
+			So(p.vm.indexPartition, ShouldBeNil)
+		}
+		Convey("and one that can displaces the newest hold of the lowest band", func() {
+			narrow := wide
+			narrow.ID, narrow.Tasks = "h2", 2
+			h.submit(narrow)
+			h.cycle()
+			So(h.jobs["h2"].hold, ShouldNotBeNil)
+			So(h.jobs["g1"].hold, ShouldEqual, first)
+			So(h.jobs["g2"].hold, ShouldBeNil)
+		})
+	})
+}
