--- a/api/status.go
+++ b/api/status.go
@@ -25,8 +25,8 @@
 	Stream       string        `json:"stream"`
 	Applied      uint64        `json:"applied"`          // offset following the last applied record
 	ConfirmedAge time.Duration `json:"confirmed_age_ns"` // since the last read that reached the end of the stream; negative if none has
-	Backlog      int           `json:"backlog"`          // bytes of entries not yet read back from the log
-	Error        string        `json:"fault,omitempty"`
+	BacklogBytes int           `json:"backlog_bytes"`    // size of the entries not yet read back from the log
+	Error        string        `json:"fault,omitempty"`  // why the newest read failed; empty if it succeeded
 }
 
 // MemberStatus describes an entry VM of the data centre as seen by the reporting
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -84,10 +84,18 @@
 	}
 	return api.StreamStatus{
 		Stream: name, Applied: uint64(r.Applied()), ConfirmedAge: age,
-		Backlog: r.Stats().BacklogBytes,
+		BacklogBytes: r.Stats().BacklogBytes, Error: errorText(r.ReadError()),
 	}
 }
 
+// errorText returns the text of an error, or an empty one if there is none.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func (n *Node) memberStatus(now time.Time) []api.MemberStatus {
 	health := n.members.Health(now)
 	roster, _ := n.streams.ownershipState.Roster()
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -55,9 +55,11 @@
 	for ctx.Err() == nil {
 		sent := r.cfg.Now()
 		if err := l.readOnce(ctx, sent); err != nil {
+			r.readError.Store(&err)
 			l.pause(ctx, err)
 			continue
 		}
+		r.readError.Store(nil)
 		l.backoff.reset()
 		pause.For(ctx, r.cfg.ReadInterval-r.cfg.Now().Sub(sent))
 	}
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -28,7 +28,8 @@
 	applied   atomic.Uint64             // platform.Offset
 	confirmed atomic.Pointer[time.Time] // see Follower
 	ready     atomic.Bool
-	firstKept atomic.Uint64 // platform.Offset; the oldest in the log at the latest read
+	firstKept atomic.Uint64         // platform.Offset; the oldest in the log at the latest read
+	readError atomic.Pointer[error] // of the latest read; nil if it succeeded
 
 	applying   sync.Mutex // guards the fields up to mu; locked before mu
 	core       *core
--- a/internal/journal/replica_test.go
+++ b/internal/journal/replica_test.go
@@ -248,3 +248,21 @@
 		wantErr(t, a.propose("3", time.Second), nil)
 	})
 }
+
+func TestReadErrorIsReportedUntilReadSucceeds(t *testing.T) {
+	runInBubble(t, func(t *testing.T, log *logserver.Server) {
+		a := startNode(t, log, "a", nil)
+		waitIdle()
+		if err := a.ReadError(); err != nil {
+			t.Errorf("read error %v before the outage", err)
+		}
+		log.SetFaults(logserver.Faults{Down: true})
+		time.Sleep(time.Minute)
+		wantErr(t, a.ReadError(), platform.ErrUnavailable)
+		log.SetFaults(logserver.Faults{})
+		time.Sleep(time.Minute)
+		if err := a.ReadError(); err != nil {
+			t.Errorf("read error %v after the outage", err)
+		}
+	})
+}
--- a/internal/journal/stats.go
+++ b/internal/journal/stats.go
@@ -109,3 +109,11 @@
 		}
 	}
 }
+
+// ReadError returns why the latest read failed or its records could not be applied, or nil.
+func (r *Replica) ReadError() error {
+	if err := r.readError.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
