reqkey: an outcome becomes visible together with its answer

Cause: applyOutcome released the shard's lock between the state of a mark and its answer, so Lookup could return that a request ran, without the answer that was about to be kept (found by reading). Ruled out: a lock over all shards for the time of Apply; readers would wait for each other. Change: both are stored under one lock, answers beyond the limit are dropped after it.

--- a/internal/reqkey/machine.go
+++ b/internal/reqkey/machine.go
@@ -149,17 +149,26 @@
 
 func (m *StateMachine) applyOutcome(o *Outcome) error {
 	k := keyOf(o.ID)
+	if err := m.closeMark(k, o); err != nil {
+		return err
+	}
+	m.trimAnswers()
+	return nil
+}
+
+// closeMark stores the outcome of a mark together with its answer, so that Lookup never returns
+// an outcome whose answer is still missing.
+func (m *StateMachine) closeMark(k key, o *Outcome) error {
 	s := m.shardOf(k)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	old, ok := s.records[k]
 	if !ok || !m.isOpen(old, o.Writer, o.Serial) {
-		s.mu.Unlock()
 		return &NoMarkError{ID: o.ID}
 	}
+	m.keepAnswer(s, k, o)
 	old.state = stateOf(o.Outcome)
 	s.records[k] = old
-	s.mu.Unlock()
-	m.keepAnswer(k, o)
 	return nil
 }
 
@@ -220,14 +229,11 @@
 	m.answerOrder = kept
 }
 
-func (m *StateMachine) keepAnswer(k key, o *Outcome) {
-	s := m.shardOf(k)
-	s.mu.Lock()
+// keepAnswer keeps an outcome. The caller holds s.mu.
+func (m *StateMachine) keepAnswer(s *shard, k key, o *Outcome) {
 	s.answers[k] = &Outcome{Outcome: o.Outcome, Reason: o.Reason, Answer: o.Answer}
-	s.mu.Unlock()
 	m.answerBytes += answerSize(o)
 	m.answerOrder = append(m.answerOrder, k)
-	m.trimAnswers()
 }
 
 // trimAnswers drops the oldest answers until the size limit is met.
--- a/internal/reqkey/machine_test.go
+++ b/internal/reqkey/machine_test.go
@@ -188,3 +188,28 @@
 	runtime.ReadMemStats(&s)
 	return s.HeapAlloc
 }
+
+// A reader that sees the outcome of a request also sees its answer.
+func TestOutcomeIsNotVisibleBeforeItsAnswer(t *testing.T) {
+	const requests = 2000
+	m := NewStateMachine()
+	keys := NewKeys(m, fakeLog{m}, origin("a", 1), DefaultMaxBodyBytes)
+	for i := range requests {
+		id := fmt.Sprint(i)
+		mark, err := keys.Mark(t.Context(), id, 7)
+		wantEqual(t, err, nil)
+		answered := make(chan *api.Answer)
+		go func() {
+			for {
+				if s, _ := m.Lookup(id); s.Outcome != "" {
+					answered <- s.Answer
+					return
+				}
+			}
+		}()
+		wantEqual(t, keys.RecordOutcome(t.Context(), mark, &api.Answer{Status: 200}, nil), nil)
+		if <-answered == nil {
+			t.Fatalf("request %d: the outcome was visible without its answer", i)
+		}
+	}
+}
--- a/internal/reqkey/snapshot.go
+++ b/internal/reqkey/snapshot.go
@@ -97,11 +97,19 @@
 		m.restoreRecord(readRecord(rest))
 	}
 	for i := range in.Answers {
-		m.keepAnswer(key(in.Answers[i].Key), &in.Answers[i].Outcome)
+		m.restoreAnswer(key(in.Answers[i].Key), &in.Answers[i].Outcome)
 	}
+	m.trimAnswers()
 	return nil
 }
 
+func (m *StateMachine) restoreAnswer(k key, o *Outcome) {
+	s := m.shardOf(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.keepAnswer(s, k, o)
+}
+
 func (s *snapshot) validate() error {
 	if len(s.Records)%recordSize != 0 {
 		return fmt.Errorf("reqkey: snapshot: %d bytes of records", len(s.Records))
