filter: trailers count against the bound of kept answers

Cause: resultSize counted headers and body only, so answers with long trailers exceeded the memory that is set for them (found by reading).

--- a/internal/filter/requesttable.go
+++ b/internal/filter/requesttable.go
@@ -165,6 +165,9 @@
 		for name, value := range r.answer.Header {
 			n += len(name) + len(value)
 		}
+		for name, value := range r.answer.Trailer {
+			n += len(name) + len(value)
+		}
 	}
 	return int64(n)
 }
