learning: run times are measured by attempt

Cause: the start of a run was kept by task, so the late end of an attempt took away the start of the task's next one, and a new attempt was measured from the start of the former (found by reading). Change: ObserveEnd names the attempt.

--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -85,12 +85,12 @@
 	exchangeCount atomic.Int64
 }
 
-func (h *controllerHarness) Cell(time.Time) (api.Epoch, bool, time.Time)         { return 1, true, time.Time{} }
-func (h *controllerHarness) Inc(string, api.Reason)                              {}
-func (h *controllerHarness) VMs() []api.VM                                       { return h.vms }
-func (h *controllerHarness) ObserveReport(api.VMID, platform.TaskReport)         {}
-func (h *controllerHarness) ObserveEnd(api.VMID, api.TaskID, cell.AttemptStatus) {}
-func (h *controllerHarness) TakeThrottles(api.VMID) []platform.TaskStop          { return nil }
+func (h *controllerHarness) Cell(time.Time) (api.Epoch, bool, time.Time)                 { return 1, true, time.Time{} }
+func (h *controllerHarness) Inc(string, api.Reason)                                      {}
+func (h *controllerHarness) VMs() []api.VM                                               { return h.vms }
+func (h *controllerHarness) ObserveReport(api.VMID, platform.TaskReport)                 {}
+func (h *controllerHarness) ObserveEnd(api.VMID, api.TaskID, uint32, cell.AttemptStatus) {}
+func (h *controllerHarness) TakeThrottles(api.VMID) []platform.TaskStop                  { return nil }
 
 // Sync implements platform.Worker.
 func (h *controllerHarness) Sync(_ context.Context, vm api.VM, _ platform.WorkerSync) (platform.WorkerReport, error) {
--- a/internal/controller/learning/learning.go
+++ b/internal/controller/learning/learning.go
@@ -38,12 +38,19 @@
 	mu         sync.Mutex
 	estimates  *estimate.Estimator
 	failures   *quarantine.Tracker
-	started    map[api.TaskID]time.Time
+	started    map[attemptKey]time.Time
 	throttles  map[api.VMID][]platform.TaskStop
 	stops      []cell.Stop
 	avoidedVMs map[api.JobID]map[api.VMID]bool
 }
 
+// attemptKey identifies one attempt of a task. Reports of an attempt may come late, when the task's next
+// one is already running elsewhere.
+type attemptKey struct {
+	task    api.TaskID
+	attempt uint32
+}
+
 // counterGroup is the counter group of this package.
 const counterGroup = "learning"
 
@@ -58,7 +65,7 @@
 		now:        now,
 		estimates:  estimate.New(estimate.Config{Policy: policy()}),
 		failures:   quarantine.New(quarantine.Config{Policy: policy()}),
-		started:    make(map[api.TaskID]time.Time),
+		started:    make(map[attemptKey]time.Time),
 		throttles:  make(map[api.VMID][]platform.TaskStop),
 		avoidedVMs: make(map[api.JobID]map[api.VMID]bool),
 	}
@@ -119,11 +126,12 @@
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.started[r.Task]; !ok {
-		c.started[r.Task] = now.Add(-r.RunFor)
+	key := attemptKey{task: r.Task, attempt: r.Attempt}
+	if _, ok := c.started[key]; !ok {
+		c.started[key] = now.Add(-r.RunFor)
 	}
 	decision := c.estimates.Observe(job.Spec, estimate.Report{
-		Task: r.Task, Usage: r.Usage, MeasuredAt: now, StartedAt: c.started[r.Task],
+		Task: r.Task, Usage: r.Usage, MeasuredAt: now, StartedAt: c.started[key],
 	})
 	c.applyDecision(vm, r, decision)
 }
@@ -145,13 +153,14 @@
 }
 
 // ObserveEnd learns from the end of an attempt. It is called once after the end was journaled.
-func (c *Controller) ObserveEnd(vm api.VMID, task api.TaskID, status cell.AttemptStatus) {
+func (c *Controller) ObserveEnd(vm api.VMID, task api.TaskID, attempt uint32, status cell.AttemptStatus) {
 	job, ok := c.machine.Job(task.Job)
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	started, known := c.started[task]
-	delete(c.started, task)
+	key := attemptKey{task: task, attempt: attempt}
+	started, known := c.started[key]
+	delete(c.started, key)
 	switch status {
 	case cell.AttemptSucceeded:
 		c.failures.RecordSuccess(vm, task, now)
--- a/internal/controller/placement/testcell_test.go
+++ b/internal/controller/placement/testcell_test.go
@@ -137,11 +137,11 @@
 	return report, err
 }
 
-func (c *testCell) Inc(string, api.Reason)                              {}
-func (c *testCell) ObserveReport(api.VMID, platform.TaskReport)         {}
-func (c *testCell) ObserveEnd(api.VMID, api.TaskID, cell.AttemptStatus) {}
-func (c *testCell) TakeThrottles(api.VMID) []platform.TaskStop          { return nil }
-func (c *testCell) Quarantined(api.VMID) bool                           { return false }
+func (c *testCell) Inc(string, api.Reason)                                      {}
+func (c *testCell) ObserveReport(api.VMID, platform.TaskReport)                 {}
+func (c *testCell) ObserveEnd(api.VMID, api.TaskID, uint32, cell.AttemptStatus) {}
+func (c *testCell) TakeThrottles(api.VMID) []platform.TaskStop                  { return nil }
+func (c *testCell) Quarantined(api.VMID) bool                                   { return false }
 func (c *testCell) Estimate(spec api.JobSpec) (api.Resources, time.Duration) {
 	return spec.Resources, spec.RunTime
 }
--- a/internal/controller/worker/bench_test.go
+++ b/internal/controller/worker/bench_test.go
@@ -22,13 +22,13 @@
 	report  platform.WorkerReport
 }
 
-func (d *fakeDeps) CellEpoch() api.Epoch                                { return 1 }
-func (d *fakeDeps) Cell(time.Time) (api.Epoch, bool, time.Time)         { return 1, true, time.Time{} }
-func (d *fakeDeps) Inc(string, api.Reason)                              {}
-func (d *fakeDeps) VMs() []api.VM                                       { return []api.VM{{ID: "a", Address: "x"}} }
-func (d *fakeDeps) ObserveReport(api.VMID, platform.TaskReport)         {}
-func (d *fakeDeps) ObserveEnd(api.VMID, api.TaskID, cell.AttemptStatus) {}
-func (d *fakeDeps) TakeThrottles(api.VMID) []platform.TaskStop          { return nil }
+func (d *fakeDeps) CellEpoch() api.Epoch                                        { return 1 }
+func (d *fakeDeps) Cell(time.Time) (api.Epoch, bool, time.Time)                 { return 1, true, time.Time{} }
+func (d *fakeDeps) Inc(string, api.Reason)                                      {}
+func (d *fakeDeps) VMs() []api.VM                                               { return []api.VM{{ID: "a", Address: "x"}} }
+func (d *fakeDeps) ObserveReport(api.VMID, platform.TaskReport)                 {}
+func (d *fakeDeps) ObserveEnd(api.VMID, api.TaskID, uint32, cell.AttemptStatus) {}
+func (d *fakeDeps) TakeThrottles(api.VMID) []platform.TaskStop                  { return nil }
 
 func (d *fakeDeps) Propose(_ context.Context, e journal.Entry) error {
 	return d.machine.Apply(journal.Position{}, e)
--- a/internal/controller/worker/worker.go
+++ b/internal/controller/worker/worker.go
@@ -35,7 +35,7 @@
 	// ObserveReport is called for each attempt in each report.
 	ObserveReport(vm api.VMID, r platform.TaskReport)
 	// ObserveEnd is called once for each attempt whose end was journaled.
-	ObserveEnd(vm api.VMID, task api.TaskID, ending cell.AttemptStatus)
+	ObserveEnd(vm api.VMID, task api.TaskID, attempt uint32, ending cell.AttemptStatus)
 	// TakeThrottles returns the attempts on vm to limit to their declared use.
 	TakeThrottles(vm api.VMID) []platform.TaskStop
 }
@@ -141,7 +141,7 @@
 			}
 		}
 		if e.Kind == cell.EventTaskFreed {
-			c.observer.ObserveEnd(e.VM, e.Task, endedStatus(e))
+			c.observer.ObserveEnd(e.VM, e.Task, e.Attempt, endedStatus(e))
 		}
 	}
 }
