capacity: the measurement of open requests ends when a request fails

Cause: measureOpenRequests waited for as many attempts as requests, spinning for ever if one ended before it reached its endpoint (found by reading). Change: it ends with the first error. Before: the test spins (by reading, it wasn't run); after: it returns the error.

--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -39,3 +39,11 @@
 		seen[m.Name] = true
 	}
 }
+
+// A request that fails before it reaches its endpoint must end the measurement.
+func TestOpenRequestMeasurementEndsWhenRequestFails(t *testing.T) {
+	h := &chainHarness{freeSlots: 0, release: make(chan struct{})} // all requests are refused
+	if _, err := h.measureOpenRequests(3); err == nil {
+		t.Fatal("no error, although no request reached its endpoint")
+	}
+}
--- a/internal/capacity/request.go
+++ b/internal/capacity/request.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -177,19 +178,41 @@
 // measureOpenRequests returns the bytes of memory of count requests that wait for an
 // answer of their endpoint.
 func measureOpenRequests(count int) (float64, error) {
-	h := &chainHarness{freeSlots: 8, release: make(chan struct{})}
+	return (&chainHarness{freeSlots: 8, release: make(chan struct{})}).measureOpenRequests(count)
+}
+
+// measureOpenRequests does the same with the harness, whose release is set. It fails if a request
+// ends before its endpoint has answered.
+func (h *chainHarness) measureOpenRequests(count int) (float64, error) {
 	c := h.newChain("dc-a-entry0")
 	before := heapAndStackBytes()
+	var failed firstError
 	for i := range count {
-		h.openRequests.Go(func() { _ = handleRequest(c, i, true) })
+		h.openRequests.Go(func() { failed.set(handleRequest(c, i, true)) })
 	}
-	for h.attempts.Load() < int64(count) {
+	for h.attempts.Load() < int64(count) && failed.get() == nil {
 		runtime.Gosched()
 	}
 	grown := heapAndStackBytes() - before
 	close(h.release)
 	h.openRequests.Wait()
-	return grown, c.Close(context.Background())
+	return grown, errors.CombineErrors(failed.get(), c.Close(context.Background()))
+}
+
+// firstError keeps the first error that is set. It is safe for concurrent use.
+type firstError struct{ err atomic.Pointer[error] }
+
+func (f *firstError) set(err error) {
+	if err != nil {
+		f.err.CompareAndSwap(nil, &err)
+	}
+}
+
+func (f *firstError) get() error {
+	if err := f.err.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 func requestMeasurements() []Measurement {
