plan: an executor's first report is compared with the unregistered ones only

Cause: HandleReport looked, at each first report, for unregistered executors whose address another one has taken: all executors against all. For a leader that takes over a fleet, or calls some hundred executors more, that is cubic in the fleet once a share of it has left the registry. Change: the cell keeps the executors that may be unregistered; a first report is compared with these. A new record resets the checks for advice once, not once for each new executor.

--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +120,41 @@
 		})
 	}
 }
+
+// BenchmarkFirstReports measures the first reports of all executors to a new leader while a twentieth
+// of them is no longer registered.
+func BenchmarkFirstReports(b *testing.B) {
+	for _, executors := range []int{750, 1500, 3000, 6000} {
+		b.Run(fmt.Sprint(executors), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				c, registry := newRegisteredCell(executors)
+				for i := range executors / 20 {
+					delete(registry, fmt.Sprintf("i-%010x", 20*i))
+				}
+				c.UpdateExecutors(registry, testStart)
+				vms := slices.Clone(c.sortedVMs)
+				b.StartTimer()
+				for _, v := range vms {
+					c.HandleReport(Hold{To: v.Ref, Order: platform.HoldOrder{FencingToken: c.fencingToken(v)}}, platform.ExecutorReport{Clock: 1}, testStart, testStart)
+				}
+			}
+		})
+	}
+}
+
+// newRegisteredCell returns a cell whose executors have not reported yet, and their registry.
+func newRegisteredCell(executors int) (*Cell, map[string]*fleet.Executor) {
+	c := NewCell(DefaultConfig(), func(work.ID) *work.Job { return nil }, logging.Nop(), testStart)
+	c.Configure(benchQueueConfig())
+	registry := make(map[string]*fleet.Executor)
+	for i := range executors {
+		id := fmt.Sprintf("i-%010x", i)
+		registry[id] = &fleet.Executor{
+			Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService,
+			Capacity: api.Resources{MilliCPU: 32000, MemoryMB: 65536},
+		}
+	}
+	c.UpdateExecutors(registry, testStart)
+	return c, registry
+}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -22,6 +22,7 @@
 	vms                 map[string]*vm    // by ID
 	formerIncarnations  map[string]uint64 // by ID: number of earlier incarnations of executors that were removed
 	sortedVMs           []*vm             // sorted by ID
+	unregisteredVMs     []*vm             // executors that may not be registered, among them all that aren't
 	activeVMs           float64           // about how many executors are called also while they run nothing
 	activatedAt         time.Time         // when the share last grew
 	vmsCreated          int               // number of vms that were created so far
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -16,21 +16,25 @@
 func (c *Cell) UpdateExecutors(registered map[string]*fleet.Executor, now time.Time) {
 	c.registeredByService = make(map[string]int)
 	defer c.updateActivation(now)
+	moreCapacity := false
 	for id, e := range registered {
 		v := c.vms[id]
 		if v == nil {
 			v = c.addVM(e.Ref)
-			c.resetCallChecks()
-		}
-		if !e.Capacity.Fits(v.Capacity) {
-			c.resetCallChecks()
+			moreCapacity = true
 		}
+		moreCapacity = moreCapacity || !e.Capacity.Fits(v.Capacity)
 		v.register(e, now)
 		c.registeredByService[e.Service]++
 	}
+	if moreCapacity {
+		c.resetCallChecks()
+	}
+	c.unregisteredVMs = c.unregisteredVMs[:0]
 	for id, v := range c.vms {
 		if registered[id] == nil {
 			v.registered = false
+			c.unregisteredVMs = append(c.unregisteredVMs, v)
 		}
 	}
 	sort.Slice(c.sortedVMs, func(a, b int) bool { return c.sortedVMs[a].Ref.ID < c.sortedVMs[b].Ref.ID })
@@ -41,23 +45,53 @@
 // names the address is no proof, since the record may be wrong or out of date: the other
 // executor must have answered there, and later.
 func (c *Cell) dropReplaced(now time.Time) {
-	var replaced []platform.ExecutorRef
-	for _, v := range c.sortedVMs {
-		if !v.registered && slices.ContainsFunc(c.sortedVMs, v.isReplacedBy) {
-			replaced = append(replaced, v.Ref)
+	byAddress := make(map[string][]*vm)
+	for _, v := range c.unregisteredVMs {
+		if c.isUnregistered(v) {
+			byAddress[v.Ref.Address] = append(byAddress[v.Ref.Address], v)
 		}
 	}
-	for _, ref := range replaced {
-		c.HandleExecutorLoss(ref, AddressTaken, now)
+	if len(byAddress) == 0 {
+		return
+	}
+	var replaced []*vm
+	for _, other := range c.sortedVMs {
+		for _, v := range byAddress[other.Ref.Address] {
+			if v.isReplacedBy(other) {
+				replaced = append(replaced, v)
+			}
+		}
 	}
+	c.removeReplaced(replaced, now)
 }
 
+// dropReplacedBy is dropReplaced for the executors whose address one executor has taken.
+func (c *Cell) dropReplacedBy(other *vm, now time.Time) {
+	var replaced []*vm
+	for _, v := range c.unregisteredVMs {
+		if v.Ref.Address == other.Ref.Address && c.isUnregistered(v) && v.isReplacedBy(other) {
+			replaced = append(replaced, v)
+		}
+	}
+	c.removeReplaced(replaced, now)
+}
+
+func (c *Cell) removeReplaced(replaced []*vm, now time.Time) {
+	for _, v := range replaced {
+		c.HandleExecutorLoss(v.Ref, AddressTaken, now)
+	}
+}
+
+// isUnregistered reports whether an executor of the cell is not registered.
+func (c *Cell) isUnregistered(v *vm) bool { return !v.registered && c.vms[v.Ref.ID] == v }
+
 // addVM adds an executor of which only its reference is known.
 func (c *Cell) addVM(ref platform.ExecutorRef) *vm {
 	v := c.newVM(ref)
 	v.formerIncarnations = c.formerIncarnations[ref.ID]
 	c.vms[ref.ID] = v
 	c.sortedVMs = append(c.sortedVMs, v)
+	c.unregisteredVMs = append(c.unregisteredVMs, v)
 	return v
 }
 
@@ -104,6 +138,7 @@
 	c.endIncarnation(ended, nil, l)
 	v.Ref.Address = ""
 	v.registered = false
+	c.unregisteredVMs = append(c.unregisteredVMs, v)
 	return true
 }
 
--- a/internal/plan/incarnation.go
+++ b/internal/plan/incarnation.go
@@ -97,6 +97,9 @@
 func (c *Cell) replaceVM(v, next *vm) {
 	c.detachFromSteps(v)
 	c.vms[next.Ref.ID] = next
+	if !next.registered {
+		c.unregisteredVMs = append(c.unregisteredVMs, next)
+	}
 	c.sortedVMs[slices.Index(c.sortedVMs, v)] = next
 }
 
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -86,7 +86,7 @@
 	v.reportedAt = now
 	v.acknowledgedEnds = max(v.acknowledgedEnds, h.Order.Acknowledged)
 	if firstReport {
-		c.dropReplaced(now)
+		c.dropReplacedBy(v, now)
 	}
 	v.inheritedLeaseExpiry = time.Time{}
 	for _, alloc := range v.expiredRuns { // the executor was unreachable and is alive
--- a/internal/plan/restore.go
+++ b/internal/plan/restore.go
@@ -109,5 +109,6 @@
 	}
 	v.register(&e, now)
 	v.registered = false
+	c.unregisteredVMs = append(c.unregisteredVMs, v)
 	c.dropReplaced(now)
 }
