assist: a pass over the waiting steps lists the machines once

Cause: each question whether a machine could make a call for advice built and sorted the list of all machines: waiting steps times machines times their logarithm, in each pass. Ruled out: asking once for each class and pass; a class that has room was asked about for each step. Change: machines are kept in order, and a pass determines the responsive ones once.

--- a/internal/assist/peers.go
+++ b/internal/assist/peers.go
@@ -1,9 +1,9 @@
 package assist
 
 import (
+	"cmp"
 	"context"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -41,6 +41,7 @@
 
 	mu        sync.Mutex
 	machines  map[api.NodeID]*machine
+	ordered   []*machine                   // the machines by node, this one last, because the leader has the most other work
 	lastHeard map[api.DataCentre]time.Time // when a machine of the data centre was last heard from
 	demand    demand
 }
@@ -63,10 +64,28 @@
 // NewPeers returns the peers of a leader, at first only the leader itself.
 func NewPeers(self api.NodeID, localAdviser platform.Adviser, caller Caller) *Peers {
 	p := &Peers{self: self, caller: caller, localAdviser: localAdviser, machines: make(map[api.NodeID]*machine), lastHeard: make(map[api.DataCentre]time.Time)}
-	p.machines[self] = &machine{node: self}
+	p.add(&machine{node: self})
 	return p
 }
 
+// add adds a machine that isn't known yet. The caller holds p.mu.
+func (p *Peers) add(m *machine) {
+	p.machines[m.node] = m
+	at, _ := slices.BinarySearchFunc(p.ordered, m, p.compareMachines)
+	p.ordered = slices.Insert(p.ordered, at, m)
+}
+
+// compareMachines orders machines as in Peers.ordered.
+func (p *Peers) compareMachines(a, b *machine) int {
+	if ownA, ownB := a.node == p.self, b.node == p.self; ownA != ownB {
+		if ownA {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.node, b.node)
+}
+
 // HandleAttachment adds or updates the attached machine.
 func (p *Peers) HandleAttachment(a Attachment, now time.Time) {
 	p.mu.Lock()
@@ -74,7 +93,7 @@
 	m := p.machines[a.Node]
 	if m == nil {
 		m = &machine{node: a.Node}
-		p.machines[a.Node] = m
+		p.add(m)
 	}
 	m.address = a.Address
 	m.dataCentre = a.DataCentre
@@ -179,8 +198,13 @@
 func (p *Peers) Take(call queue.CallTime, now time.Time) *Slot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.takeFrom(p.responsive(now), call, now)
+}
+
+// takeFrom is Take among the given responsive machines. The caller holds p.mu.
+func (p *Peers) takeFrom(machines []*machine, call queue.CallTime, now time.Time) *Slot {
 	class := classOf(call)
-	m := p.findFree(class, now)
+	m := p.findFree(machines, class, now)
 	if m == nil {
 		return nil
 	}
@@ -192,14 +216,13 @@
 func (p *Peers) Free(call queue.CallTime, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.findFree(classOf(call), now) != nil
+	return p.findFree(p.responsive(now), classOf(call), now) != nil
 }
 
-// findFree returns the least loaded machine that can make a call of the class, or nil. The caller
-// holds p.mu.
-func (p *Peers) findFree(class callClass, now time.Time) *machine {
+// findFree returns the least loaded of the machines that can make a call of the class, or nil. The
+// caller holds p.mu.
+func (p *Peers) findFree(machines []*machine, class callClass, now time.Time) *machine {
 	p.demand.recordRequest(class, now)
-	machines := p.responsive(now)
 	ranges := p.demand.assignRanges(len(machines))
 	for try := class; try < numCallClasses; try++ {
 		if m := leastLoaded(machines[ranges[try].from:ranges[try].to], class); m != nil {
@@ -241,7 +264,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	class := classOf(call)
-	attached := len(p.attached(now))
+	attached := p.countAttached(now)
 	part := p.demand.assignRanges(attached)[class]
 	machines := part.to - part.from
 	if machines == 0 { // the class has not been requested yet: any machine may make these calls
@@ -267,27 +290,50 @@
 	return &Slot{machine: m, cost: cost}
 }
 
-// attached returns the machines with a valid attachment, in a fixed order with this machine last,
-// because the leader has the most other work. The caller holds p.mu.
+// isAttached reports whether the machine's attachment is valid.
+func (m *machine) isAttached(now time.Time) bool {
+	return m.address == "" || now.Sub(m.lastSeen) <= attachmentTTL
+}
+
+// attached returns the machines with a valid attachment, in the order of Peers.ordered, and forgets
+// those whose attachment has expired and that have no call in flight. The caller holds p.mu.
 func (p *Peers) attached(now time.Time) []*machine {
-	var machines []*machine
-	for node, m := range p.machines {
-		if m.address != "" && now.Sub(m.lastSeen) > attachmentTTL {
-			if m.longCalls == 0 && m.shorterCalls == 0 {
-				delete(p.machines, node)
-			}
-			continue
+	machines := make([]*machine, 0, len(p.ordered))
+	expired := false
+	for _, m := range p.ordered {
+		if m.isAttached(now) {
+			machines = append(machines, m)
+		} else {
+			expired = true
 		}
-		machines = append(machines, m)
 	}
-	sort.Slice(machines, func(a, b int) bool {
-		ownA, ownB := machines[a].address == "", machines[b].address == ""
-		if ownA != ownB {
-			return ownB
+	if expired {
+		p.forgetExpired(now)
+	}
+	return machines
+}
+
+// countAttached returns the number of machines with a valid attachment. The caller holds p.mu.
+func (p *Peers) countAttached(now time.Time) int {
+	n := 0
+	for _, m := range p.ordered {
+		if m.isAttached(now) {
+			n++
 		}
-		return machines[a].node < machines[b].node
+	}
+	return n
+}
+
+// forgetExpired removes the machines whose attachment has expired and that have no call in flight. The
+// caller holds p.mu.
+func (p *Peers) forgetExpired(now time.Time) {
+	p.ordered = slices.DeleteFunc(p.ordered, func(m *machine) bool {
+		if m.isAttached(now) || m.longCalls > 0 || m.shorterCalls > 0 {
+			return false
+		}
+		delete(p.machines, m.node)
+		return true
 	})
-	return machines
 }
 
 // responsive returns the attached machines that have recently been heard from, in the same order.
