A machine that starts gets the states of jobs from another one

Cause: each machine that starts read the newest record of every job from the store, whatever its role: records times machines. Ruled out: the election (0.36 s), the takeover (0.31 s), the leader's processor. Change: a process asks the leader for the states of jobs, in 16 parts; the leader names a machine that knows them, which serves two at a time, so their number triples each round. Without a leader the store is read after a random delay, 0.3 s at most, 1 s more on weak machines. A page of the registry gets more time while the store is busy.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -179,6 +179,9 @@
 	DropContent()
 	Sync(ctx context.Context) error
 	Position() platform.Offset
+	// States returns the states of a part of the jobs and the offset up to which they are known,
+	// and whether the states of all jobs are known.
+	States(part int) (platform.Offset, []work.Summary, bool)
 }
 
 // Elector tracks who leads the cell; *leader.Elector implements it.
--- a/internal/assist/peers.go
+++ b/internal/assist/peers.go
@@ -59,6 +59,7 @@
 	longCalls           int           // long calls in flight
 	shorterCalls        int           // other calls in flight
 	queuedTime          time.Duration // expected time of the other calls in flight
+	servedStates        []time.Time   // when machines were sent to it for the states of jobs, oldest first
 }
 
 // NewPeers returns the peers of a leader, at first only the leader itself.
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -19,6 +19,9 @@
 	// executor keeps accepting work for at least 2 s.
 	registryInterval = 300 * time.Millisecond
 	registryTimeout  = 700 * time.Millisecond
+	// maxRegistryPageTimeout bounds the time for a page of the newest records, which grows while the
+	// store is busy.
+	maxRegistryPageTimeout = 4 * time.Second
 )
 
 // DecodeExecutor decodes an executor's record.
@@ -66,7 +69,7 @@
 // restore reads the newest record of every executor.
 func (g *registry) restore(ctx context.Context) error {
 	fresh := &registry{decode: g.decode, unreadable: g.unreadable, listed: make(map[string]*fleet.Executor)}
-	next, err := platform.ReadNewest(ctx, g.log, g.partition, platform.PageTimeout{Initial: registryTimeout}, func(records []platform.Record) {
+	next, err := platform.ReadNewest(ctx, g.log, g.partition, platform.PageTimeout{Initial: registryTimeout, Max: maxRegistryPageTimeout}, func(records []platform.Record) {
 		for _, r := range records {
 			fresh.apply(r)
 		}
--- a/internal/node/attach.go
+++ b/internal/node/attach.go
@@ -34,7 +34,9 @@
 		if sinceContact, released := n.elector.SinceContact(now); takeover.due(n.reader.ReceivesDeliveries(now), sinceContact, released) {
 			n.replica.KeepContent() // no standby, which could claim immediately, has claimed the cell
 		}
-		if now.Sub(lastAttach) >= attachInterval || (n.epoch.Load() == 0 && n.reader.DeliveryOverdue(now)) {
+		_, released := n.elector.SinceContact(now)
+		overdue := n.epoch.Load() == 0 && n.reader.DeliveryOverdue(now) && !released // nobody leads after a release
+		if now.Sub(lastAttach) >= attachInterval || overdue || n.attachSoon.Swap(false) {
 			n.attachOnce(ctx)
 			lastAttach = now
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	draining       atomic.Bool
 	linkFull       atomic.Bool // the load of the link exceeds maxLinkLoad
 	leaderCutOff   atomic.Bool // the leader's newest delivery reported that it is cut off
+	attachSoon     atomic.Bool // this machine has news for the leader
 	shutdown       shutdown
 }
 
@@ -100,6 +101,7 @@
 		Timing:    replica.DefaultTiming(),
 		Leads:     func() bool { return n.epoch.Load() != 0 },
 	}
+	n.reader.FetchStates, n.reader.StoreReadDelay = n.fetchStates, storeReadDelay(s.Processors)
 	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, n.relay, n.store.Down, n.replica.HasRequest, log)
 	n.peers = assist.NewPeers(s.Node, n.adviser, n.caller)
 	n.self = leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.PeerAddress}
--- a/internal/replica/content.go
+++ b/internal/replica/content.go
@@ -136,8 +136,10 @@
 	}
 	e.submitted, e.queue = true, s.Queue
 	e.setWorkspace(s.Workspace)
-	e.setState(s.State, at)
-	e.Cancelled = s.Cancelled
+	if !e.stateKnown || at >= e.stateOffset { // states from another machine may be newer than the first deliveries
+		e.setState(s.State, at)
+	}
+	e.Cancelled = e.Cancelled || s.Cancelled
 	if e.endedAt.IsZero() && e.State().Final() {
 		e.endedAt = now
 	}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -55,6 +55,12 @@
 	Partition platform.Partition
 	Timing    Timing
 	Leads     func() bool // reports whether this machine is the leader
+	// FetchStates gets the states of all jobs from another machine. It returns whether they were
+	// received, and whether another attempt should be made soon. Nil: the store is read at once.
+	FetchStates func(ctx context.Context) (fetched, pending bool)
+	// StoreReadDelay is how long after its start this machine waits for another one that could
+	// provide the states of jobs, before it reads the store.
+	StoreReadDelay time.Duration
 
 	restoreMu            sync.Mutex                // held during a restore
 	restores             atomic.Uint64             // number of successful restores
@@ -170,6 +176,9 @@
 // step reads new records, or the newest record of every key where new ones are not
 // enough.
 func (f *Reader) step(ctx context.Context) error {
+	if !f.Replica.Synced() && f.FetchStates != nil && f.awaitStates(ctx) {
+		return nil
+	}
 	if !f.Replica.Synced() || f.Replica.NeedsContent() {
 		return f.Restore(ctx)
 	}
@@ -182,6 +191,32 @@
 	return err
 }
 
+const (
+	// stateFetchInterval is the time between two attempts to get the states of jobs from
+	// another machine.
+	stateFetchInterval = 20 * time.Millisecond
+	// maxStateWait is how long a leader that sends no states is waited for.
+	maxStateWait = 3 * time.Second
+)
+
+// awaitStates gets the states of all jobs from another machine. It returns false if the
+// store has to be read: no leader is there after StoreReadDelay, or it sends no states.
+func (f *Reader) awaitStates(ctx context.Context) bool {
+	started := time.Now()
+	for ctx.Err() == nil {
+		fetched, pending := f.FetchStates(ctx)
+		waited := time.Since(started)
+		switch {
+		case fetched:
+			return true
+		case pending && waited > maxStateWait, !pending && waited >= f.StoreReadDelay:
+			return false
+		}
+		pause.For(ctx, stateFetchInterval)
+	}
+	return true
+}
+
 // Sync returns when the replica holds everything that the store held when Sync was
 // called. Calls that arrive during a read share the next one. If the replica was never
 // complete, Sync waits until Run has completed it.
