plan: a leader calls the executors that the work needs, and lets go of the others

Cause: the number of called executors was a ratchet: 800, then 1.25 times more each 0.1 s while any step had waited for 3 s or more than 0.4 of the capacity of those that had reported was asked for, and never fewer. Loops over all executors ran in each pass. Ruled out: a larger growth factor or interval, which only moves the size at which it ends alike. Change: the number follows from what is in use and waits, by the larger of processors, memory and accelerators, at 0.4 of the called ones; it falls by half in 5 s. A step that waits for 3 s doubles it for its service, once in 3 s. Executors with a label are called when a step needs it. Passes, holds, expired leases, backlog and shares go through the called executors only.

--- a/internal/plan/activation_test.go
+++ b/internal/plan/activation_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/fleet"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -53,6 +54,58 @@
 	}
 }
 
+// Executors that the work needs no longer are let go of, and called again when it comes back.
+func TestActivationFallsWithWork(t *testing.T) {
+	const executors = 3000
+	env := newTestEnv(t, 0)
+	for i := range executors {
+		id := fmt.Sprintf("e%d", i)
+		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Capacity: cpus(16)}
+	}
+	env.cell.UpdateExecutors(env.registry, env.now)
+	called := func() int { return len(slices.Collect(env.cell.CallableExecutors())) }
+	least := called()
+	for round := range 2 {
+		env.submitJob(byte(round+1), testQueue, work.Step{TaskCount: 2000, TaskResources: cpus(8), Estimate: time.Minute})
+		env.advance(activationInterval)
+		env.runCycle()
+		if n := called(); n < 2000 {
+			t.Errorf("round %d: %d executors are called for the work of 1,000", round, n)
+		}
+		env.cell.Cancel(work.ID{byte(round + 1)})
+		for range 60 {
+			env.advance(time.Second)
+			env.runCycle()
+		}
+		if n := called(); n != least {
+			t.Errorf("round %d: %d executors are called a minute after the work has ended, want %d", round, n, least)
+		}
+	}
+}
+
+// A backlog that a new leader finds has as many executors called as it needs, and no more, also if the executors
+// are slow to report and the steps wait for long.
+func TestBacklogDoesNotActivateFleet(t *testing.T) {
+	const executors = 6000
+	env := newTestEnv(t, 0)
+	for i := range executors {
+		id := fmt.Sprintf("e%d", i)
+		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Capacity: api.Resources{MilliCPU: 32000, MemoryMB: 65536}}
+	}
+	for n := range 100 {
+		env.submitJob(byte(n+1), testAdvisedQueue, work.Step{TaskCount: 20, TaskResources: cpus(8), Estimate: time.Minute})
+	}
+	env.takeOver()
+	for range 50 {
+		env.advance(activationInterval)
+		env.runCycle()
+	}
+	const needed = 100 * 20 * 8 / 32
+	if n := len(slices.Collect(env.cell.CallableExecutors())); float64(n) > 2.2*needed/maxActiveUse {
+		t.Errorf("%d of %d executors are called for work that needs %d", n, executors, needed)
+	}
+}
+
 // A step that waits for a label which few executors have gets them, however little is in use.
 func TestActivationForRareLabel(t *testing.T) {
 	const executors = 2000
--- a/internal/plan/backlog.go
+++ b/internal/plan/backlog.go
@@ -167,9 +167,10 @@
 // them the backlog would seem to need many times the capacity that there is.
 func (c *Cell) totalMilliCPU(now time.Time) float64 {
 	awaitingReports := now.Sub(c.ledSince) <= takeoverReportWait
-	total := 0.0
-	for _, v := range c.sortedVMs {
-		if c.inService(v) && (v.hasReported || awaitingReports || !c.isActive(v)) && !v.Draining {
+	total := float64(c.inactiveCapacity.MilliCPU)
+	for _, v := range c.calledVMs {
+		inactive := !v.active && len(v.allocations) == 0 // counted above
+		if c.inService(v) && (v.hasReported || awaitingReports) && !v.Draining && !inactive {
 			total += float64(v.Capacity.MilliCPU)
 		}
 	}
--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -77,6 +77,7 @@
 		c.HandleGrants(AdviceCall{Step: work.StepKey{Job: j.ID}, Executors: named}, grants, 2*time.Second, now)
 	}
 	c.orderSteps(now)
+	c.decideActivation(now)
 	return c, now
 }
 
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -67,7 +67,7 @@
 // executors than the one before.
 func (c *Cell) snapshot(now time.Time) *fleetSnapshot {
 	f := &fleetSnapshot{cell: c, now: now, freeByTime: make(map[time.Time][]api.Resources), preemptibleByPriority: make(map[int][]api.Resources)}
-	n := len(c.sortedVMs)
+	n := len(c.calledVMs)
 	if n <= maxSnapshotVMs {
 		c.nextSnapshotVM = 0
 	} else {
@@ -75,7 +75,7 @@
 	}
 	for i := range n {
 		at := (c.nextSnapshotVM + i) % n
-		v := c.sortedVMs[at]
+		v := c.calledVMs[at]
 		if !c.inService(v) || !v.usable(now, &c.cfg) {
 			continue
 		}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -23,10 +24,11 @@
 	formerIncarnations  map[string]uint64 // by ID: number of earlier incarnations of executors that were removed
 	sortedVMs           []*vm             // sorted by ID
 	unregisteredVMs     []*vm             // executors that may not be registered, among them all that aren't
-	activeVMs           float64           // about how many executors are called also while they run nothing
-	activatedAt         time.Time         // when the share last grew
-	vmsCreated          int               // number of vms that were created so far
-	nextSnapshotVM      int               // index of the executor with which the next snapshot of a large fleet begins
+	calledVMs           []*vm             // executors that are called or have something to settle, sorted by ID, as of the newest decision
+	inactiveCapacity    api.Resources     // of the executors in service that aren't called
+	activation          activation
+	vmsCreated          int // number of vms that were created so far
+	nextSnapshotVM      int // index of the executor with which the next snapshot of a large fleet begins
 	jobs                map[work.ID]*job
 	workspaces          map[work.WorkspaceID]*workspace
 	endedJobs           map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
@@ -87,6 +89,7 @@
 	}
 	c.queueConfig = config
 	c.configureWorkspaces()
+	c.decideActivation(c.activation.decidedAt) // other services may be in use
 }
 
 // queueOf returns the queue of a job as configured now, or nil if the queue was removed.
--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -15,7 +15,7 @@
 // UpdateExecutors applies the executors that are registered now.
 func (c *Cell) UpdateExecutors(registered map[string]*fleet.Executor, now time.Time) {
 	c.registeredByService = make(map[string]int)
-	defer c.updateActivation(now)
+	defer c.decideActivation(now)
 	moreCapacity := false
 	for id, e := range registered {
 		v := c.vms[id]
@@ -92,6 +92,7 @@
 	c.vms[ref.ID] = v
 	c.sortedVMs = append(c.sortedVMs, v)
 	c.unregisteredVMs = append(c.unregisteredVMs, v)
+	c.calledVMs = append(c.calledVMs, v) // until the next decision, which sorts them
 	return v
 }
 
@@ -115,6 +116,7 @@
 	delete(c.vms, ref.ID)
 	i := slices.Index(c.sortedVMs, v)
 	c.sortedVMs = slices.Delete(c.sortedVMs, i, i+1)
+	c.dropCalled(v)
 }
 
 // keepOtherIncarnations handles the loss of an executor that has not reported to this
@@ -146,7 +148,7 @@
 // those executors that are not registered.
 func (c *Cell) DropExpired(now time.Time) {
 	var expired []*vm
-	for _, v := range c.sortedVMs {
+	for _, v := range c.calledVMs {
 		if now.Sub(v.reportedAt) >= c.cfg.MaxReportAge && v.leaseExpired(now, c.cfg.ClockDrift) {
 			expired = append(expired, v)
 		}
@@ -168,7 +170,7 @@
 // CallableExecutors yields the executors that should be called.
 func (c *Cell) CallableExecutors() iter.Seq[platform.ExecutorRef] {
 	return func(yield func(platform.ExecutorRef) bool) {
-		for _, v := range c.sortedVMs {
+		for _, v := range c.calledVMs {
 			if c.shouldCall(v) && !yield(v.Ref) {
 				return
 			}
@@ -183,7 +185,7 @@
 func (c *Cell) shouldCall(v *vm) bool {
 	unregistered := v.hasReported && !v.registered
 	hasListedEnds := v.appliedEnds > v.acknowledgedEnds
-	return v.Ref.Address != "" && (len(v.allocations) > 0 || hasListedEnds || unregistered || c.inService(v) && c.isActive(v))
+	return v.Ref.Address != "" && (len(v.allocations) > 0 || hasListedEnds || unregistered || c.inService(v) && v.active)
 }
 
 // inService reports whether an executor is registered for a service of the current
--- a/internal/plan/explain.go
+++ b/internal/plan/explain.go
@@ -47,7 +47,7 @@
 // allocationsByStep counts the allocations of each step's tasks by state.
 func (c *Cell) allocationsByStep() map[*step]allocationCounts {
 	byStep := make(map[*step]allocationCounts)
-	for _, v := range c.sortedVMs {
+	for _, v := range c.calledVMs {
 		for _, alloc := range v.allocations {
 			if alloc.task == nil {
 				continue
@@ -91,7 +91,7 @@
 	}
 	valid, slots := 0, 0
 	q := c.queueOf(s.job)
-	for _, v := range c.sortedVMs {
+	for _, v := range c.calledVMs {
 		if _, ok := s.advice.validTicket(v, now); ok {
 			valid++
 		}
--- a/internal/plan/incarnation.go
+++ b/internal/plan/incarnation.go
@@ -101,6 +101,10 @@
 		c.unregisteredVMs = append(c.unregisteredVMs, next)
 	}
 	c.sortedVMs[slices.Index(c.sortedVMs, v)] = next
+	next.active = v.active
+	if i := slices.Index(c.calledVMs, v); i >= 0 {
+		c.calledVMs[i] = next
+	}
 }
 
 // detachFromSteps drops an executor from the isolation and the advice of all steps.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
@@ -142,14 +144,15 @@
 // order.
 func (c *Cell) permittedVMs(s *step, q *queue.Queue) []*vm {
 	if q == nil || q.Advice == nil {
-		return c.sortedVMs
+		return c.calledVMs
 	}
 	if s.advice.ticketVMs == nil {
-		for _, v := range c.sortedVMs {
-			if _, granted := s.advice.tickets[v]; granted {
+		for v := range s.advice.tickets {
+			if c.vms[v.Ref.ID] == v {
 				s.advice.ticketVMs = append(s.advice.ticketVMs, v)
 			}
 		}
+		slices.SortFunc(s.advice.ticketVMs, func(a, b *vm) int { return strings.Compare(a.Ref.ID, b.Ref.ID) })
 	}
 	return s.advice.ticketVMs
 }
@@ -223,6 +226,11 @@
 	return score
 }
 
+// dominantShare returns the largest share that a part takes of any resource of the whole.
+func dominantShare(part, whole api.Resources) float64 {
+	return max(fraction(part.MilliCPU, whole.MilliCPU), fraction(part.MemoryMB, whole.MemoryMB), fraction(part.Accelerators, whole.Accelerators))
+}
+
 func fraction(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -285,7 +285,7 @@
 // endTrials ends the trial of executors on which nothing has failed for long, since the
 // waiting work may need more of them than a trial allows.
 func (c *Cell) endTrials(now time.Time) {
-	for _, v := range c.sortedVMs {
+	for _, v := range c.calledVMs {
 		if len(v.failedJobs) > 0 && now.Sub(v.lastFailure) > c.cfg.MaxTrialTime {
 			clear(v.failedJobs)
 		}
--- a/internal/plan/summary.go
+++ b/internal/plan/summary.go
@@ -40,7 +40,7 @@
 func (c *Cell) logSummary(now time.Time) {
 	var usable, runs int
 	var capacity, used, wide int64
-	for _, v := range c.sortedVMs {
+	for _, v := range c.calledVMs {
 		runs += len(v.allocations)
 		if !v.usable(now, &c.cfg) {
 			continue
--- a/internal/plan/suspect.go
+++ b/internal/plan/suspect.go
@@ -101,7 +101,7 @@
 	for _, other := range c.lossTimes {
 		count(other)
 	}
-	for _, other := range c.sortedVMs {
+	for _, other := range c.calledVMs {
 		if other != v && other.unresponsiveSince.After(other.reportedAt) {
 			count(other.unresponsiveSince)
 		}
@@ -154,7 +154,7 @@
 	}
 	s.isolation.until = now.Add(isolationWait)
 	isolated, usable := 0, 0
-	for _, v := range c.sortedVMs {
+	for _, v := range c.calledVMs {
 		if v.isolatedFor != nil || v.suspectedRun != nil {
 			isolated++
 		}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -51,7 +51,8 @@
 type vm struct {
 	fleet.Executor
 	index                 int                // unique in the cell, and small
-	activationRank        float64            // see isActive
+	activationRank        float64            // see activationRank
+	active                bool               // it is called also while it runs nothing
 	registered            bool               // in the registry, under its ID
 	registryRecord        *fleet.Executor    // newest record under its ID, which may be of another incarnation; nil if none was read
 	hasOwnRecord          bool               // the record of this incarnation was read: capacity, kind and service are known
--- a/internal/plan/workspace.go
+++ b/internal/plan/workspace.go
@@ -103,14 +103,14 @@
 			totalWeight += w.weight
 		}
 	}
-	var capacity api.Resources
-	for _, v := range c.sortedVMs {
+	capacity := c.inactiveCapacity
+	for _, v := range c.calledVMs {
 		if v.usable(now, &c.cfg) {
 			capacity = capacity.Add(v.Capacity)
 		}
 	}
 	for _, w := range c.workspaces {
-		share := max(fraction(w.used.MilliCPU, capacity.MilliCPU), fraction(w.used.MemoryMB, capacity.MemoryMB), fraction(w.used.Accelerators, capacity.Accelerators))
+		share := dominantShare(w.used, capacity)
 		w.overShare = w.weight > 0 && share*totalWeight > w.weight
 	}
 }
