intake: requests that wait behind slow appends are refused in time

Cause: without a leader a machine makes one append at a time, and all requests that waited for it counted as in progress. Appends that got no answer within 0.8 s were sent again while the store worked on them. Ruled out: more appends at a time (the queue of the partition is what is full); answering at once whenever the leader is missing (short outages end before the quarter of the objective that a request may be retried). Change: a request counts as in progress only once it is sent. What waits is refused, truly, once an append can't be answered before its deadline, or once it may no longer be retried while appends take over 0.5 s. The time for an answer doubles after one that didn't come, up to 2.4 s.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -39,6 +39,7 @@
 type Config struct {
 	GatherDelay          time.Duration // how long a request waits for others to share its append
 	AppendTimeout        time.Duration // limit of one append, whose answer may be lost
+	MaxAppendTimeout     time.Duration // limit of an append after others got no answer
 	RetryDelay           time.Duration // before an append with an uncertain outcome is repeated
 	RefusalDelay         time.Duration // before a store that refused an append is tried again
 	MaxRefusalDelay      time.Duration // limit of that delay, which doubles with each consecutive refusal after the first constantDelayRefusals
@@ -60,6 +61,7 @@
 	return Config{
 		GatherDelay:          2 * time.Millisecond,
 		AppendTimeout:        800 * time.Millisecond,
+		MaxAppendTimeout:     2400 * time.Millisecond, // the store refuses what would wait for 2 s
 		RetryDelay:           30 * time.Millisecond,
 		RefusalDelay:         80 * time.Millisecond,
 		MaxRefusalDelay:      time.Second,
@@ -85,6 +87,7 @@
 	directSlots    chan struct{} // one element for each direct append in progress
 	wake           chan struct{}
 	randomDuration func(below time.Duration) time.Duration // returns a random duration below its argument
+	appendPace     appendPace
 
 	mu                  sync.Mutex
 	pending             []*request
@@ -246,30 +249,64 @@
 	if len(batch) == 0 {
 		return
 	}
-	if !in.acquireDirectSlot() {
+	if !uncertain {
+		in.setInProgress(batch, false) // nothing is sent until a slot is free
+	}
+	batch, free := in.acquireDirectSlot(batch, uncertain)
+	if !free {
 		in.handleRefusal(batch, errors.New("the store has been silent for a while"), uncertain)
 		return
 	}
 	defer func() { <-in.directSlots }()
-	in.appendDirectly(dropExpired(batch, uncertain), uncertain)
+	in.appendDirectly(dropExpired(in.resume(batch), uncertain), uncertain)
+}
+
+// setInProgress records whether the requests of a batch may be stored now or later.
+func (in *Intake) setInProgress(batch []*request, inProgress bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, r := range batch {
+		r.inProgress = inProgress
+	}
+}
+
+// resume marks the requests of a batch as in progress and returns those that were not withdrawn.
+func (in *Intake) resume(batch []*request) []*request {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var remaining []*request
+	for _, r := range batch {
+		if !r.withdrawn {
+			r.inProgress = true
+			remaining = append(remaining, r)
+		}
+	}
+	return remaining
 }
 
 // storeDownCheckInterval is the time between two checks of a waiting batch whether the store is down.
 const storeDownCheckInterval = 50 * time.Millisecond
 
-// acquireDirectSlot waits until the batch may be appended directly. It returns false if the store is
-// down.
-func (in *Intake) acquireDirectSlot() bool {
+// acquireDirectSlot waits until the batch may be appended directly and returns the requests that still
+// wait. It returns false if the store is down.
+func (in *Intake) acquireDirectSlot(batch []*request, uncertain bool) ([]*request, bool) {
 	check := time.NewTicker(storeDownCheckInterval)
 	defer check.Stop()
 	for !in.storeDown() {
 		select {
 		case in.directSlots <- struct{}{}:
-			return true
+			if !uncertain {
+				batch = in.refuseHopeless(batch)
+			}
+			return batch, true
 		case <-check.C:
+			in.refuseHopelessPending()
+			if !uncertain {
+				batch = in.refuseHopeless(batch)
+			}
 		}
 	}
-	return false
+	return batch, false
 }
 
 // lastDeadline returns the latest deadline of the batch's clients.
@@ -368,11 +405,15 @@
 	return remaining
 }
 
+// append appends a batch once. The time for the answer doubles after an append that got none, up to
+// MaxAppendTimeout: a store with a long queue would otherwise be sent each batch again while it works on
+// it.
 func (in *Intake) append(batch []*request) error {
-	ctx, cancel := context.WithTimeout(context.Background(), in.cfg.AppendTimeout)
+	timeout := in.appendPace.start(in.cfg.AppendTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	records := recordsOf(batch)
-	_, err := in.log.Append(ctx, platform.Append{Partition: in.partition, Records: records})
+	_, err := in.log.Append(ctx, platform.Append{Partition: in.partition, Records: recordsOf(batch)})
+	in.appendPace.end(ctx.Err() != nil, in.cfg.MaxAppendTimeout)
 	return err
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -262,3 +262,44 @@
 		})
 	}
 }
+
+// Without a leader and with a store that takes seconds for an append, as one does that is 48 times slower
+// than usual, a machine can make few appends. Clients whose requests wait for them are told in time that
+// nothing was stored, so that they can come back; only those whose append was sent are left unsure.
+func TestRequestsBehindSlowAppendsAreRefusedInTime(t *testing.T) {
+	const requests = 200
+	synctest.Test(t, func(t *testing.T) {
+		l := &fakeLog{latency: 2 * time.Second}
+		in := New(DefaultConfig(), l, platform.Partition{}, noLeaderRelay, func() bool { return false }, func(string) bool { return false }, logging.Nop())
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = in.Run(ctx) }()
+		const retryFor, patience = 500 * time.Millisecond, 3 * time.Second
+		var clients sync.WaitGroup
+		var mu sync.Mutex
+		unsure, heldTooLong := 0, 0
+		for i := range requests {
+			clients.Go(func() {
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				client, cancel := context.WithTimeout(ctx, patience)
+				defer cancel()
+				sent := time.Now()
+				err := in.Store(client, platform.Record{Key: "k", Value: []byte{1}}, retryFor)
+				mu.Lock()
+				defer mu.Unlock()
+				if errors.Is(err, ErrUnknown) {
+					unsure++
+				}
+				if errors.Is(err, ErrNotStored) && time.Since(sent) > retryFor+2*storeDownCheckInterval {
+					heldTooLong++
+				}
+			})
+		}
+		clients.Wait()
+		time.Sleep(5 * time.Second)
+		stop()
+		synctest.Wait()
+		if unsure > requests/10 || heldTooLong > 0 {
+			t.Errorf("%d of %d clients were left unsure, %d were refused later than after %v", unsure, requests, heldTooLong, retryFor)
+		}
+	})
+}
