assist: the wait for advice is estimated for the machines that the waiting calls will get

Cause: the estimate divided the calls that wait by the machines that recent calls had been given. Ruled out: a larger bound (the backlog was none); counting all machines for each class (short calls would count those that long ones hold). Change: the machines are divided as they will be once the calls that wait are made. Before: the test sees 50 s for 50 calls of 1 s at 100 machines; after: under 2 s.

--- a/internal/assist/peers.go
+++ b/internal/assist/peers.go
@@ -257,7 +257,8 @@
 }
 
 // EstimateWait returns how long a new call would wait for a machine, given the calls that are
-// already waiting.
+// already waiting. The machines are divided among the classes as they will be once these calls are
+// made: the recent demand of a new leader, or before a wave, says little about that.
 func (p *Peers) EstimateWait(call queue.CallTime, waiting []queue.CallTime, now time.Time) time.Duration {
 	if call.Total == 0 {
 		return 0
@@ -265,19 +266,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	class := classOf(call)
-	attached := p.countAttached(now)
-	part := p.demand.assignRanges(attached)[class]
-	machines := part.to - part.from
-	if machines == 0 { // the class has not been requested yet: any machine may make these calls
-		machines = max(1, attached)
-	}
+	expected := p.demand
+	expected.recordRequest(class, now)
 	total := time.Duration(0)
 	for _, w := range waiting {
+		if w.Total == 0 {
+			continue
+		}
+		expected.recordRequest(classOf(w), now)
+		expected.addCost(classOf(w), w.Total)
 		if classOf(w) == class {
 			total += w.Total
 		}
 	}
-	return total / time.Duration(machines)
+	attached := p.countAttached(now)
+	part := expected.assignRanges(attached)[class]
+	return total / time.Duration(max(1, part.to-part.from))
 }
 
 // reserve counts one more call in flight at the machine.
--- a/internal/assist/round_test.go
+++ b/internal/assist/round_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,26 @@
 		})
 	}
 }
+
+// A new leader has made no calls yet. It must not take the calls that wait for the work of one machine.
+func TestWaitIsEstimatedForAllMachines(t *testing.T) {
+	const machines, gangs = 100, 50
+	now := time.Unix(1000, 0)
+	p := attachedPeers(machines, now)
+	long := queue.CallTime{Fixed: 700 * time.Millisecond, Total: time.Second}
+	short := queue.CallTime{Fixed: 18 * time.Millisecond, Total: 26 * time.Millisecond}
+	waiting := slices.Repeat([]queue.CallTime{long, short}, gangs)
+	round := p.Round(now) // the steps have been checked for due calls, but no executor can be asked about yet
+	round.Free(long)
+	round.Free(short)
+	before := p.demand
+	if wait := p.EstimateWait(long, waiting, now); wait > 2*time.Second {
+		t.Errorf("a call waits %v for %d calls of %v at %d machines", wait, gangs, long.Total, machines)
+	}
+	if wait := p.EstimateWait(short, waiting, now); wait > 2*time.Second {
+		t.Errorf("a short call waits %v", wait)
+	}
+	if p.demand != before {
+		t.Error("an estimate counts as demand")
+	}
+}
