Executors that leave uncalled are forgotten; machines that wait for states ask less and less often

Cause (both found by reading the change): an executor that left the registry before it was ever called stayed in the cell for good, since no lease of it could expire, and each first report was compared with it; 588 machines that wait for the states of jobs would ask the leader every 20 ms, 29,000 calls a second. Change: the first is removed with its record; the time between two questions grows from 50 to 400 ms, half of it random. A cancellation without a submission is not passed as a state. Test: TestUncalledExecutorIsForgottenWithItsRecord.

--- a/internal/plan/executors.go
+++ b/internal/plan/executors.go
@@ -32,7 +32,11 @@
 	}
 	c.unregisteredVMs = c.unregisteredVMs[:0]
 	for id, v := range c.vms {
-		if registered[id] == nil {
+		switch {
+		case registered[id] != nil:
+		case !v.hasReported && len(v.allocations) == 0 && v.former == nil:
+			c.removeVM(v) // nothing was ever started there
+		default:
 			v.registered = false
 			c.unregisteredVMs = append(c.unregisteredVMs, v)
 		}
@@ -111,9 +115,14 @@
 		return
 	}
 	c.endIncarnation(v.newestFirst(), v.expiredRuns, l)
-	c.detachFromSteps(v)
 	c.formerIncarnations[ref.ID] = v.formerIncarnations + 1
-	delete(c.vms, ref.ID)
+	c.removeVM(v)
+}
+
+// removeVM removes an executor without runs.
+func (c *Cell) removeVM(v *vm) {
+	c.detachFromSteps(v)
+	delete(c.vms, v.Ref.ID)
 	i := slices.Index(c.sortedVMs, v)
 	c.sortedVMs = slices.Delete(c.sortedVMs, i, i+1)
 	c.dropCalled(v)
--- a/internal/plan/registration_test.go
+++ b/internal/plan/registration_test.go
@@ -237,3 +237,20 @@
 		So(slices.Collect(env.cell.CallableExecutors())[1], ShouldResemble, right.Ref)
 	})
 }
+
+// An executor that leaves the registry before it was ever called is forgotten: it would otherwise stay in the
+// cell, since no lease of it can expire.
+func TestUncalledExecutorIsForgottenWithItsRecord(t *testing.T) {
+	env := newTestEnv(t, 2)
+	env.registry["new"] = env.registry["e0"]
+	env.cell.UpdateExecutors(env.registry, env.now)
+	delete(env.registry, "new")
+	delete(env.registry, "e1")
+	env.cell.UpdateExecutors(env.registry, env.now)
+	if env.cell.vms["new"] != nil {
+		t.Error("an executor that was never called is kept after it has left the registry")
+	}
+	if env.cell.vms["e1"] == nil {
+		t.Error("an executor that has reported is forgotten before its lease has expired")
+	}
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,9 +193,11 @@
 }
 
 const (
-	// stateFetchInterval is the time between two attempts to get the states of jobs from
-	// another machine.
-	stateFetchInterval = 20 * time.Millisecond
+	// minStateFetchInterval and maxStateFetchInterval bound the time between two attempts to
+	// get the states of jobs from another machine. It grows while the leader has others to
+	// serve first, and half of it is random, since hundreds of machines may wait.
+	minStateFetchInterval = 50 * time.Millisecond
+	maxStateFetchInterval = 400 * time.Millisecond
 	// maxStateWait is how long a leader that sends no states is waited for.
 	maxStateWait = 3 * time.Second
 )
@@ -202,7 +205,7 @@
 // awaitStates gets the states of all jobs from another machine. It returns false if the
 // store has to be read: no leader is there after StoreReadDelay, or it sends no states.
 func (f *Reader) awaitStates(ctx context.Context) bool {
-	started := time.Now()
+	started, interval := time.Now(), minStateFetchInterval
 	for ctx.Err() == nil {
 		fetched, pending := f.FetchStates(ctx)
 		waited := time.Since(started)
@@ -211,8 +214,12 @@
 			return true
 		case pending && waited > maxStateWait, !pending && waited >= f.StoreReadDelay:
 			return false
+		case pending:
+			interval = min(3*interval/2, maxStateFetchInterval)
+			pause.For(ctx, interval/2+rand.N(interval/2))
+		default:
+			pause.For(ctx, min(minStateFetchInterval, f.StoreReadDelay-waited))
 		}
-		pause.For(ctx, stateFetchInterval)
 	}
 	return true
 }
--- a/internal/replica/states.go
+++ b/internal/replica/states.go
@@ -19,7 +19,7 @@
 	position := r.Position() // before the states, which may be newer
 	var out []work.Summary
 	r.shards[part].each(func(id work.ID, e *Entry) bool {
-		if e.Submitted() || e.Cancelled {
+		if e.Submitted() { // a cancellation alone says nothing that clients may ask for
 			out = append(out, e.summary(id))
 		}
 		return true
