plan: a third of the called executors may be in use, and a growing fleet has no more called

And while the fleet registered, the share that was called fell from 1 by half in 5 s, so that 4,498 of the first executors were called: 463 MB, 7,520 descriptors at the peak. Ruled out: the number of calls as the leader's bound (it peaked at 0.55 of a core, 0.80 before). Change: 0.3 in place of 0.4, and the number that is called decays, not the share. Test: TestActivationOfGrowingFleet (before: 4,000 called while nothing waits). TestActivationFollowsWork gave its executors as little memory as one task needs, so that its work needed twice what it says; they have 64 GB now, the bounds are the same.

--- a/internal/plan/activation.go
+++ b/internal/plan/activation.go
@@ -19,7 +19,7 @@
 	minActiveVMs = 800
 	// maxActiveUse is the share of the called executors that may be in use or asked for by waiting steps. A
 	// step is permitted on some executors only, and others look at the same ones.
-	maxActiveUse = 0.4
+	maxActiveUse = 0.3
 	// minLabelledVMs is how many executors with a label are called while a step waits that needs it.
 	minLabelledVMs = 64
 	// activationInterval is the time between two decisions which executors are called.
@@ -41,7 +41,8 @@
 
 // activation decides which executors are called also while they run nothing.
 type activation struct {
-	shares    map[pool]float64   // share of each pool that is called
+	wanted    map[pool]float64   // how many executors of each pool are called
+	shares    map[pool]float64   // the same as a share of the pool
 	hasLabels bool               // steps have asked for executors with labels
 	scarcity  map[string]float64 // by service: factor for steps that have found no executors; at least 1
 	raisedAt  map[string]time.Time
@@ -70,13 +71,15 @@
 	a := &c.activation
 	elapsed := now.Sub(a.decidedAt)
 	if a.shares == nil {
-		a.shares, a.scarcity, a.raisedAt = make(map[pool]float64), make(map[string]float64), make(map[string]time.Time)
+		a.wanted, a.shares = make(map[pool]float64), make(map[pool]float64)
+		a.scarcity, a.raisedAt = make(map[string]float64), make(map[string]time.Time)
 		elapsed = 0
 	}
 	a.decidedAt = now
 	decay := math.Exp2(-float64(elapsed) / float64(activationHalfLife))
-	for p, share := range a.shares {
-		a.shares[p] = share * decay
+	for p, n := range a.wanted {
+		a.wanted[p] = n * decay
+		a.shares[p] *= decay // if nothing asks for the pool now
 	}
 	for service, factor := range a.scarcity {
 		a.scarcity[service] = max(1, factor*decay)
@@ -95,7 +98,8 @@
 			a.hasLabels = true
 			wanted = max(wanted, minLabelledVMs)
 		}
-		a.shares[p] = max(a.shares[p], wanted/float64(size))
+		a.wanted[p] = max(a.wanted[p], min(wanted, float64(size)))
+		a.shares[p] = a.wanted[p] / float64(size)
 	}
 	c.applyActivation()
 }
--- a/internal/plan/activation_test.go
+++ b/internal/plan/activation_test.go
@@ -18,7 +18,7 @@
 	env := newTestEnv(t, 0)
 	for i := range executors {
 		id := fmt.Sprintf("e%d", i)
-		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Labels: []string{"a"}, Capacity: cpus(16)}
+		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Labels: []string{"a"}, Capacity: api.Resources{MilliCPU: 16000, MemoryMB: 65536}}
 	}
 	env.cell.UpdateExecutors(env.registry, env.now)
 	called := len(slices.Collect(env.cell.CallableExecutors()))
@@ -235,3 +235,21 @@
 		t.Error("an executor that runs nothing and isn't needed is still called")
 	}
 }
+
+// A fleet that registers little by little, as after a start of everything, has no more executors called than one
+// that is there at once.
+func TestActivationOfGrowingFleet(t *testing.T) {
+	const executors, atOnce = 6000, 200
+	env := newTestEnv(t, 0)
+	for i := range executors {
+		id := fmt.Sprintf("e%d", i)
+		env.registry[id] = &fleet.Executor{Ref: platform.ExecutorRef{ID: id, Address: "10.0.0.1:" + id}, Service: testService, Capacity: cpus(32)}
+		if i%atOnce == atOnce-1 {
+			env.advance(activationInterval)
+			env.cell.UpdateExecutors(env.registry, env.now)
+			if n := len(slices.Collect(env.cell.CallableExecutors())); n > minActiveVMs*11/10 {
+				t.Fatalf("%d of %d executors are called while nothing waits", n, i+1)
+			}
+		}
+	}
+}
