replica: a start stops reading the store once another machine provides the states of jobs

Ruled out: a longer spread (a cell of weak machines would start later, and twice the fleet would have twice the readers). Change: while it reads, a process asks on whether another machine provides the states, and gives up reading then. Test: TestStoreReadEndsOnceStatesAreProvided (before: the process isn't synced until the store answers).

--- a/internal/node/states.go
+++ b/internal/node/states.go
@@ -46,7 +46,9 @@
 	if outcome != assist.StatesFetched {
 		return false, outcome == assist.StatesPending
 	}
-	states.Complete(time.Now())
+	if !states.Complete(time.Now()) {
+		return false, false // the store has been read meanwhile
+	}
 	n.attachSoon.Store(true) // other machines may get the states here now
 	n.log.WithField("leader", current.Node).Info("states of all jobs received from another machine")
 	return true, false
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -177,8 +177,8 @@
 // step reads new records, or the newest record of every key where new ones are not
 // enough.
 func (f *Reader) step(ctx context.Context) error {
-	if !f.Replica.Synced() && f.FetchStates != nil && f.awaitStates(ctx) {
-		return nil
+	if !f.Replica.Synced() && f.FetchStates != nil {
+		return f.startUp(ctx)
 	}
 	if !f.Replica.Synced() || f.Replica.NeedsContent() {
 		return f.Restore(ctx)
@@ -202,6 +202,31 @@
 	maxStateWait = 3 * time.Second
 )
 
+// startUp gets the states of all jobs from another machine, or reads the store. It gives up reading once
+// another machine provides them, so that a store which many machines read at once serves the leader again.
+func (f *Reader) startUp(ctx context.Context) error {
+	if f.awaitStates(ctx) {
+		return nil
+	}
+	restoring, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var fetching sync.WaitGroup
+	defer fetching.Wait()
+	fetching.Go(func() {
+		for pause.For(restoring, minStateFetchInterval); restoring.Err() == nil; pause.For(restoring, minStateFetchInterval+rand.N(minStateFetchInterval)) {
+			if fetched, _ := f.FetchStates(restoring); fetched {
+				cancel()
+			}
+		}
+	})
+	err := f.Restore(restoring)
+	cancel()
+	if f.Replica.Synced() {
+		return nil
+	}
+	return err
+}
+
 // awaitStates gets the states of all jobs from another machine. It returns false if the
 // store has to be read: no leader is there after StoreReadDelay, or it sends no states.
 func (f *Reader) awaitStates(ctx context.Context) bool {
--- a/internal/replica/states.go
+++ b/internal/replica/states.go
@@ -60,17 +60,21 @@
 	}
 }
 
-// Complete makes the replica synced if it has received all parts and wasn't before. The content of records
-// isn't kept then, until KeepContent has it read from the store.
-func (s *StateImport) Complete(now time.Time) {
+// Complete makes the replica synced if it has received all parts and wasn't before, and reports whether it
+// did. The content of records isn't kept then, until KeepContent has it read from the store.
+func (s *StateImport) Complete(now time.Time) bool {
 	r := s.replica
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.parts < StateParts || r.Synced() {
-		return
+		return false
 	}
 	r.content = contentState{drops: r.content.drops + 1}
+	for i := range r.shards {
+		r.shards[i].dropContent() // of a read of the store that was given up
+	}
 	r.next = max(r.next, s.from)
 	r.lastContact = latest(r.lastContact, now)
 	close(r.synced)
+	return true
 }
--- a/internal/replica/states_test.go
+++ b/internal/replica/states_test.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -44,7 +46,9 @@
 			t.Fatal("synced before the import is complete")
 		}
 	}
-	states.Complete(now)
+	if !states.Complete(now) || states.Complete(now) {
+		t.Fatal("the import is not completed once")
+	}
 	if !to.Synced() || to.HasContent() || to.NeedsContent() || to.Position() != 2*jobs-10 {
 		t.Fatalf("synced %v, content %v, needed %v, position %d", to.Synced(), to.HasContent(), to.NeedsContent(), to.Position())
 	}
@@ -70,3 +74,44 @@
 		t.Error("states are given before everything has been read")
 	}
 }
+
+// A process that reads the store gives up as soon as another machine provides the states of jobs: while hundreds
+// of machines read, the store takes seconds for what the leader asks.
+func TestStoreReadEndsOnceStatesAreProvided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		r := New(time.Minute, logging.Nop())
+		f := &Reader{Replica: r, Log: stalledLog{}, Timing: DefaultTiming(), Leads: func() bool { return false }}
+		f.FetchStates = func(context.Context) (fetched, pending bool) {
+			if time.Since(started) < time.Second {
+				return false, false // nobody leads yet
+			}
+			states := r.NewStateImport()
+			for range StateParts {
+				states.Add(5, nil)
+			}
+			return states.Complete(time.Now()), false
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(1500 * time.Millisecond)
+		if !r.Synced() || r.Position() != 5 {
+			t.Errorf("synced %v up to %d, half a second after another machine provides the states", r.Synced(), r.Position())
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// stalledLog answers no read.
+type stalledLog struct{ platform.PartitionLog }
+
+func (stalledLog) Newest(ctx context.Context, _ platform.Partition, _ string) (platform.NewestPage, error) {
+	<-ctx.Done()
+	return platform.NewestPage{}, platform.ErrUnavailable
+}
+
+func (stalledLog) Read(ctx context.Context, _ platform.Partition, _ platform.Offset, _ time.Duration) (platform.RecordBatch, error) {
+	<-ctx.Done()
+	return platform.RecordBatch{}, platform.ErrUnavailable
+}
