--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -29,8 +29,8 @@
 	minIdleInterval    = 100 * time.Millisecond
 	// maxDeliveryInterval is the maximum time between two deliveries of updates.
 	maxDeliveryInterval = 150 * time.Millisecond
-	// maxDeliveriesPerSecond bounds the deliveries of updates to all machines. At this rate, a
-	// leader of 97 machines and 540 executors used 0.42 of a core, with 0.8 available.
+	// maxDeliveriesPerSecond bounds the deliveries of updates to all machines, as long as
+	// maxDeliveryInterval allows it.
 	maxDeliveriesPerSecond = 2000
 	// updateLinkShare is the share of the leader's link for deliveries of updates, each of about
 	// updateDeliveryBytes. Orders and reports have priority.
