assist: a call for advice reads its machine's address when the slot is reserved

Cause: Peers.Advise read the address of a machine without the lock while an attachment wrote it. Change: the slot keeps the address, read under the lock. Before: the test fails under -race, not in each run; after: passes.

--- a/internal/assist/peers.go
+++ b/internal/assist/peers.go
@@ -189,6 +189,7 @@
 // Slot is the right to make one advice call through one machine.
 type Slot struct {
 	machine *machine
+	address string // of the machine; empty for this one
 	long    bool
 	cost    time.Duration
 }
@@ -288,11 +289,11 @@
 func (m *machine) reserve(class callClass, cost time.Duration) *Slot {
 	if class == longCalls {
 		m.longCalls++
-		return &Slot{machine: m, long: true}
+		return &Slot{machine: m, address: m.address, long: true}
 	}
 	m.shorterCalls++
 	m.queuedTime += cost
-	return &Slot{machine: m, cost: cost}
+	return &Slot{machine: m, address: m.address, cost: cost}
 }
 
 // isAttached reports whether the machine's attachment is valid.
@@ -355,13 +356,13 @@
 // call becomes unresponsive, so that another can be called.
 func (p *Peers) Advise(ctx context.Context, s *Slot, step work.StepKey, executors []string) ([]platform.Grant, time.Duration, error) {
 	defer p.release(s)
-	if s.machine.address == "" {
+	if s.address == "" {
 		return p.localAdviser.Advise(ctx, step, executors)
 	}
 	ctx, cancel := p.contextWhileResponsive(ctx, s.machine)
 	defer cancel()
 	var answer AdviceAnswer
-	err := p.caller.Call(ctx, s.machine.address, methodAdvise, &AdviceRequest{Step: step, Executors: executors}, &answer)
+	err := p.caller.Call(ctx, s.address, methodAdvise, &AdviceRequest{Step: step, Executors: executors}, &answer)
 	return answer.Grants, answer.ValidFor, err
 }
 
