node: a machine's link limits its fitness as a leader

Cause: fitness counted processors only. Ruled out: handing over when the link is full (it is full only when jobs are already refused). A machine with 10 Mbit/s counts as 0.31 processors and hands over to one with 0.8. Before: the test's machine is suitable; after: outclassed.

--- a/internal/node/attach.go
+++ b/internal/node/attach.go
@@ -28,7 +28,7 @@
 	ticker := time.NewTicker(leaderCheckInterval)
 	defer ticker.Stop()
 	var lastAttach time.Time
-	takeover := succession{processors: n.settings.Processors}
+	takeover := succession{processors: leadingProcessors(n.settings)}
 	for {
 		now := time.Now()
 		if sinceContact, released := n.elector.SinceContact(now); takeover.due(n.reader.ReceivesDeliveries(now), sinceContact, released) {
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -101,7 +101,7 @@
 	if n.configWatcher.Configuration() == nil { // the queues' attempts, services and latency targets are unknown
 		return leader.Unsynced
 	}
-	return leader.AssessSuitability(n.settings.Processors, n.peers.MaxFitness(time.Now()))
+	return leader.AssessSuitability(leadingProcessors(n.settings), n.peers.MaxFitness(time.Now()))
 }
 
 // fitness returns the number of processors with which this machine could lead now,
@@ -113,7 +113,19 @@
 	if n.settings.Processors == 0 {
 		return defaultProcessors
 	}
-	return n.settings.Processors
+	return leadingProcessors(n.settings)
+}
+
+// linkBytesPerProcessor is what a leader sends a second for each processor that it uses.
+const linkBytesPerProcessor = 4e6
+
+// leadingProcessors returns the number of processors that a machine could use as leader, which its link
+// may limit; 0: unknown. A leader with a full link refuses jobs, whatever its processors.
+func leadingProcessors(s *platform.Settings) float64 {
+	if s.LinkBytesPerSecond <= 0 {
+		return s.Processors
+	}
+	return min(s.Processors, s.LinkBytesPerSecond/linkBytesPerProcessor)
 }
 
 // defaultProcessors is the fitness of a machine whose settings don't state its
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,7 @@
 		Timing:    replica.DefaultTiming(),
 		Leads:     func() bool { return n.epoch.Load() != 0 },
 	}
-	n.reader.FetchStates, n.reader.StoreReadDelay = n.fetchStates, storeReadDelay(s.Processors)
+	n.reader.FetchStates, n.reader.StoreReadDelay = n.fetchStates, storeReadDelay(leadingProcessors(s))
 	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, n.relay, n.store.Down, n.replica.HasRequest, log)
 	n.peers = assist.NewPeers(s.Node, n.adviser, n.caller)
 	n.self = leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.PeerAddress}
--- a/internal/node/suitability_test.go
+++ b/internal/node/suitability_test.go
@@ -69,3 +69,20 @@
 		}
 	})
 }
+
+// A machine whose link can't carry a leader's traffic leaves leadership to one whose link can, whatever its
+// processors: its link would fill with the first traffic, and it would refuse jobs with executors free.
+func TestThinLinkLimitsFitness(t *testing.T) {
+	const megabit = 1e6 / 8
+	thin := leadingProcessors(&platform.Settings{Processors: 0.48, LinkBytesPerSecond: 10 * megabit})
+	strong := leadingProcessors(&platform.Settings{Processors: 0.8, LinkBytesPerSecond: 200 * megabit})
+	if strong != 0.8 {
+		t.Errorf("a link of 200 Mbit/s limits 0.8 processors to %v", strong)
+	}
+	if s := leader.AssessSuitability(thin, strong); s != leader.Outclassed {
+		t.Errorf("a machine with a link of 10 Mbit/s has suitability %v beside one with 200", s)
+	}
+	if unknown := leadingProcessors(&platform.Settings{Processors: 0.5}); unknown != 0.5 {
+		t.Errorf("an unknown link limits 0.5 processors to %v", unknown)
+	}
+}
