account: the time of each job by stage, and skylarkctl account

Cause: every decision under load was guessed, because the lines told only when a job was advised, started and ended.

Change: the leader attributes the time of each task to stages (internal/account); 'job ended' names those of the chain of tasks that ended last, and the job's objective. Entry machines log confirmed requests and the first answers that show an end. skylarkctl account groups the times by queue, punctuality, workspace, data centre and span. The settings' contract 'pressure' becomes Overload; nothing reads it yet.

--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -26,6 +26,7 @@
 		ctl.Story(os.Stdin, os.Stdout),
 		ctl.Tally(os.Stdin, os.Stdout),
 		ctl.Workspaces(os.Stdin, os.Stdout),
+		ctl.Account(os.Stdin, os.Stdout),
 		experiment.Command(os.Stdout, ctl.EnvPrefix),
 	)
 	return ctl.Run(ctx, root, os.Args[1:], os.Stderr)
--- a/internal/ctl/lines_test.go
+++ b/internal/ctl/lines_test.go
@@ -10,7 +10,7 @@
 
 const sampleLogLines = `time="2026-09-06T15:00:01Z" level=info msg="request not confirmed" answered=503 data_centre=z1 error="the store has been silent for a while" job=00000000000000a1 node=n1 queue=q
 no event
-time="2026-09-06T15:00:02Z" level=info msg="job ended" advised_ms=20 data_centre=z1 ended_ms=900 epoch=3 job=00000000000000b2 node=n2 queue=q started_ms=40 state=completed
+time="2026-09-06T15:00:02Z" level=info msg="job ended" advised_ms=20 data_centre=z1 ended_ms=900 epoch=3 job=00000000000000b2 node=n2 objective_ms=1000 queue=q started_ms=40 state=completed
 `
 
 func TestStoryAndTally(t *testing.T) {
@@ -32,12 +32,15 @@
 		{"no job", []string{"story"}, sampleLogLines, ExitBadInput, "one job"},
 		{"no such file", []string{"tally", "-lines", file + "x"}, "", ExitBadInput, "no such file"},
 		{"tally", []string{"tally"}, sampleLogLines, ExitOK, "1     q      refused    the store took nothing\n"},
+		{"account", []string{"account", "-lines", file}, "", ExitOK, "q      in time      1     900"},
+		{"account by unknown key", []string{"account", "-by", "colour"}, sampleLogLines, ExitBadInput, "unknown key \"colour\""},
+		{"account of a job", []string{"account", "00000000000000b2"}, sampleLogLines, ExitBadInput, "no arguments"},
 		{"skipped lines", []string{"tally"}, sampleLogLines, ExitOK, "1 lines hold no event"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var out bytes.Buffer
 			stdin := strings.NewReader(c.stdin)
-			root := New(&out, &out, Story(stdin, &out), Tally(stdin, &out))
+			root := New(&out, &out, Story(stdin, &out), Tally(stdin, &out), Account(stdin, &out))
 			if code := Run(t.Context(), root, c.args, &out); code != c.code {
 				t.Errorf("exit code %d, want %d", code, c.code)
 			}
--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -85,6 +85,7 @@
 	*http.Request
 	config    *queue.Configuration
 	queue     *queue.Queue
+	arrivedAt time.Time
 	subpath   string           // the path after the queue's prefix
 	workspace *queue.Workspace // nil if the client needs no key and sent none that is known
 }
@@ -97,7 +98,7 @@
 func (a *API) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	ctx, cancel := context.WithTimeout(hr.Context(), a.responseTimeout(hr.Header))
 	defer cancel()
-	r := &request{Request: hr.WithContext(ctx)}
+	r := &request{Request: hr.WithContext(ctx), arrivedAt: time.Now()}
 	for _, next := range []stage{a.requireConfig, a.findQueue, a.identify, a.handle} {
 		if resp := next(r); resp != nil {
 			a.writeResponse(w, resp)
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -113,14 +113,16 @@
 		a.Logger.WithFields(logrus.Fields{"job": r.subpath, "queue": r.queue.Name, "method": r.Method}).Info("request refused: this machine is cut off")
 		return a.refuse(http.StatusServiceUnavailable, "this machine reaches neither the store nor the leader", defaultRetryAfter)
 	}
+	fields := logrus.Fields{"job": r.subpath, "queue": r.queue.Name, "method": r.Method}
 	err := a.Store.Store(r.Context(), record, maxWait)
+	fields["took_ms"] = time.Since(r.arrivedAt).Milliseconds()
 	if err == nil {
+		a.Logger.WithFields(fields).Info("request confirmed")
 		return accepted()
 	}
 	resp := a.storeErrorResponse(err, retryAfter)
-	a.Logger.WithError(err).WithFields(logrus.Fields{
-		"job": r.subpath, "queue": r.queue.Name, "method": r.Method, "answered": resp.status,
-	}).Info("request not confirmed")
+	fields["answered"] = resp.status
+	a.Logger.WithError(err).WithFields(fields).Info("request not confirmed")
 	return resp
 }
 
@@ -168,6 +170,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if e.State().Final() {
+		a.Logger.WithFields(logrus.Fields{"job": id, "queue": r.queue.Name, "state": e.State()}).Info("end of a job shown")
+	}
 	return &response{status: http.StatusOK, body: a.Codec.EncodeState(e.State())}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,6 +166,7 @@
 	cfg.DrainMargin = min(cfg.DrainMargin, n.settings.DrainDelay/4)
 	cfg.FormerLeaderRenewal = leader.DefaultTiming().LeaseRenewalWindow
 	cfg.MaxExecutorsPerCall = platform.MaxAdvisedExecutors
+	cfg.Overload = n.settings.Overload
 	if n.settings.RemoteFactor > 0 {
 		cfg.RemoteFactor = n.settings.RemoteFactor
 	}
--- a/internal/plan/answers.go
+++ b/internal/plan/answers.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/account"
 	"github.com/skylarklock/skylarklock/internal/platform"
 )
 
@@ -26,6 +27,7 @@
 	case err == nil:
 		alloc.state = stateRunning
 		alloc.runningSince = now
+		alloc.task.timeline.Enter(account.Run, now)
 		alloc.orderExpiry = now // the answer doesn't say which incarnation started the run
 		alloc.task.step.consecutiveRefusals = 0
 		c.markRunning(alloc.task.step.job, now)
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -146,6 +146,8 @@
 	age := time.Duration(max(0, wallMillis-spec.AcceptedMs)) * time.Millisecond
 	j := &job{spec: spec, arrivedAt: now.Add(-min(age, maxAge)), workspace: c.workspaceOf(spec.Workspace)}
 	j.excess = !j.workspace.takeJobToken(j.arrivedAt)
+	j.times.Add(arrivalStage(j, c.ledSince), now.Sub(j.arrivedAt))
+	c.now = now
 	c.jobs[spec.ID] = j
 	c.enableCanaries(j, now)
 	if p != nil {
@@ -206,12 +208,14 @@
 	for _, s := range o.steps {
 		if !s.ready && o.dependenciesComplete(s) {
 			s.ready = true
+			s.beginTimelines(s.job.times, c.now)
 			c.enqueue(s)
 		}
 	}
 }
 
 func (c *Cell) enqueue(s *step) {
+	s.hasNewWaiters = true
 	if !s.waiting && s.ready && !s.complete() {
 		s.waiting = true
 		c.waitingSteps = append(c.waitingSteps, s)
@@ -270,10 +274,13 @@
 		}
 		return t.Sub(j.arrivedAt).Milliseconds()
 	}
-	c.logger.WithFields(logrus.Fields{
-		"job": j.spec.ID, "queue": j.spec.Queue, "state": j.state.String(),
+	c.queueOf(j) // refreshes the job's latency objective
+	fields := logrus.Fields{
+		"job": j.spec.ID, "queue": j.spec.Queue, "workspace": j.spec.Workspace, "state": j.state.String(), "objective_ms": j.latencyObjective.Milliseconds(),
 		"advised_ms": elapsed(j.advisedAt), "started_ms": elapsed(j.startedAt), "ended_ms": elapsed(c.now),
-	}).Info("job ended")
+	}
+	addStages(fields, &j.times)
+	c.logger.WithFields(fields).Info("job ended")
 }
 
 // abandonStep releases everything that is held for a step whose job has ended, and stops
--- a/internal/plan/config.go
+++ b/internal/plan/config.go
@@ -65,6 +65,9 @@
 	RemoteFactor float64
 	// MaxExecutorsPerCall is how many executors one advice call may name.
 	MaxExecutorsPerCall int
+	// Overload says that clients compete for too little capacity at times. Jobs are then accepted
+	// by a forecast of their end.
+	Overload bool
 	// MaxReservedGangs is how many gangs that don't fit may reserve executors.
 	MaxReservedGangs int
 }
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/account"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -27,6 +28,7 @@
 	recordedRunning   bool            // the durable record says that the job is running
 	advisedAt         time.Time       // when executors were first granted
 	startedAt         time.Time       // when an executor first confirmed a start
+	times             account.Times   // stages of the chain of tasks that ended last
 	canaries          map[int]*canary // by step index: losses of the step's tasks
 }
 
@@ -56,8 +58,12 @@
 	lateness            latenessClass // as of the newest start order
 	preemption          gangPreemption
 	isolation           isolation
-	consecutiveRefusals int       // starts refused in a row for the content of their order
-	retryAt             time.Time // no start is planned before this time
+	consecutiveRefusals int           // starts refused in a row for the content of their order
+	retryAt             time.Time     // no start is planned before this time
+	timeBefore          account.Times // stages of the chain of tasks that ended before the step became ready
+	waitsFor            account.Stage // what its waiting tasks wait for, as of the newest plan
+	hasNewWaiters       bool          // tasks have begun to wait since then
+	obstacles           obstacles     // as of the newest attempt to place it
 }
 
 // task is one task of a step.
@@ -76,6 +82,7 @@
 	lastFailedOn *vm                      // executor of the newest failed run
 	preemptions  int                      // how often a run was preempted
 	moves        int                      // how often a run was stopped because its executor was slow
+	timeline     account.Timeline
 }
 
 func (s *step) key() work.StepKey {
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/account"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -37,13 +38,16 @@
 		q := c.queueOf(s.job)
 		advised := q != nil && q.Advice != nil
 		if advised && len(s.advice.tickets) == 0 {
+			s.markWaiting(account.Advice, now)
 			continue // it isn't known yet where the step may run
 		}
 		if now.Before(s.retryAt) {
+			s.markWaiting(account.Backoff, now)
 			continue
 		}
 		tasks := s.withinCap(s.tasksToPlace())
 		if len(tasks) == 0 {
+			s.markWaiting(account.Cap, now)
 			continue
 		}
 		if firstSuspect(tasks) != nil {
@@ -64,6 +68,9 @@
 		for _, p := range placed {
 			starts = append(starts, c.allocate(p, q, now))
 		}
+		if len(placed) < len(tasks) {
+			s.markWaiting(c.waitStage(s), now)
+		}
 		if len(placed) == len(tasks) || !s.spec.Gang || preempting || c.preemptForGang(s, q, len(tasks), &reserved, now) {
 			continue
 		}
@@ -83,11 +90,14 @@
 // placeStep chooses an executor for each task. A gang gets executors for all of its tasks
 // or for none.
 func (c *Cell) placeStep(s *step, q *queue.Queue, tasks []*task, reserved *reservations, now time.Time) []placement {
+	s.obstacles = obstacles{}
 	if q != nil && q.Advice != nil && !s.advice.hasValidTicket(now) {
+		s.obstacles.ticket = len(s.advice.tickets)
 		return nil // avoids a check of every executor
 	}
 	usage := &placementUsage{used: make(map[*vm]api.Resources), runs: make(map[*vm]int), exclusive: make(map[*vm]bool)}
 	vms := c.eligibleVMs(s, q, reserved, now)
+	s.obstacles.eligible = len(vms)
 	var placed []placement
 	for _, t := range suspectsFirst(tasks) {
 		v := c.bestVM(t, vms, usage)
@@ -127,11 +137,25 @@
 func (c *Cell) eligibleVMs(s *step, q *queue.Queue, reserved *reservations, now time.Time) []*vm {
 	var vms []*vm
 	for _, v := range c.permittedVMs(s, q) {
-		if !s.spec.TaskResources.Fits(v.freeFor(s)) || !c.suitable(s, q, v, now) || !reserved.admits(v, s, now) {
+		if free := v.freeFor(s); !s.spec.TaskResources.Fits(free) {
+			if s.spec.TaskResources.MilliCPU <= free.MilliCPU {
+				s.obstacles.memory++
+			} else {
+				s.obstacles.processors++
+			}
+			continue
+		}
+		if !c.suitable(s, q, v, now) {
+			s.obstacles.unavailable++
+			continue
+		}
+		if !reserved.admits(v, s, now) {
+			s.obstacles.reserved++
 			continue
 		}
 		if q != nil && q.Advice != nil {
 			if _, ok := s.advice.validTicket(v, now); !ok {
+				s.obstacles.ticket++
 				continue
 			}
 		}
@@ -255,6 +279,7 @@
 	t, s := placed.task, placed.task.step
 	t.lastRun = c.nextRunNumber(t)
 	t.phase = work.Started
+	t.timeline.Enter(account.Record, now)
 	t.incarnation = placed.vm.Ref.Incarnation()
 	alloc := &allocation{
 		run:         platform.Run{Task: t.key(), Number: t.lastRun},
@@ -343,6 +368,7 @@
 func (c *Cell) startOrder(alloc *allocation, st Start, now time.Time) platform.StartOrder {
 	v := alloc.vm
 	alloc.state = stateSent
+	alloc.task.timeline.Enter(account.Order, now)
 	alloc.orderedAt = now
 	alloc.orderVoidAt = v.minClock(now, 0).Add(c.cfg.StartValidity)
 	alloc.ticketBound = st.Ticket != ""
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/account"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -180,6 +181,9 @@
 		if alloc.state != stateRunning && alloc.state != stateStopping {
 			alloc.state = stateRunning
 			alloc.runningSince = now
+			if alloc.task != nil {
+				alloc.task.timeline.Enter(account.Run, now)
+			}
 		}
 		if alloc.task != nil {
 			c.markRunning(alloc.task.step.job, now)
@@ -325,6 +329,7 @@
 		c.failTask(t, alloc.run.Number)
 	}
 	t.phase = work.Pending
+	t.timeline.Repeat(account.Processors, c.now)
 	if t.step.spec.Gang {
 		c.stopGang(t.step, alloc.run.Number)
 	}
@@ -361,6 +366,7 @@
 	}
 	c.queueOf(s.job) // refreshes the job's number of attempts
 	if t.failures >= max(1, s.job.maxAttempts) && !s.spec.LongRunning {
+		s.job.times = t.accountOf(c.now)
 		c.endJob(s.job, work.Failed)
 	}
 }
@@ -380,6 +386,7 @@
 	}
 	c.markDirty(s.job)
 	if s.complete() {
+		s.job.times = t.accountOf(c.now)
 		c.finishStep(s)
 	}
 }
