plan: place steps with same_rack on one rack

Cause: same_rack was read from the wire and used nowhere; across two racks such tasks take RemoteFactor times as long.

Change: such a step starts on the tightest rack that has the capacity, waits for one that is expected to have it within its slack, and is otherwise spread over as few racks as possible; its runs then count as longer. Advice calls for it name executors rack by rack. Reservations for a waiting gang stay on its rack. Other steps are placed as before.

--- a/internal/plan/advice_policy.go
+++ b/internal/plan/advice_policy.go
@@ -69,7 +69,9 @@
 		named := c.chooseCandidates(executors.unknown, s, q, tasks, limit, true)
 		return c.firstCallCandidates(named, s, q, now), true
 	case advicepolicy.Renewal:
-		return neededCandidates(mostSlots(executors.expired, limit), s, decision.Slots, limit), true
+		expired := mostSlots(executors.expired, limit)
+		groupByRack(expired, s, tasks, 1)
+		return neededCandidates(expired, s, decision.Slots, limit), true
 	case advicepolicy.Further:
 		missing := max(1, tasks-totalSlots(executors.valid)-totalSlots(executors.expired))
 		further := c.furtherCandidates(executors.unknown, s, q, missing, limit, true)
@@ -115,6 +117,7 @@
 // renewalCandidates returns the executors that a renewal names: for a gang no more than its tasks need.
 func (s *step) renewalCandidates(expired []candidate, tasks, limit int) []candidate {
 	chosen := mostSlots(expired, limit)
+	groupByRack(chosen, s, tasks, 1)
 	if !s.spec.Gang {
 		return chosen
 	}
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -203,6 +203,7 @@
 			return cmp.Compare(x.placementScore, y.placementScore)
 		}
 	})
+	groupByRack(cands, s, tasks, c.grantShare(q))
 	cheap := cheapCallSize(q.Advice)
 	wantedSlots := slotMargin * float64(tasks) / (c.grantShare(q) * c.availableShare(q))
 	if scarce {
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarklock/skylarklock/internal/account"
 	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/rackchoice"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -58,12 +59,13 @@
 	lateness            latenessClass // as of the newest start order
 	preemption          gangPreemption
 	isolation           isolation
-	consecutiveRefusals int           // starts refused in a row for the content of their order
-	retryAt             time.Time     // no start is planned before this time
-	timeBefore          account.Times // stages of the chain of tasks that ended before the step became ready
-	waitsFor            account.Stage // what its waiting tasks wait for, as of the newest plan
-	hasNewWaiters       bool          // tasks have begun to wait since then
-	obstacles           obstacles     // as of the newest attempt to place it
+	consecutiveRefusals int               // starts refused in a row for the content of their order
+	retryAt             time.Time         // no start is planned before this time
+	timeBefore          account.Times     // stages of the chain of tasks that ended before the step became ready
+	waitsFor            account.Stage     // what its waiting tasks wait for, as of the newest plan
+	hasNewWaiters       bool              // tasks have begun to wait since then
+	racks               rackchoice.Choice // where its tasks are placed if it has SameRack, as of the newest plan
+	obstacles           obstacles         // as of the newest attempt to place it
 }
 
 // task is one task of a step.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -71,7 +71,7 @@
 		if len(placed) < len(tasks) {
 			s.markWaiting(c.waitStage(s), now)
 		}
-		if len(placed) == len(tasks) || !s.spec.Gang || preempting || c.preemptForGang(s, q, len(tasks), &reserved, now) {
+		if len(placed) == len(tasks) || !s.spec.Gang || preempting || !s.waitsForRack() && c.preemptForGang(s, q, len(tasks), &reserved, now) {
 			continue
 		}
 		if reserved.gangs < c.cfg.MaxReservedGangs {
@@ -96,7 +96,7 @@
 		return nil // avoids a check of every executor
 	}
 	usage := &placementUsage{used: make(map[*vm]api.Resources), runs: make(map[*vm]int), exclusive: make(map[*vm]bool)}
-	vms := c.eligibleVMs(s, q, reserved, now)
+	vms := c.onChosenRacks(s, q, c.eligibleVMs(s, q, reserved, now), len(tasks), now)
 	s.obstacles.eligible = len(vms)
 	var placed []placement
 	for _, t := range suspectsFirst(tasks) {
@@ -288,7 +288,7 @@
 		workspace:   s.job.workspace,
 		state:       statePlanned,
 		resumed:     t.checkpoint != "",
-		expectedEnd: now.Add(time.Duration(float64(s.spec.Estimate) * placed.vm.slowdown(now))),
+		expectedEnd: now.Add(time.Duration(float64(s.spec.Estimate) * placed.vm.slowdown(now) * c.rackFactor(s))),
 	}
 	placed.vm.addAllocation(alloc)
 	c.markDirty(s.job)
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -65,7 +65,7 @@
 	}
 	var offers []offer
 	for _, v := range c.permittedVMs(s, q) {
-		if !c.suitable(s, q, v, now) {
+		if !c.suitable(s, q, v, now) || s.excludedByRack(v) {
 			continue
 		}
 		if slots := v.slotsAt(s, at, now); slots > 0 {
