--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -160,7 +160,6 @@
 		}
 		if advicepolicy.HoldsOverdue(advicepolicy.Lateness(s.lateness), fleet.busyShare(s, q)) {
 			c.holdBack(s, advicepolicy.HeldOverdue)
-			s.advice.nextCheck = now.Add(s.callCheckInterval())
 			continue
 		}
 		if !dispatcher.Free(q.Advice.CallTime(c.expectedCallSize(s))) {
@@ -168,7 +167,7 @@
 		}
 		named := c.callCandidates(s, q, fleet, now)
 		if len(named) == 0 {
-			s.advice.nextCheck = now.Add(s.callCheckInterval())
+			s.advice.nextCheck = c.nextCallCheck(s, q, now)
 			continue
 		}
 		calls = append(calls, c.issueCalls(s, q, named, dispatcher, now)...)
@@ -297,23 +296,6 @@
 	return c.chooseCandidates(unknown, s, q, tasks, limit, scarce)
 }
 
-// firstCallCandidates returns the executors for a step's first call, or none while this
-// leader has reports of few executors: after a takeover the reports arrive within moments.
-func (c *Cell) firstCallCandidates(named []candidate, s *step, q *queue.Queue, now time.Time) []candidate {
-	if now.Sub(c.ledSince) > takeoverReportWait {
-		return named
-	}
-	if 2*len(named) < min(c.registeredByService[c.serviceOf(s.job)], cheapCallSize(q.Advice)) {
-		return nil
-	}
-	return named
-}
-
-// takeoverReportWait is how long after a takeover the leader waits for first reports. Until
-// then it makes no first advice call about few executors, and executors without a report
-// count as capacity.
-const takeoverReportWait = time.Second
-
 // maxGangCalls is how many advice calls may be in flight at a time for a gang that can be
 // in time. A gang starts whole or not at all, and sequential calls would take all the time
 // that it has.
--- a/internal/plan/advice_policy.go
+++ b/internal/plan/advice_policy.go
@@ -37,6 +37,23 @@
 	return !s.spec.Gang && !s.spec.LongRunning && advicepolicy.Step{Lateness: advicepolicy.Lateness(s.lateness), Allowance: s.allowance()}.Short()
 }
 
+// nextCallCheck returns when it is checked again whether a call for the step is due: after an interval, and
+// at the latest when a short step has to renew its tickets.
+func (c *Cell) nextCallCheck(s *step, q *queue.Queue, now time.Time) time.Time {
+	next := now.Add(s.callCheckInterval())
+	if len(s.advice.tickets) == 0 || !s.renewsAhead() {
+		return next
+	}
+	renewAt := s.advice.validUntil.Add(-renewAhead - q.Advice.CallTime(c.expectedCallSize(s)).Total)
+	if renewAt.Before(now.Add(checkInterval)) {
+		renewAt = now.Add(checkInterval)
+	}
+	if renewAt.Before(next) {
+		return renewAt
+	}
+	return next
+}
+
 // restrictedCandidates returns the executors that a call for a step that isn't a gang should name, or
 // none if it should make no call, and whether its calls are restricted at present: while calling
 // machines are scarce, and for renewals of short steps.
@@ -131,3 +148,20 @@
 		c.adviceStats.heldBack[reason]++
 	}
 }
+
+// firstCallCandidates returns the executors for a step's first call, or none while this
+// leader has reports of few executors: after a takeover the reports arrive within moments.
+func (c *Cell) firstCallCandidates(named []candidate, s *step, q *queue.Queue, now time.Time) []candidate {
+	if now.Sub(c.ledSince) > takeoverReportWait {
+		return named
+	}
+	if 2*len(named) < min(c.registeredByService[c.serviceOf(s.job)], cheapCallSize(q.Advice)) {
+		return nil
+	}
+	return named
+}
+
+// takeoverReportWait is how long after a takeover the leader waits for first reports. Until
+// then it makes no first advice call about few executors, and executors without a report
+// count as capacity.
+const takeoverReportWait = time.Second
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -188,7 +188,8 @@
 // fits: at least as many as are cheap to name, at most limit. A gang prefers the executors
 // with the most slots, so that it needs few of them. Other work prefers executors that it
 // fills, by the score that also decides its placement. While calling machines are scarce, executors are
-// named only for expected needs, however cheap they are to name.
+// named only for expected needs, however cheap they are to name; short steps keep the cheap ones, since
+// they have no time for another call.
 func (c *Cell) chooseCandidates(cands []candidate, s *step, q *queue.Queue, tasks, limit int, scarce bool) []candidate {
 	for i := range cands {
 		cands[i].placementScore = c.score(s, cands[i].vm, cands[i].vm.free().Sub(s.spec.TaskResources))
@@ -206,7 +207,7 @@
 	groupByRack(cands, s, tasks, c.grantShare(q))
 	cheap := cheapCallSize(q.Advice)
 	wantedSlots := slotMargin * float64(tasks) / (c.grantShare(q) * c.availableShare(q))
-	if scarce {
+	if scarce && !s.renewsAhead() {
 		return neededCandidates(cands, s, wantedSlots, limit)
 	}
 	found := 0
