--- a/internal/plan/advice_policy.go
+++ b/internal/plan/advice_policy.go
@@ -60,7 +60,7 @@
 func (c *Cell) restrictedCandidates(s *step, q *queue.Queue, executors *candidates, fleet *fleetSnapshot, answerBy, now time.Time) ([]candidate, bool) {
 	granted := len(s.advice.tickets) > 0
 	busy := fleet.busyShare(s, q)
-	expiring := granted && s.renewsAhead() && !answerBy.Before(s.advice.validUntil)
+	expiring := len(executors.expired) > 0 && s.renewsAhead() && !answerBy.Before(s.advice.validUntil)
 	if !expiring && !advicepolicy.Scarce(busy) {
 		return nil, false
 	}
--- a/internal/plan/advice_policy_test.go
+++ b/internal/plan/advice_policy_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -80,11 +81,7 @@
 func TestShortStepRenewsBeforeItsTicketsExpire(t *testing.T) {
 	for _, share := range []float64{0, 1} {
 		env := newTestEnv(t, 4)
-		env.configure = func() *queue.Configuration {
-			cfg := testQueueConfig()
-			cfg.Queues[1].Stretch, cfg.Queues[1].TargetLatency = 1, 900*time.Millisecond
-			return cfg
-		}
+		env.configure = shortQueueConfig
 		env.cell.Configure(env.configure())
 		env.submitJob(1, testAdvisedQueue, work.Step{TaskCount: 2, TaskResources: cpus(4), Estimate: 2 * time.Second})
 		env.runCycle()
@@ -112,6 +109,33 @@
 	}
 }
 
+// A short step whose permitted executors have all left must ask about others rather than renew.
+func TestShortStepWithoutPermittedExecutorsAsksAboutOthers(t *testing.T) {
+	env := newTestEnv(t, 2)
+	env.configure = shortQueueConfig
+	env.cell.Configure(env.configure())
+	env.submitJob(1, testAdvisedQueue, work.Step{TaskCount: 2, TaskResources: cpus(4), Estimate: 2 * time.Second})
+	calls := env.cell.AdviceCalls(env.now, acceptingDispatcher{})
+	env.cell.HandleGrants(calls[0], grants("e0"), 2*time.Second, env.now)
+	env.registry["e0"].Draining = true
+	env.addExecutor("e2")
+	env.runCycle()
+	env.advance(2 * time.Second)
+	env.reportAll()
+	env.runCycle()
+	calls = env.cell.AdviceCalls(env.now, acceptingDispatcher{})
+	if len(calls) != 1 || !slices.Equal(calls[0].Executors, []string{"e2"}) {
+		t.Errorf("calls %v", calls)
+	}
+}
+
+// shortQueueConfig returns queues of which the advised one makes steps of 2 s short.
+func shortQueueConfig() *queue.Configuration {
+	cfg := testQueueConfig()
+	cfg.Queues[1].Stretch, cfg.Queues[1].TargetLatency = 1, 900*time.Millisecond
+	return cfg
+}
+
 // An unknown load must not restrict calls: dispatchers need not report it.
 func TestDispatcherWithoutLoadIsUnrestricted(t *testing.T) {
 	env := newTestEnv(t, 4)
