internal/refusal: the leader tells machines which queues it refuses

Cause: every submission of a full queue costs a call to the leader, which refuses it. Change: package refusal records refusals by queue and workspace and decides at a machine by the newest list; the list goes with deliveries as a ninth field, which is left out for machines whose build refuses it. Nothing acts on it yet. Result: tests of internal/dispatch and internal/assist pass unchanged.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -23,35 +23,6 @@
 	appendWaitFactor   = 3 // a slow store gets this many times its usual duration of an append
 )
 
-// submission is a batch of records that a machine has submitted and whose results it awaits.
-type submission struct {
-	records   []platform.Record
-	results   []assist.StoreResult      // one per record; only those of refused records (TooBusy) are set before the append
-	addedJobs []work.ID                 // jobs that the cell has added for this submission
-	done      chan []assist.StoreResult // receives one value
-}
-
-// acceptedRecords returns the records that are to be stored.
-func (s *submission) acceptedRecords() []platform.Record {
-	var out []platform.Record
-	for i, r := range s.records {
-		if s.results[i].Outcome != assist.TooBusy {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// complete sends the results, with outcome for all records that were not refused.
-func (s *submission) complete(outcome assist.StoreOutcome) {
-	for i := range s.results {
-		if s.results[i].Outcome != assist.TooBusy {
-			s.results[i].Outcome = outcome
-		}
-	}
-	s.done <- s.results
-}
-
 // Store stores records that clients submitted, together with the leader's own. It implements
 // assist.Storer.
 func (r *Runner) Store(ctx context.Context, records []platform.Record) []assist.StoreResult {
@@ -158,6 +129,7 @@
 	for _, id := range s.addedJobs {
 		r.cell.Withdraw(id)
 	}
+	s.settle()
 }
 
 // linkFullRetryAfter is the delay after which a client that was refused because of a full link
@@ -182,14 +154,17 @@
 	if r.cfg.LinkFull != nil && r.cfg.LinkFull() {
 		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: linkFullRetryAfter}
 		r.cfg.Logger.WithField("job", job.ID).Info("job refused: this machine's link is full")
+		r.recordRefusal(job, admission.Decision{RetryAfter: linkFullRetryAfter}, now)
 		return
 	}
 	if decision := r.admit(job, backlog, now); decision.Reason != "" {
 		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: decision.RetryAfter}
+		r.recordRefusal(job, decision, now)
 		return
 	}
 	if r.cell.AddJob(job, nil, now.UnixMilli(), now) {
 		s.addedJobs = append(s.addedJobs, id)
+		r.recordAccepted(s, job)
 	}
 }
 
