internal/peer: a call of which no byte was written was not sent

Cause: a write to a connection that the other process had closed counted as sent, so that a client's job was answered 504 although nothing had left the machine. Change: such a call fails with ErrNotSent. The mark is atomic. Result: new test fails before and passes after; the package's tests pass with -race.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -247,7 +247,7 @@
 	switch {
 	case errors.As(err, &remote):
 		return remoteError(conn.addr, method, string(remote))
-	case !out.written:
+	case !out.written.Load():
 		return fmt.Errorf("%w: %s %s: %w", ErrNotSent, conn.addr, method, err)
 	default:
 		return fmt.Errorf("%w: %s %s: %w", ErrUncertain, conn.addr, method, err)
--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -18,7 +18,7 @@
 type outgoingCall struct {
 	ctx     context.Context
 	args    any
-	written bool // a byte of the call may have been sent
+	written atomic.Bool // a byte of the call may have been sent
 }
 
 // incomingAnswer receives the body of an answer undecoded, so that an answer that
@@ -78,10 +78,11 @@
 func (c *clientCodec) write(out *outgoingCall, frame []byte) error {
 	deadline, _ := out.ctx.Deadline()
 	c.conn.SetWriteDeadline(deadline)
-	out.written = true
+	out.written.Store(true) // before the write, which may fail while net/rpc ends the call
 	n, err := c.conn.Write(frame)
 	c.vars.Add(varBytesOut, int64(n))
 	if err != nil {
+		out.written.Store(n > 0)
 		c.closeBroken()
 	}
 	return err
