internal/dispatch: a replaced leader says which jobs are certainly not stored

Cause: when the store refused a leader's append with a higher epoch, all submissions of the append were reported as unknown, also if no attempt can have been applied. Clients got 504. Change: the writer marks errors of appends of which each attempt was refused; the submissions are then reported as not stored, and the machines pass them to the next leader.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -242,7 +242,7 @@
 			return r.storeProgressOnly(ctx, submitted, records)
 		}
 		if err != nil {
-			completeAll(submitted, assist.StoreUnknown)
+			completeAll(submitted, failedOutcome(err))
 			return err
 		}
 		r.cfg.Replica.ApplyRecords(first, part, time.Now())
@@ -254,6 +254,14 @@
 	return nil
 }
 
+// failedOutcome returns the outcome of submissions whose append ended with err.
+func failedOutcome(err error) assist.StoreOutcome {
+	if errors.Is(err, errNotApplied) {
+		return assist.NotStored // the next leader may store them
+	}
+	return assist.StoreUnknown
+}
+
 // prependSubmissions puts the submitted records at the start of the first part of the progress.
 func prependSubmissions(submitted []*submission, parts [][]platform.Record) [][]platform.Record {
 	var first []platform.Record
--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -92,9 +92,11 @@
 func (w *writer) append(ctx context.Context, records []platform.Record, giveUp bool) (platform.Offset, error) {
 	timeout := max(minAppendTimeout, appendTimeoutFactor*w.mean)
 	maxTimeout := max(timeout, maxAppendTimeout)
+	uncertain := false
 	for {
 		first, err := w.tryAppend(ctx, records, timeout)
 		var sequence *platform.SequenceError
+		uncertain = uncertain || !errors.IsAny(err, platform.ErrUnavailable, platform.ErrFenced, platform.ErrTooLarge) && !errors.As(err, &sequence)
 		switch {
 		case err == nil:
 			if len(records) > 0 {
@@ -102,9 +104,9 @@
 			}
 			return first, nil
 		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrTooLarge):
-			return 0, err
+			return 0, markNotApplied(err, uncertain)
 		case ctx.Err() != nil:
-			return 0, ctx.Err()
+			return 0, markNotApplied(ctx.Err(), uncertain)
 		case errors.As(err, &sequence) && sequence.Expected != w.sequence:
 			w.logger.WithFields(logrus.Fields{"sent": w.sequence, "expected": sequence.Expected}).Info("store numbers the leader's appends differently")
 			w.sequence = sequence.Expected
@@ -120,6 +122,17 @@
 	}
 }
 
+// errNotApplied marks the error of an append of which no attempt can have been applied.
+var errNotApplied = errors.New("dispatch: nothing was stored")
+
+// markNotApplied marks err with errNotApplied unless an attempt may have been applied.
+func markNotApplied(err error, uncertain bool) error {
+	if uncertain {
+		return err
+	}
+	return errors.Mark(err, errNotApplied)
+}
+
 // meanWeight is the weight of a new measurement in the moving mean.
 const meanWeight = 0.2
 
