internal/intake: outcomes are settled by the next leader

Cause: answers 504 for jobs that were stored nowhere. Found: a leader lost with an append in progress was waited for although another one led; a batch waited for a direct append although another leader could store it; one uncertain record made its whole batch uncertain; a call that ended with the client's time and was not sent counted as sent; a store that was silent ended an uncertain request at once. Change: uncertainty is kept for each request. Requests that wait are passed to the next leader once it is known. A refusal for want of capacity isn't believed after a direct append without an answer.

--- a/internal/intake/batch.go
+++ b/internal/intake/batch.go
@@ -6,31 +6,36 @@
 	"github.com/cockroachdb/errors"
 )
 
-// storeBatch makes the leader store a batch. If that is not possible, or if its outcome is unknown, the
-// batch is appended directly: a record that is stored twice counts once.
+// storeBatch makes the leader store a batch. What the leader can't store, or what may or may not be stored,
+// is appended directly, unless another leader is known by then: a record that is stored twice counts once.
 func (in *Intake) storeBatch(batch []*request) {
-	uncertain, batch := in.storeViaLeader(batch)
+	epoch := in.currentEpoch()
+	for _, r := range batch {
+		r.epoch = epoch
+	}
+	batch = in.storeViaLeader(dropExpired(batch))
 	if len(batch) == 0 {
 		return
 	}
-	if !uncertain {
-		in.setInProgress(batch, false) // nothing is sent until a slot is free
+	in.releaseUnsent(batch) // nothing is sent until a slot is free
+	batch, slot := in.acquireDirectSlot(batch, epoch)
+	switch slot {
+	case newerLeader:
+		in.requeue(in.resume(batch))
+	case storeIsDown:
+		in.handleRefusal(batch, errors.New("the store has been silent for a while"))
+	case slotAcquired:
+		defer func() { <-in.directSlots }()
+		in.appendDirectly(dropExpired(in.resume(batch)), epoch)
 	}
-	batch, free := in.acquireDirectSlot(batch, uncertain)
-	if !free {
-		in.handleRefusal(batch, errors.New("the store has been silent for a while"), uncertain)
-		return
-	}
-	defer func() { <-in.directSlots }()
-	in.appendDirectly(dropExpired(in.resume(batch), uncertain), uncertain)
 }
 
-// setInProgress records whether the requests of a batch may be stored now or later.
-func (in *Intake) setInProgress(batch []*request, inProgress bool) {
+// releaseUnsent records that the requests of a batch for which nothing was sent may be withdrawn.
+func (in *Intake) releaseUnsent(batch []*request) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	for _, r := range batch {
-		r.inProgress = inProgress
+		r.inProgress = r.uncertain
 	}
 }
 
@@ -65,57 +70,57 @@
 // defaultWait replaces the deadline if no client of the batch has one.
 const defaultWait = 3 * time.Second
 
-// handleRefusal answers a batch that the store did not accept. Requests that are certainly not stored
-// and may still be retried are queued again after a delay.
-func (in *Intake) handleRefusal(batch []*request, cause error, uncertain bool) {
-	if uncertain {
-		answerAll(batch, errors.Mark(cause, ErrUnknown))
-		return
-	}
-	var retried []*request
+// handleRefusal handles a batch that was not accepted. Requests that are certainly not stored and may still
+// be retried are queued again after a delay. For those that may be stored, the outcome is awaited.
+func (in *Intake) handleRefusal(batch []*request, cause error) {
+	var retried, resent []*request
+	refused := 0
 	for _, r := range batch {
-		if time.Now().Before(r.retryUntil) && r.ctx.Err() == nil {
+		switch {
+		case r.uncertain && errors.Is(cause, ErrStoreRefused) && r.ctx.Err() == nil:
+			resent = append(resent, r) // a new leader accepts nothing until it has taken over
+		case r.uncertain:
+			go in.awaitOutcome(r)
+		case time.Now().Before(r.retryUntil) && r.ctx.Err() == nil:
 			retried = append(retried, r)
-			continue
+		default:
+			refused++
+			r.done <- errors.Mark(cause, ErrNotStored)
 		}
-		r.done <- errors.Mark(cause, ErrNotStored)
 	}
-	if refused := len(batch) - len(retried); refused > 0 {
+	if refused > 0 {
 		in.logger.WithError(cause).WithField("requests", refused).Info("store takes nothing")
 	}
 	if len(retried) > 0 {
 		in.requeueAfterDelay(retried)
 	}
+	if len(resent) > 0 {
+		time.AfterFunc(in.refusalDelay(), func() { in.requeue(resent) })
+	}
 }
 
 // requeueAfterDelay queues requests again after a delay; none of them is stored.
 func (in *Intake) requeueAfterDelay(batch []*request) {
-	in.mu.Lock()
-	for _, r := range batch {
-		r.inProgress = false
-	}
-	in.mu.Unlock()
+	in.releaseUnsent(batch)
 	time.AfterFunc(min(in.refusalDelay(), time.Until(earliestRetryDeadline(batch))), func() { in.requeue(batch) })
 }
 
+// requeue queues requests again at once.
 func (in *Intake) requeue(batch []*request) {
+	in.releaseUnsent(batch)
 	for _, r := range batch {
 		if err := in.enqueue(r); err != nil {
-			r.done <- err
+			r.fail(err)
 		}
 	}
 }
 
 // dropExpired answers the requests whose clients no longer wait and returns the others.
-func dropExpired(batch []*request, uncertain bool) []*request {
-	outcome := ErrNotStored
-	if uncertain {
-		outcome = ErrUnknown
-	}
+func dropExpired(batch []*request) []*request {
 	var remaining []*request
 	for _, r := range batch {
 		if r.ctx.Err() != nil {
-			r.done <- errors.Mark(r.ctx.Err(), outcome)
+			r.fail(r.ctx.Err())
 			continue
 		}
 		remaining = append(remaining, r)
@@ -123,6 +128,23 @@
 	return remaining
 }
 
+// fail answers a request that is not stored as far as this machine knows. The answer says so only if
+// nothing was sent that could still be stored.
+func (r *request) fail(cause error) {
+	if r.uncertain {
+		r.done <- errors.Wrap(ErrUnknown, cause.Error()) // the cause may be marked as ErrNotStored
+		return
+	}
+	r.done <- errors.Mark(cause, ErrNotStored)
+}
+
+// markUncertain records that the requests of a batch may be stored now or later.
+func markUncertain(batch []*request) {
+	for _, r := range batch {
+		r.uncertain = true
+	}
+}
+
 func answerAll(batch []*request, err error) {
 	for _, r := range batch {
 		r.done <- err
--- a/internal/intake/direct.go
+++ b/internal/intake/direct.go
@@ -12,31 +12,39 @@
 // storeDownCheckInterval is the time between two checks of a waiting batch whether the store is down.
 const storeDownCheckInterval = 50 * time.Millisecond
 
-// acquireDirectSlot waits until the batch may be appended directly and returns the requests that still
-// wait. It returns false if the store is down.
-func (in *Intake) acquireDirectSlot(batch []*request, uncertain bool) ([]*request, bool) {
+// slotResult is the reason why a batch no longer waits for a direct append.
+type slotResult int
+
+const (
+	slotAcquired slotResult = iota
+	storeIsDown
+	newerLeader // a leader is known that the batch was not passed to
+)
+
+// acquireDirectSlot waits until the batch, which was passed to the leader of an epoch, may be appended
+// directly and returns the requests that still wait. Otherwise a batch would wait behind an append to a
+// slow store for as long as its clients do, although a new leader could store it.
+func (in *Intake) acquireDirectSlot(batch []*request, epoch uint64) ([]*request, slotResult) {
 	check := time.NewTicker(storeDownCheckInterval)
 	defer check.Stop()
 	for !in.storeDown() {
 		select {
 		case in.directSlots <- struct{}{}:
-			if !uncertain {
-				batch = in.refuseHopeless(batch)
-			}
-			return batch, true
+			return in.refuseHopeless(batch), slotAcquired
 		case <-check.C:
 			in.refuseHopelessPending()
-			if !uncertain {
-				batch = in.refuseHopeless(batch)
+			batch = in.refuseHopeless(batch)
+			if in.currentEpoch() > epoch {
+				return batch, newerLeader
 			}
 		}
 	}
-	return batch, false
+	return batch, storeIsDown
 }
 
-// appendDirectly appends a batch. It repeats the append while the outcome is uncertain and some of the
-// requests have time left.
-func (in *Intake) appendDirectly(batch []*request, uncertain bool) {
+// appendDirectly appends a batch, which was passed to the leader of an epoch. It repeats the append while
+// the outcome is uncertain and some of the requests have time left.
+func (in *Intake) appendDirectly(batch []*request, epoch uint64) {
 	for len(batch) > 0 {
 		err := in.append(batch)
 		in.recordRefusal(errors.Is(err, platform.ErrUnavailable))
@@ -44,15 +52,39 @@
 			answerAll(batch, nil)
 			return
 		}
-		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
-		if !uncertain || in.storeDown() {
-			in.handleRefusal(batch, err, uncertain)
+		if errors.Is(err, platform.ErrUncertain) {
+			markUncertain(batch)
+			for _, r := range batch {
+				r.appended = true
+			}
+		}
+		if in.storeDown() {
+			in.handleRefusal(batch, err)
 			return
 		}
-		if batch = dropExpired(batch, uncertain); len(batch) > 0 {
-			time.Sleep(in.cfg.RetryDelay)
+		certain, uncertain := split(batch)
+		in.handleRefusal(certain, err)
+		if batch = dropExpired(uncertain); len(batch) == 0 {
+			return
+		}
+		if in.currentEpoch() > epoch {
+			in.requeue(batch)
+			return
+		}
+		time.Sleep(in.cfg.RetryDelay)
+	}
+}
+
+// split separates the requests for which nothing was sent that could still be stored from the others.
+func split(batch []*request) (certain, uncertain []*request) {
+	for _, r := range batch {
+		if r.uncertain {
+			uncertain = append(uncertain, r)
+		} else {
+			certain = append(certain, r)
 		}
 	}
+	return certain, uncertain
 }
 
 // append appends a batch once. The time for the answer doubles after an append that got none, up to
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -65,7 +65,7 @@
 		RefusalDelay:         80 * time.Millisecond,
 		MaxRefusalDelay:      time.Second,
 		DeliveryPollInterval: 50 * time.Millisecond,
-		DeliveryPollTimeout:  1500 * time.Millisecond,
+		DeliveryPollTimeout:  3 * time.Second, // clients wait 3 s at most
 		MaxBatches:           8,
 		MaxDirectAppends:     1,
 		MaxBatchBytes:        512 << 10,
@@ -85,6 +85,7 @@
 	batchSlots     chan struct{} // one element for each batch in progress
 	directSlots    chan struct{} // one element for each direct append in progress
 	wake           chan struct{}
+	leaderEpoch    func() uint64                           // see SetLeaderEpoch; nil: unknown
 	randomDuration func(below time.Duration) time.Duration // returns a random duration below its argument
 	appendPace     appendPace
 
@@ -101,6 +102,11 @@
 	retryUntil time.Time  // until when the request is retried while the store refuses it
 	done       chan error // receives one value
 
+	// Used by the goroutine that handles the request's batch.
+	uncertain bool   // something was sent for it, so that it may be stored now or later
+	epoch     uint64 // of the leader that was known when it was last passed on
+	appended  bool   // a direct append may be applied later, also under another leader
+
 	// Guarded by Intake.mu.
 	inProgress bool // it was taken to be stored and may be stored now or later
 	withdrawn  bool // its client was told that it is not stored
@@ -123,6 +129,22 @@
 	}
 }
 
+// SetLeaderEpoch sets a function that returns the epoch of the current leader, 0 if it isn't known. It must
+// be called before Run. With it, requests that wait are passed to the next leader as soon as it is known.
+func (in *Intake) SetLeaderEpoch(epoch func() uint64) { in.leaderEpoch = epoch }
+
+// currentEpoch returns the epoch of the current leader, or 0 if it isn't known.
+func (in *Intake) currentEpoch() uint64 {
+	if in.leaderEpoch == nil {
+		return 0
+	}
+	return in.leaderEpoch()
+}
+
+// settleTime is how long Store waits after the end of its context for the outcome of a request in progress:
+// a call that ends with the same context then reports that nothing was sent.
+const settleTime = 10 * time.Millisecond
+
 // Store returns once the record is stored, is certain not to be stored, or ctx has ended. It fails
 // with ErrNotStored or ErrUnknown. While the store refuses the record, Store retries for up to
 // retryFor, because outages of the store are often short.
@@ -138,6 +160,11 @@
 		if in.withdraw(r) {
 			return errors.Mark(context.Cause(ctx), ErrNotStored)
 		}
+	}
+	select {
+	case err := <-r.done:
+		return err
+	case <-time.After(settleTime):
 		return errors.Mark(context.Cause(ctx), ErrUnknown)
 	}
 }
--- a/internal/intake/pace.go
+++ b/internal/intake/pace.go
@@ -65,19 +65,20 @@
 // not be answered before its deadline, or is slow and the request may no longer be retried. Its client can
 // come back, and would otherwise be held until its deadline and then be left unsure.
 func (r *request) isHopeless(expected time.Duration, now time.Time) bool {
-	if deadline, ok := r.ctx.Deadline(); ok && deadline.Sub(now) < expected {
+	if deadline, ok := r.ctx.Deadline(); ok && deadline.Sub(now) <= expected {
 		return true
 	}
 	return expected >= slowAppend && now.After(r.retryUntil)
 }
 
-// refuseHopeless refuses the hopeless requests of a batch that was not sent, and returns the others.
+// refuseHopeless refuses the hopeless requests of a batch for which nothing was sent, and returns the
+// others.
 func (in *Intake) refuseHopeless(batch []*request) []*request {
 	now := time.Now()
 	expected := in.appendPace.expected(now)
 	var remaining []*request
 	for _, r := range batch {
-		if !r.isHopeless(expected, now) {
+		if r.uncertain || !r.isHopeless(expected, now) {
 			remaining = append(remaining, r)
 			continue
 		}
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -72,7 +72,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	for _, r := range in.pending {
-		r.done <- errStopping
+		r.fail(errStopping)
 	}
 	in.pending = nil
 	in.stopped = true
--- a/internal/intake/relay.go
+++ b/internal/intake/relay.go
@@ -25,35 +25,41 @@
 type Relay func(ctx context.Context, records []platform.Record) []error
 
 // storeViaLeader passes a batch to the leader, waits at most until the last deadline of its clients,
-// and answers the requests that have a final result. It returns the others and whether some of them may
-// be stored.
-func (in *Intake) storeViaLeader(batch []*request) (uncertain bool, remaining []*request) {
+// and answers the requests that have a final result. It returns those that the leader can't settle.
+func (in *Intake) storeViaLeader(batch []*request) []*request {
+	if len(batch) == 0 {
+		return nil
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), lastDeadline(batch))
 	defer cancel()
-	var refused []*request
+	var refused, remaining []*request
 	for i, err := range in.relay(ctx, recordsOf(batch)) {
 		var busy *BusyError
 		switch r := batch[i]; {
+		case errors.As(err, &busy) && r.appended: // what the leader doesn't know may still be stored
+			go in.awaitOutcome(r)
 		case err == nil, errors.As(err, &busy):
 			r.done <- err
 		case errors.Is(err, ErrStoreRefused):
 			refused = append(refused, r)
 		case errors.Is(err, ErrInProgress):
-			go in.awaitDelivery(r)
+			r.uncertain = true
+			go in.awaitOutcome(r)
 		default:
-			uncertain = uncertain || errors.Is(err, ErrUnknown)
+			r.uncertain = r.uncertain || errors.Is(err, ErrUnknown)
 			remaining = append(remaining, r)
 		}
 	}
 	if len(refused) > 0 {
-		in.handleRefusal(refused, ErrStoreRefused, false)
+		in.handleRefusal(refused, ErrStoreRefused)
 	}
-	return uncertain, remaining
+	return remaining
 }
 
-// awaitDelivery answers a request whose record the leader is storing, once the record is known to be
-// stored.
-func (in *Intake) awaitDelivery(r *request) {
+// awaitOutcome waits for the outcome of a request that may be stored. It answers the request once the
+// record is known to be stored. If another leader is known before, the request is passed to it: that leader
+// knows all that the former one has stored.
+func (in *Intake) awaitOutcome(r *request) {
 	poll := time.NewTicker(in.cfg.DeliveryPollInterval)
 	defer poll.Stop()
 	timeout := time.NewTimer(in.cfg.DeliveryPollTimeout)
@@ -61,6 +67,10 @@
 	for !in.isDelivered(r.record.Key) {
 		select {
 		case <-poll.C:
+			if in.currentEpoch() > r.epoch {
+				in.requeue([]*request{r})
+				return
+			}
 		case <-timeout.C:
 			r.done <- errors.Mark(ErrInProgress, ErrUnknown)
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,7 @@
 	}
 	n.reader.FetchStates, n.reader.StoreReadDelay = n.fetchStates, storeReadDelay(leadingProcessors(s))
 	n.intake = intake.New(intake.DefaultConfig(), n.store, jobs, n.relay, n.store.Down, n.replica.HasRequest, log)
+	n.intake.SetLeaderEpoch(func() uint64 { return uint64(n.elector.Current().Epoch) })
 	n.peers = assist.NewPeers(s.Node, n.adviser, n.caller)
 	n.self = leader.Leader{Node: s.Node, Incarnation: api.Incarnation(rand.Uint64() | 1), Address: s.PeerAddress}
 	n.elector = leader.New(leader.Config{
