--- a/internal/intake/outcome_test.go
+++ b/internal/intake/outcome_test.go
@@ -127,6 +127,39 @@
 	}
 }
 
+// A burst arrives while nobody leads and the store is slow or away. No client is left unsure of a job that
+// was sent to nobody, and those that may still wait are stored by the next leader.
+func TestBurstWithoutLeaderAndStore(t *testing.T) {
+	const requests = 300
+	for _, c := range []struct {
+		name string
+		log  *fakeLog
+	}{
+		{"slow", &fakeLog{latency: 2 * time.Second, retryFor: clientTimeout}},
+		{"away", &fakeLog{storeDown: true, retryFor: clientTimeout}},
+		{"away, clients that are refused early", &fakeLog{storeDown: true, retryFor: 100 * time.Millisecond}},
+	} {
+		got := runSuccession(t, c.log, requests, 3*time.Millisecond, func(epoch uint64, _ platform.Record) error {
+			if epoch == 5 {
+				return ErrNoLeader
+			}
+			return nil
+		})
+		stored, unsure := 0, 0
+		for _, o := range got {
+			if o.err == nil {
+				stored++
+			}
+			if errors.Is(o.err, ErrUnknown) {
+				unsure++
+			}
+		}
+		if unsure > 0 || (c.log.retryFor == clientTimeout && stored < requests) || stored < requests/4 {
+			t.Errorf("%s: of %d requests %d were stored, %d left unsure", c.name, requests, stored, unsure)
+		}
+	}
+}
+
 // Guards against an uncertain record making others of its batch uncertain, of which nothing was sent.
 func TestOutcomesOfABatchAreSeparate(t *testing.T) {
 	var errs []error
@@ -209,7 +242,7 @@
 		applied bool // the record is stored, whatever the answer
 	}
 	relaySteps := []step{{nil, true}, {ErrNoLeader, false}, {ErrNotStored, false}, {ErrStoreRefused, false},
-		{ErrInProgress, false}, {ErrInProgress, true}, {ErrUnknown, false}, {ErrUnknown, true}}
+		{ErrInProgress, false}, {ErrInProgress, true}, {ErrUnknown, false}, {ErrUnknown, true}, {&BusyError{}, false}}
 	appendSteps := []step{{nil, true}, {platform.ErrUnavailable, false}, {platform.ErrUncertain, false}, {platform.ErrUncertain, true}}
 	rapid.Check(t, func(rt *rapid.T) {
 		relays := rapid.SliceOfN(rapid.SampledFrom(relaySteps), 1, 12).Draw(rt, "relays")
@@ -225,6 +258,10 @@
 		got := runModel(t, l, retryFor, func(r platform.Record) error {
 			s := relays[next%len(relays)]
 			next++
+			var busy *BusyError
+			if errors.As(s.err, &busy) && (relayApplied[r.Key] || l.isApplied(r.Key)) {
+				return nil // a leader knows what is stored and accepts it
+			}
 			relayApplied[r.Key] = relayApplied[r.Key] || s.applied
 			return s.err
 		})
@@ -258,15 +295,37 @@
 	defer l.mu.Unlock()
 	i := l.next % len(l.steps)
 	l.next++
-	for _, r := range a.Records {
-		if l.applied == nil {
-			l.applied = make(map[string]bool)
-		}
-		l.applied[r.Key] = l.applied[r.Key] || l.applies[i]
+	if l.applies[i] && l.steps[i] != nil { // an append without an answer is applied later
+		time.AfterFunc(lateApplication, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.apply(a.Records)
+		})
+	} else if l.applies[i] {
+		l.apply(a.Records)
 	}
 	return 0, l.steps[i]
 }
 
+// lateApplication is how long after an append has ended without an answer it is applied.
+const lateApplication = time.Second
+
+// apply stores records. The caller holds l.mu.
+func (l *modelLog) apply(records []platform.Record) {
+	if l.applied == nil {
+		l.applied = make(map[string]bool)
+	}
+	for _, r := range records {
+		l.applied[r.Key] = true
+	}
+}
+
+func (l *modelLog) isApplied(key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.applied[key]
+}
+
 // runModel submits records under changing leaders and returns the answers by key.
 func runModel(t *testing.T, l *modelLog, retryFor time.Duration, relay func(platform.Record) error) map[string]error {
 	got := make(map[string]error)
