--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -19,8 +19,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			p := newTestCell(t)
 			p.register("ready")
+			p.overload = overload
 			p.takeOver()
-			p.runner.cfg.Plan.Overload = overload
 			wide := work.Step{TaskCount: 1, TaskResources: api.Resources{MilliCPU: 32000}, Estimate: 30 * time.Second}
 			n := byte(0)
 			submit := func(s work.Step) assist.StoreOutcome {
@@ -60,8 +60,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newTestCell(t)
 		p.register("ready")
+		p.overload = true
 		p.takeOver()
-		p.runner.cfg.Plan.Overload = true
 		key := refusal.Key{Queue: "q"}
 		listed := func() bool { // as if admission refused jobs of the queue for a while
 			p.runner.refusals.mu.Lock()
