node: test of local refusals between two processes

Cause: the path from admission over a delivery to a local refusal was covered in parts only. Change: two processes with a full executor; start of the test environment takes changed settings.

--- a/internal/node/refusals_test.go
+++ b/internal/node/refusals_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,3 +96,52 @@
 		}
 	})
 }
+
+// A machine refuses the jobs of a full queue without calls to the leader, still accepts a job that is
+// known, and accepts new jobs soon after there is capacity again.
+func TestFullQueueIsRefusedWithoutTheLeader(t *testing.T) {
+	env := newTestEnv(t, 1)
+	overload := func(s *platform.Settings) { s.Overload = true }
+	a := env.startWith(t, "a", overload)
+	a.awaitReady(t)
+	eventually(t, "a leads", func() bool { return a.node.runner.Load() != nil })
+	b := env.startWith(t, "b", overload)
+	b.awaitReady(t)
+	const long = `{"specification":"10m","steps":[{"count":1,"cpu":32000,"requested_memory_mb":100,"estimated_ms":60000}]}`
+	jobs, accepted := 0, []string(nil)
+	submit := func() int { // a new job at b
+		jobs++
+		id := fmt.Sprintf("%016x", jobs)
+		status, body := b.request(t, http.MethodPost, "/q/"+id, long)
+		switch status {
+		case http.StatusOK:
+			accepted = append(accepted, id)
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		default:
+			t.Errorf("job %s: answered %d %s", id, status, body)
+		}
+		return status
+	}
+	eventually(t, "b refuses jobs itself", func() bool {
+		submit()
+		return b.node.localRefusals.refused.Load() >= 10
+	})
+	if len(accepted) == 0 || len(accepted) > 10 {
+		t.Fatalf("%d of %d jobs accepted", len(accepted), jobs)
+	}
+	if status, _ := b.request(t, http.MethodPost, "/q/"+accepted[0], long); status != http.StatusOK {
+		t.Errorf("repeated submission of a known job: answered %d, want 200", status)
+	}
+	before := len(accepted)
+	for _, id := range accepted {
+		if status, body := b.request(t, http.MethodDelete, "/q/"+id, ""); status != http.StatusOK {
+			t.Fatalf("cancellation: answered %d %s", status, body)
+		}
+	}
+	cancelled := time.Now()
+	eventually(t, "a new job is accepted", func() bool {
+		submit()
+		return len(accepted) > before
+	})
+	t.Logf("%d jobs, %d refused by b itself; accepted again %v after the cancellations", jobs, b.node.localRefusals.refused.Load(), time.Since(cancelled))
+}
