--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -66,7 +65,7 @@
 		RefusalDelay:         80 * time.Millisecond,
 		MaxRefusalDelay:      time.Second,
 		DeliveryPollInterval: 50 * time.Millisecond,
-		DeliveryPollTimeout:  1500 * time.Millisecond,
+		DeliveryPollTimeout:  3 * time.Second, // clients wait 3 s at most
 		MaxBatches:           8,
 		MaxDirectAppends:     1,
 		MaxBatchBytes:        512 << 10,
@@ -86,6 +85,7 @@
 	batchSlots     chan struct{} // one element for each batch in progress
 	directSlots    chan struct{} // one element for each direct append in progress
 	wake           chan struct{}
+	leaderEpoch    func() uint64                           // see SetLeaderEpoch; nil: unknown
 	randomDuration func(below time.Duration) time.Duration // returns a random duration below its argument
 	appendPace     appendPace
 
@@ -102,6 +102,11 @@
 	retryUntil time.Time  // until when the request is retried while the store refuses it
 	done       chan error // receives one value
 
+	// Used by the goroutine that handles the request's batch.
+	uncertain bool   // something was sent for it, so that it may be stored now or later
+	epoch     uint64 // of the leader that was known when it was last passed on
+	appended  bool   // a direct append may be applied later, also under another leader
+
 	// Guarded by Intake.mu.
 	inProgress bool // it was taken to be stored and may be stored now or later
 	withdrawn  bool // its client was told that it is not stored
@@ -124,6 +129,22 @@
 	}
 }
 
+// SetLeaderEpoch sets a function that returns the epoch of the current leader, 0 if it isn't known. It must
+// be called before Run. With it, requests that wait are passed to the next leader as soon as it is known.
+func (in *Intake) SetLeaderEpoch(epoch func() uint64) { in.leaderEpoch = epoch }
+
+// currentEpoch returns the epoch of the current leader, or 0 if it isn't known.
+func (in *Intake) currentEpoch() uint64 {
+	if in.leaderEpoch == nil {
+		return 0
+	}
+	return in.leaderEpoch()
+}
+
+// settleTime is how long Store waits after the end of its context for the outcome of a request in progress:
+// a call that ends with the same context then reports that nothing was sent.
+const settleTime = 10 * time.Millisecond
+
 // Store returns once the record is stored, is certain not to be stored, or ctx has ended. It fails
 // with ErrNotStored or ErrUnknown. While the store refuses the record, Store retries for up to
 // retryFor, because outages of the store are often short.
@@ -139,45 +160,13 @@
 		if in.withdraw(r) {
 			return errors.Mark(context.Cause(ctx), ErrNotStored)
 		}
-		return errors.Mark(context.Cause(ctx), ErrUnknown)
-	}
-}
-
-// enqueue adds a request to the pending ones, or fails with ErrNotStored.
-func (in *Intake) enqueue(r *request) error {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.stopped {
-		return errStopping
-	}
-	if len(in.pending) >= in.cfg.MaxPending {
-		return errors.Wrap(ErrNotStored, "too many requests are pending")
 	}
-	if r.withdrawn {
-		return nil // its client no longer waits
-	}
-	in.pending = append(in.pending, r)
 	select {
-	case in.wake <- struct{}{}:
-	default:
-	}
-	return nil
-}
-
-// errStopping is the answer to requests that are pending when Run returns or arrive later. They would
-// otherwise wait for the deadlines of their clients.
-var errStopping = errors.Wrap(ErrNotStored, "the process is stopping")
-
-// withdraw removes a pending request. It returns false if the request is already in progress.
-func (in *Intake) withdraw(r *request) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if r.inProgress {
-		return false
+	case err := <-r.done:
+		return err
+	case <-time.After(settleTime):
+		return errors.Mark(context.Cause(ctx), ErrUnknown)
 	}
-	r.withdrawn = true
-	in.pending = slices.DeleteFunc(in.pending, func(other *request) bool { return other == r })
-	return true
 }
 
 // Run stores requests until ctx ends.
@@ -206,227 +195,3 @@
 		}
 	}
 }
-
-// hasPending reports whether a request is pending.
-func (in *Intake) hasPending() bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return len(in.pending) > 0
-}
-
-// takeBatch returns the next requests, which share an append, and marks them as in progress.
-func (in *Intake) takeBatch() []*request {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	size, n := 0, 0
-	for n < len(in.pending) && (n == 0 || size+len(in.pending[n].record.Value) <= in.cfg.MaxBatchBytes) {
-		size += len(in.pending[n].record.Value)
-		n++
-	}
-	batch := in.pending[:n:n]
-	in.pending = in.pending[n:]
-	for _, r := range batch {
-		r.inProgress = true
-	}
-	return batch
-}
-
-// shutDown refuses the pending requests and all later ones.
-func (in *Intake) shutDown() {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, r := range in.pending {
-		r.done <- errStopping
-	}
-	in.pending = nil
-	in.stopped = true
-}
-
-// storeBatch makes the leader store a batch. If that is not possible, or if its outcome is unknown, the
-// batch is appended directly: a record that is stored twice counts once.
-func (in *Intake) storeBatch(batch []*request) {
-	uncertain, batch := in.storeViaLeader(batch)
-	if len(batch) == 0 {
-		return
-	}
-	if !uncertain {
-		in.setInProgress(batch, false) // nothing is sent until a slot is free
-	}
-	batch, free := in.acquireDirectSlot(batch, uncertain)
-	if !free {
-		in.handleRefusal(batch, errors.New("the store has been silent for a while"), uncertain)
-		return
-	}
-	defer func() { <-in.directSlots }()
-	in.appendDirectly(dropExpired(in.resume(batch), uncertain), uncertain)
-}
-
-// setInProgress records whether the requests of a batch may be stored now or later.
-func (in *Intake) setInProgress(batch []*request, inProgress bool) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, r := range batch {
-		r.inProgress = inProgress
-	}
-}
-
-// resume marks the requests of a batch as in progress and returns those that were not withdrawn.
-func (in *Intake) resume(batch []*request) []*request {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	var remaining []*request
-	for _, r := range batch {
-		if !r.withdrawn {
-			r.inProgress = true
-			remaining = append(remaining, r)
-		}
-	}
-	return remaining
-}
-
-// storeDownCheckInterval is the time between two checks of a waiting batch whether the store is down.
-const storeDownCheckInterval = 50 * time.Millisecond
-
-// acquireDirectSlot waits until the batch may be appended directly and returns the requests that still
-// wait. It returns false if the store is down.
-func (in *Intake) acquireDirectSlot(batch []*request, uncertain bool) ([]*request, bool) {
-	check := time.NewTicker(storeDownCheckInterval)
-	defer check.Stop()
-	for !in.storeDown() {
-		select {
-		case in.directSlots <- struct{}{}:
-			if !uncertain {
-				batch = in.refuseHopeless(batch)
-			}
-			return batch, true
-		case <-check.C:
-			in.refuseHopelessPending()
-			if !uncertain {
-				batch = in.refuseHopeless(batch)
-			}
-		}
-	}
-	return batch, false
-}
-
-// lastDeadline returns the latest deadline of the batch's clients.
-func lastDeadline(batch []*request) time.Time {
-	var last time.Time
-	for _, r := range batch {
-		if d, ok := r.ctx.Deadline(); ok && d.After(last) {
-			last = d
-		}
-	}
-	if last.IsZero() {
-		return time.Now().Add(defaultWait)
-	}
-	return last
-}
-
-// defaultWait replaces the deadline if no client of the batch has one.
-const defaultWait = 3 * time.Second
-
-// appendDirectly appends a batch. It repeats the append while the outcome is uncertain and some of the
-// requests have time left.
-func (in *Intake) appendDirectly(batch []*request, uncertain bool) {
-	for len(batch) > 0 {
-		err := in.append(batch)
-		in.recordRefusal(errors.Is(err, platform.ErrUnavailable))
-		if err == nil {
-			answerAll(batch, nil)
-			return
-		}
-		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
-		if !uncertain || in.storeDown() {
-			in.handleRefusal(batch, err, uncertain)
-			return
-		}
-		if batch = dropExpired(batch, uncertain); len(batch) > 0 {
-			time.Sleep(in.cfg.RetryDelay)
-		}
-	}
-}
-
-// handleRefusal answers a batch that the store did not accept. Requests that are certainly not stored
-// and may still be retried are queued again after a delay.
-func (in *Intake) handleRefusal(batch []*request, cause error, uncertain bool) {
-	if uncertain {
-		answerAll(batch, errors.Mark(cause, ErrUnknown))
-		return
-	}
-	var retried []*request
-	for _, r := range batch {
-		if time.Now().Before(r.retryUntil) && r.ctx.Err() == nil {
-			retried = append(retried, r)
-			continue
-		}
-		r.done <- errors.Mark(cause, ErrNotStored)
-	}
-	if refused := len(batch) - len(retried); refused > 0 {
-		in.logger.WithError(cause).WithField("requests", refused).Info("store takes nothing")
-	}
-	if len(retried) > 0 {
-		in.requeueAfterDelay(retried)
-	}
-}
-
-// requeueAfterDelay queues requests again after a delay; none of them is stored.
-func (in *Intake) requeueAfterDelay(batch []*request) {
-	in.mu.Lock()
-	for _, r := range batch {
-		r.inProgress = false
-	}
-	in.mu.Unlock()
-	time.AfterFunc(min(in.refusalDelay(), time.Until(earliestRetryDeadline(batch))), func() { in.requeue(batch) })
-}
-
-func (in *Intake) requeue(batch []*request) {
-	for _, r := range batch {
-		if err := in.enqueue(r); err != nil {
-			r.done <- err
-		}
-	}
-}
-
-// dropExpired answers the requests whose clients no longer wait and returns the others.
-func dropExpired(batch []*request, uncertain bool) []*request {
-	outcome := ErrNotStored
-	if uncertain {
-		outcome = ErrUnknown
-	}
-	var remaining []*request
-	for _, r := range batch {
-		if r.ctx.Err() != nil {
-			r.done <- errors.Mark(r.ctx.Err(), outcome)
-			continue
-		}
-		remaining = append(remaining, r)
-	}
-	return remaining
-}
-
-// append appends a batch once. The time for the answer doubles after an append that got none, up to
-// MaxAppendTimeout: a store with a long queue would otherwise be sent each batch again while it works on
-// it.
-func (in *Intake) append(batch []*request) error {
-	timeout := in.appendPace.start(in.cfg.AppendTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	_, err := in.log.Append(ctx, platform.Append{Partition: in.partition, Records: recordsOf(batch)})
-	in.appendPace.end(ctx.Err() != nil, in.cfg.MaxAppendTimeout)
-	return err
-}
-
-func recordsOf(batch []*request) []platform.Record {
-	records := make([]platform.Record, len(batch))
-	for i, r := range batch {
-		records[i] = r.record
-	}
-	return records
-}
-
-func answerAll(batch []*request, err error) {
-	for _, r := range batch {
-		r.done <- err
-	}
-}
