--- a/internal/forecast/job.go
+++ b/internal/forecast/job.go
@@ -101,7 +101,7 @@
 
 // freeNow reports whether the steps that depend on no other fit into what is free at present.
 func (p *Profile) freeNow(l *layer, j *Job) bool {
-	left := l.free[0]
+	left := l.free[0].unpack()
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if len(s.DependsOn) > 0 || s.Tasks <= 0 {
--- a/internal/forecast/place.go
+++ b/internal/forecast/place.go
@@ -53,17 +53,21 @@
 	return p.times(l, d, left)
 }
 
-// demanded returns the capacity of an amount of tasks.
-func demanded(task Capacity, amount float64) Capacity {
+// demanded returns the capacity of an amount of tasks, rounded up. An infinite amount is more
+// than any layer holds.
+func demanded(task Capacity, amount float64) packed {
+	part := func(n int64) int64 {
+		return int64(min(maxPart, math.Ceil(amount*float64(max(n, 0))-1e-6)))
+	}
 	if math.IsInf(amount, 1) {
-		return Capacity{math.MaxInt64, math.MaxInt64}
+		return Capacity{maxPart, maxPart}.pack()
 	}
-	return Capacity{int64(math.Ceil(amount*float64(task.MilliCPU) - 1e-6)), int64(math.Ceil(amount*float64(task.MemoryMB) - 1e-6))}
+	return Capacity{part(task.MilliCPU), part(task.MemoryMB)}.pack()
 }
 
 // search returns the first bucket from b on at which an amount is free for a whole run, or
 // the number of buckets.
-func (p *Profile) search(l *layer, known *searchCache, need Capacity, b, run int) int {
+func (p *Profile) search(l *layer, known *searchCache, need packed, b, run int) int {
 	if known == nil {
 		return p.firstFit(l.free, need, b, run)
 	}
@@ -76,7 +80,7 @@
 }
 
 // firstFit is search without a cache.
-func (p *Profile) firstFit(free []Capacity, need Capacity, b, run int) int {
+func (p *Profile) firstFit(free []packed, need packed, b, run int) int {
 	for checked := b; b < p.buckets; {
 		end := min(b+run, p.buckets)
 		for checked < end && free[checked].holds(need) {
@@ -104,13 +108,13 @@
 
 // searchResult says that an amount isn't free for a whole run before some bucket.
 type searchResult struct {
-	need   Capacity
+	need   packed
 	run    int
 	bucket int
 }
 
 // firstCandidate returns a bucket before which the need can't be met.
-func (c *searchCache) firstCandidate(need Capacity, run int) int {
+func (c *searchCache) firstCandidate(need packed, run int) int {
 	first := 0
 	for i := range c.results {
 		if r := &c.results[i]; r.bucket > first && run >= r.run && need.holds(r.need) {
@@ -132,13 +136,17 @@
 }
 
 // smallest returns the smallest amount, in tasks, that is free during a run that starts in a bucket.
-func (p *Profile) smallest(free []Capacity, task Capacity, b, run int) float64 {
-	cpu, memory := free[b].MilliCPU, free[b].MemoryMB
-	window := free[b:min(b+run, p.buckets)]
-	for i := range window {
-		cpu, memory = min(cpu, window[i].MilliCPU), min(memory, window[i].MemoryMB)
+func (p *Profile) smallest(free []packed, task Capacity, b, run int) float64 {
+	low := free[b].unpack()
+	lowest := low.pack()
+	for _, c := range free[b:min(b+run, p.buckets)] {
+		if !c.holds(lowest) {
+			u := c.unpack()
+			low = Capacity{min(low.MilliCPU, u.MilliCPU), min(low.MemoryMB, u.MemoryMB)}
+			lowest = low.pack()
+		}
 	}
-	return amountOf(Capacity{cpu, memory}, task)
+	return amountOf(low, task)
 }
 
 // ownTasks returns how many tasks that were placed for the present demand run in a bucket.
@@ -187,7 +195,7 @@
 	left := d.Tasks
 	for _, s := range p.starts {
 		left -= s.tasks
-		taken := d.Task.times(s.tasks)
+		taken := d.Task.times(s.tasks).pack()
 		end := min(s.bucket+run, p.buckets)
 		take(l.free[s.bucket:end], taken)
 		if inTime {
@@ -197,9 +205,8 @@
 	l.overflow = l.overflow.add(d.Task, left, d.Run)
 }
 
-func take(from []Capacity, taken Capacity) {
+func take(from []packed, taken packed) {
 	for b := range from {
-		from[b].MilliCPU -= taken.MilliCPU
-		from[b].MemoryMB -= taken.MemoryMB
+		from[b] -= taken
 	}
 }
--- a/internal/forecast/profile.go
+++ b/internal/forecast/profile.go
@@ -85,9 +85,9 @@
 
 // layer is the state of the profile after some of the waiting steps were booked.
 type layer struct {
-	free     []Capacity // by bucket; negative if a demand was booked regardless of others
-	inTime   []Capacity // by bucket: free if only steps that are expected to be in time are booked
-	overflow work       // booked work that has no place within the horizon
+	free     []packed // by bucket; negative if a demand was booked regardless of others
+	inTime   []packed // by bucket: free if only steps that are expected to be in time are booked
+	overflow work     // booked work that has no place within the horizon
 }
 
 // Profile is the expected free capacity over time. It is not safe for concurrent use.
@@ -122,7 +122,7 @@
 	current := p.emptyLayer(releases)
 	layers := min(maxLayers, len(waiting)) + 1
 	p.layers = make([]layer, 0, layers)
-	buffer := make([]Capacity, 0, 2*layers*p.buckets) // one allocation for all layers
+	buffer := make([]packed, 0, 2*layers*p.buckets) // one allocation for all layers
 	keep := func() {
 		n := len(buffer)
 		buffer = append(append(buffer, current.free...), current.inTime...)
@@ -144,17 +144,18 @@
 
 // emptyLayer returns the free capacity without any waiting step.
 func (p *Profile) emptyLayer(releases []Release) layer {
-	l := layer{free: make([]Capacity, p.buckets), inTime: make([]Capacity, p.buckets)}
+	released := make([]Capacity, p.buckets)
 	for _, r := range releases {
 		// Rounded up, since a bucket holds what is free during all of it.
 		if b := bucketsIn(r.After); b < p.buckets {
-			l.free[b] = l.free[b].Add(r.Capacity)
+			released[b] = released[b].Add(r.Capacity)
 		}
 	}
+	l := layer{free: make([]packed, p.buckets), inTime: make([]packed, p.buckets)}
 	sum := p.free
 	for b := range l.free {
-		sum = sum.Add(l.free[b])
-		l.free[b] = sum
+		sum = sum.Add(released[b])
+		l.free[b] = sum.pack()
 	}
 	copy(l.inTime, l.free)
 	return l
--- a/internal/forecast/profile_test.go
+++ b/internal/forecast/profile_test.go
@@ -102,8 +102,8 @@
 		free := p.layers[p.layerOf(position)].free
 		first := bucketsIn(times.First)
 		for b := first; b < min(first+bucketsIn(d.Run), p.buckets); b++ {
-			if !free[b].holds(width) {
-				t.Fatalf("starts at %v, %v is free at bucket %d, its width is %v", times.First, free[b], b, width)
+			if !free[b].holds(width.pack()) {
+				t.Fatalf("starts at %v, %v is free at bucket %d, its width is %v", times.First, free[b].unpack(), b, width)
 			}
 		}
 	})
@@ -127,7 +127,7 @@
 			p.book(&l, &d, true)
 			wider := d.Gang && d.Tasks > 1
 			for b, c := range l.free {
-				if !wider && c.MilliCPU < 0 {
+				if c := c.unpack(); !wider && (c.MilliCPU < 0 || c.MemoryMB < 0) {
 					t.Fatalf("%v is free in bucket %d", c, b)
 				}
 			}
@@ -139,6 +139,25 @@
 	})
 }
 
+// Guards against a part of an amount that leaks into the other when it is negative.
+func TestPackedAmounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) Capacity {
+			return Capacity{rapid.Int64Range(-maxPart/2, maxPart/2).Draw(t, name+"_cpu"), rapid.Int64Range(-maxPart/2, maxPart/2).Draw(t, name+"_mb")}
+		}
+		a, b := draw("a"), draw("b")
+		if got := a.pack().unpack(); got != a {
+			t.Fatalf("%v becomes %v", a, got)
+		}
+		if got := (a.pack() - b.pack()).unpack(); got != a.sub(b) {
+			t.Fatalf("%v less %v is %v", a, b, got)
+		}
+		if got := a.pack().holds(b.pack()); got != a.holds(b) {
+			t.Fatalf("%v holds %v: %v", a, b, got)
+		}
+	})
+}
+
 // Guards against layers that miss waiting steps: a demand behind all of them once saw
 // capacity that the last ones take.
 func TestLayersContainTheStepsAhead(t *testing.T) {
--- a/internal/forecast/retries.go
+++ b/internal/forecast/retries.go
@@ -22,8 +22,8 @@
 	profile  *Profile
 	layer    layer     // of the profile, with the bookings
 	builtAt  time.Time // moment of the profile
-	booked   []Capacity
-	overflow work // booked work without a place within the horizon
+	booked   []packed  // by bucket
+	overflow work      // booked work without a place within the horizon
 }
 
 // Next returns after which time, from now on, a refused job should be submitted again, and
@@ -52,7 +52,7 @@
 	run := max(1, bucketsIn(d.Run))
 	for _, s := range p.starts {
 		for b := s.bucket; b < min(s.bucket+run, p.buckets); b++ {
-			r.booked[b] = r.booked[b].Add(d.Task.times(s.tasks))
+			r.booked[b] += d.Task.times(s.tasks).pack()
 		}
 	}
 	p.book(&r.layer, d, false)
@@ -67,7 +67,7 @@
 	if r.profile == nil {
 		elapsed = 0
 	}
-	booked := make([]Capacity, p.buckets)
+	booked := make([]packed, p.buckets)
 	// The part of a bucket that the moments don't have in common is kept for the next move.
 	shift := int(min(elapsed/BucketWidth, MaxHorizon/BucketWidth))
 	if shift < len(r.booked) {
@@ -81,7 +81,7 @@
 	r.profile, r.booked = p, booked
 	r.layer = p.last().clone()
 	for b := range r.layer.free {
-		r.layer.free[b] = r.layer.free[b].sub(booked[b])
+		r.layer.free[b] -= booked[b]
 	}
 	r.layer.overflow.milliCPU += r.overflow.milliCPU
 	r.layer.overflow.memoryMB += r.overflow.memoryMB
