plan, dispatch: accept jobs by the forecast of their end under overload

With Config.Overload, the cell builds a profile for each service when a job is submitted and the last one is 100 ms old, and dispatch decides by it. The waits that were forecast are compared with the actual ones by queue every 5 s. Without Overload, in the first second of a leader, and for jobs bound to certain executors, admission is as before. Steps that wait for other steps of accepted jobs are booked as well.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -238,6 +238,7 @@
 	r.cell.RecordRunning(now)
 	starts := r.cell.Plan(now)
 	r.cell.LogWaitingSteps(now)
+	r.cell.LogForecasts(now)
 	records := r.cell.TakeDirtyRecords()
 	done := r.cycleDone
 	r.cycleDone = make(chan struct{})
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -208,6 +208,10 @@
 	shared, underCap := backlog.shared, backlog.all.UnderCap(j, workspace.Cap)
 	before := shared.AheadOf(j, q, now)
 	beforeAdvice := r.cfg.Peers.EstimateWait(firstCall, before.AdviceCalls(), now)
+	delay := max(beforeAdvice+firstCall.Total, underCap.AheadOf(j, q, now).ProcessingTime())
+	if f, known := r.cell.Forecast(j, q, delay, now.UnixMilli(), now); known {
+		return r.admitByForecast(j, f, beforeAdvice)
+	}
 	request := admission.Request{
 		ExpectedWait:  max(before.ProcessingTime()+beforeAdvice, underCap.AheadOf(j, q, now).ProcessingTime()),
 		MaxUsefulWait: plan.MaxUsefulWait(j, q),
--- a/internal/dispatch/testcell_test.go
+++ b/internal/dispatch/testcell_test.go
@@ -255,6 +255,7 @@
 	epoch    api.Epoch
 	peers    *assist.Peers // nil: the leader is alone and there is no advice
 	advice   *queue.Advice // advice settings of the queue; nil: no advice
+	overload bool          // jobs are accepted by forecast
 }
 
 func newTestCell(t *testing.T) *testCell {
@@ -294,8 +295,10 @@
 	if peers == nil {
 		peers = assist.NewPeers("a", nil, nil)
 	}
+	planConfig := plan.DefaultConfig()
+	planConfig.Overload = p.overload
 	p.runner = New(Config{
-		Plan:           plan.DefaultConfig(),
+		Plan:           planConfig,
 		Self:           leader.Leader{Epoch: p.epoch, Node: "a"},
 		Log:            p.log,
 		Jobs:           jobsPartition,
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -51,6 +51,7 @@
 	failedStarts        startFailures        // start orders without confirmation since the last summary
 	deferredTasks       []*task              // tasks that may not start yet, since an earlier order for them is unsettled
 	lossTimes           []time.Time          // when recently lost executors became unresponsive
+	forecasts           forecasts            // of new jobs
 	failedImages        map[string]time.Time // by image: when a job was failed because a task with this image crashed its executors
 }
 
--- /dev/null
+++ b/internal/plan/forecast.go
@@ -0,0 +1,298 @@
+package plan
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/forecast"
+	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/work"
+)
+
+const (
+	// forecastInterval is the minimum time between two builds of the profiles.
+	forecastInterval = 100 * time.Millisecond
+	// forecastLogInterval is the time between two reports of the forecasts' accuracy.
+	forecastLogInterval = 5 * time.Second
+)
+
+// forecasts is what a cell keeps for forecasts of new jobs. All of it is lost with the leader.
+type forecasts struct {
+	builtAt  time.Time
+	services map[string]*serviceForecast
+	expected map[work.ID]expectedStart // accepted jobs that have not started
+	accuracy forecast.Accuracy
+	loggedAt time.Time
+}
+
+// serviceForecast is the profile of the executors of one service.
+type serviceForecast struct {
+	executors []forecast.Executor
+	releases  []forecast.Release
+	ranks     []rank // of the waiting steps, in start order
+	waiting   []forecast.Demand
+	profile   *forecast.Profile
+	retries   *forecast.Retries
+}
+
+// expectedStart is the forecast with which a job was accepted.
+type expectedStart struct {
+	acceptedAt time.Time
+	wait       time.Duration // until its first start
+}
+
+// JobForecast is the forecast of a new job. Its times are durations from the time of the
+// submission.
+type JobForecast struct {
+	First, Last time.Duration // first and last start of a task
+	End         time.Duration
+	InTimeEnd   time.Duration // see forecast.Forecast
+	DelayedEnd  time.Duration // end if only the delay given by the caller kept the job back
+	Objective   time.Duration // time in which the job should end
+	FreeNow     bool
+	InExcess    bool // its workspace submits more than its weight or uses more than its share
+
+	id       work.ID
+	now      time.Time
+	service  *serviceForecast
+	job      forecast.Job // with durations from the moment of the profile
+	position int          // number of waiting steps ahead of it
+	forecast forecast.Forecast
+}
+
+// Forecast returns the forecast of a job that is submitted at a time and can't start before a
+// delay, for example because of advice calls. There is none unless Config.Overload is set, as
+// long as a new leader awaits the reports of executors, and for jobs that only some executors
+// can run or that have no end.
+func (c *Cell) Forecast(j *work.Job, q *queue.Queue, delay time.Duration, wallMillis int64, now time.Time) (*JobForecast, bool) {
+	if q == nil || j.Repetitions > 0 || j.LongRunning() || slices.ContainsFunc(j.Steps, needsCertainExecutors) {
+		return nil, false
+	}
+	c.updateForecasts(now)
+	s := c.forecasts.services[q.Service]
+	if s == nil || s.profile == nil {
+		return nil, false
+	}
+	age := min(maxAge, time.Duration(max(0, wallMillis-j.AcceptedMs))*time.Millisecond)
+	path, passed := j.CriticalPath(), max(0, now.Sub(c.forecasts.builtAt))
+	f := &JobForecast{
+		id: j.ID, now: now, service: s, DelayedEnd: delay + path, Objective: objectiveFor(j, q) - age,
+		job: forecast.Job{Steps: make([]forecast.Step, len(j.Steps))},
+	}
+	f.job.Objective = passed + f.Objective
+	for i := range j.Steps {
+		f.job.Steps[i] = forecast.Step{DependsOn: j.Steps[i].DependsOn, Demand: c.demandOf(&j.Steps[i], q, j.Steps[i].TaskCount)}
+		f.job.Steps[i].NotBefore = passed + delay
+	}
+	r := rank{latestStart: now.Add(f.Objective - path)}
+	if !now.Before(r.latestStart) {
+		r.lateness = late
+	}
+	if w := c.workspaceOf(j.Workspace); w != nil {
+		r.excess, r.overShare = !w.hasJobToken(now), w.overShare
+	}
+	f.InExcess = r.excess || r.overShare
+	f.position = s.positionOf(r)
+	f.forecast = s.profile.Forecast(&f.job, f.position)
+	f.First, f.Last, f.FreeNow = f.forecast.First-passed, f.forecast.Last-passed, f.forecast.FreeNow
+	f.End, f.InTimeEnd = f.forecast.End-passed, f.forecast.InTimeEnd-passed
+	return f, true
+}
+
+// needsCertainExecutors reports whether a step can't run on any executor of its service. The
+// profile doesn't distinguish the executors.
+func needsCertainExecutors(s work.Step) bool {
+	return s.RequiredLabel != "" || s.TaskResources.Accelerators > 0
+}
+
+// hasJobToken reports whether a job that arrives now would not be in excess of the weight.
+func (w *workspace) hasJobToken(now time.Time) bool {
+	if w.weight <= 0 {
+		return true
+	}
+	elapsed := max(0, now.Sub(w.refilledAt))
+	return min(w.jobBurst(), w.jobTokens+w.weight*elapsed.Seconds()) >= 1
+}
+
+// BookForecast counts the job of a forecast as accepted.
+func (c *Cell) BookForecast(f *JobForecast) {
+	f.service.profile.Add(&f.job, f.position, f.forecast)
+	if c.forecasts.expected == nil {
+		c.forecasts.expected = make(map[work.ID]expectedStart)
+	}
+	c.forecasts.expected[f.id] = expectedStart{f.now, f.First}
+}
+
+// RetryAfter returns after which time the job of a forecast should be submitted again, and
+// counts it as expected then.
+func (c *Cell) RetryAfter(f *JobForecast) time.Duration {
+	return f.service.retries.Next(f.service.profile, c.forecasts.builtAt, f.now, &f.job)
+}
+
+// recordFirstStart compares the forecast of a job that has started with its actual wait.
+func (c *Cell) recordFirstStart(j *job, now time.Time) {
+	if e, known := c.forecasts.expected[j.spec.ID]; known {
+		delete(c.forecasts.expected, j.spec.ID)
+		c.forecasts.accuracy.Record(j.spec.Queue, e.wait, now.Sub(e.acceptedAt))
+	}
+}
+
+// LogForecasts logs at intervals how accurate the forecasts were for each queue.
+func (c *Cell) LogForecasts(now time.Time) {
+	if !c.cfg.Overload || now.Sub(c.forecasts.loggedAt) < forecastLogInterval {
+		return
+	}
+	c.forecasts.loggedAt = now
+	for id, e := range c.forecasts.expected {
+		if now.Sub(e.acceptedAt) > maxAge { // cancelled, or not stored after all
+			delete(c.forecasts.expected, id)
+		}
+	}
+	for _, s := range c.forecasts.accuracy.Take() {
+		c.logger.WithFields(logrus.Fields{
+			"queue": s.Queue, "starts": s.Starts, "accurate_percent": int(100 * s.Accurate),
+			"error_p10_ms": s.P10.Milliseconds(), "error_p50_ms": s.P50.Milliseconds(), "error_p90_ms": s.P90.Milliseconds(),
+		}).Info("forecast minus actual wait for the first start")
+	}
+}
+
+// updateForecasts builds the profiles anew if they are older than forecastInterval.
+func (c *Cell) updateForecasts(now time.Time) {
+	if !c.cfg.Overload || now.Sub(c.ledSince) <= takeoverReportWait || now.Sub(c.forecasts.builtAt) < forecastInterval {
+		return
+	}
+	former := c.forecasts.services
+	c.forecasts.services, c.forecasts.builtAt = make(map[string]*serviceForecast), now
+	for _, v := range c.sortedVMs {
+		c.addToForecast(v, now)
+	}
+	for _, r := range c.forecastOrder(now) {
+		if s := c.forecasts.services[c.serviceOf(r.step.job)]; s != nil {
+			s.ranks = append(s.ranks, r)
+			s.waiting = append(s.waiting, c.waitingDemand(r, now))
+		}
+	}
+	for name, s := range c.forecasts.services {
+		s.profile = forecast.Build(forecast.MaxHorizon, s.executors, s.releases, s.waiting)
+		s.retries = &forecast.Retries{}
+		if f := former[name]; f != nil {
+			s.retries = f.retries
+		}
+	}
+}
+
+// addToForecast adds an executor that may be given work, or that isn't called because there
+// is too little work.
+func (c *Cell) addToForecast(v *vm, now time.Time) {
+	usable := v.usable(now, &c.cfg)
+	uncalled := !v.active && !v.Draining && len(v.allocations) == 0
+	if !c.inService(v) || !usable && !uncalled {
+		return
+	}
+	s := c.forecasts.services[v.Service]
+	if s == nil {
+		s = &serviceForecast{}
+		c.forecasts.services[v.Service] = s
+	}
+	capacity, free := forecastCapacity(v.Capacity), forecastCapacity(v.free())
+	free.MilliCPU, free.MemoryMB = max(0, free.MilliCPU), max(0, free.MemoryMB)
+	s.executors = append(s.executors, forecast.Executor{Capacity: capacity, Free: free})
+	for _, alloc := range v.allocations {
+		after := max(overdueEndDelay, alloc.expectedEndAt(now).Sub(now))
+		s.releases = append(s.releases, forecast.Release{After: after, Capacity: forecastCapacity(alloc.resources)})
+	}
+}
+
+func forecastCapacity(r api.Resources) forecast.Capacity {
+	return forecast.Capacity{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB}
+}
+
+// forecastOrder returns the ranks of the steps that wait for a start, and of those that wait
+// for other steps of their jobs, in start order.
+func (c *Cell) forecastOrder(now time.Time) []rank {
+	var ranks []rank
+	for _, s := range c.waitingSteps {
+		if !s.ready || s.complete() {
+			continue
+		}
+		if n := s.countToPlace(); n > 0 && !s.heldByCap(n) {
+			ranks = append(ranks, c.rankOf(s, now))
+		}
+		if s.occ.firstOpenStep() != s {
+			continue // the steps to come are added once
+		}
+		for _, other := range s.occ.steps {
+			if !other.ready {
+				ranks = append(ranks, c.rankOf(other, now))
+			}
+		}
+	}
+	slices.SortStableFunc(ranks, rank.compare)
+	first := slices.IndexFunc(ranks, func(r rank) bool { return r.step == c.largestGang })
+	if first > 0 {
+		largest := ranks[first]
+		copy(ranks[1:first+1], ranks[:first])
+		ranks[0] = largest
+	}
+	return ranks
+}
+
+// firstOpenStep returns the first ready step that has not ended, or nil.
+func (o *occurrence) firstOpenStep() *step {
+	for _, s := range o.steps {
+		if s.ready && !s.complete() {
+			return s
+		}
+	}
+	return nil
+}
+
+// positionOf returns how many of the waiting steps start before a new job of a rank.
+func (s *serviceForecast) positionOf(r rank) int {
+	sorted := s.ranks
+	moved := 0 // the largest gang, which goes first whatever its rank is
+	if len(sorted) > 1 && sorted[0].compare(sorted[1]) > 0 {
+		sorted, moved = sorted[1:], 1
+	}
+	return moved + sort.Search(len(sorted), func(i int) bool { return sorted[i].compare(r) > 0 })
+}
+
+// waitingDemand returns what a step still has to start.
+func (c *Cell) waitingDemand(r rank, now time.Time) forecast.Demand {
+	s, q := r.step, c.queueOf(r.step.job)
+	tasks := s.countToPlace()
+	d := c.demandOf(s.spec, q, tasks)
+	d.LatestStart = r.latestStart.Sub(now)
+	d.NotBefore = max(s.earliestStart(), s.retryAt.Sub(now))
+	if q != nil && q.Advice != nil && !s.advice.hasValidTicket(now) {
+		d.NotBefore = max(d.NotBefore, q.Advice.CallTime(c.expectedCallSize(s)).Total)
+	}
+	return d
+}
+
+// earliestStart returns how long the steps that a step waits for still take at least.
+func (s *step) earliestStart() time.Duration {
+	if s.ready {
+		return 0
+	}
+	earliest := time.Duration(0)
+	for _, i := range s.spec.DependsOn {
+		if before := s.occ.steps[i]; !before.complete() {
+			earliest = max(earliest, before.earliestStart()+before.spec.Estimate)
+		}
+	}
+	return earliest
+}
+
+// demandOf returns the demand of a number of a step's tasks.
+func (c *Cell) demandOf(spec *work.Step, q *queue.Queue, tasks int) forecast.Demand {
+	d := forecast.Demand{Tasks: tasks, Task: forecastCapacity(spec.TaskResources), Run: spec.Estimate, Gang: spec.Gang, Share: 1}
+	if q != nil && q.Advice != nil {
+		d.Share = c.grantShare(q)
+	}
+	return d
+}
--- a/internal/plan/started.go
+++ b/internal/plan/started.go
@@ -19,6 +19,7 @@
 	}
 	j.state = work.Running
 	j.startedAt = now
+	c.recordFirstStart(j, now)
 	c.recentlyStarted = append(c.recentlyStarted, j)
 }
 
