forecast: book the jobs that are expected to arrive, and all steps that can still be in time

Now every step ahead that can still be in time counts, and the arrivals of the last second are expected to go on. Retries are booked in what accepted work leaves, without expected arrivals.

The rule for steps that are expected to be late has changed, and with it the case in TestForecast.

--- a/internal/forecast/bench_test.go
+++ b/internal/forecast/bench_test.go
@@ -65,7 +65,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				p.Add(&j, 1000, p.Forecast(&j, 1000))
-				r.Next(p, now, now, &j)
+				r.Next(p, now, &j)
 			}
 		})
 	}
--- a/internal/forecast/job.go
+++ b/internal/forecast/job.go
@@ -10,8 +10,9 @@
 
 // Job is a job that is submitted.
 type Job struct {
-	Steps []Step
-	// Objective is the time from now until which the job should have ended.
+	Steps     []Step
+	Submitted time.Duration // from the moment of the profile; all other times of the job are from there as well
+	// Objective is the time until which the job should have ended.
 	Objective time.Duration
 }
 
@@ -23,9 +24,9 @@
 	// FreeNow is true if the tasks of all steps that depend on no other step fit into what is
 	// free at present.
 	FreeNow bool
-	// InTimeEnd is the expected end if only those steps ahead of the job were served that are
-	// expected to be in time themselves. If it is later than the objective, the capacity
-	// until then is booked by such steps.
+	// InTimeEnd is the expected end if only those steps ahead of the job were served that can
+	// still be in time. If it is later than the objective, the capacity until then is booked by
+	// such steps.
 	InTimeEnd time.Duration
 }
 
@@ -55,6 +56,7 @@
 	for i := p.layerOf(position); i < len(p.layers); i++ {
 		p.bookJob(&p.layers[i], j, f)
 	}
+	p.bookJob(&p.accepted, j, f)
 }
 
 // bookJob books a job in one layer.
@@ -63,9 +65,9 @@
 		if f.FreeNow && isFirst {
 			// It starts in capacity that is kept free for a gang, and jobs submitted at the same
 			// moment must not be accepted because of the same capacity.
-			p.starts = append(p.starts[:0], booking{0, d.Tasks})
+			p.starts = append(p.starts[:0], booking{min(int(j.Submitted/BucketWidth), p.buckets-1), d.Tasks})
 		}
-		p.book(l, d, f.Known && f.End <= j.Objective)
+		p.book(l, d, true)
 	})
 }
 
@@ -99,9 +101,14 @@
 	return t, end
 }
 
+// freeMargin is the part of a job's width that must be free at present. What a job can use of the
+// free capacity is known only roughly, and a refusal while executors are free is worse than a job
+// that is late.
+const freeMargin = 0.6
+
 // freeNow reports whether the steps that depend on no other fit into what is free at present.
 func (p *Profile) freeNow(l *layer, j *Job) bool {
-	left := l.free[0].unpack()
+	left := l.free[min(int(j.Submitted/BucketWidth), p.buckets-1)].unpack()
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if len(s.DependsOn) > 0 || s.Tasks <= 0 {
@@ -116,7 +123,7 @@
 			slots += float64(int(amountOf(p.executors[k].Free, s.Task)))
 		}
 		shape := p.shapeOf(&s.Demand)
-		if shape.share*slots*min(1, amountOf(left, s.Task)/amount) < float64(shape.width(s.Tasks)) {
+		if shape.share*slots*min(1, amountOf(left, s.Task)/amount) < freeMargin*float64(shape.width(s.Tasks)) {
 			return false
 		}
 		left = left.sub(s.Task.times(s.Tasks))
--- a/internal/forecast/profile.go
+++ b/internal/forecast/profile.go
@@ -73,6 +73,7 @@
 	Share       float64       // fraction of the executors on which the step may run, above 0 and at most 1
 	NotBefore   time.Duration // earliest start, for example because the step needs advice first
 	LatestStart time.Duration // latest start of the last task with which the job can meet its objective
+	Expected    bool          // of jobs that have not been submitted yet (Arrivals)
 }
 
 // Times are the expected start times of a demand.
@@ -86,7 +87,7 @@
 // layer is the state of the profile after some of the waiting steps were booked.
 type layer struct {
 	free     []packed // by bucket; negative if a demand was booked regardless of others
-	inTime   []packed // by bucket: free if only steps that are expected to be in time are booked
+	inTime   []packed // by bucket: free if only steps that can still be in time are booked
 	overflow work     // booked work that has no place within the horizon
 }
 
@@ -101,6 +102,7 @@
 	fragmentations map[Capacity]float64 // usable part of the present free capacity, by rounded size of a task
 	waiting        int                  // waiting steps that were booked
 	layers         []layer              // with increasing numbers of them; the last contains all
+	accepted       layer                // with all waiting steps, but without demands of jobs to come
 	starts         []booking
 }
 
@@ -120,6 +122,7 @@
 	p.freeBins = binned(executors, freeAmount)
 	p.emptyBins = binned(executors, func(e *Executor) Capacity { return e.Capacity })
 	current := p.emptyLayer(releases)
+	p.accepted = current.clone()
 	layers := min(maxLayers, len(waiting)) + 1
 	p.layers = make([]layer, 0, layers)
 	buffer := make([]packed, 0, 2*layers*p.buckets) // one allocation for all layers
@@ -133,8 +136,8 @@
 	var known searchCache
 	for i := range waiting {
 		d := &waiting[i]
-		times := p.place(&current, d, &known)
-		p.book(&current, d, times.Known && times.Last <= d.LatestStart)
+		p.place(&current, d, &known)
+		p.book(&current, d, d.LatestStart > 0)
 		if i+1 == len(waiting) || p.layerOf(i+2) > p.layerOf(i+1) {
 			keep()
 		}
--- a/internal/forecast/profile_test.go
+++ b/internal/forecast/profile_test.go
@@ -204,12 +204,12 @@
 			So(f.End, ShouldEqual, 4*time.Second)
 			So(f.FreeNow, ShouldBeFalse)
 		})
-		Convey("steps ahead that will be late don't count as capacity booked by steps in time", func() {
+		Convey("steps ahead that can't be in time don't count as capacity booked by steps in time", func() {
 			j := Job{Steps: []Step{{Demand: d}}, Objective: 3 * time.Second}
 			inTime := Build(MaxHorizon, busy(), ends, []Demand{d}).Forecast(&j, 1)
 			So(inTime.InTimeEnd, ShouldBeGreaterThan, j.Objective)
 			ahead := d
-			ahead.LatestStart = time.Second
+			ahead.LatestStart = -time.Second
 			late := Build(MaxHorizon, busy(), ends, []Demand{ahead}).Forecast(&j, 1)
 			So(late.End, ShouldEqual, inTime.End)
 			So(late.InTimeEnd, ShouldEqual, 3*time.Second)
@@ -219,9 +219,9 @@
 			p := Build(MaxHorizon, busy(), ends, nil)
 			j := Job{Steps: []Step{{Demand: d}}, Objective: time.Second}
 			var r Retries
-			So(r.Next(p, now, now, &j), ShouldEqual, 2*time.Second)
-			So(r.Next(p, now, now, &j), ShouldEqual, 3*time.Second)
-			So(r.Next(Build(MaxHorizon, busy(), ends, nil), now.Add(100*time.Millisecond), now.Add(100*time.Millisecond), &j), ShouldBeGreaterThan, 3*time.Second)
+			So(r.Next(p, now, &j), ShouldEqual, 2*time.Second)
+			So(r.Next(p, now, &j), ShouldEqual, 3*time.Second)
+			So(r.Next(Build(MaxHorizon, busy(), ends, nil), now.Add(100*time.Millisecond), &j), ShouldBeGreaterThan, 3*time.Second)
 		})
 	})
 }
--- a/internal/forecast/retries.go
+++ b/internal/forecast/retries.go
@@ -13,8 +13,7 @@
 // capacity would be idle when clients return late.
 const retrySlackShare = 0.5
 
-// Retries spreads the retries of refused jobs over the capacity that is left behind all
-// accepted work: the capacity for an expected retry is booked, so that the next refused job is
+// Retries spreads the retries of refused jobs over the capacity that accepted work leaves: the capacity for an expected retry is booked, so that the next refused job is
 // sent to a later time. Bookings are kept from profile to profile. They don't affect whether
 // other jobs are accepted, since a client may not return. The zero value has no bookings.
 // It is not safe for concurrent use.
@@ -28,11 +27,11 @@
 
 // Next returns after which time, from now on, a refused job should be submitted again, and
 // books it. The profile was built for the moment builtAt.
-func (r *Retries) Next(p *Profile, builtAt, now time.Time, j *Job) time.Duration {
+func (r *Retries) Next(p *Profile, builtAt time.Time, j *Job) time.Duration {
 	if p != r.profile {
 		r.move(p, builtAt)
 	}
-	passed := max(0, now.Sub(builtAt))
+	passed := j.Submitted
 	retry := Job{Steps: make([]Step, len(j.Steps))}
 	copy(retry.Steps, j.Steps)
 	for i := range retry.Steps {
@@ -79,7 +78,7 @@
 		r.builtAt = builtAt
 	}
 	r.profile, r.booked = p, booked
-	r.layer = p.last().clone()
+	r.layer = p.accepted.clone()
 	for b := range r.layer.free {
 		r.layer.free[b] -= booked[b]
 	}
--- a/internal/plan/forecast.go
+++ b/internal/plan/forecast.go
@@ -33,10 +33,16 @@
 type serviceForecast struct {
 	executors []forecast.Executor
 	releases  []forecast.Release
-	ranks     []rank // of the waiting steps, in start order
-	waiting   []forecast.Demand
+	waiting   []forecastEntry // in start order
 	profile   *forecast.Profile
 	retries   *forecast.Retries
+	arrivals  *forecast.Arrivals // of queues of the service
+}
+
+// forecastEntry is a demand that is booked in a profile.
+type forecastEntry struct {
+	rank   rank // without a step if the job is only expected to arrive
+	demand forecast.Demand
 }
 
 // expectedStart is the forecast with which a job was accepted.
@@ -57,10 +63,11 @@
 	InExcess    bool // its workspace submits more than its weight or uses more than its share
 
 	id       work.ID
+	queue    string
 	now      time.Time
 	service  *serviceForecast
 	job      forecast.Job // with durations from the moment of the profile
-	position int          // number of waiting steps ahead of it
+	position int          // number of entries ahead of it
 	forecast forecast.Forecast
 }
 
@@ -80,10 +87,10 @@
 	age := min(maxAge, time.Duration(max(0, wallMillis-j.AcceptedMs))*time.Millisecond)
 	path, passed := j.CriticalPath(), max(0, now.Sub(c.forecasts.builtAt))
 	f := &JobForecast{
-		id: j.ID, now: now, service: s, DelayedEnd: delay + path, Objective: objectiveFor(j, q) - age,
+		id: j.ID, queue: q.Name, now: now, service: s, DelayedEnd: delay + path, Objective: objectiveFor(j, q) - age,
 		job: forecast.Job{Steps: make([]forecast.Step, len(j.Steps))},
 	}
-	f.job.Objective = passed + f.Objective
+	f.job.Submitted, f.job.Objective = passed, passed+f.Objective
 	for i := range j.Steps {
 		f.job.Steps[i] = forecast.Step{DependsOn: j.Steps[i].DependsOn, Demand: c.demandOf(&j.Steps[i], q, j.Steps[i].TaskCount)}
 		f.job.Steps[i].NotBefore = passed + delay
@@ -121,6 +128,9 @@
 // BookForecast counts the job of a forecast as accepted.
 func (c *Cell) BookForecast(f *JobForecast) {
 	f.service.profile.Add(&f.job, f.position, f.forecast)
+	if !f.InExcess { // what arrives in excess starts behind the waiting steps
+		f.service.arrivals.Record(f.queue, &f.job, f.now)
+	}
 	if c.forecasts.expected == nil {
 		c.forecasts.expected = make(map[work.ID]expectedStart)
 	}
@@ -130,7 +140,7 @@
 // RetryAfter returns after which time the job of a forecast should be submitted again, and
 // counts it as expected then.
 func (c *Cell) RetryAfter(f *JobForecast) time.Duration {
-	return f.service.retries.Next(f.service.profile, c.forecasts.builtAt, f.now, &f.job)
+	return f.service.retries.Next(f.service.profile, c.forecasts.builtAt, &f.job)
 }
 
 // recordFirstStart compares the forecast of a job that has started with its actual wait.
@@ -170,19 +180,39 @@
 	for _, v := range c.sortedVMs {
 		c.addToForecast(v, now)
 	}
-	for _, r := range c.forecastOrder(now) {
+	for _, r := range c.forecastRanks(now) {
 		if s := c.forecasts.services[c.serviceOf(r.step.job)]; s != nil {
-			s.ranks = append(s.ranks, r)
-			s.waiting = append(s.waiting, c.waitingDemand(r, now))
+			s.waiting = append(s.waiting, forecastEntry{r, c.waitingDemand(r, now)})
 		}
 	}
 	for name, s := range c.forecasts.services {
-		s.profile = forecast.Build(forecast.MaxHorizon, s.executors, s.releases, s.waiting)
-		s.retries = &forecast.Retries{}
+		s.retries, s.arrivals = &forecast.Retries{}, &forecast.Arrivals{}
 		if f := former[name]; f != nil {
-			s.retries = f.retries
+			s.retries, s.arrivals = f.retries, f.arrivals
+		}
+		s.build(c.largestGang, now)
+	}
+}
+
+// build builds the profile of the service.
+func (s *serviceForecast) build(largestGang *step, now time.Time) {
+	for _, d := range s.arrivals.Expect(forecast.MaxHorizon, now) {
+		s.waiting = append(s.waiting, forecastEntry{rank{latestStart: now.Add(d.LatestStart)}, d})
+	}
+	slices.SortStableFunc(s.waiting, func(a, b forecastEntry) int { return a.rank.compare(b.rank) })
+	if largestGang != nil {
+		first := slices.IndexFunc(s.waiting, func(e forecastEntry) bool { return e.rank.step == largestGang })
+		if first > 0 {
+			largest := s.waiting[first]
+			copy(s.waiting[1:first+1], s.waiting[:first])
+			s.waiting[0] = largest
 		}
 	}
+	demands := make([]forecast.Demand, len(s.waiting))
+	for i := range s.waiting {
+		demands[i] = s.waiting[i].demand
+	}
+	s.profile = forecast.Build(forecast.MaxHorizon, s.executors, s.releases, demands)
 }
 
 // addToForecast adds an executor that may be given work, or that isn't called because there
@@ -211,9 +241,9 @@
 	return forecast.Capacity{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB}
 }
 
-// forecastOrder returns the ranks of the steps that wait for a start, and of those that wait
-// for other steps of their jobs, in start order.
-func (c *Cell) forecastOrder(now time.Time) []rank {
+// forecastRanks returns the ranks of the steps that wait for a start, and of those that wait
+// for other steps of their jobs.
+func (c *Cell) forecastRanks(now time.Time) []rank {
 	var ranks []rank
 	for _, s := range c.waitingSteps {
 		if !s.ready || s.complete() {
@@ -231,13 +261,6 @@
 			}
 		}
 	}
-	slices.SortStableFunc(ranks, rank.compare)
-	first := slices.IndexFunc(ranks, func(r rank) bool { return r.step == c.largestGang })
-	if first > 0 {
-		largest := ranks[first]
-		copy(ranks[1:first+1], ranks[:first])
-		ranks[0] = largest
-	}
 	return ranks
 }
 
@@ -251,14 +274,14 @@
 	return nil
 }
 
-// positionOf returns how many of the waiting steps start before a new job of a rank.
+// positionOf returns how many entries start before a new job of a rank.
 func (s *serviceForecast) positionOf(r rank) int {
-	sorted := s.ranks
+	sorted := s.waiting
 	moved := 0 // the largest gang, which goes first whatever its rank is
-	if len(sorted) > 1 && sorted[0].compare(sorted[1]) > 0 {
+	if len(sorted) > 1 && sorted[0].rank.compare(sorted[1].rank) > 0 {
 		sorted, moved = sorted[1:], 1
 	}
-	return moved + sort.Search(len(sorted), func(i int) bool { return sorted[i].compare(r) > 0 })
+	return moved + sort.Search(len(sorted), func(i int) bool { return sorted[i].rank.compare(r) > 0 })
 }
 
 // waitingDemand returns what a step still has to start.
