--- a/internal/forecast/job.go
+++ b/internal/forecast/job.go
@@ -65,7 +65,7 @@
 		if f.FreeNow && isFirst {
 			// It starts in capacity that is kept free for a gang, and jobs submitted at the same
 			// moment must not be accepted because of the same capacity.
-			p.starts = append(p.starts[:0], booking{min(int(j.Submitted/BucketWidth), p.buckets-1), d.Tasks})
+			p.starts = append(p.starts[:0], booking{p.bucketOf(j.Submitted), d.Tasks})
 		}
 		p.book(l, d, true)
 	})
@@ -108,19 +108,42 @@
 
 // freeNow reports whether the steps that depend on no other fit into what is free at present.
 func (p *Profile) freeNow(l *layer, j *Job) bool {
-	left := l.free[min(int(j.Submitted/BucketWidth), p.buckets-1)].unpack()
+	b := p.bucketOf(j.Submitted)
+	return p.fits(j, p.executors, p.free, p.free.sub(l.free[b].unpack()))
+}
+
+// FreeIn reports whether the steps of a job that depend on no other fit into the free capacity of
+// executors that were seen since the profile was built, beside the demands ahead of the job.
+// Runs often end earlier than expected, and what they free is not in the profile.
+func (p *Profile) FreeIn(executors []Executor, j *Job, position int) bool {
+	b := p.bucketOf(j.Submitted)
+	free := Capacity{}
+	for i := range executors {
+		free = free.Add(executors[i].Free)
+	}
+	booked := p.layers[0].free[b].unpack().sub(p.layers[p.layerOf(position)].free[b].unpack())
+	return p.fits(j, executors, free, booked)
+}
+
+// bucketOf returns the bucket that contains a time.
+func (p *Profile) bucketOf(at time.Duration) int { return min(int(at/BucketWidth), p.buckets-1) }
+
+// fits reports whether the first steps of a job fit into the free capacity of executors, of which
+// a part is booked.
+func (p *Profile) fits(j *Job, executors []Executor, free, booked Capacity) bool {
+	left := free.sub(booked)
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if len(s.DependsOn) > 0 || s.Tasks <= 0 {
 			continue
 		}
-		amount := amountOf(p.free, s.Task)
+		amount := amountOf(free, s.Task)
 		if amount == 0 {
 			return false
 		}
 		slots := 0.0
-		for k := range p.executors {
-			slots += float64(int(amountOf(p.executors[k].Free, s.Task)))
+		for k := range executors {
+			slots += float64(int(amountOf(executors[k].Free, s.Task)))
 		}
 		shape := p.shapeOf(&s.Demand)
 		if shape.share*slots*min(1, amountOf(left, s.Task)/amount) < freeMargin*float64(shape.width(s.Tasks)) {
--- a/internal/plan/forecast_test.go
+++ b/internal/plan/forecast_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -78,6 +79,24 @@
 	}
 }
 
+// Guards against refusals because of a profile that doesn't contain a run's early end.
+func TestForecastSeesEarlyEnds(t *testing.T) {
+	env := newForecastEnv(t)
+	full := work.Step{TaskCount: 2, TaskResources: cpus(32), Estimate: 20 * time.Second}
+	env.submitJob(1, testQueue, full)
+	starts := env.runCycle()
+	env.confirmStarts(starts)
+	small := work.Step{TaskCount: 1, TaskResources: cpus(32), Estimate: 100 * time.Millisecond}
+	if f, _ := env.forecastOf(2, small); f.FreeNow {
+		t.Fatalf("forecast %+v on a full cell", f)
+	}
+	env.advance(10 * time.Millisecond) // the profile is kept
+	env.report(starts[0].Start.To.ID, nil, ended(1, starts[0].Start.Run, platform.EndDone))
+	if f, _ := env.forecastOf(3, small); !f.FreeNow {
+		t.Errorf("forecast %+v after an executor has become free", f)
+	}
+}
+
 // Guards against forecasts that ignore the later steps of accepted jobs.
 func TestForecastContainsStepsToCome(t *testing.T) {
 	env := newForecastEnv(t)
