--- a/internal/forecast/job.go
+++ b/internal/forecast/job.go
@@ -67,7 +67,10 @@
 			// moment must not be accepted because of the same capacity.
 			p.starts = append(p.starts[:0], booking{p.bucketOf(j.Submitted), d.Tasks})
 		}
-		p.book(l, d, true)
+		p.book(l, d)
+		if l.inTime != nil {
+			p.book(&layer{free: l.inTime}, d)
+		}
 	})
 }
 
--- a/internal/forecast/place.go
+++ b/internal/forecast/place.go
@@ -189,24 +189,19 @@
 	return t
 }
 
-// book takes the capacity of the bookings in p.starts from a layer.
-func (p *Profile) book(l *layer, d *Demand, inTime bool) {
+// book takes the capacity of the bookings in p.starts from what is free in a layer.
+func (p *Profile) book(l *layer, d *Demand) {
 	run := max(1, bucketsIn(d.Run))
 	left := d.Tasks
 	for _, s := range p.starts {
 		left -= s.tasks
 		taken := d.Task.times(s.tasks).pack()
-		end := min(s.bucket+run, p.buckets)
-		take(l.free[s.bucket:end], taken)
-		if inTime {
-			take(l.inTime[s.bucket:end], taken)
+		window := l.free[s.bucket:min(s.bucket+run, p.buckets)]
+		for b := range window {
+			window[b] -= taken
 		}
 	}
-	l.overflow = l.overflow.add(d.Task, left, d.Run)
-}
-
-func take(from []packed, taken packed) {
-	for b := range from {
-		from[b] -= taken
+	if left > 0 {
+		l.overflow = l.overflow.add(d.Task, left, d.Run)
 	}
 }
--- a/internal/forecast/profile.go
+++ b/internal/forecast/profile.go
@@ -126,25 +126,58 @@
 	layers := min(maxLayers, len(waiting)) + 1
 	p.layers = make([]layer, 0, layers)
 	buffer := make([]packed, 0, 2*layers*p.buckets) // one allocation for all layers
+	inTime, accepted := make(changes, p.buckets+1), make(changes, p.buckets+1)
 	keep := func() {
 		n := len(buffer)
 		buffer = append(append(buffer, current.free...), current.inTime...)
-		free, inTime := buffer[n:n+p.buckets:n+p.buckets], buffer[n+p.buckets:len(buffer):len(buffer)]
-		p.layers = append(p.layers, layer{free: free, inTime: inTime, overflow: current.overflow})
+		l := layer{free: buffer[n : n+p.buckets : n+p.buckets], inTime: buffer[n+p.buckets : len(buffer) : len(buffer)], overflow: current.overflow}
+		inTime.apply(l.inTime)
+		p.layers = append(p.layers, l)
 	}
 	keep()
 	var known searchCache
 	for i := range waiting {
 		d := &waiting[i]
 		p.place(&current, d, &known)
-		p.book(&current, d, d.LatestStart > 0)
+		overflow := current.overflow
+		p.book(&current, d)
+		if d.LatestStart > 0 {
+			p.noteBooking(inTime, d)
+		}
+		if !d.Expected {
+			p.noteBooking(accepted, d)
+			p.accepted.overflow = p.accepted.overflow.plus(current.overflow.minus(overflow))
+		}
 		if i+1 == len(waiting) || p.layerOf(i+2) > p.layerOf(i+1) {
 			keep()
 		}
 	}
+	accepted.apply(p.accepted.free)
 	return p
 }
 
+// changes are the differences of an amount from bucket to bucket.
+type changes []packed
+
+// apply adds the amounts to buckets.
+func (c changes) apply(to []packed) {
+	sum := packed(0)
+	for b := range to {
+		sum += c[b]
+		to[b] += sum
+	}
+}
+
+// noteBooking takes the capacity of the bookings in p.starts.
+func (p *Profile) noteBooking(c changes, d *Demand) {
+	run := max(1, bucketsIn(d.Run))
+	for _, s := range p.starts {
+		taken := d.Task.times(s.tasks).pack()
+		c[s.bucket] -= taken
+		c[min(s.bucket+run, p.buckets)] += taken
+	}
+}
+
 // emptyLayer returns the free capacity without any waiting step.
 func (p *Profile) emptyLayer(releases []Release) layer {
 	released := make([]Capacity, p.buckets)
@@ -178,8 +211,6 @@
 	return (n*layers + p.waiting - 1) / p.waiting
 }
 
-func (p *Profile) last() *layer { return &p.layers[len(p.layers)-1] }
-
 // bucketsIn returns the number of buckets that a duration covers, rounded up.
 func bucketsIn(d time.Duration) int {
 	return int((max(0, d) + BucketWidth - 1) / BucketWidth)
--- a/internal/forecast/profile_test.go
+++ b/internal/forecast/profile_test.go
@@ -1,6 +1,7 @@
 package forecast
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -124,7 +125,7 @@
 			if got != want {
 				t.Fatalf("placed at %v with the cache and at %v without", got, want)
 			}
-			p.book(&l, &d, true)
+			p.book(&l, &d)
 			wider := d.Gang && d.Tasks > 1
 			for b, c := range l.free {
 				if c := c.unpack(); !wider && (c.MilliCPU < 0 || c.MemoryMB < 0) {
@@ -243,3 +244,47 @@
 		t.Error("the second summary repeats the starts of the first")
 	}
 }
+
+// Guards against layers whose capacity for steps in time, or whose accepted work, differs from
+// what the steps' bookings take.
+func TestBuildBooksEachStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		executors, releases := drawExecutors(t)
+		var waiting []Demand
+		for range rapid.IntRange(0, 2*maxLayers).Draw(t, "waiting") {
+			d := drawDemand(t)
+			d.Expected = rapid.Bool().Draw(t, "expected")
+			d.LatestStart -= 2 * time.Second
+			waiting = append(waiting, d)
+		}
+		p := Build(MaxHorizon, executors, releases, waiting)
+		want := p.layers[0].clone()
+		accepted := want.clone()
+		take := func(from []packed, d *Demand) {
+			for _, s := range p.starts {
+				for b := s.bucket; b < min(s.bucket+bucketsIn(d.Run), p.buckets); b++ {
+					from[b] -= d.Task.times(s.tasks).pack()
+				}
+			}
+		}
+		for i := range waiting {
+			d := &waiting[i]
+			p.place(&want, d, nil)
+			p.book(&want, d)
+			if d.LatestStart > 0 {
+				take(want.inTime, d)
+			}
+			if !d.Expected {
+				take(accepted.free, d)
+			}
+			if n := p.layerOf(i + 1); i+1 == len(waiting) || p.layerOf(i+2) > n {
+				if got := &p.layers[n]; !slices.Equal(got.free, want.free) || !slices.Equal(got.inTime, want.inTime) || got.overflow != want.overflow {
+					t.Fatalf("layer %d differs from the bookings of its %d steps", n, i+1)
+				}
+			}
+		}
+		if !slices.Equal(p.accepted.free, accepted.free) {
+			t.Fatal("accepted work differs from the bookings")
+		}
+	})
+}
--- a/internal/forecast/retries.go
+++ b/internal/forecast/retries.go
@@ -54,9 +54,8 @@
 			r.booked[b] += d.Task.times(s.tasks).pack()
 		}
 	}
-	p.book(&r.layer, d, false)
-	r.overflow.milliCPU += r.layer.overflow.milliCPU - before.milliCPU
-	r.overflow.memoryMB += r.layer.overflow.memoryMB - before.memoryMB
+	p.book(&r.layer, d)
+	r.overflow = r.overflow.plus(r.layer.overflow.minus(before))
 }
 
 // move applies the bookings to a newer profile. Those before its moment are dropped: the
@@ -82,8 +81,7 @@
 	for b := range r.layer.free {
 		r.layer.free[b] -= booked[b]
 	}
-	r.layer.overflow.milliCPU += r.overflow.milliCPU
-	r.layer.overflow.memoryMB += r.overflow.memoryMB
+	r.layer.overflow = r.layer.overflow.plus(r.overflow)
 }
 
 // shortestRun returns how long the job takes if none of its steps waits for capacity.
--- a/internal/forecast/work.go
+++ b/internal/forecast/work.go
@@ -12,6 +12,10 @@
 	return work{w.milliCPU + ms*float64(task.MilliCPU), w.memoryMB + ms*float64(task.MemoryMB)}
 }
 
+func (w work) plus(o work) work { return work{w.milliCPU + o.milliCPU, w.memoryMB + o.memoryMB} }
+
+func (w work) minus(o work) work { return work{w.milliCPU - o.milliCPU, w.memoryMB - o.memoryMB} }
+
 // timeOn returns how long some capacity needs for the work.
 func (w work) timeOn(c Capacity) time.Duration {
 	ms := 0.0
