gather: plan the starts of gangs in a full cell

Cause: each pass reserved whole executors anew for up to two gangs, and the sets changed from pass to pass, so gangs waited for capacity that others took. Change: package gather keeps a plan for each gang with a fixed set of slots, and internal/plan holds these slots in place of whole executors. Renewals name the executors of the plan and arrive at the planned start.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -218,6 +218,9 @@
 	if c.isPreempting(s, now) {
 		return nil // it starts as soon as the preempted runs have stopped
 	}
+	if named, decided := c.plannedCandidates(s, q, fleet, now); decided {
+		return named
+	}
 	answerBy := now.Add(q.Advice.CallTime(c.expectedCallSize(s)).Total + renewAhead)
 	executors := fleet.candidatesFor(s, q, answerBy)
 	limit := c.cfg.MaxExecutorsPerCall
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -35,6 +35,7 @@
 	waitingSteps        []*step              // steps with tasks to place
 	orderedSteps        []*step              // the waiting steps in the start order of the newest plan
 	largestGang         *step                // gang that goes first in the start order; nil if none waits
+	gangs               gangHolder           // holds capacity for gangs that don't fit
 	orderStale          bool                 // jobs were added since that order was computed
 	recurringJobs       []*job               // jobs with occurrences to come
 	recentlyStarted     []*job               // jobs that started recently, by start time
@@ -65,7 +66,7 @@
 // NewCell returns a cell without jobs and executors that is led by this process from now
 // on.
 func NewCell(cfg Config, lookupJob func(work.ID) *work.Job, logger *logrus.Entry, now time.Time) *Cell {
-	return &Cell{
+	c := &Cell{
 		cfg:                cfg,
 		logger:             logger,
 		lookupJob:          lookupJob,
@@ -80,6 +81,8 @@
 		availableShares:    make(map[string]float64),
 		failedImages:       make(map[string]time.Time),
 	}
+	c.gangs = newGathering(c)
+	return c
 }
 
 // Configure replaces the configuration of queues and services.
--- a/internal/plan/config.go
+++ b/internal/plan/config.go
@@ -68,8 +68,6 @@
 	// Overload says that clients compete for too little capacity at times. Jobs are then accepted
 	// by a forecast of their end.
 	Overload bool
-	// MaxReservedGangs is how many gangs that don't fit may reserve executors.
-	MaxReservedGangs int
 }
 
 // maxOrderDuration returns how long an order may keep a run going on an executor that can't
@@ -105,6 +103,5 @@
 		UnhealthyAvoidTime:  time.Second,
 		RemoteFactor:        2,
 		MaxExecutorsPerCall: 100,
-		MaxReservedGangs:    2,
 	}
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/account"
+	"github.com/skylarklock/skylarklock/internal/gather"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -32,7 +33,7 @@
 	c.updateActivation(now)
 	c.orderSteps(now)
 	var starts []Start
-	reserved := reservations{until: make(map[*vm]time.Time)}
+	c.gangs.begin(now)
 	for _, s := range c.orderedSteps {
 		s.advice.hasNewAnswer = false
 		q := c.queueOf(s.job)
@@ -56,7 +57,7 @@
 			s.endIsolation()
 		}
 		preempting := c.isPreempting(s, now)
-		placed := c.placeStep(s, q, tasks, &reserved, now)
+		placed := c.placeStep(s, q, tasks, now)
 		if len(placed) > 0 {
 			s.advice.waitUntil = time.Time{}
 		}
@@ -64,6 +65,7 @@
 			c.clearTentative(s)
 			c.releaseNominated(s)
 			s.endIsolation()
+			c.gangs.drop(s, gather.Started)
 		}
 		for _, p := range placed {
 			starts = append(starts, c.allocate(p, q, now))
@@ -71,12 +73,14 @@
 		if len(placed) < len(tasks) {
 			s.markWaiting(c.waitStage(s), now)
 		}
-		if len(placed) == len(tasks) || !s.spec.Gang || preempting || c.preemptForGang(s, q, len(tasks), &reserved, now) {
+		if len(placed) == len(tasks) || !s.spec.Gang || preempting {
 			continue
 		}
-		if reserved.gangs < c.cfg.MaxReservedGangs {
-			c.reserveForGang(s, q, tasks, &reserved, now)
+		if c.preemptForGang(s, q, len(tasks), now) {
+			c.gangs.drop(s, gather.Preempted)
+			continue
 		}
+		c.gangs.gather(s, len(tasks), now)
 	}
 	return starts
 }
@@ -89,14 +93,14 @@
 
 // placeStep chooses an executor for each task. A gang gets executors for all of its tasks
 // or for none.
-func (c *Cell) placeStep(s *step, q *queue.Queue, tasks []*task, reserved *reservations, now time.Time) []placement {
+func (c *Cell) placeStep(s *step, q *queue.Queue, tasks []*task, now time.Time) []placement {
 	s.obstacles = obstacles{}
 	if q != nil && q.Advice != nil && !s.advice.hasValidTicket(now) {
 		s.obstacles.ticket = len(s.advice.tickets)
 		return nil // avoids a check of every executor
 	}
 	usage := &placementUsage{used: make(map[*vm]api.Resources), runs: make(map[*vm]int), exclusive: make(map[*vm]bool)}
-	vms := c.eligibleVMs(s, q, reserved, now)
+	vms := c.eligibleVMs(s, q, now)
 	s.obstacles.eligible = len(vms)
 	var placed []placement
 	for _, t := range suspectsFirst(tasks) {
@@ -134,13 +138,16 @@
 }
 
 // eligibleVMs returns the executors on which a task of the step may start now and fits.
-func (c *Cell) eligibleVMs(s *step, q *queue.Queue, reserved *reservations, now time.Time) []*vm {
+func (c *Cell) eligibleVMs(s *step, q *queue.Queue, now time.Time) []*vm {
 	var vms []*vm
 	for _, v := range c.permittedVMs(s, q) {
 		if free := v.freeFor(s); !s.spec.TaskResources.Fits(free) {
-			if s.spec.TaskResources.MilliCPU <= free.MilliCPU {
+			switch {
+			case len(v.held) > 0 && s.spec.TaskResources.Fits(free.Add(v.heldFrom(s))):
+				s.obstacles.reserved++
+			case s.spec.TaskResources.MilliCPU <= free.MilliCPU:
 				s.obstacles.memory++
-			} else {
+			default:
 				s.obstacles.processors++
 			}
 			continue
@@ -149,10 +156,6 @@
 			s.obstacles.unavailable++
 			continue
 		}
-		if !reserved.admits(v, s, now) {
-			s.obstacles.reserved++
-			continue
-		}
 		if q != nil && q.Advice != nil {
 			if _, ok := s.advice.validTicket(v, now); !ok {
 				s.obstacles.ticket++
--- a/internal/plan/preempt.go
+++ b/internal/plan/preempt.go
@@ -117,7 +117,7 @@
 
 // preemptForGang stops runs that are in the way of a gang if the whole gang then fits, and
 // nominates their capacity to the gang until it starts. It reports whether it did.
-func (c *Cell) preemptForGang(s *step, q *queue.Queue, tasks int, reserved *reservations, now time.Time) bool {
+func (c *Cell) preemptForGang(s *step, q *queue.Queue, tasks int, now time.Time) bool {
 	if q == nil || s.lateness == overdue || s.preemption.attempts >= maxGangPreemptions || now.Before(s.preemption.nextAttempt) {
 		return false
 	}
@@ -125,7 +125,7 @@
 	var sources []preemptionSource
 	slots := 0
 	for _, v := range c.permittedVMs(s, q) {
-		if !c.suitable(s, q, v, now) || !reserved.admits(v, s, now) || !s.permittedUntil(q, v, now.Add(nominationTimeout)) {
+		if !c.suitable(s, q, v, now) || !s.permittedUntil(q, v, now.Add(nominationTimeout)) {
 			continue
 		}
 		src := c.preemptionSourceOf(v, s, q, now)
@@ -137,6 +137,7 @@
 	if slots < tasks {
 		return false
 	}
+	slices.SortStableFunc(sources, func(a, b preemptionSource) int { return compareBools(!a.vm.holdsFor(s), !b.vm.holdsFor(s)) })
 	c.preempt(s, sources, tasks, now)
 	s.preemption.attempts++
 	s.preemption.until = now.Add(nominationTimeout)
@@ -207,8 +208,12 @@
 
 // freeFor returns the free capacity of the executor that a step may use.
 func (v *vm) freeFor(s *step) api.Resources {
-	if v.nominated == (api.Resources{}) {
-		return v.free()
+	free := v.free()
+	if v.nominated != (api.Resources{}) {
+		free = free.Sub(v.nominated).Add(s.preemption.nominated[v])
 	}
-	return v.free().Sub(v.nominated).Add(s.preemption.nominated[v])
+	if len(v.held) > 0 {
+		free = free.Sub(v.heldFrom(s))
+	}
+	return free
 }
--- a/internal/plan/summary.go
+++ b/internal/plan/summary.go
@@ -68,7 +68,7 @@
 	}
 	backlog := c.Backlog(now)
 	times := backlog.ProcessingTimes()
-	c.logger.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"processors": backlog.Processors(), "room_in_time_ms": times.InTime.Milliseconds(),
 		"room_late_ms": times.Late.Milliseconds(), "room_overdue_ms": times.Overdue.Milliseconds(),
 		"executors": len(c.sortedVMs), "usable": usable, "runs": runs,
@@ -79,7 +79,9 @@
 		"first_calls": c.adviceStats.firstCalls, "renewals": c.adviceStats.renewals, "further_calls": c.adviceStats.furtherCalls, "executors_named": c.adviceStats.executorsNamed,
 		"asked_in_time_ms": c.adviceStats.cost[inTime].Milliseconds(), "asked_late_ms": c.adviceStats.cost[late].Milliseconds(),
 		"asked_overdue_ms": c.adviceStats.cost[overdue].Milliseconds(), "asked_for_gangs_ms": c.adviceStats.gangCost.Milliseconds(),
-	}).Info("state of the cell")
+	}
+	c.gangs.addSummary(fields)
+	c.logger.WithFields(fields).Info("state of the cell")
 	c.adviceStats = adviceStats{}
 	c.preemptedRuns = 0
 	c.failedStarts = startFailures{}
--- a/internal/plan/suspect.go
+++ b/internal/plan/suspect.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/gather"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -167,7 +168,7 @@
 	}
 	fewest := 0
 	for _, v := range c.permittedVMs(s, q) {
-		if v.isolatedFor != nil || !c.suitable(s, q, v, now) || fitCount(v.Capacity, s.spec.TaskResources) == 0 {
+		if v.isolatedFor != nil || !c.suitable(s, q, v, now) || gather.FitCount(v.Capacity, s.spec.TaskResources) == 0 {
 			continue
 		}
 		remaining := 0
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -64,6 +64,7 @@
 	used                  api.Resources
 	nominated             api.Resources // capacity nominated to gangs by preemption (preempt.go)
 	tentative             api.Resources // capacity that steps with advice calls in flight are expected to take (tentative.go)
+	held                  []heldSlots   // slots held by the plans of gangs, by planned start (gathering.go)
 	allocations           map[platform.Run]*allocation
 	drainingSince         time.Time // when it was first read as leaving; zero if it wasn't
 	readySince            time.Time // since when its records say that it is ready after all
--- a/internal/plan/workspace.go
+++ b/internal/plan/workspace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/gather"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -155,7 +156,7 @@
 	if w == nil || len(tasks) == 0 {
 		return tasks
 	}
-	n := fitCount(w.headroom(w.used), s.spec.TaskResources)
+	n := gather.FitCount(w.headroom(w.used), s.spec.TaskResources)
 	switch {
 	case n >= len(tasks):
 		return tasks
@@ -175,7 +176,7 @@
 	if !s.spec.Gang {
 		tasks = 1
 	}
-	return fitCount(w.headroom(w.used), s.spec.TaskResources) < tasks
+	return gather.FitCount(w.headroom(w.used), s.spec.TaskResources) < tasks
 }
 
 // startsOverCap returns the planned starts that the caps don't allow any more, because they were
@@ -240,11 +241,11 @@
 	if s.spec.Gang {
 		needed = tasks
 	}
-	n := fitCount(h.free, s.spec.TaskResources)
+	n := gather.FitCount(h.free, s.spec.TaskResources)
 	if n < needed && !h.includesEnds {
 		h.free = h.free.Add(w.used.Sub(w.usedAt(answerBy, f.now)))
 		h.includesEnds = true
-		n = fitCount(h.free, s.spec.TaskResources)
+		n = gather.FitCount(h.free, s.spec.TaskResources)
 	}
 	if n < needed {
 		return false
