--- a/internal/plan/full_cell_test.go
+++ b/internal/plan/full_cell_test.go
@@ -1,13 +1,13 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -88,33 +88,29 @@
 
 // loadKind is one kind of jobs of a simulated load.
 type loadKind struct {
-	queue       string
-	perSecond   float64
-	meanTasks   float64
-	maxTasks    int
-	work        time.Duration // mean run time
-	milliCPU    int64
-	gang        bool
-	checkpoints bool
-	due         float64 // number of jobs that are due, less the part of the time to the next
+	queue     string
+	perSecond float64
+	meanTasks float64
+	maxTasks  int
+	work      time.Duration // mean run time
+	milliCPU  int64
+	gang      bool
+	due       float64 // number of jobs that are due, less the part of the time to the next
 }
 
 // fullCell simulates a cell that is full of jobs, with advice calls that take time.
 type fullCell struct {
 	*testEnv
-	arrivals  *rand.Rand
-	random    *rand.Rand
-	kinds     []loadKind
-	ids       []string // executors
-	jobs      map[work.ID]*loadJob
-	nextID    uint32
-	runs      map[string]map[platform.Run]*loadRun // by executor
-	reported  map[string]uint64
-	calls     []*loadCall
-	machines  int
-	callWork  time.Duration
-	callCount int
-	usedMs    float64 // capacity in use over time
+	arrivals *rand.Rand
+	random   *rand.Rand
+	kinds    []loadKind
+	ids      []string // executors
+	jobs     map[work.ID]*loadJob
+	nextID   uint32
+	runs     map[string]map[platform.Run]*loadRun // by executor
+	reported map[string]uint64
+	calls    []*loadCall
+	machines int
 }
 
 type loadJob struct {
@@ -162,14 +158,14 @@
 
 // newFullCell returns a cell with load B of docs/overload.md, scaled to its executors and by a
 // factor.
-func newFullCell(t *testing.T, executors int, factor float64, checkpoints bool, seed uint64) *fullCell {
+func newFullCell(t *testing.T, executors int, factor float64, seed uint64) *fullCell {
 	scale := factor * float64(executors) / 350
 	f := &fullCell{
 		testEnv: newTestEnv(t, 0), arrivals: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)), jobs: make(map[work.ID]*loadJob),
 		runs: make(map[string]map[platform.Run]*loadRun), reported: make(map[string]uint64), machines: 43 * executors / 350,
 		kinds: []loadKind{
 			{queue: "gangs", perSecond: 5.25 * scale, meanTasks: 20, maxTasks: 60, work: 3400 * time.Millisecond, milliCPU: 9000, gang: true},
-			{queue: "batches", perSecond: 8.68 * scale, meanTasks: 25, maxTasks: 100, work: 2300 * time.Millisecond, milliCPU: 3500, checkpoints: checkpoints},
+			{queue: "batches", perSecond: 8.68 * scale, meanTasks: 25, maxTasks: 100, work: 2300 * time.Millisecond, milliCPU: 3500},
 			{queue: "urgent", perSecond: 96.8 * scale, meanTasks: 3.2, maxTasks: 10, work: 680 * time.Millisecond, milliCPU: 5000},
 		},
 	}
@@ -200,7 +196,7 @@
 			actual := time.Duration(float64(kind.work) * (0.4 + 1.2*f.arrivals.Float64()))
 			estimate := time.Duration(float64(actual) / (0.5 + f.arrivals.Float64())) // off by up to 50 percent
 			j := &work.Job{ID: id, Queue: kind.queue, Service: testService, AcceptedMs: f.now.UnixMilli(), Steps: []work.Step{{
-				TaskCount: tasks, TaskResources: api.Resources{MilliCPU: kind.milliCPU, MemoryMB: 100}, Estimate: estimate, Gang: kind.gang, SavesCheckpoints: kind.checkpoints,
+				TaskCount: tasks, TaskResources: api.Resources{MilliCPU: kind.milliCPU, MemoryMB: 100}, Estimate: estimate, Gang: kind.gang,
 			}}}
 			latest := f.now.Add(f.cell.queueConfig.QueueNamed(kind.queue).LatencyObjective(estimate) - estimate)
 			f.jobs[id] = &loadJob{kind: kind, tasks: tasks, arrived: f.now, left: tasks, overhead: actual, inTimeBy: latest}
@@ -221,11 +217,9 @@
 var grantSharesByQueue = map[string]float64{"gangs": 0.3, "batches": 0.45, "urgent": 0.7}
 
 // stepLoad advances the simulation by a planning cycle.
-func (f *fullCell) stepLoad(d time.Duration, submits bool) {
+func (f *fullCell) stepLoad(d time.Duration) {
 	f.advance(d)
-	if submits {
-		f.submitLoad(d)
-	}
+	f.submitLoad(d)
 	for _, id := range f.ids {
 		f.reportRuns(id, f.now.UnixMilli()/500 != f.now.Add(-d).UnixMilli()/500)
 	}
@@ -262,11 +256,6 @@
 	f.calls = f.calls[:before]
 	for _, call := range issued {
 		f.calls = append(f.calls, &loadCall{call: call, at: f.now.Add(call.Cost)})
-		f.callWork += call.Cost
-		f.callCount++
-	}
-	for _, v := range f.cell.vms {
-		f.usedMs += float64(v.used.MilliCPU) / float64(v.Capacity.MilliCPU) / float64(len(f.cell.vms)) * float64(d.Milliseconds())
 	}
 }
 
@@ -293,7 +282,9 @@
 	f.report(id, rows, over)
 }
 
-func compareRuns(a, b platform.Run) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) }
+func compareRuns(a, b platform.Run) int {
+	return cmp.Or(slices.Compare(a.Task.Job[:], b.Task.Job[:]), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
+}
 
 // loadResult is how the jobs of one kind fared.
 type loadResult struct {
--- a/internal/plan/gathering.go
+++ b/internal/plan/gathering.go
@@ -52,6 +52,7 @@
 	g.releases = make(map[*vm][]gather.Release)
 	g.idle = 0
 	if len(g.steps) == 0 {
+		clear(g.vms)
 		return
 	}
 	waiting := make(map[string]map[work.StepKey]gather.Request)
@@ -115,7 +116,10 @@
 		keeper.Review(nil, g.capacity(service), g, now)
 	}
 	g.steps[s.key()] = s
-	keeper.Gather(g.cell.gatherRequest(s, tasks, now), g, now)
+	if !keeper.Gather(g.cell.gatherRequest(s, tasks, now), g, now) {
+		delete(g.steps, s.key())
+		return
+	}
 	g.apply()
 }
 
