gather: check planned gangs for due calls every 40 ms

Cause: a late gang was checked for a due call every 320 ms only and could miss the time at which tickets must be renewed for its planned start (TestTicketsOfPlanAreRenewedForItsStart, red before). Change: gangs with a plan are checked at the short interval.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -160,7 +160,7 @@
 		}
 		named := c.callCandidates(s, q, fleet, now)
 		if len(named) == 0 {
-			s.advice.nextCheck = now.Add(s.callCheckInterval())
+			s.advice.nextCheck = now.Add(c.callCheckInterval(s))
 			continue
 		}
 		calls = append(calls, c.issueCalls(s, q, named, dispatcher, now)...)
@@ -350,9 +350,10 @@
 	lateCheckInterval = 320 * time.Millisecond
 )
 
-// callCheckInterval returns the time until the step is checked again.
-func (s *step) callCheckInterval() time.Duration {
-	if s.lateness == inTime {
+// callCheckInterval returns the time until a step is checked again. The call for a gang with a
+// plan is due at a certain time, also if it is late.
+func (c *Cell) callCheckInterval(s *step) time.Duration {
+	if s.lateness == inTime || c.gangs.planOf(s) != nil {
 		return checkInterval
 	}
 	return lateCheckInterval
