--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -226,6 +226,9 @@
 	if c.isPreempting(s, now) {
 		return nil // it starts as soon as the preempted runs have stopped
 	}
+	if named, decided := c.plannedCandidates(s, q, fleet, now); decided {
+		return named
+	}
 	answerBy := now.Add(q.Advice.CallTime(c.expectedCallSize(s)).Total + renewAhead)
 	executors := fleet.candidatesFor(s, q, answerBy)
 	limit := c.cfg.MaxExecutorsPerCall
@@ -318,9 +321,10 @@
 	lateCheckInterval = 320 * time.Millisecond
 )
 
-// callCheckInterval returns the time until the step is checked again.
-func (s *step) callCheckInterval() time.Duration {
-	if s.lateness == inTime {
+// callCheckInterval returns the time until a step is checked again. The call for a gang with a
+// plan is due at a certain time, also if it is late.
+func (c *Cell) callCheckInterval(s *step) time.Duration {
+	if s.lateness == inTime || c.gangs.planOf(s) != nil {
 		return checkInterval
 	}
 	return lateCheckInterval
--- a/internal/plan/advice_policy.go
+++ b/internal/plan/advice_policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/advicepolicy"
+	"github.com/skylarklock/skylarklock/internal/gather"
 	"github.com/skylarklock/skylarklock/internal/queue"
 )
 
@@ -40,7 +41,7 @@
 // nextCallCheck returns when it is checked again whether a call for the step is due: after an interval, and
 // at the latest when a short step has to renew its tickets.
 func (c *Cell) nextCallCheck(s *step, q *queue.Queue, now time.Time) time.Time {
-	next := now.Add(s.callCheckInterval())
+	next := now.Add(c.callCheckInterval(s))
 	if len(s.advice.tickets) == 0 || !s.renewsAhead() {
 		return next
 	}
@@ -104,7 +105,7 @@
 func (s *step) emptySlots() int {
 	total := 0
 	for v := range s.advice.tickets {
-		total += fitCount(v.Capacity, s.spec.TaskResources)
+		total += gather.FitCount(v.Capacity, s.spec.TaskResources)
 	}
 	return total
 }
@@ -116,7 +117,7 @@
 		if i >= limit || float64(found) >= slots {
 			return cands[:i]
 		}
-		found += advicepolicy.EventualSlots(cand.slots, fitCount(cand.vm.Capacity, s.spec.TaskResources), s.spec.Gang)
+		found += advicepolicy.EventualSlots(cand.slots, gather.FitCount(cand.vm.Capacity, s.spec.TaskResources), s.spec.Gang)
 	}
 	return cands
 }
--- a/internal/plan/rack.go
+++ b/internal/plan/rack.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/advicepolicy"
+	"github.com/skylarklock/skylarklock/internal/gather"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/rackchoice"
 )
@@ -104,7 +105,7 @@
 	named := make(map[*vm]bool, len(cands))
 	for _, cand := range cands {
 		named[cand.vm] = true
-		slots := advicepolicy.EventualSlots(cand.slots, fitCount(cand.vm.Capacity, s.spec.TaskResources), s.spec.Gang)
+		slots := advicepolicy.EventualSlots(cand.slots, gather.FitCount(cand.vm.Capacity, s.spec.TaskResources), s.spec.Gang)
 		expected[rackOf(cand.vm)] += grantShare * float64(slots)
 	}
 	for v := range s.advice.tickets {
