plan: place work by the estimated speeds of executors

Cause: on a fleet of which a quarter runs at 0.55 and the others at 1.2, urgent tasks start on slow executors and miss their objective, and a gang takes as long as its slowest member. A penalty in the score doesn't prevent it. Change: runs and the pace of running ones feed package speed. Work that would miss its objective on a certainly slow executor isn't placed there until its slack has passed; work with long slack prefers slow executors; gangs use them only if they don't fit on the others. Advice calls name executors by the same preference, and the expected end of a run uses the estimated speed.

--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -169,7 +169,10 @@
 	if permitted == permissionDenied || v.closedTo(s, now) || v.Service != q.Service || (s.spec.RequiredLabel != "" && !v.HasLabel(s.spec.RequiredLabel)) {
 		return
 	}
-	cand := candidate{vm: v, slots: v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated))}
+	cand := candidate{vm: v}
+	if !v.tooSlowFor(s, now) {
+		cand.slots = v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated))
+	}
 	if cand.slots == 0 && len(s.advice.tickets) > 0 {
 		return // later calls gain nothing from a full executor
 	}
@@ -184,8 +187,8 @@
 }
 
 // chooseCandidates returns the candidates that a call should name so that a number of tasks
-// fits: at least as many as are cheap to name, at most limit. A gang prefers the executors
-// with the most slots, so that it needs few of them. Other work prefers executors that it
+// fits: at least as many as are cheap to name, at most limit. A gang prefers executors that
+// aren't slow, and among these those with the most slots, so that it needs few of them. Other work prefers executors that it
 // fills, by the score that also decides its placement.
 func (c *Cell) chooseCandidates(cands []candidate, s *step, q *queue.Queue, tasks, limit int) []candidate {
 	for i := range cands {
@@ -193,6 +196,8 @@
 	}
 	slices.SortStableFunc(cands, func(x, y candidate) int {
 		switch {
+		case s.spec.Gang && x.vm.certainlySlow != y.vm.certainlySlow:
+			return compareBools(x.vm.certainlySlow, y.vm.certainlySlow)
 		case s.spec.Gang && x.slots != y.slots:
 			return y.slots - x.slots
 		case (x.slots > 0) != (y.slots > 0):
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -9,6 +9,7 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/speed"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -45,6 +46,11 @@
 	grantShares         map[string]float64   // by queue: moving mean of the share of executors granted
 	availableShares     map[string]float64   // by queue: moving mean of the share of expected capacity that gangs still find free
 	fleetRunRatio       float64              // moving mean over the fleet of run time divided by estimate
+	speeds              *speed.Fleet         // estimated speeds of the executors; nil: none are estimated
+	speedsRefreshedAt   time.Time            // when the executors were last compared
+	slowTimeFactor      float64              // how many times as long runs take on the certainly slow executors, on average; 0 if there are none
+	speedsLoggedAt      time.Time
+	loggedSlow          int                  // number of certainly slow executors in the newest log line
 	adviceStats         adviceStats          // advice calls since the last summary
 	lastExplained       time.Time            // when the waiting steps were last logged
 	preemptedRuns       int                  // runs preempted since the last summary
@@ -79,6 +85,7 @@
 		grantShares:        make(map[string]float64),
 		availableShares:    make(map[string]float64),
 		failedImages:       make(map[string]time.Time),
+		speeds:             speed.NewFleet(),
 	}
 }
 
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarklock/skylarklock/internal/account"
 	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/speed"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -64,6 +65,8 @@
 	waitsFor            account.Stage // what its waiting tasks wait for, as of the newest plan
 	hasNewWaiters       bool          // tasks have begun to wait since then
 	obstacles           obstacles     // as of the newest attempt to place it
+	latestStart         time.Time     // latest start with which the job can meet its objective, as of the newest start order
+	runTimes            speed.Group   // run times of its tasks, compared with each other
 }
 
 // task is one task of a step.
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -102,7 +102,7 @@
 	steps := make([]*step, len(ranks))
 	for i := range ranks {
 		steps[i] = ranks[i].step
-		steps[i].lateness = ranks[i].lateness
+		steps[i].lateness, steps[i].latestStart = ranks[i].lateness, ranks[i].latestStart
 	}
 	return c.withLargestGangFirst(steps)
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -30,6 +30,7 @@
 	c.endTrials(now)
 	c.releaseDeferred(now)
 	c.updateActivation(now)
+	c.refreshSpeeds(now)
 	c.orderSteps(now)
 	var starts []Start
 	reserved := reservations{until: make(map[*vm]time.Time)}
@@ -95,9 +96,19 @@
 		s.obstacles.ticket = len(s.advice.tickets)
 		return nil // avoids a check of every executor
 	}
-	usage := &placementUsage{used: make(map[*vm]api.Resources), runs: make(map[*vm]int), exclusive: make(map[*vm]bool)}
 	vms := c.eligibleVMs(s, q, reserved, now)
 	s.obstacles.eligible = len(vms)
+	if fast := withoutSlow(vms); s.spec.Gang && len(fast) < len(vms) {
+		if placed := c.placeOn(s, tasks, fast); placed != nil {
+			return placed
+		}
+	}
+	return c.placeOn(s, tasks, vms)
+}
+
+// placeOn chooses one of the executors for each task.
+func (c *Cell) placeOn(s *step, tasks []*task, vms []*vm) []placement {
+	usage := &placementUsage{used: make(map[*vm]api.Resources), runs: make(map[*vm]int), exclusive: make(map[*vm]bool)}
 	var placed []placement
 	for _, t := range suspectsFirst(tasks) {
 		v := c.bestVM(t, vms, usage)
@@ -190,7 +201,7 @@
 	} else if !c.queueConfig.HasService(service) {
 		return false
 	}
-	if v.Service != service || !v.usable(now, &c.cfg) || v.closedTo(s, now) {
+	if v.Service != service || !v.usable(now, &c.cfg) || v.closedTo(s, now) || v.tooSlowFor(s, now) {
 		return false
 	}
 	return s.spec.RequiredLabel == "" || v.HasLabel(s.spec.RequiredLabel)
@@ -243,7 +254,7 @@
 // Lower is better.
 func (c *Cell) score(s *step, v *vm, remaining api.Resources) float64 {
 	score := fraction(remaining.MilliCPU, v.Capacity.MilliCPU) + fraction(remaining.MemoryMB, v.Capacity.MemoryMB)
-	score += slownessWeight * (v.slowdown(c.now) - 1)
+	score += slownessWeight*(v.slowdown(c.now)-1) + c.speedPenalty(s, v)
 	if s.spec.DataRack != "" && v.Rack() != s.spec.DataRack {
 		score += c.cfg.RemoteFactor
 	}
@@ -288,7 +299,7 @@
 		workspace:   s.job.workspace,
 		state:       statePlanned,
 		resumed:     t.checkpoint != "",
-		expectedEnd: now.Add(time.Duration(float64(s.spec.Estimate) * placed.vm.slowdown(now))),
+		expectedEnd: now.Add(placed.vm.expectedTime(s, now)),
 	}
 	placed.vm.addAllocation(alloc)
 	c.markDirty(s.job)
--- a/internal/plan/speed.go
+++ b/internal/plan/speed.go
@@ -32,19 +32,24 @@
 	c.fleetRunRatio = movingMean(c.fleetRunRatio, ratio)
 	alloc.vm.runRatio = movingMean(alloc.vm.runRatio, ratio)
 	alloc.vm.slowness = 1
+	c.observeSpeed(alloc, ratio, now)
 	alloc.vm.markSlow(alloc.vm.runRatio/c.fleetRunRatio, now)
 }
 
 // learnFromRunning marks an executor as slow if a run has already taken far longer than its
 // estimate, before the run ends.
 func (c *Cell) learnFromRunning(alloc *allocation, now time.Time) {
-	if alloc.task == nil || alloc.runningSince.IsZero() || alloc.task.step.spec.LongRunning || c.fleetRunRatio == 0 {
+	if alloc.task == nil || alloc.runningSince.IsZero() || alloc.task.step.spec.LongRunning {
 		return
 	}
 	estimate := alloc.task.step.spec.Estimate
 	if estimate < minRunTime {
 		return
 	}
+	c.observePace(alloc, now)
+	if c.fleetRunRatio == 0 {
+		return
+	}
 	ratio := now.Sub(alloc.runningSince).Seconds() / estimate.Seconds() / c.fleetRunRatio
 	if ratio > alloc.vm.slowness {
 		alloc.vm.markSlow(ratio, now)
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -6,6 +6,7 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/fleet"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/speed"
 )
 
 // allocationState is what is known of a run that may exist.
@@ -45,6 +46,7 @@
 	lastStop      time.Time // when a stop was last sent
 	resumed       bool      // it started from a checkpoint
 	progress      progress
+	speedObserved bool // the run has counted for the estimated speed of its executor
 }
 
 // vm is one incarnation of an executor as the leader sees it.
@@ -88,11 +90,14 @@
 	runRatio       float64   // moving mean of run time divided by estimate; 0 if none was seen
 	slowness       float64   // how many times as long as the fleet it takes; 1 if it isn't slow
 	lastSlow       time.Time // time of the latest sign of slowness
+	speed          speed.Executor
+	timeFactor     float64 // how many times as long as on the typical executor runs take by the estimated speed; 1 if no difference is certain
+	certainlySlow  bool    // it is certainly slower than the typical executor by slowFactor
 }
 
 // newVM returns an executor of which only its reference is known.
 func (c *Cell) newVM(ref platform.ExecutorRef) *vm {
-	v := &vm{index: c.vmsCreated, activationRank: activationRank(ref.ID), allocations: make(map[platform.Run]*allocation), failedJobs: make(map[*job]struct{}), slowness: 1}
+	v := &vm{index: c.vmsCreated, activationRank: activationRank(ref.ID), allocations: make(map[platform.Run]*allocation), failedJobs: make(map[*job]struct{}), slowness: 1, timeFactor: 1}
 	v.Ref = ref
 	c.vmsCreated++
 	return v
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -146,10 +146,14 @@
 	return known && mean-certainty*sd > math.Log(factor)
 }
 
+// minDifference is the factor from which a difference counts for the expected time of runs.
+// Smaller ones are within the error of all estimates.
+const minDifference = 1.1
+
 // TimeFactor returns how many times as long as on the typical executor a run takes. It is 1
-// if no difference is certain.
+// if no difference of at least minDifference is certain.
 func (f *Fleet) TimeFactor(e *Executor, now time.Time) float64 {
-	if !f.SlowerBy(e, 1, now) && !f.FasterBy(e, 1, now) {
+	if !f.SlowerBy(e, minDifference, now) && !f.FasterBy(e, minDifference, now) {
 		return 1
 	}
 	return math.Exp(f.typical - e.mean)
