speed: hand the estimated speeds to the next leader

Cause: after a change of leader, slow executors are unknown for about 10 runs each. Change: while an executor is certainly slow, the leader records the speeds under one key of a keyed topic of its own, at most every 5 s and only if they changed. The next leader reads it beside its other work. A data-bound gang takes any executor on which it is in time.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -50,6 +50,7 @@
 	Log                platform.PartitionLog
 	Jobs               platform.Partition // records of the cell's jobs
 	Registry           platform.Partition // records of the executors
+	Speeds             platform.Partition // record of the executors' speeds for the next leader; without a topic none is kept
 	Decode             DecodeExecutor
 	Executors          platform.Executors
 	Replica            *replica.Replica
@@ -117,6 +118,7 @@
 	r.spawn(func() { r.watchRegistry(ctx) })
 	r.spawn(func() { r.runAdviceLoop(ctx) })
 	r.spawn(func() { r.runExecutorLoop(ctx) })
+	r.spawn(func() { r.runSpeedRecorder(ctx) })
 	return r.runCycles(ctx)
 }
 
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -8,6 +8,7 @@
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/dispatch"
 	"github.com/skylarklock/skylarklock/internal/leader"
+	platformapi "github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/platform"
 )
 
@@ -60,6 +61,7 @@
 		Log:                n.store,
 		Jobs:               n.reader.Partition,
 		Registry:           platform.ExecutorPartition,
+		Speeds:             platformapi.Partition{Topic: topicSpeeds, Number: cellNumber, Keyed: true},
 		Decode:             platform.DecodeExecutor,
 		Executors:          executors,
 		Replica:            n.replica,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 const (
 	topicJobs   = "jobs"   // keyed: submissions, cancellations, progress
 	topicLeader = "leader" // claims and renewals of leadership
+	topicSpeeds = "speeds" // keyed: speeds of the executors
 )
 
 // Node is the process of one machine.
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -169,9 +169,9 @@
 	if permitted == permissionDenied || v.closedTo(s, now) || v.Service != q.Service || (s.spec.RequiredLabel != "" && !v.HasLabel(s.spec.RequiredLabel)) {
 		return
 	}
-	cand := candidate{vm: v}
-	if !v.tooSlowFor(s, now) {
-		cand.slots = v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated))
+	cand := candidate{vm: v, slots: v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated))}
+	if cand.slots > 0 && v.tooSlowFor(s, now) {
+		cand.slots = 0
 	}
 	if cand.slots == 0 && len(s.advice.tickets) > 0 {
 		return // later calls gain nothing from a full executor
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -32,23 +32,25 @@
 	nextSnapshotVM      int // index of the executor with which the next snapshot of a large fleet begins
 	jobs                map[work.ID]*job
 	workspaces          map[work.WorkspaceID]*workspace
-	endedJobs           map[work.ID]struct{} // jobs that ended under this leader; their records may be read again
-	waitingSteps        []*step              // steps with tasks to place
-	orderedSteps        []*step              // the waiting steps in the start order of the newest plan
-	largestGang         *step                // gang that goes first in the start order; nil if none waits
-	orderStale          bool                 // jobs were added since that order was computed
-	recurringJobs       []*job               // jobs with occurrences to come
-	recentlyStarted     []*job               // jobs that started recently, by start time
-	dirtyJobs           []*job               // jobs whose durable record is out of date
-	pendingStops        []Stop               // stops to be sent
-	failedStops         []*allocation        // allocations whose newest stop may have had no effect
-	now                 time.Time            // newest time passed to Plan or HandleReport
-	grantShares         map[string]float64   // by queue: moving mean of the share of executors granted
-	availableShares     map[string]float64   // by queue: moving mean of the share of expected capacity that gangs still find free
-	fleetRunRatio       float64              // moving mean over the fleet of run time divided by estimate
-	speeds              *speed.Fleet         // estimated speeds of the executors; nil: none are estimated
-	speedsRefreshedAt   time.Time            // when the executors were last compared
-	slowTimeFactor      float64              // how many times as long runs take on the certainly slow executors, on average; 0 if there are none
+	endedJobs           map[work.ID]struct{}    // jobs that ended under this leader; their records may be read again
+	waitingSteps        []*step                 // steps with tasks to place
+	orderedSteps        []*step                 // the waiting steps in the start order of the newest plan
+	largestGang         *step                   // gang that goes first in the start order; nil if none waits
+	orderStale          bool                    // jobs were added since that order was computed
+	recurringJobs       []*job                  // jobs with occurrences to come
+	recentlyStarted     []*job                  // jobs that started recently, by start time
+	dirtyJobs           []*job                  // jobs whose durable record is out of date
+	pendingStops        []Stop                  // stops to be sent
+	failedStops         []*allocation           // allocations whose newest stop may have had no effect
+	now                 time.Time               // newest time passed to Plan or HandleReport
+	grantShares         map[string]float64      // by queue: moving mean of the share of executors granted
+	availableShares     map[string]float64      // by queue: moving mean of the share of expected capacity that gangs still find free
+	fleetRunRatio       float64                 // moving mean over the fleet of run time divided by estimate
+	speeds              *speed.Fleet            // estimated speeds of the executors; nil: none are estimated
+	recordedSpeeds      map[string]speed.Record // by executor ID: speeds that a former leader recorded
+	speedsRecordedAt    time.Time               // when it did
+	speedsRefreshedAt   time.Time               // when the executors were last compared
+	slowTimeFactor      float64                 // how many times as long runs take on the certainly slow executors, on average; 0 if there are none
 	speedsLoggedAt      time.Time
 	loggedSlow          int                  // number of certainly slow executors in the newest log line
 	adviceStats         adviceStats          // advice calls since the last summary
--- a/internal/plan/executor_speed_test.go
+++ b/internal/plan/executor_speed_test.go
@@ -1,9 +1,11 @@
 package plan
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/speed"
@@ -86,7 +88,7 @@
 // A new leader without a record of the speeds treats all executors alike and learns anew.
 func TestNewLeaderLearnsSpeedsAnew(t *testing.T) {
 	f := newUnlikeFleet(t, 12, 1)
-	f.run(20, 0.5)
+	f.run(40, 0.5)
 	before := f.slowIDs()
 	f.takeOver()
 	for id := range f.speeds {
@@ -96,8 +98,59 @@
 	if ids := f.slowIDs(); len(ids) != 0 {
 		t.Fatalf("slow executors right after the takeover: %v", ids)
 	}
-	f.run(20, 0.5)
+	f.run(40, 0.5)
 	if ids := f.slowIDs(); !slices.Equal(ids, before) {
 		t.Errorf("slow executors are %v, before the takeover %v", ids, before)
 	}
 }
+
+// A new leader with the record of the former one treats slow executors as such at once, except
+// those that have started again since.
+func TestNewLeaderRestoresSpeeds(t *testing.T) {
+	f := newUnlikeFleet(t, 12, 1)
+	f.startTimes = make(map[string]int64)
+	for i, id := range slices.Sorted(maps.Keys(f.speeds)) {
+		f.startTimes[id] = int64(100 + i)
+	}
+	f.run(40, 0.5)
+	records := f.cell.SpeedRecords(f.now)
+	if len(records) != 12 {
+		t.Fatalf("%d records", len(records))
+	}
+	f.takeOver()
+	f.cell.RestoreSpeeds(records, 2*time.Second, f.now)
+	f.startTimes["e04"]++
+	for id := range f.speeds {
+		f.reportRuns(id, true)
+	}
+	f.runCycle()
+	if ids := f.slowIDs(); !slices.Equal(ids, []string{"e00", "e08"}) {
+		t.Errorf("slow executors are %v", ids)
+	}
+}
+
+// BenchmarkUnlikeFleet measures a plan and a check for due advice calls in a fleet of 350
+// executors of which a quarter is certainly slow.
+func BenchmarkUnlikeFleet(b *testing.B) {
+	for _, slow := range []int{0, 350 / 4} {
+		c, now := newBusyCell(350)
+		c.speeds = nil // nothing is compared anew
+		for _, v := range c.sortedVMs[:slow] {
+			v.certainlySlow, v.timeFactor = true, 2.2
+			c.slowTimeFactor = 2.2
+		}
+		c.Plan(now) // uses the grants
+		b.Run(fmt.Sprintf("plan/%d", slow), func(b *testing.B) {
+			for b.Loop() {
+				c.Plan(now)
+			}
+		})
+		b.Run(fmt.Sprintf("advice/%d", slow), func(b *testing.B) {
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				c.resetCallChecks()
+				c.AdviceCalls(now, refusingDispatcher{})
+			}
+		})
+	}
+}
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -96,19 +96,9 @@
 		s.obstacles.ticket = len(s.advice.tickets)
 		return nil // avoids a check of every executor
 	}
+	usage := &placementUsage{used: make(map[*vm]api.Resources), runs: make(map[*vm]int), exclusive: make(map[*vm]bool)}
 	vms := c.eligibleVMs(s, q, reserved, now)
 	s.obstacles.eligible = len(vms)
-	if fast := withoutSlow(vms); s.spec.Gang && len(fast) < len(vms) {
-		if placed := c.placeOn(s, tasks, fast); placed != nil {
-			return placed
-		}
-	}
-	return c.placeOn(s, tasks, vms)
-}
-
-// placeOn chooses one of the executors for each task.
-func (c *Cell) placeOn(s *step, tasks []*task, vms []*vm) []placement {
-	usage := &placementUsage{used: make(map[*vm]api.Resources), runs: make(map[*vm]int), exclusive: make(map[*vm]bool)}
 	var placed []placement
 	for _, t := range suspectsFirst(tasks) {
 		v := c.bestVM(t, vms, usage)
--- a/internal/plan/preference.go
+++ b/internal/plan/preference.go
@@ -38,10 +38,10 @@
 		return preferFast
 	case additional > d.slack:
 		return requireFast
-	case d.gang:
-		return preferFast // the slowest member determines when the gang ends
 	case d.dataBound:
 		return anySpeed
+	case d.gang:
+		return preferFast // the slowest member determines when the gang ends
 	case d.slack >= longSlackFactor*additional:
 		return preferSlow
 	default:
@@ -50,7 +50,9 @@
 }
 
 // speedWeight is added to the score of an executor that the step doesn't prefer. It is the
-// range of the part of the score for the capacity left over.
+// range of the part of the score for the capacity left over, so that an executor that the
+// step prefers comes first however much it leaves over. With a smaller weight, gangs would
+// mix in slow executors.
 const speedWeight = 2.0
 
 // preferenceOn returns the preference of a step that an executor of a slowdown leads to.
@@ -84,14 +86,3 @@
 	}
 	return 0
 }
-
-// withoutSlow returns the executors that aren't certainly slow.
-func withoutSlow(vms []*vm) []*vm {
-	var fast []*vm
-	for _, v := range vms {
-		if !v.certainlySlow {
-			fast = append(fast, v)
-		}
-	}
-	return fast
-}
--- a/internal/plan/preference_test.go
+++ b/internal/plan/preference_test.go
@@ -33,6 +33,7 @@
 		"gang in time also on slow executors":             {gang, preferFast},
 		"gang with long slack":                            {change(gang, func(d *speedDemand) { d.slack = time.Hour }), preferFast},
 		"gang that would miss its objective":              {change(gang, func(d *speedDemand) { d.slack = 4 * time.Second }), requireFast},
+		"gang that is bound to its data":                  {change(gang, func(d *speedDemand) { d.dataBound = true }), anySpeed},
 		"late gang":                                       {change(gang, func(d *speedDemand) { d.slack = -time.Second }), preferFast},
 		"equal speeds":                                    {change(urgent, func(d *speedDemand) { d.slowdown = 1 }), anySpeed},
 		"long-running task":                               {change(urgent, func(d *speedDemand) { d.longRunning = true }), anySpeed},
@@ -114,6 +115,15 @@
 		t.Errorf("gang started on %v", ids)
 	}
 	env = newSlowFleet(t, 3, 1)
+	env.submitJob(2, testQueue, work.Step{TaskCount: 1, TaskResources: cpus(8), Estimate: time.Millisecond, RequiredLabel: "rack-e0"})
+	env.runCycle()
+	small := gang
+	small.TaskCount, small.TaskResources = 1, cpus(24)
+	env.submitJob(1, testQueue, small)
+	if ids := startedOn(env.runCycle()); len(ids) != 1 || ids[0] == "e0" {
+		t.Errorf("gang that would fill the slow executor started on %v", ids)
+	}
+	env = newSlowFleet(t, 3, 1)
 	gang.TaskCount = 5
 	env.submitJob(1, testQueue, gang)
 	if ids := startedOn(env.runCycle()); !slices.Equal(ids, []string{"e0", "e1", "e1", "e2", "e2"}) {
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -87,6 +87,7 @@
 	v.reportedAt = now
 	v.acknowledgedEnds = max(v.acknowledgedEnds, h.Order.Acknowledged)
 	if firstReport {
+		c.restoreSpeed(v)
 		c.dropReplacedBy(v, now)
 	}
 	v.inheritedLeaseExpiry = time.Time{}
--- a/internal/plan/unlike_fleet_test.go
+++ b/internal/plan/unlike_fleet_test.go
@@ -17,15 +17,16 @@
 // unlikeFleet drives a cell whose executors run at speeds that only their reports tell.
 type unlikeFleet struct {
 	*testEnv
-	rand     *rand.Rand
-	speeds   map[string]float64
-	runs     map[platform.Run]*simulatedRun
-	reported map[string]uint64 // number of the newest end, by executor
-	jobs     map[work.ID]*fleetJob
-	created  uint32
-	inTime   map[string]int // by queue
-	ended    map[string]int
-	used     []float64 // share of the processors in use, at each tick
+	rand       *rand.Rand
+	speeds     map[string]float64
+	runs       map[platform.Run]*simulatedRun
+	reported   map[string]uint64 // number of the newest end, by executor
+	jobs       map[work.ID]*fleetJob
+	created    uint32
+	inTime     map[string]int // by queue
+	ended      map[string]int
+	startTimes map[string]int64 // of the incarnations; nil: not reported
+	used       []float64        // share of the processors in use, at each tick
 }
 
 // simulatedRun is a run on an executor of such a fleet.
@@ -161,7 +162,8 @@
 		}
 	}
 	if always || len(ends) > 0 {
-		f.report(id, rows, ends)
+		h, _ := f.cell.NextHold(id, HoldTerms{})
+		f.cell.HandleReport(h, platform.ExecutorReport{StartTimeMs: f.startTimes[id], Clock: f.executorClock, Running: rows, Ended: ends}, f.now, f.now)
 	}
 }
 
