--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -171,6 +171,9 @@
 		return
 	}
 	cand := candidate{vm: v, slots: v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated).Sub(v.heldAt(s, at.Sub(now))))}
+	if cand.slots > 0 && v.tooSlowFor(s, now) {
+		cand.slots = 0
+	}
 	if cand.slots == 0 && len(s.advice.tickets) > 0 && !(permitted == permissionGranted && s.renewsAhead()) {
 		return // later calls gain nothing from a full executor
 	}
@@ -185,17 +188,19 @@
 }
 
 // chooseCandidates returns the candidates that a call should name so that a number of tasks
-// fits: at least as many as are cheap to name, at most limit. A gang prefers the executors
-// with the most slots, so that it needs few of them. Other work prefers executors that it
-// fills, by the score that also decides its placement. While calling machines are scarce, executors are
-// named only for expected needs, however cheap they are to name; short steps keep the cheap ones, since
-// they have no time for another call.
+// fits: at least as many as are cheap to name, at most limit. A gang prefers executors that aren't slow,
+// and among these those with the most slots, so that it needs few of them. Other work prefers executors
+// that it fills, by the score that also decides its placement. While calling machines are scarce, executors
+// are named only for expected needs, however cheap they are to name; short steps keep the cheap ones,
+// since they have no time for another call.
 func (c *Cell) chooseCandidates(cands []candidate, s *step, q *queue.Queue, tasks, limit int, scarce bool) []candidate {
 	for i := range cands {
 		cands[i].placementScore = c.score(s, cands[i].vm, cands[i].vm.free().Sub(s.spec.TaskResources))
 	}
 	slices.SortStableFunc(cands, func(x, y candidate) int {
 		switch {
+		case s.spec.Gang && x.vm.certainlySlow != y.vm.certainlySlow:
+			return compareBools(x.vm.certainlySlow, y.vm.certainlySlow)
 		case s.spec.Gang && x.slots != y.slots:
 			return y.slots - x.slots
 		case (x.slots > 0) != (y.slots > 0):
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -7,6 +7,7 @@
 	"github.com/skylarklock/skylarklock/internal/account"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/rackchoice"
+	"github.com/skylarklock/skylarklock/internal/speed"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -67,6 +68,8 @@
 	hasNewWaiters       bool              // tasks have begun to wait since then
 	racks               rackchoice.Choice // where its tasks are placed if it has SameRack, as of the newest plan
 	obstacles           obstacles         // as of the newest attempt to place it
+	latestStart         time.Time         // latest start with which the job can meet its objective, as of the newest start order
+	runTimes            speed.Group       // run times of its tasks, compared with each other
 }
 
 // task is one task of a step.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -31,6 +31,7 @@
 	c.endTrials(now)
 	c.releaseDeferred(now)
 	c.updateActivation(now)
+	c.refreshSpeeds(now)
 	c.orderSteps(now)
 	var starts []Start
 	c.gangs.begin(now)
@@ -193,7 +194,7 @@
 	} else if !c.queueConfig.HasService(service) {
 		return false
 	}
-	if v.Service != service || !v.usable(now, &c.cfg) || v.closedTo(s, now) {
+	if v.Service != service || !v.usable(now, &c.cfg) || v.closedTo(s, now) || v.tooSlowFor(s, now) {
 		return false
 	}
 	return s.spec.RequiredLabel == "" || v.HasLabel(s.spec.RequiredLabel)
@@ -249,7 +250,7 @@
 // Lower is better.
 func (c *Cell) score(s *step, v *vm, remaining api.Resources) float64 {
 	score := fraction(remaining.MilliCPU, v.Capacity.MilliCPU) + fraction(remaining.MemoryMB, v.Capacity.MemoryMB)
-	score += slownessWeight * (v.slowdown(c.now) - 1)
+	score += slownessWeight*(v.slowdown(c.now)-1) + c.speedPenalty(s, v)
 	if s.spec.DataRack != "" && v.Rack() != s.spec.DataRack {
 		score += c.cfg.RemoteFactor
 	}
@@ -294,7 +295,7 @@
 		workspace:   s.job.workspace,
 		state:       statePlanned,
 		resumed:     t.checkpoint != "",
-		expectedEnd: now.Add(time.Duration(float64(s.spec.Estimate) * placed.vm.slowdown(now) * c.rackFactor(s))),
+		expectedEnd: now.Add(time.Duration(float64(placed.vm.expectedTime(s, now)) * c.rackFactor(s))),
 	}
 	placed.vm.addAllocation(alloc)
 	c.markDirty(s.job)
