startorder, admission: work in excess is delayed instead of put last; a job that comes back counts from its first attempt

Refused jobs came back after 1 s as if they were new, and were accepted though their time was over.

Change: internal/startorder holds the order as a pure decision; with Overload, excess and share count as 2 s and 1 s of latest start instead of classes. The leader remembers refused jobs for 15 s, so that their objective counts from the first attempt.

--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -34,6 +34,7 @@
 	if !r.cfg.Plan.Overload || d.Reason == admission.ExceedsCap || !refusal.Concerns(j) {
 		return
 	}
+	r.returning.Refused(j.ID, j.AcceptedMs, now)
 	q := r.cfg.Configuration().QueueNamed(j.Queue)
 	r.refusals.mu.Lock()
 	defer r.refusals.mu.Unlock()
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -83,10 +83,11 @@
 	cell                *plan.Cell
 	cycleDone           chan struct{} // closed when the next complete cycle has ended
 	admissionController admission.Controller
-	pendingSubmissions  []*submission // to be stored by the next cycle
-	appendWaitLimit     time.Duration // how long an append may go unanswered before submissions are refused
-	appendPendingSince  time.Time     // start of the unanswered append; zero if none is in flight
-	storeRefusedAt      time.Time     // when the store last refused an append
+	returning           admission.Returning[work.ID] // with Config.Plan.Overload
+	pendingSubmissions  []*submission                // to be stored by the next cycle
+	appendWaitLimit     time.Duration                // how long an append may go unanswered before submissions are refused
+	appendPendingSince  time.Time                    // start of the unanswered append; zero if none is in flight
+	storeRefusedAt      time.Time                    // when the store last refused an append
 	holdLoops           map[string]context.CancelFunc
 	stopped             bool
 	refusals            refusals // guards itself
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -151,6 +151,9 @@
 		r.cfg.Logger.WithError(err).WithField("job", id).Error("unreadable job was handed in")
 		return
 	}
+	if r.cfg.Plan.Overload {
+		job.AcceptedMs = r.returning.FirstSubmittedMs(id, job.AcceptedMs, now)
+	}
 	if r.cfg.LinkFull != nil && r.cfg.LinkFull() {
 		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: linkFullRetryAfter}
 		r.cfg.Logger.WithField("job", job.ID).Info("job refused: this machine's link is full")
@@ -192,7 +195,7 @@
 		MaxUsefulWait: plan.MaxUsefulWait(j, q),
 		Demands: []admission.Demand{{
 			Resource: "room",
-			Backlog:  shared.ProcessingTime(),
+			Backlog:  shared.ProcessingTimes().InTime, // what is late starts after a new job
 			Added:    shared.JobProcessingTime(j),
 		}, {
 			Resource: assist.ClassName(firstCall),
--- a/internal/plan/advice_policy.go
+++ b/internal/plan/advice_policy.go
@@ -68,7 +68,7 @@
 	tasks := s.countToPlace()
 	decision := advicepolicy.Decide(advicepolicy.Step{
 		Lateness:      advicepolicy.Lateness(s.lateness),
-		Slack:         c.rankOf(s, now).latestStart.Sub(now),
+		Slack:         c.rankOf(s, now).LatestStart.Sub(now),
 		Allowance:     s.allowance(),
 		Tasks:         tasks,
 		Granted:       granted,
@@ -125,7 +125,7 @@
 // holdsFurtherGangCall reports whether a gang leaves the last calling machines to steps without grants
 // and to renewals with which a gang can start.
 func (c *Cell) holdsFurtherGangCall(s *step, busy float64, now time.Time) bool {
-	if !advicepolicy.HoldsFurther(c.rankOf(s, now).latestStart.Sub(now), busy) {
+	if !advicepolicy.HoldsFurther(c.rankOf(s, now).LatestStart.Sub(now), busy) {
 		return false
 	}
 	c.holdBack(s, advicepolicy.HeldForOthers)
--- a/internal/plan/backlog.go
+++ b/internal/plan/backlog.go
@@ -83,7 +83,7 @@
 	latestStart := now.Add(objectiveFor(j, q) - j.CriticalPath())
 	ahead := Backlog{milliCPU: b.milliCPU}
 	for _, w := range b.steps {
-		if !w.rank.excess && w.rank.lateness == inTime && !w.rank.latestStart.After(latestStart) {
+		if !w.rank.Excess && w.rank.Lateness == inTime && !w.rank.LatestStart.After(latestStart) {
 			ahead.steps = append(ahead.steps, w)
 		}
 	}
@@ -146,7 +146,7 @@
 func (b Backlog) ProcessingTimes() ProcessingTimes {
 	var milliCPUSeconds [overdue + 1]float64
 	for _, w := range b.steps {
-		milliCPUSeconds[w.rank.lateness] += w.milliCPUSeconds
+		milliCPUSeconds[w.rank.Lateness] += w.milliCPUSeconds
 	}
 	return ProcessingTimes{InTime: b.timeOnFleet(milliCPUSeconds[inTime]), Late: b.timeOnFleet(milliCPUSeconds[late]), Overdue: b.timeOnFleet(milliCPUSeconds[overdue])}
 }
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -8,6 +8,7 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/startorder"
 )
 
 // Bounds of how many executors an advice call names.
@@ -200,7 +201,7 @@
 	slices.SortStableFunc(cands, func(x, y candidate) int {
 		switch {
 		case s.spec.Gang && x.vm.certainlySlow != y.vm.certainlySlow:
-			return compareBools(x.vm.certainlySlow, y.vm.certainlySlow)
+			return startorder.CompareBools(x.vm.certainlySlow, y.vm.certainlySlow)
 		case s.spec.Gang && x.slots != y.slots:
 			return y.slots - x.slots
 		case (x.slots > 0) != (y.slots > 0):
--- a/internal/plan/forecast.go
+++ b/internal/plan/forecast.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarklock/skylarklock/internal/forecast"
 	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/startorder"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -94,14 +95,14 @@
 		f.job.Steps[i] = forecast.Step{DependsOn: j.Steps[i].DependsOn, Demand: c.demandOf(&j.Steps[i], q, j.Steps[i].TaskCount)}
 		f.job.Steps[i].NotBefore = passed + delay
 	}
-	r := rank{latestStart: now.Add(f.Objective - path)}
-	if !now.Before(r.latestStart) {
-		r.lateness = late
+	r := rank{Rank: startorder.Rank{Policy: c.startPolicy(), LatestStart: now.Add(f.Objective - path)}}
+	if !now.Before(r.LatestStart) {
+		r.Lateness = late
 	}
 	if w := c.workspaceOf(j.Workspace); w != nil {
-		r.excess, r.overShare = !w.hasJobToken(now), w.overShare
+		r.Excess, r.OverShare = !w.hasJobToken(now), w.overShare
 	}
-	f.InExcess = r.excess || r.overShare
+	f.InExcess = r.Excess || r.OverShare
 	f.position = s.positionOf(r)
 	f.forecast = s.profile.Forecast(&f.job, f.position)
 	if f.forecast.End > f.job.Objective && !f.forecast.FreeNow {
--- a/internal/plan/forecast_build.go
+++ b/internal/plan/forecast_build.go
@@ -7,6 +7,7 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/forecast"
 	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/startorder"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -37,7 +38,7 @@
 // build builds the profile of the service.
 func (s *serviceForecast) build(largestGang *step, now time.Time) {
 	for _, d := range s.arrivals.Expect(forecast.MaxHorizon, now) {
-		s.waiting = append(s.waiting, forecastEntry{rank{latestStart: now.Add(d.LatestStart)}, d})
+		s.waiting = append(s.waiting, forecastEntry{rank{Rank: startorder.Rank{Policy: startorder.Delays, LatestStart: now.Add(d.LatestStart)}}, d})
 	}
 	slices.SortStableFunc(s.waiting, func(a, b forecastEntry) int { return a.rank.compare(b.rank) })
 	if largestGang != nil {
@@ -141,7 +142,7 @@
 	s, q := r.step, c.queueOf(r.step.job)
 	tasks := s.countToPlace()
 	d := c.demandOf(s.spec, q, tasks)
-	d.LatestStart = r.latestStart.Sub(now)
+	d.LatestStart = r.LatestStart.Sub(now)
 	d.NotBefore = max(s.earliestStart(), s.retryAt.Sub(now))
 	if q != nil && q.Advice != nil && !s.advice.hasValidTicket(now) {
 		d.NotBefore = max(d.NotBefore, q.Advice.CallTime(c.expectedCallSize(s)).Total)
--- a/internal/plan/gathering.go
+++ b/internal/plan/gathering.go
@@ -82,7 +82,7 @@
 
 // gatherRequest describes a gang that waits for capacity.
 func (c *Cell) gatherRequest(s *step, tasks int, now time.Time) gather.Request {
-	latestStart := c.rankOf(s, now).latestStart
+	latestStart := c.rankOf(s, now).LatestStart
 	r := gather.Request{
 		Gang: s.key(), Width: tasks, Task: s.spec.TaskResources, LatestStart: latestStart,
 		LatestUseful: latestStart.Add((overdueFactor - 1) * s.job.latencyObjective), First: s == c.largestGang, Late: s.lateness != inTime,
--- a/internal/plan/move.go
+++ b/internal/plan/move.go
@@ -43,7 +43,7 @@
 	}
 	timeHere := seconds((100 - float64(alloc.progress.last.percent)) * slowness / usual)
 	timeElsewhere := moveOverhead + seconds(remainingPercent/usual)
-	if alloc.task.moves >= maxMoves || alloc.task.suspected() || float64(timeHere) < minMoveGain*float64(timeElsewhere) || c.rankOf(s, now).lateness == overdue {
+	if alloc.task.moves >= maxMoves || alloc.task.suspected() || float64(timeHere) < minMoveGain*float64(timeElsewhere) || c.rankOf(s, now).Lateness == overdue {
 		return
 	}
 	alloc.stopRequested = true
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -1,18 +1,20 @@
 package plan
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/startorder"
 )
 
 // latenessClass says whether a step's job can still end in time to be useful.
-type latenessClass int
+type latenessClass = startorder.Lateness
 
+// Degrees of lateness, in the terms of this package.
 const (
-	inTime  latenessClass = iota // it can end within its latency objective
-	late                         // it can end within overdueFactor times that
-	overdue                      // it can end within neither
+	inTime  = startorder.InTime
+	late    = startorder.Late
+	overdue = startorder.Overdue
 )
 
 // overdueFactor is how many times its latency objective a job may take and still be useful
@@ -21,60 +23,41 @@
 
 // rank is the position of a step in the start order.
 type rank struct {
-	step        *step
-	excess      bool // of a workspace that submits more than its weight
-	lateness    latenessClass
-	overShare   bool      // of a workspace that uses more than its share of the capacity
-	latestStart time.Time // latest start with which the job can meet its objective
+	startorder.Rank
+	step *step
 }
 
-// rankOf returns the position of a step. Steps that can be in time come first, by the
-// latest start that meets the objective: short work with a tight objective thereby passes
-// long work that can wait, and each job moves up as it waits. Late jobs come after those
-// that can be in time. Among either, those of workspaces that use more than their share of the
-// capacity come last, and what a workspace submits in excess of its weight comes after everything
-// else: both start only in what the others leave.
+// startPolicy returns how work in excess of weights and shares is ordered.
+func (c *Cell) startPolicy() startorder.Policy {
+	if c.cfg.Overload {
+		return startorder.Delays
+	}
+	return startorder.Classes
+}
+
+// rankOf returns the position of a step.
 func (c *Cell) rankOf(s *step, now time.Time) rank {
 	c.queueOf(s.job) // refreshes the job's latency objective
 	start := s.job.latencyStart(s.occ)
 	remaining := s.remainingTime
 	objective := s.job.latencyObjective
-	r := rank{step: s, excess: s.job.excess, latestStart: start.Add(objective - remaining)}
+	r := rank{step: s, Rank: startorder.Rank{Policy: c.startPolicy(), Excess: s.job.excess, LatestStart: start.Add(objective - remaining)}}
 	if w := s.job.workspace; w != nil {
-		r.overShare = w.overShare
+		r.OverShare = w.overShare
 	}
 	switch {
-	case now.Before(r.latestStart) || s.spec.LongRunning:
-		r.lateness = inTime
+	case now.Before(r.LatestStart) || s.spec.LongRunning:
+		r.Lateness = inTime
 	case now.Before(start.Add(overdueFactor*objective - remaining)):
-		r.lateness = late
+		r.Lateness = late
 	default:
-		r.lateness = overdue
+		r.Lateness = overdue
 	}
 	return r
 }
 
 // compare returns a negative number if r comes before o in the start order.
-func (r rank) compare(o rank) int {
-	return cmp.Or(
-		compareBools(r.excess, o.excess),
-		cmp.Compare(r.lateness, o.lateness),
-		compareBools(r.overShare, o.overShare),
-		r.latestStart.Compare(o.latestStart),
-	)
-}
-
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
+func (r rank) compare(o rank) int { return r.Rank.Compare(o.Rank) }
 
 // orderSteps updates the start order of the waiting steps.
 func (c *Cell) orderSteps(now time.Time) {
@@ -105,7 +88,7 @@
 	steps := make([]*step, len(ranks))
 	for i := range ranks {
 		steps[i] = ranks[i].step
-		steps[i].lateness, steps[i].latestStart = ranks[i].lateness, ranks[i].latestStart
+		steps[i].lateness, steps[i].latestStart = ranks[i].Lateness, ranks[i].LatestStart
 	}
 	return c.withLargestGangFirst(steps)
 }
--- a/internal/plan/preempt.go
+++ b/internal/plan/preempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/queue"
+	"github.com/skylarklock/skylarklock/internal/startorder"
 )
 
 // Runs of less urgent queues are preempted for gangs that don't fit. This is needed when wide
@@ -55,7 +56,7 @@
 	if victimQueue == nil || victimQueue.Priority <= q.Priority || !s.spec.SavesCheckpoints || s.spec.Gang || s.spec.LongRunning {
 		return false
 	}
-	return c.rankOf(s, now).latestStart.Sub(now) > preemptionSlack
+	return c.rankOf(s, now).LatestStart.Sub(now) > preemptionSlack
 }
 
 // preemptibleRuns returns the runs on an executor that may be stopped for a step of the
@@ -68,7 +69,7 @@
 		}
 	}
 	slices.SortFunc(runs, func(a, b *allocation) int {
-		x, y := c.rankOf(a.task.step, now).latestStart, c.rankOf(b.task.step, now).latestStart
+		x, y := c.rankOf(a.task.step, now).LatestStart, c.rankOf(b.task.step, now).LatestStart
 		if !x.Equal(y) {
 			return y.Compare(x)
 		}
@@ -137,7 +138,7 @@
 	if slots < tasks {
 		return false
 	}
-	slices.SortStableFunc(sources, func(a, b preemptionSource) int { return compareBools(!a.vm.holdsFor(s), !b.vm.holdsFor(s)) })
+	slices.SortStableFunc(sources, func(a, b preemptionSource) int { return startorder.CompareBools(!a.vm.holdsFor(s), !b.vm.holdsFor(s)) })
 	c.preempt(s, sources, tasks, now)
 	s.preemption.attempts++
 	s.preemption.until = now.Add(nominationTimeout)
--- a/internal/plan/rack.go
+++ b/internal/plan/rack.go
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	slack := c.rankOf(s, now).latestStart.Sub(now)
+	slack := c.rankOf(s, now).LatestStart.Sub(now)
 	if slack > 0 && (largest < tasks || s.hasRuns()) {
 		for _, v := range c.permittedVMs(s, q) {
 			if c.suitable(s, q, v, now) {
