plan, speed: certainly fast executors go to work with little slack, gangs to executors of typical speed

Cause: executors of unlike speed were told apart only if they are slower than the typical one.

Change: executors that are certainly faster by 1.35 are known as well. Gang members prefer typical ones; tasks whose slack is less than three times what a fast executor saves prefer fast ones. Expected ends use the speed of fast executors.

--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -46,3 +46,26 @@
 		p.stop()
 	})
 }
+
+// Late gangs that wait for capacity at one moment don't make new jobs be refused, since new jobs start
+// before them. With these gangs in the backlog new jobs got half of the capacity, whatever was free.
+func TestLateBacklogDoesNotRefuseNewJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestCell(t)
+		gang := work.Step{TaskCount: 2, TaskResources: api.Resources{MilliCPU: 20_000}, Estimate: 4 * time.Second, Gang: true}
+		for n := range byte(2) {
+			r := p.recordOf(n, gang)
+			p.store.put(jobsPartition, r.Key, string(r.Value)) // accepted by a former leader
+		}
+		p.register("ready")
+		p.takeOver()
+		time.Sleep(20 * time.Second) // both gangs, which need 10 s of the executor, are far past their objective
+		short := work.Step{TaskCount: 1, TaskResources: api.Resources{MilliCPU: 3200}, Estimate: time.Second}
+		for n := range byte(10) { // together they need 1 s of the executor
+			if got := p.runner.Store(t.Context(), []platform.Record{p.recordOf(100+n, short)})[0]; got.Outcome != assist.Stored {
+				t.Errorf("job %d: outcome %v, retry after %v, with an idle executor; want Stored", n, got.Outcome, got.RetryAfter)
+			}
+		}
+		p.stop()
+	})
+}
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -8,7 +8,6 @@
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
-	"github.com/skylarklock/skylarklock/internal/startorder"
 )
 
 // Bounds of how many executors an advice call names.
@@ -189,7 +188,7 @@
 }
 
 // chooseCandidates returns the candidates that a call should name so that a number of tasks
-// fits: at least as many as are cheap to name, at most limit. A gang prefers executors that aren't slow,
+// fits: at least as many as are cheap to name, at most limit. A gang prefers executors of typical speed,
 // and among these those with the most slots, so that it needs few of them. Other work prefers executors
 // that it fills, by the score that also decides its placement. While calling machines are scarce, executors
 // are named only for expected needs, however cheap they are to name; short steps keep the cheap ones,
@@ -200,8 +199,8 @@
 	}
 	slices.SortStableFunc(cands, func(x, y candidate) int {
 		switch {
-		case s.spec.Gang && x.vm.certainlySlow != y.vm.certainlySlow:
-			return startorder.CompareBools(x.vm.certainlySlow, y.vm.certainlySlow)
+		case s.spec.Gang && x.vm.speedRank() != y.vm.speedRank():
+			return cmp.Compare(x.vm.speedRank(), y.vm.speedRank())
 		case s.spec.Gang && x.slots != y.slots:
 			return y.slots - x.slots
 		case (x.slots > 0) != (y.slots > 0):
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -53,6 +53,8 @@
 	speedsRefreshedAt   time.Time               // when the executors were last compared
 	slowTimeFactor      float64                 // how many times as long runs take on the certainly slow executors, on average; 0 if there are none
 	speedsLoggedAt      time.Time
+	fastTimeFactor      float64              // the same on the certainly fast executors
+	loggedFast          int                  // number of certainly fast executors in the newest log line
 	loggedSlow          int                  // number of certainly slow executors in the newest log line
 	adviceStats         adviceStats          // advice calls since the last summary
 	lastExplained       time.Time            // when the waiting steps were last logged
--- a/internal/plan/executor_speed.go
+++ b/internal/plan/executor_speed.go
@@ -11,8 +11,8 @@
 
 // Parameters of the use of estimated speeds (package speed).
 const (
-	// slowFactor is the factor by which an executor has to be slower than the typical one to
-	// be treated differently. Zones differ by up to 1.3.
+	// slowFactor is the factor by which an executor has to be slower or faster than the typical
+	// one to be treated differently. Zones differ by up to 1.3.
 	slowFactor = 1.35
 	// minPacePercent is the progress from which a run's pace tells its executor's speed.
 	minPacePercent = 20
@@ -62,14 +62,24 @@
 			}
 		}
 	}, slowFactor, now)
-	logSum := 0.0
+	logSum, fastLogSum, fast := 0.0, 0.0, 0
 	for _, v := range c.calledVMs {
 		v.timeFactor = c.speeds.TimeFactor(&v.speed, now)
 		v.certainlySlow = c.speeds.SlowerBy(&v.speed, slowFactor, now)
 		if v.certainlySlow {
 			logSum += math.Log(v.timeFactor)
 		}
+		v.certainlyFast = c.speeds.FasterBy(&v.speed, slowFactor, now)
+		if v.certainlyFast {
+			fastLogSum += math.Log(v.timeFactor)
+			fast++
+		}
+	}
+	c.fastTimeFactor = 0
+	if fast > 0 {
+		c.fastTimeFactor = math.Exp(fastLogSum / float64(fast))
 	}
+	summary.Fast = fast
 	c.slowTimeFactor = 0
 	if summary.Slow > 0 {
 		c.slowTimeFactor = math.Exp(logSum / float64(summary.Slow))
@@ -81,12 +91,12 @@
 // has changed.
 func (c *Cell) logSpeeds(s speed.Summary, now time.Time) {
 	since := now.Sub(c.speedsLoggedAt)
-	if since < minSpeedLogInterval || since < speedLogInterval && s.Slow == c.loggedSlow {
+	if since < minSpeedLogInterval || since < speedLogInterval && s.Slow == c.loggedSlow && s.Fast == c.loggedFast {
 		return
 	}
-	c.speedsLoggedAt, c.loggedSlow = now, s.Slow
+	c.speedsLoggedAt, c.loggedSlow, c.loggedFast = now, s.Slow, s.Fast
 	c.logger.WithFields(logrus.Fields{
-		"executors": len(c.calledVMs), "known": s.Known, "slow": s.Slow, "slow_factor": round2(c.slowTimeFactor), "spread": round2(s.Spread),
+		"executors": len(c.calledVMs), "known": s.Known, "slow": s.Slow, "fast": s.Fast, "slow_factor": round2(c.slowTimeFactor), "spread": round2(s.Spread),
 	}).Info("speeds of executors")
 }
 
@@ -94,5 +104,9 @@
 
 // expectedTime returns how long a run of the step should take on an executor, by its estimate.
 func (v *vm) expectedTime(s *step, now time.Time) time.Duration {
-	return time.Duration(float64(s.spec.Estimate) * max(v.slowdown(now), v.timeFactor))
+	factor := v.timeFactor
+	if recent := v.slowdown(now); recent > 1 {
+		factor = max(recent, factor)
+	}
+	return time.Duration(float64(s.spec.Estimate) * factor)
 }
--- a/internal/plan/preference.go
+++ b/internal/plan/preference.go
@@ -57,6 +57,11 @@
 
 // preferenceOn returns the preference of a step that an executor of a slowdown leads to.
 func (s *step) preferenceOn(slowdown float64, now time.Time) speedPreference {
+	return s.speedDemandOn(slowdown, now).preference()
+}
+
+// speedDemandOn returns what the preference of a step on an executor of a slowdown depends on.
+func (s *step) speedDemandOn(slowdown float64, now time.Time) speedDemand {
 	return speedDemand{
 		gang:        s.spec.Gang,
 		dataBound:   s.spec.DataRack != "" || s.spec.SameRack,
@@ -64,7 +69,7 @@
 		slack:       s.latestStart.Sub(now),
 		estimate:    s.spec.Estimate,
 		slowdown:    slowdown,
-	}.preference()
+	}
 }
 
 // tooSlowFor reports whether the step should wait for a faster executor.
@@ -72,8 +77,46 @@
 	return v.certainlySlow && s.preferenceOn(v.timeFactor, now) == requireFast
 }
 
+// prefersFast reports whether a task should start on certainly fast executors, on which it takes a
+// factor of its time on a typical one: where that saves much of its slack. Gangs leave them to others,
+// since their slowest member counts; on one of these a member occupies capacity that is worth more.
+func (d speedDemand) prefersFast(timeFactor float64) bool {
+	saving := time.Duration(float64(d.estimate) * (1 - timeFactor))
+	return !d.gang && !d.longRunning && !d.dataBound && d.slack < longSlackFactor*saving
+}
+
+// speedRank orders executors for the members of a gang, which should be of like speed: typical ones
+// first, then those whose speed would be of no use, then slow ones.
+func (v *vm) speedRank() int {
+	switch {
+	case v.certainlySlow:
+		return 2
+	case v.certainlyFast:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // speedPenalty returns what the speed of an executor adds to its score for a step.
 func (c *Cell) speedPenalty(s *step, v *vm) float64 {
+	return c.slownessPenalty(s, v) + c.fastnessPenalty(s, v)
+}
+
+// fastnessPenalty returns what a step's preference for or against fast executors adds to the score.
+func (c *Cell) fastnessPenalty(s *step, v *vm) float64 {
+	if c.fastTimeFactor == 0 {
+		return 0
+	}
+	fast := v.certainlyFast
+	if s.spec.Gang && fast || !fast && s.speedDemandOn(1, c.now).prefersFast(c.fastTimeFactor) {
+		return speedWeight
+	}
+	return 0
+}
+
+// slownessPenalty returns what a step's preference for or against slow executors adds to the score.
+func (c *Cell) slownessPenalty(s *step, v *vm) float64 {
 	switch {
 	case c.slowTimeFactor == 0:
 		return 0
--- a/internal/plan/preference_test.go
+++ b/internal/plan/preference_test.go
@@ -173,3 +173,54 @@
 		}
 	}
 }
+
+// newFastFleet returns a cell in which executors e0 and following are certainly fast by 2.2.
+func newFastFleet(t *testing.T, executors, fast int) *testEnv {
+	env := newTestEnv(t, executors)
+	env.cell.speeds = nil // nothing is compared anew
+	env.cell.fastTimeFactor = 1 / 2.2
+	for _, v := range env.cell.sortedVMs[:fast] {
+		v.certainlyFast, v.timeFactor = true, 1/2.2
+	}
+	return env
+}
+
+// Where most executors are of one speed and a few are faster, the fast ones go to work with little
+// slack. A gang on both kinds would occupy the fast ones for as long as its slowest member runs.
+func TestFastExecutorsAreLeftToWorkThatUsesThem(t *testing.T) {
+	for name, c := range map[string]struct {
+		step work.Step
+		fast int // tasks on the two fast ones of four executors
+	}{
+		"gang that fits on typical executors": {work.Step{TaskCount: 2, TaskResources: cpus(20), Estimate: 3 * time.Second, Gang: true}, 0},
+		"gang that needs all executors":       {work.Step{TaskCount: 4, TaskResources: cpus(20), Estimate: 3 * time.Second, Gang: true}, 2},
+		"short task":                          {work.Step{TaskCount: 2, TaskResources: cpus(20), Estimate: 3 * time.Second}, 2},
+	} {
+		env := newFastFleet(t, 4, 2)
+		env.submitJob(1, testQueue, c.step)
+		ids := startedOn(env.runCycle())
+		fast := 0
+		for _, id := range ids {
+			if env.cell.vms[id].certainlyFast {
+				fast++
+			}
+		}
+		if len(ids) != c.step.TaskCount || fast != c.fast {
+			t.Errorf("%s: started on %v, %d of them fast, want %d", name, ids, fast, c.fast)
+		}
+	}
+}
+
+// A run on a fast executor is expected to end earlier, unless the executor has become slow.
+func TestExpectedTimeOnFastExecutor(t *testing.T) {
+	env := newFastFleet(t, 1, 1)
+	env.submitJob(1, testQueue, work.Step{TaskCount: 1, TaskResources: cpus(1), Estimate: 2200 * time.Millisecond})
+	s, v := env.cell.waitingSteps[0], env.cell.sortedVMs[0]
+	if got := v.expectedTime(s, env.now).Round(time.Millisecond); got != time.Second {
+		t.Errorf("expected to take %v", got)
+	}
+	v.markSlow(3, env.now)
+	if got := v.expectedTime(s, env.now).Round(time.Millisecond); got != 6600*time.Millisecond {
+		t.Errorf("expected to take %v on an executor that has become slow", got)
+	}
+}
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -94,6 +94,7 @@
 	speed          speed.Executor
 	timeFactor     float64 // how many times as long as on the typical executor runs take by the estimated speed; 1 if no difference is certain
 	certainlySlow  bool    // it is certainly slower than the typical executor by slowFactor
+	certainlyFast  bool    // it is certainly faster than the typical executor by slowFactor
 }
 
 // newVM returns an executor of which only its reference is known.
--- a/internal/speed/summary.go
+++ b/internal/speed/summary.go
@@ -11,6 +11,7 @@
 type Summary struct {
 	Known  int     // executors with enough observations to count for the typical speed
 	Slow   int     // executors that are certainly slower by more than the factor asked for
+	Fast   int     // executors that are certainly faster by more than that
 	Spread float64 // ratio of the 90th to the 10th percentile of the known speeds; 1 if none is known
 }
 
