Refusals at entry machines taken out; the leader refuses, and knows jobs that come back

Cause: an entry machine that refuses by a list of the leader can tell a client that its job never runs although the leader has accepted it after it made the list, if the answer was lost and the job comes again elsewhere within 0.6 s. A refusal that says that a job has not run must be true.

--- a/internal/assist/assist.go
+++ b/internal/assist/assist.go
@@ -19,7 +19,6 @@
 	"github.com/skylarklock/skylarklock/internal/peer"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
-	"github.com/skylarklock/skylarklock/internal/refusal"
 	"github.com/skylarklock/skylarklock/internal/replica"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -123,6 +122,30 @@
 	Results []StoreResult
 }
 
+// Delivery brings the states of jobs to a machine, in the order of the partition. It also names the
+// leader, which a machine that cannot reach the store learns only from deliveries.
+type Delivery struct {
+	_           struct{} `cbor:",toarray"`
+	Leader      leader.Leader
+	LastRenewal leader.Renewal  // the leader's last confirmed renewal
+	Span        replica.Span    // of the records that the summaries cover
+	Jobs        work.Summaries  // of all jobs that these records changed
+	End         platform.Offset // of the partition, as far as the leader knows
+	Role        Role            // what the receiving machine should keep
+	Machines    []Attachment    // for standbys: the machines that the leader delivers to; empty: unchanged
+	CutOff      bool            // the leader reaches neither the store nor another data centre
+}
+
+// DeliveryAnswer reports how far the machine knows the partition and the highest epoch that it
+// knows.
+type DeliveryAnswer struct {
+	_               struct{}        `cbor:",toarray"`
+	Position        platform.Offset // up to which it knows the states of jobs
+	ContentPosition platform.Offset // up to which it keeps the content of records
+	HasContent      bool            // it keeps the content of all records
+	Epoch           api.Epoch
+}
+
 // SyncRequest asks the leader to read everything that the store holds.
 type SyncRequest struct {
 	_ struct{} `cbor:",toarray"`
@@ -178,12 +201,10 @@
 	Receiver        Receiver
 	Elector         Elector
 	SetLeaderCutOff func(cut bool) // records whether the leader is cut off; may be nil
-	// SetRefused records what the leader of an epoch refuses; nil news: nothing. May be nil.
-	SetRefused  func(epoch api.Epoch, news *refusal.News)
-	Peers       *Peers
-	Adviser     platform.Adviser
-	Executors   platform.Executors
-	CallTimeout time.Duration // limit of a call to the advice service or the store
+	Peers           *Peers
+	Adviser         platform.Adviser
+	Executors       platform.Executors
+	CallTimeout     time.Duration // limit of a call to the advice service or the store
 
 	NewestConfiguration func(newerThan uint64) queue.Reading // what this machine knows of the configuration
 }
@@ -212,6 +233,32 @@
 	return nil
 }
 
+// Deliver handles a delivery of job summaries from the leader.
+func (h *Handler) Deliver(d *Delivery, reply *DeliveryAnswer) error {
+	reply.Epoch = h.Elector.ObserveLeader(d.Leader)
+	if reply.Epoch != d.Leader.Epoch {
+		return nil // a former leader, whose delivery may be outdated
+	}
+	h.Elector.ObserveRenewal(d.Leader.Epoch, d.LastRenewal)
+	if h.SetLeaderCutOff != nil {
+		h.SetLeaderCutOff(d.CutOff)
+	}
+	h.Peers.AddKnown(d.Machines)
+	switch d.Role {
+	case Standby:
+		h.Receiver.KeepContent()
+	case Follower:
+		h.Receiver.DropContent()
+	}
+	jobs, readable := d.Jobs.Unpack()
+	if !readable {
+		return errors.New("assist: job summaries of an unsupported version")
+	}
+	reply.Position = h.Receiver.Deliver(d.Span, jobs, d.End)
+	reply.ContentPosition, reply.HasContent = h.Receiver.ContentPosition()
+	return nil
+}
+
 // Content handles a delivery of record content from the leader.
 func (h *Handler) Content(c *ContentDelivery, reply *DeliveryAnswer) error {
 	reply.Epoch = h.Elector.ObserveLeader(c.Leader)
--- a/internal/assist/publisher.go
+++ b/internal/assist/publisher.go
@@ -6,14 +6,12 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/leader"
 	"github.com/skylarklock/skylarklock/internal/platform"
-	"github.com/skylarklock/skylarklock/internal/refusal"
 	"github.com/skylarklock/skylarklock/internal/replica"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -60,10 +58,7 @@
 	LastRenewal        func() leader.Renewal // the last confirmed renewal of leadership
 	CutOff             func() bool           // whether this machine reaches neither the store nor another data centre; nil: never
 	OnReplaced         func(epoch api.Epoch) // called when a machine knows a higher epoch
-	// Refused returns what the leader refuses at the moment, for a number of machines; nil: nothing. May be
-	// nil.
-	Refused func(machines int, now time.Time) *refusal.News
-	Logger  *logrus.Entry
+	Logger             *logrus.Entry
 }
 
 // Publisher delivers what the leader's replica applies to the attached machines: job summaries,
@@ -90,7 +85,6 @@
 	lastDelivery    time.Time
 	inFlight        bool
 	lastMachineList time.Time
-	refusedFieldAt  time.Time // when the machine last refused Delivery.Refused; zero: never
 
 	contentPosition     platform.Offset // up to which the machine keeps the content of records
 	hasContent          bool            // the machine keeps the content of all records
@@ -167,18 +161,11 @@
 			machines := p.cfg.Peers.Others(now)
 			p.updateStandbys(machines, now)
 			updateInterval := p.updateInterval(len(machines))
-			var refused *refusal.News // made before the deliveries, whose end then covers what was settled
-			if p.cfg.Refused != nil {
-				refused = p.cfg.Refused(len(machines), now)
-			}
 			for _, m := range machines {
 				if d, due := p.nextDelivery(m.Node, updateInterval, now); due {
 					if d.Role == Standby && p.machineListDue(m.Node, now) {
 						d.Machines = machines
 					}
-					if refused != nil && p.knowsRefused(m.Node, now) {
-						d.Refused = refused
-					}
 					calls.Go(func() { p.deliver(ctx, m, d) })
 				}
 				if c, due := p.nextContent(m.Node, now); due {
@@ -313,23 +300,33 @@
 // call makes a delivery and returns the machine's answer. It returns false if there was none or if
 // the machine knows a later leader.
 func (p *Publisher) call(ctx context.Context, c Caller, m Attachment, method string, delivery any) (DeliveryAnswer, bool) {
-	answer, err := p.callOnce(ctx, c, m, method, delivery)
-	return answer, err == nil
-}
-
-// errReplaced is the error of a delivery to a machine that knows a later leader.
-var errReplaced = errors.New("assist: the machine knows a later leader")
-
-// callOnce is call with the reason of a failure.
-func (p *Publisher) callOnce(ctx context.Context, c Caller, m Attachment, method string, delivery any) (DeliveryAnswer, error) {
 	var answer DeliveryAnswer
 	if err := c.Call(ctx, m.Address, method, delivery, &answer); err != nil {
 		p.cfg.Logger.WithError(err).WithFields(logrus.Fields{"machine": m.Node, "method": method}).Debug("not delivered")
-		return answer, err
+		return answer, false
 	}
 	if answer.Epoch > p.cfg.Self.Epoch {
 		p.cfg.OnReplaced(answer.Epoch)
-		return answer, errReplaced
+		return answer, false
+	}
+	return answer, true
+}
+
+func (p *Publisher) deliver(ctx context.Context, m Attachment, d Delivery) {
+	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
+	defer cancel()
+	answer, ok := p.call(ctx, p.cfg.Caller, m, methodDeliver, &d)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(m.Node)
+	t.inFlight = false
+	if !ok {
+		return
+	}
+	t.position = answer.Position
+	t.hasContent = answer.HasContent
+	if !t.contentInFlight {
+		t.contentPosition = answer.ContentPosition
 	}
-	return answer, nil
+	p.cfg.Peers.RecordAnswer(m.Node, answer.HasContent, time.Now())
 }
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -90,7 +90,6 @@
 	storeRefusedAt      time.Time                    // when the store last refused an append
 	holdLoops           map[string]context.CancelFunc
 	stopped             bool
-	refusals            refusals // guards itself
 	goroutines          sync.WaitGroup
 }
 
@@ -105,7 +104,6 @@
 		cycleDone:       make(chan struct{}),
 		appendWaitLimit: minAppendWaitLimit,
 		holdLoops:       make(map[string]context.CancelFunc),
-		refusals:        refusals{startedAt: time.Now()},
 	}
 }
 
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -129,7 +129,6 @@
 	for _, id := range s.addedJobs {
 		r.cell.Withdraw(id)
 	}
-	s.settle()
 }
 
 // linkFullRetryAfter is the delay after which a client that was refused because of a full link
@@ -157,17 +156,17 @@
 	if r.cfg.LinkFull != nil && r.cfg.LinkFull() {
 		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: linkFullRetryAfter}
 		r.cfg.Logger.WithField("job", job.ID).Info("job refused: this machine's link is full")
-		r.recordRefusal(job, admission.Decision{RetryAfter: linkFullRetryAfter}, now)
 		return
 	}
 	if decision := r.admit(job, backlog, now); decision.Reason != "" {
 		s.results[i] = assist.StoreResult{Outcome: assist.TooBusy, RetryAfter: decision.RetryAfter}
-		r.recordRefusal(job, decision, now)
+		if r.cfg.Plan.Overload && decision.Reason != admission.ExceedsCap {
+			r.returning.Refused(id, job.AcceptedMs, now)
+		}
 		return
 	}
 	if r.cell.AddJob(job, nil, now.UnixMilli(), now) {
 		s.addedJobs = append(s.addedJobs, id)
-		r.recordAccepted(s, job)
 	}
 }
 
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/platform"
-	"github.com/skylarklock/skylarklock/internal/refusal"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -13,8 +12,6 @@
 	results   []assist.StoreResult      // one per record; only those of refused records (TooBusy) are set before the append
 	addedJobs []work.ID                 // jobs that the cell has added for this submission
 	done      chan []assist.StoreResult // receives one value
-	unsettled []refusal.Key             // of the added jobs, until it is known whether they are stored
-	refusals  *refusals                 // where they are recorded; nil: nowhere
 }
 
 // acceptedRecords returns the records that are to be stored.
@@ -35,6 +32,5 @@
 			s.results[i].Outcome = outcome
 		}
 	}
-	s.settle()
 	s.done <- s.results
 }
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -90,7 +90,6 @@
 		CutOff:             r.cfg.CutOff,
 		LastRenewal:        r.cfg.LastRenewal,
 		OnReplaced:         r.cfg.OnHigherEpoch,
-		Refused:            r.refusals.news,
 		Logger:             r.cfg.Logger,
 	}, from)
 	close(ready)
--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -12,7 +12,6 @@
 
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
-	"github.com/skylarklock/skylarklock/internal/refusal"
 	"github.com/skylarklock/skylarklock/internal/replica"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -43,10 +42,8 @@
 	Sync          func(ctx context.Context) error // reads everything that the store holds at the time of the call
 	Store         Store
 	CutOff        func() bool // this machine reaches neither the store nor a leader; nil: never
-	// RefuseHere decides whether a new job is refused without a call to the leader; nil: never.
-	RefuseHere func(*work.Job, *queue.Queue) refusal.Verdict
-	Leaving    func() bool // the process is about to stop, so clients should connect elsewhere
-	Logger     *logrus.Entry
+	Leaving       func() bool // the process is about to stop, so clients should connect elsewhere
+	Logger        *logrus.Entry
 }
 
 // Timing of answers.
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -50,9 +50,6 @@
 	if feature := unsupportedFeature(job); feature != "" {
 		return a.refuse(http.StatusServiceUnavailable, feature+" is not supported", 0)
 	}
-	if refusal := a.refuseHere(r, job); refusal != nil {
-		return refusal
-	}
 	value, err := work.EncodeJob(job)
 	if err != nil {
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
@@ -135,7 +132,7 @@
 	var busy *intake.BusyError
 	switch {
 	case errors.As(err, &busy):
-		return a.refuse(http.StatusTooManyRequests, reasonBusy, busy.RetryAfter)
+		return a.refuse(http.StatusTooManyRequests, "too much waits before it for the job to end in time", busy.RetryAfter)
 	case errors.Is(err, intake.ErrNotStored):
 		return a.refuse(http.StatusServiceUnavailable, "the store takes nothing at the moment", retryAfter)
 	default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,6 @@
 	linkFull       atomic.Bool // the load of the link exceeds maxLinkLoad
 	leaderCutOff   atomic.Bool // the leader's newest delivery reported that it is cut off
 	attachSoon     atomic.Bool // this machine has news for the leader
-	localRefusals  localRefusals
 	shutdown       shutdown
 }
 
@@ -194,7 +193,6 @@
 		Sync:          n.sync,
 		Store:         n.intake,
 		CutOff:        n.cutOff,
-		RefuseHere:    n.refuseHere,
 		Leaving:       n.draining.Load,
 		Logger:        n.log,
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -86,7 +86,6 @@
 		Receiver:        n.reader,
 		Elector:         n.elector,
 		SetLeaderCutOff: n.leaderCutOff.Store,
-		SetRefused:      n.setRefused,
 		Peers:           n.peers,
 		Adviser:         n.adviser,
 		Executors:       n.relayExecutors,
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -64,7 +64,6 @@
 			"span_ms": time.Since(began).Milliseconds(), "out": total.Out, "in": total.In,
 			"by_kind": traffic.FormatLine(delta),
 		}).Info("bytes of this process")
-		n.logRefusals()
 	}
 	return nil
 }
