node: test of reused executor IDs accepts a job that was given up after three crashes

Change: the test accepts the state failed for just such jobs, by the leader's line with at least three crashes; the check that no task starts again after its end was acknowledged is unchanged.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +27,25 @@
 	store     *standin.Store
 	advice    *standin.Advice
 	executors []*standin.Executor
+	lines     lockedBuffer // log lines of all processes
+}
+
+// lockedBuffer is a buffer that several processes write to.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
 }
 
 // newTestEnv starts the stand-ins with the given number of executors of service svc and
@@ -93,8 +114,12 @@
 		MemoryBytes: 1 << 28, MaxLease: 10 * time.Second,
 		Grace: 2 * time.Second, JobStateRetention: time.Minute, DrainDelay: 2 * time.Second,
 	}
+	log, err := logging.New(&env.lines, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := New(s, logging.Nop())
+	n := New(s, logging.ForNode(log, s.Node, s.DataCentre))
 	p := &process{node: n, settings: s, stop: stop, done: make(chan error, 1)}
 	go func() { p.done <- n.Run(ctx) }()
 	t.Cleanup(stop)
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/logread"
 	"github.com/skylarklock/skylarklock/platform/standin"
 )
 
@@ -35,9 +38,34 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	for _, id := range ids {
-		second.awaitState(t, id, "completed")
+		// Under load, one task may run on all three executors as they are restarted. It is then taken for
+		// what crashes them, and its job may be given up.
+		want := "completed"
+		eventually(t, "job "+id+" has ended", func() bool {
+			_, state := second.request(t, http.MethodGet, "/q/"+id, "")
+			if state == `{"state":"failed"}` && crashesOfGivenUp(t, env.lines.String(), id) >= 3 {
+				want = "failed"
+			}
+			return state == `{"state":"`+want+`"}`
+		})
 	}
 	if again := ends.RestartedTasks(); len(again) > 0 {
 		t.Errorf("tasks started again after their end was acknowledged: %v", again)
 	}
 }
+
+// crashesOfGivenUp returns how many executors were lost under the task for which a job was given up,
+// according to the leaders' lines, or 0 if it wasn't given up.
+func crashesOfGivenUp(t *testing.T, text, job string) int64 {
+	lines, err := logread.Read(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, l := range lines.All {
+		if strings.HasPrefix(l.Message, "job is given up") && l.Field("job") == job {
+			crashes, _ := l.Int("crashes")
+			return crashes
+		}
+	}
+	return 0
+}
