--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -170,7 +170,11 @@
 	if permitted == permissionDenied || v.closedTo(s, now) || v.Service != q.Service || (s.spec.RequiredLabel != "" && !v.HasLabel(s.spec.RequiredLabel)) {
 		return
 	}
-	cand := candidate{vm: v, slots: v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated).Sub(v.heldAt(s, at.Sub(now))))}
+	free = free.Sub(v.tentative).Sub(v.nominated)
+	if len(v.held) > 0 {
+		free = free.Sub(v.heldAt(s, at.Sub(now)))
+	}
+	cand := candidate{vm: v, slots: v.slotsIn(s, free)}
 	if cand.slots > 0 && v.tooSlowFor(s, now) {
 		cand.slots = 0
 	}
