--- a/internal/plan/burst_test.go
+++ b/internal/plan/burst_test.go
@@ -296,6 +296,7 @@
 // In a burst of load A all calling machines are busy for seconds. Urgent steps must not wait for the
 // calls of batches, nor gangs for what batches ask about without need.
 func TestAdviceWaitsInBurst(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("plays a large cell twice")
 	}
--- a/internal/plan/cap_random_test.go
+++ b/internal/plan/cap_random_test.go
@@ -80,6 +80,7 @@
 // while a cap is full, orders are carried out seconds later, executors are cut off and come back, caps are
 // raised and lowered, and the workspace is removed and comes back.
 func TestRandomCaps(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(randomSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r := &randomCaps{randomSimulation: newRandomSimulation(t, seed, true)}
--- a/internal/plan/crash_random_test.go
+++ b/internal/plan/crash_random_test.go
@@ -98,6 +98,7 @@
 // No task may run on two executors at once, however many executors crash, and a task that
 // crashes its executors must neither be restarted without limit nor fail other jobs.
 func TestRandomCrashes(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(crashSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r := newRandomCrashes(t, seed)
--- a/internal/plan/executor_speed_test.go
+++ b/internal/plan/executor_speed_test.go
@@ -14,6 +14,7 @@
 // At 70% load on a fleet of which a quarter is slow, more urgent jobs are in time with
 // estimated speeds than without, and neither gangs nor batches pay for it.
 func TestUnlikeFleetUnderLoad(t *testing.T) {
+	t.Parallel()
 	shares := func(estimate bool) map[string]float64 {
 		sum := make(map[string]float64)
 		const seeds = 3
--- a/internal/plan/fault_random_test.go
+++ b/internal/plan/fault_random_test.go
@@ -206,6 +206,7 @@
 // over every run of an ended job must be stopped in time. The latter is also checked with
 // executors that carry out void starts.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for _, seed := range regressionSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { simulateRandomFaults(t, seed, true) })
 	}
--- a/internal/plan/gathering_load_test.go
+++ b/internal/plan/gathering_load_test.go
@@ -58,6 +58,7 @@
 // The former reservations are compared with the penalty for held slots, from which they profit as
 // well: without it they have fewer gangs in time.
 func TestGangsStartEarlierInFullCell(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("simulates 240 s of a cell")
 	}
--- a/internal/plan/resize_test.go
+++ b/internal/plan/resize_test.go
@@ -166,6 +166,7 @@
 // The leader reads changes of capacity late. Once it must know of one, no start may bring an
 // executor over its capacity.
 func TestStartsNeverOverfillResizedExecutors(t *testing.T) {
+	t.Parallel()
 	const seeds = 30
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/plan/restart_random_test.go
+++ b/internal/plan/restart_random_test.go
@@ -205,6 +205,7 @@
 // When executors restart under the same ID, no task may run on two executors at once or be
 // started again after its end was acknowledged, and every job must end.
 func TestRandomRestartsUnderTheSameID(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(restartSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { simulateRestarts(t, seed) })
 	}
--- a/internal/plan/stop_test.go
+++ b/internal/plan/stop_test.go
@@ -71,6 +71,7 @@
 // A start without an answer may be carried out late, before or after its job has ended. Its
 // run must be stopped in time.
 func TestLateStartOfEndedJobIsStopped(t *testing.T) {
+	t.Parallel()
 	for ending, end := range jobEndings {
 		for registryState, changeRegistry := range registryChanges {
 			for stops, faults := range stopFaultCases {
@@ -108,6 +109,7 @@
 // The same holds if the leader that sent the start is replaced by one that knows only what is
 // durable.
 func TestLateStartOfFormerLeaderIsStopped(t *testing.T) {
+	t.Parallel()
 	for registryState, changeRegistry := range registryChanges {
 		for stops, faults := range stopFaultCases {
 			for _, order := range []struct{ started, ended, led time.Duration }{
