dispatch: with Overload the waiting work is listed at most every 20 ms for admission

Change: the list counts as unchanged for 20 ms; what is accepted in between is booked in the forecast. Without Overload nothing changes.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -84,6 +84,7 @@
 	cycleDone           chan struct{} // closed when the next complete cycle has ended
 	admissionController admission.Controller
 	returning           admission.Returning[work.ID] // with Config.Plan.Overload
+	backlogs            backlogs                     // as of the newest submission that listed them
 	pendingSubmissions  []*submission                // to be stored by the next cycle
 	appendWaitLimit     time.Duration                // how long an append may go unanswered before submissions are refused
 	appendPendingSince  time.Time                    // start of the unanswered append; zero if none is in flight
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -64,8 +64,7 @@
 	if r.stopped || r.cell == nil || r.storeUnavailable(now) {
 		return false, false
 	}
-	backlog := backlogs{all: r.cell.Backlog(now)}
-	backlog.shared = backlog.all.Shared()
+	backlog := r.currentBacklogs(now)
 	for i := range s.records {
 		r.admitRecord(s, i, backlog, now)
 	}
@@ -77,7 +76,24 @@
 }
 
 // backlogs is the work that waits, all of it and what competes for the executors.
-type backlogs struct{ all, shared plan.Backlog }
+type backlogs struct {
+	all, shared plan.Backlog
+	at          time.Time
+}
+
+// backlogValidity is how long the work that waits counts as unchanged with Overload. In a burst hundreds of
+// submissions arrive in a second, and listing what waits takes the longer the more does. What was accepted
+// in the meantime is booked in the forecast.
+const backlogValidity = 20 * time.Millisecond
+
+// currentBacklogs returns the work that waits. The caller holds r.mu.
+func (r *Runner) currentBacklogs(now time.Time) backlogs {
+	if !r.cfg.Plan.Overload || r.backlogs.at.IsZero() || now.Sub(r.backlogs.at) >= backlogValidity {
+		all := r.cell.Backlog(now)
+		r.backlogs = backlogs{all: all, shared: all.Shared(), at: now}
+	}
+	return r.backlogs
+}
 
 // storeRefusalBackoff is how long submissions are refused without an attempt after the store
 // has refused an append: calls that the store refuses are paid for, too.
