forecast: no refusal while capacity is free is asked again by a test, which is red; gather: a comment on tuning removed

The other checks of the overload test are as they were. The comment on how MaxHeldShare was chosen is gone.

--- a/internal/forecast/overload_test.go
+++ b/internal/forecast/overload_test.go
@@ -231,10 +231,14 @@
 		if float64(lost) > 0.02*float64(accepted) {
 			t.Errorf("seed %d: %d of %d accepted jobs were worthless", seed, lost, accepted)
 		}
-		// A refused job may be lucky with the executors that it may run on, and tasks that have
-		// started since the profile was built are counted twice.
-		if float64(profile.refusedFree) > 0.005*float64(profile.refusals) {
-			t.Errorf("seed %d: %d of %d refusals while capacity was free", seed, profile.refusedFree, profile.refusals)
+	}
+}
+
+// Guards against refusals of jobs for which capacity is free at that moment.
+func TestNoRefusalWhileCapacityIsFree(t *testing.T) {
+	for seed := range uint64(2) {
+		if p := playOverload(&byProfile{}, seed); p.refusedFree > 0 {
+			t.Errorf("seed %d: %d of %d refusals while capacity was free", seed, p.refusedFree, p.refusals)
 		}
 	}
 }
--- a/internal/gather/keeper.go
+++ b/internal/gather/keeper.go
@@ -12,8 +12,7 @@
 const (
 	// MaxHeldShare is the share of a service's processors that plans may hold together. The
 	// rest of the cell keeps working. One gang may exceed it, since a gang wider than the
-	// share would never start otherwise. In the simulated full cell of internal/plan, 0.12 had
-	// more gangs in time than 0.06, 0.18 or 0.25.
+	// share would never start otherwise.
 	MaxHeldShare = 0.12
 	// MaxOverdue is how much later than planned the slots of a plan may become free before
 	// others are looked for. Shorter delays are usual, as an end reaches the leader some tens
