--- a/internal/advicepolicy/policy.go
+++ b/internal/advicepolicy/policy.go
@@ -37,13 +37,13 @@
 	HeldNoCapacity         // no executor is expected to have capacity worth a call
 	HeldRecent             // its newest call was made a moment ago
 	HeldForOthers          // the last machines are kept for steps without grants or with little slack
-	numberOfReasons        // not a reason
+	NumberOfReasons        // not a reason but their number
 )
 
 // Reasons returns the reasons for which calls are held back.
 func Reasons() []Reason {
 	var reasons []Reason
-	for r := HeldOverdue; r < numberOfReasons; r++ {
+	for r := HeldOverdue; r < NumberOfReasons; r++ {
 		reasons = append(reasons, r)
 	}
 	return reasons
@@ -51,7 +51,7 @@
 
 // String returns the name of the reason in log fields.
 func (r Reason) String() string {
-	return [numberOfReasons]string{"none", "overdue", "covered", "no_capacity", "recent", "for_others"}[r]
+	return [NumberOfReasons]string{"none", "overdue", "covered", "no_capacity", "recent", "for_others"}[r]
 }
 
 // Limits of the decisions.
@@ -69,6 +69,11 @@
 	littleSlack = time.Second
 	// minCallSpacing is the time between two calls of a step with more slack than that.
 	minCallSpacing = time.Second
+	// minPressingSpacing is the same for steps with little slack that aren't short.
+	minPressingSpacing = 250 * time.Millisecond
+	// coveredFactor is how many slots an empty cell must have for each task on executors known to permit
+	// the step so that it asks about no others. On fewer it competes with too many other steps.
+	coveredFactor = 3
 	// worthwhileShare is the share of a step's tasks for which capacity must be expected for a call.
 	// A batch call takes 130 ms of a machine whether it places one task or 25.
 	worthwhileShare = 0.25
@@ -87,6 +92,7 @@
 	ValidSlots    int           // expected slots at the time of the answer on executors with valid tickets
 	ExpiredSlots  int           // the same with tickets that have expired by then
 	UnknownSlots  int           // the same on executors with unknown permission
+	EmptySlots    int           // slots on executors with tickets, valid or not, if these were empty
 	GrantShare    float64       // learned share of the named executors that are granted
 	BusyShare     float64       // share of the machines for its class of calls that are busy
 	SinceLastCall time.Duration // time since its newest call was made
@@ -106,6 +112,12 @@
 // executors.
 func HoldsOverdue(l Lateness, busyShare float64) bool { return l == Overdue && Scarce(busyShare) }
 
+// HoldsFurther reports whether a step with grants and some slack makes no call that names further
+// executors.
+func HoldsFurther(slack time.Duration, busyShare float64) bool {
+	return slack >= littleSlack && busyShare >= reservedShare
+}
+
 // Short reports whether a step renews its tickets before they expire, also without expected capacity.
 func (s Step) Short() bool { return s.Allowance < ShortAllowance && s.Lateness != Overdue }
 
@@ -131,7 +143,7 @@
 	if !pressing && s.BusyShare >= reservedShare {
 		return held(HeldForOthers)
 	}
-	if !pressing && s.SinceLastCall < minCallSpacing {
+	if s.SinceLastCall < s.spacing(pressing) {
 		return held(HeldRecent)
 	}
 	missing := s.Tasks - s.ValidSlots
@@ -141,8 +153,10 @@
 	}
 	fromUnknown := s.GrantShare * float64(s.UnknownSlots)
 	switch {
-	case s.ExpiredSlots >= missing || float64(s.ExpiredSlots) >= max(worthwhile, fromUnknown):
+	case s.ExpiredSlots >= missing || float64(s.ExpiredSlots) >= worthwhile:
 		return Decision{Kind: Renewal, Slots: NeededSlots(missing, 1)}
+	case !pressing && s.EmptySlots >= coveredFactor*s.Tasks:
+		return held(HeldCovered)
 	case fromUnknown >= worthwhile:
 		return Decision{Kind: Further, Slots: NeededSlots(missing-s.ExpiredSlots, s.GrantShare)}
 	default:
@@ -150,6 +164,18 @@
 	}
 }
 
+// spacing returns the minimum time between two calls of the step.
+func (s Step) spacing(pressing bool) time.Duration {
+	switch {
+	case s.Short():
+		return 0 // its calls take a few milliseconds
+	case pressing:
+		return minPressingSpacing
+	default:
+		return minCallSpacing
+	}
+}
+
 // NeededSlots returns how many slots a call should name for a number of tasks at a share of grants.
 func NeededSlots(tasks int, share float64) float64 {
 	return scarceMargin * float64(tasks) / max(share, 0.01)
--- a/internal/assist/demand.go
+++ b/internal/assist/demand.go
@@ -1,6 +1,7 @@
 package assist
 
 import (
+	"math"
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/queue"
@@ -45,12 +46,23 @@
 // equally long when there are more calls than machines can make, which short work cannot afford.
 var overprovision = [numCallClasses]float64{shortCalls: 2, mediumCalls: 1.5, longCalls: 1}
 
+// Bounds of the machines that the short class gets beyond its share by demand. A long call occupies a
+// machine for 0.3 to 1.3 s, and the demand of a burst shows only after its calls have been made. Bursts
+// are 1.5 to 2.5 times the load.
+const (
+	shortBurstFactor = 2.5
+	// maxBurstShare is the share of the machines up to which they are kept for a burst of short calls.
+	maxBurstShare = 0.25
+)
+
 // demandHalfLife is the time after which past demand counts half.
 const demandHalfLife = 2 * time.Second
 
 // demand tracks the recent duration of advice calls for each class.
 type demand struct {
 	callSeconds   [numCallClasses]float64   // expected duration of all calls, halved every demandHalfLife
+	refused       [numCallClasses]float64   // expected duration of the calls that found no machine in the present pass
+	waiting       [numCallClasses]float64   // the same in the pass before
 	lastRequested [numCallClasses]time.Time // last request for a slot
 	decayedAt     time.Time                 // last time at which callSeconds was halved
 }
@@ -79,12 +91,11 @@
 // machine for each. With fewer machines than classes, the shorter classes share the first machine,
 // because a long call would delay them most.
 func (d *demand) assignRanges(n int) [numCallClasses]peerRange {
-	var out [numCallClasses]peerRange
 	total, active := 0.0, 0
 	for i := range d.callSeconds {
 		if d.active(i) {
 			active++
-			total += overprovision[i] * d.callSeconds[i]
+			total += d.weight(i)
 		}
 	}
 	if n < active {
@@ -94,17 +105,53 @@
 		total = 1
 	}
 	spare := n - active
-	from, given := 0, 0.0
+	var counts [numCallClasses]int
+	given := 0.0
 	for i := range d.callSeconds {
 		if !d.active(i) {
-			out[i] = peerRange{from, from}
 			continue
 		}
 		before := int(given/total*float64(spare) + 0.5)
-		given += overprovision[i] * d.callSeconds[i]
-		share := int(given/total*float64(spare)+0.5) - before
-		out[i] = peerRange{from, from + 1 + share}
-		from = out[i].to
+		given += d.weight(i)
+		counts[i] = 1 + int(given/total*float64(spare)+0.5) - before
+	}
+	d.reserveForBurst(&counts, n)
+	return rangesOf(counts)
+}
+
+// weight returns the demand by which the class gets machines. Calls that found no machine count:
+// otherwise a class with few machines would make few calls and therefore keep few machines.
+func (d *demand) weight(i int) float64 { return overprovision[i]*d.callSeconds[i] + d.waiting[i] }
+
+// reserveForBurst gives the short class the machines that a burst of its calls would keep busy, taken
+// from the class with the most machines.
+func (d *demand) reserveForBurst(counts *[numCallClasses]int, n int) {
+	if counts[shortCalls] == 0 {
+		return
+	}
+	// In a steady state callSeconds varies between the demand of one half life and that of two.
+	busy := d.callSeconds[shortCalls] / (1.5 * demandHalfLife.Seconds())
+	wanted := min(int(math.Ceil(shortBurstFactor*busy)), int(maxBurstShare*float64(n)))
+	for counts[shortCalls] < wanted {
+		from := mediumCalls
+		if counts[longCalls] > counts[mediumCalls] {
+			from = longCalls
+		}
+		if counts[from] <= 1 {
+			return
+		}
+		counts[from]--
+		counts[shortCalls]++
+	}
+}
+
+// rangesOf returns consecutive ranges of machines.
+func rangesOf(counts [numCallClasses]int) [numCallClasses]peerRange {
+	var out [numCallClasses]peerRange
+	from := 0
+	for i, count := range counts {
+		out[i] = peerRange{from, from + count}
+		from += count
 	}
 	return out
 }
--- a/internal/assist/peers.go
+++ b/internal/assist/peers.go
@@ -194,6 +194,9 @@
 	cost    time.Duration
 }
 
+// Address returns the address of the slot's machine. It is empty for this machine.
+func (s *Slot) Address() string { return s.address }
+
 // Take returns a slot for a call, or nil if none is free. Calls of different classes go to different
 // machines, so that a short call never waits for a long one; the machines are divided by the total
 // duration of the calls of each class.
@@ -269,6 +272,7 @@
 	class := classOf(call)
 	expected := p.demand
 	expected.recordRequest(class, now)
+	expected.waiting = [numCallClasses]float64{} // these calls are among the waiting ones
 	total := time.Duration(0)
 	for _, w := range waiting {
 		if w.Total == 0 {
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/advicepolicy"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -23,6 +24,7 @@
 	retryAfter           time.Time             // no call is made before this time, after a call that failed
 	nextCheck            time.Time             // when it is checked again whether a call is due
 	waitUntil            time.Time             // until when the step waits for capacity on executors with tickets; zero if it doesn't wait
+	heldBack             advicepolicy.Reason   // why the newest check made no call
 	validUntil           time.Time             // when the last ticket expires
 	tentativeAllocations []tentativeAllocation // capacity that the step is expected to take once the newest calls are answered
 	ticketVMs            []*vm                 // executors with tickets, sorted by ID; nil until computed
@@ -148,6 +150,7 @@
 		c.orderSteps(now)
 	}
 	fleet := c.snapshot(now)
+	fleet.load, _ = dispatcher.(LoadReporter)
 	caps := capForecast{now: now, byWorkspace: make(map[*workspace]*forecastHeadroom)}
 	var calls []AdviceCall
 	for _, s := range c.orderedSteps {
@@ -155,6 +158,11 @@
 		if q == nil || q.Advice == nil || !c.mayStartUnderCap(s, q, &caps, now) || s.advice.hasNewAnswer || s.advice.callsInFlight > 0 || now.Before(s.advice.retryAfter) || now.Before(s.advice.nextCheck) || !s.ready {
 			continue
 		}
+		if advicepolicy.HoldsOverdue(advicepolicy.Lateness(s.lateness), fleet.busyShare(s, q)) {
+			c.holdBack(s, advicepolicy.HeldOverdue)
+			s.advice.nextCheck = now.Add(s.callCheckInterval())
+			continue
+		}
 		if !dispatcher.Free(q.Advice.CallTime(c.expectedCallSize(s))) {
 			continue
 		}
@@ -199,6 +207,7 @@
 		s.advice.waitUntil = time.Time{}
 		s.advice.callsInFlight = len(calls)
 		s.advice.lastCall = now
+		s.advice.heldBack = advicepolicy.NotHeld
 		s.advice.expectedSlots = float64(totalSlots(assigned)) / float64(len(assigned))
 	}
 	return calls
@@ -224,8 +233,14 @@
 	if s.spec.Gang && s.lateness == inTime {
 		limit *= maxGangCalls
 	}
+	if !s.spec.Gang {
+		if named, restricted := c.restrictedCandidates(s, q, &executors, fleet, answerBy, now); restricted {
+			return named
+		}
+	}
+	scarce := advicepolicy.Scarce(fleet.busyShare(s, q))
 	if len(s.advice.tickets) == 0 {
-		return c.firstCallCandidates(c.chooseCandidates(executors.unknown, s, q, tasks, limit), s, q, now)
+		return c.firstCallCandidates(c.chooseCandidates(executors.unknown, s, q, tasks, limit, scarce), s, q, now)
 	}
 	minSlots := 1
 	if s.spec.Gang {
@@ -250,13 +265,16 @@
 	case valid >= minSlots && c.waitsForCapacity(s, answerBy, now):
 		return nil
 	case valid < minSlots && valid+expired >= minSlots:
-		return mostSlots(executors.expired, limit)
+		return s.renewalCandidates(executors.expired, tasks, limit)
 	}
-	further := c.furtherCandidates(executors.unknown, s, q, max(1, tasks-valid-expired), limit)
+	if s.spec.Gang && c.holdsFurtherGangCall(s, fleet.busyShare(s, q), now) {
+		return nil
+	}
+	further := c.furtherCandidates(executors.unknown, s, q, max(1, tasks-valid-expired), limit, scarce)
 	if len(further) == 0 {
 		return nil
 	}
-	return append(further, mostSlots(executors.expired, limit-len(further))...)
+	return append(further, s.renewalCandidates(executors.expired, tasks, limit-len(further))...)
 }
 
 // waitsForCapacity reports whether a step should keep waiting for capacity that is expected
@@ -272,11 +290,11 @@
 // furtherCandidates returns executors of which it isn't known whether they may run the step
 // and that have free capacity for a number of tasks. It returns none if they have no free
 // capacity at all.
-func (c *Cell) furtherCandidates(unknown []candidate, s *step, q *queue.Queue, tasks, limit int) []candidate {
+func (c *Cell) furtherCandidates(unknown []candidate, s *step, q *queue.Queue, tasks, limit int, scarce bool) []candidate {
 	if totalSlots(unknown) == 0 {
 		return nil
 	}
-	return c.chooseCandidates(unknown, s, q, tasks, limit)
+	return c.chooseCandidates(unknown, s, q, tasks, limit, scarce)
 }
 
 // firstCallCandidates returns the executors for a step's first call, or none while this
@@ -309,35 +327,6 @@
 // only estimated.
 const renewAhead = 150 * time.Millisecond
 
-// HandleGrants applies the answer to an advice call, which arrived at now.
-func (c *Cell) HandleGrants(call AdviceCall, grants []platform.Grant, validity time.Duration, now time.Time) {
-	s := c.findStep(call.Step)
-	if s == nil {
-		return
-	}
-	s.advice.hasNewAnswer = true
-	s.preemption.nextAttempt = time.Time{}
-	if s.job.advisedAt.IsZero() {
-		s.job.advisedAt = now
-	}
-	q := c.queueOf(s.job)
-	c.learnGrantShare(q, len(call.Executors), len(grants))
-	s.advice.applyGrants(c.vms, call.Executors, grants, now.Add(validity-c.cfg.TicketMargin))
-	s.advice.endCall()
-	c.learnAvailableShare(s, q, grants, now)
-}
-
-// HandleAdviceFailure records that an advice call failed and delays the step's next call.
-func (c *Cell) HandleAdviceFailure(call AdviceCall, now time.Time) {
-	s := c.findStep(call.Step)
-	if s == nil {
-		return
-	}
-	s.advice.endCall()
-	c.clearTentative(s)
-	s.advice.retryAfter = now.Add(adviceRetryDelay)
-}
-
 // Intervals between two checks of whether a step needs an advice call. Each check goes
 // through all executors.
 const (
@@ -361,6 +350,3 @@
 		s.advice.nextCheck = time.Time{}
 	}
 }
-
-// adviceRetryDelay is the pause after an advice call that failed.
-const adviceRetryDelay = 50 * time.Millisecond
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -51,6 +51,7 @@
 	vms                   []*vm                         // executors that may be given work, or some of them in a large fleet
 	included              map[*vm]struct{}              // the vms; nil: all that may be given work
 	freeByTime            map[time.Time][]api.Resources // expected free capacity of each of the vms at a time
+	load                  LoadReporter                  // how busy the calling machines are; nil if unknown
 	preemptibleByPriority map[int][]api.Resources       // resources of preemptible runs on each of the vms, by the priority of the preempting queue
 }
 
@@ -170,7 +171,7 @@
 		return
 	}
 	cand := candidate{vm: v, slots: v.slotsIn(s, free.Sub(v.tentative).Sub(v.nominated))}
-	if cand.slots == 0 && len(s.advice.tickets) > 0 {
+	if cand.slots == 0 && len(s.advice.tickets) > 0 && !(permitted == permissionGranted && s.renewsAhead()) {
 		return // later calls gain nothing from a full executor
 	}
 	switch {
@@ -186,8 +187,9 @@
 // chooseCandidates returns the candidates that a call should name so that a number of tasks
 // fits: at least as many as are cheap to name, at most limit. A gang prefers the executors
 // with the most slots, so that it needs few of them. Other work prefers executors that it
-// fills, by the score that also decides its placement.
-func (c *Cell) chooseCandidates(cands []candidate, s *step, q *queue.Queue, tasks, limit int) []candidate {
+// fills, by the score that also decides its placement. While calling machines are scarce, executors are
+// named only for expected needs, however cheap they are to name.
+func (c *Cell) chooseCandidates(cands []candidate, s *step, q *queue.Queue, tasks, limit int, scarce bool) []candidate {
 	for i := range cands {
 		cands[i].placementScore = c.score(s, cands[i].vm, cands[i].vm.free().Sub(s.spec.TaskResources))
 	}
@@ -203,6 +205,9 @@
 	})
 	cheap := cheapCallSize(q.Advice)
 	wantedSlots := slotMargin * float64(tasks) / (c.grantShare(q) * c.availableShare(q))
+	if scarce {
+		return neededCandidates(cands, s, wantedSlots, limit)
+	}
 	found := 0
 	for i, cand := range cands {
 		if i >= limit || (i >= cheap && float64(found) >= wantedSlots) || (i >= c.cfg.MaxExecutorsPerCall && cand.slots == 0) {
--- a/internal/plan/summary.go
+++ b/internal/plan/summary.go
@@ -4,16 +4,19 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/skylarklock/skylarklock/internal/advicepolicy"
 )
 
 // adviceStats counts the advice calls since the last summary.
 type adviceStats struct {
-	firstCalls     int                        // calls for steps without grants
-	renewals       int                        // calls that name only executors granted before
-	furtherCalls   int                        // calls for steps with grants that also name other executors
-	executorsNamed int                        // executors named in all calls
-	cost           [overdue + 1]time.Duration // expected time of the calls, by the lateness of their steps
-	gangCost       time.Duration              // expected time of the calls for gangs
+	firstCalls     int                               // calls for steps without grants
+	renewals       int                               // calls that name only executors granted before
+	furtherCalls   int                               // calls for steps with grants that also name other executors
+	executorsNamed int                               // executors named in all calls
+	cost           [overdue + 1]time.Duration        // expected time of the calls, by the lateness of their steps
+	gangCost       time.Duration                     // expected time of the calls for gangs
+	heldBack       [advicepolicy.NumberOfReasons]int // calls that were not made
 }
 
 // countAdviceCall counts a call that is about to be made.
@@ -36,6 +39,15 @@
 	c.adviceStats.renewals++
 }
 
+// heldBackFields returns the numbers of calls that were held back as log fields.
+func (a *adviceStats) heldBackFields() logrus.Fields {
+	fields := make(logrus.Fields)
+	for _, r := range advicepolicy.Reasons() {
+		fields["calls_held_"+r.String()] = a.heldBack[r]
+	}
+	return fields
+}
+
 // logSummary logs how much of the cell's capacity is used and what waits for a start.
 func (c *Cell) logSummary(now time.Time) {
 	var usable, runs int
@@ -68,7 +80,7 @@
 	}
 	backlog := c.Backlog(now)
 	times := backlog.ProcessingTimes()
-	c.logger.WithFields(logrus.Fields{
+	c.logger.WithFields(c.adviceStats.heldBackFields()).WithFields(logrus.Fields{
 		"processors": backlog.Processors(), "room_in_time_ms": times.InTime.Milliseconds(),
 		"room_late_ms": times.Late.Milliseconds(), "room_overdue_ms": times.Overdue.Milliseconds(),
 		"executors": len(c.sortedVMs), "usable": usable, "runs": runs,
