forecast: jobs for which slots are free are not refused for work that can't use them

Callers saw: a small urgent job refused, to return in a second or more, while executors that could run it stood free.

Cause: FreeIn subtracted the bookings of a profile up to 100 ms old from what is free now. Work that has started since was subtracted twice, and work that had been offered the free slots and can't use them (gangs that are too wide) was subtracted although it takes nothing.

Ruled out: the learned share alone, age alone.

Change: FitsNow counts slots for each executor. Demands ahead take slots only if they start before the job and no planning pass has offered them the slots; capacity released since the last pass goes to waiting steps first. The cell tells when it planned last, what was released since and what is held for gangs, and builds the profile anew before such a refusal if it has planned since the last build.

--- a/internal/forecast/bench_test.go
+++ b/internal/forecast/bench_test.go
@@ -70,3 +70,25 @@
 		})
 	}
 }
+
+// BenchmarkFreeIn measures the check for free capacity before a refusal, where nothing is free for
+// the job and where all waiting steps have to be looked at.
+func BenchmarkFreeIn(b *testing.B) {
+	for _, executors := range []int{350, 6000} {
+		fleet, releases, waiting := busyFleet(executors, 2000)
+		for i := range waiting {
+			waiting[i].NotBefore = time.Duration(i%100) * time.Millisecond
+			waiting[i].Gang, waiting[i].Tasks = true, 10_000 // they take nothing
+		}
+		p := Build(MaxHorizon, fleet, releases, waiting)
+		for name, size := range map[string]int64{"none": 64_000, "some": 5_000} {
+			b.Run(fmt.Sprint(name, "/", executors), func(b *testing.B) {
+				j := Job{Steps: []Step{{Demand: Demand{Tasks: 3, Task: Capacity{size, 2 * size}, Run: time.Second, Share: 0.7, NotBefore: 30 * time.Millisecond}}}, Objective: time.Second}
+				b.ReportAllocs()
+				for b.Loop() {
+					p.FreeIn(fleet, &j, len(waiting))
+				}
+			})
+		}
+	}
+}
--- a/internal/forecast/job.go
+++ b/internal/forecast/job.go
@@ -12,6 +12,8 @@
 type Job struct {
 	Steps     []Step
 	Submitted time.Duration // from the moment of the profile; all other times of the job are from there as well
+	// SincePlacement is the time from the newest placement of waiting steps to the submission.
+	SincePlacement time.Duration
 	// Objective is the time until which the job should have ended.
 	Objective time.Duration
 }
@@ -57,6 +59,7 @@
 		p.bookJob(&p.layers[i], j, f)
 	}
 	p.bookJob(&p.accepted, j, f)
+	p.noteAdded(j, position)
 }
 
 // bookJob books a job in one layer.
@@ -109,44 +112,22 @@
 // that is late.
 const freeMargin = 0.6
 
-// freeNow reports whether the steps that depend on no other fit into what is free at present.
+// freeNow reports whether the steps that depend on no other fit into what was free when the profile
+// was built, beside what is booked.
 func (p *Profile) freeNow(l *layer, j *Job) bool {
-	b := p.bucketOf(j.Submitted)
-	return p.fits(j, p.executors, p.free, p.free.sub(l.free[b].unpack()))
-}
-
-// FreeIn reports whether the steps of a job that depend on no other fit into the free capacity of
-// executors that were seen since the profile was built, beside the demands ahead of the job.
-// Runs often end earlier than expected, and what they free is not in the profile.
-func (p *Profile) FreeIn(executors []Executor, j *Job, position int) bool {
-	b := p.bucketOf(j.Submitted)
-	free := Capacity{}
-	for i := range executors {
-		free = free.Add(executors[i].Free)
-	}
-	booked := p.layers[0].free[b].unpack().sub(p.layers[p.layerOf(position)].free[b].unpack())
-	return p.fits(j, executors, free, booked)
-}
-
-// bucketOf returns the bucket that contains a time.
-func (p *Profile) bucketOf(at time.Duration) int { return min(int(at/BucketWidth), p.buckets-1) }
-
-// fits reports whether the first steps of a job fit into the free capacity of executors, of which
-// a part is booked.
-func (p *Profile) fits(j *Job, executors []Executor, free, booked Capacity) bool {
-	left := free.sub(booked)
+	left := l.free[p.bucketOf(j.Submitted)].unpack()
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if len(s.DependsOn) > 0 || s.Tasks <= 0 {
 			continue
 		}
-		amount := amountOf(free, s.Task)
+		amount := amountOf(p.free, s.Task)
 		if amount == 0 {
 			return false
 		}
 		slots := 0.0
-		for k := range executors {
-			slots += float64(int(amountOf(executors[k].Free, s.Task)))
+		for k := range p.executors {
+			slots += float64(int(amountOf(p.executors[k].Free, s.Task)))
 		}
 		shape := p.shapeOf(&s.Demand)
 		if shape.share*slots*min(1, amountOf(left, s.Task)/amount) < freeMargin*float64(shape.width(s.Tasks)) {
@@ -156,3 +137,6 @@
 	}
 	return true
 }
+
+// bucketOf returns the bucket that contains a time.
+func (p *Profile) bucketOf(at time.Duration) int { return min(int(at/BucketWidth), p.buckets-1) }
--- a/internal/forecast/place.go
+++ b/internal/forecast/place.go
@@ -141,8 +141,7 @@
 	lowest := low.pack()
 	for _, c := range free[b:min(b+run, p.buckets)] {
 		if !c.holds(lowest) {
-			u := c.unpack()
-			low = Capacity{min(low.MilliCPU, u.MilliCPU), min(low.MemoryMB, u.MemoryMB)}
+			low = low.Min(c.unpack())
 			lowest = low.pack()
 		}
 	}
--- a/internal/forecast/profile.go
+++ b/internal/forecast/profile.go
@@ -39,6 +39,11 @@
 	return Capacity{c.MilliCPU + o.MilliCPU, c.MemoryMB + o.MemoryMB}
 }
 
+// Min returns the smaller of each part.
+func (c Capacity) Min(o Capacity) Capacity {
+	return Capacity{min(c.MilliCPU, o.MilliCPU), min(c.MemoryMB, o.MemoryMB)}
+}
+
 // sub returns the difference of two amounts.
 func (c Capacity) sub(o Capacity) Capacity {
 	return Capacity{c.MilliCPU - o.MilliCPU, c.MemoryMB - o.MemoryMB}
@@ -56,6 +61,7 @@
 type Executor struct {
 	Capacity Capacity
 	Free     Capacity // not held by any run
+	Released Capacity // part of Free that became free after waiting steps were last placed
 }
 
 // Release is capacity that a run is expected to free.
@@ -71,7 +77,7 @@
 	Run         time.Duration // expected run time of a task
 	Gang        bool          // all tasks start at the same moment
 	Share       float64       // fraction of the executors on which the step may run, above 0 and at most 1
-	NotBefore   time.Duration // earliest start, for example because the step needs advice first
+	NotBefore   time.Duration // earliest start, for example because the step needs advice first; may be in the past
 	LatestStart time.Duration // latest start of the last task with which the job can meet its objective
 	Expected    bool          // of jobs that have not been submitted yet (Arrivals)
 }
@@ -104,16 +110,20 @@
 	layers         []layer              // with increasing numbers of them; the last contains all
 	accepted       layer                // with all waiting steps, but without demands of jobs to come
 	starts         []booking
+	steps          []Demand // waiting steps, in start order
+	added          []addedDemand
 }
 
 // Build returns the profile of executors whose runs end as in releases, with the waiting
-// steps booked in start order. A later step uses capacity that earlier ones leave unused.
+// steps booked in start order. A later step uses capacity that earlier ones leave unused. The
+// profile keeps the slices.
 func Build(horizon time.Duration, executors []Executor, releases []Release, waiting []Demand) *Profile {
 	p := &Profile{
 		buckets:        max(1, int(min(horizon, MaxHorizon)/BucketWidth)),
 		executors:      executors,
 		fragmentations: make(map[Capacity]float64),
 		waiting:        len(waiting),
+		steps:          waiting,
 	}
 	for i := range executors {
 		p.total = p.total.Add(executors[i].Capacity)
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -44,6 +44,7 @@
 	pendingStops        []Stop                  // stops to be sent
 	failedStops         []*allocation           // allocations whose newest stop may have had no effect
 	now                 time.Time               // newest time passed to Plan or HandleReport
+	plannedAt           time.Time               // when the newest pass over the waiting steps was made
 	grantShares         map[string]float64      // by queue: moving mean of the share of executors granted
 	availableShares     map[string]float64      // by queue: moving mean of the share of expected capacity that gangs still find free
 	fleetRunRatio       float64                 // moving mean over the fleet of run time divided by estimate
--- a/internal/plan/forecast.go
+++ b/internal/plan/forecast.go
@@ -9,7 +9,6 @@
 
 	"github.com/skylarklock/skylarklock/internal/forecast"
 	"github.com/skylarklock/skylarklock/internal/queue"
-	"github.com/skylarklock/skylarklock/internal/startorder"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
@@ -65,6 +64,7 @@
 	id       work.ID
 	queue    string
 	now      time.Time
+	rank     rank
 	service  *serviceForecast
 	job      forecast.Job // with durations from the moment of the profile
 	position int          // number of entries ahead of it
@@ -80,39 +80,61 @@
 		return nil, false
 	}
 	c.updateForecasts(now)
+	f, known := c.forecast(j, q, delay, wallMillis, now)
+	if !known || f.End <= f.Objective || f.FreeNow {
+		return f, known
+	}
+	executors := c.executorsFor(c.newJobStep(j, q, f.rank, now), q.Service, delay, now)
+	if f.findFree(executors); !f.FreeNow && c.forecasts.builtAt.Before(c.plannedAt) && forecast.FitsNow(executors, &f.job) {
+		// Steps ahead of the job may have started since the profile was built.
+		c.buildForecasts(now)
+		if f, known = c.forecast(j, q, delay, wallMillis, now); known {
+			f.findFree(executors)
+		}
+	}
+	return f, known
+}
+
+// forecast returns the forecast of a job from the present profile.
+func (c *Cell) forecast(j *work.Job, q *queue.Queue, delay time.Duration, wallMillis int64, now time.Time) (*JobForecast, bool) {
 	s := c.forecasts.services[q.Service]
 	if s == nil || s.profile == nil {
 		return nil, false
 	}
 	age := min(maxAge, time.Duration(max(0, wallMillis-j.AcceptedMs))*time.Millisecond)
-	path, passed := j.CriticalPath(), max(0, now.Sub(c.forecasts.builtAt))
+	passed := max(0, now.Sub(c.forecasts.builtAt))
 	f := &JobForecast{
-		id: j.ID, queue: q.Name, now: now, service: s, DelayedEnd: delay + path, Objective: objectiveFor(j, q) - age,
-		job: forecast.Job{Steps: make([]forecast.Step, len(j.Steps))},
-	}
-	f.job.Submitted, f.job.Objective = passed, passed+f.Objective
-	for i := range j.Steps {
-		f.job.Steps[i] = forecast.Step{DependsOn: j.Steps[i].DependsOn, Demand: c.demandOf(&j.Steps[i], q, j.Steps[i].TaskCount)}
-		f.job.Steps[i].NotBefore = passed + delay
-	}
-	r := rank{Rank: startorder.Rank{Policy: c.startPolicy(), LatestStart: now.Add(f.Objective - path)}}
-	if !now.Before(r.LatestStart) {
-		r.Lateness = late
+		id: j.ID, queue: q.Name, now: now, service: s, DelayedEnd: delay + j.CriticalPath(), Objective: objectiveFor(j, q) - age,
+		job: c.forecastJob(j, q, passed, delay, now),
 	}
-	if w := c.workspaceOf(j.Workspace); w != nil {
-		r.Excess, r.OverShare = !w.hasJobToken(now), w.overShare
-	}
-	f.InExcess = r.Excess || r.OverShare
-	f.position = s.positionOf(r)
+	f.job.Objective = passed + f.Objective
+	f.rank = c.rankOfNew(j, f.Objective, now)
+	f.InExcess = f.rank.Excess || f.rank.OverShare
+	f.position = s.positionOf(f.rank)
 	f.forecast = s.profile.Forecast(&f.job, f.position)
-	if f.forecast.End > f.job.Objective && !f.forecast.FreeNow {
-		f.forecast.FreeNow = s.profile.FreeIn(c.forecastExecutors(q.Service, now), &f.job, f.position)
-	}
 	f.First, f.Last, f.FreeNow = f.forecast.First-passed, f.forecast.Last-passed, f.forecast.FreeNow
 	f.End, f.InTimeEnd = f.forecast.End-passed, f.forecast.InTimeEnd-passed
 	return f, true
 }
 
+// findFree sets FreeNow if there is capacity for the job on executors as they are now. Runs often end
+// earlier than the profile expects.
+func (f *JobForecast) findFree(executors []forecast.Executor) {
+	f.FreeNow = f.FreeNow || f.service.profile.FreeIn(executors, &f.job, f.position)
+	f.forecast.FreeNow = f.FreeNow
+}
+
+// forecastJob returns what a job needs that is submitted now, which is some time after the moment that
+// its times count from, and that can't start before a delay.
+func (c *Cell) forecastJob(j *work.Job, q *queue.Queue, passed, delay time.Duration, now time.Time) forecast.Job {
+	job := forecast.Job{Steps: make([]forecast.Step, len(j.Steps)), Submitted: passed, SincePlacement: now.Sub(c.plannedAt)}
+	for i := range j.Steps {
+		job.Steps[i] = forecast.Step{DependsOn: j.Steps[i].DependsOn, Demand: c.demandOf(&j.Steps[i], q, j.Steps[i].TaskCount)}
+		job.Steps[i].NotBefore = passed + delay
+	}
+	return job
+}
+
 // needsCertainExecutors reports whether a step can't run on any executor of its service. The
 // profile doesn't distinguish the executors.
 func needsCertainExecutors(s work.Step) bool {
--- a/internal/plan/forecast_build.go
+++ b/internal/plan/forecast_build.go
@@ -13,9 +13,13 @@
 
 // updateForecasts builds the profiles anew if they are older than forecastInterval.
 func (c *Cell) updateForecasts(now time.Time) {
-	if !c.cfg.Overload || now.Sub(c.ledSince) <= takeoverReportWait || now.Sub(c.forecasts.builtAt) < forecastInterval {
-		return
+	if c.cfg.Overload && now.Sub(c.ledSince) > takeoverReportWait && now.Sub(c.forecasts.builtAt) >= forecastInterval {
+		c.buildForecasts(now)
 	}
+}
+
+// buildForecasts builds the profiles.
+func (c *Cell) buildForecasts(now time.Time) {
 	former := c.forecasts.services
 	c.forecasts.services, c.forecasts.builtAt = make(map[string]*serviceForecast), now
 	for _, v := range c.sortedVMs {
@@ -86,20 +90,6 @@
 	return forecast.Executor{Capacity: forecastCapacity(v.Capacity), Free: free}, true
 }
 
-// forecastExecutors returns the present capacity of the executors of a service.
-func (c *Cell) forecastExecutors(service string, now time.Time) []forecast.Executor {
-	var out []forecast.Executor
-	for _, v := range c.sortedVMs {
-		if v.Service != service {
-			continue
-		}
-		if e, counts := c.forecastExecutor(v, now); counts {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
 func forecastCapacity(r api.Resources) forecast.Capacity {
 	return forecast.Capacity{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB}
 }
@@ -144,6 +134,9 @@
 	d := c.demandOf(s.spec, q, tasks)
 	d.LatestStart = r.LatestStart.Sub(now)
 	d.NotBefore = max(s.earliestStart(), s.retryAt.Sub(now))
+	if s.ready && !c.plannedAt.IsZero() && s.offeredAt.Equal(c.plannedAt) {
+		d.NotBefore = c.plannedAt.Sub(now) // it could have started then
+	}
 	if q != nil && q.Advice != nil && !s.advice.hasValidTicket(now) {
 		d.NotBefore = max(d.NotBefore, q.Advice.CallTime(c.expectedCallSize(s)).Total)
 	}
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -63,6 +63,7 @@
 	isolation           isolation
 	consecutiveRefusals int               // starts refused in a row for the content of their order
 	retryAt             time.Time         // no start is planned before this time
+	offeredAt           time.Time         // when a pass last looked for executors for it
 	timeBefore          account.Times     // stages of the chain of tasks that ended before the step became ready
 	waitsFor            account.Stage     // what its waiting tasks wait for, as of the newest plan
 	hasNewWaiters       bool              // tasks have begun to wait since then
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -58,6 +58,7 @@
 			s.endIsolation()
 		}
 		preempting := c.isPreempting(s, now)
+		s.offeredAt = now
 		placed := c.placeStep(s, q, tasks, now)
 		if len(placed) > 0 {
 			s.advice.waitUntil = time.Time{}
@@ -83,6 +84,7 @@
 		}
 		c.gangs.gather(s, len(tasks), now)
 	}
+	c.noteFree(now)
 	return starts
 }
 
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -64,6 +64,7 @@
 	historyRequested      bool               // the registry's history was queried for its address
 	registeredAddress     string             // address in the registry; Ref has the one to call
 	used                  api.Resources
+	freeAfterPlan         api.Resources // free capacity after the newest pass over the waiting steps
 	nominated             api.Resources // capacity nominated to gangs by preemption (preempt.go)
 	tentative             api.Resources // capacity that steps with advice calls in flight are expected to take (tentative.go)
 	held                  []heldSlots   // slots held by the plans of gangs, by planned start (gathering.go)
