dispatch: the backlog refuses no job for which executors are free

Callers saw: on deployments without `pressure` in the contracts (and for labels, accelerators and a new leader elsewhere), "too much waits" or "would end too late" while executors stood idle.

Cause: the backlog is an amount of work. Gangs that can be in time but fit nowhere count in it, although nothing of what is free goes to them: over 8 s of it admit new jobs at half the rate, and what starts first delays them in the reckoning only.

Evidence: TestGangsThatFitNowhereDoNotRefuseJobs fails before, by the backlog and by the wait: with an idle executor and five such gangs, jobs that need a tenth of it are told to return after 17 s.

Change: before a refusal the leader looks at what is free beside the steps ahead (Cell.FreeNow, with the same FitsNow as the forecast). Then only advice and the workspace's cap can refuse the job.

--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -69,3 +69,30 @@
 		p.stop()
 	})
 }
+
+// Gangs that can be in time but fit nowhere don't make jobs be refused for which the executor is free:
+// neither for the length of their backlog nor because they start before the job.
+func TestGangsThatFitNowhereDoNotRefuseJobs(t *testing.T) {
+	for name, age := range map[string]time.Duration{"backlog": 2 * time.Second, "wait": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestCell(t)
+				gang := work.Step{TaskCount: 2, TaskResources: api.Resources{MilliCPU: 20_000}, Estimate: 4 * time.Second, Gang: true}
+				for n := range byte(5) { // they need 25 s of the executor
+					r := p.recordOf(n, gang)
+					p.store.put(jobsPartition, r.Key, string(r.Value)) // accepted by a former leader
+				}
+				p.register("ready")
+				p.takeOver()
+				time.Sleep(age) // the gangs can be in time until 5 s
+				short := work.Step{TaskCount: 1, TaskResources: api.Resources{MilliCPU: 3200}, Estimate: time.Second}
+				for n := range byte(10) { // together they fill the executor
+					if got := p.runner.Store(t.Context(), []platform.Record{p.recordOf(100+n, short)})[0]; got.Outcome != assist.Stored {
+						t.Errorf("job %d: outcome %v, retry after %v, with a free executor; want Stored", n, got.Outcome, got.RetryAfter)
+					}
+				}
+				p.stop()
+			})
+		})
+	}
+}
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -201,12 +201,13 @@
 	shared, underCap := backlog.shared, backlog.all.UnderCap(j, workspace.Cap)
 	before := shared.AheadOf(j, q, now)
 	beforeAdvice := r.cfg.Peers.EstimateWait(firstCall, before.AdviceCalls(), now)
-	delay := max(beforeAdvice+firstCall.Total, underCap.AheadOf(j, q, now).ProcessingTime())
+	underCapWait := underCap.AheadOf(j, q, now).ProcessingTime()
+	delay := max(beforeAdvice+firstCall.Total, underCapWait)
 	if f, known := r.cell.Forecast(j, q, delay, now.UnixMilli(), now); known {
 		return r.admitByForecast(j, f, beforeAdvice)
 	}
 	request := admission.Request{
-		ExpectedWait:  max(before.ProcessingTime()+beforeAdvice, underCap.AheadOf(j, q, now).ProcessingTime()),
+		ExpectedWait:  max(before.ProcessingTime()+beforeAdvice, underCapWait),
 		MaxUsefulWait: plan.MaxUsefulWait(j, q),
 		Demands: []admission.Demand{{
 			Resource: "room",
@@ -223,6 +224,11 @@
 		}},
 	}
 	decision := r.admissionController.Decide(request, now)
+	if decision.Reason != "" && r.cell.FreeNow(j, q, delay, now) {
+		// Work that waits beside free executors can't use them.
+		onFree := admission.Request{ExpectedWait: max(beforeAdvice, underCapWait), MaxUsefulWait: request.MaxUsefulWait, Demands: request.Demands[1:]}
+		decision = r.admissionController.Decide(onFree, now)
+	}
 	if decision.Reason != "" {
 		r.logRefusal(j, request, decision, beforeAdvice, shared.Processors())
 	}
--- a/internal/plan/free.go
+++ b/internal/plan/free.go
@@ -11,6 +11,27 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
+// FreeNow reports whether the first steps of a job that is submitted now may start on executors that
+// are free, beside the waiting steps ahead of it. The job can't start before a delay.
+func (c *Cell) FreeNow(j *work.Job, q *queue.Queue, delay time.Duration, now time.Time) bool {
+	if q == nil {
+		return false
+	}
+	job := c.forecastJob(j, q, 0, delay, now)
+	r := c.rankOfNew(j, objectiveFor(j, q), now)
+	executors := c.executorsFor(c.newJobStep(j, q, r, now), q.Service, delay, now)
+	if !forecast.FitsNow(executors, &job) {
+		return false
+	}
+	var ahead []forecast.Demand
+	for _, o := range c.forecastRanks(now) {
+		if c.serviceOf(o.step.job) == q.Service && o.compare(r) <= 0 {
+			ahead = append(ahead, c.waitingDemand(o, now))
+		}
+	}
+	return forecast.FitsNow(executors, &job, ahead)
+}
+
 // rankOfNew returns the position of a job that is submitted now and has some time until its objective.
 func (c *Cell) rankOfNew(j *work.Job, objective time.Duration, now time.Time) rank {
 	r := rank{Rank: startorder.Rank{Policy: c.startPolicy(), LatestStart: now.Add(objective - j.CriticalPath())}}
