standin/site: a process reserves the ports of its entry VMs

Callers saw: a replaced entry VM that can't listen ("address already in use"), in TestGracefulStopUnderLoad and TestConcurrentPublications, and TestStartWithLogDownTakesStateFromPeers failing at its start; callers of one cell could reach an entry VM of another.

Cause: ports were chosen by the process ID, 97 apart for neighbouring processes, probed and released. The tests of internal/entry take some 480, and go test starts demo, entry and experiment one after the other. Between probe and start, and while a node restarts, another process could take the port.

Evidence: TestProcessesUseDifferentPorts (four processes with 600 ports each) fails before: 127.0.0.1:13906 is used by processes 1 and 2, and so in each of 3 runs.

Change: ports are reserved in blocks of 200; a process listens on the first port of each of its blocks until it ends. Result: the test passes 3 of 3 with -race.

--- a/internal/standin/site/settings.go
+++ b/internal/standin/site/settings.go
@@ -2,11 +2,6 @@
 
 import (
 	"fmt"
-	"net"
-	"os"
-	"sync/atomic"
-
-	"github.com/cockroachdb/errors"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/settings"
@@ -33,7 +28,7 @@
 	for _, n := range counts {
 		total += n
 	}
-	addresses, err := freePorts(total * portsPerEntry)
+	addresses, err := ports.reserve(total * portsPerEntry)
 	if err != nil {
 		return nil, err
 	}
@@ -68,38 +63,3 @@
 	e.VMList.URL = "http://" + s.VMListAddress
 	return e
 }
-
-// Ports of entry VMs are below the kernel's range for outgoing connections
-// (32768 and up). Otherwise an outgoing connection could take a port between
-// its selection and the call to listen, or while a node restarts.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-	// processStride separates the ports of processes that run at the same time.
-	processStride = 97
-)
-
-// portCounter counts the ports that this process has tried.
-var portCounter atomic.Int64
-
-// freePorts returns n addresses that this process has not returned before and on
-// which nothing listens at the moment.
-func freePorts(n int) ([]string, error) {
-	var addresses []string
-	for range portCount {
-		if len(addresses) == n {
-			return addresses, nil
-		}
-		port := firstPort + (os.Getpid()*processStride+int(portCounter.Add(1)))%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		if err := l.Close(); err != nil {
-			return nil, errors.Wrap(err, "release the probed port")
-		}
-		addresses = append(addresses, address)
-	}
-	return nil, errors.Newf("fewer than %d free ports from port %d on", n, firstPort)
-}
