front: a planned stop answers requests that arrive while connections are closed

Callers saw: a connection closed without an answer ("unexpected EOF") when the last part of a request's header reached a stopping entry VM after its other requests had ended.

Cause: front closed its connections with http.Server.Shutdown, which takes a connection for idle until the whole header has been read, and drops requests that it reads afterwards. The platform's entry machines have used package drain for this reason; the entry VM's own server had not.

Evidence: TestRequestThatArrivesDuringTheCloseIsAnswered fails before, on a new and on a reused connection, with "unexpected EOF".

Change: front serves and closes by drain.Server.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -220,6 +220,35 @@
 	wantEqual(t, <-drained, nil)
 }
 
+// Guards against requests that are cut off because the last part of their header
+// arrives while the connections are being closed.
+func TestRequestThatArrivesDuringTheCloseIsAnswered(t *testing.T) {
+	server, _, address := startServer(t, Settings{ReadinessDelay: time.Millisecond, CloseDelay: time.Millisecond})
+	fresh, reused := dial(t, address), dial(t, address)
+	resp, _ := reused.roundTrip(get("/"))
+	wantEqual(t, summarize(resp), "201 ran  retry= close=false")
+	const beginning = 10 // bytes of the request
+	for _, c := range []*client{fresh, reused} {
+		_, _ = io.WriteString(c.conn, get("/")[:beginning])
+	}
+	time.Sleep(50 * time.Millisecond) // the server reads them
+	drained := make(chan error, 1)
+	go func() { drained <- server.Drain(t.Context()) }()
+	for {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			break // the server accepts no more connections
+		}
+		c.Close()
+		time.Sleep(time.Millisecond)
+	}
+	for _, c := range []*client{fresh, reused} {
+		resp, _ = c.roundTrip(get("/")[beginning:])
+		wantEqual(t, summarize(resp), "503 not-run draining retry= close=true")
+	}
+	wantEqual(t, <-drained, nil)
+}
+
 func TestDrainEndsAtItsDeadline(t *testing.T) {
 	server, b, _ := startServer(t, Settings{ReadinessDelay: time.Millisecond})
 	wantEqual(t, b.gate.Enter(), nil)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	stdlog "log"
 	"net"
@@ -18,6 +17,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/defaults"
+	"github.com/skylarklock/skylarklock/internal/drain"
 	"github.com/skylarklock/skylarklock/internal/filter"
 )
 
@@ -95,6 +95,7 @@
 	log       logrus.FieldLogger
 	leaving   atomic.Bool // set by Drain; readiness is false, and answers close their connections
 	http      *http.Server
+	drainer   *drain.Server // serves http
 }
 
 // New returns a server that passes requests to requests and jobs to jobs, and
@@ -117,22 +118,23 @@
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
 		ErrorLog:          stdlog.New(httpErrors{log}, "", 0),
 	}
+	s.drainer = drain.New(s.http)
 	return s
 }
 
 // Serve answers the connections of l until Drain, and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	if err := s.drainer.Serve(l); err != nil {
+		return fmt.Errorf("front: %w", err)
 	}
-	return fmt.Errorf("front: %w", err)
+	return nil
 }
 
 // Drain stops the server without aborting requests. Readiness becomes false;
 // after ReadinessDelay new requests are refused; CloseDelay after the last
-// request has finished, idle connections are closed. When ctx ends first, the
-// remaining connections are closed and the error of ctx is returned.
+// request has finished, idle connections are closed. A request of which a part
+// has arrived by then is still answered. When ctx ends first, the remaining
+// connections are closed and the error of ctx is returned.
 func (s *Server) Drain(ctx context.Context) error {
 	s.leaving.Store(true)
 	s.eventLogger("drain_started").Info("readiness is false")
@@ -143,11 +145,11 @@
 	if err == nil {
 		s.eventLogger("drain_idle").Info("the last request has finished")
 		sleep(ctx, s.settings.CloseDelay)
-		err = s.http.Shutdown(ctx)
+		err = s.drainer.Drain(ctx)
 	}
 	if err != nil {
 		s.eventLogger("drain_cut_off").WithField("cause", err).Error("the drain's time is over")
-		_ = s.http.Close()
+		s.drainer.Close()
 		return fmt.Errorf("front: drain with %d requests in flight: %w", s.gate.InFlight(), err)
 	}
 	s.eventLogger("drain_done").Info("all connections are closed")
