drain: connections that wait to be accepted are served before a planned stop

Callers saw: "connection reset by peer" for requests sent to a machine that begins its planned stop before it has accepted their connections.

Cause: closing a listener resets the connections in its queue. A machine that is slow to accept (busy, or with many new connections) has some there.

Evidence: TestWaitingConnectionsAreServedWhileDraining fails before for all five requests, with a listener that accepts late.

Change: drain.Listen returns a listener that accepts what waits when it is closed, until its queue is empty or a second has passed. The limit on open connections moves there, since the library's own Close drops connections that are accepted after it. Used for callers by the platform's machines and by the entry VM; listeners for peers and operators close as before.

--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -50,7 +50,7 @@
 // ListenAndServe serves at the address of the http.Server. It returns nil after
 // Drain or Close.
 func (d *Server) ListenAndServe() error {
-	l, err := net.Listen("tcp", d.http.Addr)
+	l, err := Listen(d.http.Addr, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -9,11 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/config"
 	"github.com/skylarklock/skylarklock/internal/counter"
+	"github.com/skylarklock/skylarklock/internal/drain"
 	"github.com/skylarklock/skylarklock/internal/filter"
 	"github.com/skylarklock/skylarklock/internal/front"
 	"github.com/skylarklock/skylarklock/internal/journal"
@@ -265,14 +265,12 @@
 		l, err = net.Listen("tcp", address)
 		return l
 	}
-	n.listeners.callers = open(n.settings.Listen.Callers)
 	n.listeners.operators = open(n.settings.Listen.Operators)
 	n.listeners.peers = open(n.settings.Listen.Peers)
-	if err != nil {
-		return errors.Wrap(err, "listen")
+	if err == nil {
+		n.listeners.callers, err = drain.Listen(n.settings.Listen.Callers, n.settings.Limits.MaxConnections)
 	}
-	n.listeners.callers = netutil.LimitListener(n.listeners.callers, n.settings.Limits.MaxConnections)
-	return nil
+	return errors.Wrap(err, "listen")
 }
 
 // frontSettings returns the settings of the callers' server.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -48,7 +48,13 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
 	})
-	g.Add(func() error { return n.listen(n.settings.FrontAddress, traffic.Clients, front.Serve) }, func(error) { n.shutDownFront(front) })
+	g.Add(func() error {
+		l, err := drain.Listen(n.settings.FrontAddress, 0)
+		if err != nil {
+			return errors.Wrapf(err, "listener for %s", traffic.Clients)
+		}
+		return front.Serve(n.traffic.Listener(l, traffic.Clients))
+	}, func(error) { n.shutDownFront(front) })
 	n.addPeerServer(g)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, n.serveReadiness)
