entry: the test of a leaving VM lets one request hang, not all slots

Cause: its set-up sent a request that hangs for 60 s every 10 ms until it saw one at work. When requests are held up on their way and then start together while the test is held up itself, they take all 32 slots of the four executors, and no entry VM can run anything there for as long as the test waits.

Ruled out: shards that are not released (they were), processor load alone.

Change: newHangingRequest returns the next request only when the one before has started elsewhere or was refused. The test function, its checks and bounds are unchanged.

--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -82,6 +82,9 @@
 	log      *logrus.Logger
 	http     *http.Client
 
+	hanging     sync.Mutex
+	lastHanging string // ID of the newest request of newHangingRequest
+
 	requestRate    float64       // requests a second of each kind in traffic
 	requestTimeout time.Duration // of each request
 }
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -292,11 +292,21 @@
 }
 
 // newHangingRequest returns an idempotent request through p with a timeout so long
-// that it hangs until ctx ends.
+// that it hangs until ctx ends. While the request that it returned before is on its
+// way, or hangs and is in flight at p, it waits: each hanging request keeps a slot, and
+// without a free slot no other request can run.
 func (c *cluster) newHangingRequest(ctx context.Context, p *process) *http.Request {
+	c.hanging.Lock()
+	defer c.hanging.Unlock()
+	for sent := time.Now(); c.lastHanging != "" && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if started := c.hasStarted(c.lastHanging); started && p.router.InFlight() == 0 || !started && time.Since(sent) > maxHangingStart {
+			break // it runs elsewhere, or was refused
+		}
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.callersAddress()+"/v1/services/"+serviceName+"/", nil)
 	must(c.t, err)
 	id := fmt.Sprintf("hanging-%d", c.recorder.Now())
+	c.lastHanging = id
 	c.recorder.AddRequest(history.Request{ID: id, Idempotent: true, Start: c.recorder.Now()})
 	req.Header.Set(api.HeaderRequestID, id)
 	req.Header.Set(api.HeaderIdempotent, "true")
@@ -304,6 +314,19 @@
 	return req
 }
 
+// maxHangingStart is the time after which a hanging request counts as refused.
+const maxHangingStart = 5 * time.Second
+
+// hasStarted reports whether any executor has started a request.
+func (c *cluster) hasStarted(requestID string) bool {
+	for _, e := range c.site.Executors {
+		if e.Record().RunCount(requestID) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isRunning reports whether an executor is running a request.
 func (c *cluster) isRunning(id api.EndpointID) bool {
 	for _, runs := range c.site.Executors[id].Record().Runs {
