node: a job given up after crashes is checked against the executors' own record

Question: TestTasksEndOnceWhenExecutorsReuseIDs passes for a job that was given up by the leader's own line of three crashes. Is that allowed, and do the executors say the same?

The users' page allows it: "a task under which two executors have crashed may be given up", whoever made them crash. The leader's line alone didn't show that they did.

The check is stricter than before; nothing else is changed.

--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -45,6 +45,9 @@
 			_, state := second.request(t, http.MethodGet, "/q/"+id, "")
 			if state == `{"state":"failed"}` && crashesOfGivenUp(t, env.lines.String(), id) >= 3 {
 				want = "failed"
+				if n := ends.MaxLosses(id); n < 3 {
+					t.Errorf("job %s was given up; by the executors' record they restarted %d times under one of its tasks", id, n)
+				}
 			}
 			return state == `{"state":"`+want+`"}`
 		})
