router: an endpoint without any result is tried with the next request

Cause: an endpoint without results counts with the average latency of the service, which is that of the endpoints in use. Requests that come one after the other all go to an endpoint that is a little faster than the average.

Evidence: a line every 10 s of a slow run: the shards are released and held by the other entry VM, 30 of 32 slots are free, probes run, and the executors have 33, 1, 0 and 0 runs. Ruled out thereby: release, slots, refusals. TestUntriedEndpointsAreUsed fails before with {e3:7, e4:1}.

Change: the first request to an endpoint has cost zero while nothing else is in flight there, like the probe of an ejected one.

--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -129,9 +129,12 @@
 
 // cost returns the load that e, with the given number of free slots, would
 // have with one more request, multiplied by its expected latency and its
-// failure penalty. A probe has cost zero.
+// failure penalty. A probe has cost zero, and so has the first request to an
+// endpoint: as long as its latency is unknown it counts as average, and an
+// endpoint that is a little faster than the average would get all requests
+// that come one after the other.
 func (e *endpoint) cost(now time.Duration, free int, stats serviceStats) float64 {
-	if e.health.state == stateEjected {
+	if e.health.state == stateEjected || e.inFlight == 0 && e.health.isUntried() {
 		return 0
 	}
 	limit := e.limit(now)
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -68,6 +68,9 @@
 	restoredAt       time.Duration // time of the last recovery
 }
 
+// isUntried reports whether the endpoint has had no result.
+func (h *health) isUntried() bool { return h.latency == 0 && h.counts.count() == 0 }
+
 // endpointLatencyWeight is the weight of a new sample in an endpoint's moving
 // average.
 const endpointLatencyWeight = 0.2
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -325,3 +325,43 @@
 		t.Errorf("findings: %v", findings.Err())
 	}
 }
+
+// Guards against endpoints that get no request for as long as another one, which was measured first, is
+// a little faster than the average: few requests, one after the other, all went there.
+func TestUntriedEndpointsAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := testRouter(heldEndpoint("e1", "s", 8), heldEndpoint("e2", "s", 8), heldEndpoint("e3", "s", 8), heldEndpoint("e4", "s", 8))
+		used := make(map[api.EndpointID]int)
+		latency := 300 * time.Millisecond
+		for range 8 {
+			ticket := mustAcquire(t, r, "a")
+			used[ticket.Endpoint().ID]++
+			time.Sleep(latency)
+			result := okResult
+			result.Latency = latency
+			ticket.Done(result)
+			latency -= 10 * time.Millisecond
+		}
+		if len(used) != 4 {
+			t.Errorf("requests by endpoint %v, want some at each", used)
+		}
+	})
+}
+
+// Guards against a new endpoint that gets all requests at once before anything is known of it.
+func TestUntriedEndpointGetsOneRequestFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := testRouter(heldEndpoint("e1", "s", 8))
+		for range 20 {
+			mustAcquire(t, r, "a").Done(okResult)
+		}
+		r.SetEndpoints(time.Now(), []HeldEndpoint{heldEndpoint("e1", "s", 8), heldEndpoint("e2", "s", 8)})
+		used := make(map[api.EndpointID]int)
+		for range 8 {
+			used[mustAcquire(t, r, "a").Endpoint().ID]++
+		}
+		if used["e1"] < 3 || used["e2"] < 1 {
+			t.Errorf("requests at once by endpoint %v, want them spread", used)
+		}
+	})
+}
