load: a slow connection doesn't abort a request that has time left

Callers saw: requests with a timeout of 20 s aborted by "dial i/o timeout" after one second (TestGracefulStopUnderLoad, 4 requests).

Cause: the load tool gave up each connection attempt after 1 s. That is the time after which a client repeats a lost first packet, so one lost packet, or a caller that gets no processor for a second, aborted the request. The limit is of use only where another entry VM is tried afterwards.

Evidence: GOMAXPROCS=2 go test -race -parallel 24 ./internal/entry: 4 requests to three VMs aborted, none of them stopping; no connection in SYN_SENT, no memory pressure, 8832 goroutines, and a wait of 1.9 to 2.4 s for a goroutine that is ready.

Change: with readiness checks, where the next entry VM is tried, the limit is as before; otherwise the request's own timeout is the limit. A VM that accepts nothing is noticed at that timeout.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -17,6 +17,10 @@
 	"github.com/skylarklock/skylarklock/internal/standin/executor"
 )
 
+// dialTimeout limits a connection attempt to an entry VM when the request can be
+// sent to another one.
+const dialTimeout = time.Second
+
 // answerGracePeriod is how long the runner waits for an answer beyond the
 // request's timeout.
 const answerGracePeriod = 2 * time.Second
@@ -42,8 +46,12 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
+	var dialer net.Dialer // without another entry VM to try, only the request's own timeout limits it
+	if cfg.ReadinessInterval > 0 {
+		dialer.Timeout = dialTimeout
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: cfg.MaxOpen,
 		MaxIdleConns:        cfg.MaxOpen,
 		DisableCompression:  true,
