--- a/internal/forecast/free.go
+++ b/internal/forecast/free.go
@@ -8,8 +8,8 @@
 // tasks find too few slots. A booking by amounts isn't exact enough here: it counts steps that have
 // waited beside the free capacity because they can't use it.
 
-// maxMissProbability is the probability up to which a job's tasks may have found free slots and it
-// counts all the same as not fitting.
+// maxMissProbability is the probability of finding enough slots up to which a job counts as not
+// fitting.
 const maxMissProbability = 1e-4
 
 // FitsNow reports whether the steps of a job that depend on no other may fit into what is free of
