entry: a leaving VM releases its shards as soon as others can take them over

Callers saw: the endpoints of an entry VM that stops as planned serve nobody until its last request has ended, up to the deadline of the drain (TestLeavingEntryReleasesEndpoints, once after 64 s).

Cause: the stop looked only once, at its beginning, whether others can take over. If the log had not been read for the hold duration at that moment, as on a busy machine, the VM kept its shards until all callers were answered.

Evidence: GOMAXPROCS=2 go test -race -parallel 24 ./internal/entry fails in 4 of 9 runs, after 66 to 69 s. A line every 6 s of a failing run: the leaving VM holds all 35 shards and isn't draining, the other has no endpoint. TestLeavingEntryReleasesEndpointsAfterLogOutage (the log can't be read when the stop begins and can be read right after) fails before in 1 of 2 runs, after 61 s in the same wait.

--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -291,6 +291,48 @@
 	c.stopAndCheck()
 }
 
+// TestLeavingEntryReleasesEndpointsAfterLogOutage checks the same if the log can't be
+// read when the stop begins, as on a busy machine, and can be read again soon after.
+// The leaving VM then kept the endpoints until its last request ended.
+func TestLeavingEntryReleasesEndpointsAfterLogOutage(t *testing.T) {
+	c := startCluster(t)
+	victim, other := c.nodes[0], c.nodes[1]
+	if victim.router.Free(serviceName) == 0 {
+		victim, other = other, victim
+	}
+	endpoints := c.site.VMs[:4]
+	c.setExecutorFaults(endpoints, executor.Faults{Hang: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	var call sync.WaitGroup
+	call.Go(func() { _, _ = c.http.Do(c.newHangingRequest(ctx, victim)) }) // the answer is not needed
+	c.await("a request in flight", func() bool { return c.hasStarted(c.lastHangingID()) })
+	c.setExecutorFaults(endpoints, executor.Faults{})
+	c.net.setCut(true, [2]api.NodeID{victim.settings.NodeID, logNode}, [2]api.NodeID{logNode, victim.settings.NodeID})
+	c.await("the log to be unread", func() bool { return !victim.canReleaseShards() })
+	stopped := time.Now()
+	victim.stop()
+	c.await("the stop to begin", victim.front.Leaving)
+	c.net.heal()
+	c.await("every endpoint to run requests of the other entry VM", func() bool {
+		c.probe(other, "", true)
+		return c.allRanSince(endpoints, stopped)
+	})
+	if victim.chain.Gate().InFlight() == 0 {
+		t.Error("the request in flight ended too early")
+	}
+	cancel()
+	call.Wait()
+	c.shutDown(victim)
+	c.stopAndCheck()
+}
+
+// lastHangingID returns the ID of the newest request of newHangingRequest.
+func (c *cluster) lastHangingID() string {
+	c.hanging.Lock()
+	defer c.hanging.Unlock()
+	return c.lastHanging
+}
+
 // newHangingRequest returns an idempotent request through p with a timeout so long
 // that it hangs until ctx ends. While the request that it returned before is on its
 // way, or hangs and is in flight at p, it waits: each hanging request keeps a slot, and
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -215,20 +214,38 @@
 
 // drain answers the callers and releases the shards at the same time, so that
 // other members use the endpoints while the last requests of this node are in
-// flight. The node leaves the roster after its last answer. If no member can take
-// over, it keeps the shards until then.
+// flight. The node leaves the roster after its last answer. As long as no member
+// can take over, it keeps the shards, at most until then.
 func (n *Node) drain(ctx context.Context) {
-	releaseOnce := sync.OnceFunc(func() {
-		n.awaitRequestsDispatched(ctx)
-		n.runDrainStep(ctx, "ownership", n.releaseShards)
-	})
-	if n.canReleaseShards() {
-		go releaseOnce()
-	}
+	answered := make(chan struct{})
+	released := make(chan bool, 1)
+	go func() { released <- n.releaseWhenPossible(ctx, answered) }()
 	n.runDrainStep(ctx, "callers", n.front.Drain)
 	n.runDrainStep(ctx, "outcomes", n.chain.Close)
 	n.callersAnswered.Store(true)
-	releaseOnce()
+	close(answered)
+	if !<-released {
+		n.runDrainStep(ctx, "ownership", n.releaseShards)
+	}
+}
+
+// releaseWhenPossible releases the shards as soon as others can take them over, and
+// reports whether it did. It gives up when the callers are answered or ctx ends before.
+func (n *Node) releaseWhenPossible(ctx context.Context, answered <-chan struct{}) bool {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !n.canReleaseShards() {
+		select {
+		case <-ticker.C:
+		case <-answered:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	n.awaitRequestsDispatched(ctx)
+	n.runDrainStep(ctx, "ownership", n.releaseShards)
+	return true
 }
 
 // canReleaseShards reports whether shards can be released to others: there is another
