--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -346,3 +346,42 @@
 	out.notes = append(out.notes, fmt.Sprintf("leases lapsed: %v", d.rec.lapses))
 	return out, nil
 }
+
+// Case rename: one version of the configuration replaces a route by one with another name at the same
+// host and prefix.
+const renameJobs = 3
+
+func renameScenario() scenario {
+	return scenario{
+		executors: 3,
+		behave:    func(string, int) (time.Duration, string) { return 20 * time.Second, "done" },
+		play:      playRename,
+	}
+}
+
+func playRename(d *deployment, trouble bool) (outcome, error) {
+	var out outcome
+	for i := range renameJobs {
+		if !d.submit(jobID(i), `{"specification":"x","steps":[{"count":3,"cpu":3000,"requested_memory_mb":512,"estimated_ms":18000}]}`) {
+			return out, errors.New("a job was not accepted")
+		}
+	}
+	time.Sleep(4 * time.Second) // later than visible_ms
+	if trouble {
+		d.configure(2, queueName+"-2")
+		d.rec.eventf("the route has another name")
+	}
+	time.Sleep(4 * time.Second) // later than config_apply_ms
+	for i, n := range d.nodes {
+		if state := d.state(n, jobID(i)); state == "410" {
+			out.broken = append(out.broken, fmt.Sprintf("LOST: %s answers a GET for accepted job %s with 410", n.name, jobID(i)))
+		}
+	}
+	status, _, _ := d.call(d.nodes[0], http.MethodDelete, queuePrefix+jobID(0), "")
+	out.notes = append(out.notes, fmt.Sprintf("DELETE is answered with %d", status))
+	time.Sleep(4 * time.Second) // cancel_ms, stop_timeout_ms and more
+	if d.isRunning(jobID(0) + ".0.0.0") {
+		out.broken = append(out.broken, "UNASKED: a task runs on after its job's cancel was answered")
+	}
+	return out, nil
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -83,9 +83,7 @@
 	if err != nil {
 		return d, err
 	}
-	d.store.put("keyed.op", "config", fmt.Appendf(nil,
-		`{"version":1,"routes":[{"name":%q,"host":%q,"path_prefix":%q,"service":%q,"timeout_ms":3000,"priority":2,"attempts":3,"stretch":4,"target_latency_ms":3000}],"services":[{"name":%q,"enforces_capacity":false}],"limits":{"max_body_bytes":262144}}`,
-		queueName, queueHost, queuePrefix, serviceName, serviceName))
+	d.configure(1, queueName)
 	for i := range executors {
 		e := newExecutor(fmt.Sprintf("i-%04d", i+1), fmt.Sprintf("z%d", i%3+1), fmt.Sprintf("r%d-1", i%3+1), rec, behave)
 		if e.address, err = listen(e.handler()); err != nil {
@@ -103,6 +101,13 @@
 	return d, d.awaitReady(20 * time.Second)
 }
 
+// configure publishes a configuration with one route of the given name, as the operator does.
+func (d *deployment) configure(version int, route string) {
+	d.store.put("keyed.op", "config", fmt.Appendf(nil,
+		`{"version":%d,"routes":[{"name":%q,"host":%q,"path_prefix":%q,"service":%q,"timeout_ms":3000,"priority":2,"attempts":3,"stretch":4,"target_latency_ms":3000}],"services":[{"name":%q,"enforces_capacity":false}],"limits":{"max_body_bytes":262144}}`,
+		version, route, queueHost, queuePrefix, serviceName, serviceName))
+}
+
 // startNode starts the program as the deploy file does, with the settings of machine number i.
 func (d *deployment) startNode(program string, i int, storeAddress string) error {
 	port, err := freePorts(4)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"ends":     endsScenario(),
 	"lasting":  lastingScenario(),
 	"loop":     loopScenario(),
+	"rename":   renameScenario(),
 	"schedule": scheduleScenario(),
 	"steps":    stepsScenario(),
 }
