--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -1,14 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // spread returns a number in [0, 1) that depends on a text only.
@@ -385,3 +384,50 @@
 	}
 	return out, nil
 }
+
+// Case attempts: a route is removed and comes back; meanwhile the leader is killed and a task fails once.
+const (
+	attemptsJobs   = 3
+	attemptsLength = 6 * time.Second
+)
+
+func attemptsScenario() scenario {
+	return scenario{
+		executors: 3,
+		behave: func(task string, run int) (time.Duration, string) {
+			if run == 1 && strings.HasSuffix(task, ".0") {
+				return attemptsLength, "failed"
+			}
+			return attemptsLength, "done"
+		},
+		play: playAttempts,
+	}
+}
+
+func playAttempts(d *deployment, trouble bool) (outcome, error) {
+	var out outcome
+	for i := range attemptsJobs {
+		if !d.submit(jobID(i), `{"specification":"x","steps":[{"count":2,"cpu":2000,"requested_memory_mb":512,"estimated_ms":6000}]}`) {
+			return out, errors.New("a job was not accepted")
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		d.configure(2, "q-other")
+		time.Sleep(time.Second)
+		if err := d.restartLeader(); err != nil {
+			return out, err
+		}
+	}
+	time.Sleep(attemptsLength)
+	if trouble {
+		d.configure(3, queueName)
+	}
+	time.Sleep(15 * time.Second)
+	for i := range attemptsJobs {
+		if state := d.state(d.nodes[0], jobID(i)); !strings.Contains(state, "completed") {
+			out.broken = append(out.broken, fmt.Sprintf("job %s is shown as %s; one of its runs has ended failed, of the three attempts that its queue has", jobID(i), state))
+		}
+	}
+	return out, nil
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,8 +12,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Names in the configuration of the deployment.
@@ -36,7 +35,8 @@
 // node is one machine that runs the project's program.
 type node struct {
 	name, front, ready string
-	cmd                *exec.Cmd
+	env                []string
+	cmd                *exec.Cmd // nil: it didn't start
 	exited             chan struct{}
 }
 
@@ -104,7 +104,7 @@
 // configure publishes a configuration with one route of the given name, as the operator does.
 func (d *deployment) configure(version int, route string) {
 	d.store.put("keyed.op", "config", fmt.Appendf(nil,
-		`{"version":%d,"routes":[{"name":%q,"host":%q,"path_prefix":%q,"service":%q,"timeout_ms":3000,"priority":2,"attempts":3,"stretch":4,"target_latency_ms":3000}],"services":[{"name":%q,"enforces_capacity":false}],"limits":{"max_body_bytes":262144}}`,
+		`{"version":%d,"routes":[{"name":%q,"host":%q,"path_prefix":%q,"kind":"non_idempotent","service":%q,"timeout_ms":3000,"priority":2,"attempts":3,"stretch":4,"target_latency_ms":3000}],"services":[{"name":%q,"health_path":"/health","max_connections":64,"enforces_capacity":false}],"limits":{"max_body_bytes":262144}}`,
 		version, route, queueHost, queuePrefix, serviceName, serviceName))
 }
 
@@ -115,7 +115,7 @@
 		return err
 	}
 	n := &node{
-		name: fmt.Sprintf("front-z%d-1", i), exited: make(chan struct{}),
+		name:  fmt.Sprintf("front-z%d-1", i),
 		front: fmt.Sprintf("127.0.0.1:%d", port), ready: fmt.Sprintf("127.0.0.1:%d", port+1),
 	}
 	settings := fmt.Sprintf(`node = %q
@@ -190,34 +190,69 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.dir, n.name+".log"))
+	n.env = []string{"SKYLARKLOCK_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
+	d.nodes = append(d.nodes, n)
+	return d.run(n, program)
+}
+
+// run starts the program on a machine. Its log goes on in the same file.
+func (d *deployment) run(n *node, program string) error {
+	log, err := os.OpenFile(filepath.Join(d.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
 	n.cmd = exec.Command(program, "platform")
-	n.cmd.Env = []string{"SKYLARKLOCK_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
-	n.cmd.Stdout, n.cmd.Stderr = log, log
+	n.cmd.Env, n.cmd.Stdout, n.cmd.Stderr = n.env, log, log
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.cmd.Start(); err != nil {
+		n.cmd = nil
 		return err
 	}
-	d.nodes = append(d.nodes, n)
+	cmd, exited := n.cmd, make(chan struct{})
+	n.exited = exited
 	go func() {
-		_ = n.cmd.Wait() // how it ended is in its log
+		_ = cmd.Wait() // how it ended is in its log
 		d.rec.eventf("process of %s has ended", n.name)
-		close(n.exited)
+		close(exited)
 	}()
 	return nil
 }
 
+// restartLeader kills the process that planned last and starts it again after half a second.
+func (d *deployment) restartLeader() error {
+	var leader *node
+	newest := ""
+	for _, n := range d.nodes {
+		data, err := os.ReadFile(filepath.Join(d.dir, n.name+".log"))
+		if err != nil {
+			return err
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, "begins to plan") && line > newest { // lines begin with their time
+				newest, leader = line, n
+			}
+		}
+	}
+	if leader == nil {
+		return errors.New("nobody leads")
+	}
+	d.rec.eventf("the leader, %s, is killed", leader.name)
+	if err := leader.cmd.Process.Kill(); err != nil {
+		return err
+	}
+	<-leader.exited
+	time.Sleep(500 * time.Millisecond)
+	return d.run(leader, leader.cmd.Path)
+}
+
 // awaitReady returns once every machine answers that it is ready.
 func (d *deployment) awaitReady(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for _, n := range d.nodes {
 		for !isReady(n) {
 			if time.Now().After(deadline) {
-				return errors.Newf("%s isn't ready", n.name)
+				return fmt.Errorf("%s isn't ready", n.name)
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -238,10 +273,10 @@
 // close ends the processes and removes the temporary folder, unless it should be kept.
 func (d *deployment) close(keep bool) {
 	for _, n := range d.nodes {
-		_ = n.cmd.Process.Kill() // it may have ended
-	}
-	for _, n := range d.nodes {
-		<-n.exited
+		if n.cmd != nil {
+			_ = n.cmd.Process.Kill() // it may have ended
+			<-n.exited
+		}
 	}
 	if !keep {
 		os.RemoveAll(d.dir)
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -70,8 +70,8 @@
 // entry returns what the executor writes about itself into the store.
 func (e *executor) entry(sequence int) []byte {
 	data, err := json.Marshal(map[string]any{
-		"service": serviceName, "address": e.address, "zone": e.zone, "version": "1", "slots": 8, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": sequence, "labels": []string{"a", e.rack},
+		"service": serviceName, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready",
+		"cold_remaining_ms": 0, "clock_ms": e.clock(), "sequence": sequence, "labels": []string{"a", e.rack},
 		"capacity": map[string]int{"cpu": executorCPU, "requested_memory_mb": executorMemory, "gpu": 0},
 	})
 	if err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 }
 
 var scenarios = map[string]scenario{
+	"attempts": attemptsScenario(),
 	"ends":     endsScenario(),
 	"lasting":  lastingScenario(),
 	"loop":     loopScenario(),
