--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -29,15 +29,16 @@
 	behave                  behaviour
 	began                   time.Time
 
-	mu       sync.Mutex
-	fence    uint64
-	deadline int64 // on the executor's clock
-	running  map[string]*activeRun
-	ended    []endedRun // not yet acknowledged
-	lastEnd  int        // number of the newest end
-	lastSeen int        // up to which ends were acknowledged
-	highest  map[string]int
-	wake     chan struct{} // closed and replaced when a run ends
+	mu        sync.Mutex
+	fence     uint64
+	deadline  int64 // on the executor's clock
+	leaseOver bool  // the lease has lapsed and was not renewed since
+	running   map[string]*activeRun
+	ended     []endedRun // not yet acknowledged
+	lastEnd   int        // number of the newest end
+	lastSeen  int        // up to which ends were acknowledged
+	highest   map[string]int
+	wake      chan struct{} // closed and replaced when a run ends
 }
 
 type activeRun struct {
@@ -99,9 +100,10 @@
 }
 
 func (e *executor) checkLease() {
-	if len(e.running) == 0 || e.clock() < e.deadline {
+	if e.deadline == 0 || e.leaseOver || e.clock() < e.deadline {
 		return
 	}
+	e.leaseOver = true // also with nothing at work: an end that is taken note of later doesn't count then
 	e.rec.lapsed(e.id)
 	for task, a := range e.running {
 		e.end(task, a.run, "lapsed")
@@ -153,6 +155,7 @@
 
 func (e *executor) extend(deadline int64) {
 	e.deadline = max(e.deadline, min(deadline, e.clock()+maxHold.Milliseconds()))
+	e.leaseOver = e.deadline <= e.clock()
 }
 
 func (e *executor) start(_ *http.Request, o order) (int, map[string]any) {
