--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -27,6 +27,7 @@
 type deployment struct {
 	rec       *recorder
 	dir       string // temporary
+	firstPort int    // of the machines
 	store     *store
 	executors []*executor
 	nodes     []*node
@@ -50,14 +51,26 @@
 	return l.Addr().String(), nil
 }
 
-// freePorts returns n consecutive loopback ports that were free just now. They lie below the range from
-// which the system takes the ports of outgoing connections.
-func freePorts(n int) (int, error) {
+// Ports of the machines come in blocks below the range from which the system takes the ports of outgoing
+// connections.
+const (
+	firstBlock   = 20000
+	blockPorts   = 16
+	blocks       = 680
+	machinePorts = 4
+)
+
+// reservePorts reserves a block of ports for this deployment and returns the first one that is free to use.
+// A listener on the block's first port, which stays open, keeps other deployments off the block.
+func reservePorts() (int, error) {
 	for range 1000 {
-		first := 20000 + rand.N(11000)
+		first := firstBlock + blockPorts*rand.N(blocks)
+		if _, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err != nil {
+			continue
+		}
 		free := true
-		for k := range n {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+k))
+		for port := first + 1; port < first+blockPorts; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 			if err != nil {
 				free = false
 				break
@@ -65,7 +78,7 @@
 			l.Close()
 		}
 		if free {
-			return first, nil
+			return first + 1, nil
 		}
 	}
 	return 0, errors.New("no free ports")
@@ -79,6 +92,9 @@
 		return nil, err
 	}
 	d := &deployment{rec: rec, dir: dir, store: newStore(rec)}
+	if d.firstPort, err = reservePorts(); err != nil {
+		return d, err
+	}
 	storeAddress, err := listen(d.store.handler())
 	if err != nil {
 		return d, err
@@ -110,10 +126,7 @@
 
 // startNode starts the program as the deploy file does, with the settings of machine number i.
 func (d *deployment) startNode(program string, i int, storeAddress string) error {
-	port, err := freePorts(4)
-	if err != nil {
-		return err
-	}
+	port := d.firstPort + machinePorts*(i-1)
 	n := &node{
 		name:  fmt.Sprintf("front-z%d-1", i),
 		front: fmt.Sprintf("127.0.0.1:%d", port), ready: fmt.Sprintf("127.0.0.1:%d", port+1),
