plan: a run absent from a cut list of ends isn't taken as lost

Cause: an executor lists the oldest 500 ends that were not acknowledged. While the store is down nothing is acknowledged, so the list stays the same and a run that ends behind its end is listed neither as running nor as ended. The planner took that for a run that vanished, planned the task anew, and dropped the end as done when it was listed at last.

Evidence: every line "run vanished without an end" has ends_applied=500, ends_acknowledged=0, and the executor's record has an end with a higher number for each such run, acknowledged later. Ruled out: ends that were lost, reports out of order, another life, a second leader (one epoch, no restart, rising numbers).

Change: nothing is concluded from absence until the list is complete for a report that didn't have the run: a report without ends, or the end of a run that was alive at that report. This needs no length of a list. It holds for all states of a run, for what a leader inherits, for a former life's orders and for orders that are held back.

--- a/internal/plan/deferral.go
+++ b/internal/plan/deferral.go
@@ -37,8 +37,8 @@
 // startDeferral says when a deferred task may start again.
 type startDeferral struct {
 	order       *allocation // whose run may yet start; it counts in the usage of its workspace
-	reportAfter time.Time   // a report that arrives after this time settles the order
-	expires     time.Time   // from this time on the order and its run are certainly over
+	reportAfter time.Time   // a complete list of the ends up to a report that arrives after this time settles the order
+	expires     time.Time   // from this time on the order and its run are certainly over; the end of the run may not be listed yet
 }
 
 // deferTask defers the task of a run that has ended until it is certain that no incarnation
@@ -81,9 +81,7 @@
 		if t.deferral == nil {
 			return true
 		}
-		v := c.vms[t.incarnation.ID]
-		reported := v != nil && v.hasReported && v.reportedAt.After(t.deferral.reportAfter)
-		if !reported && now.Before(t.deferral.expires) {
+		if !c.isOrderSettled(t, now) {
 			return false
 		}
 		t.endDeferral()
@@ -95,6 +93,18 @@
 	})
 }
 
+// isOrderSettled reports whether the order of a deferred task is not carried out any more, and all ends that
+// may be of its run are known.
+func (c *Cell) isOrderSettled(t *task, now time.Time) bool {
+	d := t.deferral
+	v := c.vms[t.incarnation.ID]
+	if v != nil && v.ends.Complete().ArrivedAt.After(d.reportAfter) {
+		return true
+	}
+	isReporting := v != nil && v.reportedAt.After(d.reportAfter) && !v.leaseExpired(now, c.cfg.ClockDrift)
+	return !isReporting && !now.Before(d.expires)
+}
+
 // adoptDeferredRun allocates a run that an executor lists if its task is deferred because
 // of this run, and returns nil otherwise.
 func (c *Cell) adoptDeferredRun(v *vm, run platform.Run) *allocation {
--- a/internal/plan/incarnation.go
+++ b/internal/plan/incarnation.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/endlist"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -17,7 +18,8 @@
 //
 // Orders to a former incarnation may still reach the new one, which knows no token. The
 // outcome of the former incarnation's runs is therefore left open until the new one has
-// answered a call with a higher token.
+// answered a call with a higher token and its list of ends is complete: it may have carried out
+// such an order to its end.
 
 // hasRestarted reports whether a report comes from a later incarnation than the reports
 // before it.
@@ -89,6 +91,7 @@
 	}
 	alloc.vm = v
 	alloc.runningSince, alloc.progress = time.Time{}, progress{}
+	alloc.lastAlive, alloc.absentSince = endlist.Report{}, endlist.Report{}
 	v.allocations[alloc.run] = alloc
 	v.used = v.used.Add(alloc.resources)
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -297,6 +297,7 @@
 		workspace:   s.job.workspace,
 		state:       statePlanned,
 		resumed:     t.checkpoint != "",
+		lastAlive:   placed.vm.ends.Newest(),
 		expectedEnd: now.Add(time.Duration(float64(placed.vm.expectedTime(s, now)) * c.rackFactor(s))),
 	}
 	placed.vm.addAllocation(alloc)
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/account"
+	"github.com/skylarklock/skylarklock/internal/endlist"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -54,7 +55,9 @@
 	}
 	h.Order.ReuseConnection = true
 	h.Order.Acknowledged = v.durableEnds
-	h.Order.MaxWait = terms.Wait
+	if !v.awaitsEnds {
+		h.Order.MaxWait = terms.Wait
+	}
 	return h, true
 }
 
@@ -95,12 +98,20 @@
 		c.undoExpiryLoss(alloc)
 	}
 	v.expiredRuns = nil
+	v.ends.Next(now, len(r.Ended) == 0)
 	applied := c.applyEnds(v, r)
 	listed := c.applyRunning(v, r, now)
+	v.awaitsEnds = false
 	for _, alloc := range v.unlistedNewestFirst(listed) {
-		c.handleUnlisted(alloc, r.Clock, sentAt)
+		c.handleUnlisted(alloc, &r, sentAt)
+	}
+	switch {
+	case v.former == nil:
+	case v.ends.Complete().IsZero():
+		v.awaitsEnds = true
+	default:
+		c.settleFormerRuns(v, v.formerAllocations(), false)
 	}
-	c.settleFormerRuns(v, v.formerAllocations(), false)
 	return applied
 }
 
@@ -118,6 +129,7 @@
 			c.applyLateEnd(e)
 			continue
 		}
+		v.ends.AddEnd(alloc.lastAlive)
 		if alloc.task != nil {
 			c.markRunning(alloc.task.step.job, c.now)
 		}
@@ -179,6 +191,7 @@
 			alloc = c.allocateUnknownRun(v, row.Run)
 		}
 		alloc.orderExpiry = time.Time{}
+		alloc.lastAlive, alloc.absentSince = v.ends.Newest(), endlist.Report{}
 		if alloc.state != stateRunning && alloc.state != stateStopping {
 			alloc.state = stateRunning
 			alloc.runningSince = now
@@ -230,33 +243,50 @@
 	return spec.Steps[t.Step].TaskResources
 }
 
-// handleUnlisted handles an allocation whose run a report doesn't list as running.
-func (c *Cell) handleUnlisted(alloc *allocation, clock platform.ExecutorClock, sentAt time.Time) {
+// handleUnlisted handles an allocation whose run a report doesn't list as running. The run is over without
+// an end once the list of ends is complete for a report at which it was certainly not there.
+func (c *Cell) handleUnlisted(alloc *allocation, r *platform.ExecutorReport, sentAt time.Time) {
+	v := alloc.vm
+	if !alloc.isGone(r.Clock, sentAt) {
+		return
+	}
+	if alloc.absentSince.IsZero() || !alloc.absentSince.ArrivedAt.After(alloc.runningSince) {
+		alloc.absentSince = v.ends.Newest()
+	}
+	if !v.ends.IsComplete(alloc.absentSince) {
+		v.awaitsEnds = true
+		return
+	}
 	switch alloc.state {
 	case stateInherited:
-		if current := alloc.vm.Ref.Incarnation(); alloc.task != nil && !alloc.task.incarnation.Matches(current) {
-			c.endIncarnation([]*allocation{alloc}, nil, loss{executor: alloc.task.incarnation, unresponsiveSince: alloc.vm.lostSince(), evidence: OtherIncarnation})
+		if current := v.Ref.Incarnation(); alloc.task != nil && !alloc.task.incarnation.Matches(current) {
+			c.endIncarnation([]*allocation{alloc}, nil, loss{executor: alloc.task.incarnation, unresponsiveSince: v.lostSince(), evidence: OtherIncarnation})
 			return
 		}
-		// The executor has seen this leader's token, so it will refuse an order of the
-		// former leader that is still in flight.
 		c.endUnstarted(alloc)
-	case stateStopping:
-		if sentAt.After(alloc.runningSince) {
-			c.endUnstarted(alloc)
-		}
-	case stateUnconfirmed:
-		if clock > alloc.orderVoidAt {
-			c.endUnstarted(alloc)
-		}
 	case stateRunning:
-		if sentAt.After(alloc.runningSince) {
-			c.logger.WithFields(logrus.Fields{
-				"executor": alloc.vm.Ref.ID, "task": alloc.run.Task, "run": alloc.run.Number, "clock_ms": int64(clock),
-				"ends_applied": alloc.vm.appliedEnds, "ends_acknowledged": alloc.vm.durableEnds,
-			}).Warn("run vanished without an end")
-			c.endRun(alloc, platform.EndLeaseExpired, "")
-		}
+		c.logger.WithFields(logrus.Fields{
+			"executor": v.Ref.ID, "task": alloc.run.Task, "run": alloc.run.Number, "clock_ms": int64(r.Clock),
+			"ends_listed": len(r.Ended), "ends_applied": v.appliedEnds, "ends_acknowledged": v.durableEnds,
+		}).Warn("run vanished without an end")
+		c.endRun(alloc, platform.EndLeaseExpired, "")
+	default:
+		c.endUnstarted(alloc)
+	}
+}
+
+// isGone reports whether the run of an allocation that a report doesn't list as running will not be running
+// there any more: it has ended, or its order will not be carried out.
+func (alloc *allocation) isGone(clock platform.ExecutorClock, sentAt time.Time) bool {
+	switch alloc.state {
+	case stateInherited:
+		return true // the executor has seen this leader's token, so it refuses an order of the former leader that is still in flight
+	case stateUnconfirmed:
+		return clock > alloc.orderVoidAt
+	case stateStopping, stateRunning:
+		return sentAt.After(alloc.runningSince)
+	default:
+		return false
 	}
 }
 
--- a/internal/plan/restart_random_test.go
+++ b/internal/plan/restart_random_test.go
@@ -33,10 +33,11 @@
 	*crashSimulation
 	rand           *rand.Rand
 	usedStartTimes map[int64]bool // start times of incarnations so far, which have to be unique
+	endsPerReport  int            // of all executors; 0: no maximum
 }
 
-func newRandomRestarts(t *testing.T, seed uint64) *randomRestarts {
-	r := &randomRestarts{rand: rand.New(rand.NewPCG(seed, 7)), usedStartTimes: make(map[int64]bool)}
+func newRandomRestarts(t *testing.T, seed uint64, endsPerReport int) *randomRestarts {
+	r := &randomRestarts{rand: rand.New(rand.NewPCG(seed, 7)), usedStartTimes: make(map[int64]bool), endsPerReport: endsPerReport}
 	r.crashSimulation = newCrashSimulation(t, restartExecutors, func(k work.TaskKey) behaviour {
 		return behaviour{runTime: time.Duration(100+150*(k.Index%7)) * time.Millisecond, fails: k.Job[0]%9 == 0 && k.Index == 0}
 	})
@@ -79,7 +80,7 @@
 		clockOffset = platform.ExecutorClock(r.rand.Int64N(int64(10 * time.Minute / time.Millisecond)))
 	}
 	e := r.newSimulatedExecutor(r.executorClock - clockOffset)
-	e.refusesVoidStarts, e.checksTickets = true, true
+	e.refusesVoidStarts, e.checksTickets, e.endsPerReport = true, true, r.endsPerReport
 	e.startTimeMs = r.now.Add(r.randomDuration(-5*time.Second, 5*time.Second)).UnixMilli()
 	for r.usedStartTimes[e.startTimeMs] {
 		e.startTimeMs++
@@ -207,12 +208,13 @@
 func TestRandomRestartsUnderTheSameID(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(restartSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { simulateRestarts(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { simulateRestarts(t, seed, 0) })
+		t.Run(fmt.Sprintf("%d with cut lists of ends", seed), func(t *testing.T) { simulateRestarts(t, seed, 1+int(seed%3)) })
 	}
 }
 
-func simulateRestarts(t *testing.T, seed uint64) {
-	r := newRandomRestarts(t, seed)
+func simulateRestarts(t *testing.T, seed uint64, endsPerReport int) {
+	r := newRandomRestarts(t, seed, endsPerReport)
 	nextFault, n := r.now, byte(0)
 	for r.now.Sub(testStart) < restartFaultPeriod+restartCalmPeriod {
 		if r.inFaultPeriod() && !r.now.Before(nextFault) {
--- a/internal/plan/simulation_test.go
+++ b/internal/plan/simulation_test.go
@@ -39,6 +39,7 @@
 	running           map[platform.Run]bool
 	ended             []platform.EndedRun
 	acknowledgedEnds  uint64                  // ends up to this number were acknowledged
+	endsPerReport     int                     // maximum number of ends that a report lists; 0: no maximum
 	highestRun        map[work.TaskKey]uint32 // highest run number that has ended or was stopped
 	leaseEnd          platform.ExecutorClock
 	highestToken      uint64
@@ -133,6 +134,9 @@
 			r.Ended = append(r.Ended, end)
 		}
 	}
+	if e.endsPerReport > 0 {
+		r.Ended = r.Ended[:min(len(r.Ended), e.endsPerReport)]
+	}
 	return r
 }
 
--- a/internal/plan/summary.go
+++ b/internal/plan/summary.go
@@ -50,10 +50,13 @@
 
 // logSummary logs how much of the cell's capacity is used and what waits for a start.
 func (c *Cell) logSummary(now time.Time) {
-	var usable, runs int
+	var usable, runs, awaitingEnds int
 	var capacity, used, wide int64
 	for _, v := range c.calledVMs {
 		runs += len(v.allocations)
+		if v.awaitsEnds {
+			awaitingEnds++
+		}
 		if !v.usable(now, &c.cfg) {
 			continue
 		}
@@ -83,7 +86,7 @@
 	fields := logrus.Fields{
 		"processors": backlog.Processors(), "room_in_time_ms": times.InTime.Milliseconds(),
 		"room_late_ms": times.Late.Milliseconds(), "room_overdue_ms": times.Overdue.Milliseconds(),
-		"executors": len(c.sortedVMs), "usable": usable, "runs": runs,
+		"executors": len(c.sortedVMs), "usable": usable, "runs": runs, "executors_awaiting_ends": awaitingEnds,
 		"used_percent": percent(used, capacity), "free_for_wide_percent": percent(wide, capacity),
 		"jobs": len(c.jobs), "steps_waiting": len(c.waitingSteps), "gangs_waiting": gangs, "tasks_waiting": tasks,
 		"starts_not_reached": c.failedStarts.notReached, "starts_unanswered": c.failedStarts.unanswered, "starts_refused": c.failedStarts.refused,
--- a/internal/plan/vm.go
+++ b/internal/plan/vm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/endlist"
 	"github.com/skylarklock/skylarklock/internal/fleet"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/speed"
@@ -46,7 +47,9 @@
 	lastStop      time.Time // when a stop was last sent
 	resumed       bool      // it started from a checkpoint
 	progress      progress
-	speedObserved bool // the run has counted for the estimated speed of its executor
+	speedObserved bool           // the run has counted for the estimated speed of its executor
+	lastAlive     endlist.Report // newest report of the executor at which it had not ended: it was listed as running, or not ordered yet
+	absentSince   endlist.Report // first report that lists it neither as running nor as ended although it can't start any more; zero if there is none
 }
 
 // vm is one incarnation of an executor as the leader sees it.
@@ -80,6 +83,8 @@
 	durableEnds          uint64                 // ends up to this number are durable
 	appliedEnds          uint64                 // ends up to this number were applied
 	acknowledgedEnds     uint64                 // ends up to this number were acknowledged to the executor, which has answered
+	ends                 endlist.Tracker        // for which reports all ends are listed
+	awaitsEnds           bool                   // the outcome of a run depends on ends that may not be listed yet
 	inheritedLeaseExpiry time.Time              // when a lease from a former leader or incarnation has certainly expired
 	suspectedRun         *allocation            // run of a suspected task, which should be alone
 	isolatedFor          *step                  // step for which it is kept from other work until a suspected task of it starts here
