queue: a job belongs to the path that accepted it, not to a name

Cause: the queue of a job was the one with the name in its record. The name is the operator's; a caller knows host, prefix and ID. Evidence: "no such job" has has_records=true and has_submission=true with the newest position on all three machines. Ruled out: an unread submission, an ended job.

Configuration.QueueOf says which queue a job belongs to now; API, planner, admission and the number of pending jobs ask it. Another prefix, host or workspace still doesn't see the job.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -189,7 +189,7 @@
 // admit decides whether a job is accepted, given the work that waits in the cell. The caller holds r.mu.
 func (r *Runner) admit(j *work.Job, backlog backlogs, now time.Time) admission.Decision {
 	config := r.cfg.Configuration()
-	q := config.QueueNamed(j.Queue)
+	q := config.QueueOf(j.Queue, j.Path)
 	workspace := config.Workspaces.WithID(j.Workspace)
 	if workspace == nil {
 		workspace = &queue.Workspace{}
--- a/internal/jobapi/identify_test.go
+++ b/internal/jobapi/identify_test.go
@@ -89,7 +89,10 @@
 
 // call returns the status and the body of the answer to a request with a key.
 func (k *keyAPI) call(method, path, key string) (int, string) {
-	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader(`{"specification":"x","steps":[{"count":1,"cpu":100}]}`))
+	if strings.HasPrefix(path, "/") {
+		path = "http://h" + path
+	}
+	r := httptest.NewRequest(method, path, strings.NewReader(`{"specification":"x","steps":[{"count":1,"cpu":100}]}`))
 	if key != "" {
 		r.Header.Set("X-Api-Key", key)
 	}
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -36,6 +36,7 @@
 	}
 	job.ID = id
 	job.Queue = r.queue.Name
+	job.Path = r.queue.Path
 	job.Service = r.queue.Service
 	job.Workspace = r.workspaceID()
 	job.AcceptedMs = time.Now().UnixMilli()
@@ -145,7 +146,7 @@
 
 // findJob returns the replica's entry of a job, or a refusal. A job that is unknown here
 // may just have been accepted elsewhere, so the replica is first synchronised. To clients of
-// another workspace a job is unknown.
+// another workspace or queue a job is unknown.
 func (a *API) findJob(r *request, id work.ID) (replica.Entry, *response) {
 	e, known := a.Replica.Get(id)
 	if !known || !e.Submitted() {
@@ -155,9 +156,9 @@
 		}
 		e, known = a.Replica.Get(id)
 	}
-	if !known || !e.Submitted() || e.Queue() != r.queue.Name || !a.mayAccess(r, e) {
+	if !known || !e.Submitted() || r.config.QueueOf(e.Queue(), e.Path()) != r.queue || !a.mayAccess(r, e) {
 		a.Logger.WithFields(logrus.Fields{
-			"job": id, "queue": r.queue.Name, "has_records": known, "has_submission": e.Submitted(), "read_up_to": a.Replica.Position(),
+			"job": id, "queue": r.queue.Name, "has_records": known, "has_submission": e.Submitted(), "accepted_by": e.Queue(), "read_up_to": a.Replica.Position(),
 		}).Info("no such job")
 		return e, a.refuse(http.StatusGone, "no such job", 0)
 	}
@@ -205,7 +206,7 @@
 			return a.refuse(http.StatusServiceUnavailable, "the store gives no answer", defaultRetryAfter)
 		}
 	}
-	body, err := a.Codec.EncodePending(a.Replica.PendingJobs(r.queue.Name))
+	body, err := a.Codec.EncodePending(a.Replica.PendingJobs(func(name string, path work.PathID) bool { return r.config.QueueOf(name, path) == r.queue }))
 	if err != nil {
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -348,3 +348,37 @@
 		t.Errorf("a queue of an earlier version: answered %d, want 404", status)
 	}
 }
+
+// Each process shows and cancels a job whose queue has got another name since it was accepted, also one that
+// has read it from the store. All of them answered that there is no such job.
+func TestJobOutlivesTheNameOfItsQueue(t *testing.T) {
+	env := newTestEnv(t, 2)
+	a, b := env.start(t, "a"), env.start(t, "b")
+	a.awaitReady(t)
+	b.awaitReady(t)
+	const short, long = "00000000000000e1", "00000000000000e2"
+	a.submit(t, short, "20ms", 2)
+	a.submit(t, long, "60s", 2)
+	b.awaitState(t, short, "completed")
+	b.awaitState(t, long, "running")
+	env.store.ConfigureNamed(2, "renamed", "/q/")
+	awaitVersion := func(p *process) {
+		eventually(t, "configuration is in force", func() bool {
+			c := p.node.configWatcher.Configuration()
+			return c != nil && c.Version == 2
+		})
+	}
+	awaitVersion(a)
+	awaitVersion(b)
+	c := env.start(t, "c")
+	c.awaitReady(t)
+	awaitVersion(c)
+	for _, p := range []*process{a, b, c} {
+		p.awaitState(t, short, "completed")
+		p.awaitState(t, long, "running")
+	}
+	if status, _ := c.request(t, http.MethodDelete, "/q/"+long, ""); status != http.StatusOK {
+		t.Errorf("a cancellation is answered with status %d", status)
+	}
+	a.awaitState(t, long, "cancelled")
+}
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -170,7 +170,7 @@
 func (f *fleetSnapshot) candidatesFor(s *step, q *queue.Queue, at time.Time) candidates {
 	out := &f.candidates
 	out.valid, out.expired, out.unknown = out.valid[:0], out.expired[:0], out.unknown[:0]
-	free := f.freeAt(at)
+	service, free := f.cell.serviceOf(s.job), f.freeAt(at)
 	var freedByPreemption []api.Resources
 	if s.spec.Gang && s.lateness == inTime {
 		freedByPreemption = f.preemptible(q)
@@ -180,22 +180,22 @@
 		if freedByPreemption != nil {
 			available = available.Add(freedByPreemption[i])
 		}
-		out.add(v, s, q, available, at, f.now)
+		out.add(v, s, service, available, at, f.now)
 	}
 	for _, v := range f.permittedElsewhere(s, q) {
 		available := v.freeAt(at, f.now)
 		if freedByPreemption != nil {
 			available = available.Add(f.cell.preemptibleResources(v, q, f.now))
 		}
-		out.add(v, s, q, available, at, f.now)
+		out.add(v, s, service, available, at, f.now)
 	}
 	return *out
 }
 
 // add adds an executor with some free capacity at a time, if the step may run there as far as is known.
-func (out *candidates) add(v *vm, s *step, q *queue.Queue, free api.Resources, at, now time.Time) {
+func (out *candidates) add(v *vm, s *step, service string, free api.Resources, at, now time.Time) {
 	permitted := s.advice.permissionOn(v)
-	if permitted == permissionDenied || v.closedTo(s, now) || v.Service != q.Service || (s.spec.RequiredLabel != "" && !v.HasLabel(s.spec.RequiredLabel)) {
+	if permitted == permissionDenied || v.closedTo(s, now) || v.Service != service || (s.spec.RequiredLabel != "" && !v.HasLabel(s.spec.RequiredLabel)) {
 		return
 	}
 	free = free.Sub(v.tentative).Sub(v.nominated)
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -108,11 +108,12 @@
 	c.decideActivation(c.activation.decidedAt) // other services may be in use
 }
 
-// queueOf returns the queue of a job as configured now, or nil if the queue was removed.
+// queueOf returns the queue of a job as configured now, also under another name, or nil if the queue was
+// removed.
 func (c *Cell) queueOf(j *job) *queue.Queue {
 	if j.queueConfig != c.queueConfig {
 		j.queueConfig = c.queueConfig
-		j.queue = c.queueConfig.QueueNamed(j.spec.Queue)
+		j.queue = c.queueConfig.QueueOf(j.spec.Queue, j.spec.Path)
 		if j.queue != nil {
 			j.maxAttempts = j.queue.MaxAttempts
 		}
@@ -121,13 +122,15 @@
 	return j.queue
 }
 
-// serviceOf returns the service whose executors run a job's tasks: the one configured now,
-// or, if the job's queue was removed, the one at the time when the job was accepted.
+// serviceOf returns the service whose executors run a job's tasks: the one configured now, or, if the job's
+// queue was removed, the one at the time when the job was accepted. A queue that replaces it at the same path
+// takes the job over without changing its service, unless that is gone.
 func (c *Cell) serviceOf(j *job) string {
-	if q := c.queueOf(j); q != nil {
-		return q.Service
+	q := c.queueOf(j)
+	if q == nil || q.Name != j.spec.Queue && c.queueConfig.HasService(j.spec.Service) {
+		return j.spec.Service
 	}
-	return j.spec.Service
+	return q.Service
 }
 
 // findStep returns a step of an active occurrence, or nil.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -190,10 +190,8 @@
 // suitable reports whether the executor has the service and label that the step asks for
 // and may be given work at all.
 func (c *Cell) suitable(s *step, q *queue.Queue, v *vm, now time.Time) bool {
-	service := s.job.spec.Service
-	if q != nil {
-		service = q.Service // as named by the current configuration
-	} else if !c.queueConfig.HasService(service) {
+	service := c.serviceOf(s.job)
+	if q == nil && !c.queueConfig.HasService(service) {
 		return false
 	}
 	if v.Service != service || !v.usable(now, &c.cfg) || v.closedTo(s, now) || v.tooSlowFor(s, now) {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarklock/skylarklock/internal/finding"
+	"github.com/skylarklock/skylarklock/internal/work"
 )
 
 // Queue accepts jobs that share a service, a priority and a latency objective.
@@ -14,6 +15,7 @@
 	Name           string
 	Host           string        // Host header of the requests that the queue accepts
 	PathPrefix     string        // prefix of their paths; the longest matching prefix wins
+	Path           work.PathID   // of Host and PathPrefix
 	Service        string        // service whose executors run the tasks
 	Priority       int           // 0 is the highest and may preempt others
 	MaxAttempts    int           // number of failed runs after which a task fails; 0 means 1
@@ -101,6 +103,20 @@
 	return nil
 }
 
+// QueueOf returns the queue to which a job belongs that a queue with this name accepted at a path: the queue
+// that is at the path now, whatever its name, or else the one with the name. It returns nil if there is
+// neither.
+func (c *Configuration) QueueOf(name string, path work.PathID) *Queue {
+	if path != 0 {
+		for i := range c.Queues {
+			if c.Queues[i].Path == path {
+				return &c.Queues[i]
+			}
+		}
+	}
+	return c.QueueNamed(name)
+}
+
 // HasService reports whether the configuration lists the service or a queue uses it.
 func (c *Configuration) HasService(service string) bool {
 	if _, listed := c.Services[service]; listed {
--- a/internal/replica/content.go
+++ b/internal/replica/content.go
@@ -135,7 +135,7 @@
 		return
 	}
 	e.submitted, e.queue = true, s.Queue
-	e.setWorkspace(s.Workspace)
+	e.setOrigin(s.Workspace, s.Path)
 	if !e.stateKnown || at >= e.stateOffset { // states from another machine may be newer than the first deliveries
 		e.setState(s.State, at)
 	}
--- a/internal/replica/content_test.go
+++ b/internal/replica/content_test.go
@@ -29,7 +29,7 @@
 			So(e.Job, ShouldBeNil)
 			So(e.Submitted(), ShouldBeTrue)
 			So(e.Queue(), ShouldEqual, "q")
-			So(r.PendingJobs("q"), ShouldEqual, 1)
+			So(r.PendingJobs(ofQueue("q")), ShouldEqual, 1)
 			So(r.HasContent(), ShouldBeFalse)
 			So(r.NeedsContent(), ShouldBeFalse)
 
@@ -38,7 +38,7 @@
 				e, _ := r.Get(id)
 				So(e.State(), ShouldEqual, work.Running)
 				So(e.Progress, ShouldBeNil)
-				So(r.PendingJobs("q"), ShouldEqual, 1)
+				So(r.PendingJobs(ofQueue("q")), ShouldEqual, 1)
 			})
 			Convey("it accepts no listener", func() {
 				So(r.SetListener(func([]Change) {}), ShouldBeFalse)
--- a/internal/replica/entry.go
+++ b/internal/replica/entry.go
@@ -24,6 +24,7 @@
 
 	submitted      bool             // the submission is known
 	queue          string           // queue that accepted the job
+	path           work.PathID      // where it did
 	workspace      work.WorkspaceID // workspace that the job belongs to
 	state          work.State       // from the newest progress record or summary
 	stateKnown     bool             // state is set
@@ -62,21 +63,27 @@
 	}
 }
 
+// Path returns where the job was accepted, or 0 if that isn't known.
+func (e *Entry) Path() work.PathID { return e.path }
+
 // Workspace returns the workspace that the job belongs to, or 0 if it belongs to none or its
 // submission isn't known.
 func (e *Entry) Workspace() work.WorkspaceID { return e.workspace }
 
-// setWorkspace records the workspace that the job belongs to. Processes that know no workspaces
-// write outcomes and send summaries without one, which take nothing back.
-func (e *Entry) setWorkspace(w work.WorkspaceID) {
+// setOrigin records the workspace that the job belongs to and where it was accepted. Processes that know no
+// workspaces or paths write outcomes and send summaries without them, which take nothing back.
+func (e *Entry) setOrigin(w work.WorkspaceID, p work.PathID) {
 	if w != 0 {
 		e.workspace = w
 	}
+	if p != 0 {
+		e.path = p
+	}
 }
 
 // summary returns what clients may query about the job.
 func (e *Entry) summary(id work.ID) work.Summary {
-	return work.Summary{ID: id, Queue: e.Queue(), Workspace: e.workspace, State: e.State(), Cancelled: e.Cancelled}
+	return work.Summary{ID: id, Queue: e.Queue(), Path: e.path, Workspace: e.workspace, State: e.State(), Cancelled: e.Cancelled}
 }
 
 // setState sets the job's state as of an offset.
--- a/internal/replica/record.go
+++ b/internal/replica/record.go
@@ -82,7 +82,7 @@
 			return false, err
 		}
 		e.Outcome = outcome
-		e.setWorkspace(outcome.Workspace)
+		e.setOrigin(outcome.Workspace, outcome.Path)
 		e.dropContent()
 		return true, nil
 	case work.KindJob:
@@ -97,7 +97,7 @@
 			return false, errors.Newf("replica: submission of job %s has the key of job %s", job.ID, id)
 		}
 		e.submitted, e.queue = true, job.Queue
-		e.setWorkspace(job.Workspace)
+		e.setOrigin(job.Workspace, job.Path)
 		if keep {
 			e.Job = job
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -123,15 +123,26 @@
 	return r.next
 }
 
-// PendingJobs returns the number of jobs of a queue that have not started.
-func (r *Replica) PendingJobs(queue string) int {
-	n := 0
+// PendingJobs returns the number of jobs that have not started and that were accepted by a queue, given by its
+// name and path, for which include returns true.
+func (r *Replica) PendingJobs(include func(name string, path work.PathID) bool) int {
+	type queue struct {
+		name string
+		path work.PathID
+	}
+	pending := make(map[queue]int)
 	r.each(func(_ work.ID, e *Entry) bool {
-		if e.submitted && e.queue == queue && e.State() == work.Queued {
-			n++
+		if e.submitted && e.State() == work.Queued {
+			pending[queue{e.queue, e.path}]++
 		}
 		return true
 	})
+	n := 0
+	for q, jobs := range pending {
+		if include(q.name, q.path) {
+			n += jobs
+		}
+	}
 	return n
 }
 
@@ -263,7 +274,7 @@
 	var ended []EndedJob
 	r.each(func(id work.ID, e *Entry) bool {
 		if e.Job != nil && !e.endedAt.IsZero() && now.Sub(e.endedAt) > ago {
-			outcome := work.Outcome{State: e.State(), Queue: e.Job.Queue, Workspace: e.workspace}
+			outcome := work.Outcome{State: e.State(), Queue: e.Job.Queue, Path: e.path, Workspace: e.workspace}
 			ended = append(ended, EndedJob{ID: id, Outcome: outcome, Cancelled: e.Cancelled})
 		}
 		return len(ended) < limit
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -11,6 +11,11 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
+// ofQueue returns a function that selects the jobs of a queue with a name.
+func ofQueue(name string) func(string, work.PathID) bool {
+	return func(queue string, _ work.PathID) bool { return queue == name }
+}
+
 func jobRecord(at platform.Offset, j *work.Job) platform.Record {
 	value, err := work.EncodeJob(j)
 	So(err, ShouldBeNil)
@@ -34,9 +39,9 @@
 		r.apply([]platform.Record{jobRecord(0, first)}, 1, now)
 
 		Convey("a job counts as pending until it has started", func() {
-			So(r.PendingJobs("q"), ShouldEqual, 1)
+			So(r.PendingJobs(ofQueue("q")), ShouldEqual, 1)
 			r.apply([]platform.Record{progressRecord(1, id, work.Running)}, 2, now)
-			So(r.PendingJobs("q"), ShouldEqual, 0)
+			So(r.PendingJobs(ofQueue("q")), ShouldEqual, 0)
 		})
 		Convey("a second submission of the same ID changes nothing and isn't passed to the listener", func() {
 			second := &work.Job{ID: id, Queue: "q", Specification: "second"}
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -1,6 +1,8 @@
 package work
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -37,27 +39,77 @@
 	return kind, id, nil
 }
 
+// storedJob is the stored form of Job, in its workspace.
+type storedJob struct {
+	_             struct{} `cbor:",toarray"`
+	ID            ID
+	Queue         queueName
+	Service       string
+	Specification string
+	Steps         []Step
+	AcceptedMs    int64
+	FirstRunMs    int64
+	Interval      time.Duration
+	Repetitions   int
+}
+
 // EncodeJob encodes a job as the value of its record.
-func EncodeJob(j *Job) ([]byte, error) { return marshalInWorkspace(j.Workspace, j) }
+func EncodeJob(j *Job) ([]byte, error) {
+	return marshalInWorkspace(j.Workspace, &storedJob{
+		ID:            j.ID,
+		Queue:         queueName{name: j.Queue, path: j.Path},
+		Service:       j.Service,
+		Specification: j.Specification,
+		Steps:         j.Steps,
+		AcceptedMs:    j.AcceptedMs,
+		FirstRunMs:    j.FirstRunMs,
+		Interval:      j.Interval,
+		Repetitions:   j.Repetitions,
+	})
+}
 
 // DecodeJob decodes the value of a job record.
 func DecodeJob(data []byte) (*Job, error) {
-	j := &Job{}
-	if err := unmarshalInWorkspace(data, j, &j.Workspace); err != nil {
+	var s storedJob
+	var workspace WorkspaceID
+	if err := unmarshalInWorkspace(data, &s, &workspace); err != nil {
 		return nil, errors.Wrap(err, "work: decode job record")
 	}
-	return j, nil
+	return &Job{
+		ID:            s.ID,
+		Queue:         s.Queue.name,
+		Path:          s.Queue.path,
+		Workspace:     workspace,
+		Service:       s.Service,
+		Specification: s.Specification,
+		Steps:         s.Steps,
+		AcceptedMs:    s.AcceptedMs,
+		FirstRunMs:    s.FirstRunMs,
+		Interval:      s.Interval,
+		Repetitions:   s.Repetitions,
+	}, nil
+}
+
+// storedOutcome is the stored form of Outcome, in its workspace.
+type storedOutcome struct {
+	_     struct{} `cbor:",toarray"`
+	State State
+	Queue queueName
 }
 
 // EncodeOutcome encodes an outcome as the value of its record.
-func EncodeOutcome(o *Outcome) ([]byte, error) { return marshalInWorkspace(o.Workspace, o) }
+func EncodeOutcome(o *Outcome) ([]byte, error) {
+	return marshalInWorkspace(o.Workspace, &storedOutcome{State: o.State, Queue: queueName{name: o.Queue, path: o.Path}})
+}
 
 // DecodeOutcome decodes the value of an outcome record.
 func DecodeOutcome(data []byte) (*Outcome, error) {
-	o := &Outcome{}
-	if err := unmarshalInWorkspace(data, o, &o.Workspace); err != nil {
+	var s storedOutcome
+	var workspace WorkspaceID
+	if err := unmarshalInWorkspace(data, &s, &workspace); err != nil {
 		return nil, errors.Wrap(err, "work: decode outcome record")
 	}
+	o := &Outcome{State: s.State, Queue: s.Queue.name, Path: s.Queue.path, Workspace: workspace}
 	if !o.State.Final() || o.State > Cancelled {
 		return nil, errors.Newf("work: outcome record has state %d, which is not a final state", o.State)
 	}
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -11,10 +11,10 @@
 
 // Job is a client's submission together with the queue that accepted it.
 type Job struct {
-	_             struct{}      `cbor:",toarray"`
 	ID            ID            // chosen by the client
-	Queue         string        // name of the queue
-	Workspace     WorkspaceID   `cbor:"-"` // to which the caller's key belongs; encoded as a tag
+	Queue         string        // name of the queue when it accepted the job
+	Path          PathID        // where it did
+	Workspace     WorkspaceID   // to which the caller's key belongs
 	Service       string        // service whose executors ran the queue's tasks when the job was accepted
 	Specification string        // passed unchanged to each start
 	Steps         []Step        // in the client's numbering
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -46,10 +46,10 @@
 // Outcome is what is kept of a job some time after its end: everything that
 // clients may still query.
 type Outcome struct {
-	_         struct{}    `cbor:",toarray"`
 	State     State       // a final one
 	Queue     string      // name of the queue that accepted the job
-	Workspace WorkspaceID `cbor:"-"` // to which the job belonged; encoded as a tag
+	Path      PathID      // where it accepted the job
+	Workspace WorkspaceID // to which the job belonged
 }
 
 // Occurrence is the progress of one run of all steps.
--- a/internal/work/summary.go
+++ b/internal/work/summary.go
@@ -1,10 +1,13 @@
 package work
 
+import "strconv"
+
 // Summary is what clients may query about a job. Machines that don't keep the
 // content of records know nothing else about it.
 type Summary struct {
 	ID        ID
 	Queue     string // name of the queue that accepted it
+	Path      PathID // where it did
 	Workspace WorkspaceID
 	State     State
 	Cancelled bool // a client has cancelled it, whatever its state
@@ -20,13 +23,20 @@
 
 // Summaries is the encoding of summaries between processes. Each queue is named
 // once for each workspace, so a summary takes about 12 bytes; the records that it replaces take about
-// 200 bytes each.
+// 200 bytes each. The queues are followed by their paths, in the same order. Processes that know no paths
+// skip these, since no job refers to them, and send none.
 type Summaries struct {
-	_      struct{} `cbor:",toarray"`
-	Queues []queueInWorkspace
+	_      struct{}           `cbor:",toarray"`
+	Queues []queueInWorkspace // the queues and, if any path is known, an entry for each whose name is the path's ID in decimal
 	Jobs   []packedSummary
 }
 
+// queueKey is what jobs have in common that share an entry of Summaries.Queues.
+type queueKey struct {
+	queueInWorkspace
+	path PathID
+}
+
 // queueInWorkspace names the queue and the workspace that some of the jobs have in common. It is
 // encoded as the queue's name, tagged with the workspace if there is one.
 type queueInWorkspace struct {
@@ -54,14 +64,18 @@
 // PackSummaries encodes summaries for other processes.
 func PackSummaries(summaries []Summary) Summaries {
 	var out Summaries
-	indexes := make(map[queueInWorkspace]int)
+	indexes := make(map[queueKey]int)
+	var paths []queueInWorkspace
+	hasPaths := false
 	for _, s := range summaries {
-		key := queueInWorkspace{queue: s.Queue, workspace: s.Workspace}
+		key := queueKey{queueInWorkspace{queue: s.Queue, workspace: s.Workspace}, s.Path}
 		queue, known := indexes[key]
 		if !known {
 			queue = len(out.Queues)
 			indexes[key] = queue
-			out.Queues = append(out.Queues, key)
+			out.Queues = append(out.Queues, key.queueInWorkspace)
+			paths = append(paths, queueInWorkspace{queue: strconv.FormatUint(uint64(s.Path), 10)})
+			hasPaths = hasPaths || s.Path != 0
 		}
 		flags := uint8(s.State) & summaryStateMask
 		if s.Cancelled {
@@ -72,6 +86,9 @@
 		}
 		out.Jobs = append(out.Jobs, packedSummary{ID: s.ID, Queue: queue, Flags: flags})
 	}
+	if hasPaths {
+		out.Queues = append(out.Queues, paths...)
+	}
 	return out
 }
 
@@ -79,6 +96,10 @@
 // state or queue, which means that another version has encoded them.
 func (p *Summaries) Unpack() ([]Summary, bool) {
 	out := make([]Summary, 0, len(p.Jobs))
+	paths, known := p.paths()
+	if !known {
+		return nil, false
+	}
 	for _, j := range p.Jobs {
 		state := State(j.Flags & summaryStateMask)
 		if j.Queue < 0 || j.Queue >= len(p.Queues) || state > Cancelled {
@@ -87,6 +108,7 @@
 		out = append(out, Summary{
 			ID:        j.ID,
 			Queue:     p.Queues[j.Queue].queue,
+			Path:      paths[j.Queue],
 			Workspace: p.Queues[j.Queue].workspace,
 			State:     state,
 			Cancelled: j.Flags&summaryCancelled != 0,
@@ -95,3 +117,23 @@
 	}
 	return out, true
 }
+
+// paths returns the path of each queue, or false if they can't be read. All are 0 if the sender knows none.
+func (p *Summaries) paths() ([]PathID, bool) {
+	paths := make([]PathID, len(p.Queues))
+	queues := 0
+	for _, j := range p.Jobs {
+		queues = max(queues, j.Queue+1)
+	}
+	if len(p.Queues) < 2*queues {
+		return paths, true
+	}
+	for i := range queues {
+		id, err := strconv.ParseUint(p.Queues[queues+i].queue, 10, 64)
+		if err != nil {
+			return nil, false
+		}
+		paths[i] = PathID(id)
+	}
+	return paths, true
+}
--- a/internal/work/workspace.go
+++ b/internal/work/workspace.go
@@ -41,10 +41,13 @@
 // first byte.
 const cborTagMajorType = 6
 
+// isTagged reports whether an encoded item is a tagged one.
+func isTagged(data []byte) bool { return len(data) > 0 && data[0]>>5 == cborTagMajorType }
+
 // unmarshalInWorkspace decodes an item that marshalInWorkspace has encoded into value, and its
 // workspace into w.
 func unmarshalInWorkspace(data []byte, value any, w *WorkspaceID) error {
-	if len(data) == 0 || data[0]>>5 != cborTagMajorType {
+	if !isTagged(data) {
 		return cbor.Unmarshal(data, value)
 	}
 	var tag cbor.RawTag
