work: a job's record carries the terms under which it was accepted

Cause: attempts and objective were read from the queue in force. A leader that had seen the queue kept them when it was removed; the next one had nothing to read and took one attempt and the length of the job.

Change: the record of a job carries both, in a CBOR tag that builds before skip. They hold while the job's queue is removed.

--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -48,6 +48,7 @@
 	if r.workspace != nil && !r.workspace.CanRun(job) {
 		return a.refuse(http.StatusServiceUnavailable, "a step needs more at once than the workspace's cap allows", 0)
 	}
+	job.Terms = work.Terms{MaxAttempts: r.queue.MaxAttempts, LatencyObjective: r.queue.LatencyObjective(job.CriticalPath())}
 	if feature := unsupportedFeature(job); feature != "" {
 		return a.refuse(http.StatusServiceUnavailable, feature+" is not supported", 0)
 	}
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -114,8 +114,11 @@
 	if j.queueConfig != c.queueConfig {
 		j.queueConfig = c.queueConfig
 		j.queue = c.queueConfig.QueueOf(j.spec.Queue, j.spec.Path)
-		if j.queue != nil {
+		switch {
+		case j.queue != nil:
 			j.maxAttempts = j.queue.MaxAttempts
+		case j.spec.Terms != (work.Terms{}):
+			j.maxAttempts = j.spec.Terms.MaxAttempts
 		}
 		j.latencyObjective = objectiveFor(j.spec, j.queue)
 	}
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -166,12 +166,16 @@
 }
 
 // objectiveFor returns the time after its arrival within which an occurrence of a job
-// should end.
+// should end. q is nil if the job's queue was removed.
 func objectiveFor(j *work.Job, q *queue.Queue) time.Duration {
-	if q == nil {
+	switch {
+	case q != nil:
+		return q.LatencyObjective(j.CriticalPath())
+	case j.Terms != (work.Terms{}):
+		return j.Terms.LatencyObjective
+	default:
 		return j.CriticalPath()
 	}
-	return q.LatencyObjective(j.CriticalPath())
 }
 
 // latencyStart returns the time from which the occurrence's latency counts.
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -57,7 +57,7 @@
 func EncodeJob(j *Job) ([]byte, error) {
 	return marshalInWorkspace(j.Workspace, &storedJob{
 		ID:            j.ID,
-		Queue:         queueName{name: j.Queue, path: j.Path},
+		Queue:         queueName{name: j.Queue, path: j.Path, terms: j.Terms},
 		Service:       j.Service,
 		Specification: j.Specification,
 		Steps:         j.Steps,
@@ -79,6 +79,7 @@
 		ID:            s.ID,
 		Queue:         s.Queue.name,
 		Path:          s.Queue.path,
+		Terms:         s.Queue.terms,
 		Workspace:     workspace,
 		Service:       s.Service,
 		Specification: s.Specification,
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -14,6 +14,7 @@
 	ID            ID            // chosen by the client
 	Queue         string        // name of the queue when it accepted the job
 	Path          PathID        // where it did
+	Terms         Terms         // under which it did
 	Workspace     WorkspaceID   // to which the caller's key belongs
 	Service       string        // service whose executors ran the queue's tasks when the job was accepted
 	Specification string        // passed unchanged to each start
--- a/internal/work/path.go
+++ b/internal/work/path.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -26,26 +27,73 @@
 	return PathID(binary.BigEndian.Uint64(sum[:])&^pathIDMask | pathIDBits)
 }
 
-// queueName is the stored form of a queue's name, tagged with its path if that is known. Processes that record
-// no paths skip the tag. They would refuse a further field, since records are encoded by position.
+// Terms are what a queue promised when it accepted a job. They hold while the queue is removed. The zero value
+// means unknown: a process that records no terms has accepted the job.
+type Terms struct {
+	MaxAttempts      int           // number of failed runs after which a task fails
+	LatencyObjective time.Duration // time from arrival to completion; whole milliseconds are recorded
+}
+
+// The bits of a Terms' CBOR tag: three bits that keep it apart from other tags, the attempts, and the objective
+// in milliseconds.
+const (
+	termsMask          = 0b111 << 61
+	termsBits          = 0b001 << 61
+	termsObjectiveBits = 40
+	maxTermsAttempts   = 1<<16 - 1
+	maxTermsObjective  = 1<<termsObjectiveBits - 1 // milliseconds
+)
+
+// tag returns the number of the terms' tag. Values beyond its fields are recorded as the largest ones.
+func (t Terms) tag() uint64 {
+	attempts := uint64(min(max(0, t.MaxAttempts), maxTermsAttempts))
+	objective := uint64(min(max(0, t.LatencyObjective.Milliseconds()), maxTermsObjective))
+	return termsBits | attempts<<termsObjectiveBits | objective
+}
+
+// termsOfTag returns the terms with a tag number.
+func termsOfTag(number uint64) Terms {
+	return Terms{
+		MaxAttempts:      int(number >> termsObjectiveBits & maxTermsAttempts),
+		LatencyObjective: time.Duration(number&maxTermsObjective) * time.Millisecond,
+	}
+}
+
+// queueName is the stored form of a queue's name, tagged with the queue's path and the terms if they are known.
+// Processes that record neither skip the tags. They would refuse a further field, since records are encoded by
+// position.
 type queueName struct {
-	name string
-	path PathID
+	name  string
+	path  PathID
+	terms Terms
 }
 
 // MarshalCBOR implements cbor.Marshaler.
 func (q queueName) MarshalCBOR() ([]byte, error) {
-	if q.path == 0 {
-		return cbor.Marshal(q.name)
+	var content any = q.name
+	if q.terms != (Terms{}) {
+		content = cbor.Tag{Number: q.terms.tag(), Content: content}
+	}
+	if q.path != 0 {
+		content = cbor.Tag{Number: uint64(q.path), Content: content}
 	}
-	return cbor.Marshal(cbor.Tag{Number: uint64(q.path), Content: q.name})
+	return cbor.Marshal(content)
 }
 
-// UnmarshalCBOR implements cbor.Unmarshaler.
+// UnmarshalCBOR implements cbor.Unmarshaler. Other tags are skipped.
 func (q *queueName) UnmarshalCBOR(data []byte) error {
-	var tag cbor.RawTag
-	if isTagged(data) && cbor.Unmarshal(data, &tag) == nil && tag.Number&pathIDMask == pathIDBits {
-		q.path = PathID(tag.Number)
+	for isTagged(data) {
+		var tag cbor.RawTag
+		if err := cbor.Unmarshal(data, &tag); err != nil {
+			return err
+		}
+		switch {
+		case tag.Number&pathIDMask == pathIDBits:
+			q.path = PathID(tag.Number)
+		case tag.Number&termsMask == termsBits:
+			q.terms = termsOfTag(tag.Number)
+		}
+		data = tag.Content
 	}
 	return cbor.Unmarshal(data, &q.name)
 }
--- a/internal/work/path_test.go
+++ b/internal/work/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -24,6 +25,7 @@
 	for _, workspace := range []WorkspaceID{0, NewWorkspaceID("team")} {
 		job := newWorkspaceJob()
 		job.Workspace, job.Path = workspace, NewPathID("h", "/q/")
+		job.Terms = Terms{MaxAttempts: 3, LatencyObjective: 90 * time.Second}
 		data, err := EncodeJob(job)
 		if err != nil {
 			t.Fatal(err)
@@ -49,6 +51,19 @@
 	}
 }
 
+func TestTermsAreRecordedWithinTheirBounds(t *testing.T) {
+	for _, c := range []struct{ terms, want Terms }{
+		{Terms{MaxAttempts: 1}, Terms{MaxAttempts: 1}},
+		{Terms{LatencyObjective: 1500 * time.Microsecond}, Terms{LatencyObjective: time.Millisecond}},
+		{Terms{MaxAttempts: 1 << 20, LatencyObjective: 1 << 62}, Terms{MaxAttempts: maxTermsAttempts, LatencyObjective: maxTermsObjective * time.Millisecond}},
+		{Terms{MaxAttempts: -1, LatencyObjective: -time.Second}, Terms{}},
+	} {
+		if got := termsOfTag(c.terms.tag()); got != c.want {
+			t.Errorf("%+v is read as %+v, want %+v", c.terms, got, c.want)
+		}
+	}
+}
+
 // Machines that know no paths serve beside those that do while a new version is rolled out.
 func TestPathOfSummariesIsKept(t *testing.T) {
 	path, workspace := NewPathID("h", "/q/"), NewWorkspaceID("team")
