plan: a late end as done finishes a task that was started again

What callers saw: a task whose executor was silent until its lease had expired starts again elsewhere; when the executor answers again and lists that the first run had ended as done, the caller still waits for the second run.

Cause: applyLateEnd dropped each end of a run that isn't the task's newest one. What is done is done, whichever run did it.

Change: such an end finishes the task, or its gang, and the newer run is stopped; a start that was not sent yet is dropped. Ends for other reasons change nothing, as before.

Test, failing before: TestLateEndFinishesRestartedTask (no stop was sent). After: it passes, with all plays of the planner.

--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -159,24 +159,41 @@
 }
 
 // applyLateEnd applies the end of a run without an allocation, because its lease was taken
-// to have expired. If no newer run of the task was started, an end as done still counts.
+// to have expired. An end as done finishes the task also if a newer run of it was started.
 func (c *Cell) applyLateEnd(e platform.EndedRun) {
 	t := c.findTask(e.Run.Task)
-	if t == nil || t.lastRun != e.Run.Number || t.phase != work.Pending {
+	if t == nil || t.phase == work.Done {
+		return
+	}
+	if e.Reason == platform.EndDone {
+		t.endDeferral()
+		c.finishTask(t)
+		c.stopRunsOf(t)
+		c.requeue(t.step)
+		return
+	}
+	if t.lastRun != e.Run.Number || t.phase != work.Pending {
 		return
 	}
 	deferred := t.deferral != nil
 	t.endDeferral()
-	switch {
-	case e.Reason == platform.EndDone:
-		c.finishTask(t)
-	case e.Reason == platform.EndFailed && deferred: // otherwise a former leader may have counted it
+	if e.Reason == platform.EndFailed && deferred { // otherwise a former leader may have counted it
 		c.markDirty(t.step.job)
 		c.failTask(t, e.Run.Number)
 	}
 	c.requeue(t.step)
 }
 
+// stopRunsOf stops the runs of a task, or of its whole gang, that are not needed any more.
+func (c *Cell) stopRunsOf(t *task) {
+	switch {
+	case t.step.spec.Gang:
+		c.stopGang(t.step, t.lastRun)
+	case t.allocations > 0:
+		c.stopTask(t)
+	}
+}
+
 // applyRunning updates the allocations of the runs that a report lists as running, and
 // returns these runs.
 func (c *Cell) applyRunning(v *vm, r platform.ExecutorReport, now time.Time) map[platform.Run]bool {
