work: critical paths in time linear in a job's dependencies

Cause: CriticalPathFrom visited each path through the steps, 2^(n-1) for n steps that depend on all earlier ones, under the planner's lock. Ruled out: the store and the number of steps alone (a chain of as many holds).

Change: all paths of a job are computed at once from the last step to the first, and kept while the job is planned.

--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -18,8 +18,9 @@
 	maxAttempts       int                  // attempts for each task, as last configured; 0 if never known here
 	latencyObjective  time.Duration        // latency objective of an occurrence, according to queue
 	spec              *work.Job
-	workspace         *workspace // nil if it belongs to none
-	excess            bool       // it arrived in excess of what its workspace may submit ahead of others' work
+	criticalPaths     []time.Duration // by step
+	workspace         *workspace      // nil if it belongs to none
+	excess            bool            // it arrived in excess of what its workspace may submit ahead of others' work
 	arrivedAt         time.Time
 	state             work.State
 	nextOccurrence    int             // number of the occurrence that is due next
@@ -144,8 +145,11 @@
 // newOccurrence returns the job's occurrence with this number.
 func newOccurrence(j *job, number int, due time.Time) *occurrence {
 	o := &occurrence{number: number, due: due, stepsLeft: len(j.spec.Steps)}
+	if j.criticalPaths == nil {
+		j.criticalPaths = j.spec.CriticalPaths()
+	}
 	for i := range j.spec.Steps {
-		s := &step{job: j, occ: o, index: i, spec: &j.spec.Steps[i], remainingTime: j.spec.CriticalPathFrom(i)}
+		s := &step{job: j, occ: o, index: i, spec: &j.spec.Steps[i], remainingTime: j.criticalPaths[i]}
 		s.tasks = make([]*task, s.spec.TaskCount)
 		for k := range s.tasks {
 			s.tasks[k] = &task{step: s, index: k}
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -42,24 +42,26 @@
 	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
 }
 
-// CriticalPathFrom returns the sum of estimated run times along the longest
-// dependency chain that begins with step i.
-func (j *Job) CriticalPathFrom(i int) time.Duration {
-	longest := time.Duration(0)
-	for k := i + 1; k < len(j.Steps); k++ {
-		if slices.Contains(j.Steps[k].DependsOn, i) {
-			longest = max(longest, j.CriticalPathFrom(k))
+// CriticalPaths returns for each step the sum of estimated run times along the longest dependency chain that
+// begins with it, in time linear in the number of dependencies. Steps depend on earlier ones only.
+func (j *Job) CriticalPaths() []time.Duration {
+	paths := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		s := &j.Steps[i]
+		paths[i] += s.Estimate // it holds the longest chain of later steps
+		for _, before := range s.DependsOn {
+			paths[before] = max(paths[before], paths[i])
 		}
 	}
-	return j.Steps[i].Estimate + longest
+	return paths
 }
 
 // CriticalPath returns the sum of estimated run times along the longest
 // dependency chain of the job's steps.
 func (j *Job) CriticalPath() time.Duration {
 	longest := time.Duration(0)
-	for i := range j.Steps {
-		longest = max(longest, j.CriticalPathFrom(i))
+	for _, path := range j.CriticalPaths() {
+		longest = max(longest, path)
 	}
 	return longest
 }
