plan: occurrences of a job overlap only as far as one record holds them

Cause: all occurrences that were due began at once, and their progress stands in one record, which grew to 335,192 bytes where the store takes 262,144. Ruled out: the number of steps itself, which is planned well within a cycle.

Change: further occurrences wait while 2,000 tasks or 10,000 numbers overlap, and begin in their order as others end. A million times are accepted instead of 10,000.

--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -244,12 +244,24 @@
 	}
 }
 
+// Limits of the occurrences of a job that overlap. Their progress has to fit into one record of the store.
+const (
+	maxOverlappingTasks = 2000   // in all occurrences that are active at the same time, if there are several
+	maxOccurrenceSpan   = 10_000 // from the oldest occurrence that has not ended to the newest one
+)
+
+// mayOverlap reports whether the job's next occurrence may start beside those that are active.
+func (j *job) mayOverlap() bool {
+	return len(j.activeOccurrences) == 0 ||
+		(len(j.activeOccurrences)+1)*j.spec.TaskCount() <= maxOverlappingTasks && j.nextOccurrence-j.endedBelow < maxOccurrenceSpan
+}
+
 // StartDueOccurrences starts the occurrences that are due at a wall clock time, in
-// milliseconds since 1970.
+// milliseconds since 1970. Those that are due while too many overlap start in their order as others end.
 func (c *Cell) StartDueOccurrences(wallMillis int64, now time.Time) {
 	remaining := c.recurringJobs[:0]
 	for _, j := range c.recurringJobs {
-		for j.nextOccurrence < j.spec.Occurrences() && j.spec.DueMs(j.nextOccurrence) <= wallMillis && !j.state.Final() {
+		for j.nextOccurrence < j.spec.Occurrences() && j.spec.DueMs(j.nextOccurrence) <= wallMillis && !j.state.Final() && j.mayOverlap() {
 			c.startOccurrence(j, now)
 		}
 		if j.nextOccurrence < j.spec.Occurrences() && !j.state.Final() {
@@ -266,6 +278,19 @@
 	}
 }
 
+// FailUnrecordable fails a job whose progress the store can't take, since its record has size bytes. The jobs
+// beside it are planned on.
+func (c *Cell) FailUnrecordable(id work.ID, size, limit int) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	c.logger.WithFields(logrus.Fields{
+		"job": id, "record_bytes": size, "max_bytes": limit, "tasks": j.spec.TaskCount(), "occurrences": len(j.activeOccurrences),
+	}).Error("job is given up: the record of its progress is too large for the store")
+	c.endJob(j, work.Failed)
+}
+
 // endJob ends a job. Existing runs keep their allocations until they are over.
 func (c *Cell) endJob(j *job, state work.State) {
 	j.state = state
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -28,6 +28,15 @@
 // Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repetitions) }
 
+// TaskCount returns the number of tasks of all steps.
+func (j *Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].TaskCount
+	}
+	return n
+}
+
 // DueMs returns the wall clock time, in milliseconds since 1970, before which
 // no task of the occurrence may start. It is 0 for a job without a schedule.
 func (j *Job) DueMs(occurrence int) int64 {
--- a/internal/work/validate.go
+++ b/internal/work/validate.go
@@ -13,7 +13,7 @@
 	MaxSpecificationBytes = 4000 // bytes
 	MaxSteps              = 100
 	MaxTasks              = 5_000 // in all steps of a job; their progress must fit into one record of the store
-	MaxRepetitions        = 10_000
+	MaxRepetitions        = 1_000_000
 )
 
 // Validate adds a finding for every invalid field of a submission.
