dispatch: a record or cycle beyond the store's limits ends no leader

Cause: all records of a cycle counted as one; a refusal for size was taken for the end of leadership.

Change: a record above the platform's record_bytes is written without checkpoints, and if it is still too large its job is failed in the same append, with a line that has both sizes. Submissions of a cycle go into as many appends as they need. A submission whose own record is too large is answered 413.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -68,6 +68,7 @@
 	LastRenewal        func() leader.Renewal // the last confirmed renewal of leadership
 	OnHigherEpoch      func(epoch api.Epoch) // called when a machine knows a higher epoch
 	LastAppendDuration time.Duration         // duration of the last append before this process led; 0: unknown
+	MaxRecordBytes     int                   // the store's limit of a record with its key, in bytes; 0: unknown
 	Logger             *logrus.Entry
 }
 
@@ -75,6 +76,7 @@
 type Runner struct {
 	cfg          Config
 	writer       *writer
+	encoder      *progressEncoder
 	cycleWake    chan struct{} // signals that a cycle should start
 	executorWake chan struct{} // signals that there may be stops to send or executors to call
 	adviceWake   chan struct{} // signals that advice calls may be due
@@ -99,6 +101,7 @@
 	return &Runner{
 		cfg:             cfg,
 		writer:          newWriter(cfg),
+		encoder:         newProgressEncoder(cfg),
 		cycleWake:       make(chan struct{}, 1),
 		executorWake:    make(chan struct{}, 1),
 		adviceWake:      make(chan struct{}, 1),
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -253,35 +253,63 @@
 // store makes submitted records and the jobs' progress durable and answers the submissions. If
 // the store refuses the append, the submitted jobs are withdrawn, because it is certain that
 // nothing was stored.
-func (r *Runner) store(ctx context.Context, submitted []*submission, records []plan.ProgressRecord) error {
-	parts, err := encodeProgress(records)
+func (r *Runner) store(ctx context.Context, submitted []*submission, progress []plan.ProgressRecord) error {
+	records, failed, err := r.encoder.encode(progress)
 	if err != nil {
 		completeAll(submitted, assist.NotStored) // otherwise the submissions would wait until their deadlines
 		return err
 	}
-	parts = prependSubmissions(submitted, parts)
-	if len(parts) == 0 {
-		completeAll(submitted, assist.Stored) // all records were refused
-		return nil
-	}
-	for i, part := range parts {
-		first, err := r.appendPart(ctx, part, i == 0 && len(submitted) > 0)
-		if errors.Is(err, platform.ErrUnavailable) && i == 0 && len(submitted) > 0 {
-			return r.storeProgressOnly(ctx, submitted, records)
+	r.failUnrecordable(failed)
+	for len(submitted) > 0 {
+		n := countFitting(submitted)
+		batch := submitted[:n]
+		part := acceptedRecords(batch)
+		if n == len(submitted) {
+			part, records = fillUp(part, records)
 		}
-		if err != nil {
+		switch err := r.storePart(ctx, part, true); {
+		case errors.Is(err, platform.ErrUnavailable):
+			return r.storeProgressOnly(ctx, submitted, progress)
+		case err != nil:
 			completeAll(submitted, failedOutcome(err))
 			return err
 		}
-		r.cfg.Replica.ApplyRecords(first, part, time.Now())
-		if i == 0 {
-			completeAll(submitted, assist.Stored)
-			submitted = nil
+		completeAll(batch, assist.Stored)
+		submitted = submitted[n:]
+	}
+	for _, part := range splitRecords(records) {
+		if err := r.storePart(ctx, part, false); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// storePart makes one append, unless there are no records, and applies the records to the replica.
+func (r *Runner) storePart(ctx context.Context, part []platform.Record, giveUp bool) error {
+	if len(part) == 0 {
+		return nil // all submitted records were refused
+	}
+	first, err := r.appendPart(ctx, part, giveUp)
+	if err != nil {
+		return err
+	}
+	r.cfg.Replica.ApplyRecords(first, part, time.Now())
+	return nil
+}
+
+// failUnrecordable fails jobs whose progress the store can't take.
+func (r *Runner) failUnrecordable(failed []unrecordable) {
+	if len(failed) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range failed {
+		r.cell.FailUnrecordable(f.id, f.size, r.encoder.maxBytes)
+	}
+}
+
 // failedOutcome returns the outcome of submissions whose append ended with err.
 func failedOutcome(err error) assist.StoreOutcome {
 	if errors.Is(err, errNotApplied) {
@@ -290,20 +318,41 @@
 	return assist.StoreUnknown
 }
 
-// prependSubmissions puts the submitted records at the start of the first part of the progress.
-func prependSubmissions(submitted []*submission, parts [][]platform.Record) [][]platform.Record {
-	var first []platform.Record
-	for _, s := range submitted {
-		first = append(first, s.acceptedRecords()...)
-	}
-	if len(first) == 0 {
-		return parts
+// countFitting returns how many submissions, at least one, fit one append.
+func countFitting(submitted []*submission) int {
+	size := 0
+	for i, s := range submitted {
+		for _, record := range s.acceptedRecords() {
+			size += len(record.Value) + keyBytes
+		}
+		if i > 0 && size > maxAppendBytes {
+			return i
+		}
 	}
-	if len(parts) == 0 {
-		return [][]platform.Record{first}
+	return len(submitted)
+}
+
+// acceptedRecords returns the records of submissions that are to be stored.
+func acceptedRecords(submitted []*submission) []platform.Record {
+	var out []platform.Record
+	for _, s := range submitted {
+		out = append(out, s.acceptedRecords()...)
 	}
-	parts[0] = append(first, parts[0]...)
-	return parts
+	return out
+}
+
+// fillUp adds the first part of further records to an append with records, if all of them fit, and returns what
+// is left.
+func fillUp(part, further []platform.Record) (filled, rest []platform.Record) {
+	if len(part) == 0 || len(further) == 0 {
+		return part, further
+	}
+	all := slices.Concat(part, further)
+	n := len(splitRecords(all)[0])
+	if n <= len(part) {
+		return part, further
+	}
+	return all[:n], all[n:]
 }
 
 // appendPart makes one append and keeps track of how long it goes unanswered.
--- a/internal/dispatch/testcell_test.go
+++ b/internal/dispatch/testcell_test.go
@@ -256,6 +256,8 @@
 	peers    *assist.Peers // nil: the leader is alone and there is no advice
 	advice   *queue.Advice // advice settings of the queue; nil: no advice
 	overload bool          // plan.Config.Overload
+
+	maxRecordBytes int // Config.MaxRecordBytes
 }
 
 func newTestCell(t *testing.T) *testCell {
@@ -313,6 +315,7 @@
 		OnFenced:       func() {},
 		LastRenewal:    func() leader.Renewal { return leader.Renewal{} },
 		OnHigherEpoch:  func(api.Epoch) {},
+		MaxRecordBytes: p.maxRecordBytes,
 		Logger:         logging.Nop(),
 	})
 	ctx, cancel := context.WithCancel(p.t.Context())
--- a/internal/dispatch/writer.go
+++ b/internal/dispatch/writer.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -59,30 +60,87 @@
 	return w.append(ctx, nil, false)
 }
 
-// maxAppendBytes bounds the size of one append; the store accepts up to 2 MiB.
-const maxAppendBytes = 1 << 20
+// Limits of one append. The store takes up to 2 MiB at once.
+const (
+	maxAppendBytes        = 1 << 20
+	defaultMaxRecordBytes = 256 << 10 // of one record with its key, unless Config.MaxRecordBytes says otherwise
+	keyBytes              = 32        // reserved in each record for its key
+)
 
-// encodeProgress returns the records of progress, split into parts that each fit one append.
-func encodeProgress(records []plan.ProgressRecord) ([][]platform.Record, error) {
-	var parts [][]platform.Record
-	var part []platform.Record
-	size := 0
-	for _, r := range records {
-		value, err := work.EncodeProgress(r.Progress)
+// progressEncoder encodes the progress of jobs within the store's limit of a record.
+type progressEncoder struct {
+	maxBytes int // of an encoded record without its key
+	logger   *logrus.Entry
+	reduced  map[work.ID]struct{} // jobs whose newest record lacks their checkpoints
+}
+
+func newProgressEncoder(cfg Config) *progressEncoder {
+	return &progressEncoder{
+		maxBytes: cmp.Or(cfg.MaxRecordBytes, defaultMaxRecordBytes) - keyBytes,
+		logger:   cfg.Logger,
+		reduced:  make(map[work.ID]struct{}),
+	}
+}
+
+// unrecordable is a job whose progress has no encoding that the store takes.
+type unrecordable struct {
+	id   work.ID
+	size int // of the record, in bytes
+}
+
+// encode returns the records of progress and the jobs that it replaced by failed ones, since their progress
+// can't be recorded.
+func (e *progressEncoder) encode(progress []plan.ProgressRecord) ([]platform.Record, []unrecordable, error) {
+	var records []platform.Record
+	var failed []unrecordable
+	for _, p := range progress {
+		value, size, err := e.encodeOne(p)
 		if err != nil {
-			return nil, errors.Wrapf(err, "dispatch: progress of job %s", r.Job)
+			return nil, nil, err
 		}
-		if size+len(value) > maxAppendBytes {
-			parts = append(parts, part)
-			part, size = nil, 0
+		if size > e.maxBytes {
+			failed = append(failed, unrecordable{id: p.Job, size: size})
+			if value, err = work.EncodeProgress(&work.Progress{State: work.Failed}); err != nil {
+				return nil, nil, err
+			}
+		}
+		records = append(records, platform.Record{Key: work.Key(work.KindProgress, p.Job), Value: value})
+	}
+	return records, failed, nil
+}
+
+// encodeOne returns the encoded progress of a job, without its checkpoints if it is too large with them, and
+// its size in bytes.
+func (e *progressEncoder) encodeOne(p plan.ProgressRecord) (value []byte, size int, err error) {
+	value, err = work.EncodeProgress(p.Progress)
+	if err != nil || len(value) <= e.maxBytes {
+		delete(e.reduced, p.Job)
+		return value, len(value), errors.Wrapf(err, "dispatch: progress of job %s", p.Job)
+	}
+	fullSize := len(value)
+	value, err = work.EncodeProgress(p.Progress.WithoutCheckpoints())
+	if _, known := e.reduced[p.Job]; !known {
+		e.reduced[p.Job] = struct{}{}
+		e.logger.WithFields(logrus.Fields{"job": p.Job, "record_bytes": fullSize, "max_bytes": e.maxBytes}).Warn("checkpoints of a job are not recorded: its record would be too large for the store")
+	}
+	return value, len(value), errors.Wrapf(err, "dispatch: progress of job %s", p.Job)
+}
+
+// splitRecords splits records into parts that each fit one append.
+func splitRecords(records []platform.Record) [][]platform.Record {
+	var parts [][]platform.Record
+	begin, size := 0, 0
+	for i, r := range records {
+		if i > begin && size+len(r.Value)+keyBytes > maxAppendBytes {
+			parts = append(parts, records[begin:i])
+			begin, size = i, 0
 		}
-		part = append(part, platform.Record{Key: work.Key(work.KindProgress, r.Job), Value: value})
-		size += len(value)
+		size += len(r.Value) + keyBytes
 	}
-	if len(part) > 0 {
-		parts = append(parts, part)
+	if begin < len(records) {
+		parts = append(parts, records[begin:])
 	}
-	return parts, nil
+	return parts
 }
 
 // append repeats one append until it succeeds and returns the offset of its first record. It
--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -43,6 +43,7 @@
 	Store         Store
 	CutOff        func() bool // this machine reaches neither the store nor a leader; nil: never
 	Leaving       func() bool // the process is about to stop, so clients should connect elsewhere
+	MaxRecord     int         // the store's limit of a job's record with its key, in bytes; 0: none is known
 	Logger        *logrus.Entry
 }
 
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -56,7 +56,11 @@
 	if err != nil {
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
 	}
-	return a.storeRecord(r, platform.Record{Key: work.Key(work.KindJob, id), Value: value}, storeWait(r, job), retryAfter(r, job))
+	record := platform.Record{Key: work.Key(work.KindJob, id), Value: value}
+	if size := len(record.Value) + len(record.Key); a.MaxRecord > 0 && size >= a.MaxRecord {
+		return a.refuse(http.StatusRequestEntityTooLarge, fmt.Sprintf("the job's record has %d bytes, the store takes less than %d", size, a.MaxRecord), 0)
+	}
+	return a.storeRecord(r, record, storeWait(r, job), retryAfter(r, job))
 }
 
 // retryAfter returns the time after which the client should retry a job that the store
--- a/internal/jobapi/retry_test.go
+++ b/internal/jobapi/retry_test.go
@@ -119,3 +119,12 @@
 	s.calls++
 	return nil
 }
+
+// A job whose record the store would refuse is refused at once, for good.
+func TestJobThatTheStoreCannotTakeIsRefused(t *testing.T) {
+	k := newKeyAPI(t, "null")
+	k.MaxRecord = 20
+	k.expect(t, http.StatusRequestEntityTooLarge, http.MethodPost, jobPath, "")
+	k.MaxRecord = 1 << 18
+	k.expect(t, http.StatusOK, http.MethodPost, jobPath, "")
+}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -79,6 +79,7 @@
 		LastRenewal:        n.elector.LastRenewal,
 		OnHigherEpoch:      n.handleHigherEpoch,
 		LastAppendDuration: n.elector.LastAppendDuration(),
+		MaxRecordBytes:     n.settings.MaxRecordBytes,
 		Logger:             n.log.WithField("epoch", epoch),
 	})
 	n.runner.Store(runner)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,6 +194,7 @@
 		Store:         n.intake,
 		CutOff:        n.cutOff,
 		Leaving:       n.draining.Load,
+		MaxRecord:     n.settings.MaxRecordBytes,
 		Logger:        n.log,
 	}
 }
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -1,5 +1,7 @@
 package work
 
+import "slices"
+
 // State is the state of a job.
 type State uint8
 
@@ -43,6 +45,24 @@
 	FinishedOutOfOrder []int                 // further occurrences that have ended
 }
 
+// WithoutCheckpoints returns a copy of the progress that lacks all checkpoints.
+func (p *Progress) WithoutCheckpoints() *Progress {
+	out := *p
+	out.Occurrences = nil
+	for _, o := range p.Occurrences {
+		reduced := Occurrence{Number: o.Number}
+		for _, tasks := range o.Steps {
+			tasks = slices.Clone(tasks)
+			for i := range tasks {
+				tasks[i].Checkpoint = ""
+			}
+			reduced.Steps = append(reduced.Steps, tasks)
+		}
+		out.Occurrences = append(out.Occurrences, reduced)
+	}
+	return &out
+}
+
 // Outcome is what is kept of a job some time after its end: everything that
 // clients may still query.
 type Outcome struct {
