plan: a gang resumes from one checkpoint

A gang that works together on different states of its work is worth nothing.

Cause: a checkpoint belonged to its task.

Change: what any member reports is the whole gang's, also when a record of an earlier version has several.

Test, failing before: TestGangResumesFromOneCheckpoint.

--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -104,6 +104,18 @@
 	return t.phase == work.Pending && t.allocations == 0 && t.deferral == nil
 }
 
+// saveCheckpoint sets the checkpoint from which the task resumes. That of any member of a gang is valid for the
+// gang, whose members have to resume from the same one.
+func (t *task) saveCheckpoint(checkpoint string) {
+	if !t.step.spec.Gang {
+		t.checkpoint = checkpoint
+		return
+	}
+	for _, member := range t.step.tasks {
+		member.checkpoint = checkpoint
+	}
+}
+
 // complete reports whether all tasks of the step have ended.
 func (s *step) complete() bool { return s.doneTasks == len(s.tasks) }
 
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -220,7 +220,7 @@
 			c.markRunning(alloc.task.step.job, now)
 		}
 		if alloc.task != nil && row.Checkpoint != "" {
-			alloc.task.checkpoint = row.Checkpoint
+			alloc.task.saveCheckpoint(row.Checkpoint)
 		}
 		if alloc.task != nil {
 			c.forgetLosses(alloc, now)
@@ -362,7 +362,7 @@
 		return
 	}
 	if checkpoint != "" && t.lastRun == alloc.run.Number {
-		t.checkpoint = checkpoint
+		t.saveCheckpoint(checkpoint)
 	}
 	if t.step.job.state.Final() || t.lastRun != alloc.run.Number || t.phase != work.Started {
 		c.requeue(t.step)
--- a/internal/plan/restore.go
+++ b/internal/plan/restore.go
@@ -49,7 +49,9 @@
 		t.lastRun = row.Run
 		t.failures = int(row.Failures)
 		t.losses = losses{crashes: int(row.Crashes), unproven: int(row.Losses)}
-		t.checkpoint = row.Checkpoint
+		if row.Checkpoint != "" {
+			t.saveCheckpoint(row.Checkpoint) // records of earlier versions have one for each member of a gang
+		}
 		t.phase = row.Phase
 		s.gangFailures = max(s.gangFailures, t.failures)
 		switch row.Phase {
