work: due times of fractional intervals aren't cut

Cause: the interval was cut to whole milliseconds before it was multiplied.

Change: the fraction is multiplied as well, and the time rounded up, since no task may start before it.

Test, failing before: TestDueTimesOfFractionalIntervals (4 of 6 rows).

--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -43,7 +43,8 @@
 	if j.Repetitions == 0 {
 		return 0
 	}
-	return j.FirstRunMs + int64(occurrence)*j.Interval.Milliseconds()
+	elapsed := int64(occurrence) * (j.Interval % time.Millisecond).Nanoseconds()
+	return j.FirstRunMs + int64(occurrence)*j.Interval.Milliseconds() + (elapsed+int64(time.Millisecond)-1)/int64(time.Millisecond)
 }
 
 // LongRunning reports whether any task of the job runs until the job is cancelled.
--- a/internal/work/job_test.go
+++ b/internal/work/job_test.go
@@ -73,3 +73,24 @@
 		t.Fatalf("no result for %d steps", MaxSteps)
 	}
 }
+
+// An interval that is no whole number of milliseconds was cut, and later occurrences started early.
+func TestDueTimesOfFractionalIntervals(t *testing.T) {
+	for _, c := range []struct {
+		interval   time.Duration
+		occurrence int
+		want       int64
+	}{
+		{1500 * time.Microsecond, 0, 1000},
+		{1500 * time.Microsecond, 1, 1002},
+		{1500 * time.Microsecond, 2, 1003},
+		{1500 * time.Microsecond, 10_000, 16_000},
+		{time.Second / 3, 3_000, 1_001_000},
+		{time.Second, 7, 8000},
+	} {
+		j := &Job{FirstRunMs: 1000, Interval: c.interval, Repetitions: MaxRepetitions}
+		if got := j.DueMs(c.occurrence); got != c.want {
+			t.Errorf("occurrence %d every %v is due at %d, want %d", c.occurrence, c.interval, got, c.want)
+		}
+	}
+}
