jobapi: an ID that a job of another queue has is refused

What callers saw: read in the review and tried here: a submission with the ID of another queue's job is answered 200, and no task of it ever runs.

Cause: each known ID counted as a repeat of the same job.

Change: 409 with the reason if the ID belongs to a job of another queue that is there. A job whose queue is gone or unknown is still taken for the same one, so a repeat is never refused while the job runs.

--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/skylarklock/skylarklock/internal/finding"
 	"github.com/skylarklock/skylarklock/internal/intake"
 	"github.com/skylarklock/skylarklock/internal/platform"
+	"github.com/skylarklock/skylarklock/internal/queue"
 	"github.com/skylarklock/skylarklock/internal/replica"
 	"github.com/skylarklock/skylarklock/internal/work"
 )
@@ -28,6 +29,9 @@
 		if !a.mayAccess(r, e) {
 			return a.refuse(http.StatusForbidden, "the job's id can't be used", 0)
 		}
+		if owner := r.ownerOf(e); owner != nil && owner != r.queue {
+			return a.refuse(http.StatusConflict, "a job of another queue has this id", 0)
+		}
 		return accepted()
 	}
 	job, err := a.Codec.DecodeJob(body)
@@ -161,7 +165,7 @@
 		}
 		e, known = a.Replica.Get(id)
 	}
-	if !known || !e.Submitted() || r.config.QueueOf(e.Queue(), e.Path()) != r.queue || !a.mayAccess(r, e) {
+	if !known || !e.Submitted() || r.ownerOf(e) != r.queue || !a.mayAccess(r, e) {
 		a.Logger.WithFields(logrus.Fields{
 			"job": id, "queue": r.queue.Name, "has_records": known, "has_submission": e.Submitted(), "accepted_by": e.Queue(), "read_up_to": a.Replica.Position(),
 		}).Info("no such job")
@@ -170,6 +174,9 @@
 	return e, nil
 }
 
+// ownerOf returns the queue that a job belongs to now, or nil if the queue was removed or isn't known.
+func (r *request) ownerOf(e replica.Entry) *queue.Queue { return r.config.QueueOf(e.Queue(), e.Path()) }
+
 // jobState answers with the state of a job.
 func (a *API) jobState(r *request, id work.ID) *response {
 	e, refusal := a.findJob(r, id)
--- a/internal/jobapi/renamed_queue_test.go
+++ b/internal/jobapi/renamed_queue_test.go
@@ -62,9 +62,8 @@
 					t.Errorf("the number of pending jobs is %s, want %s", body, c.pending)
 				}
 			}
-			if c.status == http.StatusOK {
-				k.expect(t, http.StatusOK, http.MethodPost, c.path+id, "") // the same job again
-			}
+			submitted := map[int]int{http.StatusOK: http.StatusOK, http.StatusGone: http.StatusConflict, http.StatusNotFound: http.StatusNotFound}
+			k.expect(t, submitted[c.status], http.MethodPost, c.path+id, "") // the same job again, or another one with its ID
 			k.expect(t, c.status, http.MethodDelete, c.path+id, "")
 			if e, _ := k.Replica.Get(work.ID{7: 0xa1}); e.Cancelled != (c.status == http.StatusOK) {
 				t.Errorf("cancelled: %v", e.Cancelled)
