--- a/internal/jobapi/api.go
+++ b/internal/jobapi/api.go
@@ -34,17 +34,17 @@
 
 // API answers clients' requests.
 type API struct {
-	Codec         Codec
-	CurrentConfig func() *queue.Configuration // nil before the first configuration
-	RequireKeys   bool                        // clients need a key even if the configuration lists no workspaces
-	KeysOutdated  func() bool                 // the configuration is too old to tell which keys are valid; nil: never
-	Replica       *replica.Replica
-	Sync          func(ctx context.Context) error // reads everything that the store holds at the time of the call
-	Store         Store
-	CutOff        func() bool // this machine reaches neither the store nor a leader; nil: never
-	Leaving       func() bool // the process is about to stop, so clients should connect elsewhere
-	MaxRecord     int         // the store's limit of a job's record with its key, in bytes; 0: none is known
-	Logger        *logrus.Entry
+	Codec          Codec
+	CurrentConfig  func() *queue.Configuration // nil before the first configuration
+	RequireKeys    bool                        // clients need a key even if the configuration lists no workspaces
+	KeysOutdated   func() bool                 // the configuration is too old to tell which keys are valid; nil: never
+	Replica        *replica.Replica
+	Sync           func(ctx context.Context) error // reads everything that the store holds at the time of the call
+	Store          Store
+	CutOff         func() bool // this machine reaches neither the store nor a leader; nil: never
+	Leaving        func() bool // the process is about to stop, so clients should connect elsewhere
+	MaxRecordBytes int         // the store's limit of a job's record with its key, in bytes; 0: none is known
+	Logger         *logrus.Entry
 }
 
 // Timing of answers.
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -61,8 +61,8 @@
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
 	}
 	record := platform.Record{Key: work.Key(work.KindJob, id), Value: value}
-	if size := len(record.Value) + len(record.Key); a.MaxRecord > 0 && size >= a.MaxRecord {
-		return a.refuse(http.StatusRequestEntityTooLarge, fmt.Sprintf("the job's record has %d bytes, the store takes less than %d", size, a.MaxRecord), 0)
+	if size := len(record.Value) + len(record.Key); a.MaxRecordBytes > 0 && size >= a.MaxRecordBytes {
+		return a.refuse(http.StatusRequestEntityTooLarge, fmt.Sprintf("the job's record has %d bytes, the store takes less than %d", size, a.MaxRecordBytes), 0)
 	}
 	return a.storeRecord(r, record, storeWait(r, job), retryAfter(r, job))
 }
@@ -218,7 +218,10 @@
 			return a.refuse(http.StatusServiceUnavailable, "the store gives no answer", defaultRetryAfter)
 		}
 	}
-	body, err := a.Codec.EncodePending(a.Replica.PendingJobs(func(name string, path work.PathID) bool { return r.config.QueueOf(name, path) == r.queue }))
+	pending := a.Replica.PendingJobs(func(name string, path work.PathID) bool {
+		return r.config.QueueOf(name, path) == r.queue
+	})
+	body, err := a.Codec.EncodePending(pending)
 	if err != nil {
 		return a.refuse(http.StatusInternalServerError, err.Error(), 0)
 	}
--- a/internal/jobapi/retry_test.go
+++ b/internal/jobapi/retry_test.go
@@ -123,8 +123,8 @@
 // A job whose record the store would refuse is refused at once, for good.
 func TestJobThatTheStoreCannotTakeIsRefused(t *testing.T) {
 	k := newKeyAPI(t, "null")
-	k.MaxRecord = 20
+	k.MaxRecordBytes = 20
 	k.expect(t, http.StatusRequestEntityTooLarge, http.MethodPost, jobPath, "")
-	k.MaxRecord = 1 << 18
+	k.MaxRecordBytes = 1 << 18
 	k.expect(t, http.StatusOK, http.MethodPost, jobPath, "")
 }
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -126,11 +126,14 @@
 }
 
 // serviceOf returns the service whose executors run a job's tasks: the one configured now, or, if the job's
-// queue was removed, the one at the time when the job was accepted. A queue that replaces it at the same path
-// takes the job over without changing its service, unless that is gone.
+// queue was removed or has another name now, the one at the time when the job was accepted. If that is gone,
+// a renamed queue's service runs them.
 func (c *Cell) serviceOf(j *job) string {
 	q := c.queueOf(j)
-	if q == nil || q.Name != j.spec.Queue && c.queueConfig.HasService(j.spec.Service) {
+	if q == nil {
+		return j.spec.Service
+	}
+	if renamed := q.Name != j.spec.Queue; renamed && c.queueConfig.HasService(j.spec.Service) {
 		return j.spec.Service
 	}
 	return q.Service
--- a/internal/plan/job.go
+++ b/internal/plan/job.go
@@ -16,7 +16,7 @@
 type job struct {
 	queue             *queue.Queue         // as configured in queueConfig; nil if the queue was removed
 	queueConfig       *queue.Configuration // the configuration that queue was looked up in
-	maxAttempts       int                  // attempts for each task, as last configured; 0 if never known here
+	maxAttempts       int                  // attempts for each task, as configured or, while the queue is removed, as promised; 0 if never known here
 	latencyObjective  time.Duration        // latency objective of an occurrence, according to queue
 	spec              *work.Job
 	criticalPaths     []time.Duration // by step
