--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -140,7 +140,9 @@
 	withBorn bool // it says when it was born, and keeps its id over crashes
 	lives    int
 	down     bool
-	dark     bool // it has lost power for good: it sends nothing, and channels to it hang
+	dark     bool          // it has lost power for good: it sends nothing, and channels to it hang
+	healed   chan struct{} // closed when it is no longer cut off; nil if it isn't
+	beatAt   time.Time     // when the store last heard of it
 	sequence int
 	token    uint64
 	lease    int64 // on its clock, ms
@@ -224,10 +226,11 @@
 // register writes the executor's record.
 func (e *executor) register() {
 	e.mu.Lock()
-	if e.down || e.dark {
+	if e.down || e.dark || e.healed != nil {
 		e.mu.Unlock()
 		return
 	}
+	e.beatAt = time.Now()
 	e.sequence++
 	entry := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "1", "slots": 8, "state": "ready",
@@ -304,6 +307,7 @@
 		}
 		e.mu.Lock()
 		life := e.lives
+		e.awaitReconnect()
 		if e.dark {
 			e.mu.Unlock()
 			e.hang()
@@ -323,6 +327,7 @@
 			e.lapse()
 			status, body = handle(r, c)
 		}
+		e.awaitReconnect()
 		if e.dark {
 			e.mu.Unlock()
 			e.hang()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,6 +21,7 @@
 }
 
 var cases = map[string]func(*rig) verdict{
+	"cut-zones":       cutZones,
 	"frozen-follower": frozenFollower,
 	"lost-executors":  lostExecutors,
 	"removed-route":   removedRoute,
