replica: content counts as kept only if what lies before it was read

Cause: a read for a client that was under way while a restore ended began behind the restore's offset and moved the position up to which content counts as kept over records that neither had read. A leader of such a machine doesn't know jobs, or plans them from old progress, and acknowledges ends that it records nowhere.

Change: a read or delivery moves the position only if it begins no later than what is kept; its records are applied, and read again. So no record can be passed over, in whatever order calls end. Deliveries of content check and apply under one lock. New lines: a read that began too late, and jobs without content as a leader begins to plan.

--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/pause"
@@ -29,7 +30,9 @@
 		return errContentMissing
 	}
 	r.startPublisher(ctx)
-	r.cfg.Logger.WithField("took_ms", time.Since(started).Milliseconds()).Info("this process begins to plan for the cell")
+	r.cfg.Logger.WithFields(logrus.Fields{
+		"took_ms": time.Since(started).Milliseconds(), "jobs_without_content": r.cfg.Replica.JobsWithoutContent(),
+	}).Info("this process begins to plan for the cell")
 	return ctx.Err()
 }
 
--- a/internal/replica/content.go
+++ b/internal/replica/content.go
@@ -22,11 +22,18 @@
 	return c.enabled && c.complete && c.contentEnd >= position
 }
 
-// advance records that all records up to an offset were applied in order.
-func (c *contentState) advance(next platform.Offset) {
-	if c.enabled && c.complete {
-		c.contentEnd = max(c.contentEnd, next)
+// advance records that the records of a span were applied. A span that was chosen before a
+// restore completed the content may begin after contentEnd. The records in between were
+// never read, so advance returns false then and contentEnd stays.
+func (c *contentState) advance(span Span) bool {
+	if !c.enabled || !c.complete {
+		return true
 	}
+	if span.From > c.contentEnd {
+		return false
+	}
+	c.contentEnd = max(c.contentEnd, span.To)
+	return true
 }
 
 // KeepContent makes the replica keep the content of records from now on. The content of
@@ -148,12 +155,27 @@
 // ApplyContent applies the newest record of each key written in a span, in order of
 // offset, if the span overlaps or follows the content kept so far.
 func (r *Replica) ApplyContent(span Span, records []platform.Record, now time.Time) {
-	from := r.readFrom()
-	if r.Synced() && r.HasContent() && span.From <= from && span.To > from {
-		r.apply(records, span.To, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.content
+	if r.Synced() && c.enabled && c.complete && span.From <= c.contentEnd && span.To > c.contentEnd {
+		r.applySpan(span, records, now)
 	}
 }
 
+// JobsWithoutContent returns the number of jobs that have not ended and whose submission is
+// known but not kept. A leader can't plan them.
+func (r *Replica) JobsWithoutContent() int {
+	n := 0
+	r.each(func(_ work.ID, e *Entry) bool {
+		if e.Submitted() && e.Job == nil && !e.State().Final() {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // ContentPosition returns the offset up to which the content of records is kept, and
 // whether the content is complete up to there.
 func (r *Replica) ContentPosition() (platform.Offset, bool) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -220,13 +220,23 @@
 	return now.Sub(r.completeAt)
 }
 
-// apply applies records that were read in order. next is the offset to read next, or 0
-// for a page of the newest records.
+// apply applies consecutive records. next is the offset to read next, or 0 for a page of
+// the newest records, which is not a range of offsets.
 func (r *Replica) apply(records []platform.Record, next platform.Offset, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var span Span
+	if next > 0 {
+		span = Span{From: next - platform.Offset(len(records)), To: next}
+	}
+	r.applySpan(span, records, now)
+}
+
+// applySpan applies records of a span in order of offset, among them the newest one of
+// each key. An empty span stands for a page of the newest records. The caller holds r.mu.
+func (r *Replica) applySpan(span Span, records []platform.Record, now time.Time) {
 	r.lastContact = now
-	if next > 0 { // a page of the newest records is not a range of offsets
+	if span.To > 0 {
 		records = recordsFrom(records, r.readFromLocked())
 	}
 	var changes []Change
@@ -240,11 +250,13 @@
 			updates = append(updates, SummaryUpdate{Offset: rec.Offset, Summary: *summary})
 		}
 	}
-	if r.publish != nil && next > 0 && len(records) > 0 {
+	if r.publish != nil && span.To > 0 && len(records) > 0 {
 		r.publish(AppliedBatch{Records: records, Updates: updates})
 	}
-	r.next = max(r.next, next)
-	r.content.advance(next)
+	r.next = max(r.next, span.To)
+	if !r.content.advance(span) {
+		r.logger.WithFields(logrus.Fields{"content_end": r.content.contentEnd, "from": span.From, "to": span.To}).Info("read began before content was restored; its records are read again")
+	}
 	if r.listener != nil && len(changes) > 0 {
 		r.listener(changes)
 	}
