dispatch: a refresh of the list of executors reads to its end

Callers would see new executors unused and leaving ones given work: the leader made one read of at most 512 KB each 0.3 s, so more than 1.7 MB/s (heartbeats of 8,700 executors, or eleven entries of 256 KB of another writer) leave the list behind for good.

Cause: one read a refresh, whether or not it reached the end. Evidence: TestRegistryIsReadToItsEnd failed before (10 of 35 entries listed). Change: reads follow one another to the end that the first answer names. The rate is no longer bound to the interval, and a refresh ends also while more is written.

--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -42,26 +42,33 @@
 	return &registry{log: log, partition: p, decode: decode, unreadable: &platform.UnreadableLogger{Logger: logger.WithField("topic", p.Topic)}}
 }
 
-// refresh reads what was written since the last call and reports whether it contained
-// anything but heartbeats.
-func (g *registry) refresh(ctx context.Context) (bool, error) {
+// refresh reads what was written before the call and since the last one, and reports whether
+// it contained anything but heartbeats. The executors of a large fleet write more between two
+// calls than one answer holds.
+func (g *registry) refresh(ctx context.Context) (changed bool, err error) {
 	if !g.restored {
 		return true, g.restore(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
-	defer cancel()
-	batch, err := g.log.Read(ctx, g.partition, g.next, 0)
-	var trimmed *platform.TrimmedError
-	if errors.As(err, &trimmed) {
-		return true, g.restore(ctx)
-	}
-	if err != nil {
-		return false, err
-	}
-	g.next = batch.Next
-	changed := false
-	for _, r := range batch.Records {
-		changed = g.apply(r) || changed
+	var end platform.Offset // as named by the first answer
+	for first := true; first || g.next < end; first = false {
+		batch, err := g.readFrom(ctx, g.next)
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) {
+			return true, g.restore(ctx)
+		}
+		if err != nil {
+			return changed, err
+		}
+		if first {
+			end = batch.End
+		}
+		if batch.Next <= g.next {
+			break
+		}
+		g.next = batch.Next
+		for _, r := range batch.Records {
+			changed = g.apply(r) || changed
+		}
 	}
 	return changed, nil
 }
@@ -96,7 +103,7 @@
 	}
 	found := make(map[string]*fleet.Executor)
 	for from := g.next - min(g.next, maxHistoryRecords); from < g.next; {
-		batch, err := g.readHistory(ctx, from)
+		batch, err := g.readFrom(ctx, from)
 		var trimmed *platform.TrimmedError
 		if errors.As(err, &trimmed) && trimmed.First > from {
 			from = trimmed.First
@@ -121,7 +128,8 @@
 	return found, nil
 }
 
-func (g *registry) readHistory(ctx context.Context, from platform.Offset) (platform.RecordBatch, error) {
+// readFrom makes one read.
+func (g *registry) readFrom(ctx context.Context, from platform.Offset) (platform.RecordBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	return g.log.Read(ctx, g.partition, from, 0)
@@ -165,7 +173,7 @@
 		if err != nil {
 			r.cfg.Logger.WithError(err).Debug("executor registry could not be read")
 		}
-		if err == nil && changed {
+		if changed && g.restored {
 			r.mu.Lock()
 			r.cell.UpdateExecutors(g.listed, time.Now())
 			unaddressed := r.cell.ExecutorsWithoutAddress()
--- a/internal/dispatch/registry_test.go
+++ b/internal/dispatch/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"maps"
 	"reflect"
 	"slices"
@@ -222,3 +223,37 @@
 		t.Errorf("found %v, error %v in the trimmed history; want a", names(found), err)
 	}
 }
+
+// answerLimitPartition is a partition whose answers to reads hold few records.
+type answerLimitPartition struct {
+	*memoryPartition
+	limit platform.Offset
+}
+
+func (l answerLimitPartition) Read(ctx context.Context, p platform.Partition, from platform.Offset, wait time.Duration) (platform.RecordBatch, error) {
+	batch, err := l.memoryPartition.Read(ctx, p, from, wait)
+	if n := platform.Offset(len(batch.Records)); n > l.limit {
+		batch.Records, batch.Next = batch.Records[:l.limit], from+l.limit
+	}
+	return batch, err
+}
+
+// Guards against a list of executors that falls behind for good, since more is written between two reads than one answer holds:
+// by a large fleet, or by another writer's large entries.
+func TestRegistryIsReadToItsEnd(t *testing.T) {
+	log := &memoryPartition{}
+	g, _ := newTestRegistry(log)
+	g.log = answerLimitPartition{log, 10}
+	mustRefresh(t, g)
+	for round := range 5 {
+		for i := range 35 {
+			log.put(fmt.Sprint("e", i), executorRecord("svc", "ready", fmt.Sprint("r", round)))
+		}
+		mustRefresh(t, g)
+		for i := range 35 {
+			if e := g.listed[fmt.Sprint("e", i)]; e == nil || e.Rack() != fmt.Sprint("r", round) {
+				t.Fatalf("round %d: executor %d is listed as %+v", round, i, e)
+			}
+		}
+	}
+}
