platform: thousands of unreadable records don't fill the log

Operators would see 120,000 lines a minute from 3,000 odd entries of another writer that are written again every 1.5 s. Cause: one line a key holds only while the keys fit into the 1,000 that are kept; then all were dropped and logged anew.

--- a/internal/platform/unreadable_test.go
+++ b/internal/platform/unreadable_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -39,3 +41,30 @@
 		t.Errorf("%d keys are stored", len(u.loggedOffsets))
 	}
 }
+
+// Guards against a log that grows without bound: more unreadable records than keys that are kept, written again and again, gave a
+// line each time.
+func TestManyUnreadableRecordsHaveFewLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var logged bytes.Buffer
+		logger := logrus.New()
+		logger.SetOutput(&logged)
+		u := &UnreadableLogger{Logger: logrus.NewEntry(logger)}
+		const keys, rounds = 3 * maxUnreadableKeys, 40
+		for round := range rounds {
+			for i := range keys {
+				u.LogUnreadable(Record{Key: fmt.Sprint(i), Offset: Offset(round*keys + i)}, errors.New("fault"))
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if n := strings.Count(logged.String(), "\n"); n > maxUnreadableKeys+1 {
+			t.Errorf("%d unreadable records, written %d times in a minute, give %d lines", keys, rounds, n)
+		}
+		time.Sleep(unreadableLogPeriod)
+		before := logged.Len()
+		u.LogUnreadable(Record{Key: "another"}, errors.New("fault"))
+		if logged.Len() == before {
+			t.Error("an unreadable record has no line after all others were dropped")
+		}
+	})
+}
