plan: a record that doesn't fit its job ends no leader

Callers would see the whole cell stand still: a record of the cell's own partition that decodes and doesn't fit the job (more tasks or steps, an index beyond the list of executors, a step that depends on itself) ended the process that planned it, then the next leader, and so on.

Cause: submission and progress are decoded one by one, and numbers of one were used as indexes into the other. Evidence: TestMisfitRecordsEndNoLeader failed before (panic: makeslice: len out of range). Change: work.Job.CheckPlannable compares both before a job is planned, and a job that can't be planned is left out with an error, so the others go on.

--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -167,11 +167,16 @@
 }
 
 // AddJob adds a job that has not ended. Its progress is nil if nothing of it has started;
-// otherwise the runs named in the progress may exist. It reports whether the job was new.
+// otherwise the runs named in the progress may exist. It reports whether the job was added: it
+// must be new, and its records must fit together.
 func (c *Cell) AddJob(spec *work.Job, p *work.Progress, wallMillis int64, now time.Time) bool {
 	if c.Knows(spec.ID) {
 		return false
 	}
+	if err := spec.CheckPlannable(p); err != nil {
+		c.logger.WithError(err).WithField("job", spec.ID).Error("job is not planned: its records do not fit together")
+		return false
+	}
 	age := time.Duration(max(0, wallMillis-spec.AcceptedMs)) * time.Millisecond
 	j := &job{spec: spec, arrivedAt: now.Add(-min(age, maxAge)), workspace: c.workspaceOf(spec.Workspace)}
 	j.excess = !j.workspace.takeJobToken(j.arrivedAt)
