dispatch: a submission that the leader can't decode is refused

Callers would see an accepted job that isn't planned (LOST) while two builds run side by side: a leader that can't decode what a machine of another build submits stored it all the same and answered that it is stored.

Cause: admitRecord logged the error and left the record among those to be stored. Evidence: TestUnreadableSubmissionIsNotStored failed before (outcome stored; the record is in the store). Change: its outcome is NotStored, which is certain, so the client is told 503 and may find another leader.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -164,6 +164,7 @@
 	job, err := work.DecodeJob(s.records[i].Value)
 	if err != nil {
 		r.cfg.Logger.WithError(err).WithField("job", id).Error("unreadable job was handed in")
+		s.results[i] = assist.StoreResult{Outcome: assist.NotStored} // it would be accepted and never planned
 		return
 	}
 	if r.cfg.Plan.Overload {
