replica: deletions that belong to a job's outcome don't drop the job

Cause: the outcome and the deletions that it stands for are one append, and a delivery can end between them. The machine then knows the outcome as a state only, reads the deletions from the store, and took that of the submission as that of the whole job. Change: of a job that has ended only the deletion of its outcome's key drops it, which the leader writes last when the job's time is over; so it doesn't matter where a delivery ends.

--- a/internal/replica/record.go
+++ b/internal/replica/record.go
@@ -36,9 +36,9 @@
 	defer s.mu.Unlock()
 	e := s.jobs[id]
 	if len(rec.Value) == 0 {
-		// The leader deletes all keys of a job together, except for the keys
-		// that were replaced by its outcome.
-		if e != nil && (e.Outcome == nil || kind == work.KindOutcome) {
+		// The leader deletes all keys of a job together. An ended job's keys are also deleted
+		// when its outcome replaces them, which this replica may know as a state only.
+		if e != nil && (kind == work.KindOutcome || !e.State().Final()) {
 			delete(s.jobs, id)
 			return Change{}, &work.Summary{ID: id, Queue: e.Queue(), Deleted: true}, false, nil
 		}
