peer: a process outlives moments without a free file descriptor

What callers saw: a crowd of connections at any port of a process ended it: `process failed: accept tcp …: accept4: too many open files`, after which every request there failed and the cell lost a machine, often its leader.

Cause: peer.Server.Serve returned any error of Accept, and the run group ends the process with it. net/http waits and accepts again after such errors; the peers' server didn't.

Change: errors that concern one connection or end by themselves (accept(2)) are counted, logged and retried after 5 ms to 1 s. Other Accept loops: net/http's retry already.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,8 +6,11 @@
 	"expvar"
 	"net"
 	"net/rpc"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -18,6 +21,7 @@
 const (
 	varAccepted        = "connections_accepted"
 	varConnsRefused    = "connections_refused"
+	varAcceptFailures  = "accept_failures"
 	varMalformedFrames = "garbage_frames"
 	varBusy            = "calls_refused_busy"
 	varDraining        = "calls_refused_draining"
@@ -89,15 +93,41 @@
 	if stopped {
 		return l.Close()
 	}
+	var delay time.Duration
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		if err == nil {
+			delay = 0
+			s.ServeConn(conn)
+			continue
+		}
+		if !isTransient(err) {
 			return s.acceptError(err)
 		}
-		s.ServeConn(conn)
+		delay = min(max(2*delay, minAcceptDelay), maxAcceptDelay)
+		s.vars.Add(varAcceptFailures, 1)
+		s.log.WithError(err).WithField("retry_ms", delay.Milliseconds()).Warn("peer connection not accepted")
+		time.Sleep(delay)
 	}
 }
 
+// Delays before the next connection is accepted after a transient error.
+const (
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
+)
+
+// transientAcceptErrors are errors of accept that concern one connection, or that end when file descriptors or
+// memory are available again (accept(2)).
+var transientAcceptErrors = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR,
+}
+
+// isTransient reports whether connections may be accepted again after err.
+func isTransient(err error) bool {
+	return slices.ContainsFunc(transientAcceptErrors, func(e error) bool { return errors.Is(err, e) })
+}
+
 // acceptError returns nil in place of the error that results from closing the listener.
 func (s *Server) acceptError(err error) error {
 	s.mu.Lock()
