peer: unused connections make room for other machines, within the machine's descriptors

What callers saw: 600 silent connections at the port of the machines among themselves, on a machine of 500 descriptors, ended the process; with accept retried they still hold all descriptors, and neither clients nor other machines get through.

Cause: the server's bound of 2,048 connections was above what a machine may open, and at the bound it closed the connection that arrives, so who holds the places keeps the others out for the idle time of a minute.

Change: at most half of the machine's file descriptors (limits.file_descriptors of the settings) for connections from other machines; at the bound the connection that has been unused for the longest goes. Other machines call many times a second, so theirs are not the ones.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -84,7 +84,7 @@
 
 // addPeerServer adds the server for calls of other machines.
 func (n *Node) addPeerServer(g *run.Group) {
-	server := peer.NewServer(peerLimits(), n.log)
+	server := peer.NewServer(n.peerServerLimits(), n.log)
 	server.CountTraffic(n.traffic)
 	handler := &assist.Handler{
 		LeadingEpoch:    func() api.Epoch { return api.Epoch(n.epoch.Load()) },
@@ -115,8 +115,7 @@
 const (
 	maxPeerMessageBytes = 1 << 20
 	// maxPeerConns bounds the connections from other machines, each of which opens two
-	// at most. It allows for three times the 300 machines that were simulated and takes
-	// about half of the file descriptors of the weakest machines.
+	// at most. It allows for three times the 300 machines that were simulated.
 	maxPeerConns    = 2048
 	peerCallTimeout = 5 * time.Second
 )
@@ -131,6 +130,18 @@
 	}
 }
 
+// maxPeerDescriptorShare is the share of the file descriptors that connections from other machines may take.
+const maxPeerDescriptorShare = 0.5
+
+// peerServerLimits returns the limits of the peer server on this machine.
+func (n *Node) peerServerLimits() peer.Limits {
+	limits := peerLimits()
+	if files := n.settings.FileDescriptors; files > 0 {
+		limits.MaxConns = max(1, min(limits.MaxConns, int(maxPeerDescriptorShare*float64(files))))
+	}
+	return limits
+}
+
 // serveReadiness answers the platform's readiness checks, which decide whether this
 // machine gets new connections.
 func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,7 @@
 const (
 	varAccepted        = "connections_accepted"
 	varConnsRefused    = "connections_refused"
+	varUnusedClosed    = "unused_connections_closed"
 	varAcceptFailures  = "accept_failures"
 	varMalformedFrames = "garbage_frames"
 	varBusy            = "calls_refused_busy"
@@ -138,12 +139,12 @@
 	return err
 }
 
-// ServeConn serves conn in the background. It closes conn if the server has its
-// maximum number of connections or is stopping.
+// ServeConn serves conn in the background. If the server has its maximum number of connections, it closes the
+// one that has been unused for the longest. It closes conn if there is none or if it is stopping.
 func (s *Server) ServeConn(conn net.Conn) {
 	codec := newServerCodec(s, conn)
 	s.mu.Lock()
-	refuse := s.draining || len(s.conns) >= s.limits.MaxConns
+	refuse := s.draining || len(s.conns) >= s.limits.MaxConns && !s.closeUnused()
 	if !refuse {
 		s.conns[codec] = struct{}{}
 		s.serving.Add(1)
@@ -158,6 +159,25 @@
 	go s.serve(codec)
 }
 
+// closeUnused closes the connection that has been unused for the longest and reports whether there is one.
+// s.mu is held.
+func (s *Server) closeUnused() bool {
+	var longest *serverCodec
+	var since time.Time
+	for codec := range s.conns {
+		if start, unused := codec.unusedSince(); unused && (longest == nil || start.Before(since)) {
+			longest, since = codec, start
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	s.vars.Add(varUnusedClosed, 1)
+	delete(s.conns, longest)
+	longest.Close()
+	return true
+}
+
 // serve serves one connection. It returns after the calls in flight have ended.
 func (s *Server) serve(codec *serverCodec) {
 	defer s.serving.Done()
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -30,6 +30,7 @@
 
 	mu           sync.Mutex
 	idle         bool // waiting for the first byte of a frame
+	idleSince    time.Time
 	draining     bool
 	releaseSlots map[uint64]func() // functions that release the call slots, by sequence number
 }
@@ -79,7 +80,7 @@
 // the deadline for the rest of the frame.
 func (c *serverCodec) awaitFrame() error {
 	c.mu.Lock()
-	c.idle = true
+	c.idle, c.idleSince = true, time.Now()
 	c.conn.SetReadDeadline(c.idleDeadline())
 	c.mu.Unlock()
 	_, err := c.reader.Peek(1)
@@ -104,6 +105,13 @@
 	return time.Now().Add(limits.Idle)
 }
 
+// unusedSince returns since when the connection waits for a call, and whether it does and no call is in flight.
+func (c *serverCodec) unusedSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.idle && len(c.releaseSlots) == 0
+}
+
 // admitCall admits the call, or redirects it to a method that refuses it. It ends the
 // connection if the peer reuses the sequence number of a call in flight.
 func (c *serverCodec) admitCall(r *rpc.Request) error {
