clientlimit: clients' connections have a bound, and the oldest of no use make room

What callers saw: 600 connections kept idle after an answer, or silent, on a machine of 500 descriptors: `accept4: too many open files` at the listener of the machines among themselves, and the process ended; since that is retried, the machine neither reaches its store and executors nor accepts anybody. The same beside other machines that come back.

Cause: the clients' server accepts any number of connections, while listeners, store, executors, other machines and logs share the process's descriptors with it.

Change: internal/clientlimit bounds them by the machine's settings: a quarter of the descriptors beyond the platform's 200, and of the memory what connections need in the worst case. A plain limit (netutil.LimitListener) would move the fault, since who holds the places keeps the others out. So at the bound the connection goes whose end costs clients least: between two requests, the longest first; else the request that has been arriving, or the answer that has been left unread, for the longest. A request that has arrived is always answered. An evicted connection counts until it has ended, and acceptance waits for it, so that evicted ones don't pile up. drain.Server passes ConnState and ConnContext on.

--- /dev/null
+++ b/internal/clientlimit/conn.go
@@ -0,0 +1,101 @@
+package clientlimit
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// writeTimeout bounds each write of an answer.
+const writeTimeout = 5 * time.Second
+
+// expiredDeadline is a deadline in the past.
+var expiredDeadline = time.Unix(1, 0)
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	limiter *Limiter
+	isIdle  atomic.Bool // no byte of a further request has been read
+	closed  sync.Once
+
+	// Guarded by Limiter.mu.
+	in      *connList // nil while a request is being answered
+	element *list.Element
+	since   time.Time // since when it is in the list; of a request: since when it is being received
+	evicted bool
+
+	deadline     sync.Mutex
+	readsExpired bool // guarded by deadline
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if c.isIdle.Swap(false) {
+		l := c.limiter
+		l.mu.Lock()
+		l.move(c, &l.receiving, time.Now())
+		l.mu.Unlock()
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It fails if the client takes nothing for too long.
+func (c *conn) Write(p []byte) (int, error) {
+	l, now := c.limiter, time.Now()
+	if err := c.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	list, since := c.in, c.since
+	l.move(c, &l.sending, now)
+	l.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	l.mu.Lock()
+	if c.in == &l.sending {
+		l.move(c, nil, time.Time{})
+		if list != nil {
+			l.move(c, list, since)
+		}
+	}
+	l.mu.Unlock()
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn. The deadline of an evicted connection stays expired.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
+	if c.readsExpired {
+		t = expiredDeadline
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// expireReads makes the pending read and all further ones fail.
+func (c *conn) expireReads() {
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
+	c.readsExpired = true
+	_ = c.Conn.SetReadDeadline(expiredDeadline) // fails only if the connection is closed
+}
+
+// CloseWrite closes the writing side of the connection if that is supported.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closed.Do(func() { c.limiter.remove(c) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/clientlimit/limiter.go
@@ -0,0 +1,161 @@
+package clientlimit
+
+import (
+	"container/list"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Timing of evictions.
+const (
+	// minStall is how long a write must have been blocked before its connection may be evicted. Writes of
+	// answers that are read take less.
+	minStall = 100 * time.Millisecond
+	// maxEvictionWait bounds the wait for evicted connections to end.
+	maxEvictionWait = 200 * time.Millisecond
+	// evictingShare is the share of the connections that may be ending at the same time.
+	evictingShare = 0.125
+)
+
+// Limiter enforces Limits on the connections of its listeners.
+type Limiter struct {
+	limits   Limits
+	counters *expvar.Map
+	events   eventLog
+
+	mu        sync.Mutex
+	open      int // connections, including those that are ending
+	evicting  int // connections that were evicted and have not ended
+	ended     chan struct{}
+	idle      connList // between two requests
+	receiving connList // until a request has arrived completely
+	sending   connList // while a write is in progress
+}
+
+// New returns a limiter that logs to log when it begins and when it ends to drop connections or requests.
+func New(limits Limits, log *logrus.Entry) *Limiter {
+	l := &Limiter{
+		limits:   limits,
+		counters: new(expvar.Map).Init(),
+		ended:    make(chan struct{}, 1),
+	}
+	l.events.log = log
+	for _, list := range []*connList{&l.idle, &l.receiving, &l.sending} {
+		list.Init()
+	}
+	return l
+}
+
+// Vars returns the counters of dropped connections and requests, by reason.
+func (l *Limiter) Vars() *expvar.Map { return l.counters }
+
+// connList is a list of connections, ordered by the time since which they are in it.
+type connList struct{ list.List }
+
+func (l *connList) oldest() *conn {
+	if e := l.Front(); e != nil {
+		return e.Value.(*conn)
+	}
+	return nil
+}
+
+// move puts c at the end of a list, or into none if to is nil. l.mu is held.
+func (l *Limiter) move(c *conn, to *connList, since time.Time) {
+	if c.element != nil {
+		c.in.Remove(c.element)
+		c.element = nil
+	}
+	c.in, c.since = to, since
+	if to != nil && !c.evicted {
+		c.element = to.PushBack(c)
+	}
+}
+
+// admit counts a new connection. It makes room for it, or returns nil and closes it.
+func (l *Limiter) admit(nc net.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.open-l.evicting >= l.limits.Connections && !l.evictConnection(now) || !l.awaitEvicted(now) {
+		l.count(reasonRefused)
+		_ = nc.Close() // nothing was sent
+		return nil
+	}
+	c := &conn{Conn: nc, limiter: l}
+	l.open++
+	l.move(c, &l.receiving, now)
+	return c
+}
+
+// evictConnection evicts the connection whose end costs clients least: one between two requests, or else the
+// one that has been sending a request or has left an answer unread for the longest. It reports whether there
+// was one. l.mu is held.
+func (l *Limiter) evictConnection(now time.Time) bool {
+	if c := l.idle.oldest(); c != nil {
+		l.evict(c, reasonIdle)
+		return true
+	}
+	receiving, sending := l.receiving.oldest(), l.sending.oldest()
+	if sending != nil && now.Sub(sending.since) >= minStall && (receiving == nil || sending.since.Before(receiving.since)) {
+		l.evict(sending, reasonUnread)
+		return true
+	}
+	if receiving != nil {
+		l.evict(receiving, reasonIncomplete)
+		return true
+	}
+	return false
+}
+
+// evict ends a connection. A request that is being received is answered by its handler, since its read fails.
+// l.mu is held.
+func (l *Limiter) evict(c *conn, why reason) {
+	l.count(why)
+	answerable := c.in == &l.receiving
+	c.evicted = true
+	l.move(c, nil, time.Time{})
+	l.evicting++
+	if answerable {
+		c.expireReads()
+	} else {
+		_ = c.Conn.Close() // its server closes it again
+	}
+}
+
+// awaitEvicted waits until not too many connections are ending and reports whether that is so. l.mu is held,
+// but not during the wait.
+func (l *Limiter) awaitEvicted(since time.Time) bool {
+	most := 1 + int(evictingShare*float64(l.limits.Connections))
+	for l.evicting > most {
+		wait := maxEvictionWait - time.Since(since)
+		if wait <= 0 {
+			return false
+		}
+		l.mu.Unlock()
+		select {
+		case <-l.ended:
+		case <-time.After(wait):
+		}
+		l.mu.Lock()
+	}
+	return true
+}
+
+// remove forgets a connection that was closed.
+func (l *Limiter) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.move(c, nil, time.Time{})
+	l.open--
+	if c.evicted {
+		l.evicting--
+		select {
+		case l.ended <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -19,6 +19,14 @@
 	return &conn{Conn: c}, nil
 }
 
+// accepted returns the connection of the listener from which nc was accepted.
+func accepted(nc net.Conn) net.Conn {
+	if c, ok := nc.(*conn); ok {
+		return c.Conn
+	}
+	return nc
+}
+
 // conn is a connection that can be closed while it is idle, which it is between an
 // answer and the first byte of the next request.
 type conn struct {
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -32,8 +32,8 @@
 	connEnded chan struct{} // closed and replaced when a connection ends
 }
 
-// New returns a server that serves with the settings of s. It sets BaseContext and
-// ConnState of s.
+// New returns a server that serves with the settings of s. It sets BaseContext of s. ConnState and ConnContext
+// of s are called with the connections of the listener.
 func New(s *http.Server) *Server {
 	requests, cancelRequests := context.WithCancelCause(context.Background())
 	d := &Server{
@@ -43,7 +43,16 @@
 		connEnded:      make(chan struct{}),
 	}
 	s.BaseContext = func(net.Listener) context.Context { return requests }
-	s.ConnState = d.onConnState
+	onConnState := s.ConnState
+	s.ConnState = func(nc net.Conn, state http.ConnState) {
+		if onConnState != nil {
+			onConnState(accepted(nc), state)
+		}
+		d.onConnState(nc, state)
+	}
+	if connContext := s.ConnContext; connContext != nil {
+		s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context { return connContext(ctx, accepted(nc)) }
+	}
 	return d
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/clientlimit"
 	"github.com/skylarklock/skylarklock/internal/dispatch"
 	"github.com/skylarklock/skylarklock/internal/intake"
 	"github.com/skylarklock/skylarklock/internal/jobapi"
@@ -46,6 +47,7 @@
 	self           leader.Leader // without an epoch
 	log            *logrus.Entry
 	traffic        *traffic.Account
+	clientLimiter  *clientlimit.Limiter
 	store          *storehealth.Log
 	configWatcher  *queue.Watcher
 	replica        *replica.Replica
@@ -75,6 +77,7 @@
 		settings:       s,
 		log:            log,
 		traffic:        account,
+		clientLimiter:  clientlimit.New(clientlimit.ForMachine(s.MemoryBytes, s.FileDescriptors), log.WithField("server", traffic.Clients)),
 		store:          storehealth.Watch(platform.NewStoreClient(s.StoreAddress, account)),
 		caller:         newCaller(account),
 		bulkCaller:     newCaller(account),
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -41,7 +41,9 @@
 func (n *Node) addServers(g *run.Group) {
 	front := drain.New(&http.Server{
 		Addr:              n.settings.FrontAddress,
-		Handler:           n.handler(),
+		Handler:           n.clientLimiter.Handler(n.handler()),
+		ConnState:         n.clientLimiter.ConnState,
+		ConnContext:       n.clientLimiter.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
@@ -53,12 +55,13 @@
 		if err != nil {
 			return errors.Wrapf(err, "listener for %s", traffic.Clients)
 		}
-		return front.Serve(n.traffic.Listener(l, traffic.Clients))
+		return front.Serve(n.clientLimiter.Listener(n.traffic.Listener(l, traffic.Clients)))
 	}, func(error) { n.shutDownFront(front) })
 	n.addPeerServer(g)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, n.serveReadiness)
 	mux.HandleFunc("GET "+countersPath, n.serveCounters)
+	mux.Handle("GET "+limitCountersPath, varHandler(n.clientLimiter.Vars()))
 	ready := &http.Server{Addr: n.settings.ReadinessAddress, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	g.Add(func() error {
 		return ignoreServerClosed(n.listen(n.settings.ReadinessAddress, traffic.Readiness, ready.Serve))
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"io"
 	"net/http"
 	"time"
 
@@ -68,6 +70,17 @@
 	return nil
 }
 
+// limitCountersPath is the path of the counters of clients' connections and requests that were dropped.
+const limitCountersPath = countersPath + "/clients"
+
+// varHandler returns a handler that answers with the value of v as JSON.
+func varHandler(v expvar.Var) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, v.String()+"\n") // a client that is gone needs no answer
+	})
+}
+
 // serveCounters answers with the bytes of each kind since the process started.
 func (n *Node) serveCounters(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
