node: the readiness server's connections have a bound and time out

What callers saw: 600 silent connections at the port of the readiness checks took all 500 descriptors; the process ended (accept4: too many open files).

Cause: the server for readiness checks and counters had neither a bound of its connections nor a timeout for a request or an idle connection. The same cause as at the clients' port.

Change: at most 32 connections, evicted as clients' are; the platform opens one a second. The timeouts and header limit of the clients' server apply.

Evidence: TestConnectionsForReadinessDoNotEndTheProcess ended the process before and passes with 60 descriptors in use.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarklock/skylarklock/api"
 	"github.com/skylarklock/skylarklock/internal/assist"
+	"github.com/skylarklock/skylarklock/internal/clientlimit"
 	"github.com/skylarklock/skylarklock/internal/drain"
 	"github.com/skylarklock/skylarklock/internal/peer"
 	"github.com/skylarklock/skylarklock/internal/reach"
@@ -62,19 +63,33 @@
 	mux.HandleFunc("GET "+platform.ReadinessPath, n.serveReadiness)
 	mux.HandleFunc("GET "+countersPath, n.serveCounters)
 	mux.Handle("GET "+limitCountersPath, varHandler(n.clientLimiter.Vars()))
-	ready := &http.Server{Addr: n.settings.ReadinessAddress, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	g.Add(func() error {
-		return ignoreServerClosed(n.listen(n.settings.ReadinessAddress, traffic.Readiness, ready.Serve))
-	}, func(error) { n.closeReady(ready) })
+	n.addReadinessServer(g, mux)
 }
 
-// listen serves on an address and counts all of its bytes as the given kind.
-func (n *Node) listen(address string, kind traffic.Kind, serve func(net.Listener) error) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listener for %s", kind)
+// maxReadinessConns bounds the connections to the readiness server, to which the platform opens one a second.
+const maxReadinessConns = 32
+
+// addReadinessServer adds the server for readiness checks and counters.
+func (n *Node) addReadinessServer(g *run.Group, handler http.Handler) {
+	limiter := clientlimit.New(clientlimit.Limits{Connections: maxReadinessConns}, n.log.WithField("server", traffic.Readiness))
+	server := &http.Server{
+		Addr:              n.settings.ReadinessAddress,
+		Handler:           limiter.Handler(handler),
+		ConnState:         limiter.ConnState,
+		ConnContext:       limiter.ConnContext,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          stdlog.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
 	}
-	return serve(n.traffic.Listener(l, kind))
+	g.Add(func() error {
+		l, err := net.Listen("tcp", n.settings.ReadinessAddress)
+		if err != nil {
+			return errors.Wrapf(err, "listener for %s", traffic.Readiness)
+		}
+		return ignoreServerClosed(server.Serve(limiter.Listener(n.traffic.Listener(l, traffic.Readiness))))
+	}, func(error) { n.closeReady(server) })
 }
 
 // ignoreServerClosed drops the error that a server returns after it was closed.
