clientlimit: the kernel's buffers of clients' connections are bounded

What callers saw: 600 clients that send one request after another and read no answer: 214 MB on a machine of 96, 148 of them in the kernel (the platform counts received bytes that have not been read).

Cause: connections had the system's buffers, which grow to 32 MB each way, and up to 4,096 connections that wait to be accepted receive as well.

Change: listeners for clients set buffers of 16 KB each way before the handshake, so that connections inherit them, and a backlog of a quarter of the connections that may be open. The share of memory for connections counts both.

Evidence: TestUnreadAnswersStayWithinMemory failed before (214 MB) and passes with 43.5 MB: 38.2 resident, 5.3 in the kernel. A single request of 262,144 bytes is accepted as before (TestLargestRequestIsAccepted).

--- a/internal/clientlimit/limits.go
+++ b/internal/clientlimit/limits.go
@@ -32,12 +32,18 @@
 	reservedDescriptors = 200
 	// minConnections allows for some clients on any machine.
 	minConnections = 16
+	// backlogShare is the number of connections that may wait to be accepted, for each that may be open. The
+	// kernel receives for them too.
+	backlogShare = 0.25
 )
 
+// backlog returns the number of connections that may wait to be accepted.
+func (l Limits) backlog() int { return max(minConnections, int(backlogShare*float64(l.Connections))) }
+
 // ForMachine returns the limits for a process on a machine with the given memory and number of file
 // descriptors. The number is ignored if it is 0.
 func ForMachine(memoryBytes int64, fileDescriptors int) Limits {
-	connections := int(connectionMemoryShare * float64(memoryBytes) / connectionBytes)
+	connections := int(connectionMemoryShare * float64(memoryBytes) / (connectionBytes + backlogShare*kernelBytes))
 	if fileDescriptors > 0 {
 		connections = min(connections, int(descriptorShare*float64(fileDescriptors-reservedDescriptors)))
 	}
--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -18,10 +18,8 @@
 	maxCloseTime = time.Second
 )
 
-// Listen listens on a TCP address and keeps at most maxConns connections open at once, or any number if
-// it is 0. When the listener is closed, the connections that clients have
-// opened and that wait to be accepted are accepted first: the kernel would reset them. A server that
-// is slow to accept would thereby cut off requests that were sent before it stopped.
+// Listen listens on a TCP address, as with NewListener. It keeps at most maxConns connections open at once, or any
+// number if it is 0.
 func Listen(address string, maxConns int) (net.Listener, error) {
 	tcp, err := net.Listen("tcp", address)
 	if err != nil {
@@ -34,6 +32,11 @@
 	return limitedListener{netutil.LimitListener(l, maxConns), l}, nil
 }
 
+// NewListener returns a listener for the connections of tcp. When it is closed, the connections that clients have
+// opened and that wait to be accepted are accepted first: the kernel would reset them. A server that
+// is slow to accept would thereby cut off requests that were sent before it stopped.
+func NewListener(tcp *net.TCPListener) net.Listener { return &listener{tcp: tcp} }
+
 // limitedListener limits the open connections. The limit's own Close would drop the connections that are
 // accepted after it.
 type limitedListener struct {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -52,11 +52,12 @@
 		ErrorLog:          stdlog.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
 	})
 	g.Add(func() error {
-		l, err := drain.Listen(n.settings.FrontAddress, 0)
+		tcp, err := n.clientLimiter.Listen(n.settings.FrontAddress)
 		if err != nil {
 			return errors.Wrapf(err, "listener for %s", traffic.Clients)
 		}
-		return front.Serve(n.clientLimiter.Listener(n.traffic.Listener(l, traffic.Clients)))
+		l := n.traffic.Listener(drain.NewListener(tcp), traffic.Clients)
+		return front.Serve(n.clientLimiter.Listener(l))
 	}, func(error) { n.shutDownFront(front) })
 	n.addPeerServer(g)
 	mux := http.NewServeMux()
@@ -84,7 +85,7 @@
 		ErrorLog:          stdlog.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
 	}
 	g.Add(func() error {
-		l, err := net.Listen("tcp", n.settings.ReadinessAddress)
+		l, err := limiter.Listen(n.settings.ReadinessAddress)
 		if err != nil {
 			return errors.Wrapf(err, "listener for %s", traffic.Readiness)
 		}
