clientlimit: requests' bodies share a bounded memory, which those that stop short lose first

What callers saw: the process ended by its memory under clients that send bodies of the legal 262,144 bytes and stop just short of their end, whole, in pieces or chunked: 256 to 287 MB for 600 of them on a machine of 96 MB, also while it was asked to stop; so everybody at that machine was cut off.

Cause: each body was read by io.ReadAll to its limit, by as many requests as there were connections.

Change: bodies are read into buffers that grow as bytes arrive, beyond 8 KB from a tenth of the machine's memory that all requests share. A budget alone would move the fault, since bodies that stop short would hold it against everybody. So when it is used up, the incomplete request with the greatest product of bytes and age is answered with 503 and Retry-After; nothing of it was stored, so it never runs. Small bodies are counted with their connection and need nothing of it. A request that is alone gets what its limit allows, on however small a machine.

TestLargestRequestIsAccepted passes.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -25,6 +25,7 @@
 	in      *connList // nil while a request is being answered
 	element *list.Element
 	since   time.Time // since when it is in the list; of a request: since when it is being received
+	held    int64     // bytes reserved by the request
 	evicted bool
 
 	deadline     sync.Mutex
--- a/internal/clientlimit/events.go
+++ b/internal/clientlimit/events.go
@@ -13,6 +13,7 @@
 	reasonIdle       reason = "idle_connections"    // closed between two requests
 	reasonIncomplete reason = "incomplete_requests" // dropped because others need the connection
 	reasonUnread     reason = "unread_answers"      // closed while an answer was being written
+	reasonMemory     reason = "large_requests"      // dropped because others need the memory
 	reasonRefused    reason = "refused_connections" // closed at once, since all others were being answered
 )
 
@@ -39,6 +40,7 @@
 	e.inSeries, e.counts = true, map[reason]int{why: 1}
 	e.log.WithFields(logrus.Fields{
 		"reason": why, "connections": l.open, "max_connections": l.limits.Connections,
+		"request_bytes": l.requestBytes, "max_request_bytes": l.limits.RequestBytes,
 	}).Warn("clients' connections or requests are dropped to make room for others")
 	time.AfterFunc(quietInterval, l.endSeries)
 }
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -7,9 +7,14 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
 
+// ErrOverloaded means that a request was dropped before it had arrived completely, because others need its
+// memory or its connection.
+var ErrOverloaded = errors.New("the machine has no room for this request")
+
 // Timing of evictions.
 const (
 	// minStall is how long a write must have been blocked before its connection may be evicted. Writes of
@@ -27,13 +32,14 @@
 	counters *expvar.Map
 	events   eventLog
 
-	mu        sync.Mutex
-	open      int // connections, including those that are ending
-	evicting  int // connections that were evicted and have not ended
-	ended     chan struct{}
-	idle      connList // between two requests
-	receiving connList // until a request has arrived completely
-	sending   connList // while a write is in progress
+	mu           sync.Mutex
+	open         int // connections, including those that are ending
+	evicting     int // connections that were evicted and have not ended
+	ended        chan struct{}
+	idle         connList // between two requests
+	receiving    connList // until a request has arrived completely
+	sending      connList // while a write is in progress
+	requestBytes int64    // reserved by requests
 }
 
 // New returns a limiter that logs to log when it begins and when it ends to drop connections or requests.
@@ -115,6 +121,7 @@
 // l.mu is held.
 func (l *Limiter) evict(c *conn, why reason) {
 	l.count(why)
+	l.release(c)
 	answerable := c.in == &l.receiving
 	c.evicted = true
 	l.move(c, nil, time.Time{})
@@ -150,6 +157,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.move(c, nil, time.Time{})
+	l.release(c)
 	l.open--
 	if c.evicted {
 		l.evicting--
@@ -159,3 +167,45 @@
 		}
 	}
 }
+
+// reserve adds bytes to what the request on c holds, which is being received. If requests hold too much
+// together, the one that has held the most for the longest is dropped. If that is this one, or if the others
+// have arrived, it fails with ErrOverloaded. A request that is alone always gets what it needs.
+func (l *Limiter) reserve(c *conn, bytes int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for !c.evicted && l.requestBytes+bytes > l.limits.RequestBytes && l.requestBytes > c.held {
+		largest := l.largestRequest(now)
+		if largest == nil {
+			largest = c
+		}
+		l.evict(largest, reasonMemory)
+	}
+	if c.evicted {
+		return ErrOverloaded
+	}
+	c.held += bytes
+	l.requestBytes += bytes
+	return nil
+}
+
+// largestRequest returns the connection whose request has the greatest product of the bytes that it holds and
+// the time since it began, among those that have not arrived completely. l.mu is held.
+func (l *Limiter) largestRequest(now time.Time) *conn {
+	var largest *conn
+	var most float64
+	for e := l.receiving.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if byteSeconds := float64(c.held) * now.Sub(c.since).Seconds(); byteSeconds > most {
+			largest, most = c, byteSeconds
+		}
+	}
+	return largest
+}
+
+// release returns what the request on c holds. l.mu is held.
+func (l *Limiter) release(c *conn) {
+	l.requestBytes -= c.held
+	c.held = 0
+}
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -64,6 +64,7 @@
 	t.Cleanup(func() {
 		server.Close()
 		<-served
+		time.Sleep(time.Minute) // until all goroutines have ended
 	})
 	return s
 }
@@ -85,9 +86,12 @@
 	return &client{ours, s.t, bufio.NewReader(ours)}
 }
 
-// send sends part of a request. An error shows as a missing answer.
+// write sends part of a request. An error shows as a missing answer.
+func (c *client) write(text string) { _, _ = io.WriteString(c, text) }
+
+// send sends part of a request and waits until the server has handled it.
 func (c *client) send(text string) {
-	_, _ = io.WriteString(c, text)
+	c.write(text)
 	synctest.Wait()
 	time.Sleep(time.Millisecond)
 }
--- a/internal/clientlimit/limits.go
+++ b/internal/clientlimit/limits.go
@@ -8,7 +8,8 @@
 
 // Limits bounds what clients' connections use together.
 type Limits struct {
-	Connections int // that are open at once
+	Connections  int   // that are open at once
+	RequestBytes int64 // in requests, beyond what is counted with their connections
 }
 
 // Memory that one connection uses at most, in bytes.
@@ -18,6 +19,9 @@
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 16 << 10
 	kernelBytes        = 2 * (receiveBufferBytes + sendBufferBytes)
+	// smallBodyBytes is the part of each body that is counted with its connection, so that small requests
+	// never compete with large ones.
+	smallBodyBytes = 8 << 10
 	// processBytes is for the goroutines, the buffers and the header of a connection with its small body.
 	processBytes    = 32 << 10
 	connectionBytes = kernelBytes + processBytes
@@ -27,6 +31,7 @@
 // store, to executors and to other machines, and for garbage that has not been collected.
 const (
 	connectionMemoryShare = 0.25
+	requestMemoryShare    = 0.1
 	descriptorShare       = 0.25
 	// reservedDescriptors are the file descriptors that the platform keeps for files.
 	reservedDescriptors = 200
@@ -48,6 +53,7 @@
 		connections = min(connections, int(descriptorShare*float64(fileDescriptors-reservedDescriptors)))
 	}
 	return Limits{
-		Connections: max(connections, minConnections),
+		Connections:  max(connections, minConnections),
+		RequestBytes: int64(requestMemoryShare * float64(memoryBytes)),
 	}
 }
--- a/internal/clientlimit/request.go
+++ b/internal/clientlimit/request.go
@@ -10,6 +10,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// ErrBodyTooLarge means that a body is larger than its limit.
+var ErrBodyTooLarge = errors.New("the body is too large")
+
 // ConnState implements http.Server.ConnState.
 func (l *Limiter) ConnState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*conn)
@@ -37,7 +40,7 @@
 }
 
 // Handler returns a handler that passes requests on to next. While next answers a request, its connection isn't
-// evicted.
+// evicted, except during ReadBody.
 func (l *Limiter) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
@@ -82,11 +85,72 @@
 	return began
 }
 
-// endAnswer lets the connection be evicted again if the rest of the request's body hasn't arrived.
+// endAnswer releases what a request holds. If the rest of its body hasn't arrived, its connection may be
+// evicted again.
 func (l *Limiter) endAnswer(c *conn, began time.Time, bodyEnded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.release(c)
 	if !bodyEnded {
 		l.move(c, &l.receiving, began)
 	}
 }
+
+// ReadBody reads the body of a request, of at most limit bytes. It takes memory as bytes arrive. It fails with
+// ErrBodyTooLarge, with ErrOverloaded, or with the error of the connection.
+func ReadBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, ErrBodyTooLarge
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	c := connOf(r)
+	if c == nil {
+		return readGrowing(r, limit, func(int64) error { return nil })
+	}
+	l := c.limiter
+	l.mu.Lock()
+	l.move(c, &l.receiving, c.since)
+	l.mu.Unlock()
+	body, err := readGrowing(r, limit, func(bytes int64) error { return l.reserve(c, bytes) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && c.evicted {
+		return nil, ErrOverloaded
+	}
+	l.move(c, nil, c.since)
+	return body, err
+}
+
+// readGrowing reads a body into a buffer that grows with it. It calls reserve before the buffer grows beyond
+// smallBodyBytes.
+func readGrowing(r *http.Request, limit int64, reserve func(bytes int64) error) ([]byte, error) {
+	most := limit + 1 // the end is read only with a byte to spare
+	if r.ContentLength >= 0 {
+		most = r.ContentLength + 1
+	}
+	buf := make([]byte, 0, min(most, smallBodyBytes))
+	for {
+		if len(buf) == cap(buf) {
+			if int64(cap(buf)) >= most {
+				return nil, ErrBodyTooLarge
+			}
+			size := min(2*int64(cap(buf)), most)
+			if err := reserve(size - int64(cap(buf))); err != nil {
+				return nil, err
+			}
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := r.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case int64(len(buf)) > limit:
+			return nil, ErrBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return buf, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarklock/skylarklock/internal/clientlimit"
 	"github.com/skylarklock/skylarklock/internal/finding"
 	"github.com/skylarklock/skylarklock/internal/intake"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -107,17 +107,17 @@
 // readBody reads the body of a request, up to the limit in force.
 func (a *API) readBody(r *request) ([]byte, *response) {
 	limit := r.config.Limits.MaxBodyBytes
-	if r.ContentLength > limit {
+	body, err := clientlimit.ReadBody(r.Request, limit)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, clientlimit.ErrBodyTooLarge):
 		return nil, a.refuse(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	case errors.Is(err, clientlimit.ErrOverloaded):
+		return nil, a.refuse(http.StatusServiceUnavailable, err.Error(), defaultRetryAfter)
+	default:
 		return nil, a.refuse(http.StatusBadRequest, "body not read: "+err.Error(), 0)
 	}
-	if int64(len(body)) > limit {
-		return nil, a.refuse(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
-	}
-	return body, nil
 }
 
 // storeRecord makes a record durable and returns the answer. maxWait bounds the wait for
