clientlimit: header fields count by the memory that they take

What callers saw: 600 clients that send as many header fields as fit into 15 KB, with a body or a header that stops short: 172 and 166 MB on a machine of 96 MB.

Cause: net/http keeps each field in a map while the header arrives, some 100 to 200 bytes for a field of four, and bounds the header by its bytes only.

Change: the fields are counted as they are read; beyond 32 each takes 256 bytes of the memory that requests share, so a header of many fields is read in calm and makes room like a large body when others need it.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -1,8 +1,10 @@
 package clientlimit
 
 import (
+	"bytes"
 	"container/list"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,7 @@
 	limiter *Limiter
 	isIdle  atomic.Bool // no byte of a further request has been read
 	closed  sync.Once
+	header  headerCount // used by Read
 
 	// Guarded by Limiter.mu.
 	in      *connList // nil while a request is being answered
@@ -39,14 +42,45 @@
 		return n, err
 	}
 	if c.isIdle.Swap(false) {
+		c.header = headerCount{}
 		l := c.limiter
 		l.mu.Lock()
 		l.move(c, &l.receiving, time.Now())
 		l.mu.Unlock()
 	}
+	if fields := c.header.add(p[:n]); fields > 0 {
+		if c.limiter.reserve(c, int64(fields)*headerFieldBytes) != nil {
+			return n, os.ErrDeadlineExceeded // as for further reads of an evicted connection
+		}
+	}
 	return n, err
 }
 
+// headerCount counts the fields of a request's header while it is being read.
+type headerCount struct {
+	fields    int
+	lineBytes int  // of the line that has not ended
+	ended     bool // the empty line after the header was read
+}
+
+// add counts the fields in the next bytes of a request and returns the number of those beyond
+// freeHeaderFields.
+func (h *headerCount) add(p []byte) int {
+	before := h.fields
+	for !h.ended {
+		line, rest, found := bytes.Cut(p, []byte{'\n'})
+		h.lineBytes += len(bytes.TrimSuffix(line, []byte{'\r'}))
+		if !found {
+			break
+		}
+		h.ended = h.lineBytes == 0 && h.fields > 0
+		h.fields++
+		h.lineBytes = 0
+		p = rest
+	}
+	return max(h.fields-freeHeaderFields, 0) - max(before-freeHeaderFields, 0)
+}
+
 // Write implements net.Conn. It fails if the client takes nothing for too long.
 func (c *conn) Write(p []byte) (int, error) {
 	l, now := c.limiter, time.Now()
--- a/internal/clientlimit/limits.go
+++ b/internal/clientlimit/limits.go
@@ -22,6 +22,10 @@
 	// smallBodyBytes is the part of each body that is counted with its connection, so that small requests
 	// never compete with large ones.
 	smallBodyBytes = 8 << 10
+	// freeHeaderFields is the number of header fields that are counted with the connection. Each further one
+	// takes headerFieldBytes, much more than its bytes in the header.
+	freeHeaderFields = 32
+	headerFieldBytes = 256
 	// processBytes is for the goroutines, the buffers and the header of a connection with its small body.
 	processBytes    = 32 << 10
 	connectionBytes = kernelBytes + processBytes
