clientlimit: large requests are decoded in turn

Each such body costs a processor time for each of its bytes, and as many were decoded at once as there were connections.

Change: what is read of a body beyond 8 KB is decoded while its connection holds one of a quarter of the processors' turns, and none while it waits for more bytes; whole large submissions are decoded in turn too. An evicted request doesn't wait for its turn.

The crowd's tests print the process's counters of what it dropped.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -23,6 +23,8 @@
 	isIdle  atomic.Bool // no byte of a further request has been read
 	closed  sync.Once
 	header  headerCount // used by Read
+	isLarge atomic.Bool // the body that is being read is larger than smallBodyBytes
+	hasTurn atomic.Bool
 
 	// Guarded by Limiter.mu.
 	in      *connList // nil while a request is being answered
@@ -30,17 +32,25 @@
 	since   time.Time // since when it is in the list; of a request: since when it is being received
 	held    int64     // bytes reserved by the request
 	evicted bool
+	gone    chan struct{} // closed when the connection is evicted
 
 	deadline     sync.Mutex
 	readsExpired bool // guarded by deadline
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What has been read of a large body is decoded until the next Read, in turn with
+// other large bodies.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.isLarge.Load() { // the server also reads while a request is being decoded
+		c.releaseTurn()
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
+	if c.isLarge.Load() && !c.awaitTurn() {
+		return 0, os.ErrDeadlineExceeded // as for further reads of an evicted connection
+	}
 	if c.isIdle.Swap(false) {
 		c.header = headerCount{}
 		l := c.limiter
@@ -50,7 +60,7 @@
 	}
 	if fields := c.header.add(p[:n]); fields > 0 {
 		if c.limiter.reserve(c, int64(fields)*headerFieldBytes) != nil {
-			return n, os.ErrDeadlineExceeded // as for further reads of an evicted connection
+			return n, os.ErrDeadlineExceeded
 		}
 	}
 	return n, err
@@ -103,6 +113,30 @@
 	return n, err
 }
 
+// awaitTurn waits until this connection may use the processor for a large request. It reports false if the
+// connection is evicted before.
+func (c *conn) awaitTurn() bool {
+	if c.hasTurn.Load() {
+		return true
+	}
+	select {
+	case c.limiter.turns <- struct{}{}:
+	case <-c.gone:
+		return false
+	}
+	if c.hasTurn.Swap(true) {
+		<-c.limiter.turns
+	}
+	return true
+}
+
+// releaseTurn gives the turn to another connection.
+func (c *conn) releaseTurn() {
+	if c.hasTurn.Swap(false) {
+		<-c.limiter.turns
+	}
+}
+
 // SetReadDeadline implements net.Conn. The deadline of an evicted connection stays expired.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.deadline.Lock()
@@ -132,5 +166,6 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.closed.Do(func() { c.limiter.remove(c) })
+	c.releaseTurn()
 	return c.Conn.Close()
 }
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -31,6 +31,7 @@
 	limits   Limits
 	counters *expvar.Map
 	events   eventLog
+	turns    chan struct{} // one element for each large request that is being decoded
 
 	mu           sync.Mutex
 	open         int // connections, including those that are ending
@@ -47,6 +48,7 @@
 	l := &Limiter{
 		limits:   limits,
 		counters: new(expvar.Map).Init(),
+		turns:    make(chan struct{}, largeTurns()),
 		ended:    make(chan struct{}, 1),
 	}
 	l.events.log = log
@@ -91,7 +93,7 @@
 		_ = nc.Close() // nothing was sent
 		return nil
 	}
-	c := &conn{Conn: nc, limiter: l}
+	c := &conn{Conn: nc, limiter: l, gone: make(chan struct{})}
 	l.open++
 	l.move(c, &l.receiving, now)
 	return c
@@ -124,6 +126,7 @@
 	l.release(c)
 	answerable := c.in == &l.receiving
 	c.evicted = true
+	close(c.gone)
 	l.move(c, nil, time.Time{})
 	l.evicting++
 	if answerable {
--- a/internal/clientlimit/limits.go
+++ b/internal/clientlimit/limits.go
@@ -6,6 +6,8 @@
 // arrived is never dropped.
 package clientlimit
 
+import "runtime"
+
 // Limits bounds what clients' connections use together.
 type Limits struct {
 	Connections  int   // that are open at once
@@ -44,8 +46,13 @@
 	// backlogShare is the number of connections that may wait to be accepted, for each that may be open. The
 	// kernel receives for them too.
 	backlogShare = 0.25
+	// processorShare is the share of the processors that large requests may use.
+	processorShare = 0.25
 )
 
+// largeTurns returns the number of large requests that may be decoded at the same time.
+func largeTurns() int { return max(1, int(processorShare*float64(runtime.GOMAXPROCS(0)))) }
+
 // backlog returns the number of connections that may wait to be accepted.
 func (l Limits) backlog() int { return max(minConnections, int(backlogShare*float64(l.Connections))) }
 
--- a/internal/clientlimit/request.go
+++ b/internal/clientlimit/request.go
@@ -113,7 +113,12 @@
 	l.mu.Lock()
 	l.move(c, &l.receiving, c.since)
 	l.mu.Unlock()
-	body, err := readGrowing(r, limit, func(bytes int64) error { return l.reserve(c, bytes) })
+	body, err := readGrowing(r, limit, func(bytes int64) error {
+		c.isLarge.Store(true)
+		return l.reserve(c, bytes)
+	})
+	c.isLarge.Store(false)
+	c.releaseTurn()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil && c.evicted {
@@ -123,6 +128,15 @@
 	return body, err
 }
 
+// Decode calls decode for the body of a request that ReadBody has returned. Large bodies are decoded in turn.
+func Decode(r *http.Request, body []byte, decode func() error) error {
+	if c := connOf(r); c != nil && len(body) > smallBodyBytes {
+		c.awaitTurn()
+		defer c.releaseTurn()
+	}
+	return decode()
+}
+
 // readGrowing reads a body into a buffer that grows with it. It calls reserve before the buffer grows beyond
 // smallBodyBytes.
 func readGrowing(r *http.Request, limit int64, reserve func(bytes int64) error) ([]byte, error) {
--- a/internal/crowd/cell_test.go
+++ b/internal/crowd/cell_test.go
@@ -205,6 +205,20 @@
 	})
 }
 
+// dropped returns the process's counters of connections and requests that it has dropped.
+func (m *machine) dropped() string {
+	resp, err := http.Get("http://" + m.settings.ReadinessAddress + "/debug/vars/clients")
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
 // clientTimeout is how long an ordinary client waits for an answer.
 const clientTimeout = 3 * time.Second
 
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -39,6 +39,7 @@
 	crowd.stop()
 	w.stop(t)
 	m.awaitServed("after the crowd")
+	t.Logf("dropped: %s", m.dropped())
 }
 
 func TestBodiesWithoutEndStayWithinMemory(t *testing.T) { playCrowd(t, bodiesWithoutEnd) }
--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -34,7 +34,11 @@
 		}
 		return accepted()
 	}
-	job, err := a.Codec.DecodeJob(body)
+	var job *work.Job
+	err := clientlimit.Decode(r.Request, body, func() (err error) {
+		job, err = a.Codec.DecodeJob(body)
+		return err
+	})
 	if err != nil {
 		return a.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
