clientlimit: a new connection is kept long enough to send its request

What callers saw: beside 1,500 clients at a machine of 144 MB, ordinary submissions ended with EOF before their request was read: up to 5 tries until one was accepted, 14 in a trial.

Cause: connections were evicted as fast as new ones came, 4,000 a second of 329, so that each had 80 ms to deliver its request. What is gained by accepting faster than clients can send is lost again at once.

Change: a connection is kept for 250 ms at least. A new one waits for the oldest to reach that age, up to 500 ms, and the others wait in the backlog; then it is closed, as before when all others are being answered.

TestYoungConnectionsAreKept.

--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -17,11 +17,10 @@
 
 // Timing of evictions.
 const (
-	// minStall is how long a write must have been blocked before its connection may be evicted. Writes of
-	// answers that are read take less.
-	minStall = 100 * time.Millisecond
-	// maxEvictionWait bounds the wait for evicted connections to end.
-	maxEvictionWait = 200 * time.Millisecond
+	// minAge is how long a connection is kept at least, so that a client has the time to send its request.
+	minAge = 250 * time.Millisecond
+	// maxAdmissionWait bounds the wait of a new connection for room.
+	maxAdmissionWait = 500 * time.Millisecond
 	// evictingShare is the share of the connections that may be ending at the same time.
 	evictingShare = 0.125
 )
@@ -34,13 +33,13 @@
 	turns    chan struct{} // one element for each large request that is being decoded
 
 	mu           sync.Mutex
-	open         int // connections, including those that are ending
-	evicting     int // connections that were evicted and have not ended
-	ended        chan struct{}
-	idle         connList // between two requests
-	receiving    connList // until a request has arrived completely
-	sending      connList // while a write is in progress
-	requestBytes int64    // reserved by requests
+	open         int           // connections, including those that are ending
+	evicting     int           // connections that were evicted and have not ended
+	ended        chan struct{} // receives a value when a connection has ended
+	idle         connList      // between two requests
+	receiving    connList      // until a request has arrived completely
+	sending      connList      // while a write is in progress
+	requestBytes int64         // reserved by requests
 }
 
 // New returns a limiter that logs to log when it begins and when it ends to drop connections or requests.
@@ -83,40 +82,68 @@
 	}
 }
 
-// admit counts a new connection. It makes room for it, or returns nil and closes it.
+// admit counts a new connection. It waits until there is room for it, or returns nil and closes it if there will be
+// none for a while.
 func (l *Limiter) admit(nc net.Conn) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	if l.open-l.evicting >= l.limits.Connections && !l.evictConnection(now) || !l.awaitEvicted(now) {
+	if !l.awaitRoom(time.Now()) {
 		l.count(reasonRefused)
 		_ = nc.Close() // nothing was sent
 		return nil
 	}
 	c := &conn{Conn: nc, limiter: l, gone: make(chan struct{})}
 	l.open++
-	l.move(c, &l.receiving, now)
+	l.move(c, &l.receiving, time.Now())
 	return c
 }
 
-// evictConnection evicts the connection whose end costs clients least: one between two requests, or else the
-// one that has been sending a request or has left an answer unread for the longest. It reports whether there
-// was one. l.mu is held.
-func (l *Limiter) evictConnection(now time.Time) bool {
+// awaitRoom makes room for one more connection. It waits while the candidates for eviction are too young or too many
+// connections are ending, and reports whether there is room. l.mu is held, but not during the wait.
+func (l *Limiter) awaitRoom(start time.Time) bool {
+	maxEvicting := 1 + int(evictingShare*float64(l.limits.Connections))
+	for {
+		now := time.Now()
+		wait := maxAdmissionWait - now.Sub(start)
+		if l.evicting <= maxEvicting {
+			if l.open-l.evicting < l.limits.Connections {
+				return true
+			}
+			victim, why := l.evictionCandidate()
+			if victim == nil {
+				return false
+			}
+			age := now.Sub(victim.since)
+			if age >= minAge {
+				l.evict(victim, why)
+				return true
+			}
+			wait = min(wait, minAge-age)
+		}
+		if wait <= 0 {
+			return false
+		}
+		l.mu.Unlock()
+		select {
+		case <-l.ended:
+		case <-time.After(wait):
+		}
+		l.mu.Lock()
+	}
+}
+
+// evictionCandidate returns the connection whose end costs clients least, or nil if all are being answered: one
+// between two requests, or else the one that has been sending a request or has left an answer unread for the longest.
+// l.mu is held.
+func (l *Limiter) evictionCandidate() (*conn, reason) {
 	if c := l.idle.oldest(); c != nil {
-		l.evict(c, reasonIdle)
-		return true
+		return c, reasonIdle
 	}
 	receiving, sending := l.receiving.oldest(), l.sending.oldest()
-	if sending != nil && now.Sub(sending.since) >= minStall && (receiving == nil || sending.since.Before(receiving.since)) {
-		l.evict(sending, reasonUnread)
-		return true
-	}
-	if receiving != nil {
-		l.evict(receiving, reasonIncomplete)
-		return true
+	if sending != nil && (receiving == nil || sending.since.Before(receiving.since)) {
+		return sending, reasonUnread
 	}
-	return false
+	return receiving, reasonIncomplete
 }
 
 // evict ends a connection. A request that is being received is answered by its handler, since its read fails.
@@ -136,25 +163,6 @@
 	}
 }
 
-// awaitEvicted waits until not too many connections are ending and reports whether that is so. l.mu is held,
-// but not during the wait.
-func (l *Limiter) awaitEvicted(since time.Time) bool {
-	most := 1 + int(evictingShare*float64(l.limits.Connections))
-	for l.evicting > most {
-		wait := maxEvictionWait - time.Since(since)
-		if wait <= 0 {
-			return false
-		}
-		l.mu.Unlock()
-		select {
-		case <-l.ended:
-		case <-time.After(wait):
-		}
-		l.mu.Lock()
-	}
-	return true
-}
-
 // remove forgets a connection that was closed.
 func (l *Limiter) remove(c *conn) {
 	l.mu.Lock()
@@ -164,10 +172,10 @@
 	l.open--
 	if c.evicted {
 		l.evicting--
-		select {
-		case l.ended <- struct{}{}:
-		default:
-		}
+	}
+	select {
+	case l.ended <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -122,6 +122,25 @@
 	}
 }
 
+// Guards against clients that lose their connection to others before they can send a request.
+func TestYoungConnectionsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, Limits{Connections: 2}, answerOK)
+		first, second := s.connect(), s.connect()
+		ours, theirs := net.Pipe()
+		defer ours.Close()
+		s.listener.conns <- theirs
+		time.Sleep(minAge / 2)
+		first.send(get)
+		first.wantStatus("a connection that others wait for", http.StatusOK)
+		second.send(get)
+		second.wantStatus("the other connection", http.StatusOK)
+		third := &client{ours, t, bufio.NewReader(ours)}
+		go third.write(get)
+		third.wantStatus("the connection that waited", http.StatusOK)
+	})
+}
+
 func answerOK(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 // Guards against clients that are kept out by connections on which nothing happens.
@@ -187,7 +206,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newServer(t, Limits{Connections: 1}, answerOK)
 		s.connect().send(get) // a pipe has no buffer, so the answer is not written
-		time.Sleep(2 * minStall)
 		c := s.connect()
 		c.send(get)
 		c.wantStatus("a new connection", http.StatusOK)
