crowd: bodies over the limit and bodies to unknown queues keep nobody out

Two crowds on related paths, whose requests are refused before their body is read; net/http then reads on for up to 5 s, or keeps the connection for 500 ms. They stay as tests.

--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -133,6 +133,25 @@
 	awaitClose(c)
 }
 
+// bodiesOverLimit sends bodies that are larger than the limit.
+func bodiesOverLimit(_ context.Context, c net.Conn) {
+	if _, err := io.WriteString(c, submissionHeader(fmt.Sprintf("Content-Length: %d\r\n", 2*maxBodyBytes))); err != nil {
+		return
+	}
+	_, _ = c.Write(bodyWithoutEnd)
+	awaitClose(c)
+}
+
+// unknownQueues sends bodies without an end to a queue that doesn't exist.
+func unknownQueues(_ context.Context, c net.Conn) {
+	header := strings.Replace(submissionHeader("Content-Length: 100000\r\n"), "/q/", "/none/", 1)
+	if _, err := io.WriteString(c, header); err != nil {
+		return
+	}
+	_, _ = c.Write(bodyWithoutEnd[:50000])
+	awaitClose(c)
+}
+
 // unreadAnswers sends requests one after the other and reads no answer.
 func unreadAnswers(_ context.Context, c net.Conn) {
 	requests := strings.Repeat("GET /q/ HTTP/1.1\r\nHost: "+standin.Host+"\r\n\r\n", 100)
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -50,6 +50,10 @@
 
 func TestSmallChunksStayWithinMemory(t *testing.T) { playCrowd(t, smallChunks) }
 
+func TestBodiesOverLimitKeepNobodyOut(t *testing.T) { playCrowd(t, bodiesOverLimit) }
+
+func TestBodiesToUnknownQueuesKeepNobodyOut(t *testing.T) { playCrowd(t, unknownQueues) }
+
 func TestUnreadAnswersStayWithinMemory(t *testing.T) { playCrowd(t, unreadAnswers) }
 
 func TestHeadersWithoutEndStayWithinMemory(t *testing.T) { playCrowd(t, headersWithoutEnd) }
