finding: the text of a list has at most 100 findings

What callers saw: a submission of 9,371 bytes with 3,000 faults was refused with 189,260 bytes; one of the greatest size with more than 2 MB, for each of as many clients as send it, and the machine's link carries it.

Cause: each fault of a submission became a line of the refusal. Change: the first 100, and how many more there are. Related: settings files are reported by the same list; their fields are fewer than 100 by far.

--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -59,11 +59,19 @@
 	return l
 }
 
-// Error implements error. It formats each finding on its own line.
+// maxReported is the number of findings that the text of a list has at most. More help nobody, and an input
+// decides how many there are.
+const maxReported = 100
+
+// Error implements error. It formats each finding on its own line, up to maxReported.
 func (l *List) Error() string {
-	lines := make([]string, len(l.Findings))
-	for i, f := range l.Findings {
-		lines[i] = f.String()
+	reported := l.Findings[:min(len(l.Findings), maxReported)]
+	var lines []string
+	for _, f := range reported {
+		lines = append(lines, f.String())
+	}
+	if more := len(l.Findings) - len(reported); more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(lines, "\n")
 }
