front: bodies that stop short hold no memory against other callers

What callers saw (the demo's plane): some dozens of connections that send one byte of a chunked body and stop: every other request with a body is refused for 20 s with "the bodies in flight use all their memory".

Cause: a request reserved its announced length, or the greatest size if it is chunked, before any of it had arrived, and kept it until its end or the timeout; the budget refused whoever came later. The same cause as on the platform, with a budget that a crowd can hold.

Change: the budget grows as bytes arrive (clientlimit.ReadGrowing). When it is used up, the body that is being read with the greatest product of bytes and age is refused, with the same answer as before. A body that has been read is never dropped.

Evidence: TestStoppedBodiesKeepNobodyOut failed before ("got 503 unknown queue_full … want 201") and passes; the tests of the budget are unchanged.

--- a/internal/clientlimit/request.go
+++ b/internal/clientlimit/request.go
@@ -107,13 +107,13 @@
 	}
 	c := connOf(r)
 	if c == nil {
-		return readGrowing(r, limit, func(int64) error { return nil })
+		return ReadGrowing(r, smallBodyBytes, limit, func(int64) error { return nil })
 	}
 	l := c.limiter
 	l.mu.Lock()
 	l.move(c, &l.receiving, c.since)
 	l.mu.Unlock()
-	body, err := readGrowing(r, limit, func(bytes int64) error {
+	body, err := ReadGrowing(r, smallBodyBytes, limit, func(bytes int64) error {
 		c.isLarge.Store(true)
 		return l.reserve(c, bytes)
 	})
@@ -137,14 +137,15 @@
 	return decode()
 }
 
-// readGrowing reads a body into a buffer that grows with it. It calls reserve before the buffer grows beyond
-// smallBodyBytes.
-func readGrowing(r *http.Request, limit int64, reserve func(bytes int64) error) ([]byte, error) {
+// ReadGrowing reads a body of at most limit bytes into a buffer that grows with it. It calls reserve with the number of
+// further bytes before the buffer grows beyond first bytes, and returns its error. It fails with ErrBodyTooLarge if
+// the body is larger.
+func ReadGrowing(r *http.Request, first, limit int64, reserve func(bytes int64) error) ([]byte, error) {
 	most := limit + 1 // the end is read only with a byte to spare
 	if r.ContentLength >= 0 {
 		most = r.ContentLength + 1
 	}
-	buf := make([]byte, 0, min(most, smallBodyBytes))
+	buf := make([]byte, 0, min(most, first))
 	for {
 		if len(buf) == cap(buf) {
 			if int64(cap(buf)) >= most {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/clientlimit"
 	"github.com/skylarklock/skylarklock/internal/filter"
 )
 
@@ -54,13 +54,9 @@
 // handleService answers one request to a service. rest is the path after the
 // prefix: the service, then the path at the endpoint.
 func (s *Server) handleService(w http.ResponseWriter, r *http.Request, rest string) {
-	reserved := s.maxBodySize(r)
-	if !s.bodyBytes.reserve(reserved) {
-		s.refuse(w, s.refuseUnmarked(r, api.NotRun(api.ReasonQueueFull, s.settings.RetryAfter, "the bodies in flight use all their memory")))
-		return
-	}
-	defer s.bodyBytes.release(reserved)
-	body, refusal := s.readBody(w, r)
+	held := s.reserveBody(w)
+	defer held.end()
+	body, refusal := s.readBody(w, r, held)
 	if refusal != nil {
 		s.refuse(w, refusal)
 		return
@@ -91,17 +87,21 @@
 	return "/" + path + "?" + query
 }
 
-// maxBodySize returns the maximum memory that the body of r may need, in
-// bytes.
-func (s *Server) maxBodySize(r *http.Request) int64 {
-	if r.ContentLength >= 0 && r.ContentLength < s.settings.MaxBodyBytes {
-		return r.ContentLength
-	}
-	return s.settings.MaxBodyBytes
+// expiredDeadline is a deadline in the past.
+var expiredDeadline = time.Unix(1, 0)
+
+// reserveBody returns the reservation for the body of a request.
+func (s *Server) reserveBody(w http.ResponseWriter) *reservation {
+	control := http.NewResponseController(w)
+	// An error means that the connection is closed, which ends the reading as well.
+	return s.bodyBytes.begin(func() { _ = control.SetReadDeadline(expiredDeadline) })
 }
 
-// readBody reads the whole body within the size and time limits.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *api.Refusal) {
+// firstBodyBytes is the size of the buffer for a body before any of it has arrived.
+const firstBodyBytes = 512
+
+// readBody reads the whole body within the size and time limits. Memory is added to held as it arrives.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, held *reservation) ([]byte, *api.Refusal) {
 	if r.ContentLength > s.settings.MaxBodyBytes {
 		return nil, s.tooLarge(w)
 	}
@@ -109,8 +109,18 @@
 		return nil, nil
 	}
 	control := http.NewResponseController(w)
+	first := int64(firstBodyBytes)
+	if r.ContentLength > 0 {
+		first = min(first, r.ContentLength+1) // with a byte to read the end
+	}
+	if err := held.grow(min(first, s.settings.MaxBodyBytes+1)); err != nil {
+		return nil, s.noMemory(r)
+	}
 	_ = control.SetReadDeadline(time.Now().Add(s.settings.ReadBodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	body, err := clientlimit.ReadGrowing(r, first, s.settings.MaxBodyBytes, held.grow)
+	if !held.complete() {
+		err = errNoMemory
+	}
 	if err == nil {
 		// Without a deadline net/http continues to read, which is how it
 		// detects that the caller left.
@@ -118,9 +128,10 @@
 		return body, nil
 	}
 	w.Header().Set("Connection", "close")
-	var sizeErr *http.MaxBytesError
 	switch {
-	case errors.As(err, &sizeErr):
+	case errors.Is(err, errNoMemory):
+		return nil, s.noMemory(r)
+	case errors.Is(err, clientlimit.ErrBodyTooLarge):
 		return nil, s.tooLarge(w)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, s.refuseUnmarked(r, api.NotRun(api.ReasonDeadlinePassed, 0, fmt.Sprintf("the body took longer than %s", s.settings.ReadBodyTimeout)))
@@ -129,6 +140,11 @@
 	}
 }
 
+// noMemory returns the refusal of a request whose body finds no memory.
+func (s *Server) noMemory(r *http.Request) *api.Refusal {
+	return s.refuseUnmarked(r, api.NotRun(api.ReasonQueueFull, s.settings.RetryAfter, errNoMemory.Error()))
+}
+
 // refuseUnmarked calls filter.RefuseUnmarked for a request that has not
 // reached the chain.
 func (s *Server) refuseUnmarked(r *http.Request, refusal *api.Refusal) *api.Refusal {
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -35,12 +35,9 @@
 
 func (s *Server) readJob(w http.ResponseWriter, r *http.Request) (api.JobSpec, *api.Refusal) {
 	var spec api.JobSpec
-	reserved := s.maxBodySize(r)
-	if !s.bodyBytes.reserve(reserved) {
-		return spec, api.NotRun(api.ReasonQueueFull, s.settings.RetryAfter, "the bodies in flight use all their memory")
-	}
-	defer s.bodyBytes.release(reserved)
-	body, refusal := s.readBody(w, r)
+	held := s.reserveBody(w)
+	defer held.end()
+	body, refusal := s.readBody(w, r, held)
 	if refusal != nil {
 		return spec, refusal
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -91,7 +91,7 @@
 	jobs      Jobs
 	gate      *filter.Gate
 	counters  filter.Counters
-	bodyBytes byteBudget
+	bodyBytes *bodyBudget
 	log       logrus.FieldLogger
 	leaving   atomic.Bool // set by Drain; readiness is false, and answers close their connections
 	http      *http.Server
@@ -108,7 +108,7 @@
 		jobs:      jobs,
 		gate:      gate,
 		counters:  counters,
-		bodyBytes: byteBudget{max: settings.MaxTotalBodyBytes},
+		bodyBytes: newBodyBudget(settings.MaxTotalBodyBytes),
 		log:       log,
 	}
 	s.http = &http.Server{
@@ -186,19 +186,3 @@
 
 // Leaving reports whether Drain was called.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
-
-// byteBudget bounds the total size of the bodies in memory.
-type byteBudget struct {
-	max  int64
-	used atomic.Int64
-}
-
-func (b *byteBudget) reserve(n int64) bool {
-	if b.used.Add(n) > b.max {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *byteBudget) release(n int64) { b.used.Add(-n) }
