front: connections of no use make room for other callers

What callers saw (the demo's plane): once limits.max_connections connections are open, idle or with a request that stops short, nobody else is served until they time out, 90 s for idle ones.

Cause: drain.Listen used netutil.LimitListener, which accepts nobody while others hold the places.

Change: front uses clientlimit with the setting, as the platform's process does; bodies that are being read can be evicted (clientlimit.WhileReceiving). drain.Listen has no limit of its own any more. Its test of waiting connections keeps both variants; the limited one now runs under clientlimit, with the same number of connections and the same checks.

--- a/internal/clientlimit/events.go
+++ b/internal/clientlimit/events.go
@@ -22,7 +22,7 @@
 
 // eventLog logs the first event of a series and the end of the series. Limiter.mu guards it.
 type eventLog struct {
-	log      *logrus.Entry
+	log      logrus.FieldLogger
 	inSeries bool
 	last     time.Time
 	counts   map[reason]int // in the series
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -43,7 +43,7 @@
 }
 
 // New returns a limiter that logs to log when it begins and when it ends to drop connections or requests.
-func New(limits Limits, log *logrus.Entry) *Limiter {
+func New(limits Limits, log logrus.FieldLogger) *Limiter {
 	l := &Limiter{
 		limits:   limits,
 		counters: new(expvar.Map).Init(),
--- a/internal/clientlimit/request.go
+++ b/internal/clientlimit/request.go
@@ -40,7 +40,7 @@
 }
 
 // Handler returns a handler that passes requests on to next. While next answers a request, its connection isn't
-// evicted, except during ReadBody.
+// evicted, except during WhileReceiving.
 func (l *Limiter) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
@@ -109,16 +109,30 @@
 	if c == nil {
 		return ReadGrowing(r, smallBodyBytes, limit, func(int64) error { return nil })
 	}
+	return WhileReceiving(r, func() ([]byte, error) {
+		defer func() {
+			c.isLarge.Store(false)
+			c.releaseTurn()
+		}()
+		return ReadGrowing(r, smallBodyBytes, limit, func(bytes int64) error {
+			c.isLarge.Store(true)
+			return c.limiter.reserve(c, bytes)
+		})
+	})
+}
+
+// WhileReceiving calls read, which must read the body of r. Meanwhile the connection of r may be evicted, and read
+// then fails; the error is ErrOverloaded in that case.
+func WhileReceiving(r *http.Request, read func() ([]byte, error)) ([]byte, error) {
+	c := connOf(r)
+	if c == nil {
+		return read()
+	}
 	l := c.limiter
 	l.mu.Lock()
 	l.move(c, &l.receiving, c.since)
 	l.mu.Unlock()
-	body, err := ReadGrowing(r, smallBodyBytes, limit, func(bytes int64) error {
-		c.isLarge.Store(true)
-		return l.reserve(c, bytes)
-	})
-	c.isLarge.Store(false)
-	c.releaseTurn()
+	body, err := read()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil && c.evicted {
--- a/internal/crowd/cell_test.go
+++ b/internal/crowd/cell_test.go
@@ -66,12 +66,13 @@
 
 // cell is a small cell of processes with stand-ins of the platform.
 type cell struct {
-	t        *testing.T
-	limits   limits
-	store    *standin.Store
-	advice   *standin.Advice
-	machines []*machine
-	jobs     int // submitted by ordinary clients
+	t         *testing.T
+	limits    limits
+	store     *standin.Store
+	advice    *standin.Advice
+	executors []*standin.Executor
+	machines  []*machine
+	jobs      int // submitted by ordinary clients
 }
 
 // maxBodyBytes is the limit of a request's body in the cell's configuration, in bytes.
@@ -88,6 +89,7 @@
 		e := standin.NewExecutor(fmt.Sprintf("i-%d", i))
 		t.Cleanup(e.Server.CloseClientConnections)
 		e.Register(c.store, "svc")
+		c.executors = append(c.executors, e)
 	}
 	c.store.ConfigureMaxBody(1, "/q/", maxBodyBytes)
 	for i := range machines {
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -12,10 +12,10 @@
 )
 
 var (
-	memoryMB    = flag.Int("memory", 96, "memory of each machine, in MB")
-	descriptors = flag.Int("descriptors", 1200, "file descriptors of each machine")
-	clients     = flag.Int("clients", 600, "clients of a crowd")
-	duration    = flag.Duration("duration", 6*time.Second, "how long a crowd stays")
+	memoryMB     = flag.Int("memory", 96, "memory of each machine, in MB")
+	descriptors  = flag.Int("descriptors", 1200, "file descriptors of each machine")
+	crowdClients = flag.Int("clients", 600, "clients of a crowd")
+	duration     = flag.Duration("duration", 6*time.Second, "how long a crowd stays")
 )
 
 // machineCount is the number of machines of a cell.
@@ -26,7 +26,7 @@
 func playCrowd(t *testing.T, play misbehaviour) {
 	c := startCell(t, machineCount, limits{memoryMB: *memoryMB, fileDescriptors: *descriptors})
 	m := c.machines[0]
-	playCrowdAt(t, m, m.settings.FrontAddress, *clients, play)
+	playCrowdAt(t, m, m.settings.FrontAddress, *crowdClients, play)
 }
 
 func playCrowdAt(t *testing.T, m *machine, address string, clients int, play misbehaviour) {
@@ -74,7 +74,7 @@
 func playConnections(t *testing.T, address func(*machine) string, play misbehaviour) {
 	c := startCell(t, machineCount, limits{memoryMB: *memoryMB, fileDescriptors: min(fewDescriptors, *descriptors)})
 	m := c.machines[0]
-	playCrowdAt(t, m, address(m), *clients, play)
+	playCrowdAt(t, m, address(m), *crowdClients, play)
 }
 
 func frontAddress(m *machine) string { return m.settings.FrontAddress }
@@ -105,7 +105,7 @@
 	m := c.machines[0]
 	m.awaitServed("before the crowd")
 	w := watch(m)
-	crowd := startCrowd(t, m.settings.FrontAddress, *clients, headersWithoutEnd)
+	crowd := startCrowd(t, m.settings.FrontAddress, *crowdClients, headersWithoutEnd)
 	time.Sleep(*duration / 3)
 	for _, other := range c.machines[1:] {
 		other.kill()
@@ -128,7 +128,7 @@
 	m := c.machines[0]
 	m.awaitServed("before the crowd")
 	w := watch(m)
-	crowd := startCrowd(t, m.settings.FrontAddress, *clients, bodiesInPieces)
+	crowd := startCrowd(t, m.settings.FrontAddress, *crowdClients, bodiesInPieces)
 	time.Sleep(*duration / 3)
 	kill := time.AfterFunc(time.Duration(m.settings.GraceSeconds)*time.Second, func() { m.kill() })
 	if err := m.stop(); err != nil {
--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/netutil"
 )
 
 const (
@@ -18,18 +17,13 @@
 	maxCloseTime = time.Second
 )
 
-// Listen listens on a TCP address, as with NewListener. It keeps at most maxConns connections open at once, or any
-// number if it is 0.
-func Listen(address string, maxConns int) (net.Listener, error) {
+// Listen listens on a TCP address, as with NewListener.
+func Listen(address string) (net.Listener, error) {
 	tcp, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l := &listener{tcp: tcp.(*net.TCPListener)}
-	if maxConns == 0 {
-		return l, nil
-	}
-	return limitedListener{netutil.LimitListener(l, maxConns), l}, nil
+	return NewListener(tcp.(*net.TCPListener)), nil
 }
 
 // NewListener returns a listener for the connections of tcp. When it is closed, the connections that clients have
@@ -37,16 +31,6 @@
 // is slow to accept would thereby cut off requests that were sent before it stopped.
 func NewListener(tcp *net.TCPListener) net.Listener { return &listener{tcp: tcp} }
 
-// limitedListener limits the open connections. The limit's own Close would drop the connections that are
-// accepted after it.
-type limitedListener struct {
-	net.Listener
-	inner *listener
-}
-
-// Close implements net.Listener.
-func (l limitedListener) Close() error { return l.inner.Close() }
-
 // listener is a listener that accepts the waiting connections before it is closed.
 type listener struct {
 	tcp *net.TCPListener
--- a/internal/drain/listener_test.go
+++ b/internal/drain/listener_test.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/skylarklock/skylarklock/internal/clientlimit"
+	"github.com/skylarklock/skylarklock/internal/logging"
 )
 
 // slowListener accepts no connections until it is released, like a server on a busy machine.
@@ -35,14 +38,21 @@
 }
 
 func testWaitingConnections(t *testing.T, maxConns int) {
-	inner, err := Listen("127.0.0.1:0", maxConns)
+	inner, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := &slowListener{inner, make(chan struct{}), make(chan struct{})}
-	s := New(&http.Server{Handler: http.HandlerFunc(answerAndClose), ReadHeaderTimeout: headerTimeout})
+	hs := &http.Server{Handler: http.HandlerFunc(answerAndClose), ReadHeaderTimeout: headerTimeout}
+	var outer net.Listener = l
+	if maxConns > 0 {
+		limiter := clientlimit.New(clientlimit.Limits{Connections: maxConns}, logging.Nop())
+		hs.Handler, hs.ConnState, hs.ConnContext = limiter.Handler(hs.Handler), limiter.ConnState, limiter.ConnContext
+		outer = limiter.Listener(l)
+	}
+	s := New(hs)
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { served <- s.Serve(outer) }()
 	<-l.accepting
 	var clients []net.Conn
 	for range 5 {
@@ -77,7 +87,7 @@
 
 // Guards against a listener that stays open if nothing accepts from it.
 func TestListenerClosesWithoutAccept(t *testing.T) {
-	l, err := Listen("127.0.0.1:0", 0)
+	l, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -59,7 +59,7 @@
 // ListenAndServe serves at the address of the http.Server. It returns nil after
 // Drain or Close.
 func (d *Server) ListenAndServe() error {
-	l, err := Listen(d.http.Addr, 0)
+	l, err := Listen(d.http.Addr)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -268,7 +268,7 @@
 	n.listeners.operators = open(n.settings.Listen.Operators)
 	n.listeners.peers = open(n.settings.Listen.Peers)
 	if err == nil {
-		n.listeners.callers, err = drain.Listen(n.settings.Listen.Callers, n.settings.Limits.MaxConnections)
+		n.listeners.callers, err = drain.Listen(n.settings.Listen.Callers)
 	}
 	return errors.Wrap(err, "listen")
 }
@@ -278,6 +278,7 @@
 	return front.Settings{
 		MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
 		MaxBodyBytes:      s.Limits.MaxBodyBytes,
+		MaxConnections:    s.Limits.MaxConnections,
 		ReadHeaderTimeout: s.Limits.ReadHeaderTimeout.Std(),
 		ReadBodyTimeout:   s.Limits.ReadTimeout.Std(),
 		WriteTimeout:      s.Limits.WriteTimeout.Std(),
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -117,7 +117,9 @@
 		return nil, s.noMemory(r)
 	}
 	_ = control.SetReadDeadline(time.Now().Add(s.settings.ReadBodyTimeout))
-	body, err := clientlimit.ReadGrowing(r, first, s.settings.MaxBodyBytes, held.grow)
+	body, err := clientlimit.WhileReceiving(r, func() ([]byte, error) {
+		return clientlimit.ReadGrowing(r, first, s.settings.MaxBodyBytes, held.grow)
+	})
 	if !held.complete() {
 		err = errNoMemory
 	}
@@ -129,7 +131,7 @@
 	}
 	w.Header().Set("Connection", "close")
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory), errors.Is(err, clientlimit.ErrOverloaded):
 		return nil, s.noMemory(r)
 	case errors.Is(err, clientlimit.ErrBodyTooLarge):
 		return nil, s.tooLarge(w)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/api"
+	"github.com/skylarklock/skylarklock/internal/clientlimit"
 	"github.com/skylarklock/skylarklock/internal/defaults"
 	"github.com/skylarklock/skylarklock/internal/drain"
 	"github.com/skylarklock/skylarklock/internal/filter"
@@ -47,6 +48,7 @@
 	MaxHeaderBytes    int
 	MaxBodyBytes      int64         // of one request
 	MaxTotalBodyBytes int64         // of the bodies of all requests at once
+	MaxConnections    int           // open at once
 	ReadHeaderTimeout time.Duration // for the whole header
 	ReadBodyTimeout   time.Duration // for the whole body
 	WriteTimeout      time.Duration // for the whole answer
@@ -61,6 +63,7 @@
 	DefaultMaxHeaderBytes    = 16 << 10
 	DefaultMaxBodyBytes      = 8 << 20
 	DefaultMaxTotalBodyBytes = 256 << 20
+	DefaultMaxConnections    = 4000
 	DefaultReadHeaderTimeout = 5 * time.Second
 	DefaultReadBodyTimeout   = 20 * time.Second
 	DefaultWriteTimeout      = 30 * time.Second
@@ -74,6 +77,7 @@
 	defaults.Set(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	defaults.Set(&s.MaxBodyBytes, DefaultMaxBodyBytes)
 	defaults.Set(&s.MaxTotalBodyBytes, DefaultMaxTotalBodyBytes)
+	defaults.Set(&s.MaxConnections, DefaultMaxConnections)
 	defaults.Set(&s.ReadHeaderTimeout, DefaultReadHeaderTimeout)
 	defaults.Set(&s.ReadBodyTimeout, DefaultReadBodyTimeout)
 	defaults.Set(&s.WriteTimeout, DefaultWriteTimeout)
@@ -94,6 +98,7 @@
 	bodyBytes *bodyBudget
 	log       logrus.FieldLogger
 	leaving   atomic.Bool // set by Drain; readiness is false, and answers close their connections
+	limiter   *clientlimit.Limiter
 	http      *http.Server
 	drainer   *drain.Server // serves http
 }
@@ -111,8 +116,14 @@
 		bodyBytes: newBodyBudget(settings.MaxTotalBodyBytes),
 		log:       log,
 	}
+	s.limiter = clientlimit.New(clientlimit.Limits{
+		Connections:  settings.MaxConnections,
+		RequestBytes: settings.MaxTotalBodyBytes,
+	}, log)
 	s.http = &http.Server{
-		Handler:           s.Handler(),
+		Handler:           s.limiter.Handler(s.Handler()),
+		ConnState:         s.limiter.ConnState,
+		ConnContext:       s.limiter.ConnContext,
 		ReadHeaderTimeout: settings.ReadHeaderTimeout,
 		IdleTimeout:       settings.IdleTimeout,
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
@@ -124,7 +135,7 @@
 
 // Serve answers the connections of l until Drain, and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.drainer.Serve(l); err != nil {
+	if err := s.drainer.Serve(s.limiter.Listener(l)); err != nil {
 		return fmt.Errorf("front: %w", err)
 	}
 	return nil
--- a/internal/front/stopped_bodies_test.go
+++ b/internal/front/stopped_bodies_test.go
@@ -22,3 +22,17 @@
 		wantEqual(t, summarize(resp), "201 ran  retry= close=false")
 	}
 }
+
+// Guards against connections of no use that keep other callers out.
+func TestHeldConnectionsKeepNobodyOut(t *testing.T) {
+	const limit = 4
+	_, _, address := startServer(t, Settings{MaxConnections: limit, ReadBodyTimeout: time.Minute})
+	for _, beginning := range []string{get("/"), "GET /", "POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab", ""} {
+		for range limit {
+			_, err := io.WriteString(dial(t, address).conn, beginning)
+			wantEqual(t, err, nil)
+		}
+		resp, _ := dial(t, address).roundTrip(post(2, "ab"))
+		wantEqual(t, summarize(resp), "201 ran  retry= close=false")
+	}
+}
