--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -215,6 +215,29 @@
 // manySteps is a whole submission of the greatest size with as many steps as fit.
 var manySteps = `{"steps":[` + strings.Repeat("{},", (maxBodyBytes-14)/3) + "{}]}"
 
+// largestJob is a valid submission of almost the greatest size.
+var largestJob = func() string {
+	const steps = 100
+	image := strings.Repeat("i", (maxBodyBytes-8<<10)/steps-40)
+	step := `{"count":1,"cpu":1000,"image":"` + image + `"}`
+	return `{"specification":"1ms","steps":[` + step + strings.Repeat(","+step, steps-1) + `]}`
+}()
+
+// wholeJobs sends valid jobs of the greatest size and reads the answers.
+func wholeJobs(_ context.Context, c net.Conn) {
+	answers := bufio.NewReader(c)
+	for {
+		if _, err := io.WriteString(c, submissionHeader(fmt.Sprintf("Content-Length: %d\r\n", len(largestJob)))+largestJob); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return
+		}
+		resp.Body.Close()
+	}
+}
+
 func wholeBodiesOfManySteps(_ context.Context, c net.Conn) {
 	if _, err := io.WriteString(c, submissionHeader(fmt.Sprintf("Content-Length: %d\r\n", len(manySteps)))+manySteps); err != nil {
 		return
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -66,6 +66,8 @@
 
 func TestBodiesAskedForStayWithinMemory(t *testing.T) { playCrowd(t, expectContinue) }
 
+func TestWholeJobsOfTheGreatestSizeStayWithinMemory(t *testing.T) { playCrowd(t, wholeJobs) }
+
 // Crowds that want more connections than the machine has file descriptors.
 
 // fewDescriptors are the file descriptors of a machine at which a small crowd wants them all.
