clientlimit: a request keeps its age while its body is read

What callers saw: at the bound of connections a younger connection could be closed before an older request that stops in its body; found in reading the code.

Cause: eviction takes the first of a list, and a connection went to the end of it when its header had arrived, with the age that it had. Change: connections are inserted by the time since which they count; one that was closed by a forced end of the server goes into no list any more, where it would have counted as ending for ever.

Evidence: TestOldestRequestMakesRoomWhileItsBodyIsRead failed before ("the younger connection: no answer: unexpected EOF").

--- a/internal/clientlimit/body_test.go
+++ b/internal/clientlimit/body_test.go
@@ -53,6 +53,22 @@
 	})
 }
 
+// A client doesn't get younger by sending the next part of its request.
+func TestOldestRequestMakesRoomWhileItsBodyIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, Limits{Connections: 2, RequestBytes: 1 << 20}, answerBody)
+		first, second := s.connect(), s.connect()
+		first.send(post(100, 1))
+		time.Sleep(time.Second)
+		third := s.connect()
+		third.send(get)
+		third.wantStatus("a new connection", http.StatusOK)
+		first.wantStatus("the oldest request", http.StatusServiceUnavailable)
+		second.send(get)
+		second.wantStatus("the younger connection", http.StatusOK)
+	})
+}
+
 // Small bodies are read however much large ones hold.
 func TestSmallBodiesNeedNoRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -32,6 +32,7 @@
 	since   time.Time // since when it is in the list; of a request: since when it is being received
 	held    int64     // bytes reserved by the request
 	evicted bool
+	removed bool          // the connection was closed and doesn't count any more
 	gone    chan struct{} // closed when the connection is evicted
 
 	deadline     sync.Mutex
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -70,15 +70,25 @@
 	return nil
 }
 
-// move puts c at the end of a list, or into none if to is nil. l.mu is held.
+// insert puts c behind the connections that are in the list since an earlier time.
+func (l *connList) insert(c *conn) *list.Element {
+	for e := l.Back(); e != nil; e = e.Prev() {
+		if !e.Value.(*conn).since.After(c.since) {
+			return l.InsertAfter(c, e)
+		}
+	}
+	return l.PushFront(c)
+}
+
+// move puts c into a list, or into none if to is nil. Connections that are ending are in none. l.mu is held.
 func (l *Limiter) move(c *conn, to *connList, since time.Time) {
 	if c.element != nil {
 		c.in.Remove(c.element)
 		c.element = nil
 	}
 	c.in, c.since = to, since
-	if to != nil && !c.evicted {
-		c.element = to.PushBack(c)
+	if to != nil && !c.evicted && !c.removed {
+		c.element = to.insert(c)
 	}
 }
 
@@ -167,6 +177,7 @@
 func (l *Limiter) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.removed = true
 	l.move(c, nil, time.Time{})
 	l.release(c)
 	l.open--
@@ -193,7 +204,7 @@
 		}
 		l.evict(largest, reasonMemory)
 	}
-	if c.evicted {
+	if c.evicted || c.removed {
 		return ErrOverloaded
 	}
 	c.held += bytes
