clientlimit: buffers of bodies are reused

Change: buffers have powers of two as sizes, are charged with these, and are reused once their request is answered. A body that fills its buffer no longer needs a larger one to read its end.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -24,6 +24,7 @@
 	isIdle   atomic.Bool // no byte of a further request has been read
 	closed   sync.Once
 	header   headerCount // used by Read
+	body     []byte      // of the request that is being answered; used by its handler
 	isLarge  atomic.Bool // the body that is being read is larger than smallBodyBytes
 	hasTurn  atomic.Bool
 
--- a/internal/clientlimit/request.go
+++ b/internal/clientlimit/request.go
@@ -58,7 +58,13 @@
 		} else {
 			body.ended = true
 		}
-		defer func() { l.endAnswer(c, began, body.ended) }()
+		defer func() {
+			if c.body != nil {
+				freeBuffer(c.body)
+				c.body = nil
+			}
+			l.endAnswer(c, began, body.ended)
+		}()
 		next.ServeHTTP(w, r)
 	})
 }
@@ -102,7 +108,8 @@
 }
 
 // ReadBody reads the body of a request, of at most limit bytes. It takes memory as bytes arrive. It fails with
-// ErrBodyTooLarge, with ErrOverloaded, or with the error of the connection.
+// ErrBodyTooLarge, with ErrOverloaded, or with the error of the connection. The body is valid until the handler
+// returns.
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, ErrBodyTooLarge
@@ -119,10 +126,12 @@
 			c.isLarge.Store(false)
 			c.releaseTurn()
 		}()
-		return ReadGrowing(r, smallBodyBytes, limit, func(bytes int64) error {
+		body, err := ReadGrowing(r, smallBodyBytes, limit, func(bytes int64) error {
 			c.isLarge.Store(true)
 			return c.limiter.reserve(c, bytes)
 		})
+		c.body = body
+		return body, err
 	})
 }
 
@@ -160,30 +169,39 @@
 // further bytes before the buffer grows beyond first bytes, and returns its error. It fails with ErrBodyTooLarge if
 // the body is larger.
 func ReadGrowing(r *http.Request, first, limit int64, reserve func(bytes int64) error) ([]byte, error) {
-	most := limit + 1 // the end is read only with a byte to spare
+	most := limit
 	if r.ContentLength >= 0 {
-		most = r.ContentLength + 1
+		most = min(limit, r.ContentLength)
 	}
-	buf := make([]byte, 0, min(most, first))
+	buf := newBuffer(max(1, min(most, first)))
+	var end [1]byte // for the end of a body that fills its buffer
 	for {
-		if len(buf) == cap(buf) {
-			if int64(cap(buf)) >= most {
-				return nil, ErrBodyTooLarge
-			}
-			size := min(2*int64(cap(buf)), most)
-			if err := reserve(size - int64(cap(buf))); err != nil {
+		free := buf[len(buf):cap(buf)]
+		switch {
+		case len(free) > 0:
+		case int64(len(buf)) >= most:
+			free = end[:]
+		default:
+			if err := reserve(int64(cap(buf))); err != nil {
+				freeBuffer(buf)
 				return nil, err
 			}
-			buf = append(make([]byte, 0, size), buf...)
+			larger := append(newBuffer(2*int64(cap(buf))), buf...)
+			freeBuffer(buf)
+			buf = larger
+			continue
+		}
+		n, err := r.Body.Read(free)
+		if int64(len(buf)+n) > limit {
+			err = ErrBodyTooLarge
+		} else {
+			buf = buf[:min(len(buf)+n, cap(buf))]
 		}
-		n, err := r.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
 		switch {
-		case int64(len(buf)) > limit:
-			return nil, ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
 			return buf, nil
 		case err != nil:
+			freeBuffer(buf)
 			return nil, err
 		}
 	}
