node: a planned stop doesn't wait for requests that don't end

Cause: the drain waits for every request that is arriving, up to the read timeout of 5 s from a time up to 3.5 s after the signal, and cuts all of them 150 ms before the grace ends.

Change: while the process stops, requests that have been arriving for over 1 s are dropped (503 before the body's end); nothing of them was passed on. Idle connections and those that arrive in time are served as before.

TestIncompleteRequestsAreDroppedByAge. The tests of a stop in internal/node and internal/drain are unchanged.

--- a/internal/clientlimit/events.go
+++ b/internal/clientlimit/events.go
@@ -14,6 +14,7 @@
 	reasonIncomplete reason = "incomplete_requests" // dropped because others need the connection
 	reasonUnread     reason = "unread_answers"      // closed while an answer was being written
 	reasonMemory     reason = "large_requests"      // dropped because others need the memory
+	reasonStopping   reason = "late_requests"       // dropped because the server stops
 	reasonRefused    reason = "refused_connections" // closed at once, since all others were being answered
 )
 
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -156,6 +156,17 @@
 	return receiving, reasonIncomplete
 }
 
+// EvictIncomplete drops requests that have been arriving for longer than maxAge, and connections that have sent nothing
+// for as long. A server that stops would wait for them.
+func (l *Limiter) EvictIncomplete(maxAge time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for c := l.receiving.oldest(); c != nil && now.Sub(c.since) > maxAge; c = l.receiving.oldest() {
+		l.evict(c, reasonStopping)
+	}
+}
+
 // evict ends a connection. A request that is being received is answered by its handler, since its read fails.
 // l.mu is held.
 func (l *Limiter) evict(c *conn, why reason) {
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -160,6 +160,27 @@
 	})
 }
 
+// Guards against a stop that waits for requests which don't end.
+func TestIncompleteRequestsAreDroppedByAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, Limits{Connections: 10}, answerOK)
+		idle, old := s.connect(), s.connect()
+		idle.send(get)
+		idle.wantStatus("first", http.StatusOK)
+		old.send("GET / HTTP/1.1\r\n")
+		time.Sleep(time.Second)
+		young := s.connect()
+		young.send("GET / HTTP/1.1\r\n")
+		s.limiter.EvictIncomplete(time.Second)
+		synctest.Wait()
+		old.wantClosed("a request that doesn't end")
+		young.send("Host: h\r\n\r\n")
+		young.wantStatus("a request that ends in time", http.StatusOK)
+		idle.send(get)
+		idle.wantStatus("an idle connection", http.StatusOK)
+	})
+}
+
 func answerOK(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 // Guards against clients that are kept out by connections on which nothing happens.
--- a/internal/crowd/cell_test.go
+++ b/internal/crowd/cell_test.go
@@ -198,6 +198,9 @@
 	m.cell.t.Helper()
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	eventually(m.cell.t, m.settings.Name+" is ready", func() bool {
+		if !m.running() {
+			m.cell.t.Fatalf("%s ended before it was ready: %v\n%s", m.settings.Name, m.err, m.log)
+		}
 		resp, err := client.Get("http://" + m.settings.ReadinessAddress + platform.ReadinessPath)
 		if err != nil {
 			return false
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -135,10 +135,12 @@
 	crowd := startCrowd(t, m.settings.FrontAddress, *crowdClients, bodiesInPieces)
 	time.Sleep(*duration / 3)
 	kill := time.AfterFunc(time.Duration(m.settings.GraceSeconds)*time.Second, func() { m.kill() })
+	began := time.Now()
 	if err := m.stop(); err != nil {
 		t.Errorf("the process ended with %v\n%s", err, m.log)
 	}
 	kill.Stop()
+	t.Logf("stopped after %v of a grace of %d s", time.Since(began), m.settings.GraceSeconds)
 	w.stop(t)
 	crowd.stop()
 	c.machines[1].awaitServed("at another machine")
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarklock/skylarklock/internal/drain"
+	"github.com/skylarklock/skylarklock/internal/pause"
 	"github.com/skylarklock/skylarklock/internal/peer"
 )
 
@@ -93,6 +94,7 @@
 	n.draining.Store(true)
 	waiting, cancel := context.WithDeadline(context.Background(), n.shutdown.waitDeadline())
 	defer cancel()
+	go n.dropIncompleteRequests(waiting)
 	if s.Drain(waiting) == nil {
 		return
 	}
@@ -105,6 +107,21 @@
 	}
 }
 
+// maxArrival is how long a request may take to arrive while the process stops. It was passed on to nobody before, so
+// its client may send it again to another machine.
+const maxArrival = time.Second
+
+// arrivalCheckInterval is the time between two checks for such requests.
+const arrivalCheckInterval = 100 * time.Millisecond
+
+// dropIncompleteRequests drops requests that don't arrive in time until ctx ends.
+func (n *Node) dropIncompleteRequests(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.clientLimiter.EvictIncomplete(maxArrival)
+		pause.For(ctx, arrivalCheckInterval)
+	}
+}
+
 // shutDownPeers shuts the peers' server down. Calls in flight are answered if time
 // permits. Further calls are refused, which tells the callers that nothing was done.
 func (n *Node) shutDownPeers(s *peer.Server) {
