clientlimit: clients that come again at once cost a bounded number of connections

What callers saw: the memory of the crowds with header fields and large bodies came to 81 to 89 of 96 MB beside other load, since requests dropped for their memory came again at once: 35,599 in 6.5 s, some GB a second of garbage.

Cause: the minimum age holds a place only while its connection lives; one that is dropped for its memory left at once.

Change: such a place stays taken until the connection would be 250 ms old. TestPlaceOfADroppedRequestStaysTakenForAWhile.

--- a/internal/clientlimit/body_test.go
+++ b/internal/clientlimit/body_test.go
@@ -53,6 +53,24 @@
 	})
 }
 
+// Guards against the processor time and garbage of clients that come again as soon as their request is dropped.
+func TestPlaceOfADroppedRequestStaysTakenForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, Limits{Connections: 2, RequestBytes: 100 << 10}, answerBody)
+		first, second := s.connect(), s.connect()
+		first.send(post(60<<10, 1))
+		second.send(post(60<<10, 1))
+		first.wantStatus("the larger request", http.StatusServiceUnavailable)
+		start := time.Now()
+		third := s.connect()
+		go third.write(get)
+		third.wantStatus("a new connection", http.StatusOK)
+		if wait := time.Since(start); wait < minAge/2 || wait > 2*minAge {
+			t.Errorf("a new connection was served after %v, want about %v", wait, minAge)
+		}
+	})
+}
+
 // A client doesn't get younger by sending the next part of its request.
 func TestOldestRequestMakesRoomWhileItsBodyIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -33,7 +33,7 @@
 	turns    chan struct{} // one element for each large request that is being decoded
 
 	mu           sync.Mutex
-	open         int           // connections, including those that are ending
+	open         int           // places that are taken, also by connections that are ending
 	evicting     int           // connections that were evicted and have not ended
 	ended        chan struct{} // receives a value when a connection has ended
 	idle         connList      // between two requests
@@ -191,10 +191,27 @@
 	c.removed = true
 	l.move(c, nil, time.Time{})
 	l.release(c)
-	l.open--
-	if c.evicted {
-		l.evicting--
+	if !c.evicted {
+		l.freePlace()
+		return
+	}
+	l.evicting--
+	// The place of a request that was dropped early stays taken, so that clients which come again at once don't use up
+	// the processor.
+	if rest := minAge - time.Since(c.accepted); rest > 0 {
+		time.AfterFunc(rest, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.freePlace()
+		})
+		return
 	}
+	l.freePlace()
+}
+
+// freePlace lets another connection in. l.mu is held.
+func (l *Limiter) freePlace() {
+	l.open--
 	select {
 	case l.ended <- struct{}{}:
 	default:
--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/skylarklock/skylarklock/internal/work"
 	"github.com/skylarklock/skylarklock/platform/standin"
 )
 
@@ -84,7 +85,7 @@
 const wholeLength = "Content-Length: 262144\r\n" // of maxBodyBytes
 
 // bodyWithoutEnd is a body of the greatest size whose last byte is missing.
-var bodyWithoutEnd = []byte(`{"specification":"` + strings.Repeat("x", maxBodyBytes-1-len(`{"specification":"`)))
+var bodyWithoutEnd = []byte(standin.UnfinishedSubmission(maxBodyBytes - 1))
 
 // Errors of writes mean that the server has closed the connection, which is then opened again.
 
@@ -182,7 +183,7 @@
 
 // manyFields sends many header fields and a body without an end.
 func manyFields(_ context.Context, c net.Conn) {
-	if _, err := io.WriteString(c, submissionHeader(manyHeaderFields+wholeLength)+`{"specification":"`); err != nil {
+	if _, err := io.WriteString(c, submissionHeader(manyHeaderFields+wholeLength)+standin.UnfinishedSubmission(20)); err != nil {
 		return
 	}
 	awaitClose(c)
@@ -228,16 +229,8 @@
 // silentConnections sends nothing.
 func silentConnections(_ context.Context, c net.Conn) { awaitClose(c) }
 
-// manySteps is a whole submission of the greatest size with as many steps as fit.
-var manySteps = `{"steps":[` + strings.Repeat("{},", (maxBodyBytes-14)/3) + "{}]}"
-
-// largestJob is a valid submission of almost the greatest size.
-var largestJob = func() string {
-	const steps = 100
-	image := strings.Repeat("i", (maxBodyBytes-8<<10)/steps-40)
-	step := `{"count":1,"cpu":1000,"image":"` + image + `"}`
-	return `{"specification":"1ms","steps":[` + step + strings.Repeat(","+step, steps-1) + `]}`
-}()
+// largestJob is a valid submission of the greatest size.
+var largestJob = standin.LargeSubmission("1ms", work.MaxSteps, maxBodyBytes)
 
 // wholeJobs sends valid jobs of the greatest size and reads the answers.
 func wholeJobs(_ context.Context, c net.Conn) {
@@ -254,6 +247,9 @@
 	}
 }
 
+// manySteps is a whole submission of the greatest size with as many steps as fit.
+var manySteps = standin.SubmissionOfEmptySteps(maxBodyBytes)
+
 func wholeBodiesOfManySteps(_ context.Context, c net.Conn) {
 	if _, err := io.WriteString(c, submissionHeader(fmt.Sprintf("Content-Length: %d\r\n", len(manySteps)))+manySteps); err != nil {
 		return
