--- a/review/sim3/client.go
+++ b/review/sim3/client.go
@@ -173,12 +173,15 @@
 	return fmt.Sprintf("%016x", c.rng.Uint64())
 }
 
-// jobBody returns a submission of one step.
-func jobBody(specification string, tasks, cpu, estimateMs int, lasts bool) string {
+// jobBody returns a submission of one step, of which at most spread tasks may run on one executor; 0: any number.
+func jobBody(specification string, tasks, cpu, estimateMs int, lasts bool, spread int) string {
 	step := map[string]any{"count": tasks, "cpu": cpu, "requested_memory_mb": 100, "estimated_ms": estimateMs}
 	if lasts {
 		step["long_running"] = true
 	}
+	if spread > 0 {
+		step["anti_affinity"] = spread
+	}
 	data, err := json.Marshal(map[string]any{"specification": specification, "steps": []any{step}})
 	if err != nil {
 		panic(err)
--- a/review/sim3/main.go
+++ b/review/sim3/main.go
@@ -41,7 +41,6 @@
 	play              func(*cell) (broken bool, err error)
 }{
 	"orphan": {9, 12, true, playOrphan},
-	"dark":   {3, 8, false, playDark},
 	"both":   {3, 8, true, playBoth},
 	"starve": {4, 12, false, playStarve},
 }
--- a/review/sim3/orphan.go
+++ b/review/sim3/orphan.go
@@ -27,7 +27,7 @@
 	var sending sync.WaitGroup
 	var jobs []*job
 	var disturbed []time.Time
-	body := jobBody(lasting, 1, jobCPU, 1000, true)
+	body := jobBody(lasting, 1, jobCPU, 1000, true, 0)
 	for range windows {
 		began := time.Now()
 		if c.trouble {
--- a/review/sim3/starve.go
+++ b/review/sim3/starve.go
@@ -19,7 +19,7 @@
 // successors. It looks for tasks that nobody runs in the calm between and after these kills.
 func playStarve(c *cell) (bool, error) {
 	warm := &job{id: c.clients.newID(), tasks: 4}
-	c.clients.submit(warm, jobBody("300", 4, 1000, 300, false), nil)
+	c.clients.submit(warm, jobBody("300", 4, 1000, 300, false, 0), nil)
 	if !warm.accepted() {
 		return false, fmt.Errorf("the first job wasn't accepted: %s", warm.history())
 	}
@@ -42,7 +42,7 @@
 		killed <- at
 	}()
 	j := &job{id: c.clients.newID(), tasks: replicas, lasts: true}
-	c.clients.submit(j, jobBody(lasting, replicas, replicaCPU, 1000, true), nil)
+	c.clients.submit(j, jobBody(lasting, replicas, replicaCPU, 1000, true, replicas/len(c.workers)), nil)
 	if !j.accepted() {
 		return false, fmt.Errorf("the job wasn't accepted: %s", j.history())
 	}
