--- a/review/sim3/starve.go
+++ b/review/sim3/starve.go
@@ -42,7 +42,7 @@
 		killed <- at
 	}()
 	j := &job{id: c.clients.newID(), tasks: replicas, lasts: true}
-	c.clients.submit(j, jobBody(lasting, replicas, replicaCPU, 1000, true, replicas/len(c.workers)), nil)
+	c.clients.submit(j, jobBody(lasting, replicas, replicaCPU, 1000, true, replicas/len(zones)), nil)
 	if !j.accepted() {
 		return false, fmt.Errorf("the job wasn't accepted: %s", j.history())
 	}
