dispatch: a job that another machine has stored stays in the planner

Cause: a submitted job is in the cell before its record is stored. Meanwhile another machine's direct append of the same record can be done and read; the cell knew the job already and didn't note that it was stored now. When the submission was given up, because an append had no answer (abandonIfStalled) or the store refused it (storeProgressOnly), the cell dropped the job; the replica reports no further change of it, and a later submission is confirmed without planning it.

Ruled out: that the client was told 200 wrongly (the record is in the store), and that the next leader doesn't plan it either (it does). A job that ended while it wasn't stored stayed known in the cell for good, which is the same in reverse.

Change: the cell keeps which jobs aren't known to be stored. applyChanges confirms a job whatever it says of it, and Withdraw removes only unconfirmed jobs, ended ones too. The progress of a job that stays is stored before its starts are sent; otherwise the next leader would start its tasks again. A line for each job that is withdrawn or stays.

Why it works: both sides happen under one lock. Either the record is read first and the job is confirmed, or the job is withdrawn first and the reading adds it anew.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -82,6 +82,13 @@
 func (s *clusterStore) apply(a platform.Append) (platform.Offset, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if a.Producer == nil {
+		end := platform.Offset(len(s.partitions[a.Partition.Topic]))
+		for _, r := range a.Records {
+			s.add(a.Partition, r)
+		}
+		return end, nil
+	}
 	epoch, sequence := a.Producer.Epoch, a.Producer.Sequence
 	if epoch < s.epoch {
 		return 0, platform.ErrFenced
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -185,6 +185,9 @@
 	// A new leader is told of all jobs at once. What a workspace submits in excess depends on the order.
 	slices.SortStableFunc(changes, func(a, b replica.Change) int { return cmp.Compare(acceptedMs(a), acceptedMs(b)) })
 	for _, ch := range changes {
+		if ch.Entry.Submitted() {
+			r.cell.ConfirmStored(ch.ID)
+		}
 		switch {
 		case ch.Kind == work.KindProgress:
 		case ch.Entry.Cancelled: // the submission may have been read before, with the cancel, or may be read later
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -140,11 +140,21 @@
 	return submitted
 }
 
-// withdraw removes the jobs of a submission that was not stored from the cell. The caller holds r.mu.
-func (r *Runner) withdraw(s *submission) {
+// withdraw removes the jobs of a submission that was given up from the cell and returns them. Jobs whose submission
+// was stored by another machine in the meantime stay. The caller holds r.mu.
+func (r *Runner) withdraw(s *submission) []work.ID {
+	var withdrawn []work.ID
 	for _, id := range s.addedJobs {
-		r.cell.Withdraw(id)
+		e, _ := r.cfg.Replica.Get(id)
+		logger := r.cfg.Logger.WithFields(logrus.Fields{"job": id, "submitted": e.Submitted(), "cancelled": e.Cancelled, "read_up_to": r.cfg.Replica.Position()})
+		if !r.cell.Withdraw(id) {
+			logger.Info("job stays: its submission was stored by another machine")
+			continue
+		}
+		logger.Info("job is withdrawn: its submission was not stored")
+		withdrawn = append(withdrawn, id)
 	}
+	return withdrawn
 }
 
 // linkFullRetryAfter is the delay after which a client that was refused because of a full link
@@ -182,7 +192,7 @@
 		}
 		return
 	}
-	if r.cell.AddJob(job, nil, now.UnixMilli(), now) {
+	if r.cell.AddUnconfirmedJob(job, now.UnixMilli(), now) {
 		s.addedJobs = append(s.addedJobs, id)
 	}
 }
@@ -253,7 +263,7 @@
 
 // store makes submitted records and the jobs' progress durable and answers the submissions. If
 // the store refuses the append, the submitted jobs are withdrawn, because it is certain that
-// nothing was stored.
+// this append stored nothing. Jobs that another machine has stored stay.
 func (r *Runner) store(ctx context.Context, submitted []*submission, progress []plan.ProgressRecord) error {
 	records, failed, err := r.encoder.encode(progress)
 	if err != nil {
@@ -386,21 +396,20 @@
 }
 
 // storeProgressOnly withdraws the jobs whose submissions the store has refused and stores the
-// progress of the others.
+// progress of those that stay. Their planned starts are sent afterwards.
 func (r *Runner) storeProgressOnly(ctx context.Context, submitted []*submission, records []plan.ProgressRecord) error {
-	refused := make(map[work.ID]bool)
+	withdrawn := make(map[work.ID]bool)
 	r.mu.Lock()
 	for _, s := range submitted {
-		for _, id := range s.addedJobs {
-			refused[id] = true
+		for _, id := range r.withdraw(s) {
+			withdrawn[id] = true
 		}
-		r.withdraw(s)
 	}
 	r.mu.Unlock()
 	completeAll(submitted, assist.NotStored)
 	var kept []plan.ProgressRecord
 	for _, rec := range records {
-		if !refused[rec.Job] {
+		if !withdrawn[rec.Job] {
 			kept = append(kept, rec)
 		}
 	}
--- a/internal/dispatch/testcell_test.go
+++ b/internal/dispatch/testcell_test.go
@@ -112,6 +112,7 @@
 	startedAt     time.Time
 	token         uint64
 	running       map[platform.Run]time.Time // start time of each run
+	onStart       func(platform.Run)         // called with each run that is ordered; may be nil
 	ended         []platform.EndedRun
 	startDelay    time.Duration // if not zero, a start is not answered and is carried out after this delay
 	stopsToLose   int           // number of further stops that have no answer and no effect
@@ -148,8 +149,11 @@
 
 func (e *fakeExecutor) Start(ctx context.Context, _ platform.ExecutorRef, o platform.StartOrder) (platform.ExecutorClock, error) {
 	e.mu.Lock()
-	delay := e.startDelay
+	delay, onStart := e.startDelay, e.onStart
 	e.mu.Unlock()
+	if onStart != nil {
+		onStart(o.Run)
+	}
 	if delay == 0 {
 		return e.clock(), e.startRun(o)
 	}
@@ -353,6 +357,24 @@
 	return work.ID{n}
 }
 
+// recordsStart reports whether the store holds that a run may exist.
+func (s *memoryStore) recordsStart(run platform.Run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := work.Key(work.KindProgress, run.Task.Job)
+	for _, r := range slices.Backward(s.partitions[jobsPartition.Topic]) {
+		if r.Key == key {
+			p, err := work.DecodeProgress(r.Value)
+			if err != nil || len(p.Occurrences) == 0 {
+				return false
+			}
+			row := p.Occurrences[0].Steps[run.Task.Step][run.Task.Index]
+			return row.Phase == work.Started && row.Run >= run.Number
+		}
+	}
+	return false
+}
+
 // cancel stores a cancellation as a machine does that reaches no leader.
 func (p *testCell) cancel(id work.ID) {
 	p.store.put(jobsPartition, work.Key(work.KindCancellation, id), string(work.CancellationValue))
--- a/internal/plan/backlog_test.go
+++ b/internal/plan/backlog_test.go
@@ -39,9 +39,9 @@
 	})
 	Convey("Withdrawing a job that could not be made durable releases everything", t, func() {
 		env := newTestEnv(t, 1)
-		j := env.submitJob(1, testQueue, work.Step{TaskCount: 2, TaskResources: cpus(4), Estimate: time.Second})
+		j := env.submitUnconfirmed(1, testQueue, work.Step{TaskCount: 2, TaskResources: cpus(4), Estimate: time.Second})
 		So(env.cell.Plan(env.now), ShouldHaveLength, 2)
-		env.cell.Withdraw(j.ID)
+		So(env.cell.Withdraw(j.ID), ShouldBeTrue)
 		So(env.cell.vms["e0"].used.MilliCPU, ShouldEqual, 0)
 		So(env.cell.TakeDirtyRecords(), ShouldBeEmpty)
 		So(env.cell.Knows(j.ID), ShouldBeFalse)
--- a/internal/plan/cell.go
+++ b/internal/plan/cell.go
@@ -33,6 +33,7 @@
 	jobs                map[work.ID]*job
 	workspaces          map[work.WorkspaceID]*workspace
 	endedJobs           map[work.ID]struct{}    // jobs that ended under this leader; their records may be read again
+	unconfirmedJobs     map[work.ID]struct{}    // jobs whose submission isn't known to be stored, also those of endedJobs
 	waitingSteps        []*step                 // steps with tasks to place
 	orderedSteps        []*step                 // the waiting steps in the start order of the newest plan
 	largestGang         *step                   // gang that goes first in the start order; nil if none waits
@@ -91,6 +92,7 @@
 		jobs:               make(map[work.ID]*job),
 		workspaces:         make(map[work.WorkspaceID]*workspace),
 		endedJobs:          make(map[work.ID]struct{}),
+		unconfirmedJobs:    make(map[work.ID]struct{}),
 		grantShares:        make(map[string]float64),
 		availableShares:    make(map[string]float64),
 		failedImages:       make(map[string]time.Time),
@@ -198,16 +200,34 @@
 	return true
 }
 
-// Withdraw removes a job that could not be made durable. No order of it may have been sent.
-func (c *Cell) Withdraw(id work.ID) {
-	j := c.jobs[id]
-	if j == nil {
-		return
+// AddUnconfirmedJob adds a new job whose submission is about to be stored, so that it can be planned in the
+// meantime. It reports whether the job was added, see AddJob. ConfirmStored must follow once the submission is known
+// to be stored, and no order of the job may be sent before its append was answered.
+func (c *Cell) AddUnconfirmedJob(spec *work.Job, wallMillis int64, now time.Time) bool {
+	if !c.AddJob(spec, nil, wallMillis, now) {
+		return false
+	}
+	c.unconfirmedJobs[spec.ID] = struct{}{}
+	return true
+}
+
+// ConfirmStored notes that a job's submission is known to be stored, whoever stored it. Withdraw doesn't remove the
+// job from then on.
+func (c *Cell) ConfirmStored(id work.ID) { delete(c.unconfirmedJobs, id) }
+
+// Withdraw removes a job whose submission was given up, also if the job has ended in the meantime, and reports
+// whether it did. It keeps a job that is known to be stored.
+func (c *Cell) Withdraw(id work.ID) bool {
+	if _, unconfirmed := c.unconfirmedJobs[id]; !unconfirmed {
+		return false
 	}
-	if !j.excess {
-		j.workspace.returnJobToken()
+	delete(c.unconfirmedJobs, id)
+	if j := c.jobs[id]; j != nil {
+		if !j.excess {
+			j.workspace.returnJobToken()
+		}
+		c.endJob(j, work.Cancelled)
 	}
-	c.endJob(j, work.Cancelled)
 	delete(c.endedJobs, id)
 	for _, v := range c.vms {
 		for _, alloc := range v.allocations {
@@ -216,7 +236,8 @@
 			}
 		}
 	}
-	c.dirtyJobs = slices.DeleteFunc(c.dirtyJobs, func(d *job) bool { return d == j })
+	c.dirtyJobs = slices.DeleteFunc(c.dirtyJobs, func(d *job) bool { return d.spec.ID == id })
+	return true
 }
 
 // Knows reports whether the job is planned or has ended under this leader.
@@ -322,6 +343,7 @@
 func (c *Cell) ForgetJobs(ids []work.ID) {
 	for _, id := range ids {
 		delete(c.endedJobs, id)
+		delete(c.unconfirmedJobs, id)
 	}
 }
 
--- a/internal/plan/harness_test.go
+++ b/internal/plan/harness_test.go
@@ -131,6 +131,13 @@
 	return j
 }
 
+// submitUnconfirmed adds a job with one step whose submission isn't stored yet.
+func (env *testEnv) submitUnconfirmed(n byte, queueName string, s work.Step) *work.Job {
+	j := &work.Job{ID: work.ID{n}, Queue: queueName, Service: testService, AcceptedMs: env.now.UnixMilli(), Steps: []work.Step{s}}
+	env.cell.AddUnconfirmedJob(j, env.now.UnixMilli(), env.now)
+	return j
+}
+
 // submit adds a job to the cell and to the jobs that a later leader reads.
 func (env *testEnv) submit(j *work.Job) {
 	env.submittedJobs[j.ID] = j
