dispatch, intake: a record that is known to be stored is never answered as not stored

Callers saw, or would see: 503 ("never stored") for a job that is stored and runs, when an attempt at one machine got no answer and the next one met a leader whose store is away.

Cause: the outcome of a submission was that of the leader's own append, for all of its records, whoever had stored some of them before; repeated submissions were appended again; those that admission had refused were answered as unknown if the rest of their batch was.

Change: each record has its own outcome. One that the replica holds is Stored at once, without an append, with a line; what was given up is looked up once more before it is answered. The intake of each machine does the same with what it has been told by deliveries.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -26,12 +26,16 @@
 // Store stores records that clients submitted, together with the leader's own. It implements
 // assist.Storer.
 func (r *Runner) Store(ctx context.Context, records []platform.Record) []assist.StoreResult {
-	n := len(records)
-	s := &submission{records: records, results: make([]assist.StoreResult, n), done: make(chan []assist.StoreResult, 1)}
+	s := &submission{
+		records:  records,
+		results:  make([]assist.StoreResult, len(records)),
+		isStored: r.cfg.Replica.HasRequest,
+		done:     make(chan []assist.StoreResult, 1),
+	}
 	accepting, queued := r.enqueue(s)
 	switch {
 	case !accepting:
-		return assist.UniformResults(assist.NotStored, n)
+		return s.resultsWith(assist.NotStored)
 	case !queued:
 		return s.results
 	}
@@ -44,10 +48,10 @@
 		case results := <-s.done:
 			return results
 		case <-ctx.Done():
-			return assist.UniformResults(assist.StoreUnknown, n)
+			return s.resultsWith(assist.StoreUnknown)
 		case <-check.C:
 			if outcome, abandoned := r.abandonIfStalled(s); abandoned {
-				return assist.UniformResults(outcome, n)
+				return s.resultsWith(outcome)
 			}
 		}
 	}
@@ -55,8 +59,8 @@
 
 // enqueue queues a submission for the next cycle and adds its jobs to the cell immediately, so
 // that advice is requested for them while an append is in flight. It returns whether
-// submissions are accepted at the moment and whether any record of this one was queued: refused
-// records need no append.
+// submissions are accepted at the moment and whether any record of this one was queued: those that
+// are refused or stored already need no append.
 func (r *Runner) enqueue(s *submission) (accepting, queued bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,7 +72,7 @@
 	for i := range s.records {
 		r.admitRecord(s, i, backlog, now)
 	}
-	queued = len(s.acceptedRecords()) > 0
+	queued = len(s.recordsToStore()) > 0
 	if queued {
 		r.pendingSubmissions = append(r.pendingSubmissions, s)
 	}
@@ -162,14 +166,23 @@
 const linkFullRetryAfter = time.Second
 
 // admitRecord adds the job of a record to the cell, unless admission refuses it. Records of
-// other kinds are only to be stored. The caller holds r.mu.
+// other kinds are only to be stored, and those that are stored already need no append. The caller
+// holds r.mu.
 func (r *Runner) admitRecord(s *submission, i int, backlog backlogs, now time.Time) {
 	kind, id, err := work.ParseKey(s.records[i].Key)
-	if err != nil || kind != work.KindJob {
+	if err != nil {
+		return
+	}
+	if s.isStored(s.records[i].Key) {
+		s.results[i].Outcome = assist.Stored
+		r.cfg.Logger.WithFields(logrus.Fields{"job": id, "record": s.records[i].Key, "planned": r.cell.Knows(id)}).Info("record is stored already; its submission is confirmed")
+		return
+	}
+	if kind != work.KindJob {
 		return
 	}
-	if e, _ := r.cfg.Replica.Get(id); e.Submitted() || e.Cancelled || r.cell.Knows(id) {
-		return // submitted again, or already cancelled
+	if e, _ := r.cfg.Replica.Get(id); e.Cancelled || r.cell.Knows(id) {
+		return // cancelled before its submission was read, or submitted again
 	}
 	job, err := work.DecodeJob(s.records[i].Value)
 	if err != nil {
@@ -274,7 +287,7 @@
 	for len(submitted) > 0 {
 		n := countFitting(submitted)
 		batch := submitted[:n]
-		part := acceptedRecords(batch)
+		part := recordsToStore(batch)
 		if n == len(submitted) {
 			part, records = fillUp(part, records)
 		}
@@ -333,7 +346,7 @@
 func countFitting(submitted []*submission) int {
 	size := 0
 	for i, s := range submitted {
-		for _, record := range s.acceptedRecords() {
+		for _, record := range s.recordsToStore() {
 			size += len(record.Value) + keyBytes
 		}
 		if i > 0 && size > maxAppendBytes {
@@ -343,11 +356,11 @@
 	return len(submitted)
 }
 
-// acceptedRecords returns the records of submissions that are to be stored.
-func acceptedRecords(submitted []*submission) []platform.Record {
+// recordsToStore returns the records of submissions that are to be stored.
+func recordsToStore(submitted []*submission) []platform.Record {
 	var out []platform.Record
 	for _, s := range submitted {
-		out = append(out, s.acceptedRecords()...)
+		out = append(out, s.recordsToStore()...)
 	}
 	return out
 }
--- a/internal/dispatch/stored_elsewhere_test.go
+++ b/internal/dispatch/stored_elsewhere_test.go
@@ -50,8 +50,8 @@
 		time.Sleep(100 * time.Millisecond)
 		p.appendElsewhere(record)
 		got := <-results
-		if got[1].Outcome != assist.NotStored {
-			t.Errorf("outcomes %v, want NotStored of the second", got)
+		if got[0].Outcome != assist.Stored || got[1].Outcome != assist.NotStored {
+			t.Errorf("outcomes %v, want Stored and NotStored", got)
 		}
 		p.store.setStalled(false)
 		time.Sleep(time.Second)
@@ -86,8 +86,8 @@
 		p.takeOver()
 		time.Sleep(time.Second) // the executor has reported
 		got := p.runner.Store(t.Context(), []platform.Record{record, unstored})
-		if got[1].Outcome != assist.NotStored {
-			t.Errorf("outcomes %v, want NotStored of the second", got)
+		if got[0].Outcome != assist.Stored || got[1].Outcome != assist.NotStored {
+			t.Errorf("outcomes %v, want Stored and NotStored", got)
 		}
 		time.Sleep(time.Second)
 		p.requireOneRun()
@@ -97,3 +97,24 @@
 		p.stop()
 	})
 }
+
+// Guards against telling a client that its job isn't stored while it is: a submission that is repeated while the store gives no
+// answer needs no append.
+func TestRepeatedSubmissionOfStoredJobIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestCell(t)
+		p.register("ready")
+		p.takeOver()
+		record := p.record(1)
+		p.appendElsewhere(record)
+		p.store.setStalled(true)
+		p.submit(2)
+		time.Sleep(minAppendWaitLimit + 100*time.Millisecond)
+		if got := p.runner.Store(t.Context(), []platform.Record{record, p.record(3)}); got[0].Outcome != assist.Stored || got[1].Outcome != assist.NotStored {
+			t.Errorf("outcomes %v, want Stored and NotStored", got)
+		}
+		p.store.setStalled(false)
+		time.Sleep(time.Second)
+		p.stop()
+	})
+}
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/platform"
 	"github.com/skylarklock/skylarklock/internal/work"
@@ -9,34 +11,41 @@
 // submission is a batch of records that a machine has submitted and whose results it awaits.
 type submission struct {
 	records   []platform.Record
-	results   []assist.StoreResult      // one per record; only those of refused records are set before the append
+	results   []assist.StoreResult      // one per record; only those of records that need no append are set before it
 	addedJobs []work.ID                 // jobs that the cell has added for this submission
+	isStored  func(key string) bool     // whether a record is known to be stored, whoever stored it
 	done      chan []assist.StoreResult // receives one value
 }
 
-// isRefused reports whether a record is not to be stored.
-func (s *submission) isRefused(i int) bool {
-	outcome := s.results[i].Outcome
-	return outcome == assist.TooBusy || outcome == assist.NotStored
-}
+// isSettled reports whether a record needs no append: it was refused, or is stored already.
+func (s *submission) isSettled(i int) bool { return s.results[i].Outcome != assist.StoreUnknown }
 
-// acceptedRecords returns the records that are to be stored.
-func (s *submission) acceptedRecords() []platform.Record {
+// recordsToStore returns the records that are to be stored.
+func (s *submission) recordsToStore() []platform.Record {
 	var out []platform.Record
 	for i, r := range s.records {
-		if !s.isRefused(i) {
+		if !s.isSettled(i) {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
-// complete sends the results, with outcome for all records that were not refused.
-func (s *submission) complete(outcome assist.StoreOutcome) {
-	for i := range s.results {
-		if !s.isRefused(i) {
-			s.results[i].Outcome = outcome
+// resultsWith returns the results, with outcome for all records that are neither settled nor known to be stored:
+// another machine may have stored a record that this leader has given up.
+func (s *submission) resultsWith(outcome assist.StoreOutcome) []assist.StoreResult {
+	results := slices.Clone(s.results)
+	for i := range results {
+		switch {
+		case s.isSettled(i):
+		case s.isStored(s.records[i].Key):
+			results[i].Outcome = assist.Stored
+		default:
+			results[i].Outcome = outcome
 		}
 	}
-	s.done <- s.results
+	return results
 }
+
+// complete sends the results, with outcome as in resultsWith.
+func (s *submission) complete(outcome assist.StoreOutcome) { s.done <- s.resultsWith(outcome) }
--- a/internal/dispatch/submission_simulation_test.go
+++ b/internal/dispatch/submission_simulation_test.go
@@ -184,13 +184,17 @@
 
 // submitToLeader submits a record and checks the answer.
 func (p *submissionPlay) submitToLeader(j *submittedJob, r platform.Record) {
+	known := p.replica.HasRequest(r.Key)
 	ctx, cancel := context.WithTimeout(p.t.Context(), 3*time.Second)
 	defer cancel()
 	outcome := p.runner.Store(ctx, []platform.Record{r})[0].Outcome
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if outcome == assist.Stored && !p.holds(r.Key) {
+	switch {
+	case outcome == assist.Stored && !p.holds(r.Key):
 		p.problems = append(p.problems, fmt.Sprintf("%s is answered as stored and isn't", r.Key))
+	case outcome != assist.Stored && known:
+		p.problems = append(p.problems, fmt.Sprintf("%s was known to be stored, the answer is %v", r.Key, outcome))
 	}
 	kind, _, _ := work.ParseKey(r.Key)
 	if kind == work.KindJob && (outcome == assist.Stored || outcome == assist.StoreUnknown) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -149,6 +149,15 @@
 // with ErrNotStored or ErrUnknown. While the store refuses the record, Store retries for up to
 // retryFor, because outages of the store are often short.
 func (in *Intake) Store(ctx context.Context, record platform.Record, retryFor time.Duration) error {
+	err := in.tryStore(ctx, record, retryFor)
+	if err != nil && in.isDelivered(record.Key) {
+		return nil // another attempt of the client may have stored it, at another machine
+	}
+	return err
+}
+
+// tryStore is Store without regard to what others have stored.
+func (in *Intake) tryStore(ctx context.Context, record platform.Record, retryFor time.Duration) error {
 	r := &request{ctx: ctx, record: record, retryUntil: time.Now().Add(retryFor), done: make(chan error, 1)}
 	if err := in.enqueue(r); err != nil {
 		return err
