dispatch: a submission that can't be planned is refused before admission

Callers would see the leader's process end, and the next one's, while two builds run side by side: a job whose step depends on a step that isn't there ended the process in admission (work.Job.CriticalPaths). If it had not, the job would have been stored, answered 2xx and never planned.

Cause: CheckPlannable was called as the job was added to the cell, after admission, and its failure changed nothing of the answer. Evidence: TestUnplannableSubmissionIsNotStored ended with "index out of range [1] with length 1" before. Change: it is called where the record is decoded, and the record is answered as NotStored.

--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -185,6 +185,9 @@
 		return // cancelled before its submission was read, or submitted again
 	}
 	job, err := work.DecodeJob(s.records[i].Value)
+	if err == nil {
+		err = job.CheckPlannable(nil)
+	}
 	if err != nil {
 		r.cfg.Logger.WithError(err).WithField("job", id).Error("unreadable job was handed in")
 		s.results[i] = assist.StoreResult{Outcome: assist.NotStored} // it would be accepted and never planned
--- a/internal/dispatch/unreadable_submission_test.go
+++ b/internal/dispatch/unreadable_submission_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/skylarklock/skylarklock/internal/assist"
 	"github.com/skylarklock/skylarklock/internal/platform"
@@ -31,3 +32,22 @@
 		p.stop()
 	})
 }
+
+// Guards against a job that is accepted and never planned, since the leader can decode what a machine of another build submits and can't
+// plan it.
+func TestUnplannableSubmissionIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestCell(t)
+		p.register("ready")
+		p.takeOver()
+		unplannable := p.recordOf(1, work.Step{TaskCount: 1, DependsOn: []int{1}, Estimate: time.Minute})
+		results := p.runner.Store(t.Context(), []platform.Record{unplannable, p.record(2)})
+		if results[0].Outcome != assist.NotStored || results[1].Outcome != assist.Stored {
+			t.Errorf("outcomes %v", results)
+		}
+		if e, known := p.replica.Get(work.ID{1}); known {
+			t.Errorf("the job is stored: %+v", e)
+		}
+		p.stop()
+	})
+}
