jobapi: only a known submission confirms a repeated one

Callers would see 200 for a job that is stored nowhere, and then 410: a machine that knows a job's progress or cancellation, and not its submission, answered a submission as repeated.

Cause: the entry of the job was asked for, not its submission. A leader could store the end of a job that it gave up, and a cancellation can be read before or without the submission. Evidence: TestJobKnownByOtherRecordsOnlyIsStored failed before for both kinds. Change: Submitted is asked for, and a submission that is confirmed so writes a line.

--- a/internal/jobapi/jobs.go
+++ b/internal/jobapi/jobs.go
@@ -18,20 +18,21 @@
 	"github.com/skylarklock/skylarklock/internal/work"
 )
 
-// submitJob stores a new job. A known ID is a repeated submission of the same job and
-// is accepted without storing it again.
+// submitJob stores a new job. The ID of a submission that is known is a repeated submission
+// of the same job and is accepted without storing it again.
 func (a *API) submitJob(r *request, id work.ID) *response {
 	body, refusal := a.readBody(r)
 	if refusal != nil {
 		return refusal
 	}
-	if e, known := a.Replica.Get(id); known {
+	if e, _ := a.Replica.Get(id); e.Submitted() {
 		if !a.mayAccess(r, e) {
 			return a.refuse(http.StatusForbidden, "the job's id can't be used", 0)
 		}
 		if owner := r.ownerOf(e); owner != nil && owner != r.queue {
 			return a.refuse(http.StatusConflict, "a job of another queue has this id", 0)
 		}
+		a.Logger.WithFields(logrus.Fields{"job": id, "queue": r.queue.Name, "state": e.State(), "read_up_to": a.Replica.Position()}).Info("request confirmed: the job is stored already")
 		return accepted()
 	}
 	var job *work.Job
