dispatch: stored jobs that the planner lacks are found and planned

Cause: what the replica holds and what the cell plans were never compared. Change: each second the leader compares the stored, unfinished jobs with the cell. One that is missing twice in a row is planned, with a line and the counter `missing`, so whatever loses a job between the two costs 2 s at most and shows. Counters of jobs withdrawn, kept and confirmed stand beside it at /debug/vars/jobs.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"expvar"
 	"slices"
 	"sync"
 	"time"
@@ -38,7 +39,7 @@
 	minHoldInterval     = 40 * time.Millisecond  // minimum time between two holds on an executor; ends close together share one
 	holdRetryDelay      = 200 * time.Millisecond
 	adviceTimeout       = 3 * time.Second // of an advice call, which may queue behind others
-	cleanupInterval     = time.Second     // between two checks for ended jobs
+	cleanupInterval     = time.Second     // between two checks for ended jobs, and for jobs that the planner lacks
 	maxCleanupJobs      = 2000            // ended jobs per check; 5,000 starts a second end fewer jobs, and their records fit one append
 	submissionRetention = 5 * time.Second // how long an ended job's submission is kept, for runs that are reported late
 )
@@ -69,6 +70,7 @@
 	OnHigherEpoch      func(epoch api.Epoch) // called when a machine knows a higher epoch
 	LastAppendDuration time.Duration         // duration of the last append before this process led; 0: unknown
 	MaxRecordBytes     int                   // the store's limit of a record with its key, in bytes; 0: unknown
+	JobCounters        *expvar.Map           // counters of jobs, see planMissingJobs; nil: not shared with others
 	Logger             *logrus.Entry
 }
 
@@ -91,6 +93,7 @@
 	appendWaitLimit     time.Duration                // how long an append may go unanswered before submissions are refused
 	appendPendingSince  time.Time                    // start of the unanswered append; zero if none is in flight
 	storeRefusedAt      time.Time                    // when the store last refused an append
+	missingSightings    map[work.ID]int              // stored jobs that the cell didn't know, with the number of successive checks
 	holdLoops           map[string]context.CancelFunc
 	stopped             bool
 	goroutines          sync.WaitGroup
@@ -98,6 +101,9 @@
 
 // New returns a Runner that has not been started.
 func New(cfg Config) *Runner {
+	if cfg.JobCounters == nil {
+		cfg.JobCounters = new(expvar.Map).Init()
+	}
 	return &Runner{
 		cfg:             cfg,
 		writer:          newWriter(cfg),
@@ -218,6 +224,7 @@
 		}
 		if time.Since(cleanedUpAt) > cleanupInterval {
 			cleanedUpAt = time.Now()
+			r.planMissingJobs()
 			if err := r.cleanUp(ctx); err != nil {
 				return r.reportFenced(err)
 			}
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -152,9 +152,11 @@
 		e, _ := r.cfg.Replica.Get(id)
 		logger := r.cfg.Logger.WithFields(logrus.Fields{"job": id, "submitted": e.Submitted(), "cancelled": e.Cancelled, "read_up_to": r.cfg.Replica.Position()})
 		if !r.cell.Withdraw(id) {
+			r.cfg.JobCounters.Add(keptJobs, 1)
 			logger.Info("job stays: its submission was stored by another machine")
 			continue
 		}
+		r.cfg.JobCounters.Add(withdrawnJobs, 1)
 		logger.Info("job is withdrawn: its submission was not stored")
 		withdrawn = append(withdrawn, id)
 	}
@@ -175,6 +177,7 @@
 	}
 	if s.isStored(s.records[i].Key) {
 		s.results[i].Outcome = assist.Stored
+		r.cfg.JobCounters.Add(confirmedJobs, 1)
 		r.cfg.Logger.WithFields(logrus.Fields{"job": id, "record": s.records[i].Key, "planned": r.cell.Knows(id)}).Info("record is stored already; its submission is confirmed")
 		return
 	}
--- a/internal/dispatch/submission_simulation_test.go
+++ b/internal/dispatch/submission_simulation_test.go
@@ -266,6 +266,9 @@
 			}
 		}
 	}
+	if missing := p.counters.Get(missingJobs); missing != nil {
+		p.problems = append(p.problems, fmt.Sprintf("%s stored jobs were missing from the planner", missing))
+	}
 	for i, problem := range p.problems {
 		if i < 5 {
 			p.t.Error(problem)
--- a/internal/dispatch/testcell_test.go
+++ b/internal/dispatch/testcell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"slices"
 	"strings"
 	"sync"
@@ -261,7 +262,8 @@
 	advice   *queue.Advice // advice settings of the queue; nil: no advice
 	overload bool          // plan.Config.Overload
 
-	maxRecordBytes int // Config.MaxRecordBytes
+	maxRecordBytes int         // Config.MaxRecordBytes
+	counters       *expvar.Map // of all leaders
 }
 
 func newTestCell(t *testing.T) *testCell {
@@ -271,6 +273,7 @@
 		executor: newFakeExecutor(),
 		replica:  replica.New(time.Hour, logging.Nop()),
 		stop:     func() {},
+		counters: new(expvar.Map).Init(),
 	}
 	p.log = p.store
 	p.reader = &replica.Reader{
@@ -320,6 +323,7 @@
 		LastRenewal:    func() leader.Renewal { return leader.Renewal{} },
 		OnHigherEpoch:  func(api.Epoch) {},
 		MaxRecordBytes: p.maxRecordBytes,
+		JobCounters:    p.counters,
 		Logger:         logging.Nop(),
 	})
 	ctx, cancel := context.WithCancel(p.t.Context())
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -80,6 +80,7 @@
 		OnHigherEpoch:      n.handleHigherEpoch,
 		LastAppendDuration: n.elector.LastAppendDuration(),
 		MaxRecordBytes:     n.settings.MaxRecordBytes,
+		JobCounters:        n.jobCounters,
 		Logger:             n.log.WithField("epoch", epoch),
 	})
 	n.runner.Store(runner)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -48,6 +49,7 @@
 	log            *logrus.Entry
 	traffic        *traffic.Account
 	clientLimiter  *clientlimit.Limiter
+	jobCounters    *expvar.Map // of the times in which this process led
 	store          *storehealth.Log
 	configWatcher  *queue.Watcher
 	replica        *replica.Replica
@@ -78,6 +80,7 @@
 		log:            log,
 		traffic:        account,
 		clientLimiter:  clientlimit.New(clientlimit.ForMachine(s.MemoryBytes, s.FileDescriptors), log.WithField("server", traffic.Clients)),
+		jobCounters:    new(expvar.Map).Init(),
 		store:          storehealth.Watch(platform.NewStoreClient(s.StoreAddress, account)),
 		caller:         newCaller(account),
 		bulkCaller:     newCaller(account),
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -64,6 +64,7 @@
 	mux.HandleFunc("GET "+platform.ReadinessPath, n.serveReadiness)
 	mux.HandleFunc("GET "+countersPath, n.serveCounters)
 	mux.Handle("GET "+limitCountersPath, varHandler(n.clientLimiter.Vars()))
+	mux.Handle("GET "+jobCountersPath, varHandler(n.jobCounters))
 	n.addReadinessServer(g, mux)
 }
 
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -73,6 +73,9 @@
 // limitCountersPath is the path of the counters of clients' connections and requests that were dropped.
 const limitCountersPath = countersPath + "/clients"
 
+// jobCountersPath is the path of the counters of jobs that were withdrawn from the planner or missing from it.
+const jobCountersPath = countersPath + "/jobs"
+
 // varHandler returns a handler that answers with the value of v as JSON.
 func varHandler(v expvar.Var) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -294,6 +294,18 @@
 	return ended
 }
 
+// UnfinishedJobs returns the jobs that have not ended and whose submission is kept.
+func (r *Replica) UnfinishedJobs() []work.ID {
+	var ids []work.ID
+	r.each(func(id work.ID, e *Entry) bool {
+		if e.Job != nil && !e.State().Final() {
+			ids = append(ids, id)
+		}
+		return true
+	})
+	return ids
+}
+
 // ExpiredJobs returns up to limit jobs that ended longer ago than the retention time.
 func (r *Replica) ExpiredJobs(now time.Time, limit int) []work.ID {
 	var ids []work.ID
