dispatch: withdrawing a job doesn't take the replica's lock

Callers would see a cell that stands still: since the lines of a withdrawn or missing job named the replica's position, which takes the replica's lock under that of the planner. The replica tells the planner of changes the other way round.

Change: the lines name the offset of the job's newest record, which needs the lock of a shard only, as the other look-ups do; the field's comment says in which order the two are locked.

--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -43,7 +43,7 @@
 		added := r.cell.AddJob(e.Job, e.Progress, now.UnixMilli(), now)
 		r.cfg.JobCounters.Add(missingJobs, 1)
 		r.cfg.Logger.WithFields(logrus.Fields{
-			"job": id, "state": e.State(), "has_progress": e.Progress != nil, "planned_now": added, "read_up_to": r.cfg.Replica.Position(),
+			"job": id, "state": e.State(), "has_progress": e.Progress != nil, "planned_now": added, "record_offset": e.Offset(),
 		}).Error("stored job was missing from the planner")
 	}
 	r.missingSightings = sightings
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -83,7 +83,7 @@
 	executorWake chan struct{} // signals that there may be stops to send or executors to call
 	adviceWake   chan struct{} // signals that advice calls may be due
 
-	mu                  sync.Mutex // guards the fields below
+	mu                  sync.Mutex // guards the fields below; the replica calls applyChanges, which locks it, under a lock of its own
 	cell                *plan.Cell
 	cycleDone           chan struct{} // closed when the next complete cycle has ended
 	admissionController admission.Controller
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -26,12 +26,7 @@
 // Store stores records that clients submitted, together with the leader's own. It implements
 // assist.Storer.
 func (r *Runner) Store(ctx context.Context, records []platform.Record) []assist.StoreResult {
-	s := &submission{
-		records:  records,
-		results:  make([]assist.StoreResult, len(records)),
-		isStored: r.cfg.Replica.HasRequest,
-		done:     make(chan []assist.StoreResult, 1),
-	}
+	s := r.newSubmission(records...)
 	accepting, queued := r.enqueue(s)
 	switch {
 	case !accepting:
@@ -150,7 +145,7 @@
 	var withdrawn []work.ID
 	for _, id := range s.addedJobs {
 		e, _ := r.cfg.Replica.Get(id)
-		logger := r.cfg.Logger.WithFields(logrus.Fields{"job": id, "submitted": e.Submitted(), "cancelled": e.Cancelled, "read_up_to": r.cfg.Replica.Position()})
+		logger := r.cfg.Logger.WithFields(logrus.Fields{"job": id, "submitted": e.Submitted(), "cancelled": e.Cancelled, "record_offset": e.Offset()})
 		if !r.cell.Withdraw(id) {
 			r.cfg.JobCounters.Add(keptJobs, 1)
 			logger.Info("job stays: its submission was stored by another machine")
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -17,6 +17,15 @@
 	done      chan []assist.StoreResult // receives one value
 }
 
+func (r *Runner) newSubmission(records ...platform.Record) *submission {
+	return &submission{
+		records:  records,
+		results:  make([]assist.StoreResult, len(records)),
+		isStored: r.cfg.Replica.HasRequest,
+		done:     make(chan []assist.StoreResult, 1),
+	}
+}
+
 // isSettled reports whether a record needs no append: it was refused, or is stored already.
 func (s *submission) isSettled(i int) bool { return s.results[i].Outcome != assist.StoreUnknown }
 
--- a/internal/replica/entry.go
+++ b/internal/replica/entry.go
@@ -70,6 +70,9 @@
 // submission isn't known.
 func (e *Entry) Workspace() work.WorkspaceID { return e.workspace }
 
+// Offset returns the offset of the newest record of the job, or of the summary that replaces it.
+func (e *Entry) Offset() platform.Offset { return e.lastOffset }
+
 // setOrigin records the workspace that the job belongs to and where it was accepted. Processes that know no
 // workspaces or paths write outcomes and send summaries without them, which take nothing back.
 func (e *Entry) setOrigin(w work.WorkspaceID, p work.PathID) {
