--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -83,7 +83,9 @@
 	executorWake chan struct{} // signals that there may be stops to send or executors to call
 	adviceWake   chan struct{} // signals that advice calls may be due
 
-	mu                  sync.Mutex // guards the fields below; the replica calls applyChanges, which locks it, under a lock of its own
+	// mu guards the fields below. The replica calls applyChanges, which locks mu, while it holds its own lock; so
+	// methods of the replica that lock all of it must not be called under mu.
+	mu                  sync.Mutex
 	cell                *plan.Cell
 	cycleDone           chan struct{} // closed when the next complete cycle has ended
 	admissionController admission.Controller
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -17,6 +17,7 @@
 	done      chan []assist.StoreResult // receives one value
 }
 
+// newSubmission returns a submission of which no record is settled.
 func (r *Runner) newSubmission(records ...platform.Record) *submission {
 	return &submission{
 		records:  records,
