crowd: a port is handed out once

Cause, as far as traced: freeAddress closes its probe, so the ports of one cell, drawn from 12,000, can coincide. Evidence: TestPortsAreHandedOutOnce failed before. Change: ports that were returned are remembered.

--- a/internal/crowd/cell_test.go
+++ b/internal/crowd/cell_test.go
@@ -121,11 +121,19 @@
 	portCount = 12000
 )
 
+// handedOut holds the ports that freeAddress has returned. One that is not in use yet looks free to the next call.
+var handedOut = make(map[int]bool)
+
 func freeAddress(t *testing.T) *net.TCPAddr {
 	t.Helper()
 	for range 1000 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(portCount)))
+		port := firstPort + rand.N(portCount)
+		if handedOut[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
+			handedOut[port] = true
 			defer l.Close()
 			return l.Addr().(*net.TCPAddr)
 		}
