--- a/internal/dispatch/stored_elsewhere_test.go
+++ b/internal/dispatch/stored_elsewhere_test.go
@@ -118,3 +118,30 @@
 		p.stop()
 	})
 }
+
+// Guards against telling a client that its stored job is not stored as its leader ends: the submission waits behind an append without an
+// answer, and another machine's append of the job has been read. The next leader runs it once.
+func TestLeaderThatEndsConfirmsStoredJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestCell(t)
+		p.register("ready")
+		p.takeOver()
+		p.store.setStalled(true)
+		p.submit(1) // its append is in flight
+		time.Sleep(100 * time.Millisecond)
+		record, unstored := p.record(2), p.record(3)
+		results := make(chan []assist.StoreResult, 1)
+		go func() { results <- p.runner.Store(t.Context(), []platform.Record{record, unstored}) }()
+		time.Sleep(100 * time.Millisecond)
+		p.appendElsewhere(record)
+		p.stop()
+		if got := <-results; got[0].Outcome != assist.Stored || got[1].Outcome != assist.NotStored {
+			t.Errorf("outcomes %v, want Stored and NotStored", got)
+		}
+		p.store.setStalled(false)
+		p.takeOver()
+		time.Sleep(time.Second)
+		p.requireOneRun()
+		p.stop()
+	})
+}
